Shared types, peer calls, caller API document and checks

Cause: every subsystem needs the same names for requests, records, verdicts, upstreams, members, configuration and settings before work can split. Measured: a call with a 50 ms deadline to a method that hangs returns at its deadline and the next call on a fresh connection succeeds (test in internal/peer). Conclusion: the subsystems can be built in parallel on these.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# Tools are installed at these versions into .bin; nothing else is needed but Go.
+GOFUMPT_VERSION := v0.12.0
+GOLANGCI_VERSION := v2.15.0
+BIN := $(CURDIR)/.bin
+GO ?= go
+# GOFLAGS for every build and test of this project.
+export GOFLAGS := -buildvcs=false
+
+.PHONY: all build test demo tools format format-check lint generate generate-check clean
+
+all: build
+
+build: ## Build the programs into .bin.
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+test: ## Run every test, with the race detector.
+	$(GO) test -race -count=1 ./...
+
+tools: $(BIN)/gofumpt $(BIN)/golangci-lint
+
+$(BIN)/gofumpt:
+	GOBIN=$(BIN) $(GO) install mvdan.cc/gofumpt@$(GOFUMPT_VERSION)
+
+$(BIN)/golangci-lint:
+	GOBIN=$(BIN) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+
+format: $(BIN)/gofumpt ## Format the written code.
+	$(BIN)/gofumpt -w cmd internal
+
+format-check: $(BIN)/gofumpt
+	@out=$$($(BIN)/gofumpt -l cmd internal); test -z "$$out" || { echo "not formatted:"; echo "$$out"; exit 1; }
+
+lint: $(BIN)/golangci-lint ## Run the linter.
+	$(BIN)/golangci-lint run ./...
+
+generate: ## Write the API code anew from api/*.yaml.
+	$(GO) tool ogen --target api/callerapi --package callerapi --clean --config api/ogen.yaml api/caller.yaml
+
+generate-check: generate
+	git diff --exit-code -- api
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/internal/grant/messages.go
@@ -0,0 +1,121 @@
+// Package grant decides who may run a request. It is the witness's table:
+// free of I/O, clocks and goroutines, so that the model checker runs the very
+// transition functions that the daemon runs.
+//
+// Invariants:
+//   - a non-idempotent request is granted at most once, to one holder, for ever;
+//   - a table that was closed for a hand-over grants nothing more, and its
+//     snapshot is taken after it was closed;
+//   - a table is handed over to one successor, for ever;
+//   - the epoch of a record only grows; messages of an older epoch change nothing,
+//     except that the granted holder may always report its result.
+package grant
+
+import (
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/request"
+)
+
+// ClaimRequest asks to become the holder of a request, and brings its record
+// when the witness may not know it yet.
+type ClaimRequest struct {
+	ID     ident.RequestID
+	Holder ident.Incarnation
+	// Spec is nil when the asker knows only the ID.
+	Spec *request.Spec
+	// SeenEpoch is the epoch of the holder that the asker believes to be dead, or 0 at the first claim.
+	// A claim that names an older epoch than the record's is not granted: somebody was faster.
+	SeenEpoch uint64
+}
+
+// ClaimReply tells whether the asker is now the holder, and what is known.
+type ClaimReply struct {
+	// Found is false when the witness does not know the request and no Spec was brought.
+	Found bool
+	// Claimed is true when the asker is the holder under Record.Epoch.
+	Claimed bool
+	// Granted is true when the right to run a non-idempotent request was given
+	// away for good, whoever has it.
+	Granted bool
+	Record  request.Record
+}
+
+// Request asks for the right to run a non-idempotent request.
+type Request struct {
+	ID     ident.RequestID
+	Holder ident.Incarnation
+	Epoch  uint64
+}
+
+// Reply answers a Request.
+type Reply struct {
+	// Granted is true when this holder, and no other for ever, may run the request.
+	Granted bool
+	Record  request.Record
+}
+
+// VoidRequest takes the grant for nobody, so that "not run" can be said.
+type VoidRequest struct {
+	ID ident.RequestID
+	// Spec is kept when the witness does not know the request yet.
+	Spec   *request.Spec
+	Holder ident.Incarnation
+}
+
+// VoidReply answers a VoidRequest.
+type VoidReply struct {
+	// Voided is true when nobody was and nobody will be granted the request.
+	Voided bool
+	Record request.Record
+}
+
+// ProgressRequest reports tokens and the place of a running request.
+type ProgressRequest struct {
+	ID          ident.RequestID
+	Holder      ident.Incarnation
+	Epoch       uint64
+	Upstream    ident.Upstream
+	UpstreamURL string
+	Generation  ident.Generation
+	// Offset is the index of the first of Tokens.
+	Offset int
+	Tokens []string
+	Moves  int
+	// Released is true when the holder gives the request up for another to claim.
+	Released bool
+}
+
+// FinishRequest reports the final state of a request.
+type FinishRequest struct {
+	ID     ident.RequestID
+	Holder ident.Incarnation
+	Epoch  uint64
+	Record request.Record
+}
+
+// UpdateReply answers a ProgressRequest or a FinishRequest.
+type UpdateReply struct {
+	// Applied is false when the message came from a holder that is no longer the holder.
+	Applied bool
+	// Epoch is the record's epoch.
+	Epoch uint64
+	// Cancelled is true when the caller has cancelled the request.
+	Cancelled bool
+}
+
+// FetchRequest asks for what is known of a request.
+type FetchRequest struct {
+	ID ident.RequestID
+}
+
+// FetchReply answers a FetchRequest.
+type FetchReply struct {
+	Found  bool
+	Record request.Record
+}
+
+// CancelRequest records that the caller wants no answer any more.
+type CancelRequest struct {
+	ID        ident.RequestID
+	Workspace ident.Workspace
+}
--- /dev/null
+++ b/internal/ident/requestid.go
@@ -0,0 +1,61 @@
+package ident
+
+import (
+	"crypto/rand"
+	"regexp"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// MinRandomLength is the least length of the part of a request ID that the caller chooses, in characters.
+const MinRandomLength = 16
+
+var (
+	incarnationPattern = regexp.MustCompile(`^[a-z0-9-]{1,40}_[0-9a-f]{16}$`)
+	randomPattern      = regexp.MustCompile(`^[a-z0-9]{16,64}$`)
+)
+
+// ErrBadRequestID is returned for text that is no request ID.
+var ErrBadRequestID = errors.New("a request ID is the prefix from /v1/addresses followed by 16 to 64 characters out of a-z and 0-9")
+
+// RequestID names a request and the two incarnations that decide who runs it.
+// Its text is "<home>.<witness>.<random>".
+type RequestID struct {
+	// Home is the incarnation that runs the request while it is alive.
+	Home Incarnation
+	// Witness is the incarnation that grants the right to run it.
+	Witness Incarnation
+	// Random is the part chosen by the caller.
+	Random string
+}
+
+// Prefix returns the text that request IDs of home and witness begin with.
+func Prefix(home, witness Incarnation) string {
+	return string(home) + "." + string(witness) + "."
+}
+
+// NewRequestID makes a request ID with a fresh random part.
+func NewRequestID(home, witness Incarnation) RequestID {
+	return RequestID{Home: home, Witness: witness, Random: strings.ToLower(rand.Text())}
+}
+
+// ParseRequestID reads the text form of a request ID.
+func ParseRequestID(text string) (RequestID, error) {
+	parts := strings.Split(text, ".")
+	if len(parts) != 3 {
+		return RequestID{}, ErrBadRequestID
+	}
+	if !incarnationPattern.MatchString(parts[0]) || !incarnationPattern.MatchString(parts[1]) {
+		return RequestID{}, ErrBadRequestID
+	}
+	if !randomPattern.MatchString(parts[2]) {
+		return RequestID{}, ErrBadRequestID
+	}
+	return RequestID{Home: Incarnation(parts[0]), Witness: Incarnation(parts[1]), Random: parts[2]}, nil
+}
+
+// String returns the text form.
+func (r RequestID) String() string {
+	return Prefix(r.Home, r.Witness) + r.Random
+}
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,183 @@
+package peer
+
+import (
+	"context"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// heartbeatInterval is the time between two heartbeats on a connection.
+	heartbeatInterval = time.Second
+	// heartbeatTimeout is how long a heartbeat may take before its connection is replaced.
+	heartbeatTimeout = 700 * time.Millisecond
+	// retireGrace is how long calls in progress on a replaced connection may still go on.
+	retireGrace = 2 * time.Second
+	// idleHeartbeats is after how many heartbeats without a call a connection is closed.
+	idleHeartbeats = 30
+)
+
+// ErrTimeout is returned when a call had no answer by its deadline; it may have taken effect.
+var ErrTimeout = errors.New("no answer from the node in time")
+
+// Client calls other nodes. It keeps one connection to each address, proves it
+// alive by heartbeats, and replaces it when it has gone silent.
+//
+// Lock order: Client.mu is a leaf; no call is made while it is held.
+type Client struct {
+	dialer Dialer
+
+	mu     sync.Mutex
+	links  map[string]*link
+	closed bool
+}
+
+// link is one connection with its use count.
+type link struct {
+	rpc   *rpc.Client
+	mu    sync.Mutex
+	calls int
+	done  chan struct{}
+	once  sync.Once
+}
+
+// NewClient returns a client that dials by dialer.
+func NewClient(dialer Dialer) *Client {
+	return &Client{dialer: dialer, links: make(map[string]*link)}
+}
+
+// Call calls method ("Service.Method") at address. The context must have a deadline.
+// An error from the remote method is a *verdict.Error; any other error means
+// that the call may or may not have taken effect, unless IsNotSent says so.
+func (c *Client) Call(ctx context.Context, address, method string, args, reply any) error {
+	l, err := c.link(ctx, address)
+	if err != nil {
+		return err
+	}
+	l.mark()
+	call := l.rpc.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		if errors.Is(call.Error, rpc.ErrShutdown) {
+			c.retire(address, l)
+		}
+		return decodeError(call.Error)
+	case <-ctx.Done():
+		c.retire(address, l)
+		return errors.Mark(errors.Wrapf(ctx.Err(), "%s at %s", method, address), ErrTimeout)
+	}
+}
+
+// Close closes every connection.
+func (c *Client) Close() {
+	c.mu.Lock()
+	links := c.links
+	c.links = make(map[string]*link)
+	c.closed = true
+	c.mu.Unlock()
+	for _, l := range links {
+		l.close()
+	}
+}
+
+// link returns the connection to address, dialling when there is none.
+func (c *Client) link(ctx context.Context, address string) (*link, error) {
+	c.mu.Lock()
+	l, ok := c.links[address]
+	closed := c.closed
+	c.mu.Unlock()
+	if ok {
+		return l, nil
+	}
+	if closed {
+		return nil, notSent(errors.New("the client is closed"))
+	}
+	conn, err := c.dialer.dialRPC(ctx, address)
+	if err != nil {
+		return nil, notSent(err)
+	}
+	fresh := &link{rpc: rpc.NewClient(conn), done: make(chan struct{})}
+	c.mu.Lock()
+	if other, raced := c.links[address]; raced || c.closed {
+		c.mu.Unlock()
+		fresh.close()
+		if raced {
+			return other, nil
+		}
+		return nil, notSent(errors.New("the client is closed"))
+	}
+	c.links[address] = fresh
+	c.mu.Unlock()
+	go c.heartbeat(address, fresh)
+	return fresh, nil
+}
+
+// retire takes l out of use and closes it after a grace period for other calls on it.
+func (c *Client) retire(address string, l *link) {
+	c.mu.Lock()
+	if c.links[address] == l {
+		delete(c.links, address)
+	}
+	c.mu.Unlock()
+	time.AfterFunc(retireGrace, l.close)
+}
+
+// heartbeat proves l alive until it is closed, silent or idle.
+func (c *Client) heartbeat(address string, l *link) {
+	ticker := time.NewTicker(heartbeatInterval)
+	defer ticker.Stop()
+	idle := 0
+	for {
+		select {
+		case <-l.done:
+			return
+		case <-ticker.C:
+		}
+		if l.takeCalls() > 0 {
+			idle = 0
+		} else {
+			idle++
+		}
+		if idle > idleHeartbeats || !l.ping() {
+			c.retire(address, l)
+			return
+		}
+	}
+}
+
+func (l *link) mark() {
+	l.mu.Lock()
+	l.calls++
+	l.mu.Unlock()
+}
+
+func (l *link) takeCalls() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := l.calls
+	l.calls = 0
+	return n
+}
+
+// ping reports whether the other end answers.
+func (l *link) ping() bool {
+	call := l.rpc.Go(pingMethod, &Ping{}, &Pong{}, make(chan *rpc.Call, 1))
+	timer := time.NewTimer(heartbeatTimeout)
+	defer timer.Stop()
+	select {
+	case <-call.Done:
+		return call.Error == nil
+	case <-timer.C:
+		return false
+	}
+}
+
+func (l *link) close() {
+	l.once.Do(func() {
+		close(l.done)
+		_ = l.rpc.Close()
+	})
+}
--- /dev/null
+++ b/internal/peer/errors.go
@@ -0,0 +1,56 @@
+package peer
+
+import (
+	"encoding/json"
+	"net/rpc"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"mangoledge.example/mangoledge/internal/verdict"
+)
+
+// errorPrefix marks a verdict error inside the plain text that net/rpc carries.
+const errorPrefix = "verdict:"
+
+// errNotSent marks errors of calls that never left this node.
+var errNotSent = errors.New("the call was not sent")
+
+// IsNotSent reports whether the call behind err certainly never left this node.
+func IsNotSent(err error) bool {
+	return errors.Is(err, errNotSent)
+}
+
+func notSent(err error) error {
+	return errors.Mark(err, errNotSent)
+}
+
+// EncodeError readies err for the way back through net/rpc. Every method of a
+// service registered at a Server returns its error through it.
+func EncodeError(err error) error {
+	if err == nil {
+		return nil
+	}
+	text, jsonErr := json.Marshal(verdict.From(err))
+	if jsonErr != nil {
+		return err
+	}
+	return errors.Newf("%s%s", errorPrefix, text)
+}
+
+// decodeError undoes EncodeError.
+func decodeError(err error) error {
+	var remote rpc.ServerError
+	if !errors.As(err, &remote) {
+		return err
+	}
+	text, ok := strings.CutPrefix(string(remote), errorPrefix)
+	if !ok {
+		return verdict.New(verdict.MayHaveRun, verdict.CodeInternal, "%s", string(remote))
+	}
+	out := new(verdict.Error)
+	if jsonErr := json.Unmarshal([]byte(text), out); jsonErr != nil {
+		return err
+	}
+	return out
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,79 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/internal/verdict"
+)
+
+type echoService struct{}
+
+// EchoArgs is exported because net/rpc asks for it.
+type EchoArgs struct{ Text string }
+
+func (echoService) Echo(args *EchoArgs, reply *EchoArgs) error {
+	reply.Text = args.Text
+	return nil
+}
+
+func (echoService) Fail(_ *EchoArgs, _ *EchoArgs) error {
+	return EncodeError(verdict.New(verdict.NotRun, verdict.CodeOverloaded, "full").After(time.Second))
+}
+
+func (echoService) Hang(_ *EchoArgs, _ *EchoArgs) error {
+	time.Sleep(5 * time.Second)
+	return nil
+}
+
+func startServer(t *testing.T, token string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := NewServer(token)
+	require.NoError(t, server.Register("Echo", echoService{}))
+	go func() { _ = server.Serve(listener, nil) }()
+	t.Cleanup(func() { _ = server.http.Close() })
+	return listener.Addr().String()
+}
+
+func TestCallCarriesRepliesVerdictsAndDeadlines(t *testing.T) {
+	address := startServer(t, "secret")
+	client := NewClient(Dialer{Token: "secret"})
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+
+	var reply EchoArgs
+	require.NoError(t, client.Call(ctx, address, "Echo.Echo", &EchoArgs{Text: "hi"}, &reply))
+	require.Equal(t, "hi", reply.Text)
+
+	err := client.Call(ctx, address, "Echo.Fail", &EchoArgs{}, &reply)
+	var refusal *verdict.Error
+	require.ErrorAs(t, err, &refusal)
+	require.Equal(t, verdict.NotRun, refusal.Verdict)
+	require.Equal(t, time.Second, refusal.RetryAfter)
+
+	short, cancelShort := context.WithTimeout(ctx, 50*time.Millisecond)
+	defer cancelShort()
+	err = client.Call(short, address, "Echo.Hang", &EchoArgs{}, &EchoArgs{})
+	require.True(t, errors.Is(err, ErrTimeout), "got %v", err)
+	require.False(t, IsNotSent(err))
+
+	require.NoError(t, client.Call(ctx, address, "Echo.Echo", &EchoArgs{Text: "again"}, &reply))
+	require.Equal(t, "again", reply.Text)
+}
+
+func TestCallWithWrongTokenIsNotSent(t *testing.T) {
+	address := startServer(t, "secret")
+	client := NewClient(Dialer{Token: "other"})
+	defer client.Close()
+	err := client.Call(t.Context(), address, "Echo.Echo", &EchoArgs{}, &EchoArgs{})
+	require.Error(t, err)
+	require.True(t, IsNotSent(err))
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,106 @@
+// Package peer carries calls between nodes: small control messages by net/rpc,
+// streams by net/http, both on one TCP listener.
+//
+// Invariants: every call has a deadline; a connection that went silent is
+// replaced, not waited for; nothing large goes through net/rpc.
+package peer
+
+import (
+	"context"
+	"crypto/subtle"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/http"
+	"net/rpc"
+	"time"
+)
+
+const (
+	rpcPath = "/rpc"
+	// readHeaderTimeout bounds how long another node may take to send its request header.
+	readHeaderTimeout = 2 * time.Second
+	tokenHeader       = "X-Mangoledge-Peer-Token" //nolint:gosec // the name of a header
+	pingService       = "Heartbeat"
+	pingMethod        = pingService + ".Ping"
+)
+
+// Ping is an empty heartbeat.
+type Ping struct{}
+
+// Pong answers a Ping.
+type Pong struct{}
+
+type heartbeat struct{}
+
+// Ping answers at once.
+func (heartbeat) Ping(_ *Ping, _ *Pong) error { return nil }
+
+// Server answers other nodes.
+type Server struct {
+	rpc   *rpc.Server
+	mux   *http.ServeMux
+	http  *http.Server
+	token string
+}
+
+// NewServer returns a server that lets in nodes that show token.
+func NewServer(token string) *Server {
+	s := &Server{rpc: rpc.NewServer(), mux: http.NewServeMux(), token: token}
+	_ = s.rpc.RegisterName(pingService, heartbeat{})
+	s.mux.HandleFunc("CONNECT "+rpcPath, s.serveRPC)
+	s.http = &http.Server{Handler: s.checkToken(s.mux), ReadHeaderTimeout: readHeaderTimeout}
+	return s
+}
+
+// Register offers the methods of receiver under name. Their errors go through EncodeError.
+func (s *Server) Register(name string, receiver any) error {
+	return s.rpc.RegisterName(name, receiver)
+}
+
+// Handle offers handler under pattern, for streams.
+func (s *Server) Handle(pattern string, handler http.Handler) {
+	s.mux.Handle(pattern, handler)
+}
+
+// Serve answers on listener until Close or Shutdown; tlsConfig is nil for plain TCP.
+func (s *Server) Serve(listener net.Listener, tlsConfig *tls.Config) error {
+	if tlsConfig != nil {
+		listener = tls.NewListener(listener, tlsConfig)
+	}
+	return s.http.Serve(listener)
+}
+
+// Shutdown waits for streams in progress and closes the listener.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return s.http.Shutdown(ctx)
+}
+
+// SetToken puts the nodes' shared secret on a request to another node.
+func SetToken(req *http.Request, token string) {
+	req.Header.Set(tokenHeader, token)
+}
+
+func (s *Server) checkToken(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		shown := r.Header.Get(tokenHeader)
+		if subtle.ConstantTimeCompare([]byte(shown), []byte(s.token)) != 1 {
+			http.Error(w, "wrong peer token", http.StatusForbidden)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *Server) serveRPC(w http.ResponseWriter, _ *http.Request) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		http.Error(w, "this connection can't be switched to net/rpc", http.StatusInternalServerError)
+		return
+	}
+	if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"); err != nil {
+		_ = conn.Close()
+		return
+	}
+	s.rpc.ServeConn(conn)
+}
