Decisions: routing, owners, admission, retries, poison, recovery

Cause: the daemon needs the decisions as packages free of I/O before they are measured. Change: first versions of internal/routing, owner, admission, retry, poison and recovery, clocks and random sources handed in; owner and poison offer net/rpc services. Property tests of the retry invariants. Conclusion: the interfaces can be wired into the daemon.

--- /dev/null
+++ b/internal/admission/flow.go
@@ -0,0 +1,71 @@
+package admission
+
+import (
+	"container/heap"
+	"time"
+
+	"mangoledge.example/mangoledge/internal/ident"
+)
+
+// agingStep is how long a request has to wait to be as urgent as a new one of the next priority.
+const agingStep = 1500 * time.Millisecond
+
+// flow is what one workspace has waiting in one lane.
+type flow struct {
+	workspace ident.Workspace
+	lane      *lane
+	waiting   ticketQueue
+	// cost is the sum of the waiting requests' cost in seconds.
+	cost float64
+	// finish is the virtual time at which the last request handed out ends.
+	finish float64
+	// inFlight counts requests handed out and not released.
+	inFlight int
+	share    float64
+}
+
+// push adds t, which was admitted at now.
+func (f *flow) push(now time.Time, t *Ticket) {
+	t.key = now.UnixNano() - int64(t.Request.Priority)*int64(agingStep)
+	heap.Push(&f.waiting, t)
+	f.cost += t.Request.Cost.Seconds()
+	f.lane.queued++
+	f.lane.cost += t.Request.Cost.Seconds()
+}
+
+// remove takes t out of the queue.
+func (f *flow) remove(t *Ticket) {
+	heap.Remove(&f.waiting, t.place)
+	f.cost -= t.Request.Cost.Seconds()
+	f.lane.queued--
+	f.lane.cost -= t.Request.Cost.Seconds()
+	if len(f.waiting) == 0 {
+		f.cost = 0
+	}
+	if f.lane.queued == 0 {
+		f.lane.cost = 0
+	}
+}
+
+// worst returns the waiting ticket that is worth the least for its cost, or nil.
+func (f *flow) worst() *Ticket {
+	var worst *Ticket
+	for _, t := range f.waiting {
+		if worst == nil || t.lessWorth(worst) {
+			worst = t
+		}
+	}
+	return worst
+}
+
+// lessWorth reports whether t is shed before other.
+func (t *Ticket) lessWorth(other *Ticket) bool {
+	a, b := t.Request.density(), other.Request.density()
+	if a != b {
+		return a < b
+	}
+	if t.Request.Priority != other.Request.Priority {
+		return t.Request.Priority < other.Request.Priority
+	}
+	return t.serial > other.serial
+}
--- /dev/null
+++ b/internal/admission/lane.go
@@ -0,0 +1,114 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/routing"
+)
+
+// concurrencyMemory is the time over which the mean number in flight is taken.
+const concurrencyMemory = 2 * time.Second
+
+// lane holds the requests of one pool.
+type lane struct {
+	pool  routing.Pool
+	flows []*flow
+	// byName finds the flows.
+	byName map[ident.Workspace]*flow
+	// virtual is the virtual time of fair queueing.
+	virtual float64
+	queued  int
+	cost    float64
+	// inFlight counts requests handed out and not released.
+	inFlight int
+	// mean is the mean number in flight, as of measured.
+	mean     float64
+	measured time.Time
+	// paused is until when nothing is handed out.
+	paused time.Time
+}
+
+func newLane(pool routing.Pool) *lane {
+	return &lane{pool: pool, byName: make(map[ident.Workspace]*flow)}
+}
+
+// flow returns the flow of workspace w.
+func (l *lane) flow(w ident.Workspace, share float64) *flow {
+	f, ok := l.byName[w]
+	if !ok {
+		f = &flow{workspace: w, lane: l}
+		l.byName[w] = f
+		l.flows = append(l.flows, f)
+	}
+	f.share = share
+	return f
+}
+
+// observe brings the mean number in flight up to now.
+func (l *lane) observe(now time.Time) {
+	passed := now.Sub(l.measured)
+	if passed <= 0 {
+		return
+	}
+	keep := math.Exp(-passed.Seconds() / concurrencyMemory.Seconds())
+	l.mean = l.mean*keep + float64(l.inFlight)*(1-keep)
+	l.measured = now
+}
+
+// throughput returns how many seconds of slot time this node gets in a second.
+// By Little's law that is the mean number in flight.
+func (l *lane) throughput() float64 {
+	return max(l.mean, float64(l.inFlight), 1)
+}
+
+// wait returns the expected time in the queue for a new request of f that has
+// ahead seconds of cost before it within its workspace.
+func (l *lane) wait(f *flow, ahead float64) float64 {
+	shares := f.share
+	for _, other := range l.flows {
+		if other != f && len(other.waiting) > 0 {
+			shares += other.share
+		}
+	}
+	own := ahead * shares / f.share
+	return min(own, l.cost-f.cost+ahead) / l.throughput()
+}
+
+// next returns the flow that is to be served next, or nil.
+func (l *lane) next() *flow {
+	var best *flow
+	least := math.Inf(1)
+	for _, f := range l.flows {
+		if len(f.waiting) == 0 {
+			continue
+		}
+		start := max(l.virtual, f.finish)
+		if start < least {
+			best, least = f, start
+		}
+	}
+	return best
+}
+
+// charge moves the virtual times on by a request of f.
+func (l *lane) charge(f *flow, cost time.Duration) {
+	start := max(l.virtual, f.finish)
+	f.finish = start + max(cost, minCost).Seconds()/f.share
+	l.virtual = start
+}
+
+// longest returns the flow with the most waiting for its share, or nil.
+func (l *lane) longest() *flow {
+	var longest *flow
+	for _, f := range l.flows {
+		if len(f.waiting) == 0 {
+			continue
+		}
+		if longest == nil || f.cost/f.share > longest.cost/longest.share {
+			longest = f
+		}
+	}
+	return longest
+}
--- /dev/null
+++ b/internal/owner/expiryqueue.go
@@ -0,0 +1,33 @@
+package owner
+
+// expiryQueue is a heap of reservations, the one that ends first on top.
+type expiryQueue []*reservation
+
+// Len implements heap.Interface.
+func (q expiryQueue) Len() int { return len(q) }
+
+// Less implements heap.Interface.
+func (q expiryQueue) Less(i, j int) bool { return q[i].until.Before(q[j].until) }
+
+// Swap implements heap.Interface.
+func (q expiryQueue) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	q[i].place = i
+	q[j].place = j
+}
+
+// Push implements heap.Interface.
+func (q *expiryQueue) Push(x any) {
+	r := x.(*reservation)
+	r.place = len(*q)
+	*q = append(*q, r)
+}
+
+// Pop implements heap.Interface.
+func (q *expiryQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	*q = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/internal/owner/ledger.go
@@ -0,0 +1,176 @@
+package owner
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"mangoledge.example/mangoledge/internal/fleet"
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/membership"
+	"mangoledge.example/mangoledge/internal/routing"
+)
+
+// defaultHold is how long a reservation lasts when its holder names no time.
+const defaultHold = time.Minute
+
+// Ledger is an owner's exact count of what is in flight at its upstreams.
+// It is safe for concurrent use.
+type Ledger struct {
+	self   ident.Node
+	table  *routing.Table
+	router *routing.Router
+
+	mu     sync.Mutex
+	held   map[ReservationID]*reservation
+	expiry expiryQueue
+	urls   map[ident.Upstream]string
+}
+
+// reservation is one slot that is held.
+type reservation struct {
+	id       ReservationID
+	upstream ident.Upstream
+	suspect  bool
+	until    time.Time
+	place    int
+}
+
+// NewLedger returns the ledger of node self, which chooses by policy among the
+// upstreams it owns and lets overcommit requests more than its slots wait at each.
+func NewLedger(self ident.Node, local ident.FailureDomain, policy routing.Policy, overcommit int, random *rand.Rand) *Ledger {
+	table := routing.NewTable(routing.Options{Exact: true, Overcommit: overcommit, Local: local})
+	return &Ledger{
+		self:   self,
+		table:  table,
+		router: routing.NewRouter(table, policy, random),
+		held:   make(map[ReservationID]*reservation),
+		urls:   make(map[ident.Upstream]string),
+	}
+}
+
+// Table returns the table of owned upstreams, for reports and cache events.
+func (l *Ledger) Table() *routing.Table {
+	return l.table
+}
+
+// Update takes over the upstreams that self owns among members and drops the others.
+func (l *Ledger) Update(now time.Time, upstreams []fleet.Upstream, members []membership.Member) {
+	owned := make([]fleet.Upstream, 0, len(upstreams))
+	for i := range upstreams {
+		m, ok := Of(&upstreams[i], members)
+		if ok && m.Node == l.self {
+			owned = append(owned, upstreams[i])
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	clear(l.urls)
+	for i := range owned {
+		l.urls[owned[i].ID] = owned[i].URL
+	}
+	l.table.Update(now, owned)
+}
+
+// Reserve takes a slot for a request. Asked again with the same ID it gives the
+// same answer while the reservation lasts.
+func (l *Ledger) Reserve(now time.Time, args *ReserveArgs) ReserveReply {
+	features := args.Features()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(now)
+	if have, ok := l.held[args.ID]; ok {
+		return l.reply(now, have.upstream, &features)
+	}
+	upstream, ok := l.router.Take(now, &features)
+	if !ok {
+		return ReserveReply{Summary: l.summary(now, features.Pool())}
+	}
+	hold := args.Hold
+	if hold <= 0 {
+		hold = defaultHold
+	}
+	r := &reservation{id: args.ID, upstream: upstream, suspect: args.Suspect, until: now.Add(hold)}
+	l.held[args.ID] = r
+	heap.Push(&l.expiry, r)
+	return l.reply(now, upstream, &features)
+}
+
+func (l *Ledger) reply(now time.Time, upstream ident.Upstream, f *routing.Features) ReserveReply {
+	return ReserveReply{
+		Granted:  true,
+		Upstream: upstream,
+		URL:      l.urls[upstream],
+		Summary:  l.summary(now, f.Pool()),
+	}
+}
+
+// Release ends a reservation; it is false when there is none any more.
+func (l *Ledger) Release(now time.Time, id ReservationID, out routing.Outcome) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, ok := l.held[id]
+	if !ok {
+		return false
+	}
+	l.end(now, r, out)
+	return true
+}
+
+// DropHolder ends all reservations of a holder that is dead.
+func (l *Ledger) DropHolder(now time.Time, holder ident.Incarnation) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	dropped := 0
+	for id, r := range l.held {
+		if id.Holder == holder {
+			l.end(now, r, routing.Outcome{Kind: routing.OutcomeCancelled})
+			dropped++
+		}
+	}
+	return dropped
+}
+
+// Summaries returns one summary for each pool owned.
+func (l *Ledger) Summaries(now time.Time) []Summary {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(now)
+	pools := l.table.Pools(nil)
+	out := make([]Summary, 0, len(pools))
+	for _, pool := range pools {
+		out = append(out, l.summary(now, pool))
+	}
+	return out
+}
+
+// Held returns how many reservations last.
+func (l *Ledger) Held() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.held)
+}
+
+func (l *Ledger) summary(now time.Time, pool routing.Pool) Summary {
+	count := l.table.Count(now, pool)
+	return Summary{
+		Pool:     KeyOf(pool),
+		Slots:    uint16(min(count.Slots, math.MaxUint16)),
+		InFlight: uint16(min(count.InFlight, math.MaxUint16)),
+	}
+}
+
+// expire ends the reservations whose time is over.
+func (l *Ledger) expire(now time.Time) {
+	for len(l.expiry) > 0 && !l.expiry[0].until.After(now) {
+		l.end(now, l.expiry[0], routing.Outcome{Kind: routing.OutcomeCancelled})
+	}
+}
+
+func (l *Ledger) end(now time.Time, r *reservation, out routing.Outcome) {
+	heap.Remove(&l.expiry, r.place)
+	delete(l.held, r.id)
+	l.table.Finished(now, r.upstream, r.suspect, out)
+}
--- /dev/null
+++ b/internal/owner/messages.go
@@ -0,0 +1,84 @@
+package owner
+
+import (
+	"time"
+
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/request"
+	"mangoledge.example/mangoledge/internal/routing"
+)
+
+// ServiceName is the name that Service is registered under.
+const ServiceName = "Owner"
+
+// Methods of Service as net/rpc spells them.
+const (
+	MethodReserve = ServiceName + ".Reserve"
+	MethodRelease = ServiceName + ".Release"
+	MethodSummary = ServiceName + ".Summary"
+)
+
+// ReservationID names a reservation: its holder and the holder's own number.
+type ReservationID struct {
+	Holder ident.Incarnation
+	Serial uint64
+}
+
+// ReserveArgs asks for a slot at one of the owner's upstreams.
+type ReserveArgs struct {
+	ID      ReservationID
+	Model   ident.Model
+	Adapter ident.Adapter
+	Service ident.Service
+	// Blocks are the blocks of the prompt's prefix.
+	Blocks       []routing.Block
+	PromptTokens int
+	MaxTokens    int
+	Priority     request.Priority
+	// Avoid is an upstream that lately failed this request, or empty.
+	Avoid ident.Upstream
+	// Suspect is true when the content was running at an upstream that crashed.
+	Suspect bool
+	// Hold is how long the reservation lasts without a release.
+	Hold time.Duration
+}
+
+// Features returns what the choice depends on.
+func (a *ReserveArgs) Features() routing.Features {
+	return routing.Features{
+		Model: a.Model, Adapter: a.Adapter, Service: a.Service, Blocks: a.Blocks,
+		PromptTokens: a.PromptTokens, MaxTokens: a.MaxTokens, Priority: a.Priority,
+		Avoid: a.Avoid, Suspect: a.Suspect,
+	}
+}
+
+// ReserveReply is the answer to ReserveArgs. A refusal is no error: it says
+// when a slot is likely and how full the owner is.
+type ReserveReply struct {
+	// Granted is true when Upstream has a slot for the request.
+	Granted  bool
+	Upstream ident.Upstream
+	URL      string
+	// Summary is the owner's state after the decision.
+	Summary Summary
+}
+
+// ReleaseArgs ends a reservation.
+type ReleaseArgs struct {
+	ID      ReservationID
+	Outcome routing.Outcome
+}
+
+// ReleaseReply answers ReleaseArgs.
+type ReleaseReply struct {
+	// Known is false when the reservation had ended before.
+	Known bool
+}
+
+// SummaryArgs asks for an owner's summaries.
+type SummaryArgs struct{}
+
+// SummaryReply has one summary for each pool of the owner.
+type SummaryReply struct {
+	Summaries []Summary
+}
--- /dev/null
+++ b/internal/poison/fingerprint.go
@@ -0,0 +1,60 @@
+package poison
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/membership"
+)
+
+// Fingerprint names a content: what is run and on which input, whoever sends it.
+type Fingerprint uint64
+
+// Of returns the fingerprint of a request's content.
+func Of(model ident.Model, adapter ident.Adapter, service ident.Service, input string) Fingerprint {
+	var digest xxhash.Digest
+	digest.Reset()
+	for _, part := range [...]string{string(model), string(adapter), string(service), input} {
+		var length [8]byte
+		binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
+		_, _ = digest.Write(length[:])
+		_, _ = digest.WriteString(part)
+	}
+	return Fingerprint(digest.Sum64())
+}
+
+// Coordinator returns the usable member that gates the fingerprint, out of
+// region if it has any.
+func Coordinator(f Fingerprint, region ident.Region, members []membership.Member) (membership.Member, bool) {
+	best, found := highest(f, members, func(m *membership.Member) bool { return m.Region == region })
+	if found {
+		return best, true
+	}
+	return highest(f, members, func(*membership.Member) bool { return true })
+}
+
+func highest(f Fingerprint, members []membership.Member, fits func(*membership.Member) bool) (membership.Member, bool) {
+	best := -1
+	var top uint64
+	var buf [8]byte
+	binary.LittleEndian.PutUint64(buf[:], uint64(f))
+	for i := range members {
+		m := &members[i]
+		if !m.State.Usable() || !fits(m) {
+			continue
+		}
+		var digest xxhash.Digest
+		digest.Reset()
+		_, _ = digest.Write(buf[:])
+		_, _ = digest.WriteString(string(m.Node))
+		if hash := digest.Sum64(); best < 0 || hash > top {
+			best, top = i, hash
+		}
+	}
+	if best < 0 {
+		return membership.Member{}, false
+	}
+	return members[best], true
+}
--- /dev/null
+++ b/internal/poison/registry.go
@@ -0,0 +1,183 @@
+package poison
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/verdict"
+)
+
+const (
+	// rememberTime is how long a content is remembered after the last crash.
+	rememberTime = 24 * time.Hour
+	// maxEntries bounds how many contents are remembered.
+	maxEntries = 4096
+)
+
+// Registry remembers which contents crashed which upstreams. It is safe for concurrent use.
+type Registry struct {
+	mu      sync.Mutex
+	entries map[Fingerprint]*Entry
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry {
+	return &Registry{entries: make(map[Fingerprint]*Entry)}
+}
+
+// Check refuses a convicted content; the request was not run.
+func (r *Registry) Check(f Fingerprint) *verdict.Error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, ok := r.entries[f]
+	if !ok || !e.Convicted() {
+		return nil
+	}
+	return verdict.New(verdict.NotRun, verdict.CodePoison,
+		"%d upstreams crashed while they ran this content (fingerprint %016x); an operator can clear it", e.Count(), uint64(f))
+}
+
+// Crashed notes that upstream died while it ran the content and returns how
+// many crashes count against it. A death by reclaim counts against nobody.
+func (r *Registry) Crashed(now time.Time, f Fingerprint, upstream ident.Upstream, reclaimed bool) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, ok := r.entries[f]
+	if reclaimed {
+		if !ok {
+			return 0
+		}
+		return e.Count()
+	}
+	if !ok {
+		e = r.remember(f)
+	}
+	e.add(newCrash(now, upstream))
+	e.trim()
+	return e.Count()
+}
+
+// Absolve takes back the crashes of upstream between from and to, because it
+// turned out to have died of something else, such as a reclaim heard of late.
+func (r *Registry) Absolve(upstream ident.Upstream, from, to time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for at := from.Truncate(crashGrain); !at.After(to); at = at.Add(crashGrain) {
+		id := newCrash(at, upstream).ID
+		for _, e := range r.entries {
+			e.absolve(id)
+		}
+	}
+}
+
+func (e *Entry) absolve(id uint64) {
+	for i := range e.Crashes {
+		if e.Crashes[i].ID == id {
+			e.Crashes[i].Absolved = true
+		}
+	}
+}
+
+// Suspect reports whether crashes count against the content.
+func (r *Registry) Suspect(f Fingerprint) bool {
+	return r.Crashes(f) > 0
+}
+
+// Crashes returns how many crashes count against the content.
+func (r *Registry) Crashes(f Fingerprint) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, ok := r.entries[f]
+	if !ok {
+		return 0
+	}
+	return e.Count()
+}
+
+// Succeeded notes that the content finished, which clears it.
+func (r *Registry) Succeeded(now time.Time, f Fingerprint) {
+	r.Clear(now, f)
+}
+
+// Clear makes the crashes of a content until now count no more; it is false
+// when the content is unknown.
+func (r *Registry) Clear(now time.Time, f Fingerprint) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, ok := r.entries[f]
+	if !ok {
+		return false
+	}
+	e.ClearedAt = max(e.ClearedAt, now.Unix())
+	e.trim()
+	return true
+}
+
+// Snapshot returns all entries in the order of their fingerprints, for gossip and operators.
+func (r *Registry) Snapshot() []Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]Entry, 0, len(r.entries))
+	for _, e := range r.entries {
+		entry := *e
+		entry.Crashes = slices.Clone(e.Crashes)
+		out = append(out, entry)
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	return out
+}
+
+// Merge takes in the entries of another node's registry.
+func (r *Registry) Merge(entries []Entry) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range entries {
+		e, ok := r.entries[entries[i].Fingerprint]
+		if !ok {
+			e = r.remember(entries[i].Fingerprint)
+		}
+		e.merge(&entries[i])
+	}
+}
+
+// Forget drops contents of which nothing was heard for a day.
+func (r *Registry) Forget(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	limit := now.Add(-rememberTime).Unix()
+	for f, e := range r.entries {
+		if e.newest() < limit {
+			delete(r.entries, f)
+		}
+	}
+}
+
+// remember makes an entry; when there are too many, the one heard of longest ago goes.
+func (r *Registry) remember(f Fingerprint) *Entry {
+	if len(r.entries) >= maxEntries {
+		r.forgetOldest()
+	}
+	e := &Entry{Fingerprint: f}
+	r.entries[f] = e
+	return e
+}
+
+func (r *Registry) forgetOldest() {
+	var oldest *Entry
+	for _, e := range r.entries {
+		if oldest == nil || older(e, oldest) {
+			oldest = e
+		}
+	}
+	delete(r.entries, oldest.Fingerprint)
+}
+
+func older(a, b *Entry) bool {
+	if a.newest() != b.newest() {
+		return a.newest() < b.newest()
+	}
+	return a.Fingerprint < b.Fingerprint
+}
--- /dev/null
+++ b/internal/recovery/plan.go
@@ -0,0 +1,130 @@
+package recovery
+
+import (
+	"time"
+)
+
+// Method is a way for a stream to go on.
+type Method string
+
+// The methods.
+const (
+	// MethodStay lets the stream end where it is.
+	MethodStay Method = "stay"
+	// MethodResume attaches again to the stream where it is.
+	MethodResume Method = "resume"
+	// MethodTransfer exports the KV cache and imports it elsewhere.
+	MethodTransfer Method = "transfer"
+	// MethodPrefill prefills prompt and generated tokens elsewhere.
+	MethodPrefill Method = "prefill"
+)
+
+// noticeMargin is the time kept free at the end of a notice.
+const noticeMargin = 250 * time.Millisecond
+
+// Stream is a stream in progress.
+type Stream struct {
+	PromptTokens int
+	// Generated is how many tokens are known.
+	Generated int
+	// Remaining is how many tokens are left to generate at most.
+	Remaining int
+	// KVBytes is the size of its KV cache.
+	KVBytes int64
+}
+
+// Source is the upstream that the stream runs at.
+type Source struct {
+	// Reachable is true when it answers.
+	Reachable bool
+	// Leaving is true when it is going away after Notice.
+	Leaving bool
+	Notice  time.Duration
+	// PerToken is the time between tokens there.
+	PerToken time.Duration
+	// Exports is true when it can export KV cache.
+	Exports bool
+	// Ahead is how many bytes are to be exported from it before this stream's.
+	Ahead int64
+	// BytesPerSecond is the rate of exports from it.
+	BytesPerSecond float64
+}
+
+// Target is the upstream that the stream would move to.
+type Target struct {
+	// Imports is true when it can import KV cache.
+	Imports bool
+	// PrefillPerSecond is its prefill rate in tokens.
+	PrefillPerSecond float64
+	// CachedTokens is how many leading tokens it has cached.
+	CachedTokens int
+	// RoundTrip is the time of a call to it.
+	RoundTrip time.Duration
+}
+
+// Plan is how a stream goes on.
+type Plan struct {
+	Method Method
+	// Pause is how long the stream stands still, as far as can be foreseen.
+	Pause time.Duration
+	// Recomputed is how many tokens are computed again.
+	Recomputed int
+}
+
+// Choose returns the plan that costs the least in the notice that is left.
+func Choose(stream Stream, source Source, target Target) Plan {
+	if source.Reachable && !source.Leaving {
+		return Plan{Method: MethodResume, Pause: target.RoundTrip}
+	}
+	if staysToEnd(stream, source) {
+		return Plan{Method: MethodStay}
+	}
+	prefill := prefillPlan(stream, target)
+	transfer, ok := transferPlan(stream, source, target)
+	if ok && transfer.Pause <= prefill.Pause+computeTime(prefill, target) {
+		return transfer
+	}
+	return prefill
+}
+
+// computeTime returns how long the target computes tokens again, time that other requests lose.
+func computeTime(plan Plan, target Target) time.Duration {
+	if target.PrefillPerSecond <= 0 {
+		return 0
+	}
+	return seconds(float64(plan.Recomputed) / target.PrefillPerSecond)
+}
+
+func staysToEnd(stream Stream, source Source) bool {
+	if !source.Reachable {
+		return false
+	}
+	left := time.Duration(stream.Remaining) * source.PerToken
+	return left+noticeMargin <= source.Notice
+}
+
+func prefillPlan(stream Stream, target Target) Plan {
+	tokens := max(0, stream.PromptTokens+stream.Generated-target.CachedTokens)
+	pause := target.RoundTrip
+	if target.PrefillPerSecond > 0 {
+		pause += seconds(float64(tokens) / target.PrefillPerSecond)
+	}
+	return Plan{Method: MethodPrefill, Pause: pause, Recomputed: tokens}
+}
+
+// transferPlan is false when a transfer can't be done before the notice ends.
+func transferPlan(stream Stream, source Source, target Target) (Plan, bool) {
+	if !source.Reachable || !source.Exports || !target.Imports || source.BytesPerSecond <= 0 {
+		return Plan{}, false
+	}
+	ends := seconds(float64(source.Ahead+stream.KVBytes)/source.BytesPerSecond) + 2*target.RoundTrip
+	if ends+noticeMargin > source.Notice {
+		return Plan{}, false
+	}
+	pause := seconds(float64(stream.KVBytes)/source.BytesPerSecond) + 2*target.RoundTrip
+	return Plan{Method: MethodTransfer, Pause: pause}, true
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
--- /dev/null
+++ b/internal/retry/doc.go
@@ -0,0 +1,10 @@
+// Package retry decides whether and when a request is tried again after a
+// failed attempt.
+//
+// Invariants: no retry after MayHaveRun or Ran on a request that is not
+// idempotent; no retry that would begin at or after the deadline; retries never
+// exceed the budget's share of first attempts plus its reserve. Clocks and
+// random sources are handed in; the package does no I/O.
+//
+// Lock order: Policy.mu and Budget.mu are leaves and never held together.
+package retry
--- /dev/null
+++ b/internal/retry/policy_test.go
@@ -0,0 +1,80 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"mangoledge.example/mangoledge/internal/verdict"
+)
+
+func parameters() *gopter.TestParameters {
+	p := gopter.DefaultTestParametersWithSeed(7)
+	p.MinSuccessfulTests = 500
+	return p
+}
+
+func TestNextKeepsToVerdictAndDeadline(t *testing.T) {
+	start := time.Unix(1000, 0)
+	properties := gopter.NewProperties(parameters())
+	properties.Property("no retry that may run twice, none at or past the deadline", prop.ForAll(
+		func(attempt int, v uint8, idempotent bool, left int64, seed uint64) bool {
+			policy := NewPolicy(NewBudget(1, 10), rand.New(rand.NewPCG(seed, 1)))
+			deadline := start.Add(time.Duration(left) * time.Millisecond)
+			pause, ok := policy.Next(attempt, verdict.Verdict(v), idempotent, start, deadline)
+			if !ok {
+				return true
+			}
+			if !idempotent && verdict.Verdict(v) != verdict.NotRun {
+				return false
+			}
+			return pause > 0 && pause <= DefaultCap && start.Add(pause).Before(deadline) && attempt < DefaultMaxAttempts
+		},
+		gen.IntRange(1, 6), gen.UInt8Range(0, 2), gen.Bool(), gen.Int64Range(-100, 5000), gen.UInt64(),
+	))
+	properties.TestingRun(t)
+}
+
+func TestNextAllowsWhatIsAllowed(t *testing.T) {
+	start := time.Unix(1000, 0)
+	policy := NewPolicy(NewBudget(1, 10), rand.New(rand.NewPCG(1, 1)))
+	if _, ok := policy.Next(1, verdict.NotRun, false, start, start.Add(time.Minute)); !ok {
+		t.Fatal("a request that was not run may be tried again")
+	}
+	if _, ok := policy.Next(1, verdict.MayHaveRun, true, start, start.Add(time.Minute)); !ok {
+		t.Fatal("an idempotent request may be tried again")
+	}
+}
+
+func TestBudgetBoundsRetries(t *testing.T) {
+	properties := gopter.NewProperties(parameters())
+	properties.Property("retries stay within share and reserve; counters only grow", prop.ForAll(
+		func(steps []bool) bool {
+			const share, reserve = 0.1, 5
+			budget := NewBudget(share, reserve)
+			var before Usage
+			for _, attempt := range steps {
+				if attempt {
+					budget.Attempt()
+				} else {
+					budget.Take()
+				}
+				now := budget.Usage()
+				if now.First < before.First || now.Retries < before.Retries || now.Refused < before.Refused {
+					return false
+				}
+				if float64(now.Retries) > reserve+share*float64(now.First)+1e-9 {
+					return false
+				}
+				before = now
+			}
+			return true
+		},
+		gen.SliceOfN(200, gen.Bool()),
+	))
+	properties.TestingRun(t)
+}
--- /dev/null
+++ b/internal/routing/table.go
@@ -0,0 +1,276 @@
+package routing
+
+import (
+	"sync"
+	"time"
+
+	"mangoledge.example/mangoledge/internal/fleet"
+	"mangoledge.example/mangoledge/internal/ident"
+)
+
+// Options say how a table counts.
+type Options struct {
+	// Exact is true in the table of an owner, through which all work of its upstreams goes.
+	Exact bool
+	// Overcommit is how many requests beyond its slots an exact table lets wait at an upstream.
+	Overcommit int
+	// Local is the failure domain of the node.
+	Local ident.FailureDomain
+}
+
+// Table is what a node knows about upstreams. It is safe for concurrent use.
+type Table struct {
+	options Options
+
+	mu       sync.Mutex
+	replicas map[ident.Upstream]*Replica
+	pools    map[Pool][]*Replica
+	index    *prefixIndex
+	free     []int
+	numbers  int
+	// filled is true after the first Update; replicas that join later start slowly.
+	filled  bool
+	started uint64
+	ended   uint64
+}
+
+// NewTable returns an empty table.
+func NewTable(options Options) *Table {
+	return &Table{
+		options:  options,
+		replicas: make(map[ident.Upstream]*Replica),
+		pools:    make(map[Pool][]*Replica),
+		index:    newPrefixIndex(),
+	}
+}
+
+// Update replaces the list of upstreams. Counts of those that stay are kept.
+// Leaving is never taken back, except by an upstream that was gone in between.
+func (t *Table) Update(now time.Time, upstreams []fleet.Upstream) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.replicas {
+		r.seen = false
+	}
+	for i := range upstreams {
+		t.put(now, &upstreams[i])
+	}
+	for id, r := range t.replicas {
+		if !r.seen {
+			t.drop(id, r)
+		}
+	}
+	t.filled = true
+	t.rebuildPools(upstreams)
+}
+
+func (t *Table) put(now time.Time, u *fleet.Upstream) {
+	r, ok := t.replicas[u.ID]
+	if !ok {
+		r = &Replica{number: t.takeNumber(), joined: now, fresh: t.filled}
+		t.replicas[u.ID] = r
+	}
+	if ok && r.State == fleet.StateStarting && u.State == fleet.StateReady {
+		r.joined = now
+		r.fresh = true
+	}
+	r.Upstream = *u
+	r.seen = true
+	if u.State == fleet.StateLeaving || u.State == fleet.StateGone {
+		r.leaving = true
+	}
+}
+
+func (t *Table) drop(id ident.Upstream, r *Replica) {
+	if r.number >= 0 {
+		t.index.forget(r.number)
+		t.free = append(t.free, r.number)
+	}
+	delete(t.replicas, id)
+}
+
+func (t *Table) takeNumber() int {
+	if n := len(t.free); n > 0 {
+		number := t.free[n-1]
+		t.free = t.free[:n-1]
+		return number
+	}
+	if t.numbers == indexedReplicas {
+		return -1
+	}
+	t.numbers++
+	return t.numbers - 1
+}
+
+// rebuildPools lists the replicas by pool, in the order of upstreams.
+func (t *Table) rebuildPools(upstreams []fleet.Upstream) {
+	clear(t.pools)
+	for i := range upstreams {
+		r := t.replicas[upstreams[i].ID]
+		if r.Service != "" {
+			pool := Pool{Service: r.Service}
+			t.pools[pool] = append(t.pools[pool], r)
+		}
+		for _, model := range r.Models {
+			pool := Pool{Model: model}
+			t.pools[pool] = append(t.pools[pool], r)
+		}
+	}
+}
+
+// Started counts a request sent to upstream id.
+func (t *Table) Started(now time.Time, id ident.Upstream, f *Features) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r, ok := t.replicas[id]; ok {
+		t.start(now, r, f)
+	}
+}
+
+func (t *Table) start(now time.Time, r *Replica, f *Features) {
+	r.inFlight++
+	r.startedSince++
+	r.breaker.started()
+	t.started++
+	if f.Suspect {
+		r.suspects++
+	}
+	if r.number < 0 {
+		return
+	}
+	for _, block := range f.Blocks {
+		t.index.add(now, block, r.number)
+	}
+}
+
+// Finished counts the end of a request that was started at upstream id.
+func (t *Table) Finished(now time.Time, id ident.Upstream, suspect bool, out Outcome) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.replicas[id]
+	if !ok || r.inFlight == 0 {
+		return
+	}
+	r.inFlight--
+	r.endedSince++
+	t.ended++
+	if suspect {
+		r.suspects = max(0, r.suspects-1)
+	}
+	switch out.Kind {
+	case OutcomeDone:
+		r.breaker.succeeded()
+		r.sample(out.PerToken)
+	case OutcomeFailed:
+		r.breaker.failed(now)
+	case OutcomeRefused, OutcomeMoved, OutcomeCancelled, OutcomeUnsent:
+		r.breaker.ended()
+	}
+}
+
+// MarkLeaving keeps new work off upstream id, however its leaving was learnt.
+func (t *Table) MarkLeaving(id ident.Upstream) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r, ok := t.replicas[id]; ok {
+		r.leaving = true
+	}
+}
+
+// Leaving reports whether upstream id is leaving or unknown.
+func (t *Table) Leaving(id ident.Upstream) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.replicas[id]
+	return !ok || r.leaving
+}
+
+// Report takes in a load report of upstream id; one that is older than the last is dropped.
+func (t *Table) Report(id ident.Upstream, load Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.replicas[id]
+	if !ok || !load.MeasuredAt.After(r.report.MeasuredAt) {
+		return
+	}
+	r.report = load
+	r.startedSince = 0
+	r.endedSince = 0
+}
+
+// CacheEvents takes in events of upstream id's prefix cache.
+func (t *Table) CacheEvents(now time.Time, id ident.Upstream, events []CacheEvent) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.replicas[id]
+	if !ok || r.number < 0 {
+		return
+	}
+	for _, e := range events {
+		switch e.Op {
+		case CacheAdd:
+			t.index.add(now, e.Block, r.number)
+		case CacheRemove:
+			t.index.remove(e.Block, r.number)
+		}
+	}
+}
+
+// Count is the size of a pool and how much of it is taken.
+type Count struct {
+	// Slots is the room of the usable replicas.
+	Slots int
+	// InFlight is what is counted or estimated there.
+	InFlight int
+	// Replicas is how many are usable.
+	Replicas int
+}
+
+// Free returns how many more requests find a slot.
+func (c Count) Free() int {
+	return max(0, c.Slots-c.InFlight)
+}
+
+// Count sums up the usable replicas of pool.
+func (t *Table) Count(now time.Time, pool Pool) Count {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out Count
+	for _, r := range t.pools[pool] {
+		if !r.usable(now) {
+			continue
+		}
+		out.Replicas++
+		out.Slots += int(r.room(now))
+		out.InFlight += t.load(now, r)
+	}
+	return out
+}
+
+// Pools appends the names of the pools to dst and returns it.
+func (t *Table) Pools(dst []Pool) []Pool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for pool := range t.pools {
+		dst = append(dst, pool)
+	}
+	return dst
+}
+
+// Counters returns how many requests were started and ended here; both only grow.
+func (t *Table) Counters() (started, ended uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.started, t.ended
+}
+
+// load returns the best known load of r.
+func (t *Table) load(now time.Time, r *Replica) int {
+	if !t.options.Exact {
+		return r.estimate()
+	}
+	if r.fresh && now.Sub(r.joined) < adoptTime {
+		return max(r.inFlight, r.Reported())
+	}
+	return r.inFlight
+}
