Bench of the decisions with baselines and an oracle

Cause: the decisions are to be judged against baselines on the same work, faults and seeds. Change: internal/bench and cmd/mangoledge-bench: seeded fakes of batching engines on a virtual clock, the daemon's decision packages on each node, four baselines, an oracle, nine scenarios, three shapes; make bench and make bench-short; tests that a run repeats for its seed, that every request ends once, and that poison is bounded over 20 seeds.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,10 @@
 # GOFLAGS for every build and test of this project.
 export GOFLAGS := -buildvcs=false
 
-.PHONY: all build test demo tools format format-check lint generate generate-check clean
+# SEEDS is how many seeds each small shape of the bench runs with.
+SEEDS ?= 3
+
+.PHONY: all build test demo bench bench-short tools format format-check lint generate generate-check clean
 
 all: build
 
@@ -16,6 +19,12 @@
 test: ## Run every test, with the race detector.
 	$(GO) test -race -count=1 ./...
 
+bench: ## Measure the decisions against baselines; the results also go to .bin/bench.jsonl.
+	$(GO) run ./cmd/mangoledge-bench --seeds $(SEEDS) --json $(BIN)/bench.jsonl
+
+bench-short: ## The same for one shape and a few scenarios, in under 30 s.
+	$(GO) run ./cmd/mangoledge-bench --short --json $(BIN)/bench-short.jsonl
+
 tools: $(BIN)/gofumpt $(BIN)/golangci-lint
 
 $(BIN)/gofumpt:
--- /dev/null
+++ b/internal/bench/group.go
@@ -0,0 +1,77 @@
+package bench
+
+import (
+	"math"
+)
+
+// group is the mean of runs that differ in the seed alone.
+type group struct {
+	Result
+	runs int
+}
+
+// groupKey names a group.
+type groupKey struct {
+	shape, scenario, system string
+}
+
+// groups are the groups of some runs, in the order of their first runs.
+type groups struct {
+	order []groupKey
+	byKey map[groupKey]*group
+}
+
+func groupResults(results []*Result) *groups {
+	g := &groups{byKey: make(map[groupKey]*group)}
+	for _, r := range results {
+		key := groupKey{r.Shape, r.Scenario, r.System}
+		have, ok := g.byKey[key]
+		if !ok {
+			have = &group{Result: Result{Shape: r.Shape, Scenario: r.Scenario, System: r.System, FairShare: math.Inf(1)}}
+			g.byKey[key] = have
+			g.order = append(g.order, key)
+		}
+		have.add(r)
+	}
+	return g
+}
+
+// add takes r into the means. FairShare, Crashes and LateWork keep their worst.
+func (g *group) add(r *Result) {
+	n := float64(g.runs)
+	mean := func(old *float64, value float64) { *old = (*old*n + value) / (n + 1) }
+	mean(&g.Goodput, r.Goodput)
+	mean(&g.FirstTokenP95, r.FirstTokenP95)
+	mean(&g.BetweenTokensP95, r.BetweenTokensP95)
+	mean(&g.CostPerWorth, r.CostPerWorth)
+	mean(&g.RetryShare, r.RetryShare)
+	g.FairShare = min(g.FairShare, r.FairShare)
+	g.Crashes = max(g.Crashes, r.Crashes)
+	g.LateWork = max(g.LateWork, r.LateWork)
+	g.FalseConvictions += r.FalseConvictions
+	g.Recomputed += r.Recomputed
+	g.Requests += r.Requests
+	g.Refused += r.Refused
+	g.Late += r.Late
+	g.Failed += r.Failed
+	g.Stays += r.Stays
+	g.Transfers += r.Transfers
+	g.Prefills += r.Prefills
+	g.Resumes += r.Resumes
+	g.runs++
+}
+
+// best returns the best value among the baselines of a shape and scenario.
+func (g *groups) best(shape, scenario string, value func(*group) float64, better func(a, b float64) bool) float64 {
+	best := math.NaN()
+	for _, s := range Systems() {
+		have, ok := g.byKey[groupKey{shape, scenario, s.Name}]
+		if !ok || !s.Baseline {
+			continue
+		}
+		if v := value(have); math.IsNaN(best) || better(v, best) {
+			best = v
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/bench/nominal.go
@@ -0,0 +1,57 @@
+package bench
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// nominalTime is how long an engine is measured for its nominal rate.
+const nominalTime = 2 * time.Minute
+
+var (
+	nominalMu    sync.Mutex
+	nominalRates = make(map[string]float64)
+)
+
+// Nominal returns the model requests a second that all replicas of shape serve
+// at most, when each is always full and gets its work at random.
+func Nominal(shape Shape) float64 {
+	nominalMu.Lock()
+	defer nominalMu.Unlock()
+	if rate, ok := nominalRates[shape.Name]; ok {
+		return rate
+	}
+	rate := measureEngine(shape) * float64(shape.Replicas)
+	nominalRates[shape.Name] = rate
+	return rate
+}
+
+// measureEngine returns the requests a second of one engine that is always full.
+func measureEngine(shape Shape) float64 {
+	single := shape
+	single.Replicas = 1
+	single.Services = 0
+	single.Domains = 1
+	w := newWorld(single, Scenario{}, 1)
+	random := rand.New(rand.NewPCG(1, 3))
+	done := 0
+	var feed func()
+	feed = func() {
+		j := drawJob(&single, random, done, w.clock.now)
+		for j.kind.service {
+			j = drawJob(&single, random, done, w.clock.now)
+		}
+		j.number = done
+		a := &attempt{job: j, ended: func(*attempt, ending) {
+			done++
+			feed()
+		}}
+		w.engines[0].submit(a)
+	}
+	for range engineSlots + 1 {
+		feed()
+	}
+	w.clock.runUntil(nominalTime)
+	return float64(done) / nominalTime.Seconds()
+}
--- /dev/null
+++ b/internal/bench/product.go
@@ -0,0 +1,213 @@
+package bench
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"mangoledge.example/mangoledge/internal/admission"
+	"mangoledge.example/mangoledge/internal/fleet"
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/membership"
+	"mangoledge.example/mangoledge/internal/owner"
+	"mangoledge.example/mangoledge/internal/poison"
+	"mangoledge.example/mangoledge/internal/retry"
+	"mangoledge.example/mangoledge/internal/routing"
+	"mangoledge.example/mangoledge/internal/verdict"
+)
+
+const (
+	// summaryEvery is how often an owner's summaries and crash counts are spread.
+	summaryEvery = 500 * time.Millisecond
+	// ownerTimeout is after what time a node chooses by itself instead of waiting for an owner.
+	ownerTimeout = 100 * time.Millisecond
+	// fullPause is how long an owner that refused is left alone.
+	fullPause = 20 * time.Millisecond
+	// holdPause is the pause before a request that found no slot asks again.
+	holdPause = 10 * time.Millisecond
+	// reservers is how many requests of a pool ask for a slot at once on one node.
+	reservers = 4
+	// overcommit is how many requests more than its slots an owner lets wait at an upstream.
+	overcommit = 1
+	// silenceTimeout is after what time without a token a connection is replaced.
+	silenceTimeout = 700 * time.Millisecond
+	// watchEvery is how often streams are looked at.
+	watchEvery = 250 * time.Millisecond
+)
+
+// variant says which parts of the product a run uses.
+type variant struct {
+	name string
+	// oracle makes the run one node that knows everything at once.
+	oracle bool
+	// noOwner makes each node choose by itself by late reports.
+	noOwner bool
+	// noAdmission takes everything in, first come first served.
+	noAdmission bool
+	// weights changes the weights of the choice.
+	weights func(*routing.Weights)
+}
+
+// product is the system under test: nodes with the real decision code.
+type product struct {
+	world   *world
+	variant variant
+	nodes   []*node
+	members []membership.Member
+	// jobs finds the job of a ticket.
+	jobs map[*admission.Ticket]*job
+}
+
+// node is one node of the product.
+type node struct {
+	product   *product
+	number    int
+	member    membership.Member
+	table     *routing.Table
+	router    *routing.Router
+	ledger    *owner.Ledger
+	directory *owner.Directory
+	admit     *admission.Controller
+	estimator *admission.Estimator
+	budget    *retry.Budget
+	retry     *retry.Policy
+	registry  *poison.Registry
+	gate      *poison.Gate
+	list      []fleet.Upstream
+	serial    uint64
+	// reserving counts requests that ask for a slot.
+	reserving map[routing.Pool]int
+	pools     []routing.Pool
+	running   []*job
+	random    *rand.Rand
+}
+
+func newProduct(w *world, v variant) *product {
+	p := &product{world: w, variant: v, jobs: make(map[*admission.Ticket]*job)}
+	count := w.shape.Nodes
+	if v.oracle {
+		count = 1
+		w.omniscient = true
+	}
+	for i := range count {
+		p.members = append(p.members, membership.Member{
+			Incarnation:   ident.Incarnation(fmt.Sprintf("n%d_0000000000000000", i)),
+			Node:          ident.Node(fmt.Sprintf("n%d", i)),
+			FailureDomain: domainOf(w.shape, i),
+			PeerAddress:   fmt.Sprint(i),
+		})
+	}
+	for i := range p.members {
+		p.nodes = append(p.nodes, p.newNode(i))
+	}
+	w.clock.after(summaryEvery, p.gossip)
+	w.clock.after(watchEvery, p.watch)
+	return p
+}
+
+func (p *product) newNode(i int) *node {
+	w := p.world
+	weights := routing.WeightsFor(w.shape.Latency)
+	if p.variant.weights != nil {
+		p.variant.weights(&weights)
+	}
+	source := func(stream uint64) *rand.Rand {
+		return rand.New(rand.NewPCG(w.result.Seed, stream*1000+uint64(i)))
+	}
+	n := &node{product: p, number: i, member: p.members[i], random: source(1)}
+	policy := routing.Cost{Weights: weights}
+	n.table = routing.NewTable(routing.Options{Local: n.member.FailureDomain})
+	n.router = routing.NewRouter(n.table, policy, source(2))
+	n.ledger = owner.NewLedger(n.member.Node, n.member.FailureDomain, policy, overcommit, source(3))
+	n.directory = owner.NewDirectory(n.member.FailureDomain, source(4))
+	n.estimator = admission.NewEstimator()
+	n.admit = admission.NewController(p.admissionSettings(n))
+	n.budget = retry.NewBudget(retry.DefaultShare, retry.DefaultReserve)
+	n.retry = retry.NewPolicy(n.budget, source(5))
+	n.registry = poison.NewRegistry()
+	n.gate = poison.NewGate(n.registry)
+	n.reserving = make(map[routing.Pool]int)
+	return n
+}
+
+func (p *product) admissionSettings(n *node) admission.Settings {
+	return admission.Settings{
+		OnShed: func(t *admission.Ticket, _ *verdict.Error) { n.shed(t) },
+	}
+}
+
+// nodeOf returns the node that a job arrived at.
+func (p *product) nodeOf(number int) *node {
+	return p.nodes[number%len(p.nodes)]
+}
+
+func (p *product) arrive(number int, j *job) {
+	p.nodeOf(number).arrive(j)
+}
+
+func (p *product) learn(number int, list []fleet.Upstream) {
+	if number < len(p.nodes) {
+		p.nodes[number].learn(list)
+	}
+}
+
+func (p *product) report(number int, id ident.Upstream, load routing.Load) {
+	if number >= len(p.nodes) {
+		return
+	}
+	n := p.nodes[number]
+	n.table.Report(id, load)
+	n.ledger.Table().Report(id, load)
+}
+
+func (p *product) events(number int, id ident.Upstream, events []routing.CacheEvent) {
+	if number >= len(p.nodes) {
+		return
+	}
+	n := p.nodes[number]
+	now := p.world.clock.wall()
+	n.ledger.Table().CacheEvents(now, id, events)
+	if p.variant.noOwner {
+		n.table.CacheEvents(now, id, events)
+	}
+}
+
+func (p *product) finish(*Result) {}
+
+// gossip spreads summaries and crash counts.
+func (p *product) gossip() {
+	w := p.world
+	w.clock.after(summaryEvery, p.gossip)
+	now := w.clock.wall()
+	for _, n := range p.nodes {
+		if w.clock.now < w.paused[n.number] {
+			continue
+		}
+		summaries := n.ledger.Summaries(now)
+		entries := n.registry.Snapshot()
+		for _, other := range p.nodes {
+			w.atNode(other.number, hop, func() { other.heard(n, summaries, entries) })
+		}
+	}
+}
+
+func (n *node) heard(from *node, summaries []owner.Summary, entries []poison.Entry) {
+	now := n.product.world.clock.wall()
+	for _, s := range summaries {
+		n.directory.Heard(now, from.member.Incarnation, s)
+	}
+	if from != n && len(entries) > 0 {
+		n.registry.Merge(entries)
+	}
+}
+
+// learn takes in the list of upstreams and moves streams off those that leave.
+func (n *node) learn(list []fleet.Upstream) {
+	now := n.product.world.clock.wall()
+	n.list = list
+	n.table.Update(now, list)
+	n.ledger.Update(now, list, n.product.members)
+	n.directory.Update(list, n.product.members)
+	n.evacuate()
+	n.pump()
+}
--- /dev/null
+++ b/internal/bench/run.go
@@ -0,0 +1,103 @@
+package bench
+
+import (
+	"runtime"
+	"sync"
+
+	"mangoledge.example/mangoledge/internal/routing"
+)
+
+// NominalLoad is the part of nominal capacity that a run asks for.
+const NominalLoad = 0.85
+
+// System is a named way to get requests to upstreams.
+type System struct {
+	// Name is what the table calls it.
+	Name string
+	// Baseline is true for the systems that the product is compared with.
+	Baseline bool
+	build    func(*world) system
+}
+
+// ProductName and OracleName are the systems that the targets speak of.
+const (
+	ProductName = "mangoledge"
+	OracleName  = "oracle"
+)
+
+// Systems returns the product, the baselines and the oracle.
+func Systems() []System {
+	return []System{
+		baselineOf("random", func() routing.Policy { return routing.Random{} }),
+		baselineOf("round-robin", func() routing.Policy { return &routing.RoundRobin{} }),
+		baselineOf(LeastOutstandingName, func() routing.Policy { return routing.LeastOutstanding{} }),
+		baselineOf("power-of-two", func() routing.Policy { return routing.PowerOfTwo{} }),
+		variantOf(variant{name: ProductName}),
+		variantOf(variant{name: OracleName, oracle: true}),
+	}
+}
+
+// LeastOutstandingName is the baseline that the cost target names.
+const LeastOutstandingName = "least-outstanding"
+
+// Variants returns the product with one part switched off in each.
+func Variants() []System {
+	return []System{
+		variantOf(variant{name: "-owner", noOwner: true}),
+		variantOf(variant{name: "-admission", noAdmission: true}),
+		variantOf(variant{name: "-prefix", weights: func(w *routing.Weights) { w.Prefix = 0 }}),
+		variantOf(variant{name: "-queue", weights: func(w *routing.Weights) { w.Queue = 0 }}),
+		variantOf(variant{name: "-domain", weights: func(w *routing.Weights) { w.Domain = 0 }}),
+		variantOf(variant{name: "-price", weights: func(w *routing.Weights) { w.Price = 0 }}),
+		variantOf(variant{name: "-reclaim", weights: func(w *routing.Weights) { w.Reclaim = 0 }}),
+	}
+}
+
+func baselineOf(name string, policy func() routing.Policy) System {
+	return System{Name: name, Baseline: true, build: func(w *world) system { return newBaseline(w, policy) }}
+}
+
+func variantOf(v variant) System {
+	return System{Name: v.name, build: func(w *world) system { return newProduct(w, v) }}
+}
+
+// Task is one run to be made.
+type Task struct {
+	Shape    Shape
+	Scenario Scenario
+	System   System
+	Seed     uint64
+	// Load is the part of nominal capacity that is asked for.
+	Load float64
+}
+
+// Run makes one run.
+func Run(t Task) *Result {
+	w := newWorld(t.Shape, t.Scenario, t.Seed)
+	s := t.System.build(w)
+	r := w.run(s, t.Load)
+	r.System = t.System.Name
+	return r
+}
+
+// RunAll makes the runs on several processors and returns their results in order.
+func RunAll(tasks []Task) []*Result {
+	results := make([]*Result, len(tasks))
+	next := make(chan int)
+	var workers sync.WaitGroup
+	for range max(1, runtime.GOMAXPROCS(0)/2) {
+		workers.Add(1)
+		go func() {
+			defer workers.Done()
+			for i := range next {
+				results[i] = Run(tasks[i])
+			}
+		}()
+	}
+	for i := range tasks {
+		next <- i
+	}
+	close(next)
+	workers.Wait()
+	return results
+}
--- /dev/null
+++ b/internal/bench/run_test.go
@@ -0,0 +1,56 @@
+package bench
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// shortShape is a shape that is quick enough for the race detector.
+func shortShape() Shape {
+	s := Laoruum()
+	s.Length = 30 * time.Second
+	return s
+}
+
+func TestRunIsDeterministicForItsSeed(t *testing.T) {
+	all := pickScenarios("all")[0]
+	for _, s := range Systems() {
+		task := Task{Shape: shortShape(), Scenario: all, System: s, Seed: 5, Load: NominalLoad}
+		a, b := Run(task), Run(task)
+		a.first, a.between, b.first, b.between = nil, nil, nil, nil
+		require.Equal(t, a, b, s.Name)
+		task.Seed = 6
+		c := Run(task)
+		require.NotEqual(t, a.Offered, c.Offered, "another seed draws other work")
+	}
+}
+
+func TestEveryJobEndsOnceAndCountersAgree(t *testing.T) {
+	for _, scenario := range Scenarios() {
+		for _, s := range Systems() {
+			r := Run(Task{Shape: shortShape(), Scenario: scenario, System: s, Seed: 3, Load: NominalLoad})
+			require.Equal(t, r.Requests, r.Whole+r.Refused+r.Late+r.Failed, "%s %s", scenario.Name, s.Name)
+			require.Positive(t, r.Whole)
+			require.LessOrEqual(t, r.Answered, r.Offered)
+		}
+	}
+}
+
+// A content that crashes every upstream crashes at most three in all, whatever
+// else fails, and a wave of reclaims convicts nobody.
+func TestPoisonIsBoundedAndWavesConvictNobody(t *testing.T) {
+	product := pickSystems(ProductName)[0]
+	for seed := uint64(1); seed <= 20; seed++ {
+		for _, scenario := range pickScenarios("poison", "all", wave) {
+			r := Run(Task{Shape: shortShape(), Scenario: scenario, System: product, Seed: seed, Load: NominalLoad})
+			require.LessOrEqual(t, r.Crashes, targetCrashes, "%s seed %d", scenario.Name, seed)
+			require.Zero(t, r.FalseConvictions, "%s seed %d", scenario.Name, seed)
+			require.Zero(t, r.LateWork, "%s seed %d", scenario.Name, seed)
+			if scenario.Has(FaultPoison) {
+				require.Positive(t, r.Crashes, "the fault must bite")
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/bench/table.go
@@ -0,0 +1,43 @@
+package bench
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+)
+
+// WriteTable prints the means over seeds, one line for each shape, scenario and system.
+func WriteTable(out io.Writer, results []*Result) error {
+	g := groupResults(results)
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	last := groupKey{}
+	for _, key := range g.order {
+		if key.shape != last.shape || key.scenario != last.scenario {
+			_, _ = fmt.Fprintf(table, "\n%s %s\tgoodput\tttft95 ms\tgap95 ms\tcost/answer\trecomputed\tnot run\tlate\tfailed\tretries\tfair\tcrashes\tfalse\tlate work\tstay/kv/prefill/resume\t\n", key.shape, key.scenario)
+		}
+		last = key
+		writeRow(table, g.byKey[key])
+	}
+	return errors.Wrap(table.Flush(), "table")
+}
+
+func writeRow(table io.Writer, r *group) {
+	_, _ = fmt.Fprintf(table, "%s\t%.3f\t%.0f\t%.1f\t%.5f\t%d\t%d\t%d\t%d\t%.3f\t%.2f\t%d\t%d\t%d\t%d/%d/%d/%d\t\n",
+		r.System, r.Goodput, r.FirstTokenP95, r.BetweenTokensP95, r.CostPerWorth, r.Recomputed,
+		r.Refused, r.Late, r.Failed, r.RetryShare, r.FairShare, r.Crashes, r.FalseConvictions,
+		r.LateWork, r.Stays, r.Transfers, r.Prefills, r.Resumes)
+}
+
+// WriteLines writes each result as a line of JSON.
+func WriteLines(out io.Writer, results []*Result) error {
+	encoder := json.NewEncoder(out)
+	for _, r := range results {
+		if err := encoder.Encode(r); err != nil {
+			return errors.Wrap(err, "JSON lines")
+		}
+	}
+	return nil
+}
