Routing cost counts the time that others lose to a prefill

Cause: a prefill stalls every request of the batch, and the cost policy only counted the request's own time, so it spread prefixes over replicas. Change: the cost is the request's own time and the time its prefill and its tokens take from the others at the replica.

--- a/internal/routing/policycost.go
+++ b/internal/routing/policycost.go
@@ -7,16 +7,20 @@
 const (
 	// typicalPace is the time between tokens that is assumed of an unknown upstream, in seconds.
 	typicalPace = 0.025
-	// prefillTokensPerSecond is the prefill rate that is assumed of an upstream.
-	prefillTokensPerSecond = 6000
+	// prefillTokensPerSecond is the prefill rate that is assumed of an upstream that does nothing else.
+	prefillTokensPerSecond = 12000
+	// prefillStretch is how much longer a prefill takes because it goes in parts between decoding steps.
+	prefillStretch = 3
+	// stepSeconds is what one more running request adds to each decoding step of all.
+	stepSeconds = 0.0008
 	// blockTokens is how many tokens a block covers.
 	blockTokens = BlockBytes / 4
 	// otherDomainSeconds is the time that the way to another failure domain adds to a request.
 	otherDomainSeconds = 0.004
 	// reclaimsPerSecond is the assumed rate of reclaims of a reclaimable upstream.
 	reclaimsPerSecond = 1.0 / 3600
-	// queueSlowdown is how much a full batch slows down a request, as a part of its time.
-	queueSlowdown = 0.5
+	// priceSeconds is what a doubled price counts, as a part of the request's time.
+	priceSeconds = 0.5
 )
 
 // Cost chooses the candidate that costs the request the least, in seconds of
@@ -39,29 +43,26 @@
 	return best
 }
 
-// cost returns the cost of c in seconds.
+// cost returns the cost of c in seconds: the request's own time and the time
+// that the others at c lose to it.
 func (p Cost) cost(s *Selection, c *Replica, meanPrice float64) float64 {
 	f := s.Features
-	pace := c.pace
-	if pace == 0 {
-		pace = typicalPace
+	slow := 1.0
+	if c.pace > 0 {
+		slow = c.pace / typicalPace
 	}
-	decode := float64(f.MaxTokens) * pace
+	tokens := float64(f.MaxTokens)
+	decode := tokens * typicalPace * slow
 	uncached := float64(max(0, f.PromptTokens-c.matched*blockTokens))
-	prefill := uncached / prefillTokensPerSecond * pace / typicalPace
+	prefill := uncached / prefillTokensPerSecond * slow
 	load := float64(s.Load(c)) + s.Random.Float64()
-	room := c.room(s.Now)
-	busy := load / room
-	wait := decode * queueSlowdown * busy
-	if load > room {
-		wait += (load - room) / room * decode
-	}
-	cost := p.Weights.Queue*(decode+wait) + p.Weights.Prefix*prefill
+	cost := p.Weights.Queue * (decode + queueWait(load, c.room(s.Now), decode) + load*tokens*stepSeconds*slow)
+	cost += p.Weights.Prefix * prefill * (prefillStretch + load)
 	if c.FailureDomain != s.table.options.Local {
 		cost += p.Weights.Domain * otherDomainSeconds
 	}
 	if meanPrice > 0 {
-		cost += p.Weights.Price * (decode + prefill) * (c.PricePerHour/meanPrice - 1) * queueSlowdown
+		cost += p.Weights.Price * (decode + prefill) * (c.PricePerHour/meanPrice - 1) * priceSeconds
 	}
 	if c.Reclaimable {
 		cost += p.Weights.Reclaim * reclaimsPerSecond * decode * (decode + prefill)
@@ -69,6 +70,14 @@
 	return cost
 }
 
+// queueWait returns how long a request waits for a slot behind load others.
+func queueWait(load, room, decode float64) float64 {
+	if load < room {
+		return 0
+	}
+	return (load - room + 1) / room * decode
+}
+
 func meanPrice(candidates []*Replica) float64 {
 	sum := 0.0
 	for _, c := range candidates {
