--- a/internal/bench/product.go
+++ b/internal/bench/product.go
@@ -116,7 +116,7 @@
 	}
 	n := &node{product: p, number: i, member: p.members[i], random: source(1)}
 	policy := routing.Cost{Weights: weights}
-	n.table = routing.NewTable(routing.Options{Local: n.member.FailureDomain})
+	n.table = routing.NewTable(routing.Options{Local: n.member.FailureDomain, MaxAge: owner.MaxListAge})
 	n.router = routing.NewRouter(n.table, policy, source(2))
 	n.ledger = owner.NewLedger(n.member.Node, n.member.FailureDomain, policy, overcommit, source(3))
 	n.directory = owner.NewDirectory(n.member.FailureDomain, source(4))
@@ -193,6 +193,8 @@
 
 func (n *node) heard(from *node, summaries []owner.Summary, entries []poison.Entry) {
 	now := n.product.world.clock.wall()
+	n.table.Confirm(now)
+	n.ledger.Table().Confirm(now)
 	for _, s := range summaries {
 		n.directory.Heard(now, from.member.Incarnation, s)
 	}
--- a/internal/bench/productmove.go
+++ b/internal/bench/productmove.go
@@ -82,9 +82,17 @@
 	j.serial = n.serial
 	args := n.reserveArgs(j)
 	to := n.product.byIncarnation(choice.Owner)
+	asked := w.clock.now
 	w.atNode(to.number, n.way(to), func() {
 		reply := to.ledger.Reserve(w.clock.wall(), args)
-		w.atNode(n.number, n.way(to), func() { n.moveReserved(j, a, to, args, reply) })
+		w.atNode(n.number, n.way(to), func() {
+			if w.clock.now-asked > ownerTimeout {
+				n.giveBack(to, args.ID, reply.Granted)
+				n.move(j, a)
+				return
+			}
+			n.moveReserved(j, a, to, args, reply)
+		})
 	})
 }
 
--- a/internal/bench/schedule.go
+++ b/internal/bench/schedule.go
@@ -60,7 +60,6 @@
 func (w *world) take(lost []*engine) {
 	for _, e := range lost {
 		e.die()
-		delete(w.reclaimAt, e.upstream.ID)
 	}
 	w.changed()
 	if w.scenario.Has(FaultRefused) {
@@ -68,6 +67,7 @@
 	}
 	w.clock.after(w.shape.scale(replaceTime), func() {
 		for _, e := range lost {
+			delete(w.reclaimAt, e.upstream.ID)
 			e.start()
 		}
 		w.changed()
@@ -94,13 +94,22 @@
 	}
 }
 
+// announced returns when the reclaim of u was to take it, or zero when there was none.
+func (w *world) announced(u *fleet.Upstream) time.Time {
+	at, ok := w.reclaimAt[u.ID]
+	if !ok {
+		return time.Time{}
+	}
+	return epoch.Add(at)
+}
+
 // noticeLeft returns how long a leaving upstream is still there.
 func (w *world) noticeLeft(u *fleet.Upstream) time.Duration {
 	at, ok := w.reclaimAt[u.ID]
 	if !ok {
 		return 0
 	}
-	return at - w.clock.now
+	return max(0, at-w.clock.now)
 }
 
 // leavingLimit is after what time an upstream that is leaving must get no new work.
--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -226,6 +226,9 @@
 	e.die()
 	w.changed()
 	w.clock.after(restartTime, func() {
+		if _, reclaimed := w.reclaimAt[e.upstream.ID]; reclaimed {
+			return
+		}
 		e.start()
 		w.changed()
 	})
--- a/internal/owner/ledger.go
+++ b/internal/owner/ledger.go
@@ -16,6 +16,10 @@
 // defaultHold is how long a reservation lasts when its holder names no time.
 const defaultHold = time.Minute
 
+// MaxListAge is how old a node's list of upstreams may be and still be chosen
+// from. A process that was paused for longer first has to hear from others.
+const MaxListAge = 2 * time.Second
+
 // Ledger is an owner's exact count of what is in flight at its upstreams.
 // It is safe for concurrent use.
 type Ledger struct {
@@ -41,7 +45,9 @@
 // NewLedger returns the ledger of node self, which chooses by policy among the
 // upstreams it owns and lets overcommit requests more than its slots wait at each.
 func NewLedger(self ident.Node, local ident.FailureDomain, policy routing.Policy, overcommit int, random *rand.Rand) *Ledger {
-	table := routing.NewTable(routing.Options{Exact: true, Overcommit: overcommit, Local: local})
+	table := routing.NewTable(routing.Options{
+		Exact: true, Overcommit: overcommit, Local: local, MaxAge: MaxListAge,
+	})
 	return &Ledger{
 		self:   self,
 		table:  table,
--- a/internal/poison/service.go
+++ b/internal/poison/service.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"mangoledge.example/mangoledge/internal/ident"
-	"mangoledge.example/mangoledge/internal/verdict"
 )
 
 // ServiceName is the name that Service is registered under.
@@ -28,8 +27,6 @@
 // AcquireReply is the gate's answer.
 type AcquireReply struct {
 	Answer Answer
-	// Refusal is set when Answer is AnswerRefuse.
-	Refusal *verdict.Error
 }
 
 // ReleaseArgs gives a pass back.
@@ -56,7 +53,7 @@
 
 // Acquire asks to run a content.
 func (s *Service) Acquire(args *AcquireArgs, reply *AcquireReply) error {
-	reply.Answer, reply.Refusal = s.gate.Acquire(s.now(), args.Fingerprint, args.ID, args.Hold)
+	reply.Answer = s.gate.Acquire(s.now(), args.Fingerprint, args.ID, args.Hold)
 	return nil
 }
 
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -69,6 +69,9 @@
 
 // pick chooses with the table locked; nil means that nothing is usable.
 func (r *Router) pick(now time.Time, f *Features) *Replica {
+	if !r.table.current(now) {
+		return nil
+	}
 	r.gather(now, f)
 	if len(r.selection.Candidates) == 0 {
 		return nil
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -16,6 +16,10 @@
 	Overcommit int
 	// Local is the failure domain of the node.
 	Local ident.FailureDomain
+	// MaxAge is how old the list of upstreams may be, counted from the last Update or
+	// Confirm, and still be chosen from; 0 means any age. It keeps a process that
+	// was paused from sending to upstreams that left meanwhile.
+	MaxAge time.Duration
 }
 
 // Table is what a node knows about upstreams. It is safe for concurrent use.
@@ -28,6 +32,8 @@
 	index    *prefixIndex
 	free     []int
 	numbers  int
+	// confirmed is when the list was last known to be current.
+	confirmed time.Time
 	// filled is true after the first Update; replicas that join later start slowly.
 	filled  bool
 	started uint64
@@ -61,9 +67,23 @@
 		}
 	}
 	t.filled = true
+	t.confirmed = now
 	t.rebuildPools(upstreams)
 }
 
+// Confirm notes that the list was current at now, because the platform or
+// another node that is up to date was heard.
+func (t *Table) Confirm(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.confirmed = now
+}
+
+// current reports whether the list is young enough to choose from.
+func (t *Table) current(now time.Time) bool {
+	return t.options.MaxAge == 0 || now.Sub(t.confirmed) <= t.options.MaxAge
+}
+
 func (t *Table) put(now time.Time, u *fleet.Upstream) {
 	r, ok := t.replicas[u.ID]
 	if !ok {
