Requests wait for the owner that has their prefix

Cause: when all slots are taken, the one that came free got whichever request asked first, so prefixes were computed again everywhere just when capacity was short. Change: an owner lets 8 requests more than the slots wait at an upstream; a node weighs owners by busyness, decode and the prefill that a miss takes from everyone, with the first and second choice of a prefix by rendezvous hash over upstreams; when the best owner is full it goes elsewhere only for a free slot.

--- a/internal/bench/product.go
+++ b/internal/bench/product.go
@@ -26,9 +26,9 @@
 	// holdPause is the pause before a request that found no slot asks again.
 	holdPause = 10 * time.Millisecond
 	// reservers is how many requests of a pool ask for a slot at once on one node.
-	reservers = 4
+	reservers = 8
 	// overcommit is how many requests more than its slots an owner lets wait at an upstream.
-	overcommit = 1
+	overcommit = 8
 	// silenceTimeout is after what time without a token a connection is replaced.
 	silenceTimeout = 700 * time.Millisecond
 	// watchEvery is how often streams are looked at.
@@ -54,6 +54,8 @@
 	variant variant
 	nodes   []*node
 	members []membership.Member
+	// reservers is how many requests of a pool ask for a slot at once on one node.
+	reservers int
 	// jobs finds the job of a ticket.
 	jobs map[*admission.Ticket]*job
 }
@@ -83,9 +85,10 @@
 }
 
 func newProduct(w *world, v variant) *product {
-	p := &product{world: w, variant: v, jobs: make(map[*admission.Ticket]*job)}
+	p := &product{world: w, variant: v, reservers: reservers, jobs: make(map[*admission.Ticket]*job)}
 	count := w.shape.Nodes
 	if v.oracle {
+		p.reservers *= count
 		count = 1
 		w.omniscient = true
 	}
--- a/internal/bench/productjob.go
+++ b/internal/bench/productjob.go
@@ -61,7 +61,7 @@
 	now := n.product.world.clock.wall()
 	n.pools = n.admit.Pools(n.pools[:0])
 	for _, pool := range n.pools {
-		for n.reserving[pool] < reservers {
+		for n.reserving[pool] < n.product.reservers {
 			t, ok := n.admit.Next(now, pool)
 			if !ok {
 				break
--- a/internal/owner/directory.go
+++ b/internal/owner/directory.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -16,12 +17,22 @@
 const (
 	// summaryAge is how old a summary may be and still be believed.
 	summaryAge = 5 * time.Second
-	// affinityBlocks is how many leading blocks name the owner that a prefix prefers.
-	affinityBlocks = 1
-	// affinityBusy is up to which part of its slots an owner is preferred for a prefix.
-	affinityBusy = 0.85
 	// unknownBusy is the part that is assumed taken at an owner that was not heard of lately.
 	unknownBusy = 0.5
+	// busyOfFull is the part that is assumed taken at an owner that just refused.
+	busyOfFull = 1.75
+	// assumedSlots is how many requests are assumed to share an upstream.
+	assumedSlots = 16
+	// assumedPace is the assumed time between tokens, in seconds.
+	assumedPace = 0.025
+	// tokenShare is the assumed time that one more running request adds to each token of all, in seconds.
+	tokenShare = 0.0008
+	// costJitter tells owners apart that cost about the same, as a part of the cost.
+	costJitter = 0.02
+	// prefillTokensPerSecond is the assumed prefill rate of an upstream.
+	prefillTokensPerSecond = 12000
+	// secondMiss is the part of a prefix that is assumed missing at its second choice.
+	secondMiss = 0.5
 )
 
 // Directory knows the owners of all pools and chooses which one to ask.
@@ -30,17 +41,17 @@
 	random *rand.Rand
 	local  ident.FailureDomain
 
-	mu      sync.Mutex
-	pools   map[PoolKey][]*entry
-	scratch []*entry
+	mu    sync.Mutex
+	pools map[PoolKey][]*entry
 }
 
 // entry is what is known of one owner of one pool.
 type entry struct {
-	member  membership.Member
-	hash    uint64
-	summary Summary
-	heard   time.Time
+	member membership.Member
+	// upstreams are the hashes of the owned upstreams' names.
+	upstreams []uint64
+	summary   Summary
+	heard     time.Time
 	// sent counts reservations asked for since the summary.
 	sent int
 	// full is until when the owner is taken for full after it refused.
@@ -71,11 +82,12 @@
 		if !ok {
 			continue
 		}
+		hash := xxhash.Sum64String(string(u.ID))
 		if u.Service != "" {
-			addOwner(fresh, KeyOf(routing.Pool{Service: u.Service}), m)
+			addOwner(fresh, KeyOf(routing.Pool{Service: u.Service}), m, hash)
 		}
 		for _, model := range u.Models {
-			addOwner(fresh, KeyOf(routing.Pool{Model: model}), m)
+			addOwner(fresh, KeyOf(routing.Pool{Model: model}), m, hash)
 		}
 	}
 	d.mu.Lock()
@@ -88,14 +100,14 @@
 	d.pools = fresh
 }
 
-func addOwner(pools map[PoolKey][]*entry, key PoolKey, m membership.Member) {
+func addOwner(pools map[PoolKey][]*entry, key PoolKey, m membership.Member, upstream uint64) {
 	for _, e := range pools[key] {
 		if e.member.Incarnation == m.Incarnation {
+			e.upstreams = append(e.upstreams, upstream)
 			return
 		}
 	}
-	e := &entry{member: m, hash: xxhash.Sum64String(string(m.Node))}
-	pools[key] = append(pools[key], e)
+	pools[key] = append(pools[key], &entry{member: m, upstreams: []uint64{upstream}})
 }
 
 func keepSummary(e, before *entry) {
@@ -128,59 +140,81 @@
 	}
 }
 
-// Choose returns the owner to ask for a slot. It is false when every owner is
-// taken for full or there is none.
+// Choose returns the owner to ask for a slot. It is false when there is none,
+// or when the best one is full and no other has a free slot.
 func (d *Directory) Choose(now time.Time, f *routing.Features) (Choice, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	entries := d.pools[KeyOf(f.Pool())]
-	d.scratch = d.scratch[:0]
+	first, second := ranked(entries, f)
+	var best, free *entry
+	least, leastFree := math.Inf(1), math.Inf(1)
 	for _, e := range entries {
-		if now.Before(e.full) {
-			continue
+		missing := 1.0
+		switch e {
+		case first:
+			missing = 0
+		case second:
+			missing = secondMiss
+		}
+		cost := e.cost(now, f, missing) * (1 + costJitter*d.random.Float64())
+		if cost < least {
+			best, least = e, cost
+		}
+		if cost < leastFree && e.busy(now) < 1 && !now.Before(e.full) {
+			free, leastFree = e, cost
 		}
-		d.scratch = append(d.scratch, e)
 	}
-	if len(d.scratch) == 0 {
+	if best == nil {
 		return Choice{}, false
 	}
-	e := d.preferred(now, f)
-	if e == nil {
-		e = d.emptier(now)
+	if now.Before(best.full) {
+		best = free
+	}
+	if best == nil {
+		return Choice{}, false
 	}
-	e.sent++
-	return Choice{Owner: e.member.Incarnation, Address: e.member.PeerAddress}, true
+	best.sent++
+	return Choice{Owner: best.member.Incarnation, Address: best.member.PeerAddress}, true
 }
 
-// preferred returns the first owner with room in the order that the prefix
-// gives, or nil when there is no prefix or no room.
-func (d *Directory) preferred(now time.Time, f *routing.Features) *entry {
-	if len(f.Blocks) < affinityBlocks {
-		return nil
-	}
-	key := uint64(f.Blocks[affinityBlocks-1])
-	var best *entry
-	var top uint64
-	for _, e := range d.scratch {
-		if e.busy(now) >= affinityBusy {
-			continue
+// ranked returns the owners of the first and the second upstream in the order
+// that the prefix gives, by rendezvous hash; nil without a prefix.
+func ranked(entries []*entry, f *routing.Features) (first, second *entry) {
+	if len(f.Blocks) == 0 {
+		return nil, nil
+	}
+	key := uint64(f.Blocks[0])
+	var top, next uint64
+	for _, e := range entries {
+		highest := uint64(0)
+		for _, u := range e.upstreams {
+			highest = max(highest, mix(key, u))
 		}
-		hash := mix(key, e.hash)
-		if best == nil || hash > top {
-			best, top = e, hash
+		switch {
+		case highest > top:
+			second, next = first, top
+			first, top = e, highest
+		case highest > next:
+			second, next = e, highest
 		}
 	}
-	return best
+	return first, second
 }
 
-// emptier returns the less busy of two random owners.
-func (d *Directory) emptier(now time.Time) *entry {
-	a := d.scratch[d.random.IntN(len(d.scratch))]
-	b := d.scratch[d.random.IntN(len(d.scratch))]
-	if b.busy(now) < a.busy(now) {
-		return b
+// cost returns what a request costs at the owner's upstreams, in seconds, when
+// the part missing of its prefix is not cached there.
+func (e *entry) cost(now time.Time, f *routing.Features, missing float64) float64 {
+	busy := e.busy(now)
+	if now.Before(e.full) {
+		busy = max(busy, busyOfFull)
 	}
-	return a
+	tokens := float64(f.MaxTokens)
+	decode := tokens * assumedPace
+	cost := decode + busy*assumedSlots*tokens*tokenShare
+	cost += max(0, busy-1) * decode
+	prefill := float64(f.PromptTokens) * missing / prefillTokensPerSecond
+	return cost + prefill*(1+busy*assumedSlots)
 }
 
 // busy returns the part of the owner's slots that is taken, as far as known.
