--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -90,7 +90,7 @@
 // shedding requests of the same workspace that are worth less makes it likely.
 func (c *Controller) makeFeasible(now time.Time, l *lane, t *Ticket) *verdict.Error {
 	f := t.flow
-	left := t.Request.Deadline.Sub(now).Seconds() - t.Request.Cost.Seconds()*c.settings.Safety
+	left := t.Request.Deadline.Sub(now).Seconds() - c.settings.time(&t.Request).Seconds()
 	if left < 0 {
 		return verdict.New(verdict.NotRun, verdict.CodeDeadlineUnlikely, "the deadline leaves less time than the request takes")
 	}
@@ -173,7 +173,7 @@
 			return nil
 		}
 		t := f.waiting[0]
-		if now.Add(t.Request.Cost).After(t.Request.Deadline) {
+		if now.Add(c.settings.time(&t.Request)).After(t.Request.Deadline) {
 			c.drop(t, verdict.New(verdict.NotRun, verdict.CodeDeadline, "waited until its deadline could no longer be met"))
 			continue
 		}
--- a/internal/admission/settings.go
+++ b/internal/admission/settings.go
@@ -10,15 +10,15 @@
 const (
 	// defaultMaxQueued bounds a lane when the settings do not.
 	defaultMaxQueued = 512
-	// defaultSafety is the factor on the expected time of a request in the feasibility check.
-	defaultSafety = 1.0
+	// defaultSafety is the factor on the expected time of a request when it is held against its deadline.
+	defaultSafety = 1.25
 )
 
 // Settings are the bounds of a controller.
 type Settings struct {
 	// MaxQueued is the most requests waiting in one lane. Default 512.
 	MaxQueued int
-	// Safety is the factor on the expected time of a request in the feasibility check. Default 1.
+	// Safety is the factor on the expected time of a request when it is held against its deadline. Default 1.25.
 	Safety float64
 	// Share returns a workspace's weight; nil or a result of 0 means 1.
 	Share func(ident.Workspace) float64
@@ -37,6 +37,11 @@
 	}
 }
 
+// time returns how long r may take once it has a slot.
+func (s *Settings) time(r *Request) time.Duration {
+	return time.Duration(float64(r.Cost) * s.Safety)
+}
+
 func (s *Settings) share(w ident.Workspace) float64 {
 	if s.Share == nil {
 		return 1
--- a/internal/bench/baseline.go
+++ b/internal/bench/baseline.go
@@ -81,7 +81,7 @@
 	}
 	j.attempts++
 	e := b.world.byID[id]
-	a := &attempt{job: j, engine: e}
+	a := &attempt{job: j, engine: e, priority: j.kind.priority}
 	a.ended = func(a *attempt, how ending) {
 		b.world.atNode(j.home, hop, func() { b.ended(a, how) })
 	}
--- a/internal/bench/engine.go
+++ b/internal/bench/engine.go
@@ -100,7 +100,7 @@
 	for len(e.running) < e.upstream.Slots && len(e.waiting) > 0 {
 		best := 0
 		for i, a := range e.waiting {
-			if a.job.features.Priority > e.waiting[best].job.features.Priority {
+			if a.priority > e.waiting[best].priority {
 				best = i
 			}
 		}
--- a/internal/bench/job.go
+++ b/internal/bench/job.go
@@ -5,6 +5,7 @@
 
 	"mangoledge.example/mangoledge/internal/admission"
 	"mangoledge.example/mangoledge/internal/poison"
+	"mangoledge.example/mangoledge/internal/request"
 	"mangoledge.example/mangoledge/internal/routing"
 )
 
@@ -71,6 +72,8 @@
 	engine *engine
 	// ended is called when the attempt ends, at the engine's time.
 	ended func(*attempt, ending)
+	// priority orders the attempts that wait at the engine.
+	priority request.Priority
 	// prefill is how many tokens are left to prefill.
 	prefill int
 	// moved is true when the KV cache was imported.
