Object API client and the stand-in of the platform's services

Cause: configuration, leases and capacity need the platform's object API with errors that say whether a write took effect, and something faulty to test with. Change: internal/platform/objects is a Store over net/http: conditional writes that tell what won, unknown told apart from unavailable, a deadline for each call, watches ended when silent, a budget in which a waiting watch counts as a call each second. internal/standin/platform and `mangoledge-standin platform` serve objects, cloud, host list and weight store with faults on command. A lost answer is unknown and the write is there once. Conclusion: the other packages can build on Store and Follower.

--- /dev/null
+++ b/internal/platform/objects/client.go
@@ -0,0 +1,227 @@
+package objects
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// apiPath is the group and version of the system's own kinds.
+	apiPath = "/apis/mangoledge.example/v1/"
+	// DefaultCallTimeout is the deadline of one call.
+	DefaultCallTimeout = 2 * time.Second
+	// maxAnswerBytes bounds an answer; a list holds an object for each failure domain.
+	maxAnswerBytes = 64 << 20
+	// idleConnections is how many idle connections to the store a node keeps.
+	idleConnections = 4
+)
+
+// Options configure a Client.
+type Options struct {
+	// BaseURL is the object API, such as "http://127.0.0.1:9400".
+	BaseURL string
+	// Token is shown as a bearer token; empty for none.
+	Token string
+	// Budget bounds the calls; nil for the default budget.
+	Budget *Budget
+	// CallTimeout is the deadline of one call; 0 for DefaultCallTimeout.
+	CallTimeout time.Duration
+	// WatchSilence is after how long without a sign of life a watch ends; 0 for DefaultWatchSilence.
+	WatchSilence time.Duration
+}
+
+// Client is a Store over net/http.
+type Client struct {
+	options   Options
+	http      *http.Client
+	transport *http.Transport
+}
+
+// NewClient returns a client of the object API.
+func NewClient(options Options) *Client {
+	if options.Budget == nil {
+		options.Budget = NewBudget(DefaultCallsPerSecond, DefaultBurst)
+	}
+	if options.CallTimeout == 0 {
+		options.CallTimeout = DefaultCallTimeout
+	}
+	if options.WatchSilence == 0 {
+		options.WatchSilence = DefaultWatchSilence
+	}
+	options.BaseURL = strings.TrimSuffix(options.BaseURL, "/")
+	transport := &http.Transport{MaxIdleConnsPerHost: idleConnections}
+	return &Client{options: options, http: &http.Client{Transport: transport}, transport: transport}
+}
+
+// Close gives up idle connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Budget returns the budget that the client charges.
+func (c *Client) Budget() *Budget { return c.options.Budget }
+
+// Get reads one object.
+func (c *Client) Get(ctx context.Context, kind Kind, name string) (Object, error) {
+	var out Object
+	err := c.do(ctx, call{verb: "get", method: http.MethodGet, kind: kind, name: name}, &out)
+	return out, err
+}
+
+// List reads all objects of a kind.
+func (c *Client) List(ctx context.Context, kind Kind) (List, error) {
+	var out List
+	err := c.do(ctx, call{verb: "list", method: http.MethodGet, kind: kind}, &out)
+	return out, err
+}
+
+// Create makes an object that must not exist.
+func (c *Client) Create(ctx context.Context, object Object) (Object, error) {
+	return c.write(ctx, call{verb: "create", method: http.MethodPost, kind: object.Kind, write: true}, object)
+}
+
+// Update replaces an object if its version is still the expected one.
+func (c *Client) Update(ctx context.Context, object Object) (Object, error) {
+	name := object.Metadata.Name
+	return c.write(ctx, call{verb: "update", method: http.MethodPut, kind: object.Kind, name: name, write: true}, object)
+}
+
+// Delete removes an object if its version is still version.
+func (c *Client) Delete(ctx context.Context, kind Kind, name string, version Version) error {
+	query := url.Values{"resourceVersion": {strconv.FormatUint(uint64(version), 10)}}
+	return c.do(ctx, call{verb: "delete", method: http.MethodDelete, kind: kind, name: name, query: query, write: true}, nil)
+}
+
+// call is one call to the store.
+type call struct {
+	verb   string
+	method string
+	kind   Kind
+	name   string
+	query  url.Values
+	body   []byte
+	write  bool
+}
+
+func (c call) String() string {
+	if c.name == "" {
+		return c.verb + " " + string(c.kind)
+	}
+	return c.verb + " " + string(c.kind) + "/" + c.name
+}
+
+func (c call) path() string {
+	path := apiPath + url.PathEscape(string(c.kind))
+	if c.name != "" {
+		path += "/" + url.PathEscape(c.name)
+	}
+	if len(c.query) > 0 {
+		path += "?" + c.query.Encode()
+	}
+	return path
+}
+
+// failed makes the error of a call that had no usable answer.
+func (c call) failed(sent bool, cause error) *Error {
+	kind := KindUnavailable
+	if sent && c.write {
+		kind = KindUnknown
+	}
+	return &Error{Kind: kind, Call: c.String(), Cause: cause}
+}
+
+func (c *Client) write(ctx context.Context, call call, object Object) (Object, error) {
+	body, err := json.Marshal(object)
+	if err != nil {
+		return Object{}, &Error{Kind: KindRefused, Call: call.String(), Cause: err}
+	}
+	if len(body) > MaxObjectBytes {
+		return Object{}, &Error{
+			Kind: KindRefused, Call: call.String(),
+			Message: "the object has " + strconv.Itoa(len(body)) + " bytes; the store holds " + strconv.Itoa(MaxObjectBytes),
+		}
+	}
+	call.body = body
+	var out Object
+	err = c.do(ctx, call, &out)
+	return out, err
+}
+
+// do makes one call and decodes its answer into out.
+func (c *Client) do(ctx context.Context, call call, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
+	defer cancel()
+	if err := c.options.Budget.take(ctx); err != nil {
+		return call.failed(false, errors.Wrap(err, "budget of store calls"))
+	}
+	resp, sent, err := c.send(ctx, call)
+	if err != nil {
+		c.transport.CloseIdleConnections() // what one connection lost, its neighbours may have lost too
+		return call.failed(sent, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return call.failed(true, err)
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return statusError(call, resp.StatusCode, data)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return call.failed(true, errors.Wrap(err, "answer"))
+	}
+	return nil
+}
+
+// send sends the call; sent reports whether any of it may have left this node.
+func (c *Client) send(ctx context.Context, call call) (resp *http.Response, sent bool, err error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	ctx = httptrace.WithClientTrace(ctx, trace)
+	req, err := http.NewRequestWithContext(ctx, call.method, c.options.BaseURL+call.path(), bytes.NewReader(call.body))
+	if err != nil {
+		return nil, false, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if c.options.Token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.options.Token)
+	}
+	resp, err = c.http.Do(req) //nolint:bodyclose // the caller closes it
+	return resp, connected.Load(), err
+}
+
+// statusError makes the error of an answer that is one.
+func statusError(call call, code int, data []byte) *Error {
+	var status Status
+	_ = json.Unmarshal(data, &status) // an answer that is no Status still has its code
+	out := &Error{Call: call.String(), Status: code, Message: status.Message, Current: status.Current}
+	switch {
+	case code == http.StatusConflict:
+		out.Kind = KindConflict
+	case code == http.StatusNotFound:
+		out.Kind = KindNotFound
+	case code == http.StatusGone:
+		out.Kind = KindCompacted
+	case code == http.StatusTooManyRequests:
+		out.Kind = KindUnavailable
+	case code < http.StatusInternalServerError:
+		out.Kind = KindRefused
+	case call.write:
+		out.Kind = KindUnknown
+	default:
+		out.Kind = KindUnavailable
+	}
+	return out
+}
--- /dev/null
+++ b/internal/platform/objects/client_test.go
@@ -0,0 +1,213 @@
+package objects_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/internal/platform/objects"
+	"mangoledge.example/mangoledge/internal/standin/platform"
+)
+
+const (
+	things = objects.Kind("things")
+	// ample is for whatever should come at once.
+	ample = 20 * time.Second
+)
+
+// fixture is a stand-in with a client.
+type fixture struct {
+	platform *platform.Server
+	url      string
+	store    *objects.Client
+}
+
+func newFixture(t *testing.T, options objects.Options) *fixture {
+	t.Helper()
+	server := platform.NewServer(platform.Options{Seed: 1})
+	listener := httptest.NewServer(server)
+	t.Cleanup(listener.Close)
+	t.Cleanup(listener.CloseClientConnections)
+	options.BaseURL = listener.URL
+	if options.Budget == nil {
+		options.Budget = objects.NewBudget(1e6, 1000)
+	}
+	client := objects.NewClient(options)
+	t.Cleanup(client.Close)
+	return &fixture{platform: server, url: listener.URL, store: client}
+}
+
+func thing(name, spec string) objects.Object {
+	return objects.Object{Kind: things, Metadata: objects.Metadata{Name: name}, Spec: json.RawMessage(spec)}
+}
+
+func TestConditionalWritesTellWhatWon(t *testing.T) {
+	f := newFixture(t, objects.Options{})
+	ctx := t.Context()
+	first, err := f.store.Create(ctx, thing("a", `{"n":1}`))
+	require.NoError(t, err)
+	_, err = f.store.Create(ctx, thing("a", `{"n":9}`))
+	require.Equal(t, objects.KindConflict, objects.KindOf(err))
+
+	second := first
+	second.Spec = json.RawMessage(`{"n":2}`)
+	won, err := f.store.Update(ctx, second)
+	require.NoError(t, err)
+	require.Greater(t, won.Metadata.ResourceVersion, first.Metadata.ResourceVersion)
+
+	_, err = f.store.Update(ctx, first)
+	require.Equal(t, objects.KindConflict, objects.KindOf(err))
+	current, ok := objects.CurrentOf(err)
+	require.True(t, ok)
+	require.JSONEq(t, `{"n":2}`, string(current.Spec))
+
+	err = f.store.Delete(ctx, things, "a", first.Metadata.ResourceVersion)
+	require.Equal(t, objects.KindConflict, objects.KindOf(err))
+	require.NoError(t, f.store.Delete(ctx, things, "a", won.Metadata.ResourceVersion))
+	_, err = f.store.Get(ctx, things, "a")
+	require.Equal(t, objects.KindNotFound, objects.KindOf(err))
+}
+
+func TestLostAnswerIsUnknownAndTheWriteIsThereOnce(t *testing.T) {
+	f := newFixture(t, objects.Options{})
+	f.platform.AddFault(platform.Fault{Service: platform.ServiceObjects, Kind: platform.FaultLostAnswer, Verb: "create", Calls: 1})
+	_, err := f.store.Create(t.Context(), thing("a", `{"n":1}`))
+	require.Equal(t, objects.KindUnknown, objects.KindOf(err))
+	object, err := f.store.Get(t.Context(), things, "a")
+	require.NoError(t, err)
+	require.EqualValues(t, 1, object.Metadata.ResourceVersion)
+
+	f.platform.AddFault(platform.Fault{Service: platform.ServiceObjects, Kind: platform.FaultLostAnswer, Verb: "update", Calls: 1})
+	_, err = f.store.Update(t.Context(), object)
+	require.Equal(t, objects.KindUnknown, objects.KindOf(err))
+	object, err = f.store.Get(t.Context(), things, "a")
+	require.NoError(t, err)
+	require.EqualValues(t, 2, object.Metadata.ResourceVersion, "a write that had no answer was sent again")
+}
+
+func TestHangingWriteIsUnknownAtItsDeadlineAndHangingReadIsUnavailable(t *testing.T) {
+	f := newFixture(t, objects.Options{CallTimeout: 50 * time.Millisecond})
+	f.platform.AddFault(platform.Fault{Service: platform.ServiceObjects, Kind: platform.FaultHang})
+	_, err := f.store.Create(t.Context(), thing("a", `{}`))
+	require.Equal(t, objects.KindUnknown, objects.KindOf(err))
+	_, err = f.store.Get(t.Context(), things, "a")
+	require.Equal(t, objects.KindUnavailable, objects.KindOf(err))
+}
+
+func TestUnsentWritesAreUnavailable(t *testing.T) {
+	nobody := objects.NewClient(objects.Options{BaseURL: "http://127.0.0.1:1"})
+	_, err := nobody.Create(t.Context(), thing("a", `{}`))
+	require.Equal(t, objects.KindUnavailable, objects.KindOf(err))
+
+	f := newFixture(t, objects.Options{Budget: objects.NewBudget(1e-6, 2)})
+	_, err = f.store.Create(t.Context(), thing("a", `{}`))
+	require.NoError(t, err)
+	_, err = f.store.Get(t.Context(), things, "a")
+	require.NoError(t, err)
+	_, err = f.store.Create(t.Context(), thing("b", `{}`))
+	require.Equal(t, objects.KindUnavailable, objects.KindOf(err), "beyond the budget")
+	require.EqualValues(t, 2, f.platform.Counts().Total, "a call beyond the budget was sent")
+
+	_, err = f.store.Create(t.Context(), thing("c", `"`+strings.Repeat("x", objects.MaxObjectBytes)+`"`))
+	require.Equal(t, objects.KindRefused, objects.KindOf(err))
+}
+
+func TestStaleReadsAreOld(t *testing.T) {
+	f := newFixture(t, objects.Options{})
+	first, err := f.store.Create(t.Context(), thing("a", `{"n":1}`))
+	require.NoError(t, err)
+	_, err = f.store.Update(t.Context(), first)
+	require.NoError(t, err)
+	f.platform.AddFault(platform.Fault{Service: platform.ServiceObjects, Kind: platform.FaultStaleRead, Behind: 1})
+	old, err := f.store.Get(t.Context(), things, "a")
+	require.NoError(t, err)
+	require.Equal(t, first.Metadata.ResourceVersion, old.Metadata.ResourceVersion)
+}
+
+func TestWatchEndsWhenSilentDroppedOrCompacted(t *testing.T) {
+	f := newFixture(t, objects.Options{WatchSilence: 1500 * time.Millisecond})
+	_, err := f.store.Create(t.Context(), thing("a", `{}`))
+	require.NoError(t, err)
+	_, err = f.store.Create(t.Context(), thing("b", `{}`))
+	require.NoError(t, err)
+	watch := func(since objects.Version, handle func(objects.Event) error) error {
+		ctx, cancel := context.WithTimeout(t.Context(), ample)
+		defer cancel()
+		return f.store.Watch(ctx, things, since, handle)
+	}
+	ignore := func(objects.Event) error { return nil }
+
+	enough := errors.New("enough")
+	err = watch(1, func(e objects.Event) error {
+		require.Equal(t, "b", e.Object.Metadata.Name)
+		return enough
+	})
+	require.ErrorIs(t, err, enough)
+	err = watch(2, func(e objects.Event) error {
+		require.Equal(t, objects.EventBookmark, e.Type)
+		return enough
+	})
+	require.ErrorIs(t, err, enough)
+
+	f.platform.AddFault(platform.Fault{Service: platform.ServiceObjects, Kind: platform.FaultSilentWatch})
+	require.Equal(t, objects.KindSilent, objects.KindOf(watch(2, ignore)))
+	f.platform.ClearFaults()
+	f.platform.AddFault(platform.Fault{Service: platform.ServiceObjects, Kind: platform.FaultDropWatch})
+	require.Equal(t, objects.KindUnavailable, objects.KindOf(watch(2, ignore)))
+	f.platform.ClearFaults()
+	f.platform.AddFault(platform.Fault{Kind: platform.FaultCompact})
+	require.Equal(t, objects.KindCompacted, objects.KindOf(watch(1, ignore)))
+}
+
+func TestFollowerSurvivesEveryKindOfBrokenWatch(t *testing.T) {
+	f := newFixture(t, objects.Options{WatchSilence: 1200 * time.Millisecond})
+	ctx, cancel := context.WithTimeout(t.Context(), ample)
+	defer cancel()
+	seen := make(chan objects.Object, 100)
+	failed := make(chan error, 100)
+	follower := objects.Follower{
+		Store: f.store, Kind: things, Alive: func() {},
+		Object: func(o objects.Object) { seen <- o },
+		Failed: func(err error) { failed <- err },
+	}
+	done := make(chan struct{})
+	go func() { defer close(done); follower.Run(ctx) }()
+	object, err := f.store.Create(ctx, thing("a", `{}`))
+	require.NoError(t, err)
+	waitVersion(ctx, t, seen, object.Metadata.ResourceVersion)
+	for _, kind := range []platform.FaultKind{platform.FaultDropWatch, platform.FaultSilentWatch} {
+		f.platform.AddFault(platform.Fault{Service: platform.ServiceObjects, Kind: kind, Calls: 1})
+		select {
+		case err := <-failed:
+			require.Error(t, err)
+		case <-ctx.Done():
+			t.Fatalf("%s did not end the watch", kind)
+		}
+		object, err = f.store.Update(ctx, object)
+		require.NoError(t, err)
+		f.platform.AddFault(platform.Fault{Kind: platform.FaultCompact})
+		waitVersion(ctx, t, seen, object.Metadata.ResourceVersion)
+	}
+	cancel()
+	<-done
+}
+
+func waitVersion(ctx context.Context, t *testing.T, seen <-chan objects.Object, version objects.Version) {
+	t.Helper()
+	for {
+		select {
+		case o := <-seen:
+			if o.Metadata.ResourceVersion == version {
+				return
+			}
+		case <-ctx.Done():
+			t.Fatalf("version %d never came", version)
+		}
+	}
+}
--- /dev/null
+++ b/internal/platform/objects/follower.go
@@ -0,0 +1,107 @@
+package objects
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// firstBackoff is the wait after the first failure of a follower.
+	firstBackoff = 200 * time.Millisecond
+	// maxBackoff is the longest wait of a follower between two tries.
+	maxBackoff = 5 * time.Second
+)
+
+// Follower keeps up with all objects of a kind: it lists, watches from there,
+// and starts anew whenever the watch breaks, goes silent or is compacted.
+type Follower struct {
+	Store Store
+	Kind  Kind
+	// Object is called with each object seen; versions of one name may repeat
+	// or come back older after a break, and the callee ignores those.
+	Object func(Object)
+	// Deleted is called with each object seen to go; nil to ignore.
+	Deleted func(Object)
+	// Alive is called whenever the store proved that what was told so far is current.
+	Alive func()
+	// Failed is called with why a watch ended or a list failed; nil to ignore.
+	Failed func(error)
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	backoff := firstBackoff
+	var version Version
+	for ctx.Err() == nil {
+		began := time.Now()
+		err := f.once(ctx, &version)
+		if ctx.Err() != nil {
+			return
+		}
+		if f.Failed != nil {
+			f.Failed(err)
+		}
+		if time.Since(began) > maxBackoff {
+			backoff = firstBackoff
+		}
+		if !sleep(ctx, jitter(backoff)) {
+			return
+		}
+		backoff = min(backoff*2, maxBackoff)
+	}
+}
+
+// once lists when it must and watches until the watch ends; version is what was seen last.
+func (f *Follower) once(ctx context.Context, version *Version) error {
+	if *version == 0 {
+		list, err := f.Store.List(ctx, f.Kind)
+		if err != nil {
+			return err
+		}
+		for _, object := range list.Items {
+			f.Object(object)
+		}
+		*version = list.Metadata.ResourceVersion
+		f.Alive()
+	}
+	err := f.Store.Watch(ctx, f.Kind, *version, func(event Event) error {
+		f.handle(event)
+		*version = max(*version, event.Object.Metadata.ResourceVersion)
+		return nil
+	})
+	if KindOf(err) == KindCompacted {
+		*version = 0
+	}
+	return err
+}
+
+func (f *Follower) handle(event Event) {
+	switch event.Type {
+	case EventAdded, EventModified:
+		f.Object(event.Object)
+	case EventDeleted:
+		if f.Deleted != nil {
+			f.Deleted(event.Object)
+		}
+	case EventBookmark, EventError:
+	}
+	f.Alive()
+}
+
+// jitter returns a random time between half of d and d.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d/2+1) //nolint:gosec // spreading, not a secret
+}
+
+// sleep waits for d and reports whether ctx is still going on.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/standin/platform/hostlist.go
@@ -0,0 +1,65 @@
+package platform
+
+import (
+	"net/http"
+	"time"
+)
+
+// DefaultHostListLag is how old the host list is.
+const DefaultHostListLag = 2 * time.Second
+
+// ListedHost is a host as the host list shows it.
+type ListedHost struct {
+	Host          string `json:"host"`
+	FailureDomain string `json:"failureDomain"`
+	HostClass     string `json:"hostClass"`
+	Address       string `json:"address,omitempty"`
+	Leaving       bool   `json:"leaving"`
+}
+
+// HostListAnswer is the host list as it was some time ago.
+type HostListAnswer struct {
+	AsOfMs int64        `json:"asOfMs"`
+	Hosts  []ListedHost `json:"hosts"`
+}
+
+// hostList shows the cloud's hosts as they were some time ago.
+type hostList struct {
+	cloud *cloud
+	lag   time.Duration
+}
+
+func newHostList(cloud *cloud, options Options) *hostList {
+	lag := options.HostListLag
+	if lag == 0 {
+		lag = DefaultHostListLag
+	}
+	return &hostList{cloud: cloud, lag: lag}
+}
+
+func (l *hostList) serve(w http.ResponseWriter, _ *http.Request) {
+	at := l.cloud.clock().Add(-l.lag).UnixMilli()
+	out := HostListAnswer{AsOfMs: at, Hosts: []ListedHost{}}
+	for _, h := range l.cloud.snapshot() {
+		if h.StartedMs > at || (h.EndedMs != 0 && h.EndedMs <= at) {
+			continue
+		}
+		out.Hosts = append(out.Hosts, ListedHost{
+			Host: h.ID, FailureDomain: h.FailureDomain, HostClass: h.HostClass,
+			Address: h.Address, Leaving: l.cloud.noticedBefore(h.ID, at),
+		})
+	}
+	writeJSON(w, http.StatusOK, out)
+}
+
+// noticedBefore reports whether a host had its reclaim notice at a time in milliseconds.
+func (c *cloud) noticedBefore(host string, at int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, n := range c.notices {
+		if n.Host == host && n.GivenMs <= at {
+			return true
+		}
+	}
+	return false
+}
