Dispatch of requests, clients of engines and services, stand-ins for both

Cause: the whole path needs a runner that survives the loss of upstreams, connections and nodes, and stand-ins whose history tells what was run.

--- /dev/null
+++ b/internal/dispatch/entry.go
@@ -0,0 +1,196 @@
+package dispatch
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"mangoledge.example/mangoledge/internal/fleet"
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/request"
+	"mangoledge.example/mangoledge/internal/verdict"
+)
+
+// entry is a request that this node holds.
+type entry struct {
+	spec   request.Spec
+	ticket Ticket
+	// ctx ends when the request is cancelled, released or restarted.
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu     sync.Mutex
+	record request.Record
+	// witnessed is true when the witness has a record under this holder.
+	witnessed bool
+	// granted is true when this holder may run a non-idempotent request.
+	granted bool
+	// dispatched is true when an upstream may have begun to run the request.
+	dispatched bool
+	// released is true when the request was given up for another node.
+	released bool
+	// moved is true when followers are to be sent away after a release.
+	moved bool
+	// reported is the number of tokens that the witness knows.
+	reported int
+	changed  chan struct{}
+	finished time.Time
+}
+
+func newEntry(record request.Record, ticket Ticket) *entry {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &entry{
+		spec:     record.Spec,
+		ticket:   ticket,
+		ctx:      ctx,
+		cancel:   cancel,
+		record:   record,
+		reported: len(record.Tokens),
+		changed:  make(chan struct{}),
+	}
+}
+
+// snapshot returns the record as it is now; its tokens must not be changed.
+func (e *entry) snapshot() request.Record {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.record
+}
+
+// wake wakes all followers; e.mu is held.
+func (e *entry) wake() {
+	close(e.changed)
+	e.changed = make(chan struct{})
+}
+
+// addToken appends the token at offset of generation; others are passed over.
+func (e *entry) addToken(generation ident.Generation, offset int, text string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if generation != e.record.Generation || offset != len(e.record.Tokens) || e.record.Phase.Final() || e.released {
+		return
+	}
+	e.record.Tokens = append(e.record.Tokens, text)
+	e.wake()
+}
+
+// place notes where the request runs now.
+func (e *entry) place(upstream fleet.Upstream) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.record.Upstream != "" && e.record.Upstream != upstream.ID {
+		e.record.Moves++
+	}
+	e.record.Upstream = upstream.ID
+	e.record.UpstreamURL = upstream.URL
+	e.record.Phase = request.PhaseRunning
+	e.dispatched = true
+}
+
+// undo notes that the upstream did not take the request after all.
+func (e *entry) undo(dispatchedBefore bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.dispatched = dispatchedBefore
+}
+
+// fork begins a new generation behind the tokens that are there.
+func (e *entry) fork(generation ident.Generation) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.forkLocked(generation)
+}
+
+func (e *entry) forkLocked(generation ident.Generation) {
+	forks := slices.Clone(e.record.Forks)
+	for i := range forks {
+		forks[i].Offset = min(forks[i].Offset, len(e.record.Tokens))
+	}
+	e.record.Forks = append(forks, request.Fork{Generation: e.record.Generation, Offset: len(e.record.Tokens)})
+	e.record.Generation = generation
+	e.wake()
+}
+
+// adopt goes on behind the tokens that the caller holds. It reports false when
+// the request has already ended.
+func (e *entry) adopt(position Position, generation ident.Generation) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.record.Phase.Final() {
+		return false
+	}
+	e.record.Tokens = slices.Clone(position.Received)
+	e.record.Generation = position.Generation
+	e.record.Forks = nil
+	e.reported = 0
+	e.forkLocked(generation)
+	return true
+}
+
+// finish sets the final phase; it reports false when there was one already.
+func (e *entry) finish(phase request.Phase, failure *verdict.Error) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.record.Phase.Final() || e.released {
+		return false
+	}
+	e.record.Phase = phase
+	e.record.Failure = failure
+	e.finished = time.Now()
+	e.wake()
+	return true
+}
+
+// release gives the request up for another node; it reports false when there is
+// nothing to give up. Followers are not told yet.
+func (e *entry) release() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.record.Phase.Final() || e.released {
+		return false
+	}
+	if !e.spec.Idempotent && e.dispatched {
+		return false
+	}
+	e.released = true
+	return true
+}
+
+// sendAway ends the following of a released request.
+func (e *entry) sendAway() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.moved = true
+	e.wake()
+}
+
+// view is what a follower sees at one moment.
+type view struct {
+	record   request.Record
+	released bool
+	moved    bool
+	changed  <-chan struct{}
+}
+
+func (e *entry) view() view {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return view{record: e.record, released: e.released, moved: e.moved, changed: e.changed}
+}
+
+// wholeText returns the text of a finished answer.
+func wholeText(record *request.Record) string {
+	if record.Spec.Service != "" {
+		return record.Output
+	}
+	return strings.Join(record.Tokens, "")
+}
+
+// wasDispatched reports whether an upstream may have begun to run the request.
+func (e *entry) wasDispatched() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.dispatched
+}
--- /dev/null
+++ b/internal/dispatch/follow.go
@@ -0,0 +1,108 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"mangoledge.example/mangoledge/internal/request"
+	"mangoledge.example/mangoledge/internal/verdict"
+)
+
+// followHeartbeat is the time between two heartbeats of a quiet request.
+const followHeartbeat = time.Second
+
+// Attachment is a request that a caller may follow.
+type Attachment interface {
+	// Follow emits the request's events until the last one, or until ctx or emit ends it.
+	Follow(ctx context.Context, emit Emit) error
+	// Close must be called when Follow is not; it may be called after it.
+	Close()
+}
+
+// localAttachment follows a request that this node holds.
+type localAttachment struct {
+	entry    *entry
+	position Position
+}
+
+// Close does nothing.
+func (a *localAttachment) Close() {}
+
+// Follow emits the events of the request.
+func (a *localAttachment) Follow(ctx context.Context, emit Emit) error {
+	ticker := time.NewTicker(followHeartbeat)
+	defer ticker.Stop()
+	offset := a.position.Offset
+	generation := a.position.Generation
+	accepted := false
+	for {
+		now := a.entry.view()
+		if !now.record.Continues(generation, offset) {
+			return emit(Event{Kind: EventError, Failure: errProgressLost(&now.record)})
+		}
+		if now.record.Generation != generation || !accepted {
+			generation = now.record.Generation
+			accepted = true
+			if err := emit(Event{Kind: EventAccepted, ID: a.entry.spec.ID.String(), Generation: generation}); err != nil {
+				return err
+			}
+		}
+		for ; offset < len(now.record.Tokens); offset++ {
+			if err := emit(Event{Kind: EventToken, Offset: offset, Text: now.record.Tokens[offset]}); err != nil {
+				return err
+			}
+		}
+		if last, ok := lastEvent(&now); ok {
+			return emit(last)
+		}
+		select {
+		case <-now.changed:
+		case <-ticker.C:
+			if err := emit(Event{Kind: EventHeartbeat}); err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// lastEvent returns the event that ends the following, if it is time for it.
+func lastEvent(now *view) (Event, bool) {
+	if now.moved {
+		return Event{Kind: EventMoved}, true
+	}
+	switch now.record.Phase {
+	case request.PhaseDone:
+		return Event{Kind: EventDone, Tokens: len(now.record.Tokens), Moves: now.record.Moves, Output: now.record.Output}, true
+	case request.PhaseFailed, request.PhaseCancelled:
+		return Event{Kind: EventError, Failure: now.record.Failure}, true
+	case request.PhaseWaiting, request.PhaseRunning:
+	}
+	return Event{}, false
+}
+
+// recordAttachment follows a request that has ended elsewhere.
+type recordAttachment struct {
+	record   request.Record
+	position Position
+}
+
+// Close does nothing.
+func (a *recordAttachment) Close() {}
+
+// Follow emits what the record holds.
+func (a *recordAttachment) Follow(ctx context.Context, emit Emit) error {
+	ended := newEntry(a.record, nil)
+	defer ended.cancel()
+	local := localAttachment{entry: ended, position: a.position}
+	return local.Follow(ctx, emit)
+}
+
+// errProgressLost tells a caller that its tokens can't be continued.
+func errProgressLost(record *request.Record) *verdict.Error {
+	if record.Phase.Final() {
+		return verdict.New(verdict.Ran, verdict.CodeGenerationChanged, "the answer ended in generation %s; take it from offset 0", record.Generation)
+	}
+	return verdict.New(verdict.Ran, verdict.CodeProgressLost, "the tokens you hold are not known here; send the request again with them in `received`")
+}
--- /dev/null
+++ b/internal/dispatch/forwarder.go
@@ -0,0 +1,102 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"mangoledge.example/mangoledge/internal/peer"
+	"mangoledge.example/mangoledge/internal/verdict"
+)
+
+const (
+	submitPath = "/v1/forward/submit"
+	resumePath = "/v1/forward/resume"
+	// forwardHeaderLimit is how long another node may take to accept a forwarded request.
+	forwardHeaderLimit = 2 * time.Second
+	// forwardIdleLimit is how long a forwarded stream may be silent; nodes send a heartbeat every second.
+	forwardIdleLimit = 3 * time.Second
+	// forwardIdleConns is the number of idle connections kept to one node.
+	forwardIdleConns = 64
+)
+
+// forwarder passes requests on to other nodes.
+type forwarder struct {
+	dialer peer.Dialer
+	http   *http.Client
+}
+
+func newForwarder(dialer peer.Dialer) *forwarder {
+	transport := &http.Transport{
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return dialer.Dial(ctx, address)
+		},
+		ResponseHeaderTimeout: forwardHeaderLimit,
+		MaxIdleConnsPerHost:   forwardIdleConns,
+		IdleConnTimeout:       forwardIdleLimit,
+		DisableCompression:    true,
+	}
+	return &forwarder{dialer: dialer, http: &http.Client{Transport: transport}}
+}
+
+func (f *forwarder) close() {
+	f.http.CloseIdleConnections()
+}
+
+func (f *forwarder) submit(ctx context.Context, address string, sub Submission) (Attachment, error) {
+	sub.Forwarded = true
+	return f.open(ctx, address, submitPath, &sub)
+}
+
+func (f *forwarder) resume(ctx context.Context, address string, res Resumption) (Attachment, error) {
+	res.Forwarded = true
+	return f.open(ctx, address, resumePath, &res)
+}
+
+// open sends body to path at address. A refusal of the other node is a
+// *verdict.Error marked as final by isFinalRefusal; any other error means that
+// the node can't be reached.
+func (f *forwarder) open(ctx context.Context, address, path string, body any) (Attachment, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(data))
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	peer.SetToken(req, f.dialer.Token)
+	resp, err := f.http.Do(req)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	if resp.StatusCode == http.StatusOK {
+		return newRemoteAttachment(resp.Body, cancel), nil
+	}
+	defer cancel()
+	defer func() { _ = resp.Body.Close() }()
+	refusal := new(verdict.Error)
+	if err := json.NewDecoder(resp.Body).Decode(refusal); err != nil || refusal.Code == "" {
+		return nil, errors.Newf("the node at %s answered %s", address, resp.Status)
+	}
+	return nil, refusal
+}
+
+// isFinalRefusal reports whether err is another node's own decision, with
+// which the request is at its end. A node that is stopping, or that knows
+// nothing of the request, decides nothing.
+func isFinalRefusal(err error) bool {
+	var refusal *verdict.Error
+	if !errors.As(err, &refusal) {
+		return false
+	}
+	return refusal.Code != verdict.CodeStopping && refusal.Code != verdict.CodeUnknownRequest && refusal.Code != verdict.CodeNodeLost
+}
--- /dev/null
+++ b/internal/dispatch/interfaces.go
@@ -0,0 +1,85 @@
+package dispatch
+
+import (
+	"context"
+
+	"mangoledge.example/mangoledge/internal/fleet"
+	"mangoledge.example/mangoledge/internal/grant"
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/request"
+)
+
+// Witness keeps records and gives grants. An error means that the witness is
+// lost or did not answer in time.
+type Witness interface {
+	Claim(ctx context.Context, req *grant.ClaimRequest) (grant.ClaimReply, error)
+	Grant(ctx context.Context, req *grant.Request) (grant.Reply, error)
+	Void(ctx context.Context, req *grant.VoidRequest) (grant.VoidReply, error)
+	Progress(ctx context.Context, req *grant.ProgressRequest) (grant.UpdateReply, error)
+	Finish(ctx context.Context, req *grant.FinishRequest) (grant.UpdateReply, error)
+	Fetch(ctx context.Context, req *grant.FetchRequest) (grant.FetchReply, error)
+	Cancel(ctx context.Context, req *grant.CancelRequest) (grant.FetchReply, error)
+}
+
+// Need says what a request needs of an upstream.
+type Need struct {
+	Spec *request.Spec
+	// Tokens is the number of tokens that are already there.
+	Tokens int
+	// Avoid are upstreams that have just failed this request.
+	Avoid []ident.Upstream
+	// Attempt counts the upstreams tried before.
+	Attempt int
+}
+
+// Outcome tells a router how a placement ended.
+type Outcome uint8
+
+// The outcomes of a placement.
+const (
+	// OutcomeDone means that the request ran to its end.
+	OutcomeDone Outcome = iota
+	// OutcomeRefused means that the upstream did not take the request.
+	OutcomeRefused
+	// OutcomeFailed means that the upstream failed.
+	OutcomeFailed
+	// OutcomeMoved means that the request went on elsewhere, or was cancelled.
+	OutcomeMoved
+)
+
+// Placement is a place for one request at one upstream.
+type Placement interface {
+	// Upstream is where to send the request.
+	Upstream() fleet.Upstream
+	// Done gives the place back; it is called once.
+	Done(outcome Outcome)
+}
+
+// Router chooses upstreams.
+type Router interface {
+	// Pick reserves a place. Its error is a *verdict.Error with verdict NotRun;
+	// one with RetryAfter above 0 may be asked again then.
+	Pick(ctx context.Context, need *Need) (Placement, error)
+	// Leaving reports whether the upstream takes no new work.
+	Leaving(upstream ident.Upstream) bool
+	// MarkLeaving tells that the upstream said it is leaving.
+	MarkLeaving(upstream ident.Upstream)
+}
+
+// Ticket is the right of an accepted request to use this node.
+type Ticket interface {
+	// Release gives the right back; it is called once.
+	Release()
+}
+
+// Admission decides which requests are accepted.
+type Admission interface {
+	// Admit accepts a request, or refuses it with an error of verdict NotRun.
+	Admit(spec *request.Spec) (Ticket, error)
+}
+
+// Journal keeps what was decided about a request, for operators.
+type Journal interface {
+	// Request notes one decision.
+	Request(id ident.RequestID, decision, reason string)
+}
--- /dev/null
+++ b/internal/dispatch/peerhandler.go
@@ -0,0 +1,62 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"mangoledge.example/mangoledge/internal/peer"
+	"mangoledge.example/mangoledge/internal/verdict"
+)
+
+// Register offers this node's requests to other nodes.
+func (d *Dispatcher) Register(server *peer.Server) error {
+	server.Handle("POST "+submitPath, http.HandlerFunc(d.serveSubmit))
+	server.Handle("POST "+resumePath, http.HandlerFunc(d.serveResume))
+	return server.Register(serviceName, &Service{dispatcher: d})
+}
+
+func (d *Dispatcher) serveSubmit(w http.ResponseWriter, r *http.Request) {
+	var sub Submission
+	if err := json.NewDecoder(r.Body).Decode(&sub); err != nil {
+		writeRefusal(w, verdict.BadInput("body", "%v", err))
+		return
+	}
+	attachment, err := d.Submit(r.Context(), sub)
+	d.serveAttachment(r.Context(), w, attachment, err)
+}
+
+func (d *Dispatcher) serveResume(w http.ResponseWriter, r *http.Request) {
+	var res Resumption
+	if err := json.NewDecoder(r.Body).Decode(&res); err != nil {
+		writeRefusal(w, verdict.BadInput("body", "%v", err))
+		return
+	}
+	attachment, err := d.Resume(r.Context(), res)
+	d.serveAttachment(r.Context(), w, attachment, err)
+}
+
+// serveAttachment streams the events of attachment to another node.
+func (d *Dispatcher) serveAttachment(ctx context.Context, w http.ResponseWriter, attachment Attachment, err error) {
+	if err != nil {
+		writeRefusal(w, verdict.From(err))
+		return
+	}
+	defer attachment.Close()
+	controller := http.NewResponseController(w)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	_ = controller.Flush()
+	_ = attachment.Follow(ctx, func(event Event) error {
+		if err := writeEvent(w, event); err != nil {
+			return err
+		}
+		return controller.Flush()
+	})
+}
+
+func writeRefusal(w http.ResponseWriter, refusal *verdict.Error) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusConflict)
+	_ = json.NewEncoder(w).Encode(refusal)
+}
--- /dev/null
+++ b/internal/dispatch/remote.go
@@ -0,0 +1,79 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"time"
+
+	"mangoledge.example/mangoledge/internal/sse"
+	"mangoledge.example/mangoledge/internal/verdict"
+)
+
+// remoteAttachment follows a request that another node holds.
+type remoteAttachment struct {
+	body   io.ReadCloser
+	cancel context.CancelFunc
+}
+
+func newRemoteAttachment(body io.ReadCloser, cancel context.CancelFunc) *remoteAttachment {
+	return &remoteAttachment{body: body, cancel: cancel}
+}
+
+// Close ends the following.
+func (a *remoteAttachment) Close() {
+	a.cancel()
+	_ = a.body.Close()
+}
+
+// Follow relays the other node's events. When that node is lost the caller is
+// told to come back, which finds or makes a new holder.
+func (a *remoteAttachment) Follow(ctx context.Context, emit Emit) error {
+	defer a.Close()
+	stop := context.AfterFunc(ctx, a.cancel)
+	defer stop()
+	idle := time.AfterFunc(forwardIdleLimit, a.cancel)
+	defer idle.Stop()
+	reader := sse.NewReader(a.body)
+	for {
+		raw, err := reader.Next()
+		if err != nil {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			return emit(Event{Kind: EventMoved})
+		}
+		idle.Reset(forwardIdleLimit)
+		event, err := decodeEvent(raw)
+		if err != nil {
+			return err
+		}
+		if err := emit(event); err != nil {
+			return err
+		}
+		if event.Kind.Last() {
+			return nil
+		}
+	}
+}
+
+// decodeEvent reads an event as writeEvent wrote it.
+func decodeEvent(raw sse.Event) (Event, error) {
+	if raw.Comment {
+		return Event{Kind: EventHeartbeat}, nil
+	}
+	var event Event
+	if err := json.Unmarshal(raw.Data, &event); err != nil {
+		return Event{}, verdict.New(verdict.MayHaveRun, verdict.CodeInternal, "another node sent an event that can't be read: %v", err)
+	}
+	event.Kind = EventKind(raw.Name)
+	return event, nil
+}
+
+// writeEvent writes an event for another node.
+func writeEvent(w io.Writer, event Event) error {
+	if event.Kind == EventHeartbeat {
+		return sse.WriteHeartbeat(w)
+	}
+	return sse.Write(w, string(event.Kind), event)
+}
--- /dev/null
+++ b/internal/dispatch/resume.go
@@ -0,0 +1,129 @@
+package dispatch
+
+import (
+	"context"
+
+	"mangoledge.example/mangoledge/internal/grant"
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/request"
+	"mangoledge.example/mangoledge/internal/verdict"
+)
+
+// Resume follows a request from where the caller stands. Its error is a *verdict.Error.
+func (d *Dispatcher) Resume(ctx context.Context, res Resumption) (Attachment, error) {
+	if e, ok := d.table.get(res.ID); ok && !e.view().released {
+		return d.attachAt(e, res)
+	}
+	if !res.Forwarded && res.ID.Home != d.self && d.reachable(res.ID.Home) {
+		attachment, err := d.forwarder.resume(ctx, d.addressOf(res.ID.Home), res)
+		if err == nil || (isFinalRefusal(err) && verdict.From(err).Code != verdict.CodeUnknownRequest) {
+			return attachment, err
+		}
+	}
+	if res.Forwarded {
+		return nil, errUnknown()
+	}
+	record, err := d.fetchFromWitness(ctx, res.ID, res.Workspace)
+	if err != nil {
+		return nil, err
+	}
+	if record.Phase.Final() {
+		return &recordAttachment{record: *record, position: res.Position}, nil
+	}
+	return d.Submit(ctx, Submission{Spec: record.Spec, Position: res.Position})
+}
+
+// attachAt follows an entry of this node from a position.
+func (d *Dispatcher) attachAt(e *entry, res Resumption) (Attachment, error) {
+	if e.spec.Workspace != res.Workspace {
+		return nil, errUnknown()
+	}
+	record := e.snapshot()
+	if !record.Continues(res.Position.Generation, res.Position.Offset) {
+		return nil, errProgressLost(&record)
+	}
+	return &localAttachment{entry: e, position: res.Position}, nil
+}
+
+// Fetch returns what is known about a request. Its error is a *verdict.Error.
+func (d *Dispatcher) Fetch(ctx context.Context, id ident.RequestID, workspace ident.Workspace) (*request.Record, error) {
+	if e, ok := d.table.get(id); ok && !e.view().released {
+		if e.spec.Workspace != workspace {
+			return nil, errUnknown()
+		}
+		record := e.snapshot()
+		return &record, nil
+	}
+	if id.Home != d.self && d.reachable(id.Home) {
+		if record, err := d.callFetch(ctx, d.addressOf(id.Home), id, workspace); err == nil {
+			return record, nil
+		}
+	}
+	record, err := d.fetchFromWitness(ctx, id, workspace)
+	if err != nil || record.Phase.Final() || record.Holder == d.self || !d.reachable(record.Holder) {
+		return record, err
+	}
+	if fresh, err := d.callFetch(ctx, d.addressOf(record.Holder), id, workspace); err == nil {
+		return fresh, nil
+	}
+	return record, nil
+}
+
+// Cancel ends a request; one that has ended already stays as it is.
+func (d *Dispatcher) Cancel(ctx context.Context, id ident.RequestID, workspace ident.Workspace) (*request.Record, error) {
+	if e, ok := d.table.get(id); ok && !e.view().released {
+		if e.spec.Workspace != workspace {
+			return nil, errUnknown()
+		}
+		d.cancelEntry(e)
+		record := e.snapshot()
+		return &record, nil
+	}
+	if id.Home != d.self && d.reachable(id.Home) {
+		if record, err := d.callCancel(ctx, d.addressOf(id.Home), id, workspace); err == nil {
+			return record, nil
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
+	defer cancel()
+	reply, err := d.options.Witness.Cancel(ctx, &grant.CancelRequest{ID: id, Workspace: workspace})
+	if err != nil {
+		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeWitnessLost, "the witness of this request can't be reached").After(resendDelay)
+	}
+	if !reply.Found {
+		return nil, errUnknown()
+	}
+	return &reply.Record, nil
+}
+
+// cancelEntry ends an entry of this node.
+func (d *Dispatcher) cancelEntry(e *entry) {
+	v := verdict.Ran
+	if !e.snapshot().Phase.Final() && !e.wasDispatched() {
+		v = verdict.NotRun
+		if !e.spec.Idempotent {
+			v = verdict.MayHaveRun
+		}
+	}
+	if e.finish(request.PhaseCancelled, verdict.New(v, verdict.CodeCancelled, "the caller cancelled the request")) {
+		e.cancel()
+	}
+}
+
+// fetchFromWitness asks the witness for a record of workspace.
+func (d *Dispatcher) fetchFromWitness(ctx context.Context, id ident.RequestID, workspace ident.Workspace) (*request.Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
+	defer cancel()
+	reply, err := d.options.Witness.Fetch(ctx, &grant.FetchRequest{ID: id})
+	if err != nil {
+		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeWitnessLost, "neither home nor witness of this request can be reached").After(resendDelay)
+	}
+	if !reply.Found || reply.Record.Spec.Workspace != workspace {
+		return nil, errUnknown()
+	}
+	return &reply.Record, nil
+}
+
+func errUnknown() *verdict.Error {
+	return verdict.New(verdict.MayHaveRun, verdict.CodeUnknownRequest, "no such request is known; it may have expired")
+}
--- /dev/null
+++ b/internal/dispatch/takeover.go
@@ -0,0 +1,106 @@
+package dispatch
+
+import (
+	"context"
+	"strconv"
+
+	"mangoledge.example/mangoledge/internal/grant"
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/membership"
+	"mangoledge.example/mangoledge/internal/request"
+	"mangoledge.example/mangoledge/internal/verdict"
+)
+
+// takeOver claims a request whose home does not answer.
+func (d *Dispatcher) takeOver(ctx context.Context, sub *Submission) (Attachment, error) {
+	ticket, err := d.options.Admission.Admit(&sub.Spec)
+	if err != nil {
+		return nil, d.refuse(ctx, &sub.Spec, verdict.From(err))
+	}
+	claim, err := d.claim(ctx, sub.Spec.ID, &sub.Spec, 0)
+	if err != nil {
+		return d.acceptUnwitnessed(sub, ticket)
+	}
+	if mayBegin(claim) {
+		return d.begin(claim.Record, sub, ticket, true)
+	}
+	ticket.Release()
+	return d.followHolder(ctx, claim, sub)
+}
+
+// followHolder follows a request that another node holds, or takes it from a holder that is gone.
+func (d *Dispatcher) followHolder(ctx context.Context, claim *grant.ClaimReply, sub *Submission) (Attachment, error) {
+	record := &claim.Record
+	if record.Spec.Workspace != sub.Spec.Workspace {
+		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeUnknownRequest, "no such request in this workspace")
+	}
+	if record.Phase.Final() {
+		return &recordAttachment{record: *record, position: sub.Position}, nil
+	}
+	holder := record.Holder
+	if !sub.Forwarded && holder != d.self && d.reachable(holder) {
+		attachment, err := d.forwarder.submit(ctx, d.addressOf(holder), *sub)
+		if err == nil || isFinalRefusal(err) {
+			return attachment, err
+		}
+	}
+	if claim.Granted {
+		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeGrantTaken,
+			"another node was given the right to run this request and does not answer; its result may still arrive").After(resendDelay)
+	}
+	return d.takeFrom(ctx, record, sub)
+}
+
+// takeFrom claims a request from a holder that is believed dead.
+func (d *Dispatcher) takeFrom(ctx context.Context, seen *request.Record, sub *Submission) (Attachment, error) {
+	ticket, err := d.options.Admission.Admit(&sub.Spec)
+	if err != nil {
+		return nil, d.refuse(ctx, &sub.Spec, verdict.From(err))
+	}
+	claim, err := d.claim(ctx, sub.Spec.ID, &sub.Spec, seen.Epoch)
+	if err == nil && mayBegin(claim) {
+		d.note(sub.Spec.ID, "take over", "from "+string(seen.Holder))
+		return d.begin(claim.Record, sub, ticket, true)
+	}
+	ticket.Release()
+	if err == nil && claim.Record.Phase.Final() {
+		return &recordAttachment{record: claim.Record, position: sub.Position}, nil
+	}
+	return nil, verdict.New(verdict.MayHaveRun, verdict.CodeNodeLost, "the node that ran this request does not answer; send the same ID again").After(resendDelay)
+}
+
+// submitElsewhere has another node run a request, because this one is stopping.
+func (d *Dispatcher) submitElsewhere(ctx context.Context, sub *Submission) (Attachment, error) {
+	refusal := verdict.New(verdict.NotRun, verdict.CodeStopping, "this node is stopping; use another address").After(resendDelay)
+	if sub.Forwarded {
+		return nil, refusal
+	}
+	for _, member := range d.options.Members.Members() {
+		if member.Incarnation == d.self || member.State != membership.StateAlive {
+			continue
+		}
+		attachment, err := d.forwarder.submit(ctx, member.PeerAddress, *sub)
+		if err == nil || isFinalRefusal(err) {
+			return attachment, err
+		}
+	}
+	return nil, d.refuse(ctx, &sub.Spec, refusal)
+}
+
+// reachable reports whether it is worth asking the incarnation.
+func (d *Dispatcher) reachable(incarnation ident.Incarnation) bool {
+	member, ok := d.options.Members.Lookup(incarnation)
+	if !ok {
+		return false
+	}
+	return member.State == membership.StateAlive || member.State == membership.StateLeaving || member.State == membership.StateSuspect
+}
+
+func (d *Dispatcher) addressOf(incarnation ident.Incarnation) string {
+	member, _ := d.options.Members.Lookup(incarnation)
+	return member.PeerAddress
+}
+
+func epochText(epoch uint64) string {
+	return strconv.FormatUint(epoch, 10)
+}
--- /dev/null
+++ b/internal/engine/stream.go
@@ -0,0 +1,55 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"mangoledge.example/mangoledge/internal/sse"
+	"mangoledge.example/mangoledge/internal/verdict"
+)
+
+// Stream is a running completion.
+type Stream struct {
+	body   io.ReadCloser
+	reader *sse.Reader
+	cancel context.CancelCauseFunc
+	idle   *time.Timer
+	limit  time.Duration
+}
+
+// newStream reads resp until it ends, is closed, or is silent for longer than limit.
+func newStream(resp *http.Response, cancel context.CancelCauseFunc, limit time.Duration) *Stream {
+	s := &Stream{body: resp.Body, reader: sse.NewReader(resp.Body), cancel: cancel, limit: limit}
+	s.idle = time.AfterFunc(limit, func() { cancel(errSilent) })
+	return s
+}
+
+// Next returns the next chunk. An error means that the stream has broken; the
+// completion has run in part.
+func (s *Stream) Next() (Chunk, error) {
+	for {
+		event, err := s.reader.Next()
+		if err != nil {
+			return Chunk{}, verdict.New(verdict.Ran, verdict.CodeUpstreamFailed, "the engine's stream broke: %v", err)
+		}
+		s.idle.Reset(s.limit)
+		if event.Comment {
+			continue
+		}
+		var chunk Chunk
+		if err := json.Unmarshal(event.Data, &chunk); err != nil {
+			return Chunk{}, verdict.New(verdict.Ran, verdict.CodeUpstreamFailed, "the engine sent an event that is no chunk: %v", err)
+		}
+		return chunk, nil
+	}
+}
+
+// Close ends reading; the engine goes on until it is cancelled.
+func (s *Stream) Close() {
+	s.idle.Stop()
+	s.cancel(nil)
+	_ = s.body.Close()
+}
--- a/internal/request/record.go
+++ b/internal/request/record.go
@@ -21,6 +21,8 @@
 	UpstreamURL string
 	// Generation is the sampling run that Tokens belong to.
 	Generation ident.Generation
+	// Forks are the earlier generations that Generation goes on from.
+	Forks []Fork
 	// Tokens are the tokens known so far; of one generation only.
 	Tokens []string
 	// Output is the reply of a plain service.
@@ -30,3 +32,17 @@
 	// Failure is set when Phase is failed.
 	Failure *verdict.Error
 }
+
+// Continues reports whether a caller that holds the first offset tokens of
+// generation can be given the tokens of r from offset on.
+func (r *Record) Continues(generation ident.Generation, offset int) bool {
+	if offset == 0 || generation == r.Generation {
+		return true
+	}
+	for _, fork := range r.Forks {
+		if fork.Generation == generation {
+			return offset <= fork.Offset
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/sse/sse_test.go
@@ -0,0 +1,36 @@
+package sse
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestRoundTrip(t *testing.T) {
+	var buf bytes.Buffer
+	require.NoError(t, Write(&buf, "token", map[string]int{"offset": 3}))
+	require.NoError(t, WriteHeartbeat(&buf))
+	require.NoError(t, Write(&buf, "", "x"))
+	reader := NewReader(&buf)
+
+	first, err := reader.Next()
+	require.NoError(t, err)
+	require.Equal(t, Event{Name: "token", Data: []byte(`{"offset":3}`)}, first)
+	second, err := reader.Next()
+	require.NoError(t, err)
+	require.True(t, second.Comment)
+	third, err := reader.Next()
+	require.NoError(t, err)
+	require.Equal(t, `"x"`, string(third.Data))
+	_, err = reader.Next()
+	require.ErrorIs(t, err, io.EOF)
+}
+
+func TestCutEventIsNotDelivered(t *testing.T) {
+	reader := NewReader(strings.NewReader("event: token\ndata: {\"off"))
+	_, err := reader.Next()
+	require.ErrorIs(t, err, io.EOF)
+}
--- /dev/null
+++ b/internal/standin/engine/handler.go
@@ -0,0 +1,200 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"mangoledge.example/mangoledge/internal/engine"
+	"mangoledge.example/mangoledge/internal/sse"
+	"mangoledge.example/mangoledge/internal/standin/history"
+)
+
+// heartbeatInterval is the time between two comments on a quiet stream.
+const heartbeatInterval = 500 * time.Millisecond
+
+// Handler serves the engine's protocol.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", e.serveCompletion)
+	mux.HandleFunc("GET /v1/streams/{id}", e.serveAttach)
+	mux.HandleFunc("DELETE /v1/streams/{id}", e.serveCancel)
+	mux.HandleFunc("POST /v1/kv/{id}/export", e.serveExport)
+	mux.HandleFunc("POST /v1/kv/import", e.serveImport)
+	mux.HandleFunc("GET /v1/load", e.serveLoad)
+	mux.HandleFunc("GET /v1/cache_events", e.serveCacheEvents)
+	mux.HandleFunc("POST /v1/orders", e.serveOrder)
+	mux.HandleFunc("POST /faults", e.serveFaults)
+	mux.HandleFunc("GET /stats", e.serveStats)
+	return mux
+}
+
+func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	var completion engine.Completion
+	if err := json.NewDecoder(r.Body).Decode(&completion); err != nil {
+		writeFailure(w, http.StatusBadRequest, "bad_request", err.Error())
+		return
+	}
+	s, code := e.start(completion)
+	switch code {
+	case engine.CodeLeaving:
+		writeFailure(w, http.StatusServiceUnavailable, code, "this engine is leaving")
+		return
+	case engine.CodeFull:
+		writeFailure(w, http.StatusTooManyRequests, code, "no slot is free")
+		return
+	}
+	e.follow(w, r, s, len(completion.Prefix))
+}
+
+func (e *Engine) serveAttach(w http.ResponseWriter, r *http.Request) {
+	s, ok := e.find(r.PathValue("id"))
+	offset, err := strconv.Atoi(r.URL.Query().Get("offset"))
+	if !ok || err != nil {
+		writeFailure(w, http.StatusNotFound, engine.CodeUnknown, "no such stream")
+		return
+	}
+	e.follow(w, r, s, offset)
+}
+
+// follow sends the tokens of s from offset on until s ends or the reader goes away.
+func (e *Engine) follow(w http.ResponseWriter, r *http.Request, s *stream, offset int) {
+	silence := e.silent.Load()
+	flusher := http.NewResponseController(w)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	_ = flusher.Flush()
+	ticker := time.NewTicker(heartbeatInterval)
+	defer ticker.Stop()
+	for {
+		now := s.view()
+		if e.silent.Load() != silence {
+			<-r.Context().Done()
+			return
+		}
+		for ; offset < len(now.tokens); offset++ {
+			if sse.Write(w, "", engine.Chunk{Offset: offset, Text: now.tokens[offset]}) != nil {
+				return
+			}
+		}
+		if now.done {
+			_ = sse.Write(w, "", engine.Chunk{Offset: offset, Done: true, Tokens: len(now.tokens), Exported: now.exported})
+			return
+		}
+		_ = flusher.Flush()
+		select {
+		case <-now.changed:
+		case <-ticker.C:
+			_ = sse.WriteHeartbeat(w)
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	if s, ok := e.find(r.PathValue("id")); ok {
+		s.cancel()
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	s, ok := e.find(id)
+	if !ok {
+		writeFailure(w, http.StatusNotFound, engine.CodeUnknown, "no such stream")
+		return
+	}
+	s.cancel()
+	s.finish(true)
+	e.log.Write(history.Entry{Event: history.EventExport, RequestID: id})
+	writeJSON(w, engine.KVExport{
+		Handle: string(s.completion.Generation),
+		Tokens: s.view().tokens,
+	})
+}
+
+func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
+	var from engine.KVImport
+	if err := json.NewDecoder(r.Body).Decode(&from); err != nil {
+		writeFailure(w, http.StatusBadRequest, "bad_request", err.Error())
+		return
+	}
+	e.mu.Lock()
+	e.imported[from.Handle] = true
+	e.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	writeJSON(w, engine.Load{Running: e.running, Slots: e.options.Slots, AtMs: time.Now().UnixMilli()})
+}
+
+func (e *Engine) serveCacheEvents(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, struct {
+		Events []string `json:"events"`
+		Next   int      `json:"next"`
+	}{Events: []string{}})
+}
+
+// order is the body of POST /v1/orders.
+type order struct {
+	Order   string `json:"order"`
+	Model   string `json:"model"`
+	Fencing uint64 `json:"fencing"`
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var o order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		writeFailure(w, http.StatusBadRequest, "bad_request", err.Error())
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if o.Fencing < e.fencing && !e.options.IgnoreFencing {
+		writeFailure(w, http.StatusConflict, engine.CodeFenced, "the fencing number is old")
+		return
+	}
+	e.fencing = max(e.fencing, o.Fencing)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+		writeFailure(w, http.StatusBadRequest, "bad_request", err.Error())
+		return
+	}
+	if faults.Leave || faults.ReclaimNoticeMs > 0 {
+		e.leave(time.Duration(faults.ReclaimNoticeMs) * time.Millisecond)
+	}
+	if faults.Silent {
+		e.silent.Add(1)
+	}
+	if faults.SlowMs != 0 {
+		e.slow.Store(max(0, faults.SlowMs))
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) serveStats(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	writeJSON(w, Stats{Running: e.running, Started: e.started, Recomputed: e.recomputed, Fencing: e.fencing})
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func writeFailure(w http.ResponseWriter, status int, code, message string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(engine.Failure{Error: engine.FailureDetail{Code: code, Message: message}})
+}
--- /dev/null
+++ b/internal/standin/service/service.go
@@ -0,0 +1,106 @@
+// Package service is a stand-in for a plain service whose calls must not be
+// repeated: it runs every call it gets and writes each down.
+package service
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"mangoledge.example/mangoledge/internal/standin/history"
+)
+
+// reclaimExitCode is the exit status of a reclaim.
+const reclaimExitCode = 4
+
+// Options say how the service behaves.
+type Options struct {
+	// ID names the service in its history.
+	ID string
+	// Delay is how long a call takes.
+	Delay time.Duration
+	// HistoryPath is the file that its history goes to; empty for none.
+	HistoryPath string
+}
+
+// Faults is the body of POST /faults; zero fields change nothing.
+type Faults struct {
+	// SilentBefore makes calls hang before they are run; -1 takes it back.
+	SilentBefore int `json:"silentBefore,omitempty"`
+	// SilentAfter makes calls hang after they were run; -1 takes it back.
+	SilentAfter int `json:"silentAfter,omitempty"`
+	// ReclaimNoticeMs ends the process after this many milliseconds.
+	ReclaimNoticeMs int64 `json:"reclaimNoticeMs,omitempty"`
+}
+
+// Service is the stand-in.
+type Service struct {
+	options      Options
+	log          *history.Log
+	silentBefore atomic.Bool
+	silentAfter  atomic.Bool
+	leaving      atomic.Bool
+}
+
+// New returns a service.
+func New(options Options) (*Service, error) {
+	log, err := history.Open(options.HistoryPath, options.ID)
+	if err != nil {
+		return nil, err
+	}
+	return &Service{options: options, log: log}, nil
+}
+
+// Handler serves calls and fault commands.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /call", s.serveCall)
+	mux.HandleFunc("POST /faults", s.serveFaults)
+	return mux
+}
+
+func (s *Service) serveCall(w http.ResponseWriter, r *http.Request) {
+	if s.leaving.Load() {
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+		return
+	}
+	payload, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	if s.silentBefore.Load() {
+		<-r.Context().Done()
+		return
+	}
+	id := r.Header.Get("X-Request-Id")
+	s.log.Write(history.Entry{Event: history.EventStart, RequestID: id})
+	time.Sleep(s.options.Delay)
+	s.log.Write(history.Entry{Event: history.EventDone, RequestID: id})
+	if s.silentAfter.Load() {
+		<-r.Context().Done()
+		return
+	}
+	_, _ = io.WriteString(w, s.options.ID+" did "+string(payload))
+}
+
+func (s *Service) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if faults.SilentBefore != 0 {
+		s.silentBefore.Store(faults.SilentBefore > 0)
+	}
+	if faults.SilentAfter != 0 {
+		s.silentAfter.Store(faults.SilentAfter > 0)
+	}
+	if faults.ReclaimNoticeMs > 0 {
+		s.leaving.Store(true)
+		time.AfterFunc(time.Duration(faults.ReclaimNoticeMs)*time.Millisecond, func() { os.Exit(reclaimExitCode) })
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
