--- /dev/null
+++ b/internal/grant/fetch.go
@@ -0,0 +1,16 @@
+package grant
+
+// Fetch returns what is known of a request.
+func (t *Table) Fetch(req *FetchRequest) (FetchReply, error) {
+	if err := t.check(); err != nil {
+		return FetchReply{}, err
+	}
+	e, ok := t.entries[req.ID]
+	if ok {
+		return FetchReply{Found: true, Record: e.record()}, nil
+	}
+	if t.isSpent(req.ID) {
+		return FetchReply{Found: true, Record: spentRecord(req.ID)}, nil
+	}
+	return FetchReply{}, nil
+}
--- a/internal/grant/messages.go
+++ b/internal/grant/messages.go
@@ -14,6 +14,7 @@
 import (
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/request"
+	"mangoledge.example/mangoledge/internal/verdict"
 )
 
 // ClaimRequest asks to become the holder of a request, and brings its record
@@ -37,7 +38,9 @@
 	// Granted is true when the right to run a non-idempotent request was given
 	// away for good, whoever has it.
 	Granted bool
-	Record  request.Record
+	// Cancelled is true when the caller has cancelled the request.
+	Cancelled bool
+	Record    request.Record
 }
 
 // Request asks for the right to run a non-idempotent request.
@@ -51,7 +54,8 @@
 type Reply struct {
 	// Granted is true when this holder, and no other for ever, may run the request.
 	Granted bool
-	Record  request.Record
+	// Record is set when the grant was refused and the request is known.
+	Record request.Record
 }
 
 // VoidRequest takes the grant for nobody, so that "not run" can be said.
@@ -60,6 +64,8 @@
 	// Spec is kept when the witness does not know the request yet.
 	Spec   *request.Spec
 	Holder ident.Incarnation
+	// Failure is what later senders of the ID are told; nil stands for a plain refusal. Its verdict becomes NotRun.
+	Failure *verdict.Error
 }
 
 // VoidReply answers a VoidRequest.
@@ -80,7 +86,8 @@
 	// Offset is the index of the first of Tokens.
 	Offset int
 	Tokens []string
-	Moves  int
+	// Moves counts changes of upstream or holder. A new Generation starts at Offset 0 and with more Moves than the record has.
+	Moves int
 	// Released is true when the holder gives the request up for another to claim.
 	Released bool
 }
@@ -99,6 +106,8 @@
 	Applied bool
 	// Epoch is the record's epoch.
 	Epoch uint64
+	// Known is how many tokens the record has; a report whose Offset is beyond it is not applied and is to be sent again from there.
+	Known int
 	// Cancelled is true when the caller has cancelled the request.
 	Cancelled bool
 }
