Membership by UDP gossip with probes, refutation and rumours

Cause: nodes had the types of a member but no way to learn of one another. Change: internal/membership gains Cluster (probes with indirect probes, suspicion, refutation by the live incarnation, leaving apart from dying with one successor, memory of ended incarnations, comparison of everything by a digest, rumours with the highest version winning). The decisions are in a core without sockets, goroutines or clocks. ident gains ValidIncarnation (additive). Conclusion: the daemon can use it as membership.View; behaviour at 460 members is not measured yet.

--- a/internal/ident/incarnation.go
+++ b/internal/ident/incarnation.go
@@ -34,3 +34,8 @@
 	_, theirs, _ := strings.Cut(string(other), "_")
 	return mine > theirs
 }
+
+// ValidIncarnation reports whether i has the form of an incarnation.
+func ValidIncarnation(i Incarnation) bool {
+	return incarnationPattern.MatchString(string(i))
+}
--- /dev/null
+++ b/internal/membership/codec.go
@@ -0,0 +1,193 @@
+package membership
+
+import (
+	"bytes"
+	"crypto/hmac"
+	"crypto/sha256"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"mangoledge.example/mangoledge/internal/ident"
+)
+
+const (
+	// maxDatagramBytes is the largest datagram, so that none is fragmented on the way.
+	maxDatagramBytes = 1200
+	// tagBytes is the length of the authentication tag that a datagram begins with.
+	tagBytes = 16
+	// keyLabel separates the key of datagrams from other uses of the peer token.
+	keyLabel = "mangoledge membership datagram 1"
+)
+
+var (
+	errNotAuthentic = errors.New("the datagram was not made with this site's peer token")
+	errBadDatagram  = errors.New("the datagram can't be read")
+)
+
+// kind says what a datagram asks for.
+type kind uint8
+
+const (
+	// kindNews only carries items.
+	kindNews kind = iota
+	// kindPing asks Target for a kindAck of the same Seq.
+	kindPing
+	// kindAck answers a kindPing or a kindPingFor.
+	kindAck
+	// kindPingFor asks the receiver to ping Target at Address and to pass the answer on.
+	kindPingFor
+	// kindSync asks for what the sender does not know, going by Digest.
+	kindSync
+	// kindSyncBack answers kindSync with the receiver's own Digest, after the items that differ.
+	kindSyncBack
+)
+
+// header is the first part of a datagram; items follow it.
+type header struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	Kind kind
+	From ident.Incarnation
+	Seq  uint32
+	// Target is the incarnation that a ping is meant for, or that an ack is about.
+	Target ident.Incarnation
+	// Address is where Target is, in kindPingFor.
+	Address string
+	// Digest is set in kindSync and kindSyncBack.
+	Digest digest
+	// More is true in kindSyncBack when not all differences were sent.
+	More bool
+}
+
+// item is one piece of news. One of Record and Rumour is set.
+type item struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	Record *record
+	Rumour *Rumour
+	// LifeMs is how long the sender still holds it, in milliseconds; 0 for a record that has not ended.
+	LifeMs uint32
+}
+
+// datagram is a decoded datagram.
+type datagram struct {
+	header
+	items []item
+}
+
+// sealer authenticates datagrams with the site's peer token.
+type sealer struct {
+	key [sha256.Size]byte
+}
+
+func newSealer(token string) *sealer {
+	mac := hmac.New(sha256.New, []byte(token))
+	_, _ = mac.Write([]byte(keyLabel))
+	s := new(sealer)
+	mac.Sum(s.key[:0])
+	return s
+}
+
+// seal puts the authentication tag into the first tagBytes of data.
+func (s *sealer) seal(data []byte) {
+	copy(data, s.tag(data[tagBytes:]))
+}
+
+// open returns what follows the authentication tag, or errNotAuthentic.
+func (s *sealer) open(data []byte) ([]byte, error) {
+	if len(data) < tagBytes {
+		return nil, errNotAuthentic
+	}
+	body := data[tagBytes:]
+	if !hmac.Equal(data[:tagBytes], s.tag(body)) {
+		return nil, errNotAuthentic
+	}
+	return body, nil
+}
+
+func (s *sealer) tag(body []byte) []byte {
+	mac := hmac.New(sha256.New, s.key[:])
+	_, _ = mac.Write(body)
+	return mac.Sum(nil)[:tagBytes]
+}
+
+// encode returns the msgpack form of a header or an item.
+func encode(value any) []byte {
+	encoder := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(encoder)
+	var buffer bytes.Buffer
+	encoder.Reset(&buffer)
+	encoder.UseCompactInts(true)
+	if err := encoder.Encode(value); err != nil {
+		panic(errors.Wrap(err, "encode a datagram")) // own types into memory
+	}
+	return buffer.Bytes()
+}
+
+// decode reads the body of a datagram.
+func decode(body []byte) (*datagram, error) {
+	if len(body) > maxDatagramBytes-tagBytes {
+		return nil, errBadDatagram
+	}
+	reader := bytes.NewReader(body)
+	decoder := msgpack.GetDecoder()
+	defer msgpack.PutDecoder(decoder)
+	decoder.Reset(reader)
+	out := new(datagram)
+	if err := decoder.Decode(&out.header); err != nil {
+		return nil, errors.Mark(err, errBadDatagram)
+	}
+	for {
+		var next item
+		err := decoder.Decode(&next)
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return nil, errors.Mark(err, errBadDatagram)
+		}
+		out.items = append(out.items, next)
+	}
+	return out, out.check()
+}
+
+// mentions reports whether the datagram carries the record of incarnation.
+func (d *datagram) mentions(incarnation ident.Incarnation) bool {
+	for _, next := range d.items {
+		if next.Record != nil && next.Record.Incarnation == incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *datagram) check() error {
+	if !ident.ValidIncarnation(d.From) {
+		return errors.Wrap(errBadDatagram, "sender")
+	}
+	if len(d.Digest) != 0 && len(d.Digest) != digestBuckets {
+		return errors.Wrap(errBadDatagram, "digest")
+	}
+	for _, next := range d.items {
+		if err := next.check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (i item) check() error {
+	switch {
+	case (i.Record == nil) == (i.Rumour == nil):
+		return errors.Wrap(errBadDatagram, "item")
+	case i.Record != nil && !ident.ValidIncarnation(i.Record.Incarnation):
+		return errors.Wrap(errBadDatagram, "incarnation")
+	case i.Record != nil && i.Record.Final > finalLeft:
+		return errors.Wrap(errBadDatagram, "state")
+	case i.Rumour != nil:
+		return i.Rumour.check()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/membership/digest.go
@@ -0,0 +1,95 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// digestBuckets is the number of parts that everything known is compared by.
+	digestBuckets = 128
+	// syncDatagrams is the most datagrams that one comparison is answered with.
+	syncDatagrams = 8
+	// minSentLife is the least remaining life of what is still passed on.
+	minSentLife = 5 * time.Second
+)
+
+// digest has one number for each bucket, which two nodes share when they know the same.
+type digest []uint32
+
+// differing returns the buckets in which d and other differ.
+func (d digest) differing(other digest) []int {
+	var out []int
+	for i := range d {
+		if i >= len(other) || d[i] != other[i] {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+func bucketOf(name string) int {
+	return int(xxhash.Sum64String(name) % digestBuckets)
+}
+
+func (r record) bucket() int {
+	return bucketOf(string(r.Incarnation))
+}
+
+func (n rumourName) bucket() int {
+	return bucketOf(string(n.topic) + "/" + n.key)
+}
+
+// digest sums up all that is known and still passed on.
+func (c *core) digest(now time.Time) digest {
+	out := make(digest, digestBuckets)
+	for _, e := range c.table.entries {
+		if sendable(e, now) {
+			out[e.bucket()] ^= uint32(e.hash())
+		}
+	}
+	for name, held := range c.rumours.held {
+		if held.expireAt.Sub(now) >= minSentLife {
+			out[name.bucket()] ^= uint32(held.hash())
+		}
+	}
+	return out
+}
+
+func sendable(e *entry, now time.Time) bool {
+	return e.Final == finalNone || e.remaining(now) >= minSentLife
+}
+
+// itemsIn returns the encoded items of the buckets, members that have not ended first.
+func (c *core) itemsIn(now time.Time, buckets []int) [][]byte {
+	wanted := make(map[int]bool, len(buckets))
+	for _, b := range buckets {
+		wanted[b] = true
+	}
+	var live, rest [][]byte
+	for _, e := range c.table.entries {
+		switch {
+		case !wanted[e.bucket()] || !sendable(e, now):
+		case e.Final == finalNone:
+			live = append(live, encodeRecord(e.record, 0))
+		default:
+			rest = append(rest, encodeRecord(e.record, e.remaining(now)))
+		}
+	}
+	for name, held := range c.rumours.held {
+		if wanted[name.bucket()] && held.expireAt.Sub(now) >= minSentLife {
+			rest = append(rest, encodeRumour(held.Rumour, held.expireAt.Sub(now)))
+		}
+	}
+	return slices.Concat(live, rest)
+}
+
+func encodeRecord(r record, life time.Duration) []byte {
+	return encode(&item{Record: &r, LifeMs: uint32(life.Milliseconds())})
+}
+
+func encodeRumour(r Rumour, life time.Duration) []byte {
+	return encode(&item{Rumour: &r, LifeMs: uint32(life.Milliseconds())})
+}
--- /dev/null
+++ b/internal/membership/probe.go
@@ -0,0 +1,151 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"mangoledge.example/mangoledge/internal/ident"
+)
+
+func sortEntries(entries []*entry) {
+	slices.SortFunc(entries, func(a, b *entry) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+}
+
+// probeNext pings the next member of a shuffled round over all that have not ended.
+func (c *core) probeNext(now time.Time) {
+	for range 2 {
+		for len(c.order) > 0 {
+			next := c.order[0]
+			c.order = c.order[1:]
+			e, ok := c.table.entries[next]
+			if ok && e.Final == finalNone && e.complete() {
+				c.ping(now, e)
+				return
+			}
+		}
+		for _, e := range c.pick(len(c.table.entries), func(*entry) bool { return true }) {
+			c.order = append(c.order, e.Incarnation)
+		}
+	}
+}
+
+func (c *core) ping(now time.Time, target *entry) {
+	c.seq++
+	c.probes[c.seq] = &probe{target: target.Incarnation, sentAt: now}
+	c.send(now, target.Details.PeerAddress, header{Kind: kindPing, Seq: c.seq, Target: target.Incarnation}, c.underSuspicion(target.Incarnation))
+}
+
+// underSuspicion returns the entry of target when it is suspected, so that a ping
+// can tell it, or nil.
+func (c *core) underSuspicion(target ident.Incarnation) *entry {
+	e, ok := c.table.entries[target]
+	if !ok || !e.Suspected {
+		return nil
+	}
+	return e
+}
+
+// checkProbes asks others about members that did not answer, and suspects those that they can't reach either.
+func (c *core) checkProbes(now time.Time) {
+	for _, seq := range sortedKeys(c.probes) {
+		p := c.probes[seq]
+		target, known := c.table.entries[p.target]
+		waited := now.Sub(p.sentAt)
+		switch {
+		case !known || target.Final != finalNone:
+			delete(c.probes, seq)
+		case waited >= c.timing.ProbeTimeout:
+			delete(c.probes, seq)
+			c.suspect(now, target)
+		case waited >= c.timing.DirectTimeout && !p.indirect:
+			p.indirect = true
+			c.askOthers(now, seq, target)
+		}
+	}
+	for seq, r := range c.relays {
+		if now.Sub(r.sentAt) >= c.timing.ProbeTimeout {
+			delete(c.relays, seq)
+		}
+	}
+}
+
+func sortedKeys[V any](m map[uint32]V) []uint32 {
+	keys := make([]uint32, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+func (c *core) askOthers(now time.Time, seq uint32, target *entry) {
+	if target.Suspected {
+		return // it is asked directly only, until it answers
+	}
+	helpers := c.pick(indirectProbes, func(e *entry) bool { return reachable(e) && e != target })
+	for _, helper := range helpers {
+		ask := header{Kind: kindPingFor, Seq: seq, Target: target.Incarnation, Address: target.Details.PeerAddress}
+		c.send(now, helper.Details.PeerAddress, ask, nil)
+	}
+}
+
+func (c *core) suspect(now time.Time, target *entry) {
+	if target.Suspected {
+		return
+	}
+	news := target.short()
+	news.Suspected = true
+	c.learn(now, news, 0)
+}
+
+// checkSuspicions declares members dead that did not deny their suspicion in time.
+func (c *core) checkSuspicions(now time.Time) {
+	own := c.table.entries[c.self].Details.Region
+	reached, all := c.table.reach(own)
+	minority := 2*reached < all || (2*reached == all && !c.firstHalf(own))
+	var ended []*entry
+	for _, e := range c.table.entries {
+		if e.Final != finalNone || !e.Suspected || e.Incarnation == c.self {
+			continue
+		}
+		if now.Sub(e.suspectedAt) >= c.patience(e.Details.Region == own, minority) {
+			ended = append(ended, e)
+		}
+	}
+	sortEntries(ended)
+	for _, e := range ended {
+		news := e.short()
+		news.Final = finalDead
+		c.learn(now, news, 0)
+	}
+}
+
+// patience returns how long a suspected member has. Only members of its own
+// region judge it soon, and of those only the greater part: a node that is cut
+// off must not declare everybody else dead.
+func (c *core) patience(sameRegion, minority bool) time.Duration {
+	switch {
+	case !sameRegion:
+		return c.timing.RegionHold
+	case minority:
+		return c.timing.Suspicion + c.timing.MinorityHold
+	default:
+		return c.timing.Suspicion
+	}
+}
+
+// firstHalf reports whether the member of the region with the least name is reached;
+// of two equal halves that one is the greater part.
+func (c *core) firstHalf(region ident.Region) bool {
+	var first *entry
+	for _, e := range c.table.entries {
+		if e.Final != finalNone || e.Details.Region != region {
+			continue
+		}
+		if first == nil || e.Incarnation < first.Incarnation {
+			first = e
+		}
+	}
+	return first != nil && !first.Suspected
+}
