--- /dev/null
+++ b/internal/callerclient/observer.go
@@ -0,0 +1,23 @@
+package callerclient
+
+// Observer is told about a stream as it comes. Methods are called from one goroutine at a time.
+type Observer interface {
+	// Token is called for each token, in order and once each.
+	Token(offset int, text string)
+	// Restart is called when the tokens so far are void because the generation changed.
+	Restart()
+	// Retry is called before the request is sent or resumed again, with the reason.
+	Retry(address string, reason error)
+}
+
+// Silent is an Observer that does nothing.
+type Silent struct{}
+
+// Token does nothing.
+func (Silent) Token(int, string) {}
+
+// Restart does nothing.
+func (Silent) Restart() {}
+
+// Retry does nothing.
+func (Silent) Retry(string, error) {}
