Caller API server, placement through owners, and the node that joins them

Cause: the parts need one process that runs them. Change: internal/entry serves the caller API with its limits and refusals, internal/placement asks the upstreams' owners for slots, internal/node wires listeners, membership, witness, router and requests and takes them apart when the node leaves. Measured: nothing yet; configuration and fleet come from the platform's object API, whose client is not there yet.

--- a/cmd/mangoledged/main.go
+++ b/cmd/mangoledged/main.go
@@ -1,4 +1,64 @@
 // Command mangoledged is the daemon that runs on each entry host.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"mangoledge.example/mangoledge/internal/node"
+	"mangoledge.example/mangoledge/internal/settings"
+)
+
+func main() {
+	app := kingpin.New("mangoledged", "The mangoledge daemon: one per entry host.")
+	path := app.Flag("settings", "Path of the JSON settings.").Required().String()
+	check := app.Flag("check-settings", "Check the settings, say what is wrong, and end.").Bool()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	loaded, err := settings.Load(*path)
+	if err != nil {
+		fail(err)
+	}
+	if *check {
+		fmt.Println("the settings are valid")
+		return
+	}
+	if err := run(loaded); err != nil {
+		fail(err)
+	}
+}
+
+// run runs a node until a signal stops it by plan.
+func run(loaded *settings.Settings) error {
+	logger := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("node", string(loaded.Node))
+	n, err := node.New(loaded, logger)
+	if err != nil {
+		return err
+	}
+	if err := n.Start(context.Background()); err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	select {
+	case err := <-n.Failures():
+		return err
+	case <-signals:
+	}
+	limit := time.Duration(loaded.Limits.DrainTimeoutMs) * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	n.Drain(ctx)
+	return nil
+}
+
+func fail(err error) {
+	fmt.Fprintln(os.Stderr, "mangoledged:", err)
+	os.Exit(1)
+}
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -180,14 +179,6 @@
 	return view{record: e.record, released: e.released, moved: e.moved, changed: e.changed}
 }
 
-// wholeText returns the text of a finished answer.
-func wholeText(record *request.Record) string {
-	if record.Spec.Service != "" {
-		return record.Output
-	}
-	return strings.Join(record.Tokens, "")
-}
-
 // wasDispatched reports whether an upstream may have begun to run the request.
 func (e *entry) wasDispatched() bool {
 	e.mu.Lock()
--- a/internal/dispatch/follow.go
+++ b/internal/dispatch/follow.go
@@ -43,7 +43,7 @@
 		if now.record.Generation != generation || !accepted {
 			generation = now.record.Generation
 			accepted = true
-			if err := emit(Event{Kind: EventAccepted, ID: a.entry.spec.ID.String(), Generation: generation}); err != nil {
+			if err := emit(Event{Kind: EventAccepted, ID: a.entry.spec.ID.String(), Generation: generation, Offset: offset}); err != nil {
 				return err
 			}
 		}
--- /dev/null
+++ b/internal/entry/addressbook.go
@@ -0,0 +1,112 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"mangoledge.example/mangoledge/api/callerapi"
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/membership"
+	"mangoledge.example/mangoledge/internal/verdict"
+)
+
+// maxAddresses is the most addresses that one answer names.
+const maxAddresses = 16
+
+// staleRetryAfter is when to ask a stale node again.
+const staleRetryAfter = time.Second
+
+// AddressBook makes the answers to "which addresses may I use".
+type AddressBook struct {
+	members membership.View
+	keep    time.Duration
+	// stale tells whether this node may have missed a configuration, and why.
+	stale func() (string, bool)
+}
+
+// NewAddressBook returns a book whose answers may be kept for keep.
+func NewAddressBook(members membership.View, keep time.Duration, stale func() (string, bool)) *AddressBook {
+	return &AddressBook{members: members, keep: keep, stale: stale}
+}
+
+// Addresses names the usable nodes, the home of the prefix first.
+func (b *AddressBook) Addresses() (*callerapi.AddressBook, error) {
+	if reason, stale := b.stale(); stale {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeStale, "this node may be out of date and hands out no addresses: %s", reason).After(staleRetryAfter)
+	}
+	usable := b.usable()
+	if len(usable) == 0 {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeStopping, "no node takes new work now").After(staleRetryAfter)
+	}
+	out := &callerapi.AddressBook{
+		KeepMs:          b.keep.Milliseconds(),
+		RequestIdPrefix: ident.Prefix(usable[0].Incarnation, b.witnessFor(usable[0], usable)),
+	}
+	for _, member := range usable[:min(maxAddresses, len(usable))] {
+		out.Addresses = append(out.Addresses, callerapi.Address{
+			URL:           member.CallerURL,
+			Node:          string(member.Node),
+			FailureDomain: string(member.FailureDomain),
+		})
+	}
+	return out, nil
+}
+
+// Prefix makes a fresh request-ID prefix.
+func (b *AddressBook) Prefix() string {
+	home, witness := b.pair()
+	return ident.Prefix(home, witness)
+}
+
+// OwnID makes a request ID whose home is this node.
+func (b *AddressBook) OwnID() ident.RequestID {
+	self := b.members.Self()
+	return ident.NewRequestID(self.Incarnation, b.witnessFor(self, b.usable()))
+}
+
+func (b *AddressBook) pair() (home, witness ident.Incarnation) {
+	usable := b.usable()
+	if len(usable) == 0 {
+		self := b.members.Self().Incarnation
+		return self, self
+	}
+	return usable[0].Incarnation, b.witnessFor(usable[0], usable)
+}
+
+// usable returns the members of this region that take new work, in random
+// order; those of all regions when this one has none.
+func (b *AddressBook) usable() []membership.Member {
+	region := b.members.Self().Region
+	var near, far []membership.Member
+	for _, member := range b.members.Members() {
+		switch {
+		case !member.State.Usable():
+		case member.Region == region:
+			near = append(near, member)
+		default:
+			far = append(far, member)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	return near
+}
+
+// witnessFor chooses a witness for home: in another failure domain if there is
+// one, on another node if there is one, home itself otherwise.
+func (b *AddressBook) witnessFor(home membership.Member, usable []membership.Member) ident.Incarnation {
+	best := home.Incarnation
+	offset := rand.IntN(len(usable) + 1)
+	for i := range usable {
+		member := usable[(i+offset)%len(usable)]
+		if member.FailureDomain != home.FailureDomain {
+			return member.Incarnation
+		}
+		if member.Incarnation != home.Incarnation {
+			best = member.Incarnation
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/entry/handler.go
@@ -0,0 +1,167 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"mangoledge.example/mangoledge/api/callerapi"
+	"mangoledge.example/mangoledge/internal/auth"
+	"mangoledge.example/mangoledge/internal/config"
+	"mangoledge.example/mangoledge/internal/dispatch"
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/request"
+	"mangoledge.example/mangoledge/internal/verdict"
+)
+
+// Dispatcher runs requests; dispatch.Dispatcher is one.
+type Dispatcher interface {
+	Submit(ctx context.Context, sub dispatch.Submission) (dispatch.Attachment, error)
+	Resume(ctx context.Context, res dispatch.Resumption) (dispatch.Attachment, error)
+	Fetch(ctx context.Context, id ident.RequestID, workspace ident.Workspace) (*request.Record, error)
+	Cancel(ctx context.Context, id ident.RequestID, workspace ident.Workspace) (*request.Record, error)
+}
+
+// Book tells callers which addresses to use; AddressBook is one.
+type Book interface {
+	// Addresses returns the addresses, or an error of verdict NotRun when this node knows too little.
+	Addresses() (*callerapi.AddressBook, error)
+	// Prefix makes a fresh request-ID prefix.
+	Prefix() string
+	// OwnID makes a request ID for a caller that brought none.
+	OwnID() ident.RequestID
+}
+
+// Handler implements the caller API.
+type Handler struct {
+	dispatcher Dispatcher
+	book       Book
+	config     config.View
+	now        func() time.Time
+}
+
+var _ callerapi.Handler = (*Handler)(nil)
+
+// NewHandler returns a Handler.
+func NewHandler(dispatcher Dispatcher, book Book, site config.View) *Handler {
+	return &Handler{dispatcher: dispatcher, book: book, config: site, now: time.Now}
+}
+
+// GetAddresses tells which addresses to use.
+func (h *Handler) GetAddresses(context.Context) (*callerapi.AddressBook, error) {
+	return h.book.Addresses()
+}
+
+// SubmitRequest accepts a request and answers it whole or as a stream.
+func (h *Handler) SubmitRequest(ctx context.Context, in *callerapi.Submission) (callerapi.SubmitRequestRes, error) {
+	sub, err := h.submission(principalOf(ctx), in)
+	if err != nil {
+		return nil, err
+	}
+	attachment, err := h.dispatcher.Submit(ctx, *sub)
+	if err != nil {
+		return nil, err
+	}
+	if sub.Spec.Stream {
+		return &callerapi.SubmitRequestOKTextEventStream{Data: newEventStream(ctx, attachment)}, nil
+	}
+	defer attachment.Close()
+	return fold(ctx, attachment, &sub.Position)
+}
+
+// ResumeStream continues a stream.
+func (h *Handler) ResumeStream(ctx context.Context, params callerapi.ResumeStreamParams) (callerapi.ResumeStreamOK, error) {
+	id, err := parseID("id", params.ID)
+	if err != nil {
+		return callerapi.ResumeStreamOK{}, err
+	}
+	attachment, err := h.dispatcher.Resume(ctx, dispatch.Resumption{
+		ID:        id,
+		Workspace: principalOf(ctx).Workspace,
+		Position: dispatch.Position{
+			Generation: ident.Generation(params.Generation.Or("")),
+			Offset:     params.Offset.Or(0),
+		},
+	})
+	if err != nil {
+		return callerapi.ResumeStreamOK{}, err
+	}
+	return callerapi.ResumeStreamOK{Data: newEventStream(ctx, attachment)}, nil
+}
+
+// FetchAnswer returns the state of a request.
+func (h *Handler) FetchAnswer(ctx context.Context, params callerapi.FetchAnswerParams) (*callerapi.RequestState, error) {
+	id, err := parseID("id", params.ID)
+	if err != nil {
+		return nil, err
+	}
+	record, err := h.dispatcher.Fetch(ctx, id, principalOf(ctx).Workspace)
+	if err != nil {
+		return nil, err
+	}
+	return stateOf(record), nil
+}
+
+// CancelRequest cancels a request.
+func (h *Handler) CancelRequest(ctx context.Context, params callerapi.CancelRequestParams) (*callerapi.RequestState, error) {
+	id, err := parseID("id", params.ID)
+	if err != nil {
+		return nil, err
+	}
+	record, err := h.dispatcher.Cancel(ctx, id, principalOf(ctx).Workspace)
+	if err != nil {
+		return nil, err
+	}
+	return stateOf(record), nil
+}
+
+// NewError turns an error into the answer to a caller.
+func (h *Handler) NewError(_ context.Context, err error) *callerapi.RefusedStatusCode {
+	refusal := refusalOf(verdict.From(err))
+	if refusal.Verdict != callerapi.RefusalVerdictRan {
+		refusal.RequestIdPrefix = callerapi.NewOptString(h.book.Prefix())
+	}
+	return &callerapi.RefusedStatusCode{StatusCode: statusOf(verdict.From(err).Code), Response: refusal}
+}
+
+// principalKey is the context key of the caller.
+type principalKey struct{}
+
+// principalOf returns the caller that security put into ctx.
+func principalOf(ctx context.Context) auth.Principal {
+	principal, _ := ctx.Value(principalKey{}).(auth.Principal)
+	return principal
+}
+
+// security checks callers' tokens.
+type security struct {
+	tokens *auth.Tokens
+}
+
+// statusOf is the HTTP status of a code.
+func statusOf(code verdict.Code) int {
+	switch code {
+	case verdict.CodeBadInput, verdict.CodeUnknownModel, verdict.CodeUnknownService:
+		return http.StatusBadRequest
+	case verdict.CodeUnauthorized:
+		return http.StatusUnauthorized
+	case verdict.CodeForbidden:
+		return http.StatusForbidden
+	case verdict.CodeUnknownRequest:
+		return http.StatusNotFound
+	case verdict.CodeTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case verdict.CodeOverloaded, verdict.CodeDeadlineUnlikely:
+		return http.StatusTooManyRequests
+	case verdict.CodeDeadline:
+		return http.StatusGatewayTimeout
+	case verdict.CodeUpstreamFailed, verdict.CodeNodeLost:
+		return http.StatusBadGateway
+	case verdict.CodeNoUpstream, verdict.CodeWitnessLost, verdict.CodeStopping, verdict.CodeStale:
+		return http.StatusServiceUnavailable
+	case verdict.CodeGrantTaken, verdict.CodeProgressLost, verdict.CodeGenerationChanged,
+		verdict.CodePrefixExpired, verdict.CodeCancelled, verdict.CodePoison:
+		return http.StatusConflict
+	}
+	return http.StatusInternalServerError
+}
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,71 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"mangoledge.example/mangoledge/api/callerapi"
+	"mangoledge.example/mangoledge/internal/auth"
+	"mangoledge.example/mangoledge/internal/settings"
+)
+
+// Server serves the caller API on one listener.
+type Server struct {
+	http *http.Server
+}
+
+// NewServer returns a Server for handler.
+func NewServer(handler *Handler, tokens *auth.Tokens, limits *settings.Limits) (*Server, error) {
+	s := new(Server)
+	api, err := callerapi.NewServer(handler, &security{tokens: tokens}, callerapi.WithErrorHandler(s.handleError))
+	if err != nil {
+		return nil, err
+	}
+	slots := make(chan struct{}, limits.MaxConcurrent)
+	s.http = &http.Server{
+		Handler:           limitConcurrency(slots, limitBody(limits, flushing(api))),
+		ReadHeaderTimeout: time.Duration(limits.HeaderTimeoutMs) * time.Millisecond,
+		MaxHeaderBytes:    limits.MaxHeaderBytes,
+	}
+	return s, nil
+}
+
+// Serve answers on listener until Shutdown.
+func (s *Server) Serve(listener net.Listener) error {
+	return s.http.Serve(listener)
+}
+
+// Shutdown stops listening and waits for the answers in progress.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return s.http.Shutdown(ctx)
+}
+
+// flushing hands next a writer that flushes each write.
+func flushing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(&flushWriter{ResponseWriter: w, controller: http.NewResponseController(w)}, r)
+	})
+}
+
+// flushWriter flushes each write. It hides io.ReaderFrom on purpose, so that
+// nothing is copied past Write.
+type flushWriter struct {
+	http.ResponseWriter
+	controller *http.ResponseController
+}
+
+// Write writes and flushes p.
+func (f *flushWriter) Write(p []byte) (int, error) {
+	n, err := f.ResponseWriter.Write(p)
+	if err != nil {
+		return n, err
+	}
+	return n, f.controller.Flush()
+}
+
+// Unwrap lets http.ResponseController find the writer below.
+func (f *flushWriter) Unwrap() http.ResponseWriter {
+	return f.ResponseWriter
+}
--- /dev/null
+++ b/internal/node/leave.go
@@ -0,0 +1,128 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/membership"
+)
+
+const (
+	// drainPoll is the time between two looks at what is still in progress.
+	drainPoll = 20 * time.Millisecond
+	// handOverTime is how long the hand-over of the witness tables may take.
+	handOverTime = 3 * time.Second
+	// closeTime is how long listeners may take to close.
+	closeTime = 2 * time.Second
+	// releaseMargin is how long before the end of a notice requests are given up.
+	releaseMargin = 700 * time.Millisecond
+	// leaveTime is how long the others may take to hear of the end.
+	leaveTime = time.Second
+	// forwardTime is how long a node that has handed over still forwards.
+	forwardTime = 300 * time.Millisecond
+)
+
+// Drain stops the node by plan: requests in progress end first, for as long as
+// ctx lasts; what is left then goes on at other nodes.
+func (n *Node) Drain(ctx context.Context) {
+	n.logger.Info("stopping by plan", "inProgress", n.dispatcher.Running())
+	n.members.SetLeaving()
+	n.dispatcher.Drain()
+	for ctx.Err() == nil && n.dispatcher.Running() > 0 {
+		pause(ctx, drainPoll)
+	}
+	n.finish(handOverTime)
+}
+
+// Reclaim leaves within notice: requests go on here while there is time, and
+// then at other nodes.
+func (n *Node) Reclaim(notice time.Duration) {
+	n.logger.Info("the host is being reclaimed", "notice", notice, "inProgress", n.dispatcher.Running())
+	n.members.SetLeaving()
+	n.dispatcher.Drain()
+	ctx, cancel := context.WithTimeout(context.Background(), max(0, notice-releaseMargin))
+	defer cancel()
+	for ctx.Err() == nil && n.dispatcher.Running() > 0 {
+		pause(ctx, drainPoll)
+	}
+	n.finish(min(handOverTime, releaseMargin))
+}
+
+// finish gives up what is in progress, hands over and ends.
+func (n *Node) finish(handOver time.Duration) {
+	released := n.dispatcher.Release()
+	ctx, cancel := context.WithTimeout(context.Background(), handOver)
+	defer cancel()
+	successor := n.handOver(ctx)
+	leave, cancelLeave := context.WithTimeout(context.Background(), leaveTime)
+	defer cancelLeave()
+	if err := n.members.Leave(leave, successor); err != nil {
+		n.logger.Warn("the others may not have heard that this node left", "error", err)
+	}
+	n.logger.Info("left", "released", released, "successor", string(successor))
+	n.close()
+}
+
+// handOver moves the witness tables to a successor and names it; it names none
+// when no member could take them.
+func (n *Node) handOver(ctx context.Context) ident.Incarnation {
+	for _, candidate := range n.successors() {
+		err := n.witness.HandOver(ctx, candidate)
+		if err == nil {
+			if err := n.members.SetSuccessor(candidate.Incarnation); err != nil {
+				n.logger.Warn("the successor could not be named", "error", err)
+			}
+			return candidate.Incarnation
+		}
+		n.logger.Warn("hand-over of the witness tables failed", "successor", string(candidate.Incarnation), "error", err)
+		if ctx.Err() != nil {
+			return ""
+		}
+	}
+	return ""
+}
+
+// successors returns the members that may take the witness tables, those of
+// other failure domains first.
+func (n *Node) successors() []membership.Member {
+	var near, far []membership.Member
+	for _, member := range n.members.Members() {
+		switch {
+		case member.Incarnation == n.self || !member.State.Usable():
+		case member.FailureDomain == n.settings.FailureDomain:
+			near = append(near, member)
+		default:
+			far = append(far, member)
+		}
+	}
+	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	return append(far, near...)
+}
+
+// close ends every listener and all background work.
+func (n *Node) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
+	defer cancel()
+	_ = n.entry.Shutdown(ctx)
+	pause(ctx, forwardTime)
+	n.dispatcher.Stop()
+	n.control.stop()
+	_ = n.operator.Shutdown(ctx)
+	_ = n.peerServer.Shutdown(ctx)
+	n.stop()
+	n.members.Stop()
+	n.peers.Close()
+	n.running.Wait()
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,232 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"mangoledge.example/mangoledge/internal/auth"
+	"mangoledge.example/mangoledge/internal/config"
+	"mangoledge.example/mangoledge/internal/dispatch"
+	"mangoledge.example/mangoledge/internal/engine"
+	"mangoledge.example/mangoledge/internal/entry"
+	"mangoledge.example/mangoledge/internal/fleet"
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/membership"
+	"mangoledge.example/mangoledge/internal/owner"
+	"mangoledge.example/mangoledge/internal/peer"
+	"mangoledge.example/mangoledge/internal/placement"
+	"mangoledge.example/mangoledge/internal/plainservice"
+	"mangoledge.example/mangoledge/internal/routing"
+	"mangoledge.example/mangoledge/internal/settings"
+	"mangoledge.example/mangoledge/internal/witness"
+)
+
+const (
+	// updateInterval is the time between two updates of the router from fleet and members.
+	updateInterval = 200 * time.Millisecond
+	// witnessRetention is how long a finished record stays with its witness.
+	witnessRetention = 10 * time.Minute
+	// expireInterval is the time between two sweeps of the witness tables.
+	expireInterval = 10 * time.Second
+)
+
+// Node is one running process.
+type Node struct {
+	settings *settings.Settings
+	logger   *slog.Logger
+	metrics  metrics.Registry
+	self     ident.Incarnation
+
+	peers      *peer.Client
+	peerServer *peer.Server
+	members    *membership.Cluster
+	witness    *witness.Service
+	control    *control
+	router     *placement.Router
+	dispatcher *dispatch.Dispatcher
+	entry      *entry.Server
+	operator   *http.Server
+
+	stop     context.CancelFunc
+	running  sync.WaitGroup
+	failures chan error
+}
+
+// New makes a node from settings; Start makes it take part.
+func New(s *settings.Settings, logger *slog.Logger) (*Node, error) {
+	self := ident.NewIncarnation(s.Node, time.Now())
+	n := &Node{
+		settings: s,
+		logger:   logger.With("incarnation", string(self)),
+		metrics:  metrics.NewRegistry(),
+		self:     self,
+		failures: make(chan error, 8),
+	}
+	dialer := peer.Dialer{Token: s.PeerToken}
+	n.peers = peer.NewClient(dialer)
+	n.peerServer = peer.NewServer(s.PeerToken)
+	if err := n.join(); err != nil {
+		return nil, err
+	}
+	n.witness = witness.NewService(self, n.peers)
+	n.control = newControl(n)
+	n.router = placement.NewRouter(placement.Options{
+		Members:     n.members,
+		Fleet:       n.control.fleet(),
+		Calls:       n.peers,
+		Policy:      routing.Cost{Weights: routing.WeightsFor(defaultLatencyWeight)},
+		MarkLeaving: n.control.markLeaving,
+	})
+	if err := n.buildDispatcher(dialer); err != nil {
+		return nil, err
+	}
+	return n, n.register()
+}
+
+// join opens the datagram socket and makes the member of this node.
+func (n *Node) join() error {
+	var listen net.ListenConfig
+	conn, err := listen.ListenPacket(context.Background(), "udp", n.settings.PeerListen)
+	if err != nil {
+		return errors.Wrap(err, "peerListen")
+	}
+	n.members = membership.New(membership.Options{
+		Self: membership.Member{
+			Incarnation:   n.self,
+			Node:          n.settings.Node,
+			Region:        n.settings.Region,
+			FailureDomain: n.settings.FailureDomain,
+			CallerURL:     n.settings.CallerURL,
+			PeerAddress:   n.settings.PeerAdvertise,
+		},
+		Seeds:   n.settings.Seeds,
+		Conn:    conn,
+		Token:   n.settings.PeerToken,
+		Logger:  n.logger,
+		Metrics: n.metrics,
+	})
+	return nil
+}
+
+func (n *Node) buildDispatcher(dialer peer.Dialer) error {
+	tokens, err := auth.NewTokens(n.settings.Tokens)
+	if err != nil {
+		return err
+	}
+	keep := time.Duration(n.settings.Limits.AddressKeepMs) * time.Millisecond
+	book := entry.NewAddressBook(n.members, keep, n.control.stale)
+	n.dispatcher = dispatch.New(dispatch.Options{
+		Members:    n.members,
+		Witness:    witness.NewClient(n.peers, n.members, n.witness),
+		Router:     n.router,
+		Admission:  newAdmission(n.settings.Limits.MaxConcurrent),
+		Journal:    newJournal(n),
+		Engines:    engine.NewClient(),
+		Services:   plainservice.NewClient(),
+		Peers:      n.peers,
+		Dialer:     dialer,
+		Logger:     n.logger,
+		MaxRunning: n.settings.Limits.MaxConcurrent,
+	})
+	handler := entry.NewHandler(n.dispatcher, book, n.control.site())
+	n.entry, err = entry.NewServer(handler, tokens, &n.settings.Limits)
+	if err != nil {
+		return err
+	}
+	n.operator, err = newOperatorServer(n, tokens)
+	return err
+}
+
+// register offers this node's services to the other nodes.
+func (n *Node) register() error {
+	if err := n.witness.Register(n.peerServer); err != nil {
+		return err
+	}
+	if err := n.dispatcher.Register(n.peerServer); err != nil {
+		return err
+	}
+	ledger := owner.NewService(n.router.Ledger(), time.Now)
+	if err := n.peerServer.Register(owner.ServiceName, ledger); err != nil {
+		return err
+	}
+	return n.control.register(n.peerServer)
+}
+
+// Start listens and takes part until Stop.
+func (n *Node) Start(ctx context.Context) error {
+	ctx, n.stop = context.WithCancel(ctx)
+	peers, err := listen(ctx, "peerListen", n.settings.PeerListen)
+	if err != nil {
+		return err
+	}
+	callers, err := listen(ctx, "callerListen", n.settings.CallerListen)
+	if err != nil {
+		return err
+	}
+	operators, err := listen(ctx, "operatorListen", n.settings.OperatorListen)
+	if err != nil {
+		return err
+	}
+	n.members.Start(ctx)
+	n.dispatcher.Start()
+	n.control.start(ctx)
+	n.serve("peers", func() error { return n.peerServer.Serve(peers, nil) })
+	n.serve("callers", func() error { return n.entry.Serve(callers) })
+	n.serve("operators", func() error { return n.operator.Serve(operators) })
+	n.loop(ctx, updateInterval, func() { n.router.Update(time.Now()) })
+	n.loop(ctx, expireInterval, func() { n.witness.Expire(time.Now(), witnessRetention) })
+	n.logger.Info("started", "callers", n.settings.CallerListen, "peers", n.settings.PeerListen)
+	return nil
+}
+
+// Failures yields errors of listeners that ended by themselves.
+func (n *Node) Failures() <-chan error {
+	return n.failures
+}
+
+func (n *Node) serve(name string, run func() error) {
+	n.running.Add(1)
+	go func() {
+		defer n.running.Done()
+		err := run()
+		if err != nil && !errors.Is(err, http.ErrServerClosed) {
+			n.failures <- errors.Wrap(err, name)
+		}
+	}()
+}
+
+// loop runs step at once and then again and again until ctx ends.
+func (n *Node) loop(ctx context.Context, interval time.Duration, step func()) {
+	n.running.Add(1)
+	go func() {
+		defer n.running.Done()
+		ticker := time.NewTicker(interval)
+		defer ticker.Stop()
+		for {
+			step()
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			}
+		}
+	}()
+}
+
+func listen(ctx context.Context, setting, address string) (net.Listener, error) {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", address)
+	return listener, errors.Wrap(err, setting)
+}
+
+var (
+	_ config.View = (*siteView)(nil)
+	_ fleet.View  = (*fleetView)(nil)
+)
--- /dev/null
+++ b/internal/placement/place.go
@@ -0,0 +1,69 @@
+package placement
+
+import (
+	"context"
+	"time"
+
+	"mangoledge.example/mangoledge/internal/dispatch"
+	"mangoledge.example/mangoledge/internal/fleet"
+	"mangoledge.example/mangoledge/internal/owner"
+	"mangoledge.example/mangoledge/internal/routing"
+)
+
+// placed is a slot that an owner has reserved.
+type placed struct {
+	router   *Router
+	choice   owner.Choice
+	id       owner.ReservationID
+	upstream fleet.Upstream
+}
+
+// Upstream is where to send the request.
+func (p *placed) Upstream() fleet.Upstream {
+	return p.upstream
+}
+
+// Done gives the slot back; the call to another owner is not waited for.
+func (p *placed) Done(outcome dispatch.Outcome) {
+	out := outcomeOf(outcome)
+	if p.choice.Owner == p.router.self.Incarnation {
+		p.router.ledger.Release(time.Now(), p.id, out)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), reserveTimeout)
+		defer cancel()
+		_ = p.router.client.Release(ctx, p.choice.Address, p.id, out)
+	}()
+}
+
+// alone is a place that was chosen without an owner.
+type alone struct {
+	router   *Router
+	upstream fleet.Upstream
+}
+
+// Upstream is where to send the request.
+func (a *alone) Upstream() fleet.Upstream {
+	return a.upstream
+}
+
+// Done ends the count of the request here.
+func (a *alone) Done(outcome dispatch.Outcome) {
+	a.router.table.Finished(time.Now(), a.upstream.ID, false, outcomeOf(outcome))
+}
+
+// outcomeOf is an outcome as the routing tables take it.
+func outcomeOf(outcome dispatch.Outcome) routing.Outcome {
+	switch outcome {
+	case dispatch.OutcomeDone:
+		return routing.Outcome{Kind: routing.OutcomeDone}
+	case dispatch.OutcomeRefused:
+		return routing.Outcome{Kind: routing.OutcomeRefused}
+	case dispatch.OutcomeFailed:
+		return routing.Outcome{Kind: routing.OutcomeFailed}
+	case dispatch.OutcomeMoved:
+		return routing.Outcome{Kind: routing.OutcomeMoved}
+	}
+	return routing.Outcome{Kind: routing.OutcomeFailed}
+}
--- /dev/null
+++ b/internal/placement/router.go
@@ -0,0 +1,233 @@
+package placement
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mangoledge.example/mangoledge/internal/dispatch"
+	"mangoledge.example/mangoledge/internal/fleet"
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/membership"
+	"mangoledge.example/mangoledge/internal/owner"
+	"mangoledge.example/mangoledge/internal/routing"
+	"mangoledge.example/mangoledge/internal/verdict"
+)
+
+const (
+	// reserveTimeout bounds one call to an owner.
+	reserveTimeout = 200 * time.Millisecond
+	// maxOwners is how many owners are asked for one request before it waits.
+	maxOwners = 4
+	// fullFor is how long an owner that had no slot is left alone.
+	fullFor = 30 * time.Millisecond
+	// lostFor is how long an owner that did not answer is left alone.
+	lostFor = time.Second
+	// waitForSlot is when to ask again after no owner had a slot.
+	waitForSlot = 20 * time.Millisecond
+	// overcommit is how many requests more than its slots an upstream is given.
+	overcommit = 0
+)
+
+// Options are what a Router works with.
+type Options struct {
+	Members membership.View
+	Fleet   fleet.View
+	Calls   owner.Caller
+	// Policy chooses among the upstreams of this node.
+	Policy routing.Policy
+	// MarkLeaving spreads the news that an upstream said it is leaving.
+	MarkLeaving func(ident.Upstream)
+}
+
+// Router places requests; it is a dispatch.Router.
+//
+// Lock order: Router.mu is a leaf.
+type Router struct {
+	options   Options
+	self      membership.Member
+	ledger    *owner.Ledger
+	directory *owner.Directory
+	client    *owner.Client
+	// fallback is used when owners can't be reached.
+	fallback *routing.Router
+	table    *routing.Table
+	serial   atomic.Uint64
+
+	mu        sync.RWMutex
+	upstreams map[ident.Upstream]fleet.Upstream
+}
+
+var _ dispatch.Router = (*Router)(nil)
+
+// NewRouter returns a router that knows no upstream until Update is called.
+func NewRouter(options Options) *Router {
+	self := options.Members.Self()
+	random := func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) } //nolint:gosec // chooses upstreams
+	table := routing.NewTable(routing.Options{Local: self.FailureDomain})
+	return &Router{
+		options:   options,
+		self:      self,
+		ledger:    owner.NewLedger(self.Node, self.FailureDomain, options.Policy, overcommit, random()),
+		directory: owner.NewDirectory(self.FailureDomain, random()),
+		client:    owner.NewClient(options.Calls),
+		table:     table,
+		fallback:  routing.NewRouter(table, options.Policy, random()),
+		upstreams: make(map[ident.Upstream]fleet.Upstream),
+	}
+}
+
+// Ledger returns the counts of the upstreams that this node owns.
+func (r *Router) Ledger() *owner.Ledger {
+	return r.ledger
+}
+
+// Directory returns what is known of other owners.
+func (r *Router) Directory() *owner.Directory {
+	return r.directory
+}
+
+// Update takes over the upstreams and members as they are now.
+func (r *Router) Update(now time.Time) {
+	upstreams := r.options.Fleet.Upstreams()
+	members := r.options.Members.Members()
+	known := make(map[ident.Upstream]fleet.Upstream, len(upstreams))
+	for i := range upstreams {
+		known[upstreams[i].ID] = upstreams[i]
+	}
+	r.mu.Lock()
+	r.upstreams = known
+	r.mu.Unlock()
+	r.ledger.Update(now, upstreams, members)
+	r.directory.Update(upstreams, members)
+	r.table.Update(now, upstreams)
+}
+
+// Leaving reports whether the upstream takes no new work.
+func (r *Router) Leaving(id ident.Upstream) bool {
+	if r.table.Leaving(id) {
+		return true
+	}
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	u, ok := r.upstreams[id]
+	return ok && u.State != fleet.StateReady
+}
+
+// MarkLeaving stops new work for the upstream here and spreads the news.
+func (r *Router) MarkLeaving(id ident.Upstream) {
+	r.table.MarkLeaving(id)
+	r.ledger.Table().MarkLeaving(id)
+	r.options.MarkLeaving(id)
+}
+
+// Pick reserves a place for a request.
+func (r *Router) Pick(ctx context.Context, need *dispatch.Need) (dispatch.Placement, error) {
+	features := featuresOf(need)
+	for range maxOwners {
+		choice, ok := r.directory.Choose(time.Now(), &features)
+		if !ok {
+			break
+		}
+		place, reached := r.reserve(ctx, choice, need, &features)
+		if place != nil {
+			return place, nil
+		}
+		if !reached {
+			return r.pickAlone(&features)
+		}
+	}
+	if !r.known(&features) {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeNoUpstream, "no upstream serves %s%s now", features.Model, features.Service).After(waitForSlot)
+	}
+	return nil, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "no upstream has a free slot").After(waitForSlot)
+}
+
+// reserve asks one owner; reached is false when it did not answer.
+func (r *Router) reserve(ctx context.Context, choice owner.Choice, need *dispatch.Need, features *routing.Features) (place *placed, reached bool) {
+	args := r.reservation(need, features)
+	reply, err := r.askOwner(ctx, choice, args)
+	now := time.Now()
+	if err != nil {
+		r.directory.Refused(choice.Owner, features.Pool(), now.Add(lostFor))
+		return nil, false
+	}
+	r.directory.Heard(now, choice.Owner, reply.Summary)
+	if !reply.Granted {
+		r.directory.Refused(choice.Owner, features.Pool(), now.Add(fullFor))
+		return nil, true
+	}
+	upstream, ok := r.upstream(reply.Upstream)
+	place = &placed{router: r, choice: choice, id: args.ID, upstream: upstream}
+	if !ok || r.Leaving(reply.Upstream) {
+		place.Done(dispatch.OutcomeMoved)
+		return nil, true
+	}
+	return place, true
+}
+
+func (r *Router) askOwner(ctx context.Context, choice owner.Choice, args *owner.ReserveArgs) (owner.ReserveReply, error) {
+	if choice.Owner == r.self.Incarnation {
+		return r.ledger.Reserve(time.Now(), args), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
+	return r.client.Reserve(ctx, choice.Address, args)
+}
+
+// pickAlone chooses without an owner. Two owners for a moment cost only load.
+func (r *Router) pickAlone(features *routing.Features) (dispatch.Placement, error) {
+	now := time.Now()
+	id, ok := r.fallback.Take(now, features)
+	if !ok {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeNoUpstream, "no upstream serves %s%s now", features.Model, features.Service).After(waitForSlot)
+	}
+	upstream, ok := r.upstream(id)
+	if !ok || r.Leaving(id) {
+		r.table.Finished(now, id, false, routing.Outcome{Kind: routing.OutcomeUnsent})
+		return nil, verdict.New(verdict.NotRun, verdict.CodeNoUpstream, "the chosen upstream has just left").After(waitForSlot)
+	}
+	return &alone{router: r, upstream: upstream}, nil
+}
+
+func (r *Router) reservation(need *dispatch.Need, features *routing.Features) *owner.ReserveArgs {
+	return &owner.ReserveArgs{
+		ID:           owner.ReservationID{Holder: r.self.Incarnation, Serial: r.serial.Add(1)},
+		Model:        features.Model,
+		Adapter:      features.Adapter,
+		Service:      features.Service,
+		Blocks:       features.Blocks,
+		PromptTokens: features.PromptTokens,
+		MaxTokens:    features.MaxTokens,
+		Priority:     features.Priority,
+		Avoid:        features.Avoid,
+		Hold:         time.Until(need.Spec.Deadline),
+	}
+}
+
+func (r *Router) upstream(id ident.Upstream) (fleet.Upstream, bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	u, ok := r.upstreams[id]
+	return u, ok
+}
+
+// known reports whether any upstream could serve the request.
+func (r *Router) known(features *routing.Features) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	for _, u := range r.upstreams {
+		if u.State != fleet.StateReady {
+			continue
+		}
+		if features.Service != "" && u.Service == features.Service {
+			return true
+		}
+		if features.Model != "" && u.Serves(features.Model) {
+			return true
+		}
+	}
+	return false
+}
