--- /dev/null
+++ b/internal/settings/check_limits.go
@@ -0,0 +1,32 @@
+package settings
+
+import "fmt"
+
+// The ranges of the limits; sizes in bytes, times in milliseconds.
+const (
+	minBodyBytes     = 1 << 10
+	maxBodyBytes     = 64 << 20
+	minHeaderBytes   = 1 << 10
+	maxHeaderBytes   = 1 << 20
+	maxConcurrent    = 1_000_000
+	minTimeoutMs     = 10
+	maxTimeoutMs     = 600_000
+	maxDrainMs       = 24 * 3_600_000
+	maxAddressKeepMs = 3_600_000
+)
+
+func (c *checker) limits(l *Limits) {
+	c.between("limits.maxBodyBytes", l.MaxBodyBytes, minBodyBytes, maxBodyBytes, "bytes")
+	c.between("limits.maxHeaderBytes", int64(l.MaxHeaderBytes), minHeaderBytes, maxHeaderBytes, "bytes")
+	c.between("limits.maxConcurrent", int64(l.MaxConcurrent), 1, maxConcurrent, "requests")
+	c.between("limits.headerTimeoutMs", int64(l.HeaderTimeoutMs), minTimeoutMs, maxTimeoutMs, "milliseconds")
+	c.between("limits.bodyTimeoutMs", int64(l.BodyTimeoutMs), minTimeoutMs, maxTimeoutMs, "milliseconds")
+	c.between("limits.drainTimeoutMs", int64(l.DrainTimeoutMs), minTimeoutMs, maxDrainMs, "milliseconds")
+	c.between("limits.addressKeepMs", int64(l.AddressKeepMs), minTimeoutMs, maxAddressKeepMs, "milliseconds")
+}
+
+func (c *checker) between(path string, value, low, high int64, unit string) {
+	if value < low || value > high {
+		c.add(path, value, fmt.Sprintf("%d to %d %s are allowed, or 0 for the default", low, high, unit))
+	}
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -1,8 +1,6 @@
 package settings
 
 import (
-	"bytes"
-	"encoding/json"
 	"os"
 
 	"github.com/cockroachdb/errors"
@@ -19,18 +17,35 @@
 	return Parse(data)
 }
 
-// Parse reads settings from JSON and fills in defaults.
+// Parse reads settings from JSON, fills in defaults and checks the whole. Its
+// error is Faults, with every fault.
 func Parse(data []byte) (*Settings, error) {
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
 	out := new(Settings)
-	if err := decoder.Decode(out); err != nil {
-		return nil, errors.Wrap(err, "settings")
-	}
+	read := new(decoder)
+	read.decode(data, out)
 	out.fillDefaults()
+	faults := append(read.faults, withoutRepeats(out.Check(), read.faults)...)
+	if err := faults.asError(); err != nil {
+		return nil, err
+	}
 	return out, nil
 }
 
+// withoutRepeats leaves out the faults of settings that could not be read: they would be told a second time as missing.
+func withoutRepeats(checked, unread Faults) Faults {
+	told := make(map[string]bool, len(unread))
+	for _, fault := range unread {
+		told[fault.Path] = true
+	}
+	var out Faults
+	for _, fault := range checked {
+		if !told[fault.Path] && !told[""] {
+			out = append(out, fault)
+		}
+	}
+	return out
+}
+
 func (s *Settings) fillDefaults() {
 	setDefault(&s.Region, "default")
 	setDefault(&s.Host, ident.Host(s.Node))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,6 +1,9 @@
 // Package settings reads a node's JSON settings. They tell a process its
 // addresses, failure domain and where the platform is; everything that
 // operators declare for the whole site is in package config instead.
+//
+// Invariants: settings are checked as a whole before any is used; no fault, log
+// or dump shows the value of a field tagged as secret.
 package settings
 
 import (
@@ -28,7 +31,7 @@
 	// PeerAdvertise is the address other nodes reach PeerListen at. Default: PeerListen.
 	PeerAdvertise string `json:"peerAdvertise"`
 	// PeerToken is the secret that all nodes of a site share. Required.
-	PeerToken string `json:"peerToken"`
+	PeerToken string `json:"peerToken" secret:"true"`
 	// Seeds are peer addresses of some nodes to join by. Default: none.
 	Seeds []string `json:"seeds"`
 	// Platform says where the platform's services are.
@@ -54,7 +57,7 @@
 	// WeightsURL is the weight store. Default: none.
 	WeightsURL string `json:"weightsUrl"`
 	// Token is shown to the platform as a bearer token. Default: none.
-	Token string `json:"token"`
+	Token string `json:"token" secret:"true"`
 }
 
 // Role is what the bearer of a token may do.
@@ -75,7 +78,7 @@
 	// Workspace is the caller's workspace. Required for callers.
 	Workspace ident.Workspace `json:"workspace,omitempty"`
 	// SHA256 is the token's SHA-256 digest in hexadecimal. Required.
-	SHA256 string `json:"sha256"`
+	SHA256 string `json:"sha256" secret:"true"`
 }
 
 // TLS names the files of a listener's certificate.
