Dispatch tested with lost engines, homes and witnesses

Cause: the tests found five faults: a request taken over with more tokens than its witness knew was reported with a gap and then given up; tokens were shared between the witness table and the running request; any refusal of a witness counted as its loss; two holders for a moment displaced each other's stream at an engine, since it knew both by the request ID alone; of sends of one ID to one node at once, one could be told that the grant was taken. Change: reports go on from what the witness knows, a new generation carries its forks, tokens are copied on take-over, refusals of a reached witness stand, streams are named by request ID and generation, a claim that lost to a send on the same node follows that one.

--- a/internal/callerclient/stream.go
+++ b/internal/callerclient/stream.go
@@ -25,6 +25,9 @@
 type acceptedData struct {
 	ID         string `json:"id"`
 	Generation string `json:"generation"`
+	// Offset is the number of the caller's tokens that the generation goes on
+	// behind; a node that names it has checked that it may.
+	Offset *int `json:"offset"`
 }
 
 // tokenData is the data of the event token.
@@ -105,7 +108,8 @@
 		return endOf(errors.Newf("stream of another request: %s", in.ID)), true
 	}
 	k.result.Accepted = true
-	if len(k.result.Tokens) > 0 && in.Generation != k.result.Generation {
+	goesOn := in.Offset != nil && *in.Offset == len(k.result.Tokens)
+	if len(k.result.Tokens) > 0 && in.Generation != k.result.Generation && !goesOn {
 		k.restart()
 		k.resuming = true
 		return endOf(errors.New("the generation has changed")), true
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,334 @@
+package dispatch_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/internal/dispatch"
+	"mangoledge.example/mangoledge/internal/engine"
+	"mangoledge.example/mangoledge/internal/fleet"
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/membership"
+	"mangoledge.example/mangoledge/internal/peer"
+	"mangoledge.example/mangoledge/internal/plainservice"
+	"mangoledge.example/mangoledge/internal/request"
+	"mangoledge.example/mangoledge/internal/standin/chain"
+	standinengine "mangoledge.example/mangoledge/internal/standin/engine"
+	"mangoledge.example/mangoledge/internal/verdict"
+	"mangoledge.example/mangoledge/internal/witness"
+)
+
+const prompt = "write the findings"
+
+// fakeSite is a few nodes and engines in this process.
+type fakeSite struct {
+	t       *testing.T
+	mu      sync.Mutex
+	members []membership.Member
+	// upstreams are tried in this order.
+	upstreams []fleet.Upstream
+	leaving   map[ident.Upstream]bool
+}
+
+// fakeNode is one node of a fakeSite.
+type fakeNode struct {
+	site       *fakeSite
+	self       membership.Member
+	dispatcher *dispatch.Dispatcher
+	peers      *peer.Client
+	server     *http.Server
+}
+
+func newFakeSite(t *testing.T) *fakeSite {
+	return &fakeSite{t: t, leaving: make(map[ident.Upstream]bool)}
+}
+
+func (s *fakeSite) Members() []membership.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.members)
+}
+
+func (s *fakeSite) Lookup(incarnation ident.Incarnation) (membership.Member, bool) {
+	for _, m := range s.Members() {
+		if m.Incarnation == incarnation {
+			return m, true
+		}
+	}
+	return membership.Member{}, false
+}
+
+// setState says what the members know of a node.
+func (s *fakeSite) setState(incarnation ident.Incarnation, state membership.State) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.members {
+		if s.members[i].Incarnation == incarnation {
+			s.members[i].State = state
+		}
+	}
+}
+
+// nodeView is the membership as one node sees it.
+type nodeView struct {
+	*fakeSite
+	self membership.Member
+}
+
+func (v nodeView) Self() membership.Member { return v.self }
+
+type freeAdmission struct{}
+
+type freeTicket struct{}
+
+func (freeTicket) Release() {}
+
+func (freeAdmission) Admit(*request.Spec) (dispatch.Ticket, error) { return freeTicket{}, nil }
+
+type noJournal struct{}
+
+func (noJournal) Request(ident.RequestID, string, string) {}
+
+type place struct{ upstream fleet.Upstream }
+
+func (p place) Upstream() fleet.Upstream { return p.upstream }
+func (place) Done(dispatch.Outcome)      {}
+
+// Pick takes the first upstream that is not leaving; one to be avoided only when there is no other.
+func (s *fakeSite) Pick(_ context.Context, need *dispatch.Need) (dispatch.Placement, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var avoided *fleet.Upstream
+	for i, u := range s.upstreams {
+		switch {
+		case u.Service != need.Spec.Service || s.leaving[u.ID]:
+		case slices.Contains(need.Avoid, u.ID):
+			avoided = &s.upstreams[i]
+		default:
+			return place{upstream: u}, nil
+		}
+	}
+	if avoided != nil {
+		return place{upstream: *avoided}, nil
+	}
+	return nil, verdict.New(verdict.NotRun, verdict.CodeNoUpstream, "none").After(10 * time.Millisecond)
+}
+
+func (s *fakeSite) Leaving(id ident.Upstream) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving[id]
+}
+
+func (s *fakeSite) MarkLeaving(id ident.Upstream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving[id] = true
+}
+
+// addNode starts a node of the site.
+func (s *fakeSite) addNode(name ident.Node) *fakeNode {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(s.t, err)
+	self := membership.Member{
+		Incarnation: ident.NewIncarnation(name, time.Now()), Node: name,
+		PeerAddress: listener.Addr().String(),
+	}
+	s.mu.Lock()
+	s.members = append(s.members, self)
+	s.mu.Unlock()
+	dialer := peer.Dialer{Token: "t"}
+	peers := peer.NewClient(dialer)
+	view := nodeView{fakeSite: s, self: self}
+	tables := witness.NewService(self.Incarnation, peers)
+	d := dispatch.New(dispatch.Options{
+		Members: view, Witness: witness.NewClient(peers, view, tables), Router: s, Admission: freeAdmission{},
+		Journal: noJournal{}, Engines: engine.NewClient(), Services: plainservice.NewClient(),
+		Peers: peers, Dialer: dialer, Logger: discard(), MaxRunning: 64,
+	})
+	server := peer.NewServer("t")
+	require.NoError(s.t, d.Register(server))
+	require.NoError(s.t, tables.Register(server))
+	go func() { _ = server.Serve(listener, nil) }()
+	d.Start()
+	n := &fakeNode{site: s, self: self, dispatcher: d, peers: peers}
+	s.t.Cleanup(func() {
+		_ = server.Close()
+		d.Stop()
+		peers.Close()
+	})
+	n.server = nil
+	return n
+}
+
+// addEngine starts an engine and returns its server.
+func (s *fakeSite) addEngine(id ident.Upstream, interval time.Duration) *httptest.Server {
+	e, err := standinengine.New(standinengine.Options{ID: string(id), Slots: 8, TokenInterval: interval, Seed: 7})
+	require.NoError(s.t, err)
+	server := httptest.NewServer(e.Handler())
+	s.t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.upstreams = append(s.upstreams, fleet.Upstream{ID: id, URL: server.URL, State: fleet.StateReady})
+	return server
+}
+
+// spec is a request whose home and witness are the given nodes.
+func spec(home, wit *fakeNode, tokens int) request.Spec {
+	return request.Spec{
+		ID: ident.NewRequestID(home.self.Incarnation, wit.self.Incarnation), Workspace: "w", Kind: "draft", Model: "m",
+		Input: prompt, MaxTokens: tokens, Deadline: time.Now().Add(20 * time.Second), Idempotent: true, Stream: true,
+	}
+}
+
+// received is what a follower got.
+type received struct {
+	generation ident.Generation
+	tokens     []string
+	last       dispatch.Event
+}
+
+// follow reads events until the last one, or until stop tokens have come.
+func (r *received) follow(t *testing.T, a dispatch.Attachment, stop int) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	_ = a.Follow(ctx, func(e dispatch.Event) error {
+		switch e.Kind {
+		case dispatch.EventAccepted:
+			r.generation = e.Generation
+		case dispatch.EventToken:
+			require.Equal(t, len(r.tokens), e.Offset, "a token is missing or came twice")
+			r.tokens = append(r.tokens, e.Text)
+		}
+		r.last = e
+		if stop > 0 && len(r.tokens) >= stop {
+			return context.Canceled
+		}
+		return nil
+	})
+}
+
+func (r *received) requireWhole(t *testing.T, tokens int) {
+	t.Helper()
+	require.Equal(t, dispatch.EventDone, r.last.Kind, "%+v", r.last.Failure)
+	require.Len(t, r.tokens, tokens)
+	require.NoError(t, chain.Verify(prompt, r.tokens))
+}
+
+func TestStreamIsWhole(t *testing.T) {
+	site := newFakeSite(t)
+	home, wit := site.addNode("home"), site.addNode("wit")
+	site.addEngine("e1", time.Millisecond)
+	a, err := home.dispatcher.Submit(t.Context(), dispatch.Submission{Spec: spec(home, wit, 40)})
+	require.NoError(t, err)
+	var got received
+	got.follow(t, a, 0)
+	got.requireWhole(t, 40)
+}
+
+func TestStreamMovesWhenItsEngineDies(t *testing.T) {
+	site := newFakeSite(t)
+	home, wit := site.addNode("home"), site.addNode("wit")
+	first := site.addEngine("e1", 5*time.Millisecond)
+	site.addEngine("e2", time.Millisecond)
+	a, err := home.dispatcher.Submit(t.Context(), dispatch.Submission{Spec: spec(home, wit, 60)})
+	require.NoError(t, err)
+	var got received
+	got.follow(t, a, 10)
+	first.CloseClientConnections()
+	first.Close()
+	b, err := home.dispatcher.Resume(t.Context(), dispatch.Resumption{
+		ID: idOf(t, home), Workspace: "w",
+		Position: dispatch.Position{Generation: got.generation, Offset: len(got.tokens)},
+	})
+	require.NoError(t, err)
+	got.follow(t, b, 0)
+	got.requireWhole(t, 60)
+	require.Equal(t, 1, got.last.Moves)
+}
+
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	site := newFakeSite(t)
+	home, wit := site.addNode("home"), site.addNode("wit")
+	e := site.addEngine("e1", 10*time.Millisecond)
+	a, err := home.dispatcher.Submit(t.Context(), dispatch.Submission{Spec: spec(home, wit, 50)})
+	require.NoError(t, err)
+	var got received
+	got.follow(t, a, 5)
+	command(t, e.URL, `{"silent":true}`)
+	b, err := home.dispatcher.Resume(t.Context(), dispatch.Resumption{
+		ID: idOf(t, home), Workspace: "w",
+		Position: dispatch.Position{Generation: got.generation, Offset: len(got.tokens)},
+	})
+	require.NoError(t, err)
+	got.follow(t, b, 0)
+	got.requireWhole(t, 50)
+	require.Zero(t, got.last.Moves, "the stream goes on at its engine")
+}
+
+func TestReleasedRequestGoesOnAtAnotherNode(t *testing.T) {
+	site := newFakeSite(t)
+	home, wit, other := site.addNode("home"), site.addNode("wit"), site.addNode("other")
+	site.addEngine("e1", 5*time.Millisecond)
+	s := spec(home, wit, 80)
+	a, err := home.dispatcher.Submit(t.Context(), dispatch.Submission{Spec: s})
+	require.NoError(t, err)
+	var got received
+	got.follow(t, a, 10)
+	site.setState(home.self.Incarnation, membership.StateLeaving)
+	home.dispatcher.Drain()
+	require.Equal(t, 1, home.dispatcher.Release())
+	b, err := other.dispatcher.Resume(t.Context(), dispatch.Resumption{
+		ID: s.ID, Workspace: "w", Position: dispatch.Position{Generation: got.generation, Offset: len(got.tokens)},
+	})
+	require.NoError(t, err)
+	got.follow(t, b, 0)
+	got.requireWhole(t, 80)
+}
+
+func TestProgressLostWithHomeAndEngineGoesOnFromTheCallersTokens(t *testing.T) {
+	site := newFakeSite(t)
+	home, wit, other := site.addNode("home"), site.addNode("wit"), site.addNode("other")
+	first := site.addEngine("e1", time.Millisecond)
+	s := spec(home, wit, 120)
+	a, err := home.dispatcher.Submit(t.Context(), dispatch.Submission{Spec: s})
+	require.NoError(t, err)
+	var got received
+	got.follow(t, a, 100)
+	first.CloseClientConnections()
+	first.Close()
+	site.MarkLeaving("e1")
+	site.setState(home.self.Incarnation, membership.StateDead)
+	site.addEngine("e2", time.Millisecond)
+	b, err := other.dispatcher.Submit(t.Context(), dispatch.Submission{
+		Spec:     s,
+		Position: dispatch.Position{Generation: got.generation, Offset: len(got.tokens), Received: got.tokens},
+	})
+	require.NoError(t, err)
+	got.follow(t, b, 0)
+	got.requireWhole(t, 120)
+}
+
+func TestRequestOfAnotherWorkspaceIsUnknown(t *testing.T) {
+	site := newFakeSite(t)
+	home, wit := site.addNode("home"), site.addNode("wit")
+	site.addEngine("e1", time.Millisecond)
+	s := spec(home, wit, 5)
+	_, err := home.dispatcher.Submit(t.Context(), dispatch.Submission{Spec: s})
+	require.NoError(t, err)
+	_, err = home.dispatcher.Fetch(t.Context(), s.ID, "other")
+	require.Equal(t, verdict.CodeUnknownRequest, verdict.From(err).Code)
+	_, err = wit.dispatcher.Resume(t.Context(), dispatch.Resumption{ID: s.ID, Workspace: "other"})
+	require.Equal(t, verdict.CodeUnknownRequest, verdict.From(err).Code)
+	_, err = wit.dispatcher.Cancel(t.Context(), s.ID, "other")
+	require.Equal(t, verdict.CodeUnknownRequest, verdict.From(err).Code)
+}
--- a/internal/dispatch/enginerun.go
+++ b/internal/dispatch/enginerun.go
@@ -31,7 +31,7 @@
 // completionOf is the call that goes on behind the tokens of record.
 func completionOf(record *request.Record) *engine.Completion {
 	return &engine.Completion{
-		RequestID:  record.Spec.ID.String(),
+		RequestID:  engine.StreamID(record.Spec.ID, record.Generation),
 		Model:      record.Spec.Model,
 		Adapter:    record.Spec.Adapter,
 		Prompt:     record.Spec.Input,
@@ -46,13 +46,14 @@
 // readWithAttach reads stream to its end, and attaches again when its connection breaks.
 func (d *Dispatcher) readWithAttach(ctx context.Context, e *entry, upstream ident.Upstream, base string, stream *engine.Stream) *verdict.Error {
 	generation := e.snapshot().Generation
+	streamID := engine.StreamID(e.spec.ID, generation)
 	for tries := 0; ; tries++ {
 		failure := d.read(e, upstream, generation, stream)
 		stream.Close()
 		if failure == nil || failure.Code == codeMoving || ctx.Err() != nil || tries == attachTries {
 			return failure
 		}
-		again, err := d.options.Engines.Attach(ctx, base, e.spec.ID.String(), len(e.snapshot().Tokens))
+		again, err := d.options.Engines.Attach(ctx, base, streamID, len(e.snapshot().Tokens))
 		if err != nil {
 			d.note(e.spec.ID, "attach failed", err.Error())
 			return failure
@@ -102,7 +103,7 @@
 		return nil, false
 	}
 	started := time.Now()
-	stream, err := d.options.Engines.Attach(ctx, record.UpstreamURL, e.spec.ID.String(), len(record.Tokens))
+	stream, err := d.options.Engines.Attach(ctx, record.UpstreamURL, engine.StreamID(e.spec.ID, record.Generation), len(record.Tokens))
 	if err == nil {
 		d.note(e.spec.ID, "attach", "to the stream at "+string(record.Upstream))
 		failure := d.readWithAttach(ctx, e, record.Upstream, record.UpstreamURL, stream)
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -40,6 +40,7 @@
 
 func newEntry(record request.Record, ticket Ticket) *entry {
 	ctx, cancel := context.WithCancel(context.Background())
+	record.Tokens = slices.Clone(record.Tokens)
 	return &entry{
 		spec:     record.Spec,
 		ticket:   ticket,
@@ -109,6 +110,10 @@
 	}
 	e.record.Forks = append(forks, request.Fork{Generation: e.record.Generation, Offset: len(e.record.Tokens)})
 	e.record.Generation = generation
+	e.record.Moves++
+	e.record.Upstream = ""
+	e.record.UpstreamURL = ""
+	e.reported = 0
 	e.wake()
 }
 
@@ -123,7 +128,6 @@
 	e.record.Tokens = slices.Clone(position.Received)
 	e.record.Generation = position.Generation
 	e.record.Forks = nil
-	e.reported = 0
 	e.forkLocked(generation)
 	return true
 }
--- a/internal/dispatch/follow.go
+++ b/internal/dispatch/follow.go
@@ -76,7 +76,7 @@
 	case request.PhaseDone:
 		return Event{Kind: EventDone, Tokens: len(now.record.Tokens), Moves: now.record.Moves, Output: now.record.Output}, true
 	case request.PhaseFailed, request.PhaseCancelled:
-		return Event{Kind: EventError, Failure: now.record.Failure}, true
+		return Event{Kind: EventError, Failure: failureOf(&now.record)}, true
 	case request.PhaseWaiting, request.PhaseRunning:
 	}
 	return Event{}, false
@@ -106,3 +106,11 @@
 	}
 	return verdict.New(verdict.Ran, verdict.CodeProgressLost, "the tokens you hold are not known here; send the request again with them in `received`")
 }
+
+// failureOf returns why a request ended without an answer.
+func failureOf(record *request.Record) *verdict.Error {
+	if record.Failure != nil {
+		return record.Failure
+	}
+	return verdict.New(verdict.MayHaveRun, verdict.CodeCancelled, "the request was cancelled")
+}
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -64,11 +64,16 @@
 		d.cancelEntry(e)
 		return
 	}
-	if !reply.Applied {
+	switch {
+	case reply.Applied:
+		e.markReported(req.Offset + len(req.Tokens))
+	case reply.Epoch == 0:
+		e.forgotten()
+	case reply.Epoch != req.Epoch:
 		d.superseded(e)
-		return
+	default:
+		e.markReported(reply.Known)
 	}
-	e.markReported(req.Offset + len(req.Tokens))
 }
 
 // superseded gives up a request that another node has taken over.
@@ -95,6 +100,7 @@
 		Upstream:    e.record.Upstream,
 		UpstreamURL: e.record.UpstreamURL,
 		Generation:  e.record.Generation,
+		Forks:       e.record.Forks,
 		Offset:      e.reported,
 		Tokens:      e.record.Tokens[e.reported:],
 		Moves:       e.record.Moves,
@@ -105,7 +111,14 @@
 func (e *entry) markReported(tokens int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.reported = max(e.reported, tokens)
+	e.reported = min(tokens, len(e.record.Tokens))
+}
+
+// forgotten notes that the witness has no record of the request any more.
+func (e *entry) forgotten() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.witnessed = false
 }
 
 // reportFinal tells the witness how a request ended.
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -87,6 +87,9 @@
 	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
 	defer cancel()
 	reply, err := d.options.Witness.Cancel(ctx, &grant.CancelRequest{ID: id, Workspace: workspace})
+	if decided, ok := witnessDecision(err); ok {
+		return nil, decided
+	}
 	if err != nil {
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeWitnessLost, "the witness of this request can't be reached").After(resendDelay)
 	}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"mangoledge.example/mangoledge/internal/engine"
 	"mangoledge.example/mangoledge/internal/grant"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/request"
@@ -189,7 +190,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
-	_ = d.options.Engines.Cancel(ctx, record.UpstreamURL, e.spec.ID.String())
+	_ = d.options.Engines.Cancel(ctx, record.UpstreamURL, engine.StreamID(e.spec.ID, record.Generation))
 }
 
 func failureText(failure *verdict.Error) string {
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"mangoledge.example/mangoledge/internal/grant"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/request"
@@ -24,7 +26,7 @@
 	}
 	home := sub.Spec.ID.Home
 	if home == d.self {
-		return d.acceptAsHome(ctx, &sub)
+		return d.accept(ctx, &sub)
 	}
 	if !sub.Forwarded && d.reachable(home) {
 		attachment, err := d.forwarder.submit(ctx, d.addressOf(home), sub)
@@ -33,7 +35,7 @@
 		}
 		d.note(sub.Spec.ID, "take over", "home did not answer: "+err.Error())
 	}
-	return d.takeOver(ctx, &sub)
+	return d.accept(ctx, &sub)
 }
 
 // attach follows an entry of this node.
@@ -68,15 +70,15 @@
 	d.note(e.spec.ID, "restart", "the caller holds tokens that are not known here")
 }
 
-// acceptAsHome accepts a request of this node's own prefix.
-func (d *Dispatcher) acceptAsHome(ctx context.Context, sub *Submission) (Attachment, error) {
+// accept claims a request, as its home or because its home does not answer.
+func (d *Dispatcher) accept(ctx context.Context, sub *Submission) (Attachment, error) {
 	ticket, err := d.options.Admission.Admit(&sub.Spec)
 	if err != nil {
 		return nil, d.refuse(ctx, &sub.Spec, verdict.From(err))
 	}
 	claim, err := d.claim(ctx, sub.Spec.ID, &sub.Spec, 0)
 	if err != nil {
-		return d.acceptUnwitnessed(sub, ticket)
+		return d.acceptWithoutClaim(sub, ticket, err)
 	}
 	if mayBegin(claim) {
 		return d.begin(claim.Record, sub, ticket, true)
@@ -85,8 +87,12 @@
 	return d.followHolder(ctx, claim, sub)
 }
 
-// acceptUnwitnessed runs an idempotent request that no witness knows; any other is refused.
-func (d *Dispatcher) acceptUnwitnessed(sub *Submission, ticket Ticket) (Attachment, error) {
+// acceptWithoutClaim runs an idempotent request whose witness is lost; any other is refused.
+func (d *Dispatcher) acceptWithoutClaim(sub *Submission, ticket Ticket, cause error) (Attachment, error) {
+	if decided, ok := witnessDecision(cause); ok {
+		ticket.Release()
+		return nil, decided
+	}
 	if !sub.Spec.Idempotent {
 		ticket.Release()
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeWitnessLost,
@@ -103,9 +109,22 @@
 	return claim.Claimed && !claim.Granted && !claim.Record.Phase.Final()
 }
 
+// witnessDecision returns the refusal of a witness that was reached.
+func witnessDecision(err error) (*verdict.Error, bool) {
+	var refusal *verdict.Error
+	if !errors.As(err, &refusal) || refusal.Code == verdict.CodeWitnessLost {
+		return nil, false
+	}
+	if refusal.Code == verdict.CodeForbidden {
+		return errUnknown(), true
+	}
+	return refusal, true
+}
+
 // begin puts a claimed request to work.
 func (d *Dispatcher) begin(record request.Record, sub *Submission, ticket Ticket, witnessed bool) (Attachment, error) {
 	position := sub.Position
+	known := len(record.Tokens)
 	if len(position.Received) > len(record.Tokens) && sub.Spec.Idempotent && !record.Phase.Final() {
 		record.Tokens = position.Received
 		record.Forks = nil
@@ -116,6 +135,7 @@
 	}
 	fresh := newEntry(record, ticket)
 	fresh.witnessed = witnessed
+	fresh.reported = known
 	e, added := d.table.put(fresh)
 	if !added {
 		ticket.Release()
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -11,25 +11,12 @@
 	"mangoledge.example/mangoledge/internal/verdict"
 )
 
-// takeOver claims a request whose home does not answer.
-func (d *Dispatcher) takeOver(ctx context.Context, sub *Submission) (Attachment, error) {
-	ticket, err := d.options.Admission.Admit(&sub.Spec)
-	if err != nil {
-		return nil, d.refuse(ctx, &sub.Spec, verdict.From(err))
-	}
-	claim, err := d.claim(ctx, sub.Spec.ID, &sub.Spec, 0)
-	if err != nil {
-		return d.acceptUnwitnessed(sub, ticket)
-	}
-	if mayBegin(claim) {
-		return d.begin(claim.Record, sub, ticket, true)
-	}
-	ticket.Release()
-	return d.followHolder(ctx, claim, sub)
-}
-
 // followHolder follows a request that another node holds, or takes it from a holder that is gone.
 func (d *Dispatcher) followHolder(ctx context.Context, claim *grant.ClaimReply, sub *Submission) (Attachment, error) {
+	// A send of the same request may have begun here while this one was claimed.
+	if e, ok := d.table.get(sub.Spec.ID); ok && !e.view().released {
+		return d.attach(e, sub)
+	}
 	record := &claim.Record
 	if record.Spec.Workspace != sub.Spec.Workspace {
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeUnknownRequest, "no such request in this workspace")
--- a/internal/entry/eventstream.go
+++ b/internal/entry/eventstream.go
@@ -99,4 +99,3 @@
 	}
 	return sse.WriteHeartbeat(w)
 }
-
--- a/internal/grant/finish.go
+++ b/internal/grant/finish.go
@@ -38,6 +38,7 @@
 	r.Upstream = final.Upstream
 	r.UpstreamURL = final.UpstreamURL
 	r.Generation = final.Generation
+	r.Forks = final.Forks
 	r.Tokens = final.Tokens
 	r.Output = final.Output
 	r.Moves = max(r.Moves, final.Moves)
--- a/internal/grant/messages.go
+++ b/internal/grant/messages.go
@@ -83,6 +83,8 @@
 	Upstream    ident.Upstream
 	UpstreamURL string
 	Generation  ident.Generation
+	// Forks are the earlier generations that Generation goes on from.
+	Forks []request.Fork
 	// Offset is the index of the first of Tokens.
 	Offset int
 	Tokens []string
--- a/internal/grant/progress.go
+++ b/internal/grant/progress.go
@@ -40,6 +40,7 @@
 		r.Phase = request.PhaseRunning
 	}
 	r.Moves = req.Moves
+	r.Forks = req.Forks
 	return true
 }
 
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -31,10 +31,10 @@
 
 func newControl(n *Node) *control { return &control{node: n} }
 
-func (c *control) fleet() fleet.View                { return &fleetView{} }
-func (c *control) site() config.View                { return &siteView{} }
-func (c *control) stale() (string, bool)            { return "", false }
-func (c *control) markLeaving(ident.Upstream)       {}
-func (c *control) register(*peer.Server) error      { return nil }
-func (c *control) start(context.Context)            {}
-func (c *control) stop()                            {}
+func (c *control) fleet() fleet.View           { return &fleetView{} }
+func (c *control) site() config.View           { return &siteView{} }
+func (c *control) stale() (string, bool)       { return "", false }
+func (c *control) markLeaving(ident.Upstream)  {}
+func (c *control) register(*peer.Server) error { return nil }
+func (c *control) start(context.Context)       {}
+func (c *control) stop()                       {}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -104,3 +104,8 @@
 	}
 	s.rpc.ServeConn(conn)
 }
+
+// Close closes the listener and every connection but those switched to net/rpc.
+func (s *Server) Close() error {
+	return s.http.Close()
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -82,9 +82,9 @@
 	e.running++
 	e.started++
 	e.recomputed += recomputed
-	e.log.Write(history.Entry{Event: history.EventStart, RequestID: completion.RequestID, Prefix: len(completion.Prefix), Recomputed: recomputed})
+	e.log.Write(history.Entry{Event: history.EventStart, RequestID: engine.RequestIDOf(completion.RequestID), Prefix: len(completion.Prefix), Recomputed: recomputed})
 	if e.options.PoisonMarker != "" && strings.Contains(completion.Prompt, e.options.PoisonMarker) {
-		e.log.Write(history.Entry{Event: history.EventCrash, RequestID: completion.RequestID})
+		e.log.Write(history.Entry{Event: history.EventCrash, RequestID: engine.RequestIDOf(completion.RequestID)})
 		os.Exit(crashExitCode)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -105,7 +105,7 @@
 		previous, index := s.last()
 		if index >= s.completion.MaxTokens {
 			s.finish(false)
-			e.log.Write(history.Entry{Event: history.EventDone, RequestID: s.completion.RequestID})
+			e.log.Write(history.Entry{Event: history.EventDone, RequestID: engine.RequestIDOf(s.completion.RequestID)})
 			return
 		}
 		next = next.Add(e.options.TokenInterval + time.Duration(e.slow.Load())*time.Millisecond)
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -109,7 +109,7 @@
 	}
 	s.cancel()
 	s.finish(true)
-	e.log.Write(history.Entry{Event: history.EventExport, RequestID: id})
+	e.log.Write(history.Entry{Event: history.EventExport, RequestID: engine.RequestIDOf(id)})
 	writeJSON(w, engine.KVExport{
 		Handle: string(s.completion.Generation),
 		Tokens: s.view().tokens,
