--- a/internal/callerclient/stream.go
+++ b/internal/callerclient/stream.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"mangoledge.example/mangoledge/internal/sse"
 )
 
 // The names of the events of a stream.
@@ -80,25 +82,25 @@
 }
 
 // takeEvent takes one event in; it reports true when the attempt ends with it.
-func (k *call) takeEvent(next event) (attemptEnd, bool) {
-	switch next.name {
+func (k *call) takeEvent(next sse.Event) (attemptEnd, bool) {
+	switch next.Name {
 	case eventAccepted:
-		return k.takeAccepted(next.data)
+		return k.takeAccepted(next.Data)
 	case eventToken:
-		return k.takeToken(next.data)
+		return k.takeToken(next.Data)
 	case eventMoved:
 		return attemptEnd{err: errMoved}, true
 	case eventDone:
-		return k.takeDone(next.data), true
+		return k.takeDone(next.Data), true
 	case eventError:
-		return takeError(next.data), true
+		return takeError(next.Data), true
 	}
 	return attemptEnd{}, false
 }
 
-func (k *call) takeAccepted(data string) (attemptEnd, bool) {
+func (k *call) takeAccepted(data []byte) (attemptEnd, bool) {
 	var in acceptedData
-	if err := json.Unmarshal([]byte(data), &in); err != nil {
+	if err := json.Unmarshal(data, &in); err != nil {
 		return endOf(errors.Wrap(err, "event accepted")), true
 	}
 	if in.ID != "" && in.ID != k.result.ID {
@@ -115,9 +117,9 @@
 	return attemptEnd{}, false
 }
 
-func (k *call) takeToken(data string) (attemptEnd, bool) {
+func (k *call) takeToken(data []byte) (attemptEnd, bool) {
 	var in tokenData
-	if err := json.Unmarshal([]byte(data), &in); err != nil {
+	if err := json.Unmarshal(data, &in); err != nil {
 		return endOf(errors.Wrap(err, "event token")), true
 	}
 	have := len(k.result.Tokens)
@@ -146,9 +148,9 @@
 	k.observer.Token(len(k.result.Tokens)-1, text)
 }
 
-func (k *call) takeDone(data string) attemptEnd {
+func (k *call) takeDone(data []byte) attemptEnd {
 	var in doneData
-	if err := json.Unmarshal([]byte(data), &in); err != nil {
+	if err := json.Unmarshal(data, &in); err != nil {
 		return endOf(errors.Wrap(err, "event done"))
 	}
 	if in.Tokens != len(k.result.Tokens) {
@@ -159,9 +161,9 @@
 	return attemptEnd{whole: true}
 }
 
-func takeError(data string) attemptEnd {
+func takeError(data []byte) attemptEnd {
 	refused := new(RefusedError)
-	if err := refused.Refusal.UnmarshalJSON([]byte(data)); err != nil {
+	if err := refused.Refusal.UnmarshalJSON(data); err != nil {
 		return endOf(errors.Wrap(err, "event error"))
 	}
 	return endOf(refused)
