--- /dev/null
+++ b/internal/query/check.go
@@ -0,0 +1,110 @@
+package query
+
+import (
+	"slices"
+	"strconv"
+)
+
+// check finds what the grammar lets through: unknown names and values of the wrong type.
+func (s Schema) check(c *Command) error {
+	switch {
+	case c.Show != nil:
+		return s.checkShow(c.Show)
+	case c.Set != nil:
+		return s.checkSet(c.Set)
+	case c.Explain != nil:
+		return checkKind(c.Explain.Kind, ExplainKinds)
+	case c.Drain != nil:
+		return checkKind(c.Drain.Kind, DrainKinds)
+	case c.Clear != nil:
+		return checkKind(c.Clear.Kind, ClearKinds)
+	}
+	return nil
+}
+
+func checkKind(kind Word, allowed []string) error {
+	if slices.Contains(allowed, kind.Text) {
+		return nil
+	}
+	return wrong(kind, oneOf(allowed))
+}
+
+func (s Schema) checkShow(show *Show) error {
+	table, ok := s.Table(show.Table.Text)
+	if !ok {
+		return wrong(show.Table, "a table: "+oneOf(s.tableNames()))
+	}
+	for _, condition := range show.Where {
+		if err := checkCondition(table, condition); err != nil {
+			return err
+		}
+	}
+	if show.Sort != nil {
+		if _, ok := table.Column(show.Sort.Column.Text); !ok {
+			return wrong(show.Sort.Column, columnOf(table))
+		}
+	}
+	if show.Limit != nil {
+		if n, err := strconv.Atoi(show.Limit.Text); err != nil || n < 1 {
+			return wrong(*show.Limit, "a whole number from 1 up")
+		}
+	}
+	return nil
+}
+
+func columnOf(table *Table) string {
+	return "a column of " + table.Name + ": " + oneOf(columnNames(table.Columns))
+}
+
+func checkCondition(table *Table, condition *Condition) error {
+	at, ok := table.Column(condition.Column.Text)
+	if !ok {
+		return wrong(condition.Column, columnOf(table))
+	}
+	column := table.Columns[at]
+	op := condition.Op.Text
+	switch {
+	case column.Type == TypeBool && op != "=" && op != "!=":
+		return &Error{Column: condition.Op.Pos.Column, Found: op, Expected: "= or !=, since " + column.Name + " is true or false"}
+	case column.Type == TypeNumber && op == "~":
+		return &Error{Column: condition.Op.Pos.Column, Found: op, Expected: "= != < <= > or >=, since " + column.Name + " is a number"}
+	}
+	return checkValue(column, condition.Value)
+}
+
+func checkValue(column Column, value Word) error {
+	switch column.Type {
+	case TypeNumber:
+		if _, err := strconv.ParseFloat(value.Text, 64); err != nil {
+			return wrong(value, "a number, since "+column.Name+" is "+column.Doc)
+		}
+	case TypeBool:
+		if value.Text != "true" && value.Text != "false" {
+			return wrong(value, "true or false")
+		}
+	case TypeText, TypeList:
+	}
+	return nil
+}
+
+func (s Schema) checkSet(set *Set) error {
+	object, ok := s.Object(set.Object.Text)
+	if !ok {
+		return wrong(set.Object, "an object: "+oneOf(s.objectNames()))
+	}
+	seen := make(map[string]bool)
+	for _, field := range set.Fields {
+		at := slices.IndexFunc(object.Keys, func(c Column) bool { return c.Name == field.Key.Text })
+		if at < 0 {
+			return wrong(field.Key, "a key of "+object.Name+": "+oneOf(columnNames(object.Keys)))
+		}
+		if seen[field.Key.Text] {
+			return wrong(field.Key, "each key once")
+		}
+		seen[field.Key.Text] = true
+		if err := checkValue(object.Keys[at], field.Value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
