Operator API: tables, commands, orders to nodes

Cause: operators must show, set, drain, clear and explain over HTTP, with outcomes told apart truthfully and safe to send again.

--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,7 @@
 
 generate: ## Write the API code anew from api/*.yaml.
 	$(GO) tool ogen --target api/callerapi --package callerapi --clean --config api/ogen.yaml api/caller.yaml
+	$(GO) tool ogen --target api/operatorapi --package operatorapi --clean --config api/ogen.yaml api/operator.yaml
 
 generate-check: generate
 	git diff --exit-code -- api
--- a/internal/explain/journal.go
+++ b/internal/explain/journal.go
@@ -32,6 +32,8 @@
 	node   ident.Incarnation
 	now    func() time.Time
 	shards [kinds][shardCount]shard
+	// decisions holds the *Decision of each name given to Request.
+	decisions sync.Map
 }
 
 // shard is one ring.
@@ -123,3 +125,20 @@
 func (j *Journal) shard(kind Kind, id string) *shard {
 	return &j.shards[kind][xxhash.Sum64String(id)%shardCount]
 }
+
+// Request notes a decision about a request whose reason is already a sentence.
+func (j *Journal) Request(id ident.RequestID, decision, reason string) {
+	if j == nil {
+		return
+	}
+	j.Record(KindRequest, id.String(), j.named(decision), Text("reason", reason))
+}
+
+// named returns the Decision called name, whose sentence is its reason.
+func (j *Journal) named(name string) *Decision {
+	if known, ok := j.decisions.Load(name); ok {
+		return known.(*Decision)
+	}
+	known, _ := j.decisions.LoadOrStore(name, &Decision{Name: name, Sentence: "{reason}"})
+	return known.(*Decision)
+}
--- /dev/null
+++ b/internal/operator/dump.go
@@ -0,0 +1,7 @@
+package operator
+
+import "encoding/json"
+
+func dumpText(dumper Dumper) ([]byte, error) {
+	return json.MarshalIndent(dumper.Dump(), "", "  ")
+}
--- /dev/null
+++ b/internal/operator/runner.go
@@ -0,0 +1,203 @@
+package operator
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"mangoledge.example/mangoledge/internal/explain"
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/query"
+	"mangoledge.example/mangoledge/internal/texttable"
+)
+
+// Options are what a Runner works on. A nil field makes the commands that need it unavailable.
+type Options struct {
+	Schema    query.Schema
+	Tables    Tables
+	Explainer Explainer
+	Editor    Editor
+	Orders    *Orders
+	Dumper    Dumper
+	// Journal notes each change, for explain.
+	Journal *explain.Journal
+}
+
+// ErrNotAvailable is returned for commands that this node can't run.
+var ErrNotAvailable = errors.New("this node can't run that command")
+
+// Command is a command with what comes beside its text.
+type Command struct {
+	Text string
+	// Change names the change; made here when empty.
+	Change ident.Change
+	// Base is the version that a change was made from; 0 for the version in force.
+	Base uint64
+	// By is whose token it was.
+	By string
+}
+
+// Result is the answer to a command.
+type Result struct {
+	Columns []query.Column
+	Rows    []query.Row
+	// Text is the answer for a person.
+	Text string
+	// Change is empty for commands that change nothing.
+	Change   ident.Change
+	Decision Decision
+}
+
+// Runner runs commands. It is safe for concurrent use.
+type Runner struct {
+	options Options
+}
+
+// NewRunner returns a Runner.
+func NewRunner(options Options) *Runner {
+	return &Runner{options: options}
+}
+
+// Run runs one command. Its error is a *query.Error for a command that can't be understood.
+func (r *Runner) Run(ctx context.Context, in Command) (*Result, error) {
+	command, err := query.Parse(in.Text, r.options.Schema)
+	if err != nil {
+		return nil, err
+	}
+	if command.Changes() {
+		return r.change(ctx, in, command)
+	}
+	switch {
+	case command.Show != nil:
+		return r.show(ctx, command.Show)
+	case command.Explain != nil:
+		return r.explain(ctx, command.Explain)
+	}
+	return r.dump()
+}
+
+func (r *Runner) show(ctx context.Context, show *query.Show) (*Result, error) {
+	if r.options.Tables == nil {
+		return nil, ErrNotAvailable
+	}
+	table, _ := r.options.Schema.Table(show.Table.Text)
+	rows, err := r.options.Tables.Rows(ctx, table.Name)
+	if err != nil {
+		return nil, err
+	}
+	return resultOf(table.Columns, query.Select(show, table, rows)), nil
+}
+
+func resultOf(columns []query.Column, rows []query.Row) *Result {
+	head := make([]string, 0, len(columns))
+	for _, column := range columns {
+		head = append(head, column.Name)
+	}
+	return &Result{
+		Columns:  columns,
+		Rows:     rows,
+		Text:     texttable.Format(head, TextOf(rows)) + rowCount(len(rows)),
+		Decision: Decision{Outcome: OutcomeNone},
+	}
+}
+
+// TextOf returns the cells of rows as text.
+func TextOf(rows []query.Row) [][]string {
+	out := make([][]string, 0, len(rows))
+	for _, row := range rows {
+		cells := make([]string, 0, len(row))
+		for _, cell := range row {
+			cells = append(cells, cell.String())
+		}
+		out = append(out, cells)
+	}
+	return out
+}
+
+func rowCount(n int) string {
+	if n == 1 {
+		return "1 row\n"
+	}
+	return fmt.Sprintf("%d rows\n", n)
+}
+
+func (r *Runner) dump() (*Result, error) {
+	if r.options.Dumper == nil {
+		return nil, ErrNotAvailable
+	}
+	text, err := dumpText(r.options.Dumper)
+	if err != nil {
+		return nil, err
+	}
+	return &Result{Text: string(text) + "\n", Decision: Decision{Outcome: OutcomeNone}}, nil
+}
+
+// change runs a command that changes something.
+func (r *Runner) change(ctx context.Context, in Command, command *query.Command) (*Result, error) {
+	if in.Change == "" {
+		in.Change = ident.Change("c-" + strings.ToLower(rand.Text()))
+	}
+	decision, err := r.decide(ctx, in, command)
+	if err != nil {
+		return nil, err
+	}
+	r.note(in, decision)
+	out := &Result{Change: in.Change, Decision: decision}
+	out.Text = sentence(in.Change, decision)
+	return out, nil
+}
+
+func (r *Runner) decide(ctx context.Context, in Command, command *query.Command) (Decision, error) {
+	if command.Set != nil {
+		return r.set(ctx, in, command.Set)
+	}
+	if r.options.Orders == nil {
+		return Decision{}, ErrNotAvailable
+	}
+	if command.Drain != nil {
+		return r.options.Orders.Drain(ctx, command.Drain.Kind.Text, command.Drain.ID.Text), nil
+	}
+	return r.options.Orders.Clear(ctx, command.Clear.Kind.Text, command.Clear.ID.Text), nil
+}
+
+func (r *Runner) set(ctx context.Context, in Command, set *query.Set) (Decision, error) {
+	if r.options.Editor == nil {
+		return Decision{}, ErrNotAvailable
+	}
+	proposal := Proposal{Change: in.Change, Base: in.Base, By: in.By, Edit: EditOf(set)}
+	decision, err := r.options.Editor.Propose(ctx, proposal)
+	if errors.Is(err, ErrRefused) {
+		return Decision{Outcome: OutcomeRefused, Reason: err.Error()}, nil
+	}
+	return decision, err
+}
+
+var proposed = &explain.Decision{Name: "change", Sentence: "{by} asked for `{command}`; it was {outcome}. {reason}"}
+
+func (r *Runner) note(in Command, decision Decision) {
+	r.options.Journal.Record(explain.KindChange, string(in.Change), proposed,
+		explain.Text("by", in.By), explain.Text("command", in.Text),
+		explain.Text("outcome", decision.Outcome), explain.Text("reason", decision.Reason),
+		explain.Number("version", decision.Version))
+}
+
+// sentence tells a person what became of a change.
+func sentence(change ident.Change, decision Decision) string {
+	out := fmt.Sprintf("change %s: %s", change, decision.Outcome)
+	if decision.Version > 0 {
+		out += fmt.Sprintf(", version %d", decision.Version)
+	}
+	if decision.Reason != "" {
+		out += ": " + decision.Reason
+	}
+	if decision.Won != nil {
+		out += fmt.Sprintf("\nchange %s came first and made version %d; look at it with `show config` and decide anew", decision.Won.Change, decision.Won.Version)
+	}
+	if decision.Outcome == OutcomeUnknown {
+		out += fmt.Sprintf("\nsend the same command again with --change-id %s to learn what became of it", change)
+	}
+	return out + "\n"
+}
--- /dev/null
+++ b/internal/tables/schema.go
@@ -0,0 +1,103 @@
+package tables
+
+import (
+	"reflect"
+
+	"mangoledge.example/mangoledge/internal/query"
+)
+
+// columnTag and docTag name a field's column and describe it.
+const (
+	columnTag = "column"
+	docTag    = "doc"
+)
+
+// definition is one table and its row type.
+type definition struct {
+	name string
+	doc  string
+	row  reflect.Type
+}
+
+var definitions = []definition{
+	{"nodes", "nodes of the site as this node knows them", reflect.TypeFor[Node]()},
+	{"upstreams", "model replicas and plain services", reflect.TypeFor[Upstream]()},
+	{"requests", "requests that this node runs or remembers", reflect.TypeFor[Request]()},
+	{"workspaces", "workspaces declared", reflect.TypeFor[Workspace]()},
+	{"models", "models declared, and replicas ready", reflect.TypeFor[Model]()},
+	{"services", "plain services declared", reflect.TypeFor[Service]()},
+	{"kinds", "kinds of work and their worth", reflect.TypeFor[Kind]()},
+	{"capacity", "capacity to pay for", reflect.TypeFor[Capacity]()},
+	{"config", "the configuration in force on this node", reflect.TypeFor[Config]()},
+	{"leases", "leases and their holders", reflect.TypeFor[Lease]()},
+	{"poison", "content that crashed upstreams", reflect.TypeFor[Poison]()},
+	{"hosts", "hosts of upstreams", reflect.TypeFor[Host]()},
+	{"changes", "changes of configuration that this node has seen", reflect.TypeFor[Change]()},
+}
+
+var objects = []query.Object{
+	{Name: "model", Doc: "a model that the site runs", NameDoc: "the model's name", Keys: []query.Column{
+		{Name: "version", Type: query.TypeText, Doc: "version of its weights"},
+		{Name: "replicas", Type: query.TypeNumber, Doc: "replicas wanted, a whole number"},
+		{Name: "priority", Type: query.TypeNumber, Doc: "0 to 9, 9 the most urgent"},
+		{Name: "adapters", Type: query.TypeList, Doc: "adapters wanted, with commas"},
+		removeKey,
+	}},
+	{Name: "service", Doc: "a plain service", NameDoc: "the service's name", Keys: []query.Column{
+		{Name: "repeatable", Type: query.TypeBool, Doc: "false when its calls must not be repeated"},
+		removeKey,
+	}},
+	{Name: "workspace", Doc: "a customer's workspace", NameDoc: "the workspace's name", Keys: []query.Column{
+		{Name: "share", Type: query.TypeNumber, Doc: "its weight in fair queueing, above 0"},
+		{Name: "maxInFlight", Type: query.TypeNumber, Doc: "requests at once on one node, 0 for no limit"},
+		removeKey,
+	}},
+	{Name: "kind", Doc: "a kind of work", NameDoc: "the kind's name", Keys: []query.Column{
+		{Name: "worth", Type: query.TypeNumber, Doc: "weight of an answer that is whole and in time, 0 or more"},
+		removeKey,
+	}},
+	{Name: "capacity", Doc: "capacity to pay for", NameDoc: "<failure domain>/<host class>", Keys: []query.Column{
+		{Name: "maxHosts", Type: query.TypeNumber, Doc: "most hosts to pay for, a whole number"},
+		{Name: "maxPricePerHour", Type: query.TypeNumber, Doc: "highest price per host and hour, 0 or more"},
+		{Name: "reclaimable", Type: query.TypeBool, Doc: "which market the hosts come from"},
+		removeKey,
+	}},
+	{Name: "weights", Doc: "what the site favours", NameDoc: "always site", Keys: []query.Column{
+		{Name: "latency", Type: query.TypeNumber, Doc: "weight of the latency target, 0 to 1; cost has the rest"},
+	}},
+}
+
+var removeKey = query.Column{Name: "remove", Type: query.TypeBool, Doc: "true to remove it"}
+
+// Schema returns the schema of the operators' language.
+func Schema() query.Schema {
+	out := query.Schema{Objects: objects}
+	for _, d := range definitions {
+		out.Tables = append(out.Tables, query.Table{Name: d.name, Doc: d.doc, Columns: columnsOf(d.row)})
+	}
+	return out
+}
+
+func columnsOf(row reflect.Type) []query.Column {
+	var out []query.Column
+	for i := range row.NumField() {
+		field := row.Field(i)
+		out = append(out, query.Column{
+			Name: field.Tag.Get(columnTag),
+			Type: typeOf(field.Type.Kind()),
+			Doc:  field.Tag.Get(docTag),
+		})
+	}
+	return out
+}
+
+func typeOf(kind reflect.Kind) query.Type {
+	switch kind {
+	case reflect.Int, reflect.Float64:
+		return query.TypeNumber
+	case reflect.Bool:
+		return query.TypeBool
+	default:
+		return query.TypeText
+	}
+}
