Accepted requests wait their turn in admission's fair queues

Cause: every accepted request asked for an upstream at once, so that a large workspace took every slot that became free.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -89,7 +89,16 @@
 
 type freeTicket struct{}
 
-func (freeTicket) Release() {}
+// Turn is closed from the start: nothing waits here.
+func (freeTicket) Turn() <-chan struct{} {
+	turn := make(chan struct{})
+	close(turn)
+	return turn
+}
+
+func (freeTicket) Refusal() *verdict.Error { return nil }
+func (freeTicket) Placed()                 {}
+func (freeTicket) Release(bool)            {}
 
 func (freeAdmission) Admit(*request.Spec) (dispatch.Ticket, error) { return freeTicket{}, nil }
 
--- a/internal/dispatch/interfaces.go
+++ b/internal/dispatch/interfaces.go
@@ -7,6 +7,7 @@
 	"mangoledge.example/mangoledge/internal/grant"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/request"
+	"mangoledge.example/mangoledge/internal/verdict"
 )
 
 // Witness keeps records and gives grants. An error means that the witness is
@@ -66,10 +67,16 @@
 	MarkLeaving(upstream ident.Upstream)
 }
 
-// Ticket is the right of an accepted request to use this node.
+// Ticket is the place of an accepted request in this node's queues.
 type Ticket interface {
-	// Release gives the right back; it is called once.
-	Release()
+	// Turn is closed when the request may ask for an upstream, or was shed.
+	Turn() <-chan struct{}
+	// Refusal returns why the request was shed, or nil; valid once Turn is closed.
+	Refusal() *verdict.Error
+	// Placed says that the request has a place at an upstream.
+	Placed()
+	// Release ends the request's stay; done is true when it ran to its end.
+	Release(done bool)
 }
 
 // Admission decides which requests are accepted.
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -22,10 +22,13 @@
 
 // run is one worker's work on one request, to its final phase or its release.
 func (d *Dispatcher) run(e *entry) {
-	defer e.ticket.Release()
 	ctx, cancel := context.WithDeadline(e.ctx, e.spec.Deadline)
 	defer cancel()
-	failure := d.runToEnd(ctx, e)
+	failure := d.waitTurn(ctx, e)
+	if failure == nil {
+		failure = d.runToEnd(ctx, e)
+	}
+	e.ticket.Release(failure == nil)
 	switch {
 	case failure == nil:
 		d.conclude(e, request.PhaseDone, nil)
@@ -36,6 +39,21 @@
 	}
 }
 
+// waitTurn waits until the request may ask for an upstream. It returns the
+// failure of a request that was shed or ran out of time.
+func (d *Dispatcher) waitTurn(ctx context.Context, e *entry) *verdict.Error {
+	select {
+	case <-e.ticket.Turn():
+	case <-ctx.Done():
+		return d.timeFailure(e)
+	}
+	if refusal := e.ticket.Refusal(); refusal != nil {
+		d.note(e.spec.ID, "shed", refusal.Message)
+		return d.settleNotRun(e, refusal)
+	}
+	return nil
+}
+
 // runToEnd tries upstreams until one has run the request to its end. It
 // returns nil then, and the final failure otherwise.
 func (d *Dispatcher) runToEnd(ctx context.Context, e *entry) *verdict.Error {
@@ -58,6 +76,7 @@
 			pause(ctx, refusal.RetryAfter)
 			continue
 		}
+		e.ticket.Placed()
 		if failure := d.ensureGranted(ctx, e); failure != nil {
 			placement.Done(OutcomeMoved)
 			return failure
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -83,18 +83,18 @@
 	if mayBegin(claim) {
 		return d.begin(claim.Record, sub, ticket, true)
 	}
-	ticket.Release()
+	ticket.Release(false)
 	return d.followHolder(ctx, claim, sub)
 }
 
 // acceptWithoutClaim runs an idempotent request whose witness is lost; any other is refused.
 func (d *Dispatcher) acceptWithoutClaim(sub *Submission, ticket Ticket, cause error) (Attachment, error) {
 	if decided, ok := witnessDecision(cause); ok {
-		ticket.Release()
+		ticket.Release(false)
 		return nil, decided
 	}
 	if !sub.Spec.Idempotent {
-		ticket.Release()
+		ticket.Release(false)
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeWitnessLost,
 			"the witness of this ID can't be reached, so nobody can tell whether it was run; the same ID may be sent again").After(resendDelay)
 	}
@@ -138,12 +138,12 @@
 	fresh.reported = known
 	e, added := d.table.put(fresh)
 	if !added {
-		ticket.Release()
+		ticket.Release(false)
 		return d.attach(e, sub)
 	}
 	if !d.workers.submit(e) {
 		e.finish(request.PhaseFailed, verdict.New(verdict.MayHaveRun, verdict.CodeOverloaded, "too many requests wait on this node").After(resendDelay))
-		ticket.Release()
+		ticket.Release(false)
 	}
 	d.note(record.Spec.ID, "accept", "claimed under epoch "+epochText(record.Epoch))
 	return &localAttachment{entry: e, position: position}, nil
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -49,7 +49,7 @@
 		d.note(sub.Spec.ID, "take over", "from "+string(seen.Holder))
 		return d.begin(claim.Record, sub, ticket, true)
 	}
-	ticket.Release()
+	ticket.Release(false)
 	if err == nil && claim.Record.Phase.Final() {
 		return &recordAttachment{record: claim.Record, position: sub.Position}, nil
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"mangoledge.example/mangoledge/internal/entry"
 	"mangoledge.example/mangoledge/internal/fleet"
 	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/intake"
 	"mangoledge.example/mangoledge/internal/membership"
 	"mangoledge.example/mangoledge/internal/owner"
 	"mangoledge.example/mangoledge/internal/peer"
@@ -51,6 +52,7 @@
 	control    *control
 	router     *placement.Router
 	dispatcher *dispatch.Dispatcher
+	intake     *intake.Intake
 	entry      *entry.Server
 	operator   *http.Server
 
@@ -122,11 +124,12 @@
 	}
 	keep := time.Duration(n.settings.Limits.AddressKeepMs) * time.Millisecond
 	book := entry.NewAddressBook(n.members, keep, n.control.stale)
+	n.intake = intake.New(n.control.site())
 	n.dispatcher = dispatch.New(dispatch.Options{
 		Members:    n.members,
 		Witness:    witness.NewClient(n.peers, n.members, n.witness),
 		Router:     n.router,
-		Admission:  newAdmission(n.settings.Limits.MaxConcurrent),
+		Admission:  n.intake,
 		Journal:    newJournal(n),
 		Engines:    engine.NewClient(),
 		Services:   plainservice.NewClient(),
