--- a/internal/membership/codec.go
+++ b/internal/membership/codec.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"crypto/hmac"
 	"crypto/sha256"
-	"io"
 
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
@@ -46,8 +45,6 @@
 
 // header is the first part of a datagram; items follow it.
 type header struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
-
 	Kind kind
 	From ident.Incarnation
 	Seq  uint32
@@ -63,8 +60,6 @@
 
 // item is one piece of news. One of Record and Rumour is set.
 type item struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
-
 	Record *record
 	Rumour *Rumour
 	// LifeMs is how long the sender still holds it, in milliseconds; 0 for a record that has not ended.
@@ -113,43 +108,26 @@
 	return mac.Sum(nil)[:tagBytes]
 }
 
-// encode returns the msgpack form of a header or an item.
-func encode(value any) []byte {
-	encoder := msgpack.GetEncoder()
-	defer msgpack.PutEncoder(encoder)
-	var buffer bytes.Buffer
-	encoder.Reset(&buffer)
-	encoder.UseCompactInts(true)
-	if err := encoder.Encode(value); err != nil {
-		panic(errors.Wrap(err, "encode a datagram")) // own types into memory
-	}
-	return buffer.Bytes()
-}
-
 // decode reads the body of a datagram.
 func decode(body []byte) (*datagram, error) {
 	if len(body) > maxDatagramBytes-tagBytes {
 		return nil, errBadDatagram
 	}
-	reader := bytes.NewReader(body)
+	source := bytes.NewReader(body)
 	decoder := msgpack.GetDecoder()
 	defer msgpack.PutDecoder(decoder)
-	decoder.Reset(reader)
+	decoder.Reset(source)
+	r := &reader{decoder: decoder, source: source}
 	out := new(datagram)
-	if err := decoder.Decode(&out.header); err != nil {
-		return nil, errors.Mark(err, errBadDatagram)
-	}
-	for {
+	out.read(r)
+	for r.err == nil && source.Len() > 0 {
 		var next item
-		err := decoder.Decode(&next)
-		if errors.Is(err, io.EOF) {
-			break
-		}
-		if err != nil {
-			return nil, errors.Mark(err, errBadDatagram)
-		}
+		next.read(r)
 		out.items = append(out.items, next)
 	}
+	if r.err != nil {
+		return nil, r.err
+	}
 	return out, out.check()
 }
 
@@ -167,7 +145,7 @@
 	if !ident.ValidIncarnation(d.From) {
 		return errors.Wrap(errBadDatagram, "sender")
 	}
-	if len(d.Digest) != 0 && len(d.Digest) != digestBuckets {
+	if len(d.Digest) != 0 && len(d.Digest) != digestBytes {
 		return errors.Wrap(errBadDatagram, "digest")
 	}
 	for _, next := range d.items {
@@ -180,12 +158,8 @@
 
 func (i item) check() error {
 	switch {
-	case (i.Record == nil) == (i.Rumour == nil):
-		return errors.Wrap(errBadDatagram, "item")
 	case i.Record != nil && !ident.ValidIncarnation(i.Record.Incarnation):
 		return errors.Wrap(errBadDatagram, "incarnation")
-	case i.Record != nil && i.Record.Final > finalLeft:
-		return errors.Wrap(errBadDatagram, "state")
 	case i.Rumour != nil:
 		return i.Rumour.check()
 	}
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -22,6 +22,10 @@
 	newsBurstBytes = 256 << 10
 	// joinInterval is the time between two comparisons while a node is still joining.
 	joinInterval = 250 * time.Millisecond
+	// freshSyncInterval is the mean time between two comparisons after news arrived.
+	freshSyncInterval = time.Second
+	// freshSyncs is how many comparisons follow soon after news arrived.
+	freshSyncs = 2
 )
 
 // packet is a datagram to be sent.
@@ -68,8 +72,11 @@
 	nextGossip time.Time
 	nextSync   time.Time
 	nextRejoin time.Time
+	freshSyncs int
 	joined     bool
 	selfDead   bool
+	// doubtful is true once this member declared others dead without the greater part of its region.
+	doubtful bool
 
 	out     []packet
 	changed []change
@@ -164,6 +171,7 @@
 func (c *core) learn(now time.Time, r record, life time.Duration) {
 	for _, ch := range c.table.join(now, r, life) {
 		c.queue.push(newsName{incarnation: ch.current.Incarnation}, ch.isNew, false)
+		c.expectMore(now)
 		c.changed = append(c.changed, ch)
 		c.count(ch)
 		if ch.current.Incarnation == c.self {
--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"bytes"
+	"encoding/binary"
 	"slices"
 	"time"
 
@@ -10,26 +12,44 @@
 const (
 	// digestBuckets is the number of parts that everything known is compared by.
 	digestBuckets = 128
+	// bucketBytes is the length of a bucket's part of a digest.
+	bucketBytes = 4
+	// digestBytes is the length of a digest.
+	digestBytes = digestBuckets * bucketBytes
 	// syncDatagrams is the most datagrams that one comparison is answered with.
 	syncDatagrams = 8
 	// minSentLife is the least remaining life of what is still passed on.
 	minSentLife = 5 * time.Second
 )
 
-// digest has one number for each bucket, which two nodes share when they know the same.
-type digest []uint32
+// digest has bucketBytes bytes for each bucket, which two nodes share when they know the same.
+type digest []byte
 
 // differing returns the buckets in which d and other differ.
 func (d digest) differing(other digest) []int {
 	var out []int
-	for i := range d {
-		if i >= len(other) || d[i] != other[i] {
+	for i := range digestBuckets {
+		if !bytes.Equal(d.bucket(i), other.bucket(i)) {
 			out = append(out, i)
 		}
 	}
 	return out
 }
 
+// bucket returns the bytes of bucket i, or none when the digest is empty.
+func (d digest) bucket(i int) []byte {
+	if len(d) < digestBytes {
+		return nil
+	}
+	return d[i*bucketBytes : (i+1)*bucketBytes]
+}
+
+// toggle adds a hash to bucket i, or takes it out again.
+func (d digest) toggle(i int, hash uint64) {
+	part := d.bucket(i)
+	binary.BigEndian.PutUint32(part, binary.BigEndian.Uint32(part)^uint32(hash))
+}
+
 func bucketOf(name string) int {
 	return int(xxhash.Sum64String(name) % digestBuckets)
 }
@@ -44,15 +64,15 @@
 
 // digest sums up all that is known and still passed on.
 func (c *core) digest(now time.Time) digest {
-	out := make(digest, digestBuckets)
+	out := make(digest, digestBytes)
 	for _, e := range c.table.entries {
 		if sendable(e, now) {
-			out[e.bucket()] ^= uint32(e.hash())
+			out.toggle(e.bucket(), e.hash())
 		}
 	}
 	for name, held := range c.rumours.held {
 		if held.expireAt.Sub(now) >= minSentLife {
-			out[name.bucket()] ^= uint32(held.hash())
+			out.toggle(name.bucket(), held.hash())
 		}
 	}
 	return out
@@ -83,13 +103,15 @@
 			rest = append(rest, encodeRumour(held.Rumour, held.expireAt.Sub(now)))
 		}
 	}
+	slices.SortFunc(live, bytes.Compare)
+	slices.SortFunc(rest, bytes.Compare)
 	return slices.Concat(live, rest)
 }
 
 func encodeRecord(r record, life time.Duration) []byte {
-	return encode(&item{Record: &r, LifeMs: uint32(life.Milliseconds())})
+	return encode((&item{Record: &r, LifeMs: uint32(life.Milliseconds())}).write)
 }
 
 func encodeRumour(r Rumour, life time.Duration) []byte {
-	return encode(&item{Rumour: &r, LifeMs: uint32(life.Milliseconds())})
+	return encode((&item{Rumour: &r, LifeMs: uint32(life.Milliseconds())}).write)
 }
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -7,11 +7,14 @@
 	"mangoledge.example/mangoledge/internal/ident"
 )
 
+// maxMisfits is how many news too large for the rest of a datagram are passed over before it goes out.
+const maxMisfits = 3
+
 // send queues a datagram to address: the header, the record of about unless it
 // is nil, and as much news as fits.
 func (c *core) send(now time.Time, address string, h header, about *entry) {
 	h.From = c.self
-	data := append(make([]byte, tagBytes, maxDatagramBytes), encode(&h)...)
+	data := append(make([]byte, tagBytes, maxDatagramBytes), encode(h.write)...)
 	if about != nil {
 		data = append(data, encodeRecord(about.short(), 0)...)
 	}
@@ -21,7 +24,7 @@
 
 // newsHead begins a datagram that only carries items.
 func (c *core) newsHead() []byte {
-	return append(make([]byte, tagBytes, maxDatagramBytes), encode(&header{Kind: kindNews, From: c.self})...)
+	return append(make([]byte, tagBytes, maxDatagramBytes), encode((&header{Kind: kindNews, From: c.self}).write)...)
 }
 
 func (c *core) emit(address string, data []byte) {
@@ -33,13 +36,18 @@
 // notes that they go to so many members.
 func (c *core) fill(now time.Time, data []byte, waiting []*news, times int) []byte {
 	members := c.members()
+	misfits := 0
 	for _, n := range waiting {
+		if misfits == maxMisfits {
+			break
+		}
 		encoded, ok := c.encodeNews(now, n)
 		if !ok {
 			delete(c.queue.waiting, n.name)
 			continue
 		}
 		if len(data)+len(encoded) > maxDatagramBytes {
+			misfits++
 			continue
 		}
 		if !c.budget.AllowN(now, len(encoded)*times) {
@@ -124,10 +132,15 @@
 }
 
 // answerEnded tells a member that has been declared dead so, and believes
-// nothing that it says of others.
+// nothing that it says of others. What it says of this member is believed only
+// after this member declared others dead from the lesser part of its region.
 func (c *core) answerEnded(now time.Time, address string, sender *entry, d *datagram) {
 	for _, next := range d.items {
-		if next.Record != nil && next.Record.Incarnation == d.From {
+		if next.Record == nil {
+			continue
+		}
+		aboutSelf := next.Record.Incarnation == c.self
+		if next.Record.Incarnation == d.From || (aboutSelf && c.doubtful) {
 			c.learnItem(now, next)
 		}
 	}
@@ -147,6 +160,9 @@
 	}
 	if c.rumours.join(now, *next.Rumour, life) {
 		c.arrived = append(c.arrived, *next.Rumour)
+		if !next.Rumour.Topic.bulk() {
+			c.expectMore(now)
+		}
 		c.pushRumour(*next.Rumour)
 	}
 }
@@ -209,17 +225,32 @@
 // startSync asks address for what this node does not know.
 func (c *core) startSync(now time.Time, address string) {
 	h := header{Kind: kindSync, From: c.self, Digest: c.digest(now)}
-	data := append(make([]byte, tagBytes, maxDatagramBytes), encode(&h)...)
+	data := append(make([]byte, tagBytes, maxDatagramBytes), encode(h.write)...)
 	data = append(data, encodeRecord(c.table.entries[c.self].record, 0)...)
 	c.emit(address, data)
 }
 
 func (c *core) syncInterval() time.Duration {
-	if !c.joined {
+	jitter := 0.5 + c.random.Float64()
+	switch {
+	case !c.joined:
 		return joinInterval
+	case c.freshSyncs > 0:
+		c.freshSyncs--
+		return time.Duration(float64(freshSyncInterval) * jitter)
+	default:
+		return time.Duration(float64(c.timing.Sync) * jitter)
+	}
+}
+
+// expectMore has the next comparisons follow soon: where there is news, some of it
+// may have been missed, here or elsewhere.
+func (c *core) expectMore(now time.Time) {
+	c.freshSyncs = freshSyncs
+	soon := now.Add(time.Duration(float64(freshSyncInterval) * (0.5 + c.random.Float64())))
+	if soon.Before(c.nextSync) {
+		c.nextSync = soon
 	}
-	jitter := time.Duration(c.random.Int64N(int64(c.timing.Sync)))
-	return c.timing.Sync/2 + jitter
 }
 
 // syncWithOne compares everything with one member, or with a seed while there is none.
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -8,6 +8,10 @@
 	"mangoledge.example/mangoledge/internal/ident"
 )
 
+// lastCalls is how often each member that holds another for suspected pings it
+// itself before it declares it dead.
+const lastCalls = 3
+
 func sortEntries(entries []*entry) {
 	slices.SortFunc(entries, func(a, b *entry) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
 }
@@ -33,7 +37,12 @@
 func (c *core) ping(now time.Time, target *entry) {
 	c.seq++
 	c.probes[c.seq] = &probe{target: target.Incarnation, sentAt: now}
-	c.send(now, target.Details.PeerAddress, header{Kind: kindPing, Seq: c.seq, Target: target.Incarnation}, c.underSuspicion(target.Incarnation))
+	c.sendPing(now, c.seq, target)
+}
+
+func (c *core) sendPing(now time.Time, seq uint32, target *entry) {
+	h := header{Kind: kindPing, Seq: seq, Target: target.Incarnation}
+	c.send(now, target.Details.PeerAddress, h, c.underSuspicion(target.Incarnation))
 }
 
 // underSuspicion returns the entry of target when it is suspected, so that a ping
@@ -60,6 +69,7 @@
 			c.suspect(now, target)
 		case waited >= c.timing.DirectTimeout && !p.indirect:
 			p.indirect = true
+			c.sendPing(now, seq, target)
 			c.askOthers(now, seq, target)
 		}
 	}
@@ -99,28 +109,48 @@
 	c.learn(now, news, 0)
 }
 
-// checkSuspicions declares members dead that did not deny their suspicion in time.
+// checkSuspicions declares members dead that did not deny their suspicion in
+// time, after it has asked them itself a few times.
 func (c *core) checkSuspicions(now time.Time) {
 	own := c.table.entries[c.self].Details.Region
-	reached, all := c.table.reach(own)
-	minority := 2*reached < all || (2*reached == all && !c.firstHalf(own))
-	var ended []*entry
+	minority := c.inMinority(own)
+	var ended, asked []*entry
 	for _, e := range c.table.entries {
 		if e.Final != finalNone || !e.Suspected || e.Incarnation == c.self {
 			continue
 		}
-		if now.Sub(e.suspectedAt) >= c.patience(e.Details.Region == own, minority) {
+		sameRegion := e.Details.Region == own
+		waited := now.Sub(e.suspectedAt)
+		switch {
+		case waited >= c.patience(sameRegion, minority):
 			ended = append(ended, e)
+		case sameRegion && waited >= time.Duration(e.lastCalls+1)*c.timing.Suspicion/(lastCalls+1) && e.lastCalls < lastCalls:
+			asked = append(asked, e)
 		}
 	}
+	sortEntries(asked)
+	for _, e := range asked {
+		e.lastCalls++
+		c.ping(now, e)
+	}
 	sortEntries(ended)
 	for _, e := range ended {
+		c.doubtful = c.doubtful || minority || e.Details.Region != own
 		news := e.short()
 		news.Final = finalDead
 		c.learn(now, news, 0)
 	}
 }
 
+// inMinority reports whether this member reaches only the lesser part of its region.
+func (c *core) inMinority(own ident.Region) bool {
+	reached, all := c.table.reach(own)
+	if 2*reached == all {
+		return !c.firstHalf(own)
+	}
+	return 2*reached < all
+}
+
 // patience returns how long a suspected member has. Only members of its own
 // region judge it soon, and of those only the greater part: a node that is cut
 // off must not declare everybody else dead.
--- a/internal/membership/queue.go
+++ b/internal/membership/queue.go
@@ -8,8 +8,12 @@
 	"mangoledge.example/mangoledge/internal/ident"
 )
 
-// transmitFactor times the decimal logarithm of the number of members is how often each news is sent on.
-const transmitFactor = 4
+const (
+	// transmitFactor times the decimal logarithm of the number of members is how often each news is sent on.
+	transmitFactor = 4
+	// minTransmits is the least number of times that each news is sent on.
+	minTransmits = 8
+)
 
 // newsName says what a piece of news is about: an incarnation or a rumour.
 type newsName struct {
@@ -56,7 +60,10 @@
 	}
 	slices.SortFunc(out, func(a, b *news) int {
 		if a.bulk != b.bulk {
-			return cmp.Compare(flag(a.bulk), flag(b.bulk))
+			if b.bulk {
+				return -1
+			}
+			return 1
 		}
 		if a.sent != b.sent {
 			return cmp.Compare(a.sent, b.sent)
@@ -76,5 +83,5 @@
 
 // transmits returns how often each node sends a piece of news on in a site of so many members.
 func transmits(members int) int {
-	return transmitFactor * int(math.Ceil(math.Log10(float64(members+1))))
+	return max(minTransmits, transmitFactor*int(math.Ceil(math.Log10(float64(members+1)))))
 }
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -15,12 +15,16 @@
 	finalLeft
 )
 
+// The bits of record.flags.
+const (
+	flagSuspected = 1 << iota
+	flagDraining
+)
+
 // record is what is known of one incarnation. Records of one incarnation form a
 // join semilattice under join: the order in which news arrives, its loss and its
 // repetition don't matter.
 type record struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
-
 	Incarnation ident.Incarnation
 	// Refutation is raised by the incarnation itself each time it denies a suspicion.
 	Refutation uint32
@@ -35,8 +39,6 @@
 
 // details never change during one incarnation; short records leave them empty.
 type details struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
-
 	PeerAddress   string
 	CallerURL     string
 	Region        ident.Region
@@ -152,15 +154,19 @@
 		_, _ = h.Write([]byte{0})
 	}
 	_, _ = h.Write([]byte{
-		flag(r.Suspected), flag(r.Draining), byte(r.Final),
+		r.flags(), byte(r.Final),
 		byte(r.Refutation), byte(r.Refutation >> 8), byte(r.Refutation >> 16), byte(r.Refutation >> 24),
 	})
 	return h.Sum64()
 }
 
-func flag(set bool) byte {
-	if set {
-		return 1
+// flags packs what is true or false.
+func (r record) flags() (out byte) {
+	if r.Suspected {
+		out |= flagSuspected
+	}
+	if r.Draining {
+		out |= flagDraining
 	}
-	return 0
+	return out
 }
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -11,6 +11,8 @@
 	record
 	// suspectedAt is when this node learnt of the suspicion; zero when there is none.
 	suspectedAt time.Time
+	// lastCalls is how often this node has pinged it since suspectedAt.
+	lastCalls int
 	// forgetAt is when an ended incarnation is forgotten; zero while it has not ended.
 	forgetAt time.Time
 }
@@ -81,6 +83,7 @@
 	e.record = joined
 	if e.Suspected != wasSuspected {
 		e.suspectedAt = time.Time{}
+		e.lastCalls = 0
 		if e.Suspected {
 			e.suspectedAt = now
 		}
--- a/internal/membership/timing.go
+++ b/internal/membership/timing.go
@@ -41,7 +41,7 @@
 		ProbeTimeout:  time.Second,
 		Suspicion:     4 * time.Second,
 		MinorityHold:  30 * time.Second,
-		RegionHold:    30 * time.Minute,
+		RegionHold:    2 * time.Hour,
 		Remember:      6 * time.Hour,
 		Gossip:        200 * time.Millisecond,
 		Sync:          5 * time.Second,
