Retries under a budget, a gate for crashing contents, caches that move along

Cause: a request was retried without bound in count, a content that crashes engines ran again at each resend, and a stream whose engine leaves was prefilled again. Change: retries ask retry.Policy and wait for its budget; internal/guard passes each content through its coordinator's gate and gossips crashes; a stream exports its cache from an engine that is leaving and the next one imports it.

--- /dev/null
+++ b/internal/dispatch/attempt.go
@@ -0,0 +1,80 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"mangoledge.example/mangoledge/internal/verdict"
+)
+
+// probeTimeout bounds the call that tells whether an upstream is still there.
+const probeTimeout = 300 * time.Millisecond
+
+// try runs the request at one upstream and gives placement and pass back.
+func (d *Dispatcher) try(ctx context.Context, e *entry, placement Placement, pass Pass) *verdict.Error {
+	upstream := placement.Upstream()
+	before := e.wasDispatched()
+	e.place(upstream)
+	d.note(e.spec.ID, "dispatch", "to "+string(upstream.ID))
+	var failure *verdict.Error
+	if e.spec.Service != "" {
+		failure = d.callService(ctx, e, upstream.URL)
+	} else {
+		failure = d.runAtEngine(ctx, e, placement)
+	}
+	if failure == nil {
+		placement.Done(OutcomeDone)
+		pass.Leave(upstream.ID, EndingFinished)
+		return nil
+	}
+	if failure.Verdict == verdict.NotRun {
+		e.undo(before)
+	}
+	if failure.Code == verdict.CodeStopping {
+		d.options.Router.MarkLeaving(upstream.ID)
+	}
+	placement.Done(outcomeOf(ctx, failure))
+	pass.Leave(upstream.ID, d.endingOf(ctx, e, placement, failure))
+	d.note(e.spec.ID, "upstream failed", string(upstream.ID)+": "+failure.Error())
+	return failure
+}
+
+// outcomeOf tells the router how a failed attempt ended.
+func outcomeOf(ctx context.Context, failure *verdict.Error) Outcome {
+	switch {
+	case failure.Verdict == verdict.NotRun:
+		return OutcomeRefused
+	case failure.Code == codeMoving || ctx.Err() != nil:
+		return OutcomeMoved
+	}
+	return OutcomeFailed
+}
+
+// endingOf tells whether an engine crashed under the request. One that is
+// leaving, or that still answers, did not.
+func (d *Dispatcher) endingOf(ctx context.Context, e *entry, placement Placement, failure *verdict.Error) Ending {
+	upstream := placement.Upstream()
+	innocent := failure.Verdict == verdict.NotRun || failure.Code == codeMoving || e.spec.Service != ""
+	if innocent || ctx.Err() != nil || d.options.Router.Leaving(upstream.ID) {
+		return EndingOther
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	_, err := d.options.Engines.ReportLoad(ctx, upstream.URL)
+	if err == nil || verdict.From(err).Verdict != verdict.NotRun {
+		return EndingOther
+	}
+	return EndingCrashed
+}
+
+// callService runs a plain service's call.
+func (d *Dispatcher) callService(ctx context.Context, e *entry, base string) *verdict.Error {
+	reply, err := d.options.Services.Call(ctx, base, e.spec.ID.String(), e.spec.Input, e.spec.Idempotent)
+	if err != nil {
+		return verdict.From(err)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.record.Output = reply
+	return nil
+}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -20,6 +22,7 @@
 	"mangoledge.example/mangoledge/internal/peer"
 	"mangoledge.example/mangoledge/internal/plainservice"
 	"mangoledge.example/mangoledge/internal/request"
+	"mangoledge.example/mangoledge/internal/retry"
 	"mangoledge.example/mangoledge/internal/standin/chain"
 	standinengine "mangoledge.example/mangoledge/internal/standin/engine"
 	"mangoledge.example/mangoledge/internal/verdict"
@@ -102,6 +105,16 @@
 
 func (freeAdmission) Admit(*request.Spec) (dispatch.Ticket, error) { return freeTicket{}, nil }
 
+type noGuard struct{}
+
+type freePass struct{}
+
+func (freePass) Leave(ident.Upstream, dispatch.Ending) {}
+
+func (noGuard) Check(*request.Spec) error { return nil }
+
+func (noGuard) Enter(context.Context, *request.Spec) (dispatch.Pass, error) { return freePass{}, nil }
+
 type noJournal struct{}
 
 func (noJournal) Request(ident.RequestID, string, string) {}
@@ -158,7 +171,9 @@
 	peers := peer.NewClient(dialer)
 	view := nodeView{fakeSite: s, self: self}
 	tables := witness.NewService(self.Incarnation, peers)
+	budget := retry.NewBudget(1, 100)
 	d := dispatch.New(dispatch.Options{
+		Guard: noGuard{}, Budget: budget, Retries: retry.NewPolicy(budget, rand.New(rand.NewPCG(1, 1))),
 		Members: view, Witness: witness.NewClient(peers, view, tables), Router: s, Admission: freeAdmission{},
 		Journal: noJournal{}, Engines: engine.NewClient(), Services: plainservice.NewClient(),
 		Peers: peers, Dialer: dialer, Logger: discard(), MaxRunning: 64,
@@ -341,3 +356,34 @@
 	_, err = wit.dispatcher.Cancel(t.Context(), s.ID, "other")
 	require.Equal(t, verdict.CodeUnknownRequest, verdict.From(err).Code)
 }
+
+func TestStreamLeavesWithItsCacheWhenItsEngineLeaves(t *testing.T) {
+	site := newFakeSite(t)
+	home, wit := site.addNode("home"), site.addNode("wit")
+	site.addEngine("e1", 5*time.Millisecond)
+	second := site.addEngine("e2", time.Millisecond)
+	a, err := home.dispatcher.Submit(t.Context(), dispatch.Submission{Spec: spec(home, wit, 60)})
+	require.NoError(t, err)
+	var got received
+	got.follow(t, a, 10)
+	site.MarkLeaving("e1")
+	b, err := home.dispatcher.Resume(t.Context(), dispatch.Resumption{
+		ID: idOf(t, home), Workspace: "w",
+		Position: dispatch.Position{Generation: got.generation, Offset: len(got.tokens)},
+	})
+	require.NoError(t, err)
+	got.follow(t, b, 0)
+	got.requireWhole(t, 60)
+	require.Equal(t, 1, got.last.Moves)
+	require.Zero(t, statsOf(t, second.URL).Recomputed, "the cache came along")
+}
+
+func statsOf(t *testing.T, base string) standinengine.Stats {
+	t.Helper()
+	resp, err := http.Get(base + "/stats")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, resp.Body.Close()) }()
+	var out standinengine.Stats
+	require.NoError(t, json.NewDecoder(resp.Body).Decode(&out))
+	return out
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -13,6 +13,7 @@
 	"mangoledge.example/mangoledge/internal/peer"
 	"mangoledge.example/mangoledge/internal/plainservice"
 	"mangoledge.example/mangoledge/internal/request"
+	"mangoledge.example/mangoledge/internal/retry"
 )
 
 const (
@@ -34,6 +35,9 @@
 	Witness   Witness
 	Router    Router
 	Admission Admission
+	Guard     Guard
+	Retries   *retry.Policy
+	Budget    *retry.Budget
 	Journal   Journal
 	Engines   *engine.Client
 	Services  *plainservice.Client
--- a/internal/dispatch/enginerun.go
+++ b/internal/dispatch/enginerun.go
@@ -20,6 +20,9 @@
 // runAtEngine runs the request at an engine, behind the tokens that are there.
 func (d *Dispatcher) runAtEngine(ctx context.Context, e *entry, placement Placement) *verdict.Error {
 	upstream := placement.Upstream()
+	if export := e.takeExport(); export != nil {
+		d.importKV(ctx, e, upstream, *export)
+	}
 	record := e.snapshot()
 	stream, err := d.options.Engines.Start(ctx, upstream.URL, completionOf(&record), e.spec.Idempotent)
 	if err != nil {
@@ -50,6 +53,9 @@
 	for tries := 0; ; tries++ {
 		failure := d.read(e, upstream, generation, stream)
 		stream.Close()
+		if failure != nil && failure.Code == codeMoving && d.options.Router.Leaving(upstream) {
+			d.exportKV(ctx, e, generation, base)
+		}
 		if failure == nil || failure.Code == codeMoving || ctx.Err() != nil || tries == attachTries {
 			return failure
 		}
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"mangoledge.example/mangoledge/internal/engine"
 	"mangoledge.example/mangoledge/internal/fleet"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/request"
@@ -34,6 +35,8 @@
 	moved bool
 	// reported is the number of tokens that the witness knows.
 	reported int
+	// export is the cache that the next upstream is to import, or nil.
+	export   *engine.KVImport
 	changed  chan struct{}
 	finished time.Time
 }
@@ -154,7 +157,7 @@
 	if e.record.Phase.Final() || e.released {
 		return false
 	}
-	if !e.spec.Idempotent && e.dispatched {
+	if !e.spec.Idempotent && (e.dispatched || e.granted) {
 		return false
 	}
 	e.released = true
@@ -189,3 +192,30 @@
 	defer e.mu.Unlock()
 	return e.dispatched
 }
+
+func (e *entry) setGranted() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.granted = true
+}
+
+func (e *entry) isGranted() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.granted
+}
+
+// takeExport returns the cache that the next upstream is to import, once.
+func (e *entry) takeExport() *engine.KVImport {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := e.export
+	e.export = nil
+	return out
+}
+
+func (e *entry) setExport(export *engine.KVImport) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.export = export
+}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -8,14 +8,13 @@
 	"mangoledge.example/mangoledge/internal/grant"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/request"
+	"mangoledge.example/mangoledge/internal/retry"
 	"mangoledge.example/mangoledge/internal/verdict"
 )
 
 const (
-	// firstRetryDelay is the pause before a request is tried at a second upstream.
-	firstRetryDelay = 10 * time.Millisecond
-	// maxRetryDelay bounds the pause between two tries.
-	maxRetryDelay = 400 * time.Millisecond
+	// budgetPause is the time between two looks whether the budget allows a retry.
+	budgetPause = 200 * time.Millisecond
 	// rememberedFailures is how many failed upstreams a request avoids.
 	rememberedFailures = 8
 )
@@ -57,19 +56,18 @@
 // runToEnd tries upstreams until one has run the request to its end. It
 // returns nil then, and the final failure otherwise.
 func (d *Dispatcher) runToEnd(ctx context.Context, e *entry) *verdict.Error {
+	d.options.Budget.Attempt()
 	if failure, ended := d.reattach(ctx, e); ended {
 		return failure
 	}
 	need := Need{Spec: &e.spec}
-	delay := firstRetryDelay
 	for {
 		if ctx.Err() != nil || e.view().released {
 			return d.timeFailure(e)
 		}
 		need.Tokens = len(e.snapshot().Tokens)
-		placement, err := d.options.Router.Pick(ctx, &need)
-		if err != nil {
-			refusal := verdict.From(err)
+		placement, pass, refusal := d.findPlace(ctx, e, &need)
+		if refusal != nil {
 			if refusal.RetryAfter <= 0 {
 				return d.settleNotRun(e, refusal)
 			}
@@ -79,76 +77,63 @@
 		e.ticket.Placed()
 		if failure := d.ensureGranted(ctx, e); failure != nil {
 			placement.Done(OutcomeMoved)
+			pass.Leave("", EndingOther)
 			return failure
 		}
-		failure := d.try(ctx, e, placement)
+		failure := d.try(ctx, e, placement, pass)
 		if failure == nil {
 			return nil
 		}
-		if !d.mayRetry(e, failure) {
+		if !mayRetry(e, failure) {
 			return failure
 		}
 		need.Attempt++
 		need.Avoid = remember(need.Avoid, placement.Upstream().ID)
-		pause(ctx, delay)
-		delay = min(2*delay, maxRetryDelay)
+		d.beforeRetry(ctx, e, need.Attempt, failure)
 	}
 }
 
+// findPlace gets a pass for the content and a place at an upstream.
+func (d *Dispatcher) findPlace(ctx context.Context, e *entry, need *Need) (Placement, Pass, *verdict.Error) {
+	placement, err := d.options.Router.Pick(ctx, need)
+	if err != nil {
+		return nil, nil, verdict.From(err)
+	}
+	pass, err := d.options.Guard.Enter(ctx, &e.spec)
+	if err != nil {
+		placement.Done(OutcomeMoved)
+		return nil, nil, verdict.From(err)
+	}
+	return placement, pass, nil
+}
+
 // mayRetry reports whether the request may be sent to an upstream once more.
-func (d *Dispatcher) mayRetry(e *entry, failure *verdict.Error) bool {
+func mayRetry(e *entry, failure *verdict.Error) bool {
 	if failure.Code == verdict.CodeBadInput {
 		return false
 	}
 	return e.spec.Idempotent || failure.Verdict == verdict.NotRun
 }
 
-// try runs the request at one upstream and gives the placement back.
-func (d *Dispatcher) try(ctx context.Context, e *entry, placement Placement) *verdict.Error {
-	upstream := placement.Upstream()
-	before := e.wasDispatched()
-	e.place(upstream)
-	d.note(e.spec.ID, "dispatch", "to "+string(upstream.ID))
-	var failure *verdict.Error
-	if e.spec.Service != "" {
-		failure = d.callService(ctx, e, upstream.URL)
-	} else {
-		failure = d.runAtEngine(ctx, e, placement)
-	}
-	switch {
-	case failure == nil:
-		placement.Done(OutcomeDone)
-		return nil
-	case failure.Verdict == verdict.NotRun:
-		e.undo(before)
-		placement.Done(OutcomeRefused)
-	case failure.Code == codeMoving || ctx.Err() != nil:
-		placement.Done(OutcomeMoved)
-	default:
-		placement.Done(OutcomeFailed)
-	}
-	if failure.Code == verdict.CodeStopping {
-		d.options.Router.MarkLeaving(upstream.ID)
+// beforeRetry waits until the retry policy lets the request be sent again. A
+// request that moves because its upstream leaves is no retry.
+func (d *Dispatcher) beforeRetry(ctx context.Context, e *entry, attempt int, failure *verdict.Error) {
+	if failure.Code == codeMoving {
+		return
 	}
-	d.note(e.spec.ID, "upstream failed", string(upstream.ID)+": "+failure.Error())
-	return failure
-}
-
-// callService runs a plain service's call.
-func (d *Dispatcher) callService(ctx context.Context, e *entry, base string) *verdict.Error {
-	reply, err := d.options.Services.Call(ctx, base, e.spec.ID.String(), e.spec.Input, e.spec.Idempotent)
-	if err != nil {
-		return verdict.From(err)
+	for ctx.Err() == nil {
+		delay, ok := d.options.Retries.Next(min(attempt, retry.DefaultMaxAttempts-1), failure.Verdict, e.spec.Idempotent, time.Now(), e.spec.Deadline)
+		if ok {
+			pause(ctx, delay)
+			return
+		}
+		pause(ctx, budgetPause)
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.record.Output = reply
-	return nil
 }
 
 // ensureGranted gets the right to run a non-idempotent request.
 func (d *Dispatcher) ensureGranted(ctx context.Context, e *entry) *verdict.Error {
-	if e.spec.Idempotent || e.granted {
+	if e.spec.Idempotent || e.isGranted() {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
@@ -160,7 +145,7 @@
 	if !reply.Granted {
 		return verdict.New(verdict.MayHaveRun, verdict.CodeGrantTaken, "another node was given the right to run this request").After(resendDelay)
 	}
-	e.granted = true
+	e.setGranted()
 	d.note(e.spec.ID, "granted", "by "+string(e.spec.ID.Witness))
 	pauseForTest()
 	return nil
@@ -171,7 +156,7 @@
 	if e.wasDispatched() {
 		return verdict.New(verdict.Ran, failure.Code, "%s", failure.Message).After(failure.RetryAfter)
 	}
-	if e.spec.Idempotent || e.granted {
+	if e.spec.Idempotent || e.isGranted() {
 		return failure
 	}
 	return verdict.From(d.refuse(context.Background(), &e.spec, failure))
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -72,7 +72,7 @@
 
 // accept claims a request, as its home or because its home does not answer.
 func (d *Dispatcher) accept(ctx context.Context, sub *Submission) (Attachment, error) {
-	ticket, err := d.options.Admission.Admit(&sub.Spec)
+	ticket, err := d.admit(&sub.Spec)
 	if err != nil {
 		return nil, d.refuse(ctx, &sub.Spec, verdict.From(err))
 	}
@@ -109,6 +109,14 @@
 	return claim.Claimed && !claim.Granted && !claim.Record.Phase.Final()
 }
 
+// admit asks guard and admission for a request.
+func (d *Dispatcher) admit(spec *request.Spec) (Ticket, error) {
+	if err := d.options.Guard.Check(spec); err != nil {
+		return nil, err
+	}
+	return d.options.Admission.Admit(spec)
+}
+
 // witnessDecision returns the refusal of a witness that was reached.
 func witnessDecision(err error) (*verdict.Error, bool) {
 	var refusal *verdict.Error
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -40,7 +40,7 @@
 
 // takeFrom claims a request from a holder that is believed dead.
 func (d *Dispatcher) takeFrom(ctx context.Context, seen *request.Record, sub *Submission) (Attachment, error) {
-	ticket, err := d.options.Admission.Admit(&sub.Spec)
+	ticket, err := d.admit(&sub.Spec)
 	if err != nil {
 		return nil, d.refuse(ctx, &sub.Spec, verdict.From(err))
 	}
--- /dev/null
+++ b/internal/guard/pass.go
@@ -0,0 +1,57 @@
+package guard
+
+import (
+	"context"
+	"time"
+
+	"mangoledge.example/mangoledge/internal/dispatch"
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/poison"
+)
+
+// pass lets one run of a content through; it is a dispatch.Pass.
+type pass struct {
+	guard       *Guard
+	fingerprint poison.Fingerprint
+	id          poison.PassID
+	address     string
+	local       bool
+}
+
+// Leave gives the pass back and tells how the run ended.
+func (p *pass) Leave(upstream ident.Upstream, ending dispatch.Ending) {
+	now := time.Now()
+	how := endingOf(ending)
+	if ending == dispatch.EndingCrashed {
+		count := p.guard.registry.Crashed(now, p.fingerprint, upstream, false)
+		p.guard.logger.Warn("an upstream crashed under a content", "upstream", string(upstream), "fingerprint", uint64(p.fingerprint), "crashes", count)
+		p.guard.publish(p.fingerprint)
+	}
+	if p.local {
+		p.guard.gate.Release(now, p.fingerprint, p.id, upstream, how)
+		return
+	}
+	args := &poison.ReleaseArgs{Fingerprint: p.fingerprint, ID: p.id, Upstream: upstream, Ending: how}
+	release := func() {
+		ctx, cancel := context.WithTimeout(context.Background(), gateTimeout)
+		defer cancel()
+		_ = p.guard.client.Release(ctx, p.address, args)
+	}
+	if ending == dispatch.EndingCrashed {
+		release()
+		return
+	}
+	go release()
+}
+
+// endingOf is an ending as gates take it.
+func endingOf(ending dispatch.Ending) poison.Ending {
+	switch ending {
+	case dispatch.EndingFinished:
+		return poison.EndingFinished
+	case dispatch.EndingCrashed:
+		return poison.EndingCrashed
+	case dispatch.EndingOther:
+	}
+	return poison.EndingOther
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -17,6 +18,7 @@
 	"mangoledge.example/mangoledge/internal/engine"
 	"mangoledge.example/mangoledge/internal/entry"
 	"mangoledge.example/mangoledge/internal/fleet"
+	"mangoledge.example/mangoledge/internal/guard"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/intake"
 	"mangoledge.example/mangoledge/internal/membership"
@@ -24,6 +26,8 @@
 	"mangoledge.example/mangoledge/internal/peer"
 	"mangoledge.example/mangoledge/internal/placement"
 	"mangoledge.example/mangoledge/internal/plainservice"
+	"mangoledge.example/mangoledge/internal/poison"
+	"mangoledge.example/mangoledge/internal/retry"
 	"mangoledge.example/mangoledge/internal/routing"
 	"mangoledge.example/mangoledge/internal/settings"
 	"mangoledge.example/mangoledge/internal/witness"
@@ -53,6 +57,7 @@
 	router     *placement.Router
 	dispatcher *dispatch.Dispatcher
 	intake     *intake.Intake
+	guard      *guard.Guard
 	entry      *entry.Server
 	operator   *http.Server
 
@@ -124,12 +129,17 @@
 	}
 	keep := time.Duration(n.settings.Limits.AddressKeepMs) * time.Millisecond
 	book := entry.NewAddressBook(n.members, keep, n.control.stale)
+	n.guard = guard.New(n.members, n.members, n.peers, n.logger)
+	budget := retry.NewBudget(retry.DefaultShare, retry.DefaultReserve)
 	n.intake = intake.New(n.control.site())
 	n.dispatcher = dispatch.New(dispatch.Options{
 		Members:    n.members,
 		Witness:    witness.NewClient(n.peers, n.members, n.witness),
 		Router:     n.router,
 		Admission:  n.intake,
+		Guard:      n.guard,
+		Retries:    retry.NewPolicy(budget, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), //nolint:gosec // spreads retries
+		Budget:     budget,
 		Journal:    newJournal(n),
 		Engines:    engine.NewClient(),
 		Services:   plainservice.NewClient(),
@@ -159,6 +169,9 @@
 	if err := n.peerServer.Register(owner.ServiceName, ledger); err != nil {
 		return err
 	}
+	if err := n.peerServer.Register(poison.ServiceName, n.guard.Service()); err != nil {
+		return err
+	}
 	return n.control.register(n.peerServer)
 }
 
