Fleet: marks of leaving upstreams and hosts on every node

Cause: only the node that heard a reclaim notice or an upstream's own answer knew that an upstream was leaving; the others sent it new work. Change: fleet.Leaving marks upstreams and hosts, whatever the source, spreads the marks by rumour, keeps the later mark of a subject, lets an operator take one back, and LeavingView shows marked upstreams as leaving.

--- /dev/null
+++ b/internal/fleet/leaving.go
@@ -0,0 +1,174 @@
+package fleet
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/membership"
+)
+
+// Spreader carries marks between the nodes; *membership.Cluster is one.
+type Spreader interface {
+	Publish(topic membership.Topic, key string, version uint64, payload []byte) error
+	Subscribe(topic membership.Topic, f func(membership.Rumour))
+}
+
+// Leaving holds the marks of upstreams and hosts that are leaving, however and
+// at whichever node it was learnt.
+//
+// Invariants: a mark made here is in force here when Mark returns; of one
+// subject the later mark wins on every node.
+//
+// Lock order: Leaving.mu is a leaf; nothing is spread and no callback runs while it is held.
+type Leaving struct {
+	spreader Spreader
+	now      func() time.Time
+
+	mu     sync.RWMutex
+	marks  map[Subject]heldMark
+	onMark []func(Mark)
+}
+
+// heldMark is a mark with the time at which it ends, by this node's clock.
+type heldMark struct {
+	Mark
+	until time.Time
+}
+
+func (m heldMark) inForce(now time.Time) bool {
+	return !m.Cleared && now.Before(m.until)
+}
+
+// NewLeaving returns marks that are shared by spreader; now is the clock.
+func NewLeaving(spreader Spreader, now func() time.Time) *Leaving {
+	l := &Leaving{spreader: spreader, now: now, marks: make(map[Subject]heldMark)}
+	spreader.Subscribe(membership.TopicLeaving, l.hear)
+	return l
+}
+
+// OnMark has f called with each mark that comes into force from now on.
+func (l *Leaving) OnMark(f func(Mark)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.onMark = append(l.onMark, f)
+}
+
+// MarkUpstream marks an upstream that was learnt to be leaving at the time at.
+// It returns the errors of the spreader; the mark is in force here all the same.
+func (l *Leaving) MarkUpstream(id ident.Upstream, at time.Time, source Source) error {
+	return l.mark(Mark{Subject: Subject{Upstream: id}, At: at, Source: source})
+}
+
+// MarkHost marks every upstream of a host that was learnt to be leaving at the time at.
+// It returns the errors of the spreader; the mark is in force here all the same.
+func (l *Leaving) MarkHost(id ident.Host, at time.Time, source Source) error {
+	return l.mark(Mark{Subject: Subject{Host: id}, At: at, Source: source})
+}
+
+// Clear takes a mark back on every node and reports whether there was one.
+// What is learnt later marks the subject again.
+func (l *Leaving) Clear(subject Subject) (bool, error) {
+	l.mu.RLock()
+	current, known := l.marks[subject]
+	l.mu.RUnlock()
+	if !known || !current.inForce(l.now()) {
+		return false, nil
+	}
+	at := l.now()
+	if at.Sub(current.At) < time.Millisecond {
+		at = current.At.Add(time.Millisecond)
+	}
+	return true, l.spread(Mark{Subject: subject, At: at, Source: SourceOperator, Cleared: true})
+}
+
+// mark spreads m unless the subject is marked already and will be for a while.
+func (l *Leaving) mark(m Mark) error {
+	m.At = m.At.Truncate(time.Millisecond)
+	l.mu.RLock()
+	current, known := l.marks[m.Subject]
+	l.mu.RUnlock()
+	if known && !current.Cleared && m.At.Sub(current.At) < MarkLife/2 {
+		return nil
+	}
+	if known && current.Cleared && !m.At.After(current.At) {
+		return nil
+	}
+	return l.spread(m)
+}
+
+func (l *Leaving) spread(m Mark) error {
+	payload, err := m.encode()
+	if err != nil {
+		return err
+	}
+	l.apply(m)
+	return l.spreader.Publish(membership.TopicLeaving, m.Subject.String(), m.version(), payload)
+}
+
+func (l *Leaving) hear(r membership.Rumour) {
+	m, err := decodeMark(r.Key, r.Payload)
+	if err != nil {
+		return // of a later release
+	}
+	l.apply(m)
+}
+
+// apply brings m into force unless a later mark of its subject is known.
+func (l *Leaving) apply(m Mark) {
+	l.mu.Lock()
+	current, known := l.marks[m.Subject]
+	if known && !m.At.After(current.At) {
+		l.mu.Unlock()
+		return
+	}
+	l.dropOld(l.now())
+	l.marks[m.Subject] = heldMark{Mark: m, until: l.now().Add(MarkLife)}
+	callbacks := slices.Clone(l.onMark)
+	l.mu.Unlock()
+	for _, f := range callbacks {
+		f(m)
+	}
+}
+
+// dropOld forgets marks that nobody spreads any more; l.mu must be held.
+func (l *Leaving) dropOld(now time.Time) {
+	for subject, m := range l.marks {
+		if now.Sub(m.until) > MarkLife {
+			delete(l.marks, subject)
+		}
+	}
+}
+
+// IsLeaving reports whether the upstream or its host is marked.
+func (l *Leaving) IsLeaving(u Upstream) bool {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.isLeaving(&u, l.now())
+}
+
+// isLeaving needs l.mu.
+func (l *Leaving) isLeaving(u *Upstream, now time.Time) bool {
+	if m, ok := l.marks[Subject{Upstream: u.ID}]; ok && m.inForce(now) {
+		return true
+	}
+	m, ok := l.marks[Subject{Host: u.Host}]
+	return ok && m.inForce(now)
+}
+
+// Marks returns the marks in force, sorted by subject, for operators.
+func (l *Leaving) Marks() []Mark {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	now := l.now()
+	var out []Mark
+	for _, m := range l.marks {
+		if m.inForce(now) {
+			out = append(out, m.Mark)
+		}
+	}
+	slices.SortFunc(out, func(a, b Mark) int { return strings.Compare(a.Subject.String(), b.Subject.String()) })
+	return out
+}
--- /dev/null
+++ b/internal/fleet/leavingview.go
@@ -0,0 +1,34 @@
+package fleet
+
+import "slices"
+
+// LeavingView shows the upstreams of another view, those that are marked as leaving.
+type LeavingView struct {
+	upstreams View
+	leaving   *Leaving
+}
+
+var _ View = (*LeavingView)(nil)
+
+// NewLeavingView returns upstreams with the marks of leaving.
+func NewLeavingView(upstreams View, leaving *Leaving) *LeavingView {
+	return &LeavingView{upstreams: upstreams, leaving: leaving}
+}
+
+// Upstreams implements View.
+func (v *LeavingView) Upstreams() []Upstream {
+	all := v.upstreams.Upstreams()
+	v.leaving.mu.RLock()
+	defer v.leaving.mu.RUnlock()
+	if len(v.leaving.marks) == 0 {
+		return all
+	}
+	now := v.leaving.now()
+	marked := slices.Clone(all)
+	for i := range marked {
+		if marked[i].State != StateGone && v.leaving.isLeaving(&marked[i], now) {
+			marked[i].State = StateLeaving
+		}
+	}
+	return marked
+}
