--- /dev/null
+++ b/internal/dispatch/run.go
@@ -0,0 +1,224 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"mangoledge.example/mangoledge/internal/engine"
+	"mangoledge.example/mangoledge/internal/grant"
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/request"
+	"mangoledge.example/mangoledge/internal/retry"
+	"mangoledge.example/mangoledge/internal/verdict"
+)
+
+const (
+	// budgetPause is the time between two looks whether the budget allows a retry.
+	budgetPause = 200 * time.Millisecond
+	// rememberedFailures is how many failed upstreams a request avoids.
+	rememberedFailures = 8
+)
+
+// run is one worker's work on one request, to its final phase or its release.
+func (d *Dispatcher) run(e *entry) {
+	ctx, cancel := context.WithDeadline(e.ctx, e.spec.Deadline)
+	defer cancel()
+	failure := d.waitTurn(ctx, e)
+	if failure == nil {
+		failure = d.runToEnd(ctx, e)
+	}
+	e.ticket.Release(failure == nil)
+	switch {
+	case failure == nil:
+		d.conclude(e, request.PhaseDone, nil)
+	case e.view().released:
+		d.note(e.spec.ID, "release", "the request goes on at another node")
+	default:
+		d.conclude(e, request.PhaseFailed, failure)
+	}
+}
+
+// waitTurn waits until the request may ask for an upstream. It returns the
+// failure of a request that was shed or ran out of time.
+func (d *Dispatcher) waitTurn(ctx context.Context, e *entry) *verdict.Error {
+	select {
+	case <-e.ticket.Turn():
+	case <-ctx.Done():
+		return d.timeFailure(e)
+	}
+	if refusal := e.ticket.Refusal(); refusal != nil {
+		d.note(e.spec.ID, "shed", refusal.Message)
+		return d.settleNotRun(e, refusal)
+	}
+	return nil
+}
+
+// runToEnd tries upstreams until one has run the request to its end. It
+// returns nil then, and the final failure otherwise.
+func (d *Dispatcher) runToEnd(ctx context.Context, e *entry) *verdict.Error {
+	d.options.Budget.Attempt()
+	if failure, ended := d.reattach(ctx, e); ended {
+		return failure
+	}
+	need := Need{Spec: &e.spec}
+	for {
+		if ctx.Err() != nil || e.view().released {
+			return d.timeFailure(e)
+		}
+		need.Tokens = len(e.snapshot().Tokens)
+		placement, pass, refusal := d.findPlace(ctx, e, &need)
+		if refusal != nil {
+			if refusal.RetryAfter <= 0 {
+				return d.settleNotRun(e, refusal)
+			}
+			pause(ctx, refusal.RetryAfter)
+			continue
+		}
+		e.ticket.Placed()
+		if failure := d.ensureGranted(ctx, e); failure != nil {
+			placement.Done(OutcomeMoved)
+			pass.Leave("", EndingOther)
+			return failure
+		}
+		failure := d.try(ctx, e, placement, pass)
+		if failure == nil {
+			return nil
+		}
+		if !mayRetry(e, failure) {
+			return failure
+		}
+		need.Attempt++
+		need.Avoid = remember(need.Avoid, placement.Upstream().ID)
+		d.beforeRetry(ctx, e, need.Attempt, failure)
+	}
+}
+
+// findPlace gets a pass for the content and a place at an upstream.
+func (d *Dispatcher) findPlace(ctx context.Context, e *entry, need *Need) (Placement, Pass, *verdict.Error) {
+	placement, err := d.options.Router.Pick(ctx, need)
+	if err != nil {
+		return nil, nil, verdict.From(err)
+	}
+	pass, err := d.options.Guard.Enter(ctx, &e.spec)
+	if err != nil {
+		placement.Done(OutcomeMoved)
+		return nil, nil, verdict.From(err)
+	}
+	return placement, pass, nil
+}
+
+// mayRetry reports whether the request may be sent to an upstream once more.
+func mayRetry(e *entry, failure *verdict.Error) bool {
+	if failure.Code == verdict.CodeBadInput {
+		return false
+	}
+	return e.spec.Idempotent || failure.Verdict == verdict.NotRun
+}
+
+// beforeRetry waits until the retry policy lets the request be sent again. A
+// request that moves because its upstream leaves is no retry.
+func (d *Dispatcher) beforeRetry(ctx context.Context, e *entry, attempt int, failure *verdict.Error) {
+	if failure.Code == codeMoving {
+		return
+	}
+	for ctx.Err() == nil {
+		delay, ok := d.options.Retries.Next(min(attempt, retry.DefaultMaxAttempts-1), failure.Verdict, e.spec.Idempotent, time.Now(), e.spec.Deadline)
+		if ok {
+			pause(ctx, delay)
+			return
+		}
+		pause(ctx, budgetPause)
+	}
+}
+
+// ensureGranted gets the right to run a non-idempotent request.
+func (d *Dispatcher) ensureGranted(ctx context.Context, e *entry) *verdict.Error {
+	if e.spec.Idempotent || e.isGranted() {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
+	defer cancel()
+	reply, err := d.options.Witness.Grant(ctx, &grant.Request{ID: e.spec.ID, Holder: d.self, Epoch: e.snapshot().Epoch})
+	if err != nil {
+		return verdict.New(verdict.MayHaveRun, verdict.CodeWitnessLost, "the witness did not grant the request in time").After(resendDelay)
+	}
+	if !reply.Granted {
+		return verdict.New(verdict.MayHaveRun, verdict.CodeGrantTaken, "another node was given the right to run this request").After(resendDelay)
+	}
+	e.setGranted()
+	d.note(e.spec.ID, "granted", "by "+string(e.spec.ID.Witness))
+	pauseForTest()
+	return nil
+}
+
+// settleNotRun makes a failure before any dispatch true for all nodes.
+func (d *Dispatcher) settleNotRun(e *entry, failure *verdict.Error) *verdict.Error {
+	if e.wasDispatched() {
+		return verdict.New(verdict.Ran, failure.Code, "%s", failure.Message).After(failure.RetryAfter)
+	}
+	if e.spec.Idempotent || e.isGranted() {
+		return failure
+	}
+	return verdict.From(d.refuse(context.Background(), &e.spec, failure))
+}
+
+// timeFailure is the failure of a request whose time is up, or that was cancelled.
+func (d *Dispatcher) timeFailure(e *entry) *verdict.Error {
+	if e.ctx.Err() != nil {
+		return verdict.New(verdict.MayHaveRun, verdict.CodeCancelled, "the request was cancelled")
+	}
+	return d.settleNotRun(e, verdict.New(verdict.NotRun, verdict.CodeDeadline, "the deadline passed before an upstream could run the request"))
+}
+
+// conclude sets the final phase and reports it. Of a non-idempotent request
+// the witness knows the result before the caller does.
+func (d *Dispatcher) conclude(e *entry, phase request.Phase, failure *verdict.Error) {
+	if !e.spec.Idempotent {
+		d.reportFinal(e, phase, failure)
+	}
+	if !e.finish(phase, failure) {
+		phase = e.snapshot().Phase
+		d.stopUpstream(e)
+	}
+	if e.spec.Idempotent || phase == request.PhaseCancelled {
+		d.reportFinal(e, phase, e.snapshot().Failure)
+	}
+	d.note(e.spec.ID, string(phase), failureText(failure))
+}
+
+// stopUpstream ends a cancelled request's stream.
+func (d *Dispatcher) stopUpstream(e *entry) {
+	record := e.snapshot()
+	if record.UpstreamURL == "" || e.spec.Service != "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	_ = d.options.Engines.Cancel(ctx, record.UpstreamURL, engine.StreamID(e.spec.ID, record.Generation))
+}
+
+func failureText(failure *verdict.Error) string {
+	if failure == nil {
+		return "whole answer"
+	}
+	return failure.Error()
+}
+
+// remember appends upstream and keeps the last few.
+func remember(avoid []ident.Upstream, upstream ident.Upstream) []ident.Upstream {
+	avoid = append(avoid, upstream)
+	if len(avoid) > rememberedFailures {
+		avoid = avoid[1:]
+	}
+	return avoid
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
