Configuration in force everywhere, and the list of upstreams by the same relay

Cause: a change must be told accepted, refused, conflicting or unknown truthfully, and reach every node while only a few nodes of a domain watch. Change: internal/relay keeps objects current: three watchers per failure domain by rendezvous hash, hints by net/rpc with the age of the last proof, bodies by net/http, pulls at start and when hints stop. config.Manager applies upwards and proposes changes by a pure attempt machine; lost answers are settled by the same conditional write and the change ID. fleet.Registry lists upstreams by domain. A node without proof for 4 s is stale only while it is cut off from other nodes, since otherwise every node would stop during a store outage.

--- /dev/null
+++ b/internal/config/edit.go
@@ -0,0 +1,95 @@
+package config
+
+import (
+	"strings"
+)
+
+// Table is a table of the configuration.
+type Table string
+
+// The tables.
+const (
+	TableModel     Table = "model"
+	TableService   Table = "service"
+	TableWorkspace Table = "workspace"
+	TableKind      Table = "kind"
+	// TableCapacity has keys "<failure domain>/<host class>/<market>"; the market is
+	// "reclaimable" or "on-demand", and may be left out when the row is there once.
+	TableCapacity Table = "capacity"
+	// TableWeights has one row, with an empty key.
+	TableWeights Table = "weights"
+)
+
+// Assignment gives one column of a row a value.
+type Assignment struct {
+	Column string `json:"column"`
+	Value  string `json:"value"`
+}
+
+// Edit changes, adds or removes one row of a table.
+type Edit struct {
+	Table Table  `json:"table"`
+	Key   string `json:"key,omitempty"`
+	// Assignments are made to the row, which is added when it is not there.
+	Assignments []Assignment `json:"assignments,omitempty"`
+	// Remove takes the row away.
+	Remove bool `json:"remove,omitempty"`
+	// Replace puts a whole configuration in place of the current one; Table is then empty.
+	Replace *Site `json:"replace,omitempty"`
+}
+
+// String returns the edit in the operators' language.
+func (e Edit) String() string {
+	if e.Replace != nil {
+		return "replace the whole configuration"
+	}
+	if e.Remove {
+		return strings.TrimSpace("clear " + string(e.Table) + " " + e.Key)
+	}
+	words := []string{"set", string(e.Table)}
+	if e.Key != "" {
+		words = append(words, e.Key)
+	}
+	for _, a := range e.Assignments {
+		words = append(words, a.Column+"="+a.Value)
+	}
+	return strings.Join(words, " ")
+}
+
+// Tables lists the tables, for help and completion.
+func Tables() []Table {
+	return []Table{TableModel, TableService, TableWorkspace, TableKind, TableCapacity, TableWeights}
+}
+
+// apply makes the edit to site and returns what is wrong with it.
+func (e Edit) apply(site *Site) []Fault {
+	if e.Replace != nil {
+		version, change := site.Version, site.Change
+		*site = *clone(e.Replace)
+		site.Version, site.Change = version, change
+		return nil
+	}
+	switch e.Table {
+	case TableModel:
+		return editRow(e, &site.Models, modelColumns, modelKey)
+	case TableService:
+		return editRow(e, &site.Services, serviceColumns, serviceKey)
+	case TableWorkspace:
+		return editRow(e, &site.Workspaces, workspaceColumns, workspaceKey)
+	case TableKind:
+		return editRow(e, &site.Kinds, kindColumns, kindKey)
+	case TableCapacity:
+		return editCapacity(e, site)
+	case TableWeights:
+		return assign(e, &site.Weights, weightsColumns)
+	}
+	return []Fault{{Path: "table", Value: string(e.Table), Allowed: "one of " + joinTables()}}
+}
+
+func joinTables() string {
+	names := make([]string, 0, len(Tables()))
+	for _, t := range Tables() {
+		names = append(names, string(t))
+	}
+	return strings.Join(names, ", ")
+}
--- /dev/null
+++ b/internal/config/manager.go
@@ -0,0 +1,107 @@
+package config
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"mangoledge.example/mangoledge/internal/platform/objects"
+	"mangoledge.example/mangoledge/internal/relay"
+)
+
+// ManagerOptions configure a Manager.
+type ManagerOptions struct {
+	Store objects.Store
+	// Relay must keep SiteKind current; the Manager subscribes to it.
+	Relay *relay.Relay
+	// Logger is slog.Default() when nil.
+	Logger *slog.Logger
+}
+
+// Manager keeps the configuration in force on one node and changes it for operators.
+// It is a View.
+type Manager struct {
+	options  ManagerOptions
+	document atomic.Pointer[Document]
+	changed  chan struct{}
+}
+
+// NewManager returns a manager that hears of configuration by the relay.
+func NewManager(options ManagerOptions) *Manager {
+	if options.Logger == nil {
+		options.Logger = slog.Default()
+	}
+	m := &Manager{options: options, changed: make(chan struct{}, 1)}
+	options.Relay.Subscribe(SiteKind, m.apply)
+	return m
+}
+
+// Current returns the version in force, or nil before the first; it must not be changed.
+func (m *Manager) Current() *Site {
+	d := m.document.Load()
+	if d == nil {
+		return nil
+	}
+	return &d.Site
+}
+
+// Recent returns the latest changes in force, oldest first; it must not be changed.
+func (m *Manager) Recent() []ChangeRecord {
+	d := m.document.Load()
+	if d == nil {
+		return nil
+	}
+	return d.Recent
+}
+
+// Changed receives after a version came in force; several may share one receipt.
+func (m *Manager) Changed() <-chan struct{} { return m.changed }
+
+// Stale reports whether the version in force may have been replaced more than
+// relay.StaleLimit ago, and why.
+func (m *Manager) Stale(now time.Time) (reason string, stale bool) {
+	if m.document.Load() == nil {
+		return "no configuration was ever heard", true
+	}
+	return m.options.Relay.Stale(now)
+}
+
+// apply puts a version in force unless a later one is.
+func (m *Manager) apply(object objects.Object) {
+	if object.Metadata.Name != SiteName {
+		return
+	}
+	d, err := decodeDocument(object)
+	if err != nil {
+		m.options.Logger.Error("configuration can't be read", "version", object.Metadata.ResourceVersion, "error", err)
+		return
+	}
+	for {
+		old := m.document.Load()
+		if old != nil && old.Site.Version >= d.Site.Version {
+			return
+		}
+		if m.document.CompareAndSwap(old, d) {
+			break
+		}
+	}
+	m.options.Logger.Info("configuration in force", "version", d.Site.Version, "change", d.Site.Change)
+	select {
+	case m.changed <- struct{}{}:
+	default:
+	}
+}
+
+// read reads the document from the store; nil when there is none.
+func (m *Manager) read(ctx context.Context) (*Document, error) {
+	object, err := m.options.Store.Get(ctx, SiteKind, SiteName)
+	if objects.KindOf(err) == objects.KindNotFound {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	m.options.Relay.Offer(object)
+	return decodeDocument(object)
+}
--- /dev/null
+++ b/internal/config/propose.go
@@ -0,0 +1,133 @@
+package config
+
+import (
+	"context"
+	"time"
+
+	"mangoledge.example/mangoledge/internal/platform/objects"
+)
+
+const (
+	// proposeTimeout bounds a proposal whose context has no sooner deadline.
+	proposeTimeout = 10 * time.Second
+	// retryDelay is the wait before a call is tried again.
+	retryDelay = 100 * time.Millisecond
+)
+
+// Propose makes a change and tells what became of it. It returns an error only
+// when ctx has already ended. Sending the same proposal again is safe.
+func (m *Manager) Propose(ctx context.Context, p Proposal) (Outcome, error) {
+	if err := ctx.Err(); err != nil {
+		return Outcome{}, err
+	}
+	if !namePattern.MatchString(string(p.Change)) {
+		fault := Fault{Path: "change", Value: string(p.Change), Allowed: aName}
+		return Outcome{Kind: OutcomeRefused, Change: p.Change, Faults: []Fault{fault}}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	outcome := m.negotiate(ctx, &attempt{proposal: &p, current: m.document.Load()})
+	m.options.Logger.Info("change proposed", "change", p.Change, "outcome", outcome.Kind, "version", outcome.Version)
+	return outcome, nil
+}
+
+// negotiate goes from step to step until there is an outcome or no time left.
+func (m *Manager) negotiate(ctx context.Context, a *attempt) Outcome {
+	fromStore := false
+	reason := "no answer in time"
+	for ctx.Err() == nil {
+		s := a.next()
+		refused := s.outcome != nil && s.outcome.Kind == OutcomeRefused
+		if s.outcome != nil && (fromStore || !refused) {
+			return *s.outcome
+		}
+		var err error
+		if s.next == nil { // also read once more before refusing on what is held here
+			var d *Document
+			d, err = m.read(ctx)
+			a.heard(d)
+			fromStore = fromStore || err == nil
+			if err != nil && refused {
+				return *s.outcome
+			}
+		} else {
+			err = m.write(ctx, a, s)
+			fromStore = true
+		}
+		if err == nil && !s.reread {
+			continue
+		}
+		if err != nil {
+			reason = err.Error()
+		}
+		if objects.KindOf(err) == objects.KindRefused {
+			break
+		}
+		pause(ctx, retryDelay)
+	}
+	return a.giveUp(reason)
+}
+
+// write makes the conditional write of a step; an error is one to try again after.
+func (m *Manager) write(ctx context.Context, a *attempt, s step) error {
+	object, err := encodeDocument(s.next, s.base)
+	if err != nil {
+		return err
+	}
+	var stored objects.Object
+	if s.base == 0 {
+		stored, err = m.options.Store.Create(ctx, object)
+	} else {
+		stored, err = m.options.Store.Update(ctx, object)
+	}
+	answer, told := readAnswer(stored, err)
+	if told != nil {
+		m.options.Relay.Offer(*told)
+	}
+	a.wrote(answer, s.base, documentOf(told))
+	if told != nil {
+		return nil
+	}
+	return err
+}
+
+// readAnswer sorts the store's answer to a write; told is the object it carried, or nil.
+func readAnswer(stored objects.Object, err error) (answer writeAnswer, told *objects.Object) {
+	if err == nil {
+		return writeTaken, &stored
+	}
+	switch objects.KindOf(err) {
+	case objects.KindConflict:
+		if current, ok := objects.CurrentOf(err); ok {
+			return writeBeaten, &current
+		}
+		return writeBeaten, nil
+	case objects.KindRefused, objects.KindUnavailable, objects.KindNotFound:
+		return writeUnsent, nil
+	case objects.KindUnknown, objects.KindCompacted, objects.KindSilent:
+		return writeLost, nil
+	}
+	return writeLost, nil
+}
+
+// documentOf decodes an object; nil when there is none or it can't be read.
+func documentOf(object *objects.Object) *Document {
+	if object == nil {
+		return nil
+	}
+	d, err := decodeDocument(*object)
+	if err != nil {
+		return nil
+	}
+	return d
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/relay/table.go
@@ -0,0 +1,96 @@
+package relay
+
+import (
+	"encoding/binary"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mangoledge.example/mangoledge/internal/platform/objects"
+)
+
+// Held names one object and the version held of it.
+type Held struct {
+	Kind    objects.Kind    `json:"kind"`
+	Name    string          `json:"name"`
+	Version objects.Version `json:"version"`
+}
+
+// objectName names one object.
+type objectName struct {
+	kind objects.Kind
+	name string
+}
+
+// table holds the highest version seen of each object.
+type table struct {
+	mu      sync.RWMutex
+	objects map[objectName]objects.Object
+}
+
+func newTable() *table {
+	return &table{objects: make(map[objectName]objects.Object)}
+}
+
+// put stores object and reports whether it is newer than what was held.
+func (t *table) put(object objects.Object) bool {
+	key := objectName{object.Kind, object.Metadata.Name}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.objects[key].Metadata.ResourceVersion >= object.Metadata.ResourceVersion {
+		return false
+	}
+	t.objects[key] = object
+	return true
+}
+
+// held lists what is held, in no order.
+func (t *table) held() []Held {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	out := make([]Held, 0, len(t.objects))
+	for key, object := range t.objects {
+		out = append(out, Held{Kind: key.kind, Name: key.name, Version: object.Metadata.ResourceVersion})
+	}
+	return out
+}
+
+// newerThan returns the objects that someone who holds have lacks.
+func (t *table) newerThan(have []Held) []objects.Object {
+	known := make(map[objectName]objects.Version, len(have))
+	for _, h := range have {
+		known[objectName{h.Kind, h.Name}] = h.Version
+	}
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var out []objects.Object
+	for key, object := range t.objects {
+		if object.Metadata.ResourceVersion > known[key] {
+			out = append(out, object)
+		}
+	}
+	return out
+}
+
+// digest is the same for two tables that hold the same versions.
+func (t *table) digest() uint64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var sum uint64
+	for key, object := range t.objects {
+		var version [8]byte
+		binary.BigEndian.PutUint64(version[:], uint64(object.Metadata.ResourceVersion))
+		hash := xxhash.New()
+		_, _ = hash.WriteString(string(key.kind) + "/" + key.name + "/") // a hash never fails
+		_, _ = hash.Write(version[:])
+		sum += hash.Sum64()
+	}
+	return sum
+}
+
+// empty reports whether nothing is held at all.
+func (t *table) empty() bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return len(t.objects) == 0
+}
