--- a/internal/config/decide.go
+++ b/internal/config/decide.go
@@ -83,7 +83,11 @@
 
 // giveUp is what the operator may be told when there is no time left: that the
 // change was not made is told only when no write of it can still take effect.
+// The last answer may have come just in time, and decides when it does.
 func (a *attempt) giveUp(reason string) Outcome {
+	if s := a.next(); s.outcome != nil {
+		return *s.outcome
+	}
 	if len(a.sent) > 0 {
 		return Outcome{Kind: OutcomeUnknown, Change: a.proposal.Change, Reason: reason}
 	}
--- /dev/null
+++ b/internal/config/explore_test.go
@@ -0,0 +1,345 @@
+package config
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/internal/ident"
+)
+
+const (
+	// maxExplored bounds an exploration that does not end.
+	maxExplored = 5_000_000
+)
+
+// rules are the transition functions that are explored; variants replace one.
+type rules struct {
+	next   func(attempt) step
+	wrote  func(attempt, writeAnswer, uint64, *Document) attempt
+	giveUp func(attempt) Outcome
+}
+
+func realRules() rules {
+	return rules{
+		next: func(a attempt) step { return a.next() },
+		wrote: func(a attempt, answer writeAnswer, base uint64, told *Document) attempt {
+			a.sent = slices.Clone(a.sent)
+			a.wrote(answer, base, told)
+			return a
+		},
+		giveUp: func(a attempt) Outcome { return a.giveUp("no time left") },
+	}
+}
+
+// proposer is one operator's attempt in the explored world.
+type proposer struct {
+	attempt  attempt
+	waiting  bool
+	base     uint64
+	timeouts int
+	outcome  *Outcome
+}
+
+// message is a conditional write that may still reach the store.
+type message struct {
+	from int
+	base uint64
+	next *Document
+}
+
+// world is one state: the store with its past, what is on its way, and the proposers.
+type world struct {
+	past      []*Document
+	flight    []message
+	proposers []proposer
+	// maxTimeouts is how often each proposer may lose an answer.
+	maxTimeouts int
+}
+
+func (w *world) clone() *world {
+	return &world{
+		past: slices.Clone(w.past), flight: slices.Clone(w.flight),
+		proposers: slices.Clone(w.proposers), maxTimeouts: w.maxTimeouts,
+	}
+}
+
+func (w *world) current() *Document {
+	if len(w.past) == 0 {
+		return nil
+	}
+	return w.past[len(w.past)-1]
+}
+
+func (w *world) version() uint64 { return uint64(len(w.past)) }
+
+func (w *world) key() string {
+	var b strings.Builder
+	for _, d := range w.past {
+		fmt.Fprintf(&b, "%s,", d.Site.Change)
+	}
+	flight := make([]string, 0, len(w.flight))
+	for _, m := range w.flight {
+		flight = append(flight, fmt.Sprintf("%d@%d:%s", m.from, m.base, changes(m.next)))
+	}
+	slices.Sort(flight)
+	fmt.Fprintf(&b, "|%v", flight)
+	for _, p := range w.proposers {
+		fmt.Fprintf(&b, "|%s %v %v %d %d", changes(p.attempt.current), p.attempt.sent, p.waiting, p.base, p.timeouts)
+		if p.outcome != nil {
+			fmt.Fprintf(&b, " %s %d", p.outcome.Kind, p.outcome.Version)
+		}
+	}
+	return b.String()
+}
+
+func changes(d *Document) string {
+	if d == nil {
+		return "-"
+	}
+	out := ""
+	for _, r := range d.Recent {
+		out += string(r.Change) + ","
+	}
+	return out
+}
+
+// with returns a copy of the world in which proposer i is changed.
+func (w *world) with(i int, change func(*world, *proposer)) *world {
+	out := w.clone()
+	change(out, &out.proposers[i])
+	return out
+}
+
+// successors returns every world that is one event away.
+func (w *world) successors(r rules) []*world {
+	var out []*world
+	for i := range w.proposers {
+		p := w.proposers[i]
+		if p.outcome != nil {
+			continue
+		}
+		if p.waiting {
+			if p.timeouts < w.maxTimeouts {
+				out = append(out, w.with(i, func(_ *world, p *proposer) {
+					p.waiting = false
+					p.timeouts++
+					p.attempt = r.wrote(p.attempt, writeLost, p.base, nil)
+				}))
+			}
+			continue
+		}
+		out = append(out, w.with(i, func(_ *world, p *proposer) { o := r.giveUp(p.attempt); p.outcome = &o }))
+		out = append(out, w.steps(i, r)...)
+	}
+	for k := range w.flight {
+		out = append(out, w.arrivals(k, r)...)
+	}
+	return out
+}
+
+// steps returns what can come of a proposer's next step.
+func (w *world) steps(i int, r rules) []*world {
+	s := r.next(w.proposers[i].attempt)
+	switch {
+	case s.outcome != nil:
+		return []*world{w.with(i, func(_ *world, p *proposer) { p.outcome = s.outcome })}
+	case s.reread:
+		var out []*world
+		for _, d := range w.past { // a read may be as old as it likes
+			out = append(out, w.with(i, func(_ *world, p *proposer) { p.attempt.heard(d) }))
+		}
+		return out
+	}
+	return []*world{w.with(i, func(w *world, p *proposer) {
+		p.waiting, p.base = true, s.base
+		w.flight = append(w.flight, message{from: i, base: s.base, next: s.next})
+	})}
+}
+
+// arrivals returns what can come of a write on its way: it reaches the store, or never does.
+func (w *world) arrivals(k int, r rules) []*world {
+	m := w.flight[k]
+	lost := w.clone()
+	lost.flight = slices.Delete(lost.flight, k, k+1)
+	arrived := lost.clone()
+	answer := writeBeaten
+	if m.base == arrived.version() {
+		d := *m.next
+		d.Site.Version = m.base + 1
+		arrived.past = append(arrived.past, &d)
+		answer = writeTaken
+	}
+	p := arrived.proposers[m.from]
+	if !p.waiting || p.base != m.base {
+		return []*world{lost, arrived}
+	}
+	answered := arrived.with(m.from, func(w *world, p *proposer) {
+		p.waiting = false
+		p.attempt = r.wrote(p.attempt, answer, m.base, w.current())
+	})
+	return []*world{lost, arrived, answered}
+}
+
+// fault returns what is wrong with the world, or "".
+func (w *world) fault() string {
+	seen := make(map[ident.Change]int)
+	for i, d := range w.past {
+		if seen[d.Site.Change]++; seen[d.Site.Change] > 1 {
+			return "a change took effect twice: " + string(d.Site.Change)
+		}
+		if len(d.Recent) != i+1 {
+			return "a version forgot a change before it"
+		}
+	}
+	for _, p := range w.proposers {
+		if p.outcome == nil {
+			continue
+		}
+		change := p.attempt.proposal.Change
+		made := slices.IndexFunc(w.past, func(d *Document) bool { return d.Site.Change == change })
+		switch {
+		case p.outcome.Kind == OutcomeAccepted && (made < 0 || p.outcome.Version != uint64(made+1)):
+			return "a false accepted: " + string(change)
+		case (p.outcome.Kind == OutcomeRefused || p.outcome.Kind == OutcomeConflict) && made >= 0 && w.sentOnce(change):
+			return "a false " + string(p.outcome.Kind) + ": " + string(change)
+		}
+	}
+	return ""
+}
+
+// sentOnce reports whether a change has one proposer.
+func (w *world) sentOnce(change ident.Change) bool {
+	n := 0
+	for _, p := range w.proposers {
+		if p.attempt.proposal.Change == change {
+			n++
+		}
+	}
+	return n == 1
+}
+
+// explore visits every world that can be reached, and returns their number and the first fault.
+func explore(start *world, r rules) (states int, fault string) {
+	visited := map[string]bool{start.key(): true}
+	queue := []*world{start}
+	for len(queue) > 0 && len(visited) < maxExplored {
+		w := queue[len(queue)-1]
+		queue = queue[:len(queue)-1]
+		if f := w.fault(); f != "" {
+			return len(visited), f
+		}
+		for _, next := range w.successors(r) {
+			if key := next.key(); !visited[key] {
+				visited[key] = true
+				queue = append(queue, next)
+			}
+		}
+	}
+	return len(visited), ""
+}
+
+// startWorld has one accepted version, which every proposer has heard of.
+func startWorld(maxTimeouts int, proposals ...Proposal) *world {
+	first := attempt{proposal: &Proposal{Change: "first"}}
+	d := *first.next().next
+	d.Site.Version = 1
+	w := &world{past: []*Document{&d}, maxTimeouts: maxTimeouts}
+	for i := range proposals {
+		w.proposers = append(w.proposers, proposer{attempt: attempt{proposal: &proposals[i], current: &d}})
+	}
+	return w
+}
+
+func scenarios() map[string]*world {
+	return map[string]*world{
+		"two on one version":    startWorld(2, setReplicas("a", 1, 1), setReplicas("b", 1, 2)),
+		"two on any version":    startWorld(2, setReplicas("a", 0, 1), setReplicas("b", 0, 2)),
+		"one sent at two nodes": startWorld(1, setReplicas("a", 0, 1), setReplicas("a", 0, 1), setReplicas("b", 1, 2)),
+		"base not yet heard":    startWorld(2, setReplicas("a", 1, 1), setReplicas("b", 2, 2)),
+	}
+}
+
+func TestExplorationOfAChangeWithLostAnswers(t *testing.T) {
+	for name, start := range scenarios() {
+		states, fault := explore(start, realRules())
+		t.Logf("%s: %d states", name, states)
+		require.Empty(t, fault, name)
+		require.Less(t, states, maxExplored)
+	}
+}
+
+func TestExplorationCatchesPlantedFaults(t *testing.T) {
+	variants := map[string]func(*rules){
+		"a lost answer taken for an unsent write": func(r *rules) {
+			wrote := r.wrote
+			r.wrote = func(a attempt, answer writeAnswer, base uint64, told *Document) attempt {
+				if answer == writeLost {
+					answer = writeUnsent
+				}
+				return wrote(a, answer, base, told)
+			}
+		},
+		"a lost answer taken for accepted": func(r *rules) {
+			r.giveUp = func(a attempt) Outcome {
+				if len(a.sent) > 0 {
+					return Outcome{Kind: OutcomeAccepted, Version: a.sent[0] + 1}
+				}
+				return a.giveUp("")
+			}
+		},
+		"a conflict told without looking for the change ID": func(r *rules) {
+			next := r.next
+			r.next = func(a attempt) step {
+				s := next(a)
+				if s.outcome != nil && s.outcome.Kind == OutcomeAccepted && len(a.sent) > 0 {
+					return report(Outcome{Kind: OutcomeConflict})
+				}
+				return s
+			}
+		},
+		"an answer that came just in time not looked at": func(r *rules) {
+			r.giveUp = func(a attempt) Outcome {
+				if len(a.sent) > 0 {
+					return Outcome{Kind: OutcomeUnknown}
+				}
+				return Outcome{Kind: OutcomeRefused}
+			}
+		},
+		"a change made again on the next version": func(r *rules) {
+			r.next = func(a attempt) step {
+				if a.current.find(a.proposal.Change) >= 0 && len(a.sent) > 0 {
+					return build(a.current, a.proposal)
+				}
+				return a.next()
+			}
+		},
+	}
+	for name, plant := range variants {
+		r := realRules()
+		plant(&r)
+		found := ""
+		for _, start := range scenarios() {
+			if _, fault := explore(start, r); fault != "" {
+				found = fault
+			}
+		}
+		require.NotEmpty(t, found, name)
+		t.Logf("%s: caught: %s", name, found)
+	}
+}
+
+func TestAForgottenChangeIsUnknown(t *testing.T) {
+	p := setReplicas("a", 0, 1)
+	d := &Document{Site: Site{Version: 500}}
+	for i := range MaxRecentChanges {
+		d.Recent = append(d.Recent, ChangeRecord{Change: ident.Change(fmt.Sprint(i)), Base: uint64(500 - MaxRecentChanges + i)})
+	}
+	a := attempt{proposal: &p, current: d, sent: []uint64{500 - MaxRecentChanges}}
+	require.NotNil(t, a.next().next, "all changes since are remembered")
+	a.sent = []uint64{500 - MaxRecentChanges - 1}
+	require.Equal(t, OutcomeUnknown, a.next().outcome.Kind)
+}
