All tables of a leaving node go to one successor

Cause: a node that holds adopted tables beside its own could hand one to a first candidate and, when that one failed, the next to another; it publishes one successor, so that requests of the first table would not be found. A node that is leaving could also take a table over and end with it.

Change: the first close fixes the successor for all tables of the node, and a node that has chosen one refuses offers.

Conclusion: a candidate may be replaced until the first close only.

--- a/internal/witness/adopt.go
+++ b/internal/witness/adopt.go
@@ -15,6 +15,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.successor != "" {
+		return Ack{}, verdict.New(verdict.MayHaveRun, verdict.CodeStopping, "this node hands its own tables over")
+	}
 	if _, ok := s.holdings[req.Witness]; !ok {
 		s.holdings[req.Witness] = newSuccessorHolding(req.Witness)
 	}
--- a/internal/witness/handover.go
+++ b/internal/witness/handover.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"mangoledge.example/mangoledge/internal/grant"
+	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/membership"
 )
 
@@ -49,6 +50,9 @@
 	if err := s.insist(ctx, successor, "Offer", offer); err != nil {
 		return err
 	}
+	if err := s.choose(successor.Incarnation); err != nil {
+		return err
+	}
 	if err := h.close(successor); err != nil {
 		return err
 	}
@@ -64,6 +68,18 @@
 	return nil
 }
 
+// choose makes successor the one that all tables of this node go to. The node
+// publishes one successor, so that tables at two would not be found.
+func (s *Service) choose(successor ident.Incarnation) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.successor != "" && s.successor != successor {
+		return grant.ErrOtherSuccessor
+	}
+	s.successor = successor
+	return nil
+}
+
 // sendChunks sends the closed table and returns the number of its parts. A
 // closed table no longer changes, so that a part sent again is the same.
 func (s *Service) sendChunks(ctx context.Context, h *holding, successor membership.Member) (int, error) {
--- a/internal/witness/service.go
+++ b/internal/witness/service.go
@@ -32,6 +32,8 @@
 
 	mu       sync.RWMutex
 	holdings map[ident.Incarnation]*holding
+	// successor is set before the first table is closed, and never changes.
+	successor ident.Incarnation
 }
 
 // NewService returns the service of a node with an empty table under its own incarnation.
--- a/internal/witness/witness_test.go
+++ b/internal/witness/witness_test.go
@@ -308,6 +308,18 @@
 	checkGranted(t, home, []ident.RequestID{id})
 }
 
+func TestAllTablesOfANodeGoToOneSuccessor(t *testing.T) {
+	_, nodes := startNodes(t, 4)
+	first, old, gone, next := nodes[0], nodes[1], nodes[2], nodes[3]
+	require.NoError(t, first.service.HandOver(testContext(t), old.member), "old now holds two tables")
+	require.NoError(t, old.service.choose(gone.member.Incarnation))
+	require.ErrorIs(t, old.service.HandOver(testContext(t), next.member), grant.ErrOtherSuccessor)
+	require.Len(t, next.service.Stats(), 2, "its own table and the one that was offered")
+	short, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	require.Error(t, next.service.HandOver(short, old.member), "a node that leaves takes no table")
+}
+
 func TestHalfOfAHandOverAnswersNothing(t *testing.T) {
 	_, nodes := startNodes(t, 2)
 	old, next := nodes[0], nodes[1]
