Checkers that decide the seven properties from a run's history alone

Cause: the properties that must always hold are to be judged from what callers received and what the stand-ins ran, not from the nodes' own word.

Change: package historycheck with one checker a property over a history of calls, stand-in entries, faults and versions seen. Additive: stand-ins write down work that they turn away while leaving, the plain service writes down its notice, and an observer of the caller's client may be told every refusal with its ID.

Measured: 15 planted violations are each found by the checker of their property, a good history has none (go test -race ./internal/historycheck).

--- a/internal/callerclient/call.go
+++ b/internal/callerclient/call.go
@@ -102,6 +102,9 @@
 	} else {
 		end = k.unary(ctx, address)
 	}
+	if observer, ok := k.observer.(RefusalObserver); ok && end.refusal != nil {
+		observer.Refused(k.result.ID, *end.refusal)
+	}
 	if end.err != nil && end.refusal == nil {
 		k.noteLoss(ctx, address, end.err)
 	}
--- a/internal/callerclient/observer.go
+++ b/internal/callerclient/observer.go
@@ -1,5 +1,7 @@
 package callerclient
 
+import "mangoledge.example/mangoledge/api/callerapi"
+
 // Observer is told about a stream as it comes. Methods are called from one goroutine at a time.
 type Observer interface {
 	// Token is called for each token, in order and once each.
@@ -10,6 +12,14 @@
 	Retry(address string, reason error)
 }
 
+// RefusalObserver is an Observer that is also told every refusal, with the ID
+// that was refused: a refusal as not run is followed by a fresh ID.
+type RefusalObserver interface {
+	Observer
+	// Refused is called for each refusal or failure that a node states.
+	Refused(id string, refusal callerapi.Refusal)
+}
+
 // Silent is an Observer that does nothing.
 type Silent struct{}
 
--- /dev/null
+++ b/internal/historycheck/check.go
@@ -0,0 +1,14 @@
+package historycheck
+
+// Check runs every checker.
+func Check(h *History) []Violation {
+	var out []Violation
+	out = append(out, CheckSurvives(h)...)
+	out = append(out, CheckWhole(h)...)
+	out = append(out, CheckNotRun(h)...)
+	out = append(out, CheckOnce(h)...)
+	out = append(out, CheckLeaving(h)...)
+	out = append(out, CheckPlannedStop(h)...)
+	out = append(out, CheckConfig(h)...)
+	return out
+}
--- /dev/null
+++ b/internal/historycheck/check_test.go
@@ -0,0 +1,118 @@
+package historycheck
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/internal/standin/chain"
+	"mangoledge.example/mangoledge/internal/standin/history"
+	"mangoledge.example/mangoledge/internal/verdict"
+)
+
+var origin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(seconds float64) time.Time {
+	return origin.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func answer(prompt string, random uint32, count int) []string {
+	var out []string
+	previous := prompt
+	for i := range count {
+		previous = chain.Token(i, previous, random)
+		out = append(out, previous)
+	}
+	return out
+}
+
+// goodHistory has one stream that moved, one service call refused and sent
+// again, and one more of each kind of event; every property holds.
+func goodHistory() *History {
+	return &History{
+		Calls: []Call{
+			{
+				Name: "stream", IDs: []string{"a"}, Input: "p", Idempotent: true, MaxTokens: 3, Accepted: true, Whole: true,
+				Started: at(1), Finished: at(4), Tokens: answer("p", 7, 3), Losses: []Loss{{Address: "n1", At: at(1.5)}},
+			},
+			{
+				Name: "hold", IDs: []string{"b", "c"}, Input: "dock 4", Service: true, Accepted: true, Whole: true,
+				Started: at(1), Finished: at(3), Output: "s1 did dock 4", Refusals: []Refusal{{ID: "b", Verdict: verdict.NotRun, At: at(2)}},
+			},
+		},
+		Runs: []history.Entry{
+			{Standin: "e1", Event: history.EventStart, RequestID: "a", At: at(1)},
+			{Standin: "e1", Event: history.EventLeaving, At: at(2)},
+			{Standin: "e1", Event: history.EventRefused, RequestID: "z", At: at(6)},
+			{Standin: "s1", Event: history.EventStart, RequestID: "c", At: at(2.5)},
+		},
+		Faults: []Fault{
+			{Kind: FaultReclaim, Target: "e1", At: at(2), Till: at(4)},
+			{Kind: FaultStop, Target: "n1", Address: "n1", At: at(2), Till: at(3)},
+		},
+		Changes: []Change{{ID: "x", Version: 5, At: at(1)}},
+		Seen:    []Seen{{Incarnation: "n1_1", Version: 4, At: at(2)}, {Incarnation: "n1_1", Version: 5, At: at(4)}},
+	}
+}
+
+func TestGoodHistoryHasNoViolation(t *testing.T) {
+	require.Empty(t, Check(goodHistory()))
+}
+
+func TestPlantedViolationsAreFound(t *testing.T) {
+	planted := []struct {
+		name     string
+		property Property
+		plant    func(*History)
+	}{
+		{"accepted request lost in a reclaim", PropertySurvives, func(h *History) {
+			h.Calls[1].Whole = false
+			h.Faults = h.Faults[:1]
+		}},
+		{"token of another generation", PropertyWhole, func(h *History) { h.Calls[0].Tokens[2] = answer("p", 8, 3)[2] }},
+		{"answer to another prompt", PropertyWhole, func(h *History) { h.Calls[0].Tokens = answer("q", 7, 3) }},
+		{"token missing at the end", PropertyWhole, func(h *History) { h.Calls[0].Tokens = h.Calls[0].Tokens[:2] }},
+		{"token doubled", PropertyWhole, func(h *History) { h.Calls[0].Tokens[1] = h.Calls[0].Tokens[0] }},
+		{"reply to another payload", PropertyWhole, func(h *History) { h.Calls[1].Output = "s1 did dock 5" }},
+		{"run before it was called not run", PropertyNotRun, func(h *History) { h.Runs[3].RequestID = "b" }},
+		{"run twice under one ID", PropertyOnce, func(h *History) { h.Runs = append(h.Runs, h.Runs[3]) }},
+		{"run under two IDs", PropertyOnce, func(h *History) {
+			h.Runs = append(h.Runs, history.Entry{Standin: "s2", Event: history.EventStart, RequestID: "b", At: at(2)})
+		}},
+		{"new work for a leaving upstream", PropertyLeaving, func(h *History) { h.Runs[2].At = at(7.1) }},
+		{"work begun at a leaving upstream", PropertyLeaving, func(h *History) {
+			h.Runs = append(h.Runs, history.Entry{Standin: "e1", Event: history.EventStart, RequestID: "y", At: at(9)})
+		}},
+		{"connection cut by a planned stop", PropertyPlannedStop, func(h *History) { h.Calls[0].Losses[0].At = at(2.5) }},
+		{"request lost in a planned stop", PropertyPlannedStop, func(h *History) { h.Calls[1].Whole = false }},
+		{"configuration goes back", PropertyConfig, func(h *History) {
+			h.Seen = append(h.Seen, Seen{Incarnation: "n1_1", Version: 4, At: at(4.5)})
+		}},
+		{"configuration not in force in time", PropertyConfig, func(h *History) { h.Seen[0].At = at(5.1) }},
+	}
+	for _, p := range planted {
+		t.Run(p.name, func(t *testing.T) {
+			h := goodHistory()
+			p.plant(h)
+			var found []string
+			for _, v := range Check(h) {
+				if v.Property == p.property {
+					found = append(found, v.String())
+				}
+			}
+			require.NotEmpty(t, found)
+			t.Log(strings.Join(found, "\n"))
+		})
+	}
+}
+
+func TestUnannouncedFaultsExcuseLossButNotDoubleRuns(t *testing.T) {
+	h := goodHistory()
+	h.Calls[0].Whole = false
+	h.Faults = []Fault{{Kind: FaultKill, Target: "n1", At: at(2), Till: at(2)}}
+	require.Empty(t, Check(h))
+	h.Runs = append(h.Runs, h.Runs[3])
+	require.Len(t, Check(h), 1)
+}
--- /dev/null
+++ b/internal/historycheck/leaving.go
@@ -0,0 +1,34 @@
+package historycheck
+
+import (
+	"time"
+
+	"mangoledge.example/mangoledge/internal/standin/history"
+)
+
+// LeavingLimit is how long after its notice an upstream may still be sent new work.
+const LeavingLimit = 5 * time.Second
+
+// CheckLeaving checks that a stand-in that is leaving was sent no new work
+// after LeavingLimit, whether it took it or turned it away.
+func CheckLeaving(h *History) []Violation {
+	r := report{property: PropertyLeaving}
+	left := make(map[string]time.Time)
+	for _, entry := range h.Runs {
+		if entry.Event == history.EventLeaving {
+			if _, ok := left[entry.Standin]; !ok {
+				left[entry.Standin] = entry.At
+			}
+		}
+	}
+	for _, entry := range h.Runs {
+		at, ok := left[entry.Standin]
+		if !ok || (entry.Event != history.EventStart && entry.Event != history.EventRefused) {
+			continue
+		}
+		if late := entry.At.Sub(at); late > LeavingLimit {
+			r.add(entry.Standin, "was sent %s %s after its notice", entry.RequestID, late.Round(time.Millisecond))
+		}
+	}
+	return r.out
+}
--- /dev/null
+++ b/internal/historycheck/once.go
@@ -0,0 +1,37 @@
+package historycheck
+
+import (
+	"fmt"
+	"strings"
+
+	"mangoledge.example/mangoledge/internal/standin/history"
+)
+
+// CheckOnce checks that the stand-ins began each non-idempotent request at most
+// once, under all the IDs that its caller used for it.
+func CheckOnce(h *History) []Violation {
+	r := report{property: PropertyOnce}
+	starts := startsByID(h)
+	for i := range h.Calls {
+		c := &h.Calls[i]
+		if c.Idempotent {
+			continue
+		}
+		var all []history.Entry
+		for _, id := range c.IDs {
+			all = append(all, starts[id]...)
+		}
+		if len(all) > 1 {
+			r.add(c.Name, "begun %d times: %s", len(all), places(all))
+		}
+	}
+	return r.out
+}
+
+func places(starts []history.Entry) string {
+	var out []string
+	for _, s := range starts {
+		out = append(out, fmt.Sprintf("%s by %s at %s", s.RequestID, s.Standin, s.At.Format(timeFormat)))
+	}
+	return strings.Join(out, "; ")
+}
--- /dev/null
+++ b/internal/historycheck/plannedstop.go
@@ -0,0 +1,32 @@
+package historycheck
+
+// CheckPlannedStop checks that no connection of a request in progress broke at
+// a node while it stopped by plan, and that the requests in progress then were answered.
+func CheckPlannedStop(h *History) []Violation {
+	r := report{property: PropertyPlannedStop}
+	for i := range h.Faults {
+		f := &h.Faults[i]
+		if f.Kind != FaultStop {
+			continue
+		}
+		for j := range h.Calls {
+			checkStop(&r, h, f, &h.Calls[j])
+		}
+	}
+	return r.out
+}
+
+func checkStop(r *report, h *History, stop *Fault, c *Call) {
+	inProgress := c.Started.Before(stop.At) && c.Finished.After(stop.At)
+	if !inProgress || !c.Accepted || unannounced(h, c.Started, c.Finished) {
+		return
+	}
+	for _, loss := range c.Losses {
+		if loss.Address == stop.Address && stop.overlaps(loss.At, loss.At) {
+			r.add(c.Name, "its connection broke at %s while %s stopped by plan", loss.At.Format(timeFormat), stop.Target)
+		}
+	}
+	if !c.Whole && !c.Cancelled {
+		r.add(c.Name, "not answered after %s stopped by plan", stop.Target)
+	}
+}
--- /dev/null
+++ b/internal/historycheck/violation.go
@@ -0,0 +1,40 @@
+package historycheck
+
+import "fmt"
+
+// Property names one of the properties that must always hold.
+type Property string
+
+// The properties.
+const (
+	PropertySurvives    Property = "accepted requests survive announced reclaims"
+	PropertyWhole       Property = "callers receive the whole answer to their own request"
+	PropertyNotRun      Property = "what is called not run was not run"
+	PropertyOnce        Property = "non-idempotent requests run at most once"
+	PropertyLeaving     Property = "leaving upstreams receive no new work"
+	PropertyPlannedStop Property = "planned stops cut off nothing"
+	PropertyConfig      Property = "accepted configuration is in force everywhere and never reverts"
+)
+
+// Violation is one case in which a property did not hold.
+type Violation struct {
+	Property Property
+	// Subject is the call, stand-in or node concerned.
+	Subject string
+	Detail  string
+}
+
+// String returns the violation in one line.
+func (v Violation) String() string {
+	return fmt.Sprintf("%s: %s: %s", v.Property, v.Subject, v.Detail)
+}
+
+// report collects the violations of one property.
+type report struct {
+	property Property
+	out      []Violation
+}
+
+func (r *report) add(subject, format string, args ...any) {
+	r.out = append(r.out, Violation{Property: r.property, Subject: subject, Detail: fmt.Sprintf(format, args...)})
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -63,6 +63,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.leaving {
+		e.log.Write(history.Entry{Event: history.EventRefused, RequestID: engine.RequestIDOf(completion.RequestID)})
 		return nil, engine.CodeLeaving
 	}
 	if e.running >= e.options.Slots {
--- a/internal/standin/history/history.go
+++ b/internal/standin/history/history.go
@@ -24,6 +24,8 @@
 	EventLeaving Event = "leaving"
 	// EventCrash is written right before a stand-in crashes.
 	EventCrash Event = "crash"
+	// EventRefused is written when a stand-in that is leaving turns new work away.
+	EventRefused Event = "refused"
 	// EventExport is written when a cache was exported.
 	EventExport Event = "export"
 )
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -64,6 +64,7 @@
 
 func (s *Service) serveCall(w http.ResponseWriter, r *http.Request) {
 	if s.leaving.Load() {
+		s.log.Write(history.Entry{Event: history.EventRefused, RequestID: r.Header.Get("X-Request-Id")})
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
 		return
 	}
@@ -100,6 +101,7 @@
 	}
 	if faults.ReclaimNoticeMs > 0 {
 		s.leaving.Store(true)
+		s.log.Write(history.Entry{Event: history.EventLeaving})
 		time.AfterFunc(time.Duration(faults.ReclaimNoticeMs)*time.Millisecond, func() { os.Exit(reclaimExitCode) })
 	}
 	w.WriteHeader(http.StatusNoContent)
