Slopes of the control work, and a join that never ended

Cause: no figure stood behind the sizes; and the first run at 460 members showed that they did not get to know each other in 60 s: an answer to a comparison always sent the same first records, so the buckets never became equal. Change: cmd/mangoledge-slopes and make slopes measure membership at 6, 24, 100 and 460 members, false deaths under load, spread of rumours, the witness table, peer calls and idle connections, routing decisions and the upkeep of its tables.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 # SEEDS is how many seeds each small shape of the bench runs with.
 SEEDS ?= 3
 
-.PHONY: all build test demo bench bench-short tools format format-check lint generate generate-check clean
+.PHONY: all build test demo bench bench-short slopes tools format format-check lint generate generate-check clean
 
 all: build
 
@@ -25,6 +25,9 @@
 bench-short: ## The same for one shape and a few scenarios, in under 30 s.
 	$(GO) run ./cmd/mangoledge-bench --short --json $(BIN)/bench-short.jsonl
 
+slopes: ## Measure what control costs, for docs/CAPACITY.md; takes about two minutes.
+	$(GO) run ./cmd/mangoledge-slopes --json docs/capacity/slopes.json --table docs/capacity/slopes.txt
+
 tools: $(BIN)/gofumpt $(BIN)/golangci-lint
 
 $(BIN)/gofumpt:
--- a/internal/membership/cluster.go
+++ b/internal/membership/cluster.go
@@ -38,6 +38,7 @@
 
 	mu       sync.Mutex
 	snapshot atomic.Pointer[[]Member]
+	outdated atomic.Bool
 	dead     chan struct{}
 	deadOnce sync.Once
 	stop     chan struct{}
@@ -163,7 +164,7 @@
 	packets := c.core.out
 	c.core.out = nil
 	if len(c.core.changed) > 0 {
-		c.refresh()
+		c.outdated.Store(true)
 		for _, ch := range c.core.changed {
 			c.announce(ch)
 		}
@@ -232,6 +233,12 @@
 
 // Members implements View. Dead and left members are in it for as long as they are remembered.
 func (c *Cluster) Members() []Member {
+	if c.outdated.Load() {
+		c.mu.Lock()
+		c.outdated.Store(false)
+		c.refresh()
+		c.mu.Unlock()
+	}
 	return *c.snapshot.Load()
 }
 
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -19,7 +19,7 @@
 	// newsBytesPerSecond is the long-term rate of news in bytes a second.
 	newsBytesPerSecond = 4500
 	// newsBurstBytes is how many bytes of news may go out at once, after a quiet time.
-	newsBurstBytes = 256 << 10
+	newsBurstBytes = 512 << 10
 	// joinInterval is the time between two comparisons while a node is still joining.
 	joinInterval = 250 * time.Millisecond
 	// freshSyncInterval is the mean time between two comparisons after news arrived.
@@ -170,8 +170,10 @@
 // learn merges a record into the table, spreads what is new and denies what is said wrongly of this incarnation.
 func (c *core) learn(now time.Time, r record, life time.Duration) {
 	for _, ch := range c.table.join(now, r, life) {
-		c.queue.push(newsName{incarnation: ch.current.Incarnation}, ch.isNew, false)
-		c.expectMore(now)
+		if c.joined || ch.current.Incarnation == c.self { // what a joining member learns is no news to others
+			c.queue.push(newsName{incarnation: ch.current.Incarnation}, ch.isNew, false)
+			c.expectMore(now)
+		}
 		c.changed = append(c.changed, ch)
 		c.count(ch)
 		if ch.current.Incarnation == c.self {
--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -82,30 +82,34 @@
 	return e.Final == finalNone || e.remaining(now) >= minSentLife
 }
 
-// itemsIn returns the encoded items of the buckets, members that have not ended first.
+// itemsIn returns the encoded items of the buckets, one bucket after another, so
+// that the first ones that are taken over become equal as a whole.
 func (c *core) itemsIn(now time.Time, buckets []int) [][]byte {
-	wanted := make(map[int]bool, len(buckets))
+	wanted := make(map[int][][]byte, len(buckets))
 	for _, b := range buckets {
-		wanted[b] = true
+		wanted[b] = nil
+	}
+	add := func(bucket int, encoded func() []byte) {
+		if items, ok := wanted[bucket]; ok {
+			wanted[bucket] = append(items, encoded())
+		}
 	}
-	var live, rest [][]byte
 	for _, e := range c.table.entries {
-		switch {
-		case !wanted[e.bucket()] || !sendable(e, now):
-		case e.Final == finalNone:
-			live = append(live, encodeRecord(e.record, 0))
-		default:
-			rest = append(rest, encodeRecord(e.record, e.remaining(now)))
+		if sendable(e, now) {
+			add(e.bucket(), func() []byte { return encodeRecord(e.record, e.remaining(now)) })
 		}
 	}
 	for name, held := range c.rumours.held {
-		if wanted[name.bucket()] && held.expireAt.Sub(now) >= minSentLife {
-			rest = append(rest, encodeRumour(held.Rumour, held.expireAt.Sub(now)))
+		if life := held.expireAt.Sub(now); life >= minSentLife {
+			add(name.bucket(), func() []byte { return encodeRumour(held.Rumour, life) })
 		}
 	}
-	slices.SortFunc(live, bytes.Compare)
-	slices.SortFunc(rest, bytes.Compare)
-	return slices.Concat(live, rest)
+	var out [][]byte
+	for _, b := range buckets {
+		slices.SortFunc(wanted[b], bytes.Compare)
+		out = append(out, wanted[b]...)
+	}
+	return out
 }
 
 func encodeRecord(r record, life time.Duration) []byte {
--- a/internal/membership/failure_test.go
+++ b/internal/membership/failure_test.go
@@ -233,3 +233,17 @@
 	<-c.DeclaredDead()
 	require.True(t, c.NextIncarnation().NewerThan(ahead))
 }
+
+func TestAJoiningMemberLearnsALargeSiteFromItsSeed(t *testing.T) {
+	n := newNetwork(t, 14)
+	seed := n.add("seed", "r1", "d1")
+	for i := range 460 { // known to the seed, but out of reach
+		seed.learn(n.now, recordOf(Member{
+			Incarnation: incarnationN(fmt.Sprintf("far-%d", i), 1), PeerAddress: "10.9.9.9:1",
+			Region: "r2", FailureDomain: "r2-d1", CallerURL: "http://10.9.9.9:7001",
+		}), 0)
+	}
+	clear(seed.queue.waiting)
+	fresh := n.add("fresh", "r1", "d2")
+	n.until(10*time.Second, func() bool { return len(fresh.table.entries) == 462 })
+}
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -314,6 +314,7 @@
 
 func (c *core) sendDifferences(now time.Time, address string, theirs digest) (more, different bool) {
 	buckets := c.digest(now).differing(theirs)
+	c.random.Shuffle(len(buckets), func(i, j int) { buckets[i], buckets[j] = buckets[j], buckets[i] })
 	items := c.itemsIn(now, buckets)
 	for range syncDatagrams {
 		if len(items) == 0 {
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -112,13 +112,14 @@
 // checkSuspicions declares members dead that did not deny their suspicion in
 // time, after it has asked them itself a few times.
 func (c *core) checkSuspicions(now time.Time) {
+	suspects := c.suspects()
+	if len(suspects) == 0 {
+		return
+	}
 	own := c.table.entries[c.self].Details.Region
 	minority := c.inMinority(own)
 	var ended, asked []*entry
-	for _, e := range c.table.entries {
-		if e.Final != finalNone || !e.Suspected || e.Incarnation == c.self {
-			continue
-		}
+	for _, e := range suspects {
 		sameRegion := e.Details.Region == own
 		waited := now.Sub(e.suspectedAt)
 		switch {
@@ -128,12 +129,10 @@
 			asked = append(asked, e)
 		}
 	}
-	sortEntries(asked)
 	for _, e := range asked {
 		e.lastCalls++
 		c.ping(now, e)
 	}
-	sortEntries(ended)
 	for _, e := range ended {
 		c.doubtful = c.doubtful || minority || e.Details.Region != own
 		news := e.short()
@@ -142,6 +141,18 @@
 	}
 }
 
+// suspects returns the other members that are suspected and have not ended.
+func (c *core) suspects() []*entry {
+	var out []*entry
+	for _, e := range c.table.entries {
+		if e.Suspected && e.Final == finalNone && e.Incarnation != c.self {
+			out = append(out, e)
+		}
+	}
+	sortEntries(out)
+	return out
+}
+
 // inMinority reports whether this member reaches only the lesser part of its region.
 func (c *core) inMinority(own ident.Region) bool {
 	reached, all := c.table.reach(own)
--- /dev/null
+++ b/internal/slopes/load.go
@@ -0,0 +1,58 @@
+package slopes
+
+import (
+	"fmt"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// loadedMembers is the size of the site that is measured under load.
+	loadedMembers = 100
+	// loadTime is how long it is under load.
+	loadTime = 12 * time.Second
+)
+
+// underLoad counts false deaths while each core of the machine has a busy loop beside the members.
+func underLoad() ([]Figure, error) {
+	s, err := newSite(loadedMembers)
+	if err != nil {
+		return nil, err
+	}
+	defer s.stop()
+	time.Sleep(settleTime)
+	before := s.stats()
+	stopLoad := startLoad(runtime.NumCPU())
+	time.Sleep(loadTime)
+	stopLoad()
+	after := s.stats()
+	hours := loadTime.Hours() * loadedMembers
+	how := fmt.Sprintf("%d members for %v with %d busy loops in the same process: %.2f member-hours, extrapolated",
+		loadedMembers, loadTime, runtime.NumCPU(), hours)
+	// Each false death is learnt by up to all members; one that is learnt at all counts.
+	deaths := float64(after.Deaths-before.Deaths) / loadedMembers
+	return []Figure{
+		{Name: "membership.load_deaths", Value: deaths / hours, Unit: unitCountPerHour, How: how},
+		{Name: "membership.load_suspicions", Value: float64(after.Suspicions-before.Suspicions) / loadedMembers / hours, Unit: unitCountPerHour, How: how},
+		{Name: "membership.load_pauses", Value: float64(after.Pauses-before.Pauses) / hours, Unit: unitCountPerHour, How: how},
+	}, nil
+}
+
+// startLoad keeps count goroutines busy until the returned function is called.
+func startLoad(count int) func() {
+	var stop atomic.Bool
+	var running sync.WaitGroup
+	for range count {
+		running.Go(func() {
+			for x := uint64(1); !stop.Load(); x++ {
+				x ^= x << 13
+			}
+		})
+	}
+	return func() {
+		stop.Store(true)
+		running.Wait()
+	}
+}
--- /dev/null
+++ b/internal/slopes/run.go
@@ -0,0 +1,48 @@
+package slopes
+
+import (
+	"fmt"
+	"io"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Options say what is measured.
+type Options struct {
+	// Sizes are the numbers of members to measure.
+	Sizes []int
+	// Only names the parts to measure; empty for all.
+	Only []string
+	// Progress takes one line a part.
+	Progress io.Writer
+}
+
+// part is one part of the measurement.
+type part struct {
+	name    string
+	measure func() ([]Figure, error)
+}
+
+// Run measures and returns the report of what could be measured, with the first error.
+func Run(options Options) (*Report, error) {
+	parts := []part{
+		{"witness", grants},
+		{"peer", peerCalls},
+		{"owner", owners},
+		{"membership", func() ([]Figure, error) { return memberships(options.Sizes) }},
+		{"load", underLoad},
+	}
+	report := newReport()
+	var failure error
+	for _, p := range parts {
+		if len(options.Only) > 0 && !slices.Contains(options.Only, p.name) {
+			continue
+		}
+		figures, err := p.measure()
+		report.Figures = append(report.Figures, figures...)
+		failure = errors.CombineErrors(failure, errors.Wrap(err, p.name))
+		_, _ = fmt.Fprintf(options.Progress, "measured %s: %d figures\n", p.name, len(figures))
+	}
+	return report, failure
+}
