Command line for callers and operators; TLS from files

Cause: callers and operators need a command line that a newcomer can follow, and listeners may be asked to speak TLS. Change: cmd/mangoledge over internal/cli: addresses, send, fetch, resume, cancel, show, explain, set, drain, clear, dump, version; flags with environment variables, table or JSON, completion, exit codes by verdict and outcome; IDs are shown before the first send; a lost answer to a change goes to the next node under the same change ID. internal/tlsconf reads a certificate again when its files change. The default caller URL is https with TLS.

--- a/internal/callerclient/addresses.go
+++ b/internal/callerclient/addresses.go
@@ -60,7 +60,7 @@
 	for _, address := range c.askingOrder(old) {
 		book, askErr := c.askOne(ctx, address)
 		if askErr != nil {
-			err = errors.CombineErrors(err, askErr)
+			err = errors.Mark(askErr, ErrNoAddress)
 			continue
 		}
 		c.mu.Lock()
--- a/internal/callerclient/options.go
+++ b/internal/callerclient/options.go
@@ -1,6 +1,7 @@
 package callerclient
 
 import (
+	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
@@ -38,15 +39,17 @@
 		o.MaxAttempts = defaultMaxAttempts
 	}
 	if o.Transport == nil {
-		o.Transport = newTransport()
+		o.Transport = NewTransport(nil)
 	}
 	return o
 }
 
-func newTransport() *http.Transport {
+// NewTransport returns the default transport; tlsConfig is nil for the system's certificates.
+func NewTransport(tlsConfig *tls.Config) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
 		DialContext:         dialer.DialContext,
+		TLSClientConfig:     tlsConfig,
 		TLSHandshakeTimeout: dialTimeout,
 		IdleConnTimeout:     idleConnTimeout,
 		MaxIdleConnsPerHost: maxIdlePerHost,
--- /dev/null
+++ b/internal/cli/send.go
@@ -0,0 +1,154 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
+
+	"mangoledge.example/mangoledge/api/callerapi"
+	"mangoledge.example/mangoledge/internal/callerclient"
+)
+
+// fromStdin as a path means standard input.
+const fromStdin = "-"
+
+// submissionFlags are the flags for the fields of a submission.
+type submissionFlags struct {
+	id, workspace, kind, model, adapter, service string
+	input, inputFile                             string
+	maxTokens, priority                          int
+	deadline                                     time.Duration
+	notIdempotent, stream                        bool
+}
+
+func (s *submissionFlags) flags(c *kingpin.CmdClause) {
+	c.Flag("kind", "Kind of work, such as draft or dock-hold.").Required().StringVar(&s.kind)
+	c.Flag("model", "Model to run.").StringVar(&s.model)
+	c.Flag("adapter", "Adapter of the model.").StringVar(&s.adapter)
+	c.Flag("service", "Plain service to call instead of a model.").StringVar(&s.service)
+	c.Flag("input", "Prompt, or payload of the service call.").StringVar(&s.input)
+	c.Flag("input-file", "File that holds the input; - for standard input.").StringVar(&s.inputFile)
+	c.Flag("deadline", "Time from now until which the answer is of use.").Default("30s").DurationVar(&s.deadline)
+	c.Flag("max-tokens", "Most tokens to generate.").Default("256").IntVar(&s.maxTokens)
+	c.Flag("priority", "0 to 9, 9 the most urgent.").Default("5").IntVar(&s.priority)
+	c.Flag("not-idempotent", "Running it twice would do harm: it is run at most once.").BoolVar(&s.notIdempotent)
+	c.Flag("stream", "Print the answer token by token.").BoolVar(&s.stream)
+	c.Flag("workspace", "Workspace; that of the token when not given.").StringVar(&s.workspace)
+	c.Flag("id", "Request ID of an earlier send, to send the same request again.").StringVar(&s.id)
+}
+
+// submission reads the input and returns the submission.
+func (s *submissionFlags) submission(in io.Reader) (callerapi.Submission, error) {
+	input, err := s.readInput(in)
+	if err != nil {
+		return callerapi.Submission{}, err
+	}
+	out := callerapi.Submission{
+		Kind:       s.kind,
+		Input:      input,
+		DeadlineMs: s.deadline.Milliseconds(),
+		MaxTokens:  callerapi.NewOptInt(s.maxTokens),
+		Priority:   callerapi.NewOptInt(s.priority),
+		Idempotent: callerapi.NewOptBool(!s.notIdempotent),
+		Stream:     callerapi.NewOptBool(s.stream),
+		ID:         optional(s.id),
+		Workspace:  optional(s.workspace),
+		Model:      optional(s.model),
+		Adapter:    optional(s.adapter),
+		Service:    optional(s.service),
+	}
+	if err := out.Validate(); err != nil {
+		return callerapi.Submission{}, err
+	}
+	return out, nil
+}
+
+func (s *submissionFlags) readInput(in io.Reader) (string, error) {
+	switch {
+	case s.input != "" && s.inputFile != "":
+		return "", errors.New("give either --input or --input-file")
+	case s.inputFile == fromStdin:
+		data, err := io.ReadAll(in)
+		return string(data), err
+	case s.inputFile != "":
+		data, err := os.ReadFile(s.inputFile)
+		return string(data), err
+	}
+	return s.input, nil
+}
+
+func optional(text string) callerapi.OptString {
+	if text == "" {
+		return callerapi.OptString{}
+	}
+	return callerapi.NewOptString(text)
+}
+
+func (a *app) sendCommand() {
+	flags := new(submissionFlags)
+	c := a.command("send", "Send a request and wait for its answer. It is sent again with the same ID when a connection is lost.", func(ctx context.Context) (ExitCode, error) {
+		return a.send(ctx, flags)
+	})
+	flags.flags(c)
+}
+
+func (a *app) send(ctx context.Context, flags *submissionFlags) (ExitCode, error) {
+	submission, err := flags.submission(a.streams.In)
+	if err != nil {
+		return ExitUsage, err
+	}
+	client, err := a.connect.caller()
+	if err != nil {
+		return ExitUsage, err
+	}
+	defer client.Close()
+	if flags.id == "" {
+		id, err := client.NewID(ctx)
+		if err != nil {
+			return exitOfError(err), err
+		}
+		submission.ID = callerapi.NewOptString(id)
+	}
+	a.say("request %s", submission.ID.Value)
+	result := client.Send(ctx, submission, a.printer(flags.stream))
+	return a.report(&result, flags.stream)
+}
+
+// report prints the result of a request. Tokens of a stream have been printed already.
+func (a *app) report(result *callerclient.Result, streamed bool) (ExitCode, error) {
+	exit := exitOfResult(result)
+	if a.json() {
+		return exit, a.printJSON(resultOf(result))
+	}
+	if streamed {
+		_, _ = fmt.Fprintln(a.streams.Out)
+	}
+	if exit == ExitOK {
+		if !streamed {
+			_, _ = fmt.Fprintln(a.streams.Out, result.Output)
+		}
+		a.say("whole answer in %s: %d attempt(s), %d move(s)", result.Finished.Sub(result.Started).Round(time.Millisecond), result.Attempts, result.Moves)
+		return exit, nil
+	}
+	a.say("%s: verdict %s after %d attempt(s)", result.Outcome, result.Verdict, result.Attempts)
+	if result.Refusal != nil {
+		sayRefusal(a, result.Refusal)
+		return exit, nil
+	}
+	return exit, result.Err
+}
+
+func sayRefusal(a *app, refusal *callerapi.Refusal) {
+	a.say("%s: %s", refusal.Code, refusal.Message)
+	if field, ok := refusal.Field.Get(); ok && field != "" {
+		a.say("field at fault: %s", field)
+	}
+	if after, ok := refusal.RetryAfterMs.Get(); ok && after > 0 {
+		a.say("come back in %d ms", after)
+	}
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -49,7 +49,7 @@
 func (s *Settings) fillDefaults() {
 	setDefault(&s.Region, "default")
 	setDefault(&s.Host, ident.Host(s.Node))
-	setDefault(&s.CallerURL, "http://"+s.CallerListen)
+	setDefault(&s.CallerURL, s.scheme()+s.CallerListen)
 	setDefault(&s.PeerAdvertise, s.PeerListen)
 	setDefault(&s.Log.Level, "info")
 	setDefault(&s.Log.Format, "text")
@@ -62,6 +62,14 @@
 	setDefault(&s.Limits.AddressKeepMs, 10000)
 }
 
+// scheme begins the URLs of the caller listener.
+func (s *Settings) scheme() string {
+	if s.TLS != nil {
+		return "https://"
+	}
+	return "http://"
+}
+
 // setDefault sets *field to value when it is zero.
 func setDefault[T comparable](field *T, value T) {
 	var zero T
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -22,7 +22,7 @@
 	Host ident.Host `json:"host"`
 	// CallerListen is IP and port of the listener for callers. Required.
 	CallerListen string `json:"callerListen"`
-	// CallerURL is the base URL handed out to callers. Default "http://" + CallerListen.
+	// CallerURL is the base URL handed out to callers. Default "http://" + CallerListen, or "https://" with TLS.
 	CallerURL string `json:"callerUrl"`
 	// OperatorListen is IP and port of the listener for operators, metrics and dumps. Required.
 	OperatorListen string `json:"operatorListen"`
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -50,6 +50,9 @@
 	require.EqualValues(t, "n1", s.Host)
 	require.Equal(t, 4096, s.Limits.MaxConcurrent)
 	require.Nil(t, s.TLS)
+	s, err = Parse(changed(t, `"n1",`, `"n1", "tls": {"certFile": "c", "keyFile": "k"},`))
+	require.NoError(t, err)
+	require.Equal(t, "https://127.0.0.1:7001", s.CallerURL)
 }
 
 func TestEachFaultNamesPathValueAndWhatIsAllowed(t *testing.T) {
--- /dev/null
+++ b/internal/tlsconf/tlsconf_test.go
@@ -0,0 +1,123 @@
+package tlsconf
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"io"
+	"log"
+	"log/slog"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// writeCertificate makes a self-signed certificate for 127.0.0.1 and writes it to the two files.
+func writeCertificate(t *testing.T, certFile, keyFile string, serial int64) {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber:          big.NewInt(serial),
+		Subject:               pkix.Name{CommonName: "mangoledge test"},
+		NotBefore:             time.Now().Add(-time.Hour),
+		NotAfter:              time.Now().Add(time.Hour),
+		IPAddresses:           []net.IP{net.ParseIP("127.0.0.1")},
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+	}
+	cert, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	require.NoError(t, err)
+	keyBytes, err := x509.MarshalECPrivateKey(key)
+	require.NoError(t, err)
+	writePEM(t, certFile, "CERTIFICATE", cert)
+	writePEM(t, keyFile, "EC PRIVATE KEY", keyBytes)
+}
+
+func writePEM(t *testing.T, path, kind string, data []byte) {
+	t.Helper()
+	require.NoError(t, os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: data}), 0o600))
+}
+
+// startServer serves over TLS and returns its URL. (httptest would put in a certificate of its own.)
+func startServer(t *testing.T, config *tls.Config) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &http.Server{
+		Handler:           http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok")) }),
+		ReadHeaderTimeout: time.Minute,
+		ErrorLog:          log.New(io.Discard, "", 0),
+	}
+	go func() { _ = server.Serve(tls.NewListener(listener, config)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return "https://" + listener.Addr().String()
+}
+
+func serialSeen(t *testing.T, url string, client *tls.Config) int64 {
+	t.Helper()
+	transport := &http.Transport{TLSClientConfig: client}
+	defer transport.CloseIdleConnections()
+	resp, err := (&http.Client{Transport: transport}).Get(url)
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	return resp.TLS.PeerCertificates[0].SerialNumber.Int64()
+}
+
+func TestTheCertificateIsReadAgainWhenItsFilesChange(t *testing.T) {
+	dir := t.TempDir()
+	certFile, keyFile := filepath.Join(dir, "cert.pem"), filepath.Join(dir, "key.pem")
+	writeCertificate(t, certFile, keyFile, 1)
+	now := time.Now()
+	config, err := Server(certFile, keyFile, func() time.Time { return now }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	require.NoError(t, err)
+	url := startServer(t, config)
+	first, err := Client(certFile)
+	require.NoError(t, err)
+	require.EqualValues(t, 1, serialSeen(t, url, first))
+
+	writeCertificate(t, certFile, keyFile, 2)
+	require.NoError(t, os.Chtimes(certFile, now, now.Add(time.Minute)))
+	second, err := Client(certFile)
+	require.NoError(t, err)
+	require.EqualValues(t, 1, serialSeen(t, url, first), "looked again too early")
+	now = now.Add(2 * lookInterval)
+	require.EqualValues(t, 2, serialSeen(t, url, second))
+
+	require.NoError(t, os.WriteFile(keyFile, []byte("broken"), 0o600))
+	now = now.Add(2 * lookInterval)
+	require.EqualValues(t, 2, serialSeen(t, url, second), "a broken file must not end the service")
+}
+
+func TestAClientWithoutTheCertificateRefuses(t *testing.T) {
+	dir := t.TempDir()
+	certFile, keyFile := filepath.Join(dir, "cert.pem"), filepath.Join(dir, "key.pem")
+	writeCertificate(t, certFile, keyFile, 1)
+	config, err := Server(certFile, keyFile, time.Now, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	require.NoError(t, err)
+	system, err := Client("")
+	require.NoError(t, err)
+	transport := &http.Transport{TLSClientConfig: system}
+	defer transport.CloseIdleConnections()
+	_, err = (&http.Client{Transport: transport}).Get(startServer(t, config)) //nolint:bodyclose // there is no answer
+	require.ErrorContains(t, err, "certificate")
+}
+
+func TestMissingAndBrokenFilesAreNamed(t *testing.T) {
+	_, err := Server("no-such-file", "no-such-key", time.Now, slog.Default())
+	require.ErrorContains(t, err, "no-such-file")
+	empty := filepath.Join(t.TempDir(), "ca.pem")
+	require.NoError(t, os.WriteFile(empty, []byte("nothing"), 0o600))
+	_, err = Client(empty)
+	require.ErrorContains(t, err, "no certificate")
+}
