Check the errors of writes in the command line

Cause: the linter found two unchecked writes. Change: they are discarded on purpose, as elsewhere. Conclusion: none beyond the above.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -62,14 +62,14 @@
 	a := newApp(arguments, streams)
 	name, err := a.kingpin.Parse(arguments)
 	if err != nil {
-		fmt.Fprintf(streams.Err, "mangoledge: %v; try --help\n", err)
+		_, _ = fmt.Fprintf(streams.Err, "mangoledge: %v; try --help\n", err)
 		return int(ExitUsage)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	exit, err := a.commands[name](ctx)
 	if err != nil {
-		fmt.Fprintf(streams.Err, "mangoledge: %v\n", err)
+		_, _ = fmt.Fprintf(streams.Err, "mangoledge: %v\n", err)
 	}
 	return int(exit)
 }
