--- a/api/operatorapi/oas_cfg_gen.go
+++ b/api/operatorapi/oas_cfg_gen.go
@@ -13,7 +13,7 @@
 )
 
 var regexMap = map[string]ogenregex.Regexp{
-	"^[A-Za-z0-9._-]+$": ogenregex.MustCompile("^[A-Za-z0-9._-]+$"),
+	"^[A-Za-z0-9][A-Za-z0-9._-]*$": ogenregex.MustCompile("^[A-Za-z0-9][A-Za-z0-9._-]*$"),
 }
 
 type (
--- a/api/operatorapi/oas_json_gen.go
+++ b/api/operatorapi/oas_json_gen.go
@@ -629,9 +629,13 @@
 		}
 	}
 	{
-		if s.Won.Set {
+		if s.Won != nil {
 			e.FieldStart("won")
-			s.Won.Encode(e)
+			e.ArrStart()
+			for _, elem := range s.Won {
+				elem.Encode(e)
+			}
+			e.ArrEnd()
 		}
 	}
 }
@@ -747,8 +751,15 @@
 			}
 		case "won":
 			if err := func() error {
-				s.Won.Reset()
-				if err := s.Won.Decode(d); err != nil {
+				s.Won = make([]Winner, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem Winner
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Won = append(s.Won, elem)
+					return nil
+				}); err != nil {
 					return err
 				}
 				return nil
@@ -995,39 +1006,6 @@
 	return s.Decode(d)
 }
 
-// Encode encodes Winner as json.
-func (o OptWinner) Encode(e *jx.Encoder) {
-	if !o.Set {
-		return
-	}
-	o.Value.Encode(e)
-}
-
-// Decode decodes Winner from json.
-func (o *OptWinner) Decode(d *jx.Decoder) error {
-	if o == nil {
-		return errors.New("invalid: unable to decode OptWinner to nil")
-	}
-	o.Set = true
-	if err := o.Value.Decode(d); err != nil {
-		return err
-	}
-	return nil
-}
-
-// MarshalJSON implements stdjson.Marshaler.
-func (s OptWinner) MarshalJSON() ([]byte, error) {
-	e := jx.Encoder{}
-	s.Encode(&e)
-	return e.Bytes(), nil
-}
-
-// UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *OptWinner) UnmarshalJSON(data []byte) error {
-	d := jx.DecodeBytes(data)
-	return s.Decode(d)
-}
-
 // Encode implements json.Marshaler.
 func (s *Winner) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -1045,11 +1023,16 @@
 		e.FieldStart("version")
 		e.Int64(s.Version)
 	}
+	{
+		e.FieldStart("summary")
+		e.Str(s.Summary)
+	}
 }
 
-var jsonFieldsNameOfWinner = [2]string{
+var jsonFieldsNameOfWinner = [3]string{
 	0: "changeId",
 	1: "version",
+	2: "summary",
 }
 
 // Decode decodes Winner from json.
@@ -1085,6 +1068,18 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"version\"")
 			}
+		case "summary":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Str()
+				s.Summary = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"summary\"")
+			}
 		default:
 			return d.Skip()
 		}
@@ -1095,7 +1090,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00000011,
+		0b00000111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
--- a/api/operatorapi/oas_schemas_gen.go
+++ b/api/operatorapi/oas_schemas_gen.go
@@ -344,8 +344,9 @@
 	// yet; send the command again with the same change ID.
 	Outcome CommandResultOutcome `json:"outcome"`
 	// Version made by an accepted change.
-	Version OptInt64  `json:"version"`
-	Won     OptWinner `json:"won"`
+	Version OptInt64 `json:"version"`
+	// The changes that came first in a conflict, oldest first.
+	Won []Winner `json:"won"`
 }
 
 // GetColumns returns the value of Columns.
@@ -379,7 +380,7 @@
 }
 
 // GetWon returns the value of Won.
-func (s *CommandResult) GetWon() OptWinner {
+func (s *CommandResult) GetWon() []Winner {
 	return s.Won
 }
 
@@ -414,7 +415,7 @@
 }
 
 // SetWon sets the value of Won.
-func (s *CommandResult) SetWon(val OptWinner) {
+func (s *CommandResult) SetWon(val []Winner) {
 	s.Won = val
 }
 
@@ -692,52 +693,6 @@
 	return d
 }
 
-// NewOptWinner returns new OptWinner with value set to v.
-func NewOptWinner(v Winner) OptWinner {
-	return OptWinner{
-		Value: v,
-		Set:   true,
-	}
-}
-
-// OptWinner is optional Winner.
-type OptWinner struct {
-	Value Winner
-	Set   bool
-}
-
-// IsSet returns true if OptWinner was set.
-func (o OptWinner) IsSet() bool { return o.Set }
-
-// Reset unsets value.
-func (o *OptWinner) Reset() {
-	var v Winner
-	o.Value = v
-	o.Set = false
-}
-
-// SetTo sets value to v.
-func (o *OptWinner) SetTo(v Winner) {
-	o.Set = true
-	o.Value = v
-}
-
-// Get returns value and boolean that denotes whether value was set.
-func (o OptWinner) Get() (v Winner, ok bool) {
-	if !o.Set {
-		return v, false
-	}
-	return o.Value, true
-}
-
-// Or returns value if set, or given parameter if does not.
-func (o OptWinner) Or(d Winner) Winner {
-	if v, ok := o.Get(); ok {
-		return v
-	}
-	return d
-}
-
 // RefusedStatusCode wraps CommandError with StatusCode.
 type RefusedStatusCode struct {
 	StatusCode int
@@ -767,7 +722,10 @@
 // Ref: #/components/schemas/Winner
 type Winner struct {
 	ChangeId string `json:"changeId"`
-	Version  int64  `json:"version"`
+	// Version that it made; 0 when that is not known.
+	Version int64 `json:"version"`
+	// What it changed, in the operators' language.
+	Summary string `json:"summary"`
 }
 
 // GetChangeId returns the value of ChangeId.
@@ -780,6 +738,11 @@
 	return s.Version
 }
 
+// GetSummary returns the value of Summary.
+func (s *Winner) GetSummary() string {
+	return s.Summary
+}
+
 // SetChangeId sets the value of ChangeId.
 func (s *Winner) SetChangeId(val string) {
 	s.ChangeId = val
@@ -789,3 +752,8 @@
 func (s *Winner) SetVersion(val int64) {
 	s.Version = val
 }
+
+// SetSummary sets the value of Summary.
+func (s *Winner) SetSummary(val string) {
+	s.Summary = val
+}
--- a/api/operatorapi/oas_validators_gen.go
+++ b/api/operatorapi/oas_validators_gen.go
@@ -80,11 +80,11 @@
 				if err := (validate.String{
 					MinLength:     1,
 					MinLengthSet:  true,
-					MaxLength:     128,
+					MaxLength:     64,
 					MaxLengthSet:  true,
 					Email:         false,
 					Hostname:      false,
-					Regex:         regexMap["^[A-Za-z0-9._-]+$"],
+					Regex:         regexMap["^[A-Za-z0-9][A-Za-z0-9._-]*$"],
 					MinNumeric:    0,
 					MinNumericSet: false,
 					MaxNumeric:    0,
--- a/internal/operator/decision.go
+++ b/internal/operator/decision.go
@@ -16,10 +16,13 @@
 	OutcomeUnknown Outcome = "unknown"
 )
 
-// Winner is the change that came first.
+// Winner is a change that came first.
 type Winner struct {
-	Change  ident.Change
+	Change ident.Change
+	// Version is the version that it made, or 0 when that is not known.
 	Version uint64
+	// Summary says what it changed, in the operators' language.
+	Summary string
 }
 
 // Decision is what became of a change.
@@ -27,8 +30,8 @@
 	Outcome Outcome
 	// Version is the version made by an accepted change of the configuration, or 0.
 	Version uint64
-	// Won is set for a conflict.
-	Won *Winner
+	// Won are the changes that came first in a conflict, oldest first.
+	Won []Winner
 	// Reason is a sentence for a person.
 	Reason string
 }
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -95,8 +95,8 @@
 	if result.Decision.Version > 0 {
 		out.Version = operatorapi.NewOptInt64(int64(result.Decision.Version))
 	}
-	if won := result.Decision.Won; won != nil {
-		out.Won = operatorapi.NewOptWinner(operatorapi.Winner{ChangeId: string(won.Change), Version: int64(won.Version)})
+	for _, won := range result.Decision.Won {
+		out.Won = append(out.Won, operatorapi.Winner{ChangeId: string(won.Change), Version: int64(won.Version), Summary: won.Summary})
 	}
 	return out
 }
--- a/internal/operator/interfaces.go
+++ b/internal/operator/interfaces.go
@@ -19,22 +19,11 @@
 	Explain(ctx context.Context, subject explain.Subject) (explain.Report, error)
 }
 
-// Proposal is a change of the configuration that an operator asks for.
-type Proposal struct {
-	Change ident.Change
-	// Base is the version that the change was made from; 0 for the version in force on the node.
-	Base uint64
-	// By is whose token it was.
-	By string
-	// Edit changes a copy of the configuration; an error refuses the change.
-	Edit func(site *config.Site) error
-}
-
-// Editor changes the configuration. A proposal whose change ID was accepted
-// before is accepted again without being made twice.
+// Editor changes the configuration; *config.Manager is one. A proposal whose
+// change ID was accepted before is accepted again without being made twice.
 type Editor interface {
 	// Propose returns an error only when the change was certainly not made.
-	Propose(ctx context.Context, proposal Proposal) (Decision, error)
+	Propose(ctx context.Context, proposal config.Proposal) (config.Outcome, error)
 }
 
 // Local does on one node what drain and clear ask for. Doing it twice is harmless.
@@ -42,13 +31,13 @@
 	// DrainNode begins the planned stop of this node and returns at once.
 	DrainNode(ctx context.Context) error
 	// DrainUpstream gives the upstream no new work; false when it is not known here.
-	DrainUpstream(id ident.Upstream) bool
+	DrainUpstream(id ident.Upstream) (bool, error)
 	// DrainHost gives the upstreams of the host no new work; false when none is known here.
-	DrainHost(id ident.Host) bool
+	DrainHost(id ident.Host) (bool, error)
 	// ClearPoison forgets a content that crashed upstreams; false when it is not known here.
-	ClearPoison(id string) bool
+	ClearPoison(id string) (bool, error)
 	// ClearLeaving takes the drain of an upstream or host back; false when there is none here.
-	ClearLeaving(id string) bool
+	ClearLeaving(id string) (bool, error)
 }
 
 // Dumper returns the node's state as a value for encoding/json, without secrets.
--- /dev/null
+++ b/internal/operator/nodelocal_test.go
@@ -0,0 +1,74 @@
+package operator
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/internal/fleet"
+	"mangoledge.example/mangoledge/internal/membership"
+	"mangoledge.example/mangoledge/internal/poison"
+	"mangoledge.example/mangoledge/internal/tables"
+)
+
+// noSpreader has no other nodes to spread to.
+type noSpreader struct{}
+
+func (noSpreader) Publish(membership.Topic, string, uint64, []byte) error { return nil }
+func (noSpreader) Subscribe(membership.Topic, func(membership.Rumour))    {}
+
+// upstreams is a fixed list.
+type upstreams []fleet.Upstream
+
+func (u upstreams) Upstreams() []fleet.Upstream { return u }
+
+func TestANodeCarriesOrdersOut(t *testing.T) {
+	now := time.Unix(1000, 0)
+	clock := func() time.Time { now = now.Add(time.Second); return now }
+	list := upstreams{{ID: "u1", Host: "h1", State: fleet.StateReady}, {ID: "u2", Host: "h2", State: fleet.StateReady}}
+	stops := 0
+	local := &NodeLocal{
+		Leaving: fleet.NewLeaving(noSpreader{}, clock), Fleet: list, Poison: poison.NewRegistry(),
+		Stop: func() { stops++ }, Now: clock,
+	}
+	require.NoError(t, local.DrainNode(t.Context()))
+	require.Equal(t, 1, stops)
+
+	for _, c := range []struct {
+		what        string
+		drain       func() (bool, error)
+		found       bool
+		leaving     int
+		leavingName string
+	}{
+		{"unknown upstream", func() (bool, error) { return local.DrainUpstream("u9") }, false, 0, ""},
+		{"upstream", func() (bool, error) { return local.DrainUpstream("u1") }, true, 0, "u1"},
+		{"unknown host", func() (bool, error) { return local.DrainHost("h9") }, false, 0, ""},
+		{"host", func() (bool, error) { return local.DrainHost("h2") }, true, 1, "h2"},
+	} {
+		found, err := c.drain()
+		require.NoError(t, err)
+		require.Equal(t, c.found, found, c.what)
+		if c.leavingName == "" {
+			continue
+		}
+		require.True(t, local.Leaving.IsLeaving(list[c.leaving]), c.what)
+		cleared, err := local.ClearLeaving(c.leavingName)
+		require.NoError(t, err)
+		require.True(t, cleared)
+		require.False(t, local.Leaving.IsLeaving(list[c.leaving]), c.what)
+		cleared, err = local.ClearLeaving(c.leavingName)
+		require.NoError(t, err)
+		require.False(t, cleared, "cleared already")
+	}
+
+	content := poison.Of("m", "", "", "crash")
+	local.Poison.Crashed(clock(), content, "u1", false)
+	found, err := local.ClearPoison(tables.PoisonID(content))
+	require.NoError(t, err)
+	require.True(t, found)
+	found, err = local.ClearPoison("no digest")
+	require.NoError(t, err)
+	require.False(t, found)
+}
--- a/internal/operator/orderservice.go
+++ b/internal/operator/orderservice.go
@@ -45,20 +45,23 @@
 
 // Carry carries one order out. Carrying it out twice is harmless.
 func (s *OrderService) Carry(order *Order, reply *OrderReply) error {
+	found, err := s.carry(order)
+	reply.Found = found
+	return peer.EncodeError(err)
+}
+
+func (s *OrderService) carry(order *Order) (bool, error) {
 	switch order.Verb + " " + order.Kind {
 	case "drain " + kindNode:
-		reply.Found = true
-		return peer.EncodeError(s.local.DrainNode(context.Background()))
+		return true, s.local.DrainNode(context.Background())
 	case "drain " + kindHost:
-		reply.Found = s.local.DrainHost(ident.Host(order.ID))
+		return s.local.DrainHost(ident.Host(order.ID))
 	case "drain " + kindUpstream:
-		reply.Found = s.local.DrainUpstream(ident.Upstream(order.ID))
+		return s.local.DrainUpstream(ident.Upstream(order.ID))
 	case "clear " + kindPoison:
-		reply.Found = s.local.ClearPoison(order.ID)
+		return s.local.ClearPoison(order.ID)
 	case "clear " + kindLeaving:
-		reply.Found = s.local.ClearLeaving(order.ID)
-	default:
-		return peer.EncodeError(verdict.New(verdict.NotRun, verdict.CodeBadInput, "this node does not know the order %s %s", order.Verb, order.Kind))
+		return s.local.ClearLeaving(order.ID)
 	}
-	return nil
+	return false, verdict.New(verdict.NotRun, verdict.CodeBadInput, "this node does not know the order %s %s", order.Verb, order.Kind)
 }
--- a/internal/operator/runner.go
+++ b/internal/operator/runner.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"mangoledge.example/mangoledge/internal/config"
 	"mangoledge.example/mangoledge/internal/explain"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/query"
@@ -151,28 +152,31 @@
 }
 
 func (r *Runner) decide(ctx context.Context, in Command, command *query.Command) (Decision, error) {
-	if command.Set != nil {
-		return r.set(ctx, in, command.Set)
-	}
-	if r.options.Orders == nil {
-		return Decision{}, ErrNotAvailable
-	}
-	if command.Drain != nil {
+	switch {
+	case command.Set != nil:
+		return r.edit(ctx, in, setEdit(command.Set))
+	case command.Drain != nil && r.options.Orders != nil:
 		return r.options.Orders.Drain(ctx, command.Drain.Kind.Text, command.Drain.ID.Text), nil
+	case command.Clear != nil:
+		if edit, ok := removal(command.Clear, r.options.Schema); ok {
+			return r.edit(ctx, in, edit)
+		}
+		if r.options.Orders != nil {
+			return r.options.Orders.Clear(ctx, command.Clear.Kind.Text, command.Clear.ID.Text), nil
+		}
 	}
-	return r.options.Orders.Clear(ctx, command.Clear.Kind.Text, command.Clear.ID.Text), nil
+	return Decision{}, ErrNotAvailable
 }
 
-func (r *Runner) set(ctx context.Context, in Command, set *query.Set) (Decision, error) {
+func (r *Runner) edit(ctx context.Context, in Command, edit config.Edit) (Decision, error) {
 	if r.options.Editor == nil {
 		return Decision{}, ErrNotAvailable
 	}
-	proposal := Proposal{Change: in.Change, Base: in.Base, By: in.By, Edit: EditOf(set)}
-	decision, err := r.options.Editor.Propose(ctx, proposal)
-	if errors.Is(err, ErrRefused) {
-		return Decision{Outcome: OutcomeRefused, Reason: err.Error()}, nil
+	outcome, err := r.options.Editor.Propose(ctx, proposalOf(in.Change, in.Base, edit))
+	if err != nil {
+		return Decision{}, err
 	}
-	return decision, err
+	return decisionOf(&outcome), nil
 }
 
 var proposed = &explain.Decision{Name: "change", Sentence: "{by} asked for `{command}`; it was {outcome}. {reason}"}
@@ -193,8 +197,11 @@
 	if decision.Reason != "" {
 		out += ": " + decision.Reason
 	}
-	if decision.Won != nil {
-		out += fmt.Sprintf("\nchange %s came first and made version %d; look at it with `show config` and decide anew", decision.Won.Change, decision.Won.Version)
+	for _, won := range decision.Won {
+		out += fmt.Sprintf("\ncame first: change %s: %s", won.Change, won.Summary)
+	}
+	if decision.Outcome == OutcomeConflict {
+		out += "\nlook at `show config` and decide anew"
 	}
 	if decision.Outcome == OutcomeUnknown {
 		out += fmt.Sprintf("\nsend the same command again with --change-id %s to learn what became of it", change)
--- a/internal/query/ast.go
+++ b/internal/query/ast.go
@@ -5,7 +5,7 @@
 //	explain request|upstream|host|change <id>
 //	set <object> <name> <key>=<value> ...
 //	drain host|node|upstream <id>
-//	clear poison|leaving <id>
+//	clear poison|leaving|<object> <id>
 //	dump
 //
 // Invariants: parsing and checking need nothing but the text and the schema;
@@ -87,7 +87,7 @@
 	ID   Word `parser:"@@"`
 }
 
-// Clear takes back something that the system has noted.
+// Clear takes back something that the system has noted, or removes an object.
 type Clear struct {
 	Kind Word `parser:"\"clear\" @@"`
 	ID   Word `parser:"@@"`
--- a/internal/query/check.go
+++ b/internal/query/check.go
@@ -17,7 +17,7 @@
 	case c.Drain != nil:
 		return checkKind(c.Drain.Kind, DrainKinds)
 	case c.Clear != nil:
-		return checkKind(c.Clear.Kind, ClearKinds)
+		return checkKind(c.Clear.Kind, s.ClearKinds())
 	}
 	return nil
 }
--- a/internal/query/complete.go
+++ b/internal/query/complete.go
@@ -38,7 +38,7 @@
 	case "drain":
 		return onlyFirst(words, DrainKinds)
 	case "clear":
-		return onlyFirst(words, ClearKinds)
+		return onlyFirst(words, s.ClearKinds())
 	}
 	return nil
 }
--- a/internal/query/schema.go
+++ b/internal/query/schema.go
@@ -1,5 +1,7 @@
 package query
 
+import "slices"
+
 // Type is the type of a column or key.
 type Type string
 
@@ -44,6 +46,8 @@
 	// NameDoc says what its name is.
 	NameDoc string
 	Keys    []Column
+	// Removable is true when clear takes it away.
+	Removable bool
 }
 
 // Schema says which tables and objects there are.
@@ -56,9 +60,20 @@
 var (
 	ExplainKinds = []string{"request", "upstream", "host", "change"}
 	DrainKinds   = []string{"host", "node", "upstream"}
-	ClearKinds   = []string{"poison", "leaving"}
+	clearNotes   = []string{"poison", "leaving"}
 )
 
+// ClearKinds returns what clear may be given: what the system has noted, and objects.
+func (s Schema) ClearKinds() []string {
+	out := slices.Clone(clearNotes)
+	for _, object := range s.Objects {
+		if object.Removable {
+			out = append(out, object.Name)
+		}
+	}
+	return out
+}
+
 // Table finds a table by name.
 func (s Schema) Table(name string) (*Table, bool) {
 	for i := range s.Tables {
--- a/internal/tables/rows.go
+++ b/internal/tables/rows.go
@@ -109,10 +109,10 @@
 
 // Poison is a row of the table poison: content that crashed upstreams.
 type Poison struct {
-	ID      string `column:"id" doc:"digest of the content"`
-	Crashes int    `column:"crashes" doc:"upstreams that it crashed"`
-	Refused bool   `column:"refused" doc:"true when it is refused from now on"`
-	Last    string `column:"last" doc:"upstream that it crashed last"`
+	ID        string `column:"id" doc:"digest of the content"`
+	Crashes   int    `column:"crashes" doc:"crashes that count against it"`
+	Refused   bool   `column:"refused" doc:"true when it is refused from now on"`
+	ClearedAt string `column:"clearedAt" doc:"when an operator cleared it last, UTC"`
 }
 
 // Host is a row of the table hosts.
@@ -126,12 +126,10 @@
 	Upstreams     int     `column:"upstreams" doc:"upstreams on it"`
 }
 
-// Change is a row of the table changes: the changes that this node has seen.
+// Change is a row of the table changes: the latest changes of the configuration, oldest first.
 type Change struct {
 	ID      string `column:"id" doc:"the change's ID"`
+	Base    int    `column:"base" doc:"version that it replaced"`
 	Version int    `column:"version" doc:"version that it made"`
-	By      string `column:"by" doc:"who made it"`
-	Command string `column:"command" doc:"the command"`
-	Outcome string `column:"outcome" doc:"accepted, refused, conflict or unknown"`
-	At      string `column:"at" doc:"when this node learnt of it, UTC"`
+	Command string `column:"command" doc:"what it changed"`
 }
--- a/internal/tables/schema.go
+++ b/internal/tables/schema.go
@@ -36,39 +36,31 @@
 }
 
 var objects = []query.Object{
-	{Name: "model", Doc: "a model that the site runs", NameDoc: "the model's name", Keys: []query.Column{
+	{Name: "model", Removable: true, Doc: "a model that the site runs", NameDoc: "the model's name", Keys: []query.Column{
 		{Name: "version", Type: query.TypeText, Doc: "version of its weights"},
 		{Name: "replicas", Type: query.TypeNumber, Doc: "replicas wanted, a whole number"},
 		{Name: "priority", Type: query.TypeNumber, Doc: "0 to 9, 9 the most urgent"},
 		{Name: "adapters", Type: query.TypeList, Doc: "adapters wanted, with commas"},
-		removeKey,
 	}},
-	{Name: "service", Doc: "a plain service", NameDoc: "the service's name", Keys: []query.Column{
+	{Name: "service", Removable: true, Doc: "a plain service", NameDoc: "the service's name", Keys: []query.Column{
 		{Name: "repeatable", Type: query.TypeBool, Doc: "false when its calls must not be repeated"},
-		removeKey,
 	}},
-	{Name: "workspace", Doc: "a customer's workspace", NameDoc: "the workspace's name", Keys: []query.Column{
+	{Name: "workspace", Removable: true, Doc: "a customer's workspace", NameDoc: "the workspace's name", Keys: []query.Column{
 		{Name: "share", Type: query.TypeNumber, Doc: "its weight in fair queueing, above 0"},
 		{Name: "maxInFlight", Type: query.TypeNumber, Doc: "requests at once on one node, 0 for no limit"},
-		removeKey,
 	}},
-	{Name: "kind", Doc: "a kind of work", NameDoc: "the kind's name", Keys: []query.Column{
+	{Name: "kind", Removable: true, Doc: "a kind of work", NameDoc: "the kind's name", Keys: []query.Column{
 		{Name: "worth", Type: query.TypeNumber, Doc: "weight of an answer that is whole and in time, 0 or more"},
-		removeKey,
 	}},
-	{Name: "capacity", Doc: "capacity to pay for", NameDoc: "<failure domain>/<host class>", Keys: []query.Column{
+	{Name: "capacity", Removable: true, Doc: "capacity to pay for", NameDoc: "<failure domain>/<host class>/reclaimable or .../on-demand", Keys: []query.Column{
 		{Name: "maxHosts", Type: query.TypeNumber, Doc: "most hosts to pay for, a whole number"},
 		{Name: "maxPricePerHour", Type: query.TypeNumber, Doc: "highest price per host and hour, 0 or more"},
-		{Name: "reclaimable", Type: query.TypeBool, Doc: "which market the hosts come from"},
-		removeKey,
 	}},
 	{Name: "weights", Doc: "what the site favours", NameDoc: "always site", Keys: []query.Column{
 		{Name: "latency", Type: query.TypeNumber, Doc: "weight of the latency target, 0 to 1; cost has the rest"},
 	}},
 }
 
-var removeKey = query.Column{Name: "remove", Type: query.TypeBool, Doc: "true to remove it"}
-
 // Schema returns the schema of the operators' language.
 func Schema() query.Schema {
 	out := query.Schema{Objects: objects}
--- a/internal/tables/sources.go
+++ b/internal/tables/sources.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -9,6 +11,7 @@
 	"mangoledge.example/mangoledge/internal/fleet"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/membership"
+	"mangoledge.example/mangoledge/internal/poison"
 	"mangoledge.example/mangoledge/internal/request"
 )
 
@@ -194,3 +197,48 @@
 	}
 	return t.UTC().Format(time.RFC3339)
 }
+
+// ProvideChanges fills the table changes from the latest changes of the configuration.
+func ProvideChanges(r *Registry, list func() []config.ChangeRecord, inForce config.View) {
+	Provide(r, func(context.Context) ([]Change, error) {
+		records := list()
+		var out []Change
+		for i, record := range records {
+			version := uint64(0)
+			if i+1 < len(records) {
+				version = records[i+1].Base
+			} else if current := inForce.Current(); current != nil && current.Change == record.Change {
+				version = current.Version
+			}
+			out = append(out, Change{ID: string(record.Change), Base: int(record.Base), Version: int(version), Command: record.Summary})
+		}
+		return out, nil
+	})
+}
+
+// ProvidePoison fills the table poison from what registry knows.
+func ProvidePoison(r *Registry, registry *poison.Registry) {
+	Provide(r, func(context.Context) ([]Poison, error) {
+		return rowsOf(registry.Snapshot(), func(e poison.Entry) Poison {
+			return Poison{ID: PoisonID(e.Fingerprint), Crashes: e.Count(), Refused: e.Convicted(), ClearedAt: clearedAt(&e)}
+		}), nil
+	})
+}
+
+func clearedAt(e *poison.Entry) string {
+	if e.ClearedAt == 0 {
+		return ""
+	}
+	return utc(time.Unix(e.ClearedAt, 0))
+}
+
+// PoisonID returns the name of a content in the table poison.
+func PoisonID(f poison.Fingerprint) string {
+	return fmt.Sprintf("%016x", uint64(f))
+}
+
+// ParsePoisonID undoes PoisonID.
+func ParsePoisonID(text string) (poison.Fingerprint, error) {
+	n, err := strconv.ParseUint(text, 16, 64)
+	return poison.Fingerprint(n), err
+}
