Capacity: clients of the cloud, host list and weight store, and the reconciler

Cause: the declared models must run on the cheapest hosts that the site pays for, through reclaims, refused starts and restarts of whoever reconciles. Change: clients with deadlines, budgets and errors that say whether a call had an effect; a pure planner (spread, price with reclaim risk, priority, rolling by surge) apart from the reconciler, which writes each intent with its client token into a ledger in the object API before it asks the cloud, ends hosts that have no intent, and plans anew within a pass after refused starts. One additive field: config.Capacity.ChecksFencing. Ending the holder at every store and cloud call, before and after its effect, the bill shows 2 hosts running of 2 wanted and never more than 4 started for 4 wanted. Planted: a new token for each call fails the test. Conclusion: rolling needs one host more than declared within what the site pays for; without it the version waits.

--- /dev/null
+++ b/internal/capacity/act.go
@@ -0,0 +1,193 @@
+package capacity
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"mangoledge.example/mangoledge/internal/config"
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/lease"
+	"mangoledge.example/mangoledge/internal/platform/cloud"
+	"mangoledge.example/mangoledge/internal/platform/weights"
+)
+
+// result is what became of the work on one intent.
+type result uint8
+
+const (
+	// resultKept means that the intent stands, as it is now.
+	resultKept result = iota
+	// resultRefused means that the cloud has no such host now.
+	resultRefused
+	// resultStarted means that the cloud gave its host.
+	resultStarted
+)
+
+// act does what is due for each intent, and strikes off those that were refused;
+// it reports whether any was.
+func (r *Reconciler) act(ctx context.Context, site *config.Site, planned []*Ledger) (refused bool) {
+	for _, l := range planned {
+		results := make([]result, len(l.Intents))
+		var group errgroup.Group
+		group.SetLimit(maxParallelCalls)
+		for i := range l.Intents {
+			group.Go(func() error {
+				results[i] = r.actOn(ctx, site, &l.Intents[i])
+				return nil
+			})
+		}
+		_ = group.Wait()
+		r.settle(l, results)
+		refused = refused || slices.Contains(results, resultRefused)
+	}
+	return refused
+}
+
+// settle notes refusals and strikes off the intents that met one.
+func (r *Reconciler) settle(l *Ledger, results []result) {
+	refused := make(map[string]bool)
+	for i, outcome := range results {
+		intent := l.Intents[i]
+		switch outcome {
+		case resultRefused:
+			refused[intent.Token] = true
+			r.options.Logger.Info("host start refused", "failureDomain", intent.Pool.FailureDomain,
+				"hostClass", intent.Pool.HostClass, "market", intent.Pool.Market, "model", intent.Model)
+		case resultStarted:
+			r.refusals.clear(intent.Pool)
+		case resultKept:
+		}
+	}
+	noted := make(map[cloud.Pool]bool)
+	for _, intent := range l.Intents {
+		if refused[intent.Token] && !noted[intent.Pool] {
+			noted[intent.Pool] = true
+			r.refusals.add(intent.Pool)
+		}
+	}
+	l.Intents = slices.DeleteFunc(l.Intents, func(i Intent) bool { return refused[i.Token] })
+}
+
+// actOn does what is due for one intent. What fails is tried again at the next pass.
+func (r *Reconciler) actOn(ctx context.Context, site *config.Site, i *Intent) result {
+	var err error
+	switch i.Phase {
+	case PhaseStarting:
+		return r.start(ctx, i)
+	case PhaseLoading, PhaseReady:
+		err = r.load(ctx, site, i)
+	case PhaseLeaving:
+		err = r.end(ctx, i)
+	}
+	if err != nil && !errors.Is(err, weights.ErrBusy) {
+		r.options.Logger.Info("capacity step failed", "phase", i.Phase, "host", i.Host, "error", err)
+	}
+	return resultKept
+}
+
+// start asks the cloud for the intent's host.
+func (r *Reconciler) start(ctx context.Context, i *Intent) result {
+	if _, err := r.options.Lease.Check(); err != nil {
+		return resultKept
+	}
+	host, err := r.options.Cloud.Start(ctx, cloud.Start{ClientToken: i.Token, Pool: i.Pool})
+	if cloud.IsNoCapacity(err) {
+		return resultRefused
+	}
+	if err != nil {
+		r.options.Logger.Info("host start has no answer", "token", i.Token, "error", err)
+		return resultKept
+	}
+	i.Host, i.Address, i.PricePerHour = host.ID, host.Address, host.PricePerHour
+	i.Phase = PhaseLoading
+	return resultStarted
+}
+
+// load lets the host load the model and whatever adapters it lacks.
+func (r *Reconciler) load(ctx context.Context, site *config.Site, i *Intent) error {
+	at := slices.IndexFunc(site.Models, func(m config.Model) bool { return m.Name == i.Model })
+	if at < 0 || i.Address == "" {
+		return nil
+	}
+	if i.Phase == PhaseLoading {
+		if err := r.order(ctx, site, i, ""); err != nil {
+			return err
+		}
+		i.Phase = PhaseReady
+	}
+	for _, adapter := range site.Models[at].Adapters {
+		if slices.Contains(i.Loaded, adapter) {
+			continue
+		}
+		if err := r.order(ctx, site, i, adapter); err != nil {
+			return err
+		}
+		i.Loaded = append(i.Loaded, adapter)
+	}
+	return nil
+}
+
+// order lets one load begin at the weight store and orders the engine to make it.
+func (r *Reconciler) order(ctx context.Context, site *config.Site, i *Intent, adapter ident.Adapter) error {
+	fence, err := r.check(site, i.Pool)
+	if err != nil {
+		return err
+	}
+	load := weights.Load{Host: i.Host, Model: i.Model, Version: i.Version, Adapter: adapter}
+	if err := r.options.Weights.Begin(ctx, load); err != nil {
+		return err
+	}
+	if _, err := r.check(site, i.Pool); err != nil {
+		return err
+	}
+	order := LoadOrder{Model: i.Model, Version: i.Version, Adapter: adapter, Fencing: fence}
+	return r.options.Engines.Load(ctx, i.Address, order)
+}
+
+// check checks the lease as the engines of a pool need it.
+func (r *Reconciler) check(site *config.Site, pool cloud.Pool) (lease.Fence, error) {
+	if checksFencing(site, pool) {
+		return r.options.Lease.Check()
+	}
+	return r.options.Lease.CheckUnfenced()
+}
+
+func checksFencing(site *config.Site, pool cloud.Pool) bool {
+	return slices.ContainsFunc(site.Capacity, func(row config.Capacity) bool {
+		return poolOf(row) == pool && row.ChecksFencing
+	})
+}
+
+// end ends the host of a leaving intent when its work is done.
+func (r *Reconciler) end(ctx context.Context, i *Intent) error {
+	if i.Host == "" {
+		return nil // the cloud never gave it, or will list it
+	}
+	if !r.drained(ctx, i) {
+		return nil
+	}
+	if _, err := r.options.Lease.Check(); err != nil {
+		return err
+	}
+	return r.options.Cloud.Terminate(ctx, i.Host)
+}
+
+// drained reports whether a leaving host may be ended.
+func (r *Reconciler) drained(ctx context.Context, i *Intent) bool {
+	if i.Address == "" {
+		return true
+	}
+	leaving := r.options.Clock().Sub(time.UnixMilli(i.LeavingSinceMs))
+	if leaving < minDrain {
+		return false
+	}
+	if leaving >= maxDrain {
+		return true
+	}
+	status, err := r.options.Engines.Status(ctx, i.Address)
+	return err == nil && status.Running == 0 && status.Waiting == 0
+}
--- /dev/null
+++ b/internal/capacity/ledger.go
@@ -0,0 +1,78 @@
+package capacity
+
+import (
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/platform/cloud"
+	"mangoledge.example/mangoledge/internal/platform/objects"
+)
+
+// LedgerKind is the kind of the objects that hold ledgers, one for each failure domain.
+const LedgerKind objects.Kind = "capacity"
+
+// Phase is how far an intent has come; it moves only downwards in this list.
+type Phase string
+
+// The phases.
+const (
+	// PhaseStarting is written before the cloud is asked for the host.
+	PhaseStarting Phase = "starting"
+	// PhaseLoading has a host, which has not loaded its model yet.
+	PhaseLoading Phase = "loading"
+	// PhaseReady has a host that serves.
+	PhaseReady Phase = "ready"
+	// PhaseLeaving takes no new work, and its host is ended after the drain.
+	PhaseLeaving Phase = "leaving"
+)
+
+// Intent is one host that the site wants or has, with what it is for.
+type Intent struct {
+	// Token is the cloud's client token; it names the intent.
+	Token   string          `json:"token"`
+	Pool    cloud.Pool      `json:"pool"`
+	Model   ident.Model     `json:"model"`
+	Version ident.Version   `json:"version,omitempty"`
+	Phase   Phase           `json:"phase"`
+	Host    ident.Host      `json:"host,omitempty"`
+	Address string          `json:"address,omitempty"`
+	Loaded  []ident.Adapter `json:"loaded,omitempty"`
+	// LeavingSinceMs is when it began to leave, in Unix milliseconds.
+	LeavingSinceMs int64 `json:"leavingSinceMs,omitempty"`
+	// PricePerHour is the price when it was started.
+	PricePerHour float64 `json:"pricePerHour,omitempty"`
+}
+
+// Ledger is every intent of one failure domain.
+type Ledger struct {
+	FailureDomain ident.FailureDomain `json:"failureDomain"`
+	Intents       []Intent            `json:"intents"`
+	// version is the object's version, 0 when there is no object yet.
+	version objects.Version
+}
+
+// encode makes the object that replaces the ledger's version.
+func (l *Ledger) encode() (objects.Object, error) {
+	spec, err := json.Marshal(l)
+	if err != nil {
+		return objects.Object{}, errors.Wrapf(err, "ledger of %s", l.FailureDomain)
+	}
+	return objects.Object{
+		Kind:     LedgerKind,
+		Metadata: objects.Metadata{Name: string(l.FailureDomain), ResourceVersion: l.version},
+		Spec:     spec,
+	}, nil
+}
+
+// decodeLedger reads a ledger's object.
+func decodeLedger(object objects.Object) (*Ledger, error) {
+	out := new(Ledger)
+	if err := json.Unmarshal(object.Spec, out); err != nil {
+		return nil, errors.Wrapf(err, "ledger of %s", object.Metadata.Name)
+	}
+	out.FailureDomain = ident.FailureDomain(object.Metadata.Name)
+	out.version = object.Metadata.ResourceVersion
+	return out, nil
+}
--- /dev/null
+++ b/internal/capacity/reconciler.go
@@ -0,0 +1,251 @@
+// Package capacity keeps the declared models running on the hosts that the site
+// pays for. One node at a time reconciles, under a lease.
+//
+// Invariants: an intent stands in its failure domain's ledger, in the object API,
+// before the cloud is asked for its host, and the cloud is always asked under the
+// intent's token; so whoever holds the lease next goes on with the same hosts,
+// starts none twice and forgets none. A host without an intent is written down
+// as leaving before it is ended. Nothing is ordered without a check of the lease.
+//
+// Lock order: the package has no locks; one goroutine passes, and its helpers
+// each change one intent.
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"slices"
+	"time"
+
+	"mangoledge.example/mangoledge/internal/config"
+	"mangoledge.example/mangoledge/internal/fleet"
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/lease"
+	"mangoledge.example/mangoledge/internal/platform/cloud"
+	"mangoledge.example/mangoledge/internal/platform/objects"
+	"mangoledge.example/mangoledge/internal/platform/weights"
+)
+
+const (
+	// LeaseName is the duty of reconciling.
+	LeaseName = "capacity"
+	// passInterval is the time between two passes.
+	passInterval = 2 * time.Second
+	// maxRounds is how often a pass plans anew after refused starts.
+	maxRounds = 8
+	// minDrain is how long a leaving upstream stays at least, so that every node has heard of it.
+	minDrain = 10 * time.Second
+	// maxDrain is how long a leaving upstream may go on with what it has.
+	maxDrain = 10 * time.Minute
+	// maxParallelCalls is how many calls a pass has in progress at once.
+	maxParallelCalls = 16
+)
+
+// Holder checks the lease; *lease.Lease is one.
+type Holder interface {
+	Check() (lease.Fence, error)
+	CheckUnfenced() (lease.Fence, error)
+}
+
+// Publisher takes the upstreams of a failure domain; *fleet.Registry is one.
+type Publisher interface {
+	fleet.View
+	Set(ctx context.Context, domain ident.FailureDomain, edit func([]fleet.Upstream) []fleet.Upstream) error
+}
+
+// Options configure a Reconciler.
+type Options struct {
+	Store    objects.Store
+	Lease    Holder
+	Cloud    cloud.API
+	Weights  weights.API
+	Engines  Engines
+	Registry Publisher
+	Site     config.View
+	// RegionOf returns the region of a failure domain.
+	RegionOf func(ident.FailureDomain) ident.Region
+	// NewToken makes a client token that was never used before.
+	NewToken func() string
+	// Clock is time.Now when nil.
+	Clock func() time.Time
+	// Logger is slog.Default() when nil.
+	Logger *slog.Logger
+}
+
+// Reconciler keeps the declared models running while this node holds the lease.
+type Reconciler struct {
+	options  Options
+	refusals *refusals
+	// ledgers are the newest seen, by failure domain.
+	ledgers map[ident.FailureDomain]*Ledger
+}
+
+// New returns a reconciler.
+func New(options Options) *Reconciler {
+	if options.Clock == nil {
+		options.Clock = time.Now
+	}
+	if options.Logger == nil {
+		options.Logger = slog.Default()
+	}
+	return &Reconciler{
+		options:  options,
+		refusals: newRefusals(options.Clock),
+		ledgers:  make(map[ident.FailureDomain]*Ledger),
+	}
+}
+
+// Run passes at an interval until ctx ends, doing nothing while the lease is not held.
+func (r *Reconciler) Run(ctx context.Context) {
+	ticker := time.NewTicker(passInterval)
+	defer ticker.Stop()
+	for {
+		if _, err := r.options.Lease.Check(); err == nil {
+			if err := r.Pass(ctx); err != nil && ctx.Err() == nil {
+				r.options.Logger.Warn("capacity pass ended early", "error", err)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Pass looks, plans, writes the plan down and carries it out as far as it goes now.
+// While starts are refused it plans anew at once, without the pools that refused.
+// An error ends the pass early; the next one goes on from what is written down.
+func (r *Reconciler) Pass(ctx context.Context) error {
+	for range maxRounds {
+		refused, err := r.round(ctx)
+		if err != nil || !refused {
+			return err
+		}
+	}
+	return nil
+}
+
+// round is one round of a pass; refused reports whether a start was refused.
+func (r *Reconciler) round(ctx context.Context) (refused bool, err error) {
+	site := r.options.Site.Current()
+	if site == nil {
+		return false, nil
+	}
+	if _, err := r.options.Lease.Check(); err != nil {
+		return false, err
+	}
+	planned, err := r.plan(ctx, site)
+	if err != nil {
+		return false, err
+	}
+	if err := r.save(ctx, planned); err != nil {
+		return false, err
+	}
+	r.publish(ctx, planned)
+	refused = r.act(ctx, site, planned)
+	if err := r.save(ctx, planned); err != nil {
+		return refused, err
+	}
+	r.publish(ctx, planned)
+	return refused, nil
+}
+
+// plan reads what there is and plans. The hosts are read before the ledgers, so
+// that a host without an intent has lost it and is not about to get it.
+func (r *Reconciler) plan(ctx context.Context, site *config.Site) ([]*Ledger, error) {
+	hosts, err := r.options.Cloud.Hosts(ctx)
+	if err != nil {
+		return nil, err
+	}
+	offers, err := r.options.Cloud.Offers(ctx)
+	if err != nil {
+		return nil, err
+	}
+	ledgers, err := r.read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return Plan(Inputs{
+		Site: site, Offers: offers, Hosts: hosts, Ledgers: ledgers,
+		Resting: r.refusals.resting(), Now: r.options.Clock(), NewToken: r.options.NewToken,
+	}), nil
+}
+
+// read reads the ledgers; one that is older than seen before is not taken.
+func (r *Reconciler) read(ctx context.Context) ([]*Ledger, error) {
+	list, err := r.options.Store.List(ctx, LedgerKind)
+	if err != nil {
+		return nil, err
+	}
+	for _, object := range list.Items {
+		l, err := decodeLedger(object)
+		if err != nil {
+			return nil, err
+		}
+		if known, ok := r.ledgers[l.FailureDomain]; !ok || known.version < l.version {
+			r.ledgers[l.FailureDomain] = l
+		}
+	}
+	out := make([]*Ledger, 0, len(r.ledgers))
+	for _, l := range r.ledgers {
+		out = append(out, l)
+	}
+	slices.SortFunc(out, func(a, b *Ledger) int {
+		if a.FailureDomain < b.FailureDomain {
+			return -1
+		}
+		return 1
+	})
+	return out, nil
+}
+
+// save writes down the ledgers that have changed.
+func (r *Reconciler) save(ctx context.Context, planned []*Ledger) error {
+	for _, l := range planned {
+		if err := r.saveOne(ctx, l); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Reconciler) saveOne(ctx context.Context, l *Ledger) error {
+	if known := r.ledgers[l.FailureDomain]; known != nil && sameIntents(known, l) {
+		return nil
+	}
+	object, err := l.encode()
+	if err != nil {
+		return err
+	}
+	var stored objects.Object
+	if l.version == 0 {
+		stored, err = r.options.Store.Create(ctx, object)
+	} else {
+		stored, err = r.options.Store.Update(ctx, object)
+	}
+	if err != nil {
+		if current, ok := objects.CurrentOf(err); ok {
+			r.adopt(current)
+		}
+		return err
+	}
+	l.version = stored.Metadata.ResourceVersion
+	r.adopt(stored)
+	return nil
+}
+
+// adopt remembers a ledger that the store told of.
+func (r *Reconciler) adopt(object objects.Object) {
+	if l, err := decodeLedger(object); err == nil {
+		r.ledgers[l.FailureDomain] = l
+	}
+}
+
+// sameIntents reports whether two ledgers say the same.
+func sameIntents(a, b *Ledger) bool {
+	left, leftErr := json.Marshal(a)
+	right, rightErr := json.Marshal(b)
+	return leftErr == nil && rightErr == nil && string(left) == string(right)
+}
--- a/internal/config/columns.go
+++ b/internal/config/columns.go
@@ -68,6 +68,7 @@
 var capacityColumns = []column[Capacity]{
 	intColumn("maxHosts", func(c *Capacity) *int { return &c.MaxHosts }),
 	floatColumn("maxPricePerHour", func(c *Capacity) *float64 { return &c.MaxPricePerHour }),
+	boolColumn("checksFencing", func(c *Capacity) *bool { return &c.ChecksFencing }),
 }
 
 var weightsColumns = []column[Weights]{
--- a/internal/config/site.go
+++ b/internal/config/site.go
@@ -66,6 +66,8 @@
 	MaxPricePerHour float64 `json:"maxPricePerHour"`
 	// Reclaimable says which market the hosts come from.
 	Reclaimable bool `json:"reclaimable"`
+	// ChecksFencing is true when engines on these hosts refuse orders with an old fencing number.
+	ChecksFencing bool `json:"checksFencing,omitempty"`
 }
 
 // Weights say what the site favours.
--- /dev/null
+++ b/internal/platform/cloud/client.go
@@ -0,0 +1,140 @@
+// Package cloud is the client of the platform's cloud API: it starts and ends
+// hosts, and tells prices and reclaim notices.
+//
+// Invariant: a start carries a client token, so that the same start sent again
+// gives the same host.
+package cloud
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/platform/rest"
+)
+
+// reasonNoCapacity is the cloud's word when it has no such host now.
+const reasonNoCapacity = "InsufficientCapacity"
+
+// Market is where a host comes from.
+type Market string
+
+// The markets.
+const (
+	MarketReclaimable Market = "reclaimable"
+	MarketOnDemand    Market = "on-demand"
+)
+
+// State is the state of a host in the cloud's books.
+type State string
+
+// The states of a host.
+const (
+	StateRunning    State = "running"
+	StateReclaiming State = "reclaiming"
+	StateTerminated State = "terminated"
+)
+
+// Pool is where a host can be started: a failure domain, a host class and a market.
+type Pool struct {
+	FailureDomain ident.FailureDomain `json:"failureDomain"`
+	HostClass     ident.HostClass     `json:"hostClass"`
+	Market        Market              `json:"market"`
+}
+
+// Start asks for one host.
+type Start struct {
+	// ClientToken names the start; the same token never gives a second host.
+	ClientToken string `json:"clientToken"`
+	Pool
+}
+
+// Host is one host in the cloud's books.
+type Host struct {
+	ID          ident.Host `json:"id"`
+	ClientToken string     `json:"clientToken"`
+	Pool
+	State State `json:"state"`
+	// Address is IP and port where an upstream on the host listens, or empty.
+	Address      string  `json:"address"`
+	PricePerHour float64 `json:"pricePerHour"`
+	// ReclaimAtMs is when a reclaiming host is taken, in Unix milliseconds.
+	ReclaimAtMs int64 `json:"reclaimAtMs"`
+}
+
+// Offer is the price of a pool.
+type Offer struct {
+	Pool
+	PricePerHour float64 `json:"pricePerHour"`
+}
+
+// Notice is a reclaim notice.
+type Notice struct {
+	// Sequence grows by one with each notice.
+	Sequence      uint64              `json:"sequence"`
+	Host          ident.Host          `json:"host"`
+	FailureDomain ident.FailureDomain `json:"failureDomain"`
+	// ReclaimAtMs is when the host is taken, in Unix milliseconds.
+	ReclaimAtMs int64 `json:"reclaimAtMs"`
+}
+
+// API is what the reconciler asks of the cloud. Errors are *rest.Error.
+type API interface {
+	// Start starts a host, or returns the one that its token started before.
+	Start(ctx context.Context, start Start) (Host, error)
+	// Terminate ends a host; ending an ended one is no error.
+	Terminate(ctx context.Context, host ident.Host) error
+	// Hosts lists all hosts, ended ones included for as long as the cloud remembers them.
+	Hosts(ctx context.Context) ([]Host, error)
+	// Offers lists the pools with their prices.
+	Offers(ctx context.Context) ([]Offer, error)
+}
+
+// Client is an API over HTTP.
+type Client struct{ rest *rest.Client }
+
+// NewClient returns a client that calls by client.
+func NewClient(client *rest.Client) *Client { return &Client{rest: client} }
+
+// Start starts a host, or returns the one that its token started before.
+func (c *Client) Start(ctx context.Context, start Start) (Host, error) {
+	var out Host
+	err := c.rest.Do(ctx, http.MethodPost, "/cloud/v1/hosts", start, &out)
+	return out, err
+}
+
+// Terminate ends a host.
+func (c *Client) Terminate(ctx context.Context, host ident.Host) error {
+	return c.rest.Do(ctx, http.MethodDelete, "/cloud/v1/hosts/"+url.PathEscape(string(host)), nil, nil)
+}
+
+// Hosts lists all hosts.
+func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
+	var out []Host
+	err := c.rest.Do(ctx, http.MethodGet, "/cloud/v1/hosts", nil, &out)
+	return out, err
+}
+
+// Offers lists the pools with their prices.
+func (c *Client) Offers(ctx context.Context) ([]Offer, error) {
+	var out []Offer
+	err := c.rest.Do(ctx, http.MethodGet, "/cloud/v1/offers", nil, &out)
+	return out, err
+}
+
+// Notices returns the reclaim notices after a sequence number, waiting for the first up to wait.
+func (c *Client) Notices(ctx context.Context, after uint64, wait time.Duration) ([]Notice, error) {
+	query := url.Values{
+		"after":  {strconv.FormatUint(after, 10)},
+		"waitMs": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	var out []Notice
+	err := c.rest.Do(ctx, http.MethodGet, "/cloud/v1/notices?"+query.Encode(), nil, &out)
+	return out, err
+}
+
+// IsNoCapacity reports whether a start was refused because the pool has no host now.
+func IsNoCapacity(err error) bool { return rest.ReasonOf(err) == reasonNoCapacity }
--- /dev/null
+++ b/internal/platform/rest/client.go
@@ -0,0 +1,187 @@
+// Package rest makes the calls of the platform's smaller services: JSON over
+// net/http, with a deadline for each call and errors that say whether the call
+// may have taken effect.
+package rest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
+)
+
+const (
+	// DefaultCallTimeout is the deadline of one call.
+	DefaultCallTimeout = 3 * time.Second
+	// DefaultCallsPerSecond is a node's budget of calls to one service.
+	DefaultCallsPerSecond = 20
+	// defaultBurst is how many calls a node may save up.
+	defaultBurst = 40
+	// maxAnswerBytes bounds an answer.
+	maxAnswerBytes = 32 << 20
+)
+
+// Options configure a Client.
+type Options struct {
+	// BaseURL is the service, such as "http://127.0.0.1:9400".
+	BaseURL string
+	// Token is shown as a bearer token; empty for none.
+	Token string
+	// CallTimeout is DefaultCallTimeout when 0.
+	CallTimeout time.Duration
+	// CallsPerSecond is DefaultCallsPerSecond when 0.
+	CallsPerSecond float64
+}
+
+// Client calls one service.
+type Client struct {
+	options   Options
+	limiter   *rate.Limiter
+	transport *http.Transport
+}
+
+// NewClient returns a client.
+func NewClient(options Options) *Client {
+	if options.CallTimeout == 0 {
+		options.CallTimeout = DefaultCallTimeout
+	}
+	if options.CallsPerSecond == 0 {
+		options.CallsPerSecond = DefaultCallsPerSecond
+	}
+	options.BaseURL = strings.TrimSuffix(options.BaseURL, "/")
+	limiter := rate.NewLimiter(rate.Limit(options.CallsPerSecond), defaultBurst)
+	return &Client{options: options, limiter: limiter, transport: &http.Transport{}}
+}
+
+// Close gives up idle connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Error is the error of a call.
+type Error struct {
+	// Call is the call, such as "POST /cloud/v1/hosts".
+	Call string
+	// Status is the HTTP status, or 0 when there was no answer.
+	Status int
+	// Reason is the service's word for a machine, such as "InsufficientCapacity".
+	Reason string
+	// NoEffect is true when the call certainly had none.
+	NoEffect bool
+	// RetryAfter is when to come back, or 0 when the service did not say.
+	RetryAfter time.Duration
+	// Cause is the error below, or nil.
+	Cause error
+}
+
+// Error returns the call with what is known of its failure.
+func (e *Error) Error() string {
+	if e.Cause != nil {
+		return fmt.Sprintf("%s: no answer (no effect: %t): %v", e.Call, e.NoEffect, e.Cause)
+	}
+	return fmt.Sprintf("%s: status %d: %s", e.Call, e.Status, e.Reason)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// StatusOf returns the HTTP status of err's answer, or 0.
+func StatusOf(err error) int {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Status
+	}
+	return 0
+}
+
+// ReasonOf returns the service's word for why it refused, or "".
+func ReasonOf(err error) string {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Reason
+	}
+	return ""
+}
+
+// refusal is the body of an answer that is an error.
+type refusal struct {
+	Reason string `json:"reason"`
+}
+
+// Do makes one call with in as its JSON body, nil for none, and decodes the answer into out.
+func (c *Client) Do(ctx context.Context, method, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
+	defer cancel()
+	failure := &Error{Call: method + " " + path, NoEffect: true}
+	if failure.Cause = c.limiter.Wait(ctx); failure.Cause != nil {
+		return failure
+	}
+	resp, sent, err := c.send(ctx, method, path, in)
+	failure.NoEffect = !sent || method == http.MethodGet
+	if err != nil {
+		c.transport.CloseIdleConnections()
+		failure.Cause = err
+		return failure
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		failure.Cause = err
+		return failure
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return refused(failure, resp, data)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		failure.Cause = err
+		return failure
+	}
+	return nil
+}
+
+func (c *Client) send(ctx context.Context, method, path string, in any) (resp *http.Response, sent bool, err error) {
+	body := []byte(nil)
+	if in != nil {
+		if body, err = json.Marshal(in); err != nil {
+			return nil, false, err
+		}
+	}
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(ctx, method, c.options.BaseURL+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, false, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if c.options.Token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.options.Token)
+	}
+	resp, err = c.transport.RoundTrip(req) //nolint:bodyclose // the caller closes it
+	return resp, connected.Load(), err
+}
+
+// refused fills in what an answer that is an error says.
+func refused(failure *Error, resp *http.Response, data []byte) *Error {
+	var said refusal
+	_ = json.Unmarshal(data, &said) // an answer without a reason still has its status
+	failure.Status = resp.StatusCode
+	failure.Reason = said.Reason
+	failure.NoEffect = failure.NoEffect || resp.StatusCode < http.StatusInternalServerError
+	if seconds, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil {
+		failure.RetryAfter = time.Duration(seconds) * time.Second
+	}
+	return failure
+}
