--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,282 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/api/operatorapi"
+	"mangoledge.example/mangoledge/internal/auth"
+	"mangoledge.example/mangoledge/internal/config"
+	"mangoledge.example/mangoledge/internal/explain"
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/membership"
+	"mangoledge.example/mangoledge/internal/query"
+	"mangoledge.example/mangoledge/internal/settings"
+	"mangoledge.example/mangoledge/internal/tables"
+)
+
+// scriptedEditor notes proposals and answers them by outcome.
+type scriptedEditor struct {
+	proposals []config.Proposal
+	outcome   config.Outcome
+}
+
+func (e *scriptedEditor) Propose(_ context.Context, p config.Proposal) (config.Outcome, error) {
+	e.proposals = append(e.proposals, p)
+	out := e.outcome
+	out.Change = p.Change
+	return out, nil
+}
+
+// members is a list of members; the first is this node.
+type members []membership.Member
+
+func (m members) Self() membership.Member      { return m[0] }
+func (m members) Members() []membership.Member { return m }
+func (m members) Lookup(ident.Incarnation) (membership.Member, bool) {
+	return membership.Member{}, false
+}
+
+// fakeLocal knows one upstream.
+type fakeLocal struct {
+	upstream ident.Upstream
+	drained  int
+	stopped  int
+}
+
+func (l *fakeLocal) DrainNode(context.Context) error { l.stopped++; return nil }
+func (l *fakeLocal) DrainUpstream(id ident.Upstream) (bool, error) {
+	if id != l.upstream {
+		return false, nil
+	}
+	l.drained++
+	return true, nil
+}
+func (l *fakeLocal) DrainHost(ident.Host) (bool, error)   { return false, nil }
+func (l *fakeLocal) ClearPoison(string) (bool, error)     { return false, nil }
+func (l *fakeLocal) ClearLeaving(id string) (bool, error) { return id == string(l.upstream), nil }
+
+// nodesByAddress carries calls to the order services of other nodes; an address without one is silent.
+type nodesByAddress map[string]*OrderService
+
+func (n nodesByAddress) Call(_ context.Context, address, _ string, args, reply any) error {
+	service, ok := n[address]
+	if !ok {
+		return errors.New("silent")
+	}
+	return service.Carry(args.(*Order), reply.(*OrderReply))
+}
+
+type fakeDump struct{ Settings settings.Settings }
+
+func (d *fakeDump) Dump() any { return struct{ Settings settings.Settings }{d.Settings.Redacted()} }
+
+type bench struct {
+	runner *Runner
+	editor *scriptedEditor
+	local  *fakeLocal
+	remote *fakeLocal
+	peers  nodesByAddress
+	view   members
+}
+
+func newBench() *bench {
+	b := &bench{
+		editor: &scriptedEditor{outcome: config.Outcome{Kind: config.OutcomeAccepted, Version: 3}},
+		local:  &fakeLocal{upstream: "u1"},
+		remote: &fakeLocal{upstream: "u1"},
+		view: members{
+			{Incarnation: "n1_0123456789abcdef", Node: "n1", FailureDomain: "a", PeerAddress: "a1"},
+			{Incarnation: "n2_0123456789abcdef", Node: "n2", FailureDomain: "b", PeerAddress: "a2"},
+		},
+	}
+	b.peers = nodesByAddress{"a2": NewOrderService(b.remote)}
+	registry := tables.NewRegistry()
+	tables.ProvideNodes(registry, b.view)
+	journal := explain.NewJournal("n1_0123456789abcdef", 64, time.Now)
+	b.runner = NewRunner(Options{
+		Schema:    tables.Schema(),
+		Tables:    registry,
+		Editor:    b.editor,
+		Orders:    NewOrders(b.view, b.peers, NewOrderService(b.local)),
+		Explainer: explain.NewCollector(journal, b.view[:1], nil),
+		Dumper:    &fakeDump{Settings: settings.Settings{PeerToken: "planted", Platform: settings.Platform{Token: "planted"}}},
+		Journal:   journal,
+	})
+	return b
+}
+
+func (b *bench) run(t *testing.T, in Command) *Result {
+	t.Helper()
+	result, err := b.runner.Run(t.Context(), in)
+	require.NoError(t, err, in.Text)
+	return result
+}
+
+func TestSetAndClearBecomeEdits(t *testing.T) {
+	for text, want := range map[string]config.Edit{
+		`set model m version=v1 adapters=a,b`:            {Table: config.TableModel, Key: "m", Assignments: []config.Assignment{{Column: "version", Value: "v1"}, {Column: "adapters", Value: "a,b"}}},
+		`set capacity zone-a/small/on-demand maxHosts=4`: {Table: config.TableCapacity, Key: "zone-a/small/on-demand", Assignments: []config.Assignment{{Column: "maxHosts", Value: "4"}}},
+		`set weights site latency=0.7`:                   {Table: config.TableWeights, Assignments: []config.Assignment{{Column: "latency", Value: "0.7"}}},
+		`clear workspace w`:                              {Table: config.TableWorkspace, Key: "w", Remove: true},
+	} {
+		b := newBench()
+		result := b.run(t, Command{Text: text, Change: "c1", Base: 2})
+		require.Equal(t, Decision{Outcome: OutcomeAccepted, Version: 3}, result.Decision, text)
+		require.Equal(t, []config.Proposal{{Change: "c1", BaseVersion: 2, Edits: []config.Edit{want}}}, b.editor.proposals)
+		require.Contains(t, result.Text, "change c1: accepted, version 3")
+	}
+}
+
+func TestEveryObjectAndKeyIsKnownToTheConfiguration(t *testing.T) {
+	schema := tables.Schema()
+	require.Len(t, schema.Objects, len(config.Tables()))
+	for _, object := range schema.Objects {
+		var keys []string
+		for _, key := range object.Keys {
+			keys = append(keys, key.Name)
+		}
+		require.ElementsMatch(t, config.Columns(config.Table(object.Name)), keys, object.Name)
+	}
+}
+
+func TestOutcomesAreToldApart(t *testing.T) {
+	for _, c := range []struct {
+		outcome config.Outcome
+		want    []string
+	}{
+		{config.Outcome{Kind: config.OutcomeRefused, Faults: []config.Fault{{Path: "model/m/replicas", Value: "x", Allowed: "a whole number"}}}, []string{"refused", `model/m/replicas: "x" is not a whole number`}},
+		{config.Outcome{Kind: config.OutcomeConflict, Won: []config.ChangeRecord{{Change: "other", Summary: "set model m replicas=9"}}}, []string{"conflict", "came first: change other: set model m replicas=9", "decide anew"}},
+		{config.Outcome{Kind: config.OutcomeUnknown, Reason: "no answer in time"}, []string{"unknown", "no answer in time", "--change-id c1"}},
+	} {
+		b := newBench()
+		b.editor.outcome = c.outcome
+		result := b.run(t, Command{Text: "set model m replicas=1", Change: "c1"})
+		require.Equal(t, string(c.outcome.Kind), string(result.Decision.Outcome))
+		for _, part := range c.want {
+			require.Contains(t, result.Text, part)
+		}
+	}
+}
+
+func TestAChangeHasAnIDEvenWhenNoneIsGiven(t *testing.T) {
+	b := newBench()
+	first := b.run(t, Command{Text: "set model m replicas=1"})
+	second := b.run(t, Command{Text: "set model m replicas=1"})
+	require.NotEmpty(t, first.Change)
+	require.NotEqual(t, first.Change, second.Change)
+	require.Equal(t, first.Change, b.editor.proposals[0].Change)
+}
+
+func TestOrdersAreAcceptedOnlyWhenEveryNodeConfirms(t *testing.T) {
+	b := newBench()
+	result := b.run(t, Command{Text: "drain upstream u1"})
+	require.Equal(t, OutcomeAccepted, result.Decision.Outcome, result.Text)
+	require.Equal(t, []int{1, 1}, []int{b.local.drained, b.remote.drained})
+
+	require.Equal(t, OutcomeRefused, b.run(t, Command{Text: "drain upstream u9"}).Decision.Outcome)
+	require.Equal(t, OutcomeAccepted, b.run(t, Command{Text: "clear leaving u1"}).Decision.Outcome)
+	require.Equal(t, OutcomeRefused, b.run(t, Command{Text: "clear poison p"}).Decision.Outcome)
+
+	require.Equal(t, OutcomeAccepted, b.run(t, Command{Text: "drain node n2"}).Decision.Outcome)
+	require.Equal(t, []int{0, 1}, []int{b.local.stopped, b.remote.stopped})
+	require.Equal(t, OutcomeRefused, b.run(t, Command{Text: "drain node n7"}).Decision.Outcome)
+
+	delete(b.peers, "a2")
+	result = b.run(t, Command{Text: "drain upstream u1"})
+	require.Equal(t, OutcomeUnknown, result.Decision.Outcome)
+	require.Contains(t, result.Text, "no confirmation from n2")
+}
+
+func TestExplainTellsWhatBecameOfAChange(t *testing.T) {
+	b := newBench()
+	b.run(t, Command{Text: "set model m replicas=3", Change: "c1", By: "desk"})
+	result := b.run(t, Command{Text: "explain change c1"})
+	require.Len(t, result.Rows, 1)
+	require.Contains(t, result.Text, "desk asked for `set model m replicas=3`; it was accepted.")
+	result = b.run(t, Command{Text: "explain change c2"})
+	require.Contains(t, result.Text, "no node that answered remembers")
+}
+
+func TestDumpHoldsNoSecret(t *testing.T) {
+	result := newBench().run(t, Command{Text: "dump"})
+	require.NotContains(t, result.Text, "planted")
+	require.Contains(t, result.Text, "(hidden)")
+}
+
+func TestTheAPI(t *testing.T) {
+	tokens, err := auth.NewTokens([]settings.Token{
+		{Name: "desk", Role: settings.RoleOperator, SHA256: auth.Digest("o")},
+		{Name: "field", Role: settings.RoleCaller, Workspace: "w", SHA256: auth.Digest("c")},
+	})
+	require.NoError(t, err)
+	handler, err := NewHandler(newBench().runner, tokens)
+	require.NoError(t, err)
+	post := func(token, body string) (int, *httptest.ResponseRecorder) {
+		r := httptest.NewRequest(http.MethodPost, "/v1/command", strings.NewReader(body))
+		r.Header.Set("Content-Type", "application/json")
+		r.Header.Set("Authorization", "Bearer "+token)
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, r)
+		return w.Code, w
+	}
+	status, w := post("o", `{"command":"show nodes where failureDomain = b"}`)
+	require.Equal(t, http.StatusOK, status, w.Body)
+	var result operatorapi.CommandResult
+	require.NoError(t, json.Unmarshal(w.Body.Bytes(), &result))
+	require.Len(t, result.Rows, 1)
+	require.Equal(t, "n2", result.Rows[0][0])
+	require.Contains(t, result.Text, "1 row")
+
+	for _, c := range []struct {
+		token, body string
+		status      int
+		code        operatorapi.CommandErrorCode
+		column      int
+	}{
+		{"o", `{"command":"show nodes where stat = x"}`, 400, "bad_command", 18},
+		{"o", `{"command":""}`, 400, "bad_input", 0},
+		{"o", `{"command":"dump","changeId":"a b"}`, 400, "bad_input", 0},
+		{"o", `{"command":"dump","wrong`, 400, "bad_input", 0},
+		{"o", `{"command":"show upstreams"}`, 501, "not_available", 0},
+		{"o", `{"command":"` + strings.Repeat("x", maxBodyBytes) + `"}`, 413, "bad_input", 0},
+		{"c", `{"command":"dump"}`, 403, "forbidden", 0},
+		{"x", `{"command":"dump"}`, 401, "unauthorized", 0},
+	} {
+		status, w := post(c.token, c.body)
+		var refused operatorapi.CommandError
+		require.NoError(t, json.Unmarshal(w.Body.Bytes(), &refused), w.Body)
+		require.Equal(t, c.status, status, w.Body)
+		require.Equal(t, c.code, refused.Code)
+		require.Equal(t, c.column, refused.Column.Or(0))
+	}
+
+	r := httptest.NewRequest(http.MethodGet, "/v1/dump", nil)
+	r.Header.Set("Authorization", "Bearer o")
+	dump := httptest.NewRecorder()
+	handler.ServeHTTP(dump, r)
+	require.Equal(t, http.StatusOK, dump.Code)
+	require.Contains(t, dump.Body.String(), "(hidden)")
+	require.NotContains(t, dump.Body.String(), "planted")
+}
+
+func TestEveryTableAndColumnIsDescribed(t *testing.T) {
+	schema := tables.Schema()
+	for _, table := range schema.Tables {
+		require.NotEmpty(t, table.Doc, table.Name)
+		for _, column := range table.Columns {
+			require.NotEmpty(t, column.Name, table.Name)
+			require.NotEmpty(t, column.Doc, column.Name)
+		}
+		_, err := query.Parse("show "+table.Name, schema)
+		require.NoError(t, err)
+	}
+}
