--- a/internal/routing/weights.go
+++ b/internal/routing/weights.go
@@ -15,6 +15,11 @@
 	Reclaim float64
 }
 
+// priceWeight is the most that the price weighs. A host that is up is paid for
+// whether it works or not, so it only tells equal upstreams apart, which lets
+// the dearer ones run empty and be given back.
+const priceWeight = 0.1
+
 // WeightsFor returns the weights of a site that favours the latency target by
 // latency, from 0 to 1, and cost by the rest.
 func WeightsFor(latency float64) Weights {
@@ -23,7 +28,7 @@
 		Queue:   0.5 + 0.5*latency,
 		Prefix:  1,
 		Domain:  1,
-		Price:   1 - latency,
+		Price:   priceWeight * (1 - latency),
 		Reclaim: 1,
 	}
 }
