Directory test follows the bound up to which other owners are taken

Change: the test fills the others to the bound. Conclusion: as strict as before; one owner below the bound makes it fail.

--- a/internal/owner/ledger_test.go
+++ b/internal/owner/ledger_test.go
@@ -171,10 +171,10 @@
 	require.True(t, ok)
 	require.NotEqual(t, first, other)
 	for _, m := range all {
-		d.Heard(start, m.Incarnation, Summary{Pool: key, Slots: 20, InFlight: 20})
+		d.Heard(start, m.Incarnation, Summary{Pool: key, Slots: 20, InFlight: 20 * elsewhereBusy})
 	}
 	_, ok = d.Choose(start, &f)
-	require.False(t, ok, "nothing is free elsewhere, so the request waits")
+	require.False(t, ok, "the others are as busy, so the request waits")
 }
 
 func TestServiceOverTheWire(t *testing.T) {
