--- a/internal/bench/productjob.go
+++ b/internal/bench/productjob.go
@@ -102,8 +102,6 @@
 		return
 	}
 	now := n.product.world.clock.wall()
-	j.features.Usual = n.estimator.Cost(j.kind.name, j.features.MaxTokens)
-	j.features.Left = j.deadline - n.product.world.clock.now
 	choice, ok := n.directory.Choose(now, &j.features)
 	if !ok {
 		n.hold(j)
@@ -170,7 +168,7 @@
 		ID:    owner.ReservationID{Holder: n.member.Incarnation, Serial: j.serial},
 		Model: f.Model, Service: f.Service, Blocks: f.Blocks,
 		PromptTokens: f.PromptTokens, MaxTokens: f.MaxTokens, Priority: f.Priority,
-		Usual: f.Usual, Left: f.Left, Avoid: f.Avoid, Suspect: f.Suspect,
+		Avoid: f.Avoid, Suspect: f.Suspect,
 		Hold: j.deadline - n.product.world.clock.now + time.Second,
 	}
 }
--- a/internal/owner/directory.go
+++ b/internal/owner/directory.go
@@ -31,10 +31,6 @@
 	costJitter = 0.02
 	// prefillTokensPerSecond is the assumed prefill rate of an upstream.
 	prefillTokensPerSecond = 12000
-	// slowFrom is from how many times the mean pace an owner's upstreams count as slow.
-	slowFrom = 1.5
-	// lateWeight is what a second past the deadline counts.
-	lateWeight = 10
 	// elsewhereBusy is up to which part of its slots an owner takes requests whose best owner is full.
 	elsewhereBusy = 1.2
 	// secondMiss is the part of a prefix that is assumed missing at its second choice.
@@ -153,7 +149,6 @@
 	defer d.mu.Unlock()
 	entries := d.pools[KeyOf(f.Pool())]
 	first, second := ranked(entries, f)
-	meanPace := meanPace(entries)
 	var best, free *entry
 	least, leastFree := math.Inf(1), math.Inf(1)
 	for _, e := range entries {
@@ -164,7 +159,7 @@
 		case second:
 			missing = secondMiss
 		}
-		cost := e.cost(now, f, missing, meanPace) * (1 + costJitter*d.random.Float64())
+		cost := e.cost(now, f, missing) * (1 + costJitter*d.random.Float64())
 		if cost < least {
 			best, least = e, cost
 		}
@@ -211,41 +206,17 @@
 
 // cost returns what a request costs at the owner's upstreams, in seconds, when
 // the part missing of its prefix is not cached there.
-func (e *entry) cost(now time.Time, f *routing.Features, missing, meanPace float64) float64 {
+func (e *entry) cost(now time.Time, f *routing.Features, missing float64) float64 {
 	busy := e.busy(now)
 	if now.Before(e.full) {
 		busy = max(busy, busyOfFull)
 	}
-	slow := e.slowness(meanPace)
 	tokens := float64(f.MaxTokens)
-	decode := tokens * assumedPace * slow
+	decode := tokens * assumedPace
 	cost := decode + busy*assumedSlots*tokens*tokenShare
 	cost += max(0, busy-1) * decode
-	prefill := float64(f.PromptTokens) * missing / prefillTokensPerSecond * slow
-	late := max(0, f.Usual.Seconds()*slow-f.Left.Seconds())
-	return cost + prefill*(1+busy*assumedSlots) + late*lateWeight
-}
-
-// slowness returns how many times slower than the mean the owner's upstreams
-// are; differences that come from their load alone are left out.
-func (e *entry) slowness(meanPace float64) float64 {
-	ratio := float64(e.summary.Pace) / max(1, meanPace)
-	if ratio < slowFrom {
-		return 1
-	}
-	return ratio
-}
-
-// meanPace returns the mean pace of the owners that told one, in PaceUnit.
-func meanPace(entries []*entry) float64 {
-	sum, told := 0.0, 0
-	for _, e := range entries {
-		if e.summary.Pace > 0 {
-			sum += float64(e.summary.Pace)
-			told++
-		}
-	}
-	return sum / float64(max(1, told))
+	prefill := float64(f.PromptTokens) * missing / prefillTokensPerSecond
+	return cost + prefill*(1+busy*assumedSlots)
 }
 
 // busy returns the part of the owner's slots that is taken, as far as known.
--- a/internal/owner/ledger.go
+++ b/internal/owner/ledger.go
@@ -165,7 +165,6 @@
 		Pool:     KeyOf(pool),
 		Slots:    uint16(min(count.Slots, math.MaxUint16)),
 		InFlight: uint16(min(count.InFlight, math.MaxUint16)),
-		Pace:     uint16(min(count.Pace/PaceUnit, math.MaxUint16)),
 	}
 }
 
--- a/internal/owner/messages.go
+++ b/internal/owner/messages.go
@@ -35,9 +35,6 @@
 	PromptTokens int
 	MaxTokens    int
 	Priority     request.Priority
-	// Usual is how long such a request usually holds a slot, and Left the time until its deadline.
-	Usual time.Duration
-	Left  time.Duration
 	// Avoid is an upstream that lately failed this request, or empty.
 	Avoid ident.Upstream
 	// Suspect is true when the content was running at an upstream that crashed.
@@ -51,7 +48,7 @@
 	return routing.Features{
 		Model: a.Model, Adapter: a.Adapter, Service: a.Service, Blocks: a.Blocks,
 		PromptTokens: a.PromptTokens, MaxTokens: a.MaxTokens, Priority: a.Priority,
-		Usual: a.Usual, Left: a.Left, Avoid: a.Avoid, Suspect: a.Suspect,
+		Avoid: a.Avoid, Suspect: a.Suspect,
 	}
 }
 
--- a/internal/owner/summary.go
+++ b/internal/owner/summary.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
@@ -11,10 +10,10 @@
 )
 
 // SummaryBytes is the length of a summary's encoding, in bytes.
-const SummaryBytes = 10
+const SummaryBytes = 8
 
 // ErrShortSummary is returned for bytes that are no whole summary.
-var ErrShortSummary = errors.New("a summary has 10 bytes")
+var ErrShortSummary = errors.New("a summary has 8 bytes")
 
 // PoolKey is a short hash of a pool's name.
 type PoolKey uint32
@@ -31,13 +30,8 @@
 	Slots uint16
 	// InFlight is what the owner counts there.
 	InFlight uint16
-	// Pace is the mean time between tokens there, in PaceUnit; 0 when unknown.
-	Pace uint16
 }
 
-// PaceUnit is the unit of a summary's pace.
-const PaceUnit = 100 * time.Microsecond
-
 // Free returns how many more requests find a slot.
 func (s Summary) Free() int {
 	return max(0, int(s.Slots)-int(s.InFlight))
@@ -47,8 +41,7 @@
 func (s Summary) Append(dst []byte) []byte {
 	dst = binary.BigEndian.AppendUint32(dst, uint32(s.Pool))
 	dst = binary.BigEndian.AppendUint16(dst, s.Slots)
-	dst = binary.BigEndian.AppendUint16(dst, s.InFlight)
-	return binary.BigEndian.AppendUint16(dst, s.Pace)
+	return binary.BigEndian.AppendUint16(dst, s.InFlight)
 }
 
 // DecodeSummary reads the encoding of a summary.
@@ -60,6 +53,5 @@
 		Pool:     PoolKey(binary.BigEndian.Uint32(data)),
 		Slots:    binary.BigEndian.Uint16(data[4:]),
 		InFlight: binary.BigEndian.Uint16(data[6:]),
-		Pace:     binary.BigEndian.Uint16(data[8:]),
 	}, nil
 }
--- a/internal/routing/features.go
+++ b/internal/routing/features.go
@@ -1,8 +1,6 @@
 package routing
 
 import (
-	"time"
-
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/request"
 )
@@ -21,10 +19,6 @@
 	// MaxTokens is the most tokens to generate.
 	MaxTokens int
 	Priority  request.Priority
-	// Usual is how long such a request usually holds a slot, and Left the time until
-	// its deadline; 0 when unknown. A slow upstream is avoided when Usual there is more than Left.
-	Usual time.Duration
-	Left  time.Duration
 	// Avoid is an upstream that lately failed this request, or empty.
 	Avoid ident.Upstream
 	// Suspect is true when the content was running at an upstream that crashed.
--- a/internal/routing/policycost.go
+++ b/internal/routing/policycost.go
@@ -19,8 +19,6 @@
 	otherDomainSeconds = 0.004
 	// reclaimsPerSecond is the assumed rate of reclaims of a reclaimable upstream.
 	reclaimsPerSecond = 1.0 / 3600
-	// lateWeight is what a second past the deadline counts.
-	lateWeight = 10
 	// priceSeconds is what a doubled price counts, as a part of the request's time.
 	priceSeconds = 0.5
 )
@@ -68,10 +66,6 @@
 	perPrice float64
 	reclaim  float64
 	prompt   int
-	// usual and left are those of the features, in seconds; perPace is 1 over the mean pace.
-	usual   float64
-	left    float64
-	perPace float64
 }
 
 func (p Cost) termsOf(s *Selection) terms {
@@ -83,11 +77,6 @@
 		reclaim: p.Weights.Reclaim * reclaimsPerSecond,
 		prompt:  s.Features.PromptTokens,
 	}
-	if s.MeanPace > 0 {
-		out.perPace = 1 / s.MeanPace
-		out.usual = s.Features.Usual.Seconds()
-		out.left = s.Features.Left.Seconds()
-	}
 	if s.MeanPrice > 0 {
 		out.price = p.Weights.Price * priceSeconds
 		out.perPrice = out.price / s.MeanPrice
@@ -110,9 +99,6 @@
 		cost += t.weights.Domain * otherDomainSeconds
 	}
 	cost += (decode + prefill) * (c.price*t.perPrice - t.price)
-	if t.usual > 0 && c.pace > 0 {
-		cost += lateWeight * max(0, t.usual*c.pace*t.perPace-t.left)
-	}
 	if c.reclaimable {
 		cost += t.reclaim * decode * (decode + prefill)
 	}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -21,8 +21,6 @@
 	Candidates []*Replica
 	// MeanPrice is the mean price per hour in the pool.
 	MeanPrice float64
-	// MeanPace is the mean time between tokens of the candidates in seconds, or 0 when unknown.
-	MeanPace float64
 	// Random is the source of random numbers.
 	Random *rand.Rand
 
@@ -101,7 +99,6 @@
 	r.selection.MeanPrice = p.meanPrice
 	t.index.match(now, f.Blocks)
 	var avoided *Replica
-	paces, measured := 0.0, 0
 	for _, c := range p.replicas {
 		if !r.fits(now, c, f) {
 			continue
@@ -114,13 +111,8 @@
 			avoided = c
 			continue
 		}
-		if c.pace > 0 {
-			paces += c.pace
-			measured++
-		}
 		candidates = append(candidates, c)
 	}
-	r.selection.MeanPace = paces / float64(max(1, measured))
 	if len(candidates) == 0 && avoided != nil {
 		candidates = append(candidates, avoided)
 	}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -270,8 +270,6 @@
 	InFlight int
 	// Replicas is how many are usable.
 	Replicas int
-	// Pace is the mean time between tokens there, or 0 when unknown.
-	Pace time.Duration
 }
 
 // Free returns how many more requests find a slot.
@@ -288,20 +286,14 @@
 	if !ok {
 		return out
 	}
-	paces, measured := 0.0, 0
 	for _, r := range p.replicas {
 		if !r.usable(now) {
 			continue
 		}
-		if r.pace > 0 {
-			paces += r.pace
-			measured++
-		}
 		out.Replicas++
 		out.Slots += int(r.room(now))
 		out.InFlight += t.load(now, r)
 	}
-	out.Pace = time.Duration(paces / float64(max(1, measured)) * float64(time.Second))
 	return out
 }
 
