--- a/internal/bench/product.go
+++ b/internal/bench/product.go
@@ -42,6 +42,8 @@
 	oracle bool
 	// noOwner makes each node choose by itself by late reports.
 	noOwner bool
+	// noPrefix hides prompts' beginnings from all choices.
+	noPrefix bool
 	// noAdmission takes everything in, first come first served.
 	noAdmission bool
 	// weights changes the weights of the choice.
--- a/internal/bench/productjob.go
+++ b/internal/bench/productjob.go
@@ -102,7 +102,7 @@
 		return
 	}
 	now := n.product.world.clock.wall()
-	choice, ok := n.directory.Choose(now, &j.features)
+	choice, ok := n.choose(now, j)
 	if !ok {
 		n.hold(j)
 		return
@@ -110,6 +110,15 @@
 	n.ask(j, choice)
 }
 
+// choose returns the owner to ask.
+func (n *node) choose(now time.Time, j *job) (owner.Choice, bool) {
+	f := j.features
+	if n.product.variant.noPrefix {
+		f.Blocks = nil
+	}
+	return n.directory.Choose(now, &f)
+}
+
 // late reports whether a job that was not sent can't meet its deadline any more.
 func (n *node) late(j *job) bool {
 	return j.sent == 0 && n.product.world.clock.wall().Add(j.ticket.Request.Cost).After(j.ticket.Request.Deadline)
@@ -164,9 +173,13 @@
 
 func (n *node) reserveArgs(j *job) *owner.ReserveArgs {
 	f := &j.features
+	blocks := f.Blocks
+	if n.product.variant.noPrefix {
+		blocks = nil
+	}
 	return &owner.ReserveArgs{
 		ID:    owner.ReservationID{Holder: n.member.Incarnation, Serial: j.serial},
-		Model: f.Model, Service: f.Service, Blocks: f.Blocks,
+		Model: f.Model, Service: f.Service, Blocks: blocks,
 		PromptTokens: f.PromptTokens, MaxTokens: f.MaxTokens, Priority: f.Priority,
 		Avoid: f.Avoid, Suspect: f.Suspect,
 		Hold: j.deadline - n.product.world.clock.now + time.Second,
--- a/internal/bench/productmove.go
+++ b/internal/bench/productmove.go
@@ -73,7 +73,7 @@
 		w.later(n.number, movePause, func() { n.move(j, a) })
 		return
 	}
-	choice, ok := n.directory.Choose(w.clock.wall(), &j.features)
+	choice, ok := n.choose(w.clock.wall(), j)
 	if !ok {
 		w.later(n.number, movePause+w.clock.jitter(movePause), func() { n.move(j, a) })
 		return
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -45,7 +45,7 @@
 	return []System{
 		variantOf(variant{name: "-owner", noOwner: true}),
 		variantOf(variant{name: "-admission", noAdmission: true}),
-		variantOf(variant{name: "-prefix", weights: func(w *routing.Weights) { w.Prefix = 0 }}),
+		variantOf(variant{name: "-prefix", noPrefix: true, weights: func(w *routing.Weights) { w.Prefix = 0 }}),
 		variantOf(variant{name: "-queue", weights: func(w *routing.Weights) { w.Queue = 0 }}),
 		variantOf(variant{name: "-domain", weights: func(w *routing.Weights) { w.Domain = 0 }}),
 		variantOf(variant{name: "-price", weights: func(w *routing.Weights) { w.Price = 0 }}),
