The whole path: nodes over the platform's object API, and a demo that disturbs them

Cause: the parts had never run together. Change: internal/node joins configuration, fleet, notices, witness, router, intake, guard and the operators' server; internal/testbed starts daemon and stand-ins as processes; make demo sends the users' kinds of work while it reclaims an upstream and an entry host and stops a node. An engine's answer 204 counted as a failure and spoiled every import of a cache; mended.

--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,9 @@
 slopes: ## Measure what control costs, for docs/CAPACITY.md; takes about two minutes.
 	$(GO) run ./cmd/mangoledge-slopes --json docs/capacity/slopes.json --table docs/capacity/slopes.txt
 
+demo: build ## Show the whole system at work on this machine.
+	$(BIN)/mangoledge-demo --bin $(BIN)
+
 tools: $(BIN)/gofumpt $(BIN)/golangci-lint
 
 $(BIN)/gofumpt:
--- a/cmd/mangoledge-standin/main.go
+++ b/cmd/mangoledge-standin/main.go
@@ -21,7 +21,9 @@
 // commands returns every subcommand; each stands in a file of its own.
 func commands(app *kingpin.Application) []command {
 	return []command{
+		engineCommand(app),
 		platformCommand(app),
+		serviceCommand(app),
 	}
 }
 
--- a/cmd/mangoledged/main.go
+++ b/cmd/mangoledged/main.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -36,8 +35,7 @@
 
 // run runs a node until a signal stops it by plan.
 func run(loaded *settings.Settings) error {
-	logger := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("node", string(loaded.Node))
-	n, err := node.New(loaded, logger)
+	n, err := node.New(loaded, os.Stderr)
 	if err != nil {
 		return err
 	}
@@ -49,6 +47,10 @@
 	select {
 	case err := <-n.Failures():
 		return err
+	case notice := <-n.Reclaims():
+		n.Reclaim(notice)
+		return nil
+	case <-n.Drains():
 	case <-signals:
 	}
 	limit := time.Duration(loaded.Limits.DrainTimeoutMs) * time.Millisecond
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -142,7 +142,7 @@
 	if err != nil {
 		return err
 	}
-	if resp.StatusCode != http.StatusOK {
+	if resp.StatusCode >= http.StatusMultipleChoices {
 		return readFailure(resp)
 	}
 	defer func() { _ = resp.Body.Close() }()
--- a/internal/entry/convert.go
+++ b/internal/entry/convert.go
@@ -56,7 +56,7 @@
 func (h *Handler) requestID(in *callerapi.Submission) (ident.RequestID, error) {
 	text, given := in.ID.Get()
 	if given {
-		return parseID("id", text)
+		return parseID(text)
 	}
 	if !in.Idempotent.Or(true) {
 		return ident.RequestID{}, verdict.BadInput("id", "a request that is not idempotent needs an ID chosen before its first send: the prefix from /v1/addresses and at least 16 random characters")
@@ -90,10 +90,10 @@
 	return &verdict.Error{Verdict: verdict.NotRun, Code: verdict.CodeUnknownService, Field: "service", Message: "no such service: " + service}
 }
 
-func parseID(field, text string) (ident.RequestID, error) {
+func parseID(text string) (ident.RequestID, error) {
 	id, err := ident.ParseRequestID(text)
 	if err != nil {
-		return ident.RequestID{}, verdict.BadInput(field, "%v", err)
+		return ident.RequestID{}, verdict.BadInput("id", "%v", err)
 	}
 	return id, nil
 }
--- a/internal/entry/eventstream.go
+++ b/internal/entry/eventstream.go
@@ -1,10 +1,14 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"io"
+	"iter"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"mangoledge.example/mangoledge/internal/dispatch"
 	"mangoledge.example/mangoledge/internal/sse"
 )
@@ -12,49 +16,53 @@
 // comeBackAtOnce is the shortest time after which a caller is told to come back.
 const comeBackAtOnce = 10 * time.Millisecond
 
-// eventStream is the body of a streamed answer. It writes each event with one
-// Write, which the response writer flushes.
+// errStopped ends the following of a stream that nobody reads any more.
+var errStopped = errors.New("the stream is read no more")
+
+// eventStream is the body of a streamed answer. Each Read returns one event at
+// most, which the generated encoder writes at once and flushWriter flushes.
 type eventStream struct {
-	ctx        context.Context //nolint:containedctx // the generated encoder hands none over
 	attachment dispatch.Attachment
+	next       func() (dispatch.Event, bool)
+	stop       func()
+	buffer     bytes.Buffer
 }
 
 func newEventStream(ctx context.Context, attachment dispatch.Attachment) *eventStream {
-	return &eventStream{ctx: ctx, attachment: attachment}
-}
-
-// Read is never used: io.Copy prefers WriteTo.
-func (s *eventStream) Read([]byte) (int, error) {
-	return 0, io.EOF
+	events := func(yield func(dispatch.Event) bool) {
+		_ = attachment.Follow(ctx, func(event dispatch.Event) error {
+			if !yield(event) {
+				return errStopped
+			}
+			return nil
+		})
+	}
+	s := &eventStream{attachment: attachment}
+	s.next, s.stop = iter.Pull(iter.Seq[dispatch.Event](events))
+	return s
 }
 
-// WriteTo writes the events until the last one.
-func (s *eventStream) WriteTo(w io.Writer) (int64, error) {
-	counter := &countingWriter{w: w}
-	err := s.attachment.Follow(s.ctx, func(event dispatch.Event) error {
-		return writeEvent(counter, event)
-	})
-	return counter.n, err
+// Read reads the next event, or the rest of the one before.
+func (s *eventStream) Read(p []byte) (int, error) {
+	if s.buffer.Len() == 0 {
+		event, ok := s.next()
+		if !ok {
+			return 0, io.EOF
+		}
+		if err := writeEvent(&s.buffer, event); err != nil {
+			return 0, err
+		}
+	}
+	return s.buffer.Read(p)
 }
 
 // Close ends the following.
 func (s *eventStream) Close() error {
+	s.stop()
 	s.attachment.Close()
 	return nil
 }
 
-type countingWriter struct {
-	w io.Writer
-	n int64
-}
-
-// Write writes p and counts it.
-func (c *countingWriter) Write(p []byte) (int, error) {
-	n, err := c.w.Write(p)
-	c.n += int64(n)
-	return n, err
-}
-
 // acceptedEvent is the data of `accepted`: the tokens that follow begin at Offset.
 type acceptedEvent struct {
 	ID         string `json:"id"`
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -71,7 +71,7 @@
 
 // ResumeStream continues a stream.
 func (h *Handler) ResumeStream(ctx context.Context, params callerapi.ResumeStreamParams) (callerapi.ResumeStreamOK, error) {
-	id, err := parseID("id", params.ID)
+	id, err := parseID(params.ID)
 	if err != nil {
 		return callerapi.ResumeStreamOK{}, err
 	}
@@ -91,7 +91,7 @@
 
 // FetchAnswer returns the state of a request.
 func (h *Handler) FetchAnswer(ctx context.Context, params callerapi.FetchAnswerParams) (*callerapi.RequestState, error) {
-	id, err := parseID("id", params.ID)
+	id, err := parseID(params.ID)
 	if err != nil {
 		return nil, err
 	}
@@ -104,7 +104,7 @@
 
 // CancelRequest cancels a request.
 func (h *Handler) CancelRequest(ctx context.Context, params callerapi.CancelRequestParams) (*callerapi.RequestState, error) {
-	id, err := parseID("id", params.ID)
+	id, err := parseID(params.ID)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -100,17 +100,17 @@
 	}
 	if local || err != nil {
 		local = true
-		reply.Answer, reply.Refusal = g.gate.Acquire(time.Now(), args.Fingerprint, args.ID, args.Hold)
+		reply.Answer = g.gate.Acquire(time.Now(), args.Fingerprint, args.ID, args.Hold)
 	}
-	switch reply.Answer {
+	switch reply.Answer.Kind {
 	case poison.AnswerPass:
 		return &pass{guard: g, fingerprint: args.Fingerprint, id: args.ID, address: address, local: local}, nil
 	case poison.AnswerWait:
 		return nil, verdict.New(verdict.NotRun, verdict.CodePoison, "other runs of this content, which has crashed upstreams, must end first").After(waitAtGate)
 	case poison.AnswerRefuse:
 	}
-	if reply.Refusal != nil {
-		return nil, reply.Refusal
+	if reply.Answer.Refusal != nil {
+		return nil, reply.Answer.Refusal
 	}
 	return nil, verdict.New(verdict.NotRun, verdict.CodePoison, "this content crashes upstreams")
 }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -2,39 +2,91 @@
 
 import (
 	"context"
+	"sync"
+	"time"
 
 	"mangoledge.example/mangoledge/internal/config"
 	"mangoledge.example/mangoledge/internal/fleet"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/peer"
+	"mangoledge.example/mangoledge/internal/platform/objects"
+	"mangoledge.example/mangoledge/internal/relay"
 )
 
 // defaultLatencyWeight is the weight of the latency target before a configuration says otherwise.
 const defaultLatencyWeight = 0.5
 
-// control is the node's part in configuration, fleet and leases.
+// control is the node's part in what the platform's object API holds: the
+// configuration and the list of upstreams, and the marks of those that leave.
 type control struct {
-	node *Node
+	node     *Node
+	store    *objects.Client
+	relay    *relay.Relay
+	manager  *config.Manager
+	registry *fleet.Registry
+	leaving  *fleet.Leaving
+	view     *fleet.LeavingView
+	notices  *notices
+	running  sync.WaitGroup
 }
 
-// siteView is the configuration in force.
-type siteView struct{}
+// newControl makes the control part of n, whose members and peers are there.
+func newControl(n *Node, dialer peer.Dialer) *control {
+	c := &control{node: n}
+	c.store = objects.NewClient(objects.Options{BaseURL: n.settings.Platform.ObjectsURL, Token: n.settings.Platform.Token})
+	c.relay = relay.New(relay.Options{
+		Store:  c.store,
+		Kinds:  []objects.Kind{config.SiteKind, fleet.UpstreamsKind},
+		View:   n.members,
+		Peers:  n.peers,
+		Dialer: dialer,
+		Logger: n.logger,
+	})
+	c.manager = config.NewManager(config.ManagerOptions{Store: c.store, Relay: c.relay, Logger: n.logger})
+	c.registry = fleet.NewRegistry(c.store, c.relay, n.logger)
+	c.leaving = fleet.NewLeaving(n.members, time.Now)
+	c.view = fleet.NewLeavingView(c.registry, c.leaving)
+	c.notices = newNotices(n, c.leaving)
+	return c
+}
+
+// stale tells whether this node may have missed a configuration, and why.
+func (c *control) stale() (string, bool) {
+	return c.manager.Stale(time.Now())
+}
 
-// Current returns the version in force.
-func (*siteView) Current() *config.Site { return nil }
+// markLeaving spreads the news that an upstream said it is leaving.
+func (c *control) markLeaving(id ident.Upstream) {
+	if err := c.leaving.MarkUpstream(id, time.Now(), fleet.SourceAnswer); err != nil {
+		c.node.logger.Warn("a leaving upstream could not be told to other nodes", "upstream", string(id), "error", err)
+	}
+}
 
-// fleetView is the list of upstreams.
-type fleetView struct{}
+// register offers the relay to other nodes.
+func (c *control) register(server *peer.Server) error {
+	return c.relay.Register(server)
+}
 
-// Upstreams returns a snapshot.
-func (*fleetView) Upstreams() []fleet.Upstream { return nil }
+// start keeps configuration and upstreams current until ctx ends.
+func (c *control) start(ctx context.Context) {
+	c.run(func() {
+		if err := c.relay.Run(ctx); err != nil && ctx.Err() == nil {
+			c.node.logger.Error("the relay ended", "error", err)
+		}
+	})
+	c.run(func() { c.notices.watch(ctx) })
+}
 
-func newControl(n *Node) *control { return &control{node: n} }
+func (c *control) run(f func()) {
+	c.running.Add(1)
+	go func() {
+		defer c.running.Done()
+		f()
+	}()
+}
 
-func (c *control) fleet() fleet.View           { return &fleetView{} }
-func (c *control) site() config.View           { return &siteView{} }
-func (c *control) stale() (string, bool)       { return "", false }
-func (c *control) markLeaving(ident.Upstream)  {}
-func (c *control) register(*peer.Server) error { return nil }
-func (c *control) start(context.Context)       {}
-func (c *control) stop()                       {}
+// wait waits for what start began; its context must have ended.
+func (c *control) wait() {
+	c.running.Wait()
+	c.store.Close()
+}
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -108,12 +108,12 @@
 	_ = n.entry.Shutdown(ctx)
 	pause(ctx, forwardTime)
 	n.dispatcher.Stop()
-	n.control.stop()
 	_ = n.operator.Shutdown(ctx)
 	_ = n.peerServer.Shutdown(ctx)
 	n.stop()
 	n.members.Stop()
 	n.peers.Close()
+	n.control.wait()
 	n.running.Wait()
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -13,15 +14,16 @@
 	"github.com/rcrowley/go-metrics"
 
 	"mangoledge.example/mangoledge/internal/auth"
-	"mangoledge.example/mangoledge/internal/config"
 	"mangoledge.example/mangoledge/internal/dispatch"
 	"mangoledge.example/mangoledge/internal/engine"
 	"mangoledge.example/mangoledge/internal/entry"
-	"mangoledge.example/mangoledge/internal/fleet"
+	"mangoledge.example/mangoledge/internal/explain"
 	"mangoledge.example/mangoledge/internal/guard"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/intake"
+	"mangoledge.example/mangoledge/internal/logging"
 	"mangoledge.example/mangoledge/internal/membership"
+	"mangoledge.example/mangoledge/internal/operator"
 	"mangoledge.example/mangoledge/internal/owner"
 	"mangoledge.example/mangoledge/internal/peer"
 	"mangoledge.example/mangoledge/internal/placement"
@@ -38,6 +40,8 @@
 	updateInterval = 200 * time.Millisecond
 	// witnessRetention is how long a finished record stays with its witness.
 	witnessRetention = 10 * time.Minute
+	// journalCapacity is the number of decisions that are kept for explain.
+	journalCapacity = 20000
 	// expireInterval is the time between two sweeps of the witness tables.
 	expireInterval = 10 * time.Second
 )
@@ -60,22 +64,29 @@
 	guard      *guard.Guard
 	entry      *entry.Server
 	operator   *http.Server
+	journal    *explain.Journal
+	orders     *operator.OrderService
 
+	drain    chan struct{}
+	reclaim  chan time.Duration
 	stop     context.CancelFunc
 	running  sync.WaitGroup
 	failures chan error
 }
 
-// New makes a node from settings; Start makes it take part.
-func New(s *settings.Settings, logger *slog.Logger) (*Node, error) {
+// New makes a node from settings, which logs to logs; Start makes it take part.
+func New(s *settings.Settings, logs io.Writer) (*Node, error) {
 	self := ident.NewIncarnation(s.Node, time.Now())
 	n := &Node{
 		settings: s,
-		logger:   logger.With("incarnation", string(self)),
+		logger:   logging.New(logs, s.Log, s.Node, self),
 		metrics:  metrics.NewRegistry(),
 		self:     self,
 		failures: make(chan error, 8),
+		drain:    make(chan struct{}, 1),
+		reclaim:  make(chan time.Duration, 1),
 	}
+	n.journal = explain.NewJournal(self, journalCapacity, time.Now)
 	dialer := peer.Dialer{Token: s.PeerToken}
 	n.peers = peer.NewClient(dialer)
 	n.peerServer = peer.NewServer(s.PeerToken)
@@ -83,10 +94,10 @@
 		return nil, err
 	}
 	n.witness = witness.NewService(self, n.peers)
-	n.control = newControl(n)
+	n.control = newControl(n, dialer)
 	n.router = placement.NewRouter(placement.Options{
 		Members:     n.members,
-		Fleet:       n.control.fleet(),
+		Fleet:       n.control.view,
 		Calls:       n.peers,
 		Policy:      routing.Cost{Weights: routing.WeightsFor(defaultLatencyWeight)},
 		MarkLeaving: n.control.markLeaving,
@@ -131,7 +142,7 @@
 	book := entry.NewAddressBook(n.members, keep, n.control.stale)
 	n.guard = guard.New(n.members, n.members, n.peers, n.logger)
 	budget := retry.NewBudget(retry.DefaultShare, retry.DefaultReserve)
-	n.intake = intake.New(n.control.site())
+	n.intake = intake.New(n.control.manager)
 	n.dispatcher = dispatch.New(dispatch.Options{
 		Members:    n.members,
 		Witness:    witness.NewClient(n.peers, n.members, n.witness),
@@ -140,7 +151,7 @@
 		Guard:      n.guard,
 		Retries:    retry.NewPolicy(budget, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), //nolint:gosec // spreads retries
 		Budget:     budget,
-		Journal:    newJournal(n),
+		Journal:    n.journal,
 		Engines:    engine.NewClient(),
 		Services:   plainservice.NewClient(),
 		Peers:      n.peers,
@@ -148,7 +159,7 @@
 		Logger:     n.logger,
 		MaxRunning: n.settings.Limits.MaxConcurrent,
 	})
-	handler := entry.NewHandler(n.dispatcher, book, n.control.site())
+	handler := entry.NewHandler(n.dispatcher, book, n.control.manager)
 	n.entry, err = entry.NewServer(handler, tokens, &n.settings.Limits)
 	if err != nil {
 		return err
@@ -169,6 +180,12 @@
 	if err := n.peerServer.Register(owner.ServiceName, ledger); err != nil {
 		return err
 	}
+	if err := n.peerServer.Register(explain.ServiceName, explain.NewService(n.journal)); err != nil {
+		return err
+	}
+	if err := n.peerServer.Register(operator.OrderServiceName, n.orders); err != nil {
+		return err
+	}
 	if err := n.peerServer.Register(poison.ServiceName, n.guard.Service()); err != nil {
 		return err
 	}
@@ -202,6 +219,30 @@
 	return nil
 }
 
+// Drains yields when an operator wants this node stopped by plan.
+func (n *Node) Drains() <-chan struct{} {
+	return n.drain
+}
+
+// Reclaims yields the notice that is left when this node's host is being reclaimed.
+func (n *Node) Reclaims() <-chan time.Duration {
+	return n.reclaim
+}
+
+func (n *Node) requestDrain() {
+	select {
+	case n.drain <- struct{}{}:
+	default:
+	}
+}
+
+func (n *Node) requestReclaim(notice time.Duration) {
+	select {
+	case n.reclaim <- notice:
+	default:
+	}
+}
+
 // Failures yields errors of listeners that ended by themselves.
 func (n *Node) Failures() <-chan error {
 	return n.failures
@@ -241,8 +282,3 @@
 	listener, err := config.Listen(ctx, "tcp", address)
 	return listener, errors.Wrap(err, setting)
 }
-
-var (
-	_ config.View = (*siteView)(nil)
-	_ fleet.View  = (*fleetView)(nil)
-)
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -1,43 +1,61 @@
 package node
 
 import (
-	"encoding/json"
 	"net/http"
 	"time"
 
 	"mangoledge.example/mangoledge/internal/auth"
-	"mangoledge.example/mangoledge/internal/membership"
-	"mangoledge.example/mangoledge/internal/request"
-	"mangoledge.example/mangoledge/internal/settings"
-	"mangoledge.example/mangoledge/internal/witness"
+	"mangoledge.example/mangoledge/internal/explain"
+	"mangoledge.example/mangoledge/internal/operator"
+	"mangoledge.example/mangoledge/internal/tables"
 )
 
 // operatorHeaderTimeout bounds how long an operator's program may take to send its header.
 const operatorHeaderTimeout = 5 * time.Second
 
-// dump is the whole state of a node, without secrets.
-type dump struct {
-	Self     membership.Member   `json:"self"`
-	Members  []membership.Member `json:"members"`
-	Requests []request.Record    `json:"requests"`
-	Witness  []witness.Stat      `json:"witness"`
-}
-
-// newOperatorServer serves operators.
+// newOperatorServer serves operators, metrics and dumps.
 func newOperatorServer(n *Node, tokens *auth.Tokens) (*http.Server, error) {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/dump", func(w http.ResponseWriter, r *http.Request) {
-		if _, refusal := tokens.Require(auth.Bearer(r), settings.RoleOperator); refusal != nil {
-			http.Error(w, refusal.Message, http.StatusUnauthorized)
-			return
-		}
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(dump{
-			Self:     n.members.Self(),
-			Members:  n.members.Members(),
-			Requests: n.dispatcher.Records(),
-			Witness:  n.witness.Stats(),
-		})
+	local := &operator.NodeLocal{
+		Leaving: n.control.leaving,
+		Fleet:   n.control.view,
+		Poison:  n.guard.Registry(),
+		Stop:    n.requestDrain,
+		Now:     time.Now,
+	}
+	n.orders = operator.NewOrderService(local)
+	runner := operator.NewRunner(operator.Options{
+		Schema:    tables.Schema(),
+		Tables:    n.tables(),
+		Explainer: explain.NewCollector(n.journal, n.members, n.peers),
+		Editor:    n.control.manager,
+		Orders:    operator.NewOrders(n.members, n.peers, n.orders),
+		Dumper:    dumper{node: n},
+		Journal:   n.journal,
 	})
+	mux, err := operator.NewMux(runner, tokens, n.metrics)
+	if err != nil {
+		return nil, err
+	}
 	return &http.Server{Handler: mux, ReadHeaderTimeout: operatorHeaderTimeout}, nil
 }
+
+// tables are what `show` shows.
+func (n *Node) tables() *tables.Registry {
+	registry := tables.NewRegistry()
+	tables.ProvideNodes(registry, n.members)
+	tables.ProvideUpstreams(registry, n.control.view)
+	tables.ProvideRequests(registry, n.dispatcher.Records)
+	tables.ProvideConfiguration(registry, n.control.manager, n.control.view, n.staleReason)
+	tables.ProvideChanges(registry, n.control.manager.Recent, n.control.manager)
+	tables.ProvidePoison(registry, n.guard.Registry())
+	return registry
+}
+
+// staleReason tells why the configuration may be out of date, or "".
+func (n *Node) staleReason() string {
+	reason, stale := n.control.stale()
+	if !stale {
+		return ""
+	}
+	return reason
+}
--- a/internal/relay/watchers.go
+++ b/internal/relay/watchers.go
@@ -34,6 +34,11 @@
 	return out[:min(len(out), WatchersPerDomain)]
 }
 
+// Watching reports whether this node is one of its failure domain's watchers.
+func (r *Relay) Watching() bool {
+	return r.isWatcher()
+}
+
 // isWatcher reports whether this node is one of its domain's watchers.
 func (r *Relay) isWatcher() bool {
 	self := r.options.View.Self()
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -34,7 +34,7 @@
 	numbers  int
 	// confirmed is when the list was last known to be current.
 	confirmed time.Time
-	// filled is true after the first Update; replicas that join later start slowly.
+	// filled is true after the first Update that named an upstream; replicas that join later start slowly.
 	filled  bool
 	started uint64
 	ended   uint64
@@ -66,7 +66,7 @@
 			t.drop(id, r)
 		}
 	}
-	t.filled = true
+	t.filled = t.filled || len(upstreams) > 0
 	t.confirmed = now
 	t.rebuildPools(upstreams)
 }
