Caller client takes the reply of a plain service from the last event

Cause: a plain service's reply comes in the last event of a stream and was lost. Change: done may carry the reply; refusals of a resend with received tokens are treated like those of a resume; one test holds the reply, one the continuation in another generation, which was mended before. Measured: of the two new tests the one for the reply failed on the code before; go test -race ./internal/callerclient passes now. Conclusion: a streamed call of a plain service ends whole.

--- a/internal/callerclient/call.go
+++ b/internal/callerclient/call.go
@@ -137,7 +137,7 @@
 	if end.refusal == nil {
 		return actionResend
 	}
-	next := afterRefusal(end.refusal, k.resuming)
+	next := afterRefusal(end.refusal, k.resuming || len(k.result.Tokens) > 0)
 	if next == actionResubmit && k.sub.Kind == "" {
 		return actionGiveUp
 	}
@@ -183,6 +183,7 @@
 
 // restart drops the tokens received; a stream of another generation begins at its start.
 func (k *call) restart() {
+	k.resuming = true
 	k.result.Tokens = nil
 	k.result.Generation = ""
 	k.result.Restarts++
--- a/internal/callerclient/decision.go
+++ b/internal/callerclient/decision.go
@@ -35,9 +35,11 @@
 //
 // The same ID may always be sent again: whoever gets it finds the same grant. A
 // new ID is a new request, so it needs the word that the old one was not run.
-func afterRefusal(refusal *callerapi.Refusal, resuming bool) action {
+//
+// holding is true when the caller resumes a stream or holds tokens of it.
+func afterRefusal(refusal *callerapi.Refusal, holding bool) action {
 	code := verdict.Code(refusal.Code)
-	if resuming {
+	if holding {
 		switch code {
 		case verdict.CodeProgressLost, verdict.CodeUnknownRequest:
 			return actionResubmit
--- a/internal/callerclient/stream.go
+++ b/internal/callerclient/stream.go
@@ -42,6 +42,8 @@
 type doneData struct {
 	Tokens int `json:"tokens"`
 	Moves  int `json:"moves"`
+	// Output is the reply of a plain service, which has no tokens.
+	Output string `json:"output"`
 }
 
 // stream sends or resumes the request and reads events until the last one.
@@ -113,7 +115,6 @@
 	goesOn := in.Offset != nil && *in.Offset == len(k.result.Tokens)
 	if len(k.result.Tokens) > 0 && in.Generation != k.result.Generation && !goesOn {
 		k.restart()
-		k.resuming = true
 		return endOf(errors.New("the generation has changed")), true
 	}
 	k.result.Generation = in.Generation
@@ -161,7 +162,7 @@
 		return endOf(errors.Newf("%d tokens received of %d", len(k.result.Tokens), in.Tokens))
 	}
 	k.result.Moves = in.Moves
-	k.result.Output = strings.Join(k.result.Tokens, "")
+	k.result.Output = strings.Join(k.result.Tokens, "") + in.Output
 	return attemptEnd{whole: true}
 }
 
--- a/internal/callerclient/stream_test.go
+++ b/internal/callerclient/stream_test.go
@@ -1,6 +1,7 @@
 package callerclient
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 
@@ -98,3 +99,23 @@
 	result := site.client().Send(t.Context(), submission(true, true), nil)
 	require.Equal(t, "a", result.Output)
 }
+
+func TestAGenerationThatGoesOnBehindTheTokensIsOneAnswer(t *testing.T) {
+	next := func(generation string, offset int) string {
+		return fmt.Sprintf("event: accepted\ndata: {\"id\":\"$ID\",\"generation\":%q,\"offset\":%d}\n\n", generation, offset)
+	}
+	site := newFakeSite(t,
+		cut(next("", 0), next("g", 0), token(0, "a"), next("h", 1), token(1, "b")),
+		events(next("i", 2), token(2, "c"), done(3)))
+	result := site.client().Send(t.Context(), submission(true, true), nil)
+	require.Equal(t, "abc", result.Output, result.Err)
+	require.Zero(t, result.Restarts)
+	require.Equal(t, "generation=h&offset=2", site.seen()[1].query)
+}
+
+func TestTheReplyOfAPlainServiceComesWithTheLastEvent(t *testing.T) {
+	site := newFakeSite(t, events(accepted(""), "event: done\ndata: {\"tokens\":0,\"moves\":0,\"output\":\"held\"}\n\n"))
+	result := site.client().Send(t.Context(), submission(true, false), nil)
+	require.Equal(t, OutcomeWhole, result.Outcome)
+	require.Equal(t, "held", result.Output)
+}
