--- a/internal/bench/productmove.go
+++ b/internal/bench/productmove.go
@@ -82,9 +82,17 @@
 	j.serial = n.serial
 	args := n.reserveArgs(j)
 	to := n.product.byIncarnation(choice.Owner)
+	asked := w.clock.now
 	w.atNode(to.number, n.way(to), func() {
 		reply := to.ledger.Reserve(w.clock.wall(), args)
-		w.atNode(n.number, n.way(to), func() { n.moveReserved(j, a, to, args, reply) })
+		w.atNode(n.number, n.way(to), func() {
+			if w.clock.now-asked > ownerTimeout {
+				n.giveBack(to, args.ID, reply.Granted)
+				n.move(j, a)
+				return
+			}
+			n.moveReserved(j, a, to, args, reply)
+		})
 	})
 }
 
@@ -125,6 +133,11 @@
 			n.release(next, routing.OutcomeUnsent)
 			return
 		}
+		if n.table.Leaving(next.engine.upstream.ID) {
+			n.release(next, routing.OutcomeUnsent)
+			n.try(j)
+			return
+		}
 		n.send(j, next)
 	})
 }
