--- a/internal/operator/nodelocal_test.go
+++ b/internal/operator/nodelocal_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"mangoledge.example/mangoledge/internal/explain"
 	"mangoledge.example/mangoledge/internal/fleet"
 	"mangoledge.example/mangoledge/internal/membership"
 	"mangoledge.example/mangoledge/internal/poison"
@@ -72,3 +73,22 @@
 	require.NoError(t, err)
 	require.False(t, found)
 }
+
+func TestMarksAreExplained(t *testing.T) {
+	now := time.Unix(1000, 0)
+	clock := func() time.Time { now = now.Add(time.Second); return now }
+	journal := explain.NewJournal("n1", 64, clock)
+	leaving := fleet.NewLeaving(noSpreader{}, clock)
+	RecordMarks(journal, leaving)
+	require.NoError(t, leaving.MarkUpstream("u1", clock(), fleet.SourceAnswer))
+	require.NoError(t, leaving.MarkHost("h1", clock(), fleet.SourceNotice))
+	_, err := leaving.Clear(fleet.Subject{Host: "h1"})
+	require.NoError(t, err)
+
+	upstream := journal.Lookup(explain.Subject{Kind: explain.KindUpstream, ID: "u1"})
+	require.Len(t, upstream, 1)
+	require.Contains(t, upstream[0].Sentence(), "learnt by its own answer")
+	host := journal.Lookup(explain.Subject{Kind: explain.KindHost, ID: "h1"})
+	require.Equal(t, "leaving", host[0].Decision.Name)
+	require.Equal(t, "leaving cleared", host[len(host)-1].Decision.Name)
+}
--- a/internal/tables/rows.go
+++ b/internal/tables/rows.go
@@ -89,6 +89,7 @@
 	MaxHosts        int     `column:"maxHosts" doc:"most hosts to pay for"`
 	MaxPricePerHour float64 `column:"maxPricePerHour" doc:"highest price per host and hour, in the site's currency"`
 	Reclaimable     bool    `column:"reclaimable" doc:"which market the hosts come from"`
+	ChecksFencing   bool    `column:"checksFencing" doc:"true when engines there refuse orders with an old fencing number"`
 }
 
 // Config is a row of the table config: the configuration in force.
--- a/internal/tables/schema.go
+++ b/internal/tables/schema.go
@@ -55,6 +55,7 @@
 	{Name: "capacity", Removable: true, Doc: "capacity to pay for", NameDoc: "<failure domain>/<host class>/reclaimable or .../on-demand", Keys: []query.Column{
 		{Name: "maxHosts", Type: query.TypeNumber, Doc: "most hosts to pay for, a whole number"},
 		{Name: "maxPricePerHour", Type: query.TypeNumber, Doc: "highest price per host and hour, 0 or more"},
+		{Name: "checksFencing", Type: query.TypeBool, Doc: "true when the engines there refuse orders with an old fencing number"},
 	}},
 	{Name: "weights", Doc: "what the site favours", NameDoc: "always site", Keys: []query.Column{
 		{Name: "latency", Type: query.TypeNumber, Doc: "weight of the latency target, 0 to 1; cost has the rest"},
--- a/internal/tables/sources.go
+++ b/internal/tables/sources.go
@@ -148,7 +148,7 @@
 	})
 	Provide(r, func(context.Context) ([]Capacity, error) {
 		return rowsOf(site().Capacity, func(c config.Capacity) Capacity {
-			return Capacity{FailureDomain: string(c.FailureDomain), HostClass: string(c.HostClass), MaxHosts: c.MaxHosts, MaxPricePerHour: c.MaxPricePerHour, Reclaimable: c.Reclaimable}
+			return Capacity{FailureDomain: string(c.FailureDomain), HostClass: string(c.HostClass), MaxHosts: c.MaxHosts, MaxPricePerHour: c.MaxPricePerHour, Reclaimable: c.Reclaimable, ChecksFencing: c.ChecksFencing}
 		}), nil
 	})
 }
