Requests counted at the caller API; decisions told in sentences

Cause: metrics showed nothing of callers' requests, and explain told a request's decisions in fragments. Change: internal/requestmetrics wraps the dispatcher: submissions, answers, refusals by code and verdict, tokens, time to first token and between tokens; labels come from fixed sets. explain has a sentence for each decision about a request.

--- a/internal/explain/entry.go
+++ b/internal/explain/entry.go
@@ -110,6 +110,11 @@
 	return strings.NewReplacer(pairs...).Replace(e.Decision.Sentence)
 }
 
+// IsReasonOnly reports whether the sentence already holds all that the entry was made from.
+func (e Entry) IsReasonOnly() bool {
+	return len(e.Inputs) == 1 && e.Inputs[0].Name == reasonInput
+}
+
 // From lists the inputs as "name=value".
 func (e Entry) From() string {
 	parts := make([]string, 0, len(e.Inputs))
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -49,6 +49,20 @@
 	require.Len(t, journal.Lookup(Subject{Kind: KindHost, ID: "h1"}), 1, "requests must not push out hosts")
 }
 
+func TestDecisionsAboutRequestsAreTold(t *testing.T) {
+	journal := NewJournal("n1", 64, steppingClock(0))
+	id := ident.RequestID{Home: "n1_0123456789abcdef", Witness: "n2_0123456789abcdef", Random: "aaaaaaaaaaaaaaaa"}
+	journal.Request(id, "dispatch", "to e1")
+	journal.Request(id, "new decision", "as it is")
+	entries := journal.Lookup(Subject{Kind: KindRequest, ID: id.String()})
+	require.Len(t, entries, 2)
+	require.Equal(t, "The request was sent to e1.", entries[0].Sentence())
+	require.True(t, entries[0].IsReasonOnly())
+	require.Equal(t, "as it is", entries[1].Sentence())
+	var none *Journal
+	none.Request(id, "dispatch", "to e1")
+}
+
 func TestMoreInputsThanKeptAreDropped(t *testing.T) {
 	journal := NewJournal("n1", 64, steppingClock(0))
 	inputs := make([]Input, MaxInputs+3)
--- a/internal/explain/journal.go
+++ b/internal/explain/journal.go
@@ -126,19 +126,22 @@
 	return &j.shards[kind][xxhash.Sum64String(id)%shardCount]
 }
 
+// reasonInput is the one input of decisions noted by Request; their sentence holds it whole.
+const reasonInput = "reason"
+
 // Request notes a decision about a request whose reason is already a sentence.
 func (j *Journal) Request(id ident.RequestID, decision, reason string) {
 	if j == nil {
 		return
 	}
-	j.Record(KindRequest, id.String(), j.named(decision), Text("reason", reason))
+	j.Record(KindRequest, id.String(), j.named(decision), Text(reasonInput, reason))
 }
 
-// named returns the Decision called name, whose sentence is its reason.
+// named returns the Decision called name.
 func (j *Journal) named(name string) *Decision {
 	if known, ok := j.decisions.Load(name); ok {
 		return known.(*Decision)
 	}
-	known, _ := j.decisions.LoadOrStore(name, &Decision{Name: name, Sentence: "{reason}"})
+	known, _ := j.decisions.LoadOrStore(name, &Decision{Name: name, Sentence: sentenceOf(name)})
 	return known.(*Decision)
 }
--- a/internal/operator/explaining.go
+++ b/internal/operator/explaining.go
@@ -36,7 +36,7 @@
 		at := entry.At.UTC().Format(timeLayout)
 		rows = append(rows, textRow(at, string(entry.Node), entry.Decision.Name, entry.From(), entry.Sentence()))
 		fmt.Fprintf(&text, "%s  %s  %s\n    %s", at, entry.Node, entry.Decision.Name, entry.Sentence())
-		if from := entry.From(); from != "" {
+		if from := entry.From(); from != "" && !entry.IsReasonOnly() {
 			fmt.Fprintf(&text, "\n    from: %s", from)
 		}
 		text.WriteByte('\n')
--- a/internal/operator/orders.go
+++ b/internal/operator/orders.go
@@ -109,7 +109,11 @@
 	if len(found) == 0 {
 		return Decision{Outcome: OutcomeRefused, Reason: fmt.Sprintf("no node knows %s %q; see `show %s`", order.Kind, order.ID, tableOf(order))}
 	}
-	return Decision{Outcome: OutcomeAccepted, Reason: fmt.Sprintf("%s %s %s: done by %d of %d nodes, the others do not know it", order.Verb, order.Kind, order.ID, len(found), len(answers))}
+	reason := fmt.Sprintf("%s %s %s: done by %d of %d nodes", order.Verb, order.Kind, order.ID, len(found), len(answers))
+	if len(found) < len(answers) {
+		reason += "; the others do not know it"
+	}
+	return Decision{Outcome: OutcomeAccepted, Reason: reason}
 }
 
 func tableOf(order Order) string {
--- /dev/null
+++ b/internal/requestmetrics/requestmetrics_test.go
@@ -0,0 +1,90 @@
+package requestmetrics
+
+import (
+	"context"
+	"testing"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/internal/dispatch"
+	shown "mangoledge.example/mangoledge/internal/metrics"
+	"mangoledge.example/mangoledge/internal/verdict"
+)
+
+// script is a dispatcher that follows a script, or refuses.
+type script struct {
+	Next
+	events  []dispatch.Event
+	refusal error
+}
+
+func (s *script) Submit(context.Context, dispatch.Submission) (dispatch.Attachment, error) {
+	return s, s.refusal
+}
+
+func (s *script) Resume(context.Context, dispatch.Resumption) (dispatch.Attachment, error) {
+	return s, s.refusal
+}
+
+func (s *script) Follow(_ context.Context, emit dispatch.Emit) error {
+	for _, event := range s.events {
+		if err := emit(event); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *script) Close() {}
+
+func TestWhatCallersReceiveIsCounted(t *testing.T) {
+	registry := metrics.NewRegistry()
+	next := &script{events: []dispatch.Event{
+		{Kind: dispatch.EventAccepted}, {Kind: dispatch.EventToken}, {Kind: dispatch.EventHeartbeat},
+		{Kind: dispatch.EventToken}, {Kind: dispatch.EventToken}, {Kind: dispatch.EventDone},
+	}}
+	counted := New(next, registry)
+	count := func(name string) int64 { return metrics.GetOrRegisterCounter(name, registry).Count() }
+
+	attachment, err := counted.Submit(t.Context(), dispatch.Submission{})
+	require.NoError(t, err)
+	seen := 0
+	require.NoError(t, attachment.Follow(t.Context(), func(dispatch.Event) error {
+		seen++
+		require.EqualValues(t, 1, count("requests.followed"))
+		return nil
+	}))
+	require.Equal(t, len(next.events), seen)
+	require.EqualValues(t, 3, count("requests.tokens_sent_total"))
+	require.EqualValues(t, 1, count("requests.answered_total"))
+	require.Zero(t, count("requests.followed"))
+	require.EqualValues(t, 1, shown.GetOrRegisterLatency("requests.first_token_seconds", registry).Count())
+	require.EqualValues(t, 2, shown.GetOrRegisterLatency("requests.token_gap_seconds", registry).Count())
+	require.EqualValues(t, 1, shown.GetOrRegisterLatency("requests.answer_seconds", registry).Count())
+
+	attachment, err = counted.Resume(t.Context(), dispatch.Resumption{})
+	require.NoError(t, err)
+	require.NoError(t, attachment.Follow(t.Context(), func(dispatch.Event) error { return nil }))
+	require.EqualValues(t, 1, count("requests.resumed_total"))
+	require.EqualValues(t, 1, shown.GetOrRegisterLatency("requests.first_token_seconds", registry).Count(), "a caller that came back has no first token")
+
+	refusal := verdict.New(verdict.NotRun, verdict.CodeOverloaded, "full")
+	next.events = []dispatch.Event{{Kind: dispatch.EventError, Failure: refusal}}
+	attachment, err = counted.Submit(t.Context(), dispatch.Submission{})
+	require.NoError(t, err)
+	require.NoError(t, attachment.Follow(t.Context(), func(dispatch.Event) error { return nil }))
+	next.refusal = refusal
+	_, err = counted.Submit(t.Context(), dispatch.Submission{})
+	require.ErrorIs(t, err, refusal)
+	require.EqualValues(t, 2, count(`requests.refused_total{code="overloaded",verdict="not_run"}`))
+}
+
+func BenchmarkToken(b *testing.B) {
+	f := &followed{counts: New(&script{}, metrics.NewRegistry())}
+	event := dispatch.Event{Kind: dispatch.EventToken, Text: "x"}
+	b.ReportAllocs()
+	for b.Loop() {
+		f.count(&event)
+	}
+}
