--- a/internal/witness/witness_test.go
+++ b/internal/witness/witness_test.go
@@ -71,7 +71,7 @@
 	stop    func()
 }
 
-func startNode(t *testing.T, c *cluster, name string) *testNode {
+func startNode(t testing.TB, c *cluster, name string) *testNode {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
