Membership: the comparisons after news really follow

Cause: at 460 members the last of a wave of 580 notices were heard after 16.4 s and 20 to 30 of 266,220 were still missing after 20 s. The interval of the next comparison was computed at each tick, which used up the ones meant to follow soon. Change: it is computed when one is due; eight datagrams a round rather than four go to each of three members; comparisons are counted in Stats. TestComparisonsFollowSoonAfterNews fails with the old code and passes with the new.

--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -13,7 +13,7 @@
 	// gossipFanout is to how many members a round of news goes.
 	gossipFanout = 3
 	// gossipDatagrams is the most datagrams that one round of news sends to each of them.
-	gossipDatagrams = 4
+	gossipDatagrams = 8
 	// indirectProbes is how many members are asked to probe one that does not answer.
 	indirectProbes = 3
 	// newsBytesPerSecond is the long-term rate of news in bytes a second.
@@ -122,7 +122,8 @@
 	if due(&c.nextGossip, now, c.timing.Gossip) {
 		c.gossip(now)
 	}
-	if due(&c.nextSync, now, c.syncInterval()) {
+	if !now.Before(c.nextSync) {
+		c.nextSync = now.Add(c.syncInterval())
 		c.syncWithOne(now)
 	}
 	if due(&c.nextRejoin, now, c.timing.Rejoin) {
--- a/internal/membership/failure_test.go
+++ b/internal/membership/failure_test.go
@@ -247,3 +247,18 @@
 	fresh := n.add("fresh", "r1", "d2")
 	n.until(10*time.Second, func() bool { return len(fresh.table.entries) == 462 })
 }
+
+func TestComparisonsFollowSoonAfterNews(t *testing.T) {
+	n := newNetwork(t, 15)
+	n.addMany(5, "r1")
+	listener := n.cores[4]
+	for version := range uint64(10) {
+		n.run(20*time.Second, func() {})
+		r := Rumour{Topic: TopicConfig, Key: "v", Version: version + 1}
+		n.publish(n.cores[0], r)
+		n.until(10*time.Second, func() bool { return n.heard([]*core{listener}, r) })
+		before := listener.stats.Syncs
+		n.run(2*3*freshSyncInterval/2+2*networkStep, func() {}) // two of the longest intervals
+		require.GreaterOrEqual(t, listener.stats.Syncs-before, uint64(freshSyncs))
+	}
+}
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -224,6 +224,7 @@
 
 // startSync asks address for what this node does not know.
 func (c *core) startSync(now time.Time, address string) {
+	c.stats.Syncs++
 	h := header{Kind: kindSync, From: c.self, Digest: c.digest(now)}
 	data := append(make([]byte, tagBytes, maxDatagramBytes), encode(h.write)...)
 	data = append(data, encodeRecord(c.table.entries[c.self].record, 0)...)
--- a/internal/membership/stats.go
+++ b/internal/membership/stats.go
@@ -10,6 +10,8 @@
 	Rejected uint64
 	// Suspicions, Refutations and Deaths count what was learnt of other members.
 	Suspicions, Refutations, Deaths uint64
+	// Syncs counts the comparisons that this member began.
+	Syncs uint64
 	// Pauses counts how often this process was found not to have run in time.
 	Pauses uint64
 }
