Slopes of the configuration relay

Cause: what the relay costs a node and how long a change takes were not measured. Change: the slopes start 6 and 460 nodes' relays before the stand-in of the object API, leave them quiet, and make 20 changes one after another.

--- a/internal/slopes/run.go
+++ b/internal/slopes/run.go
@@ -32,6 +32,7 @@
 		{"owner", owners},
 		{"membership", func() ([]Figure, error) { return memberships(options.Sizes) }},
 		{"load", underLoad},
+		{"relay", func() ([]Figure, error) { return relays(options.Sizes) }},
 	}
 	report := newReport()
 	var failure error
