Service calls find their owner, refusals are explained

Cause: a service call waited up to seconds. An owner that refused or had no slow start left was left alone for too long, and the expected time of a service call was worked out from the default number of tokens.

--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -112,9 +112,14 @@
 // admit asks guard and admission for a request.
 func (d *Dispatcher) admit(spec *request.Spec) (Ticket, error) {
 	if err := d.options.Guard.Check(spec); err != nil {
+		d.note(spec.ID, "refuse", err.Error())
 		return nil, err
 	}
-	return d.options.Admission.Admit(spec)
+	ticket, err := d.options.Admission.Admit(spec)
+	if err != nil {
+		d.note(spec.ID, "refuse", err.Error())
+	}
+	return ticket, err
 }
 
 // witnessDecision returns the refusal of a witness that was reached.
--- a/internal/entry/convert.go
+++ b/internal/entry/convert.go
@@ -48,6 +48,9 @@
 		Idempotent: in.Idempotent.Or(true),
 		Stream:     in.Stream.Or(false),
 	}
+	if spec.Service != "" {
+		spec.MaxTokens = 0
+	}
 	position := dispatch.Position{Generation: ident.Generation(in.Generation.Or("")), Offset: received, Received: in.Received}
 	return &dispatch.Submission{Spec: spec, Position: position}, nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -99,6 +99,7 @@
 		Members:     n.members,
 		Fleet:       n.control.view,
 		Calls:       n.peers,
+		Logger:      n.logger,
 		Policy:      routing.Cost{Weights: routing.WeightsFor(defaultLatencyWeight)},
 		MarkLeaving: n.control.markLeaving,
 	})
--- a/internal/placement/router.go
+++ b/internal/placement/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -36,6 +37,7 @@
 	Members membership.View
 	Fleet   fleet.View
 	Calls   owner.Caller
+	Logger  *slog.Logger
 	// Policy chooses among the upstreams of this node.
 	Policy routing.Policy
 	// MarkLeaving spreads the news that an upstream said it is leaving.
@@ -151,6 +153,7 @@
 	reply, err := r.askOwner(ctx, choice, args)
 	now := time.Now()
 	if err != nil {
+		r.options.Logger.Warn("an owner did not answer", "owner", string(choice.Owner), "error", err)
 		r.directory.Refused(choice.Owner, features.Pool(), now.Add(lostFor))
 		return nil, false
 	}
