Capacity runs under its lease on every node that knows the cloud; TLS; requests counted

Cause: the reconciler was not run by the daemon, and it would have ended every host that it did not start, the entry hosts among them: a host without an intent counted as a late start of its own, whatever its client token. Change: client tokens of this package carry a prefix, hosts of other tokens are left alone; nodes compete for the lease of the duty; the caller and operator listeners speak TLS when the settings ask for it; callers' requests are counted. Test: the check of a late start now also starts a host with somebody else's token and demands that it goes on running; its late start carries the prefix, as every start of the reconciler does. With the old rule that new part fails.

--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"mangoledge.example/mangoledge/internal/config"
@@ -126,12 +127,13 @@
 }
 
 // adoptStrays writes down hosts that run without an intent, as leaving, so that
-// they are ended. Such a host comes from a start that arrived late.
+// they are ended. Such a host comes from a start that arrived late. Hosts whose
+// token is not of this package, such as the entry hosts, are left alone.
 func (p *planner) adoptStrays() {
 	known := make(map[string]bool)
 	p.intents(func(i *Intent) { known[i.Token] = true })
 	for _, h := range p.in.Hosts {
-		if known[h.ClientToken] || h.State == cloud.StateTerminated {
+		if known[h.ClientToken] || h.State == cloud.StateTerminated || !strings.HasPrefix(h.ClientToken, TokenPrefix) {
 			continue
 		}
 		l := p.ledger(h.FailureDomain)
--- a/internal/capacity/reconciler.go
+++ b/internal/capacity/reconciler.go
@@ -30,6 +30,8 @@
 const (
 	// LeaseName is the duty of reconciling.
 	LeaseName = "capacity"
+	// TokenPrefix begins the client tokens of the hosts that this package starts.
+	TokenPrefix = "mangoledge-capacity-"
 	// passInterval is the time between two passes.
 	passInterval = 2 * time.Second
 	// maxRounds is how often a pass plans anew after refused starts.
@@ -65,7 +67,7 @@
 	Site     config.View
 	// RegionOf returns the region of a failure domain.
 	RegionOf func(ident.FailureDomain) ident.Region
-	// NewToken makes a client token that was never used before.
+	// NewToken makes a text that was never used before, for a client token.
 	NewToken func() string
 	// Clock is time.Now when nil.
 	Clock func() time.Time
@@ -169,7 +171,8 @@
 	}
 	return Plan(Inputs{
 		Site: site, Offers: offers, Hosts: hosts, Ledgers: ledgers,
-		Resting: r.refusals.resting(), Now: r.options.Clock(), NewToken: r.options.NewToken,
+		Resting: r.refusals.resting(), Now: r.options.Clock(),
+		NewToken: func() string { return TokenPrefix + r.options.NewToken() },
 	}), nil
 }
 
--- a/internal/capacity/reconciler_test.go
+++ b/internal/capacity/reconciler_test.go
@@ -237,15 +237,20 @@
 	r := b.process(&plug{})
 	b.passes(r, 3, b.withinBudget)
 	pool := cloud.Pool{FailureDomain: "d1", HostClass: "small", Market: cloud.MarketReclaimable}
-	stray, err := b.cloud.Start(t.Context(), cloud.Start{ClientToken: "forgotten", Pool: pool})
+	stray, err := b.cloud.Start(t.Context(), cloud.Start{ClientToken: TokenPrefix + "forgotten", Pool: pool})
+	require.NoError(t, err)
+	foreign, err := b.cloud.Start(t.Context(), cloud.Start{ClientToken: "an entry host", Pool: pool})
 	require.NoError(t, err)
 	b.passes(r, 4, func() {})
 	for _, line := range b.platform.Bill() {
-		if line.Host.ID == string(stray.ID) {
+		switch line.Host.ID {
+		case string(stray.ID):
 			require.Equal(t, platform.HostTerminated, line.Host.State)
+		case string(foreign.ID):
+			require.Equal(t, platform.HostRunning, line.Host.State, "a host of somebody else was ended")
 		}
 	}
-	require.Equal(t, 4, b.running()["all"])
+	require.Equal(t, 5, b.running()["all"])
 }
 
 func TestReclaimWaveWithRefusedStartsGoesToOtherDomainsAndMarkets(t *testing.T) {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -27,6 +27,8 @@
 	leaving  *fleet.Leaving
 	view     *fleet.LeavingView
 	notices  *notices
+	// capacity is nil on a node whose settings name no cloud.
+	capacity *reconciling
 	running  sync.WaitGroup
 }
 
@@ -47,6 +49,7 @@
 	c.leaving = fleet.NewLeaving(n.members, time.Now)
 	c.view = fleet.NewLeavingView(c.registry, c.leaving)
 	c.notices = newNotices(n, c.leaving)
+	c.capacity = newReconciling(n, c)
 	return c
 }
 
@@ -75,6 +78,9 @@
 		}
 	})
 	c.run(func() { c.notices.watch(ctx) })
+	if c.capacity != nil {
+		c.run(func() { c.capacity.run(ctx) })
+	}
 }
 
 func (c *control) run(f func()) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 	"mangoledge.example/mangoledge/internal/placement"
 	"mangoledge.example/mangoledge/internal/plainservice"
 	"mangoledge.example/mangoledge/internal/poison"
+	"mangoledge.example/mangoledge/internal/requestmetrics"
 	"mangoledge.example/mangoledge/internal/retry"
 	"mangoledge.example/mangoledge/internal/routing"
 	"mangoledge.example/mangoledge/internal/settings"
@@ -160,7 +161,7 @@
 		Logger:     n.logger,
 		MaxRunning: n.settings.Limits.MaxConcurrent,
 	})
-	handler := entry.NewHandler(n.dispatcher, book, n.control.manager)
+	handler := entry.NewHandler(requestmetrics.New(n.dispatcher, n.metrics), book, n.control.manager)
 	n.entry, err = entry.NewServer(handler, tokens, &n.settings.Limits)
 	if err != nil {
 		return err
@@ -200,11 +201,11 @@
 	if err != nil {
 		return err
 	}
-	callers, err := listen(ctx, "callerListen", n.settings.CallerListen)
+	callers, err := n.listenOutside(ctx, "callerListen", n.settings.CallerListen)
 	if err != nil {
 		return err
 	}
-	operators, err := listen(ctx, "operatorListen", n.settings.OperatorListen)
+	operators, err := n.listenOutside(ctx, "operatorListen", n.settings.OperatorListen)
 	if err != nil {
 		return err
 	}
@@ -277,9 +278,3 @@
 		}
 	}()
 }
-
-func listen(ctx context.Context, setting, address string) (net.Listener, error) {
-	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", address)
-	return listener, errors.Wrap(err, setting)
-}
--- /dev/null
+++ b/internal/node/reconcile.go
@@ -0,0 +1,75 @@
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"time"
+
+	"mangoledge.example/mangoledge/internal/capacity"
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/lease"
+	"mangoledge.example/mangoledge/internal/platform/cloud"
+	"mangoledge.example/mangoledge/internal/platform/rest"
+	"mangoledge.example/mangoledge/internal/platform/weights"
+)
+
+// reconciling is the node's part in the leased duty of keeping the declared
+// models running.
+type reconciling struct {
+	lease      *lease.Lease
+	reconciler *capacity.Reconciler
+}
+
+// newReconciling returns nil when the settings name no cloud.
+func newReconciling(n *Node, c *control) *reconciling {
+	platform := n.settings.Platform
+	if platform.CloudURL == "" {
+		return nil
+	}
+	client := func(url string) *rest.Client {
+		return rest.NewClient(rest.Options{BaseURL: url, Token: platform.Token})
+	}
+	held := lease.New(lease.Options{
+		Store:     c.store,
+		Name:      capacity.LeaseName,
+		Holder:    n.self,
+		Candidate: func() bool { return n.members.Self().State.Usable() },
+		Logger:    n.logger,
+	})
+	return &reconciling{
+		lease: held,
+		reconciler: capacity.New(capacity.Options{
+			Store:    c.store,
+			Lease:    held,
+			Cloud:    cloud.NewClient(client(platform.CloudURL)),
+			Weights:  weights.NewClient(client(platform.WeightsURL), time.Now),
+			Engines:  capacity.HTTPEngines{},
+			Registry: c.registry,
+			Site:     c.manager,
+			RegionOf: n.regionOf,
+			NewToken: rand.Text,
+			Logger:   n.logger,
+		}),
+	}
+}
+
+// regionOf returns the region of a failure domain, as far as its members tell.
+func (n *Node) regionOf(domain ident.FailureDomain) ident.Region {
+	for _, member := range n.members.Members() {
+		if member.FailureDomain == domain {
+			return member.Region
+		}
+	}
+	return n.settings.Region
+}
+
+// run takes part until ctx ends; then it gives the lease back.
+func (r *reconciling) run(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.lease.Run(ctx)
+	}()
+	r.reconciler.Run(ctx)
+	<-done
+}
