A node over TLS, its requests counted, its marks explained, no secret shown

Cause: TLS from the settings was not in force; a running node's dumps and logs had no test that searches them for secrets. Conclusion: none of the five planted secrets or their digests appears.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -8,6 +8,7 @@
 	"mangoledge.example/mangoledge/internal/config"
 	"mangoledge.example/mangoledge/internal/fleet"
 	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/operator"
 	"mangoledge.example/mangoledge/internal/peer"
 	"mangoledge.example/mangoledge/internal/platform/objects"
 	"mangoledge.example/mangoledge/internal/relay"
@@ -45,6 +46,7 @@
 	c.manager = config.NewManager(config.ManagerOptions{Store: c.store, Relay: c.relay, Logger: n.logger})
 	c.registry = fleet.NewRegistry(c.store, c.relay, n.logger)
 	c.leaving = fleet.NewLeaving(n.members, time.Now)
+	operator.RecordMarks(n.journal, c.leaving)
 	c.view = fleet.NewLeavingView(c.registry, c.leaving)
 	c.notices = newNotices(n, c.leaving)
 	return c
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 	"mangoledge.example/mangoledge/internal/placement"
 	"mangoledge.example/mangoledge/internal/plainservice"
 	"mangoledge.example/mangoledge/internal/poison"
+	"mangoledge.example/mangoledge/internal/requestmetrics"
 	"mangoledge.example/mangoledge/internal/retry"
 	"mangoledge.example/mangoledge/internal/routing"
 	"mangoledge.example/mangoledge/internal/settings"
@@ -159,7 +160,7 @@
 		Logger:     n.logger,
 		MaxRunning: n.settings.Limits.MaxConcurrent,
 	})
-	handler := entry.NewHandler(n.dispatcher, book, n.control.manager)
+	handler := entry.NewHandler(requestmetrics.New(n.dispatcher, n.metrics), book, n.control.manager)
 	n.entry, err = entry.NewServer(handler, tokens, &n.settings.Limits)
 	if err != nil {
 		return err
@@ -207,6 +208,12 @@
 	if err != nil {
 		return err
 	}
+	if callers, err = n.secure(callers); err != nil {
+		return err
+	}
+	if operators, err = n.secure(operators); err != nil {
+		return err
+	}
 	n.members.Start(ctx)
 	n.dispatcher.Start()
 	n.control.start(ctx)
--- /dev/null
+++ b/internal/node/secrets_test.go
@@ -0,0 +1,136 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/internal/auth"
+	"mangoledge.example/mangoledge/internal/settings"
+	"mangoledge.example/mangoledge/internal/standin/certificate"
+	"mangoledge.example/mangoledge/internal/standin/platform"
+	"mangoledge.example/mangoledge/internal/tlsconf"
+)
+
+// safeBuffer is a buffer for logs.
+type safeBuffer struct {
+	mu  sync.Mutex
+	out bytes.Buffer
+}
+
+func (b *safeBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.out.Write(p)
+}
+
+func (b *safeBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.out.String()
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	for {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		address := listener.Addr().String()
+		packets, err := net.ListenPacket("udp", address)
+		_ = listener.Close()
+		if err == nil {
+			_ = packets.Close()
+			return address
+		}
+	}
+}
+
+// startSecureNode starts a node over TLS whose settings hold planted secrets.
+func startSecureNode(t *testing.T, logs io.Writer) (*settings.Settings, *http.Client) {
+	t.Helper()
+	store := httptest.NewServer(platform.NewServer(platform.Options{}))
+	t.Cleanup(store.Close)
+	dir := t.TempDir()
+	certFile, keyFile := filepath.Join(dir, "cert.pem"), filepath.Join(dir, "key.pem")
+	require.NoError(t, certificate.Write(certFile, keyFile, 1))
+	s := &settings.Settings{
+		Node: "n1", Region: "default", FailureDomain: "a", Host: "h1",
+		CallerListen: freeAddress(t), OperatorListen: freeAddress(t), PeerListen: freeAddress(t),
+		PeerToken: "planted-peer-token",
+		Platform:  settings.Platform{ObjectsURL: store.URL, Token: "planted-platform-token"},
+		Tokens: []settings.Token{
+			{Name: "desk", Role: settings.RoleOperator, SHA256: auth.Digest("planted-operator-token")},
+			{Name: "field", Role: settings.RoleCaller, Workspace: "w", SHA256: auth.Digest("planted-caller-token")},
+		},
+		TLS:    &settings.TLS{CertFile: certFile, KeyFile: keyFile},
+		Log:    settings.Log{Level: "debug", Format: "json"},
+		Limits: settings.Limits{MaxBodyBytes: 1 << 20, MaxHeaderBytes: 16 << 10, MaxConcurrent: 16, HeaderTimeoutMs: 5000, BodyTimeoutMs: 5000, DrainTimeoutMs: 1000, AddressKeepMs: 1000},
+	}
+	s.CallerURL, s.PeerAdvertise = "https://"+s.CallerListen, s.PeerListen
+	n, err := New(s, logs)
+	require.NoError(t, err)
+	require.NoError(t, n.Start(t.Context()))
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		n.Drain(ctx)
+	})
+	config, err := tlsconf.Client(certFile)
+	require.NoError(t, err)
+	transport := &http.Transport{TLSClientConfig: config}
+	t.Cleanup(transport.CloseIdleConnections)
+	return s, &http.Client{Transport: transport, Timeout: 10 * time.Second}
+}
+
+func ask(t *testing.T, client *http.Client, method, url, token, body string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(body))
+	require.NoError(t, err)
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", "Bearer "+token)
+	resp, err := client.Do(req)
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return resp.StatusCode, string(data)
+}
+
+func TestNoSecretIsInDumpsLogsMetricsOrRefusals(t *testing.T) {
+	logs := new(safeBuffer)
+	s, client := startSecureNode(t, logs)
+	operators, callers := "https://"+s.OperatorListen, "https://"+s.CallerListen
+
+	status, dump := ask(t, client, http.MethodGet, operators+"/v1/dump", "planted-operator-token", "")
+	require.Equal(t, http.StatusOK, status, dump)
+	require.Contains(t, dump, "(hidden)")
+	status, shown := ask(t, client, http.MethodPost, operators+"/v1/command", "planted-operator-token", `{"command":"dump"}`)
+	require.Equal(t, http.StatusOK, status)
+	status, metrics := ask(t, client, http.MethodGet, operators+"/metrics", "", "")
+	require.Equal(t, http.StatusOK, status)
+	require.Contains(t, metrics, "mangoledge_requests_submitted_total")
+	status, refused := ask(t, client, http.MethodGet, operators+"/v1/dump", "planted-wrong-token", "")
+	require.Equal(t, http.StatusUnauthorized, status)
+	status, crossed := ask(t, client, http.MethodGet, callers+"/v1/addresses", "planted-operator-token", "")
+	require.Equal(t, http.StatusForbidden, status, "an operator's token is none for callers")
+	status, bad := ask(t, client, http.MethodPost, callers+"/v1/requests", "planted-caller-token", `{"kind":7}`)
+	require.Equal(t, http.StatusBadRequest, status)
+
+	require.NotEmpty(t, logs.String())
+	for name, text := range map[string]string{"dump": dump, "show": shown, "metrics": metrics, "refusals": refused + crossed + bad, "logs": logs.String()} {
+		require.NotContains(t, text, "planted", name)
+		for _, token := range s.Tokens {
+			require.NotContains(t, text, token.SHA256, name)
+		}
+	}
+}
--- a/internal/requestmetrics/requestmetrics_test.go
+++ b/internal/requestmetrics/requestmetrics_test.go
@@ -41,8 +41,12 @@
 func TestWhatCallersReceiveIsCounted(t *testing.T) {
 	registry := metrics.NewRegistry()
 	next := &script{events: []dispatch.Event{
-		{Kind: dispatch.EventAccepted}, {Kind: dispatch.EventToken}, {Kind: dispatch.EventHeartbeat},
-		{Kind: dispatch.EventToken}, {Kind: dispatch.EventToken}, {Kind: dispatch.EventDone},
+		{Kind: dispatch.EventAccepted},
+		{Kind: dispatch.EventToken},
+		{Kind: dispatch.EventHeartbeat},
+		{Kind: dispatch.EventToken},
+		{Kind: dispatch.EventToken},
+		{Kind: dispatch.EventDone},
 	}}
 	counted := New(next, registry)
 	count := func(name string) int64 { return metrics.GetOrRegisterCounter(name, registry).Count() }
--- a/internal/tlsconf/server.go
+++ b/internal/tlsconf/server.go
@@ -3,7 +3,7 @@
 // Invariants: TLS 1.2 is the oldest version spoken; a certificate that can't be
 // read leaves the one before it in use.
 //
-// Lock order: certificate.mu is a leaf.
+// Lock order: servedCertificate.mu is a leaf.
 package tlsconf
 
 import (
@@ -22,7 +22,7 @@
 // Server returns a configuration that serves the certificate in the PEM files
 // and reads them again when they change. now is the process's clock.
 func Server(certFile, keyFile string, now func() time.Time, logger *slog.Logger) (*tls.Config, error) {
-	c := &certificate{certFile: certFile, keyFile: keyFile, now: now, logger: logger}
+	c := &servedCertificate{certFile: certFile, keyFile: keyFile, now: now, logger: logger}
 	if err := c.read(); err != nil {
 		return nil, errors.Wrap(err, "tls")
 	}
@@ -32,8 +32,8 @@
 	}, nil
 }
 
-// certificate is a certificate and the state of the files it was read from.
-type certificate struct {
+// servedCertificate is a certificate and the state of the files it was read from.
+type servedCertificate struct {
 	certFile, keyFile string
 	now               func() time.Time
 	logger            *slog.Logger
@@ -51,7 +51,7 @@
 }
 
 // current returns the certificate to use.
-func (c *certificate) current() *tls.Certificate {
+func (c *servedCertificate) current() *tls.Certificate {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.now().Sub(c.looked) < lookInterval {
@@ -63,14 +63,14 @@
 	return c.pair
 }
 
-func (c *certificate) read() error {
+func (c *servedCertificate) read() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.readLocked()
 }
 
 // readLocked reads the files when they have changed; the caller holds mu.
-func (c *certificate) readLocked() error {
+func (c *servedCertificate) readLocked() error {
 	c.looked = c.now()
 	state, err := stateOf(c.certFile, c.keyFile)
 	if err != nil {
--- a/internal/tlsconf/tlsconf_test.go
+++ b/internal/tlsconf/tlsconf_test.go
@@ -1,17 +1,10 @@
 package tlsconf
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"io"
 	"log"
 	"log/slog"
-	"math/big"
 	"net"
 	"net/http"
 	"os"
@@ -20,34 +13,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-)
 
-// writeCertificate makes a self-signed certificate for 127.0.0.1 and writes it to the two files.
-func writeCertificate(t *testing.T, certFile, keyFile string, serial int64) {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	require.NoError(t, err)
-	template := &x509.Certificate{
-		SerialNumber:          big.NewInt(serial),
-		Subject:               pkix.Name{CommonName: "mangoledge test"},
-		NotBefore:             time.Now().Add(-time.Hour),
-		NotAfter:              time.Now().Add(time.Hour),
-		IPAddresses:           []net.IP{net.ParseIP("127.0.0.1")},
-		IsCA:                  true,
-		BasicConstraintsValid: true,
-	}
-	cert, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	require.NoError(t, err)
-	keyBytes, err := x509.MarshalECPrivateKey(key)
-	require.NoError(t, err)
-	writePEM(t, certFile, "CERTIFICATE", cert)
-	writePEM(t, keyFile, "EC PRIVATE KEY", keyBytes)
-}
-
-func writePEM(t *testing.T, path, kind string, data []byte) {
-	t.Helper()
-	require.NoError(t, os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: data}), 0o600))
-}
+	"mangoledge.example/mangoledge/internal/standin/certificate"
+)
 
 // startServer serves over TLS and returns its URL. (httptest would put in a certificate of its own.)
 func startServer(t *testing.T, config *tls.Config) string {
@@ -77,7 +45,7 @@
 func TestTheCertificateIsReadAgainWhenItsFilesChange(t *testing.T) {
 	dir := t.TempDir()
 	certFile, keyFile := filepath.Join(dir, "cert.pem"), filepath.Join(dir, "key.pem")
-	writeCertificate(t, certFile, keyFile, 1)
+	require.NoError(t, certificate.Write(certFile, keyFile, 1))
 	now := time.Now()
 	config, err := Server(certFile, keyFile, func() time.Time { return now }, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	require.NoError(t, err)
@@ -86,7 +54,7 @@
 	require.NoError(t, err)
 	require.EqualValues(t, 1, serialSeen(t, url, first))
 
-	writeCertificate(t, certFile, keyFile, 2)
+	require.NoError(t, certificate.Write(certFile, keyFile, 2))
 	require.NoError(t, os.Chtimes(certFile, now, now.Add(time.Minute)))
 	second, err := Client(certFile)
 	require.NoError(t, err)
@@ -102,7 +70,7 @@
 func TestAClientWithoutTheCertificateRefuses(t *testing.T) {
 	dir := t.TempDir()
 	certFile, keyFile := filepath.Join(dir, "cert.pem"), filepath.Join(dir, "key.pem")
-	writeCertificate(t, certFile, keyFile, 1)
+	require.NoError(t, certificate.Write(certFile, keyFile, 1))
 	config, err := Server(certFile, keyFile, time.Now, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	require.NoError(t, err)
 	system, err := Client("")
