show requests asks every node; refusals of commands read plainly

Cause: show requests told of one node's requests only; a refused command was printed as a Go value; explain repeated what its sentence already said. Measured: go test -race ./internal/operator ./internal/cli ./internal/node passes; a test holds that a silent node and a cut answer are told. Conclusion: one row for each request, from the node that knows more of it.

--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -78,6 +78,10 @@
 		a.nameChange(in, flags)
 	}
 	result, err := a.runAnywhere(ctx, in, verb)
+	var refused *operatorapi.RefusedStatusCode
+	if errors.As(err, &refused) {
+		return exitOfCommandError(refused.Response.Code), errors.Newf("%s: %s", refused.Response.Code, refused.Response.Message)
+	}
 	if err != nil {
 		return exitOfOperatorError(err, verb), err
 	}
@@ -141,11 +145,8 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
+// exitOfOperatorError is the exit code of a command that no node answered.
 func exitOfOperatorError(err error, verb operatorVerb) ExitCode {
-	var refused *operatorapi.RefusedStatusCode
-	if errors.As(err, &refused) {
-		return exitOfCommandError(refused.Response.Code)
-	}
 	if verb.changes && errors.Is(err, errLost) {
 		return ExitUnknown
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,6 +67,7 @@
 	operator   *http.Server
 	journal    *explain.Journal
 	orders     *operator.OrderService
+	shows      *operator.ShowService
 
 	drain    chan struct{}
 	reclaim  chan time.Duration
@@ -187,6 +188,9 @@
 	if err := n.peerServer.Register(operator.OrderServiceName, n.orders); err != nil {
 		return err
 	}
+	if err := n.peerServer.Register(operator.ShowServiceName, n.shows); err != nil {
+		return err
+	}
 	if err := n.peerServer.Register(poison.ServiceName, n.guard.Service()); err != nil {
 		return err
 	}
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -23,9 +23,12 @@
 		Now:     time.Now,
 	}
 	n.orders = operator.NewOrderService(local)
+	registry := n.tables()
+	n.shows = operator.NewShowService(tables.Schema(), registry)
 	runner := operator.NewRunner(operator.Options{
 		Schema:    tables.Schema(),
-		Tables:    n.tables(),
+		Tables:    registry,
+		Site:      operator.NewSite(n.members, n.peers, n.shows),
 		Explainer: explain.NewCollector(n.journal, n.members, n.peers),
 		Editor:    n.control.manager,
 		Orders:    operator.NewOrders(n.members, n.peers, n.orders),
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -201,11 +202,57 @@
 	b.run(t, Command{Text: "set model m replicas=3", Change: "c1", By: "desk"})
 	result := b.run(t, Command{Text: "explain change c1"})
 	require.Len(t, result.Rows, 1)
-	require.Contains(t, result.Text, "desk asked for `set model m replicas=3`; it was accepted.")
+	require.Contains(t, result.Text, "desk asked for `set model m replicas=3`; the outcome was accepted, version 3.")
 	result = b.run(t, Command{Text: "explain change c2"})
 	require.Contains(t, result.Text, "no node that answered remembers")
 }
 
+// showsByAddress carries calls to the show services of other nodes.
+type showsByAddress map[string]*ShowService
+
+func (n showsByAddress) Call(_ context.Context, address, _ string, args, reply any) error {
+	service, ok := n[address]
+	if !ok {
+		return errors.New("silent")
+	}
+	return service.Show(args.(*ShowRequest), reply.(*ShowReply))
+}
+
+// requestTable is a node with these requests.
+func requestTable(rows ...tables.Request) *tables.Registry {
+	registry := tables.NewRegistry()
+	tables.Provide(registry, func(context.Context) ([]tables.Request, error) { return rows, nil })
+	return registry
+}
+
+func TestShowRequestsAsksEveryNode(t *testing.T) {
+	schema := tables.Schema()
+	own := requestTable(tables.Request{ID: "r1", Tokens: 3, Phase: "running"}, tables.Request{ID: "r2", Tokens: 9, Phase: "done"})
+	other := requestTable(tables.Request{ID: "r1", Tokens: 7, Moves: 1, Phase: "running"}, tables.Request{ID: "r3", Tokens: 1, Phase: "running"})
+	view := append(newBench().view, membership.Member{Incarnation: "n3_0123456789abcdef", Node: "n3", PeerAddress: "a3"})
+	caller := showsByAddress{"a2": NewShowService(schema, other)}
+	runner := NewRunner(Options{Schema: schema, Tables: own, Site: NewSite(view, caller, NewShowService(schema, own))})
+
+	result, err := runner.Run(t.Context(), Command{Text: "show requests where phase = running sort by tokens desc"})
+	require.NoError(t, err)
+	text := TextOf(result.Rows)
+	require.Len(t, text, 2)
+	require.Equal(t, "r1", text[0][0])
+	require.Contains(t, text[0], "7", "the node that knows more tokens tells")
+	require.Equal(t, "r3", text[1][0])
+	require.Contains(t, result.Text, "no rows from n3: silent")
+
+	many := make([]tables.Request, maxRowsFromNode+1)
+	for i := range many {
+		many[i].ID = fmt.Sprint("m", i)
+	}
+	caller["a3"] = NewShowService(schema, requestTable(many...))
+	result, err = runner.Run(t.Context(), Command{Text: "show requests"})
+	require.NoError(t, err)
+	require.Len(t, result.Rows, maxRowsFromNode+3)
+	require.Contains(t, result.Text, "n3 told only its first 500 rows")
+}
+
 func TestDumpHoldsNoSecret(t *testing.T) {
 	result := newBench().run(t, Command{Text: "dump"})
 	require.NotContains(t, result.Text, "planted")
--- a/internal/operator/runner.go
+++ b/internal/operator/runner.go
@@ -17,8 +17,10 @@
 
 // Options are what a Runner works on. A nil field makes the commands that need it unavailable.
 type Options struct {
-	Schema    query.Schema
-	Tables    Tables
+	Schema query.Schema
+	Tables Tables
+	// Site asks all nodes for tables that each keeps for itself; without it this node alone tells.
+	Site      *Site
 	Explainer Explainer
 	Editor    Editor
 	Orders    *Orders
@@ -73,18 +75,26 @@
 	}
 	switch {
 	case command.Show != nil:
-		return r.show(ctx, command.Show)
+		return r.show(ctx, in.Text, command.Show)
 	case command.Explain != nil:
 		return r.explain(ctx, command.Explain)
 	}
 	return r.dump()
 }
 
-func (r *Runner) show(ctx context.Context, show *query.Show) (*Result, error) {
+func (r *Runner) show(ctx context.Context, text string, show *query.Show) (*Result, error) {
+	table, _ := r.options.Schema.Table(show.Table.Text)
+	if table.EachNode && r.options.Site != nil {
+		rows, notes := r.options.Site.gather(ctx, text, table)
+		out := resultOf(table.Columns, query.Select(show, table, rows))
+		for _, note := range notes {
+			out.Text += note + "\n"
+		}
+		return out, nil
+	}
 	if r.options.Tables == nil {
 		return nil, ErrNotAvailable
 	}
-	table, _ := r.options.Schema.Table(show.Table.Text)
 	rows, err := r.options.Tables.Rows(ctx, table.Name)
 	if err != nil {
 		return nil, err
@@ -179,13 +189,24 @@
 	return decisionOf(&outcome), nil
 }
 
-var proposed = &explain.Decision{Name: "change", Sentence: "{by} asked for `{command}`; it was {outcome}. {reason}"}
+// What became of changes, for explain.
+var (
+	changeMade    = &explain.Decision{Name: "change", Sentence: "{by} asked for `{command}`; the outcome was {outcome}, version {version}."}
+	changeDecided = &explain.Decision{Name: "change", Sentence: "{by} asked for `{command}`; the outcome was {outcome}: {reason}."}
+)
 
 func (r *Runner) note(in Command, decision Decision) {
-	r.options.Journal.Record(explain.KindChange, string(in.Change), proposed,
-		explain.Text("by", in.By), explain.Text("command", in.Text),
-		explain.Text("outcome", decision.Outcome), explain.Text("reason", decision.Reason),
-		explain.Number("version", decision.Version))
+	by, command := explain.Text("by", in.By), explain.Text("command", in.Text)
+	outcome := explain.Text("outcome", decision.Outcome)
+	if decision.Version > 0 {
+		r.options.Journal.Record(explain.KindChange, string(in.Change), changeMade, by, command, outcome, explain.Number("version", decision.Version))
+		return
+	}
+	reason := explain.Text("reason", decision.Reason)
+	if len(decision.Won) > 0 {
+		reason.Text = "change " + string(decision.Won[0].Change) + " came first"
+	}
+	r.options.Journal.Record(explain.KindChange, string(in.Change), changeDecided, by, command, outcome, reason)
 }
 
 // sentence tells a person what became of a change.
--- a/internal/query/schema.go
+++ b/internal/query/schema.go
@@ -27,6 +27,8 @@
 	Name    string
 	Doc     string
 	Columns []Column
+	// EachNode is true when each node keeps rows of its own; show then asks all nodes.
+	EachNode bool
 }
 
 // Column finds a column by name.
--- a/internal/tables/rows.go
+++ b/internal/tables/rows.go
@@ -34,7 +34,7 @@
 	URL           string  `column:"url" doc:"base URL"`
 }
 
-// Request is a row of the table requests: a request that this node runs or remembers.
+// Request is a row of the table requests: a request that a node runs or remembers.
 type Request struct {
 	ID         string `column:"id" doc:"the request's ID"`
 	Workspace  string `column:"workspace" doc:"the caller's workspace"`
--- a/internal/tables/schema.go
+++ b/internal/tables/schema.go
@@ -22,7 +22,7 @@
 var definitions = []definition{
 	{"nodes", "nodes of the site as this node knows them", reflect.TypeFor[Node]()},
 	{"upstreams", "model replicas and plain services", reflect.TypeFor[Upstream]()},
-	{"requests", "requests that this node runs or remembers", reflect.TypeFor[Request]()},
+	{"requests", "requests that the nodes run or remember", reflect.TypeFor[Request]()},
 	{"workspaces", "workspaces declared", reflect.TypeFor[Workspace]()},
 	{"models", "models declared, and replicas ready", reflect.TypeFor[Model]()},
 	{"services", "plain services declared", reflect.TypeFor[Service]()},
@@ -66,7 +66,7 @@
 func Schema() query.Schema {
 	out := query.Schema{Objects: objects}
 	for _, d := range definitions {
-		out.Tables = append(out.Tables, query.Table{Name: d.name, Doc: d.doc, Columns: columnsOf(d.row)})
+		out.Tables = append(out.Tables, query.Table{Name: d.name, Doc: d.doc, Columns: columnsOf(d.row), EachNode: d.row == reflect.TypeFor[Request]()})
 	}
 	return out
 }
