--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,6 +67,7 @@
 	operator   *http.Server
 	journal    *explain.Journal
 	orders     *operator.OrderService
+	shows      *operator.ShowService
 
 	drain    chan struct{}
 	reclaim  chan time.Duration
@@ -188,6 +189,9 @@
 	if err := n.peerServer.Register(operator.OrderServiceName, n.orders); err != nil {
 		return err
 	}
+	if err := n.peerServer.Register(operator.ShowServiceName, n.shows); err != nil {
+		return err
+	}
 	if err := n.peerServer.Register(poison.ServiceName, n.guard.Service()); err != nil {
 		return err
 	}
@@ -209,6 +213,12 @@
 	if err != nil {
 		return err
 	}
+	if callers, err = n.secure(callers); err != nil {
+		return err
+	}
+	if operators, err = n.secure(operators); err != nil {
+		return err
+	}
 	n.members.Start(ctx)
 	n.dispatcher.Start()
 	n.control.start(ctx)
