Slopes of a token's way, of reservations and of the tables' memory

Cause: the entry path and the calls to owners were not measured; the memory of the routing tables came out negative, since the list of upstreams was collected before it was read. Change: 200 streams run through a dispatcher with a witness on another peer server, less the same streams read from the stand-in engine directly; Reserve and Release are called over net/rpc; the list is kept alive.

--- a/internal/slopes/owner.go
+++ b/internal/slopes/owner.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"time"
 
 	"mangoledge.example/mangoledge/internal/fleet"
@@ -23,6 +24,8 @@
 	updates   = 10
 	// randomSeed seeds the choices of the measured owners.
 	randomSeed = 1
+	// evenWeight weighs latency and cost alike.
+	evenWeight = 0.5
 )
 
 // upstreamN returns the nth upstream of the large site.
@@ -54,7 +57,7 @@
 	}
 	listed := now(true)
 	random := rand.New(rand.NewPCG(randomSeed, randomSeed)) //nolint:gosec // a measurement
-	policy := routing.Cost{Weights: routing.WeightsFor(0.5)}
+	policy := routing.Cost{Weights: routing.WeightsFor(evenWeight)}
 	self := members[0]
 	ledger := owner.NewLedger(self.Node, self.FailureDomain, policy, 0, random)
 	directory := owner.NewDirectory(self.FailureDomain, random)
@@ -62,6 +65,7 @@
 	ledgerUpdate := cost(updates, func(int) { ledger.Update(at, upstreams, members) })
 	directoryUpdate := cost(updates, func(int) { directory.Update(upstreams, members) })
 	built := now(true)
+	runtime.KeepAlive(upstreams)
 	choose := cost(decisions, func(n int) {
 		directory.Choose(at, &routing.Features{Model: modelN(n), PromptTokens: 500})
 	})
@@ -70,7 +74,6 @@
 		ledger.Reserve(at, &owner.ReserveArgs{ID: id, Model: modelN(n), PromptTokens: 500, MaxTokens: answerTokens})
 		ledger.Release(at, id, routing.Outcome{})
 	})
-	_ = ledger.Held() // the tables live until their memory has been read
 	how := fmt.Sprintf("%d upstreams, %d members, %d models", siteUpstreams, siteMembers, siteModels)
 	return []Figure{
 		{Name: "owner.choose", Value: choose, Unit: unitMicroseconds, How: how},
--- a/internal/slopes/peer.go
+++ b/internal/slopes/peer.go
@@ -3,14 +3,21 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"mangoledge.example/mangoledge/internal/fleet"
 	"mangoledge.example/mangoledge/internal/grant"
 	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/membership"
+	"mangoledge.example/mangoledge/internal/owner"
 	"mangoledge.example/mangoledge/internal/peer"
 	"mangoledge.example/mangoledge/internal/request"
+	"mangoledge.example/mangoledge/internal/routing"
 	"mangoledge.example/mangoledge/internal/witness"
 )
 
@@ -77,10 +84,28 @@
 	if err := witness.NewService(p.self, nil).Register(p.server); err != nil {
 		return nil, err
 	}
+	if err := p.server.Register(owner.ServiceName, owner.NewService(smallLedger(), time.Now)); err != nil {
+		return nil, err
+	}
 	go func() { _ = p.server.Serve(p.listener, nil) }() // ends with the listener
 	return p, nil
 }
 
+// smallLedger is the ledger of an owner with one node's share of the large site.
+func smallLedger() *owner.Ledger {
+	self := memberN(0, time.Now(), "")
+	random := rand.New(rand.NewPCG(randomSeed, randomSeed)) //nolint:gosec // a measurement
+	ledger := owner.NewLedger(self.Node, self.FailureDomain, routing.Cost{Weights: routing.WeightsFor(evenWeight)}, peerCallCount, random)
+	var owned []fleet.Upstream
+	for n := range siteUpstreams / siteMembers {
+		u := upstreamN(n * domains)
+		u.Models = []ident.Model{"model-0"}
+		owned = append(owned, u)
+	}
+	ledger.Update(time.Now(), owned, []membership.Member{self})
+	return ledger
+}
+
 func (p *peerServer) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
@@ -119,6 +144,16 @@
 			return &grant.FinishRequest{ID: specs[n].ID, Holder: home, Epoch: 1, Record: done}, new(grant.UpdateReply)
 		}),
 	}
+	figures = append(figures,
+		caller.measure("reserve", owner.MethodReserve, func(n int) (args, reply any) {
+			id := owner.ReservationID{Holder: home, Serial: uint64(n)}
+			blocks := routing.Blocks(nil, "model-0", "", specs[n].Input)
+			return &owner.ReserveArgs{ID: id, Model: "model-0", Blocks: blocks, PromptTokens: promptBytes / tokenBytes, MaxTokens: answerTokens}, new(owner.ReserveReply)
+		}),
+		caller.measure("release", owner.MethodRelease, func(n int) (args, reply any) {
+			return &owner.ReleaseArgs{ID: owner.ReservationID{Holder: home, Serial: uint64(n)}}, new(owner.ReleaseReply)
+		}),
+	)
 	figures = append(figures, caller.bytes...)
 	idle, err := idleLinks()
 	return append(figures, idle...), firstError(caller.err, err)
@@ -148,8 +183,8 @@
 	before := c.server.listener.bytes.Load()
 	spent := cost(peerCallCount, func(n int) {
 		args, reply := call(n)
-		if err := c.client.Call(ctx, c.address, method, args, reply); err != nil {
-			c.err = err
+		if err := c.client.Call(ctx, c.address, method, args, reply); err != nil && c.err == nil {
+			c.err = errors.Wrapf(err, "%s %d", method, n)
 		}
 	})
 	how := fmt.Sprintf("%d calls one after another, both ends", peerCallCount)
--- a/internal/slopes/run.go
+++ b/internal/slopes/run.go
@@ -30,6 +30,7 @@
 		{"witness", grants},
 		{"peer", peerCalls},
 		{"owner", owners},
+		{"entry", entries},
 		{"membership", func() ([]Figure, error) { return memberships(options.Sizes) }},
 		{"load", underLoad},
 		{"relay", func() ([]Figure, error) { return relays(options.Sizes) }},
