--- a/cmd/mangoledged/main.go
+++ b/cmd/mangoledged/main.go
@@ -33,23 +33,37 @@
 	}
 }
 
-// run runs a node until a signal stops it by plan.
+// run runs one incarnation after the other until the process is to end.
 func run(loaded *settings.Settings) error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	for {
+		again, err := runOnce(loaded, signals)
+		if err != nil || !again {
+			return err
+		}
+	}
+}
+
+// runOnce runs one incarnation; again is true when it was declared dead and
+// the process goes on as a new one.
+func runOnce(loaded *settings.Settings, signals <-chan os.Signal) (again bool, err error) {
 	n, err := node.New(loaded, os.Stderr)
 	if err != nil {
-		return err
+		return false, err
 	}
 	if err := n.Start(context.Background()); err != nil {
-		return err
+		return false, err
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	select {
 	case err := <-n.Failures():
-		return err
+		return false, err
+	case <-n.DeclaredDead():
+		n.Abandon()
+		return true, nil
 	case notice := <-n.Reclaims():
 		n.Reclaim(notice)
-		return nil
+		return false, nil
 	case <-n.Drains():
 	case <-signals:
 	}
@@ -57,7 +71,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	n.Drain(ctx)
-	return nil
+	return false, nil
 }
 
 func fail(err error) {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -14,9 +14,6 @@
 	"mangoledge.example/mangoledge/internal/relay"
 )
 
-// defaultLatencyWeight is the weight of the latency target before a configuration says otherwise.
-const defaultLatencyWeight = 0.5
-
 // control is the node's part in what the platform's object API holds: the
 // configuration and the list of upstreams, and the marks of those that leave.
 type control struct {
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -18,6 +18,8 @@
 	closeTime = 2 * time.Second
 	// releaseMargin is how long before the end of a notice requests are given up.
 	releaseMargin = 700 * time.Millisecond
+	// abandonTime is how long an incarnation that was declared dead may finish what it was granted.
+	abandonTime = 5 * time.Second
 	// leaveTime is how long the others may take to hear of the end.
 	leaveTime = time.Second
 	// forwardTime is how long a node that has handed over still forwards.
@@ -50,6 +52,21 @@
 	n.finish(min(handOverTime, releaseMargin))
 }
 
+// Abandon ends an incarnation that was declared dead. What may go on elsewhere
+// is given up at once, since other nodes may have taken it over; what was granted
+// has a short while to end. Its witness tables are lost to the others already.
+func (n *Node) Abandon() {
+	n.logger.Warn("this incarnation was declared dead and ends", "inProgress", n.dispatcher.Running())
+	n.dispatcher.Drain()
+	n.dispatcher.Release()
+	ctx, cancel := context.WithTimeout(context.Background(), abandonTime)
+	defer cancel()
+	for ctx.Err() == nil && n.dispatcher.Running() > 0 {
+		pause(ctx, drainPoll)
+	}
+	n.close()
+}
+
 // finish gives up what is in progress, hands over and ends.
 func (n *Node) finish(handOver time.Duration) {
 	released := n.dispatcher.Release()
--- /dev/null
+++ b/internal/node/start.go
@@ -0,0 +1,71 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Start listens and takes part until Stop.
+func (n *Node) Start(ctx context.Context) error {
+	ctx, n.stop = context.WithCancel(ctx)
+	peers, err := listen(ctx, "peerListen", n.settings.PeerListen)
+	if err != nil {
+		return err
+	}
+	callers, err := listen(ctx, "callerListen", n.settings.CallerListen)
+	if err != nil {
+		return err
+	}
+	operators, err := listen(ctx, "operatorListen", n.settings.OperatorListen)
+	if err != nil {
+		return err
+	}
+	if callers, err = n.secure(callers); err != nil {
+		return err
+	}
+	if operators, err = n.secure(operators); err != nil {
+		return err
+	}
+	n.members.Start(ctx)
+	n.dispatcher.Start()
+	n.control.start(ctx)
+	n.serve("peers", func() error { return n.peerServer.Serve(peers, nil) })
+	n.serve("callers", func() error { return n.entry.Serve(callers) })
+	n.serve("operators", func() error { return n.operator.Serve(operators) })
+	n.loop(ctx, updateInterval, func() { n.router.Update(time.Now()) })
+	n.loop(ctx, expireInterval, func() { n.witness.Expire(time.Now(), witnessRetention) })
+	n.logger.Info("started", "callers", n.settings.CallerListen, "peers", n.settings.PeerListen)
+	return nil
+}
+
+func (n *Node) serve(name string, run func() error) {
+	n.running.Add(1)
+	go func() {
+		defer n.running.Done()
+		err := run()
+		if err != nil && !errors.Is(err, http.ErrServerClosed) {
+			n.failures <- errors.Wrap(err, name)
+		}
+	}()
+}
+
+// loop runs step at once and then again and again until ctx ends.
+func (n *Node) loop(ctx context.Context, interval time.Duration, step func()) {
+	n.running.Add(1)
+	go func() {
+		defer n.running.Done()
+		ticker := time.NewTicker(interval)
+		defer ticker.Stop()
+		for {
+			step()
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			}
+		}
+	}()
+}
