--- a/internal/config/cluster_test.go
+++ b/internal/config/cluster_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -65,6 +66,8 @@
 	url      string
 	members  memberList
 	nodes    []*testNode
+	// bytes are what went over the listeners of all nodes.
+	bytes atomic.Int64
 }
 
 func newCluster(tb testing.TB, nodes, domains int) *cluster {
@@ -104,7 +107,7 @@
 	n.manager = NewManager(ManagerOptions{Store: n.store, Relay: n.relay})
 	server := peer.NewServer(dialer.Token)
 	require.NoError(c.tb, n.relay.Register(server))
-	go func() { _ = server.Serve(listener, nil) }()
+	go func() { _ = server.Serve(countingListener{listener, &c.bytes}, nil) }()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = n.relay.Run(ctx) }()
--- a/internal/platform/objects/client_test.go
+++ b/internal/platform/objects/client_test.go
@@ -198,6 +198,28 @@
 	<-done
 }
 
+func TestOnlyABookmarkProvesThatWhatWasToldIsCurrent(t *testing.T) {
+	f := newFixture(t, objects.Options{})
+	ctx, cancel := context.WithTimeout(t.Context(), ample)
+	defer cancel()
+	first, err := f.store.Create(ctx, thing("a", `{}`))
+	require.NoError(t, err)
+	last, err := f.store.Update(ctx, first)
+	require.NoError(t, err)
+	f.platform.AddFault(platform.Fault{Service: platform.ServiceObjects, Kind: platform.FaultStaleRead, Behind: 1})
+	var told objects.Version
+	follower := objects.Follower{
+		Store: f.store, Kind: things,
+		Object: func(o objects.Object) { told = o.Metadata.ResourceVersion },
+		Alive: func() {
+			require.Equal(t, last.Metadata.ResourceVersion, told, "an old list was taken for current")
+			cancel()
+		},
+	}
+	follower.Run(ctx)
+	require.Equal(t, last.Metadata.ResourceVersion, told)
+}
+
 func waitVersion(ctx context.Context, t *testing.T, seen <-chan objects.Object, version objects.Version) {
 	t.Helper()
 	for {
--- a/internal/platform/objects/follower.go
+++ b/internal/platform/objects/follower.go
@@ -23,7 +23,8 @@
 	Object func(Object)
 	// Deleted is called with each object seen to go; nil to ignore.
 	Deleted func(Object)
-	// Alive is called whenever the store proved that what was told so far is current.
+	// Alive is called whenever a bookmark proved that what was told so far is current;
+	// a list may be old, and behind an event there may be others.
 	Alive func()
 	// Failed is called with why a watch ended or a list failed; nil to ignore.
 	Failed func(error)
@@ -63,7 +64,6 @@
 			f.Object(object)
 		}
 		*version = list.Metadata.ResourceVersion
-		f.Alive()
 	}
 	err := f.Store.Watch(ctx, f.Kind, *version, func(event Event) error {
 		f.handle(event)
@@ -84,9 +84,10 @@
 		if f.Deleted != nil {
 			f.Deleted(event.Object)
 		}
-	case EventBookmark, EventError:
+	case EventBookmark:
+		f.Alive()
+	case EventError:
 	}
-	f.Alive()
 }
 
 // jitter returns a random time between half of d and d.
--- a/internal/relay/hint.go
+++ b/internal/relay/hint.go
@@ -46,7 +46,7 @@
 func (r *Relay) takeHint(hint Hint) {
 	if hint.Digest == r.table.digest() {
 		if hint.Proven {
-			r.proved(r.options.Clock().Add(-hint.Age))
+			r.provedByHint(hint.Age)
 		}
 		return
 	}
--- a/internal/relay/pull.go
+++ b/internal/relay/pull.go
@@ -122,11 +122,14 @@
 	last := time.Time{}
 	for {
 		now := r.options.Clock()
+		r.tick(now)
 		wanted := r.table.empty() || (now.Sub(r.Proof()) > pullAge && now.Sub(last) > hintInterval)
 		if wanted && r.beginPull() {
 			last = now
-			r.pullFromAnyone(ctx)
-			r.endPull()
+			go func() {
+				defer r.endPull()
+				r.pullFromAnyone(ctx)
+			}()
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -39,7 +39,7 @@
 	// pullInterval is the time between two looks at whether to pull.
 	pullInterval = 250 * time.Millisecond
 	// pullAge is the age of the last proof from which a node pulls by itself.
-	pullAge = 2 * time.Second
+	pullAge = 3 * time.Second
 	// pullTimeout is the deadline of one pull.
 	pullTimeout = 2 * time.Second
 	// maxParallelHints is how many hints a node has in progress at once.
@@ -80,6 +80,7 @@
 	// proofs is when each watched kind was last proved by this node's own watches.
 	proofs  map[objects.Kind]time.Time
 	pulling bool
+	awake   awake
 }
 
 // New returns a relay; Subscribe and Register come before Run.
@@ -154,6 +155,25 @@
 	}
 }
 
+// tick notes that this process is running.
+func (r *Relay) tick(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.awake.tick(now)
+}
+
+// provedByHint is proved for a proof that another node sent, and that may have
+// waited here while this process was paused.
+func (r *Relay) provedByHint(age time.Duration) {
+	now := r.options.Clock()
+	r.mu.Lock()
+	trusted := r.awake.trusts(now)
+	r.mu.Unlock()
+	if trusted {
+		r.proved(now.Add(-age))
+	}
+}
+
 // provedKind notes that the store proved one kind; the node is current as of the oldest of them.
 func (r *Relay) provedKind(kind objects.Kind) {
 	now := r.options.Clock()
--- a/internal/relay/stale_test.go
+++ b/internal/relay/stale_test.go
@@ -72,12 +72,32 @@
 	r.pulling = true // nobody is there to pull from
 	r.takeHint(Hint{Digest: r.table.digest() + 1, Proven: true})
 	require.True(t, r.Proof().IsZero(), "the sender holds something else")
+	r.tick(now)
 	r.takeHint(Hint{Digest: r.table.digest()})
 	require.True(t, r.Proof().IsZero(), "the sender has no proof")
 	r.takeHint(Hint{Digest: r.table.digest(), Proven: true, Age: time.Second})
 	require.Equal(t, now.Add(-time.Second), r.Proof())
 }
 
+func TestHintsThatWaitedThroughAPauseProveNothing(t *testing.T) {
+	now := time.Now()
+	r := New(Options{View: &listView{members: []membership.Member{member("a", "r1")}}, Clock: func() time.Time { return now }})
+	hint := Hint{Digest: r.table.digest(), Proven: true}
+	r.tick(now)
+	now = now.Add(time.Minute) // paused
+	r.takeHint(hint)
+	require.True(t, r.Proof().IsZero(), "read before the first tick after the pause")
+	r.tick(now)
+	r.takeHint(hint)
+	require.True(t, r.Proof().IsZero(), "read right behind the first tick after the pause")
+	for range 10 {
+		now = now.Add(pullInterval)
+		r.tick(now)
+	}
+	r.takeHint(hint)
+	require.Equal(t, now, r.Proof())
+}
+
 func TestLowerVersionsAreDropped(t *testing.T) {
 	r := New(Options{View: &listView{members: []membership.Member{member("a", "r1")}}})
 	var seen []objects.Version
