Crowding has a price instead of going first

Cause: after a wave the site that weighs cost paid more than the one that weighs latency, since a crowded failure domain was avoided at any price, and a domain that could give no host still counted for the spread. Change: crowding adds to an offer's price by the weight of latency, and only failure domains with open offers or replicas count. BenchmarkWave and BenchmarkPlan.

--- a/internal/capacity/choose.go
+++ b/internal/capacity/choose.go
@@ -13,37 +13,27 @@
 // candidate is a pool that a replica could be started in.
 type candidate struct {
 	offer cloud.Offer
-	// crowded is true when the failure domain already has its share of the model.
-	crowded bool
-	// cost is the price with the risk of a reclaim.
+	// cost is the price with what the risk of a reclaim and crowding are worth.
 	cost float64
 	// here is how many replicas of the model the failure domain has.
 	here int
 }
 
-// choose returns the pool for one more replica of a model: not in a crowded
-// failure domain if it can be helped, then the cheapest, then the emptiest.
+// choose returns the pool for one more replica of a model: the cheapest, counting
+// what its risks are worth to the site, then the emptiest.
 func (p *planner) choose(model config.Model) (cloud.Offer, bool) {
+	open := p.openOffers()
+	if len(open) == 0 {
+		return cloud.Offer{}, false
+	}
 	perDomain := countDomains(p.staying(model.Name))
-	share := p.domainShare(model)
-	var all []candidate
-	for _, offer := range p.in.Offers {
-		if !p.affordable(offer) || slices.Contains(p.in.Resting, offer.Pool) {
-			continue
-		}
+	share := p.domainShare(model, open, perDomain)
+	all := make([]candidate, 0, len(open))
+	for _, offer := range open {
 		here := perDomain[offer.FailureDomain]
-		all = append(all, candidate{offer: offer, crowded: here >= share, cost: p.cost(offer), here: here})
-	}
-	if len(all) == 0 {
-		return cloud.Offer{}, false
+		all = append(all, candidate{offer: offer, cost: p.cost(offer, here >= share), here: here})
 	}
 	best := slices.MinFunc(all, func(a, b candidate) int {
-		if a.crowded != b.crowded {
-			if a.crowded {
-				return 1
-			}
-			return -1
-		}
 		return cmp.Or(
 			cmp.Compare(a.cost, b.cost),
 			cmp.Compare(a.here, b.here),
@@ -54,22 +44,41 @@
 	return best.offer, true
 }
 
-// cost is the price of an offer with what the risk of a reclaim is worth to the site.
-func (p *planner) cost(offer cloud.Offer) float64 {
+// openOffers returns the offers that one more host can be started from now.
+func (p *planner) openOffers() []cloud.Offer {
+	var out []cloud.Offer
+	for _, offer := range p.in.Offers {
+		if p.affordable(offer) && !slices.Contains(p.in.Resting, offer.Pool) {
+			out = append(out, offer)
+		}
+	}
+	return out
+}
+
+// cost is the price of an offer with what the risk of a reclaim, and of too many
+// replicas in one failure domain, are worth to the site.
+func (p *planner) cost(offer cloud.Offer, crowded bool) float64 {
+	latency := p.in.Site.Weights.Latency
+	cost := offer.PricePerHour
 	if offer.Market == cloud.MarketReclaimable {
-		return offer.PricePerHour * (1 + reclaimRiskShare*p.in.Site.Weights.Latency)
+		cost *= 1 + reclaimRiskShare*latency
 	}
-	return offer.PricePerHour
+	if crowded {
+		cost *= 1 + crowdingCostOnly + latency*(crowdingLatencyOnly-crowdingCostOnly)
+	}
+	return cost
 }
 
 // domainShare is how many replicas of a model one failure domain should have at
 // most: half of them when only cost counts, an even share when only latency does.
-func (p *planner) domainShare(model config.Model) int {
+// Failure domains that have none and can get none do not count.
+func (p *planner) domainShare(model config.Model, open []cloud.Offer, perDomain map[ident.FailureDomain]int) int {
 	domains := make(map[ident.FailureDomain]bool)
-	for _, row := range p.in.Site.Capacity {
-		if row.MaxHosts > 0 {
-			domains[row.FailureDomain] = true
-		}
+	for _, offer := range open {
+		domains[offer.FailureDomain] = true
+	}
+	for domain := range perDomain {
+		domains[domain] = true
 	}
 	if len(domains) < minDomainsToSpread {
 		return math.MaxInt
--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -15,6 +15,10 @@
 const (
 	// reclaimRiskShare is what the risk of a reclaim adds to a price when only latency counts.
 	reclaimRiskShare = 0.25
+	// crowdingCostOnly is what a replica beyond a failure domain's share adds to a price when only cost counts.
+	crowdingCostOnly = 0.5
+	// crowdingLatencyOnly is the same when only latency counts.
+	crowdingLatencyOnly = 3
 	// maxDomainShare is the most of a model's replicas in one failure domain when only cost counts.
 	maxDomainShare = 0.5
 	// surgeShare is the part of a model's replicas that a new version is rolled by at a time.
--- a/internal/capacity/reconciler_test.go
+++ b/internal/capacity/reconciler_test.go
@@ -100,7 +100,7 @@
 
 // bench is a site before a stand-in.
 type bench struct {
-	t        *testing.T
+	t        testing.TB
 	platform *platform.Server
 	url      string
 	store    *objects.Client
@@ -113,7 +113,7 @@
 
 func (b *bench) Current() *config.Site { return &b.site }
 
-func newBench(t *testing.T) *bench {
+func newBench(t testing.TB) *bench {
 	t.Helper()
 	b := &bench{t: t, now: time.Now()}
 	b.platform = platform.NewServer(platform.Options{Seed: 1, Clock: func() time.Time { return b.now }, LoadsPerMinute: 6000})
--- /dev/null
+++ b/internal/capacity/wave_bench_test.go
@@ -0,0 +1,107 @@
+package capacity
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/internal/config"
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/platform/cloud"
+	"mangoledge.example/mangoledge/internal/standin/platform"
+)
+
+const (
+	waveReplicas = 18
+	waveNotice   = 30 * time.Second
+	maxWavePass  = 200
+)
+
+// costPerHour is what the hosts that run now cost in an hour.
+func (b *bench) costPerHour() float64 {
+	sum := 0.0
+	for _, line := range b.platform.Bill() {
+		if line.Host.State != platform.HostTerminated {
+			sum += line.Host.PricePerHour
+		}
+	}
+	return sum
+}
+
+// passUntil passes at the real interval until all replicas are ready, and
+// returns for how long that took on the bench's clock.
+func (b *bench) passUntil(r *Reconciler, replicas int) time.Duration {
+	began := b.now
+	for range maxWavePass {
+		_ = r.Pass(b.t.Context()) // refused starts and a busy weight store are wanted here
+		if b.ready("m1") >= replicas {
+			return b.now.Sub(began)
+		}
+		b.now = b.now.Add(passInterval)
+	}
+	b.t.Fatal("the replicas never came")
+	return 0
+}
+
+// BenchmarkWave takes a failure domain with notice while another refuses to start
+// reclaimable hosts, at three weights of the latency target. Times are those of
+// the bench's clock with a pass every two seconds and a weight store that lets 60
+// loads begin in a minute.
+func BenchmarkWave(b *testing.B) {
+	for _, latency := range []float64{0, 0.5, 1} {
+		b.Run(fmt.Sprintf("latency=%g", latency), func(b *testing.B) {
+			for range b.N {
+				s := newBench(b)
+				s.site.Weights.Latency = latency
+				s.site.Models[0].Replicas = waveReplicas
+				for i := range s.site.Capacity {
+					s.site.Capacity[i].MaxHosts = waveReplicas
+				}
+				r := s.process(&plug{})
+				s.passUntil(r, waveReplicas)
+				b.ReportMetric(s.costPerHour(), "cost/h-before")
+				s.platform.AddFault(platform.Fault{
+					Service: platform.ServiceCloud, Kind: platform.FaultRefuseStarts, FailureDomain: "d2", Market: platform.MarketReclaimable,
+				})
+				s.platform.AddFault(platform.Fault{Service: platform.ServiceCloud, Kind: platform.FaultRefuseStarts, FailureDomain: "d1"})
+				b.ReportMetric(float64(s.platform.Reclaim("", "d1", "", waveNotice)), "hosts-lost")
+				b.ReportMetric(s.passUntil(r, waveReplicas).Seconds(), "s-to-replaced")
+				s.now = s.now.Add(waveNotice)
+				b.ReportMetric(s.costPerHour(), "cost/h-after")
+			}
+		})
+	}
+}
+
+// BenchmarkPlan measures one plan for the largest site when nothing is to be done.
+func BenchmarkPlan(b *testing.B) {
+	const domains, perDomain, models = 19, 580, 10
+	in := Inputs{Site: &config.Site{}, Now: time.Now(), NewToken: func() string { return "new" }}
+	for m := range models {
+		in.Site.Models = append(in.Site.Models, config.Model{Name: ident.Model(strconv.Itoa(m)), Replicas: domains * perDomain / models})
+	}
+	for d := range domains {
+		pool := cloud.Pool{FailureDomain: ident.FailureDomain(fmt.Sprintf("d%d", d)), HostClass: "big", Market: cloud.MarketReclaimable}
+		in.Offers = append(in.Offers, cloud.Offer{Pool: pool, PricePerHour: 1})
+		l := &Ledger{FailureDomain: pool.FailureDomain}
+		for i := range perDomain {
+			token := fmt.Sprintf("%d-%d", d, i)
+			host := ident.Host("h" + token)
+			in.Hosts = append(in.Hosts, cloud.Host{ID: host, ClientToken: token, Pool: pool, State: cloud.StateRunning})
+			l.Intents = append(l.Intents, Intent{
+				Token: token, Pool: pool, Model: ident.Model(strconv.Itoa((d*perDomain + i) % models)), Phase: PhaseReady, Host: host,
+			})
+		}
+		in.Ledgers = append(in.Ledgers, l)
+	}
+	for b.Loop() {
+		planned := Plan(in)
+		require.Len(b, planned[0].Intents, perDomain)
+	}
+	object, err := in.Ledgers[0].encode()
+	require.NoError(b, err)
+	b.ReportMetric(float64(len(object.Spec)), "ledger-bytes")
+}
