--- a/cmd/mangoledge-slopes/main.go
+++ b/cmd/mangoledge-slopes/main.go
@@ -14,11 +14,12 @@
 	app := kingpin.New("mangoledge-slopes", "Measures bytes, processor time and memory of the control work on this machine.")
 	sizes := app.Flag("members", "Numbers of members to measure.").Default("6", "24", "100", "460").Ints()
 	only := app.Flag("only", "Measure this part alone; may be repeated.").Strings()
+	load := app.Flag("load-time", "How long members run beside busy loops.").Default(slopes.DefaultLoadTime.String()).Duration()
 	out := app.Flag("json", "Write the figures to this file.").String()
 	table := app.Flag("table", "Write the table to this file as well.").String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 
-	report, err := slopes.Run(slopes.Options{Sizes: *sizes, Only: *only, Progress: os.Stderr})
+	report, err := slopes.Run(slopes.Options{Sizes: *sizes, Only: *only, LoadTime: *load, Progress: os.Stderr})
 	if err == nil {
 		err = report.WriteTable(os.Stdout)
 	}
--- a/internal/slopes/entry.go
+++ b/internal/slopes/entry.go
@@ -70,7 +70,7 @@
 }
 
 func (r oneRouter) Pick(context.Context, *dispatch.Need) (dispatch.Placement, error) {
-	return onePlace{upstream: r.upstream}, nil
+	return onePlace(r), nil
 }
 
 // streams runs one kind of stream streamCount times at once and measures it.
--- a/internal/slopes/load.go
+++ b/internal/slopes/load.go
@@ -11,12 +11,12 @@
 const (
 	// loadedMembers is the size of the site that is measured under load.
 	loadedMembers = 100
-	// loadTime is how long it is under load.
-	loadTime = 12 * time.Second
+	// DefaultLoadTime is how long it is under load.
+	DefaultLoadTime = 12 * time.Second
 )
 
 // underLoad counts false deaths while each core of the machine has a busy loop beside the members.
-func underLoad() ([]Figure, error) {
+func underLoad(loadTime time.Duration) ([]Figure, error) {
 	s, err := newSite(loadedMembers)
 	if err != nil {
 		return nil, err
--- a/internal/slopes/run.go
+++ b/internal/slopes/run.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -14,6 +15,8 @@
 	Sizes []int
 	// Only names the parts to measure; empty for all.
 	Only []string
+	// LoadTime is how long members run beside busy loops.
+	LoadTime time.Duration
 	// Progress takes one line a part.
 	Progress io.Writer
 }
@@ -32,7 +35,7 @@
 		{"owner", owners},
 		{"entry", entries},
 		{"membership", func() ([]Figure, error) { return memberships(options.Sizes) }},
-		{"load", underLoad},
+		{"load", func() ([]Figure, error) { return underLoad(options.LoadTime) }},
 		{"relay", func() ([]Figure, error) { return relays(options.Sizes) }},
 	}
 	report := newReport()
