--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -8,6 +8,7 @@
 	"mangoledge.example/mangoledge/internal/config"
 	"mangoledge.example/mangoledge/internal/fleet"
 	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/operator"
 	"mangoledge.example/mangoledge/internal/peer"
 	"mangoledge.example/mangoledge/internal/platform/objects"
 	"mangoledge.example/mangoledge/internal/relay"
@@ -27,6 +28,8 @@
 	leaving  *fleet.Leaving
 	view     *fleet.LeavingView
 	notices  *notices
+	// capacity is nil on a node whose settings name no cloud.
+	capacity *reconciling
 	running  sync.WaitGroup
 }
 
@@ -45,8 +48,10 @@
 	c.manager = config.NewManager(config.ManagerOptions{Store: c.store, Relay: c.relay, Logger: n.logger})
 	c.registry = fleet.NewRegistry(c.store, c.relay, n.logger)
 	c.leaving = fleet.NewLeaving(n.members, time.Now)
+	operator.RecordMarks(n.journal, c.leaving)
 	c.view = fleet.NewLeavingView(c.registry, c.leaving)
 	c.notices = newNotices(n, c.leaving)
+	c.capacity = newReconciling(n, c)
 	return c
 }
 
@@ -75,6 +80,9 @@
 		}
 	})
 	c.run(func() { c.notices.watch(ctx) })
+	if c.capacity != nil {
+		c.run(func() { c.capacity.run(ctx) })
+	}
 }
 
 func (c *control) run(f func()) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 	"mangoledge.example/mangoledge/internal/placement"
 	"mangoledge.example/mangoledge/internal/plainservice"
 	"mangoledge.example/mangoledge/internal/poison"
+	"mangoledge.example/mangoledge/internal/requestmetrics"
 	"mangoledge.example/mangoledge/internal/retry"
 	"mangoledge.example/mangoledge/internal/routing"
 	"mangoledge.example/mangoledge/internal/settings"
@@ -66,6 +67,7 @@
 	operator   *http.Server
 	journal    *explain.Journal
 	orders     *operator.OrderService
+	shows      *operator.ShowService
 
 	drain    chan struct{}
 	reclaim  chan time.Duration
@@ -99,6 +101,7 @@
 		Members:     n.members,
 		Fleet:       n.control.view,
 		Calls:       n.peers,
+		Logger:      n.logger,
 		Policy:      routing.Cost{Weights: routing.WeightsFor(defaultLatencyWeight)},
 		MarkLeaving: n.control.markLeaving,
 	})
@@ -159,7 +162,7 @@
 		Logger:     n.logger,
 		MaxRunning: n.settings.Limits.MaxConcurrent,
 	})
-	handler := entry.NewHandler(n.dispatcher, book, n.control.manager)
+	handler := entry.NewHandler(requestmetrics.New(n.dispatcher, n.metrics), book, n.control.manager)
 	n.entry, err = entry.NewServer(handler, tokens, &n.settings.Limits)
 	if err != nil {
 		return err
@@ -186,6 +189,9 @@
 	if err := n.peerServer.Register(operator.OrderServiceName, n.orders); err != nil {
 		return err
 	}
+	if err := n.peerServer.Register(operator.ShowServiceName, n.shows); err != nil {
+		return err
+	}
 	if err := n.peerServer.Register(poison.ServiceName, n.guard.Service()); err != nil {
 		return err
 	}
@@ -199,14 +205,20 @@
 	if err != nil {
 		return err
 	}
-	callers, err := listen(ctx, "callerListen", n.settings.CallerListen)
+	callers, err := n.listenOutside(ctx, "callerListen", n.settings.CallerListen)
 	if err != nil {
 		return err
 	}
-	operators, err := listen(ctx, "operatorListen", n.settings.OperatorListen)
+	operators, err := n.listenOutside(ctx, "operatorListen", n.settings.OperatorListen)
 	if err != nil {
 		return err
 	}
+	if callers, err = n.secure(callers); err != nil {
+		return err
+	}
+	if operators, err = n.secure(operators); err != nil {
+		return err
+	}
 	n.members.Start(ctx)
 	n.dispatcher.Start()
 	n.control.start(ctx)
@@ -276,9 +288,3 @@
 		}
 	}()
 }
-
-func listen(ctx context.Context, setting, address string) (net.Listener, error) {
-	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", address)
-	return listener, errors.Wrap(err, setting)
-}
