--- a/internal/explain/sentences.go
+++ b/internal/explain/sentences.go
@@ -5,7 +5,7 @@
 	"accept":          "This node accepted the request and became its holder: {reason}.",
 	"granted":         "The right to run this non-idempotent request was given to this node, once and for ever, {reason}.",
 	"dispatch":        "The request was sent {reason}.",
-	"upstream failed": "The upstream failed: {reason}.",
+	"upstream failed": "The request left its upstream, {reason}.",
 	"attach":          "The stream was attached {reason}.",
 	"attach failed":   "The running stream could not be attached again: {reason}.",
 	"export":          "The upstream leaves, so its work was taken out: {reason}.",
