--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -205,11 +205,11 @@
 	if err != nil {
 		return err
 	}
-	callers, err := listen(ctx, "callerListen", n.settings.CallerListen)
+	callers, err := n.listenOutside(ctx, "callerListen", n.settings.CallerListen)
 	if err != nil {
 		return err
 	}
-	operators, err := listen(ctx, "operatorListen", n.settings.OperatorListen)
+	operators, err := n.listenOutside(ctx, "operatorListen", n.settings.OperatorListen)
 	if err != nil {
 		return err
 	}
@@ -288,9 +288,3 @@
 		}
 	}()
 }
-
-func listen(ctx context.Context, setting, address string) (net.Listener, error) {
-	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", address)
-	return listener, errors.Wrap(err, setting)
-}
