TLS once on each listener

Cause: two changes met that each put TLS over the listeners, so none could speak with them. Change: one of them is gone. Measured: TestNoSecretIsInDumpsLogsMetricsOrRefusals, which speaks TLS, failed before and passes now. Conclusion: the test holds TLS end to end.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -213,12 +213,6 @@
 	if err != nil {
 		return err
 	}
-	if callers, err = n.secure(callers); err != nil {
-		return err
-	}
-	if operators, err = n.secure(operators); err != nil {
-		return err
-	}
 	n.members.Start(ctx)
 	n.dispatcher.Start()
 	n.control.start(ctx)
