--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"mangoledge.example/mangoledge/internal/config"
@@ -14,6 +15,10 @@
 const (
 	// reclaimRiskShare is what the risk of a reclaim adds to a price when only latency counts.
 	reclaimRiskShare = 0.25
+	// crowdingCostOnly is what a replica beyond a failure domain's share adds to a price when only cost counts.
+	crowdingCostOnly = 0.5
+	// crowdingLatencyOnly is the same when only latency counts.
+	crowdingLatencyOnly = 3
 	// maxDomainShare is the most of a model's replicas in one failure domain when only cost counts.
 	maxDomainShare = 0.5
 	// surgeShare is the part of a model's replicas that a new version is rolled by at a time.
@@ -126,12 +131,13 @@
 }
 
 // adoptStrays writes down hosts that run without an intent, as leaving, so that
-// they are ended. Such a host comes from a start that arrived late.
+// they are ended. Such a host comes from a start that arrived late. Hosts whose
+// token is not of this package, such as the entry hosts, are left alone.
 func (p *planner) adoptStrays() {
 	known := make(map[string]bool)
 	p.intents(func(i *Intent) { known[i.Token] = true })
 	for _, h := range p.in.Hosts {
-		if known[h.ClientToken] || h.State == cloud.StateTerminated {
+		if known[h.ClientToken] || h.State == cloud.StateTerminated || !strings.HasPrefix(h.ClientToken, TokenPrefix) {
 			continue
 		}
 		l := p.ledger(h.FailureDomain)
--- a/internal/capacity/reconciler_test.go
+++ b/internal/capacity/reconciler_test.go
@@ -100,7 +100,7 @@
 
 // bench is a site before a stand-in.
 type bench struct {
-	t        *testing.T
+	t        testing.TB
 	platform *platform.Server
 	url      string
 	store    *objects.Client
@@ -113,7 +113,7 @@
 
 func (b *bench) Current() *config.Site { return &b.site }
 
-func newBench(t *testing.T) *bench {
+func newBench(t testing.TB) *bench {
 	t.Helper()
 	b := &bench{t: t, now: time.Now()}
 	b.platform = platform.NewServer(platform.Options{Seed: 1, Clock: func() time.Time { return b.now }, LoadsPerMinute: 6000})
@@ -237,15 +237,20 @@
 	r := b.process(&plug{})
 	b.passes(r, 3, b.withinBudget)
 	pool := cloud.Pool{FailureDomain: "d1", HostClass: "small", Market: cloud.MarketReclaimable}
-	stray, err := b.cloud.Start(t.Context(), cloud.Start{ClientToken: "forgotten", Pool: pool})
+	stray, err := b.cloud.Start(t.Context(), cloud.Start{ClientToken: TokenPrefix + "forgotten", Pool: pool})
+	require.NoError(t, err)
+	foreign, err := b.cloud.Start(t.Context(), cloud.Start{ClientToken: "an entry host", Pool: pool})
 	require.NoError(t, err)
 	b.passes(r, 4, func() {})
 	for _, line := range b.platform.Bill() {
-		if line.Host.ID == string(stray.ID) {
+		switch line.Host.ID {
+		case string(stray.ID):
 			require.Equal(t, platform.HostTerminated, line.Host.State)
+		case string(foreign.ID):
+			require.Equal(t, platform.HostRunning, line.Host.State, "a host of somebody else was ended")
 		}
 	}
-	require.Equal(t, 4, b.running()["all"])
+	require.Equal(t, 5, b.running()["all"])
 }
 
 func TestReclaimWaveWithRefusedStartsGoesToOtherDomainsAndMarkets(t *testing.T) {
--- a/internal/tables/rows.go
+++ b/internal/tables/rows.go
@@ -34,7 +34,7 @@
 	URL           string  `column:"url" doc:"base URL"`
 }
 
-// Request is a row of the table requests: a request that this node runs or remembers.
+// Request is a row of the table requests: a request that a node runs or remembers.
 type Request struct {
 	ID         string `column:"id" doc:"the request's ID"`
 	Workspace  string `column:"workspace" doc:"the caller's workspace"`
@@ -89,6 +89,7 @@
 	MaxHosts        int     `column:"maxHosts" doc:"most hosts to pay for"`
 	MaxPricePerHour float64 `column:"maxPricePerHour" doc:"highest price per host and hour, in the site's currency"`
 	Reclaimable     bool    `column:"reclaimable" doc:"which market the hosts come from"`
+	ChecksFencing   bool    `column:"checksFencing" doc:"true when engines there refuse orders with an old fencing number"`
 }
 
 // Config is a row of the table config: the configuration in force.
