--- a/internal/bench/run_test.go
+++ b/internal/bench/run_test.go
@@ -28,14 +28,17 @@
 }
 
 func TestEveryJobEndsOnceAndCountersAgree(t *testing.T) {
+	var all []Task
 	for _, scenario := range Scenarios() {
 		for _, s := range Systems() {
-			r := Run(Task{Shape: shortShape(), Scenario: scenario, System: s, Seed: 3, Load: NominalLoad})
-			require.Equal(t, r.Requests, r.Whole+r.Refused+r.Late+r.Failed, "%s %s", scenario.Name, s.Name)
-			require.Positive(t, r.Whole)
-			require.LessOrEqual(t, r.Answered, r.Offered)
+			all = append(all, Task{Shape: shortShape(), Scenario: scenario, System: s, Seed: 3, Load: NominalLoad})
 		}
 	}
+	for _, r := range RunAll(all) {
+		require.Equal(t, r.Requests, r.Whole+r.Refused+r.Late+r.Failed, "%s %s", r.Scenario, r.System)
+		require.Positive(t, r.Whole)
+		require.LessOrEqual(t, r.Answered, r.Offered)
+	}
 }
 
 // poisonSeeds is how many seeds the poison test plays.
@@ -45,15 +48,18 @@
 // else fails, and a wave of reclaims convicts nobody.
 func TestPoisonIsBoundedAndWavesConvictNobody(t *testing.T) {
 	product := pickSystems(ProductName)[0]
+	var all []Task
 	for seed := uint64(1); seed <= poisonSeeds; seed++ {
 		for _, scenario := range pickScenarios("poison", "all", wave) {
-			r := Run(Task{Shape: shortShape(), Scenario: scenario, System: product, Seed: seed, Load: NominalLoad})
-			require.LessOrEqual(t, r.Crashes, targetCrashes, "%s seed %d", scenario.Name, seed)
-			require.Zero(t, r.FalseConvictions, "%s seed %d", scenario.Name, seed)
-			require.Zero(t, r.LateWork, "%s seed %d", scenario.Name, seed)
-			if scenario.Has(FaultPoison) {
-				require.Positive(t, r.Crashes, "the fault must bite")
-			}
+			all = append(all, Task{Shape: shortShape(), Scenario: scenario, System: product, Seed: seed, Load: NominalLoad})
+		}
+	}
+	for i, r := range RunAll(all) {
+		require.LessOrEqual(t, r.Crashes, targetCrashes, "%s seed %d", r.Scenario, r.Seed)
+		require.Zero(t, r.FalseConvictions, "%s seed %d", r.Scenario, r.Seed)
+		require.Zero(t, r.LateWork, "%s seed %d", r.Scenario, r.Seed)
+		if all[i].Scenario.Has(FaultPoison) {
+			require.Positive(t, r.Crashes, "the fault must bite")
 		}
 	}
 }
--- /dev/null
+++ b/internal/owner/concurrent_test.go
@@ -0,0 +1,42 @@
+package owner
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/routing"
+)
+
+// Many holders reserve and release at once; the count ends where it began and
+// never goes above the limit.
+func TestLedgerUnderConcurrentUse(t *testing.T) {
+	const holders, each = 8, 300
+	l := newLedger()
+	var group sync.WaitGroup
+	for h := range holders {
+		group.Go(func() {
+			for i := range uint64(each) {
+				a := args(i, time.Minute)
+				a.ID.Holder = ident.Incarnation(rune('a' + h))
+				reply := l.Reserve(start, a)
+				if reply.Summary.InFlight > 6*(testSlots+testOvercommit) {
+					t.Errorf("in flight %d", reply.Summary.InFlight)
+				}
+				if i%10 == 0 {
+					l.Update(start, upstreams(6), members(1))
+				}
+				l.Release(start, a.ID, routing.Outcome{})
+			}
+		})
+	}
+	group.Wait()
+	require.Zero(t, l.Held())
+	require.Zero(t, l.Table().Count(start, routing.Pool{Model: "m"}).InFlight)
+	started, ended := l.Table().Counters()
+	require.Equal(t, started, ended)
+	require.Positive(t, started)
+}
