A request that looks for a slot is dropped by the same margin as a waiting one

Cause: a request that had been handed out and found no slot was sent as long as its usual time fitted, without the margin that holds in the queue. Change: Controller.Feasible, used in both places.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -173,7 +173,7 @@
 			return nil
 		}
 		t := f.waiting[0]
-		if now.Add(c.settings.time(&t.Request)).After(t.Request.Deadline) {
+		if !c.Feasible(now, t) {
 			c.drop(t, verdict.New(verdict.NotRun, verdict.CodeDeadline, "waited until its deadline could no longer be met"))
 			continue
 		}
@@ -188,6 +188,12 @@
 	}
 }
 
+// Feasible reports whether a ticket that was handed out and still looks for a
+// slot is likely to meet its deadline when it gets one at now.
+func (c *Controller) Feasible(now time.Time, t *Ticket) bool {
+	return !now.Add(c.settings.time(&t.Request)).After(t.Request.Deadline)
+}
+
 // Blocked says that no slot could be had for the requests of pool; nothing is
 // handed out until then.
 func (c *Controller) Blocked(pool routing.Pool, until time.Time) {
--- a/internal/bench/productjob.go
+++ b/internal/bench/productjob.go
@@ -121,7 +121,7 @@
 
 // late reports whether a job that was not sent can't meet its deadline any more.
 func (n *node) late(j *job) bool {
-	return j.sent == 0 && n.product.world.clock.wall().Add(j.ticket.Request.Cost).After(j.ticket.Request.Deadline)
+	return j.sent == 0 && !n.admit.Feasible(n.product.world.clock.wall(), j.ticket)
 }
 
 // hold tries again after a pause.
