Worth per second counts in the order within a workspace

Cause: in overload a workspace's queue went by priority and age alone, so kinds worth little for their time were served beside those worth much, which were then refused. Change: twice the mean worth per second of a slot counts as four steps of priority, at most, both ways; waiting still outweighs it.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -71,6 +71,7 @@
 	}
 	l := c.lane(r.Pool)
 	l.observe(now)
+	l.weigh(r)
 	f := l.flow(r.Workspace, c.settings.share(r.Workspace))
 	t := &Ticket{Request: *r, flow: f, serial: c.serial, since: now, settled: make(chan struct{})}
 	c.serial++
@@ -117,7 +118,7 @@
 // ahead returns the cost that goes before t within its flow, in seconds, and
 // how much of it is worth less than t.
 func (c *Controller) ahead(f *flow, t *Ticket) (ahead, lesser float64) {
-	key := t.since.UnixNano() - int64(t.Request.Priority)*int64(agingStep)
+	key := f.lane.key(t.since, &t.Request)
 	for _, other := range f.waiting {
 		if other.key > key {
 			continue
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -234,3 +234,17 @@
 		c.Release(start, t)
 	}
 }
+
+func TestWorthGoesBeforeEqualPriority(t *testing.T) {
+	c := NewController(Settings{})
+	for range 5 {
+		_, _ = c.Admit(start, ask("w", 5, 1, time.Second, time.Hour))
+	}
+	worthy, _ := c.Admit(start, ask("w", 5, 4, time.Second, time.Hour))
+	first, _ := c.Next(start, model)
+	require.Same(t, worthy, first)
+	later := start.Add(densitySteps * 2 * agingStep)
+	_, _ = c.Admit(later, ask("w", 5, 4, time.Second, time.Hour))
+	old, _ := c.Next(later, model)
+	require.InDelta(t, 1, old.Request.Worth, 0, "worth does not starve the rest")
+}
--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -26,7 +26,7 @@
 
 // push adds t, which was admitted at now.
 func (f *flow) push(now time.Time, t *Ticket) {
-	t.key = now.UnixNano() - int64(t.Request.Priority)*int64(agingStep)
+	t.key = f.lane.key(now, &t.Request)
 	heap.Push(&f.waiting, t)
 	f.cost += t.Request.Cost.Seconds()
 	f.lane.queued++
--- a/internal/admission/lane.go
+++ b/internal/admission/lane.go
@@ -11,6 +11,13 @@
 // concurrencyMemory is the time over which the mean number in flight is taken.
 const concurrencyMemory = 2 * time.Second
 
+// densityGain is the weight of a new sample in the mean worth per second, and
+// densitySteps how many steps of priority a doubled worth per second counts.
+const (
+	densityGain  = 0.02
+	densitySteps = 4
+)
+
 // lane holds the requests of one pool.
 type lane struct {
 	pool  routing.Pool
@@ -26,6 +33,8 @@
 	// mean is the mean number in flight, as of measured.
 	mean     float64
 	measured time.Time
+	// density is the mean worth per second of the requests that ask.
+	density float64
 	// paused is until when nothing is handed out.
 	paused time.Time
 }
@@ -46,6 +55,25 @@
 	return f
 }
 
+// weigh takes r into the mean worth per second.
+func (l *lane) weigh(r *Request) {
+	if l.density == 0 {
+		l.density = r.density()
+		return
+	}
+	l.density += densityGain * (r.density() - l.density)
+}
+
+// key orders the requests of a workspace; the least goes first. A step of
+// priority, or a doubled worth per second, counts as much as agingStep of waiting.
+func (l *lane) key(now time.Time, r *Request) int64 {
+	steps := float64(r.Priority)
+	if d := r.density(); d > 0 && l.density > 0 {
+		steps += densitySteps * min(max(math.Log2(d/l.density), -1), 1)
+	}
+	return now.UnixNano() - int64(steps*float64(agingStep))
+}
+
 // observe brings the mean number in flight up to now.
 func (l *lane) observe(now time.Time) {
 	passed := now.Sub(l.measured)
