--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -90,3 +90,8 @@
 	}
 	return d, nil
 }
+
+// NewObject makes the object of a site's first configuration.
+func NewObject(site *Site) (objects.Object, error) {
+	return encodeDocument(&Document{Site: *site}, 0)
+}
--- a/internal/testbed/process.go
+++ b/internal/testbed/process.go
@@ -141,3 +141,8 @@
 		return address, nil
 	}
 }
+
+// PID is the process's ID.
+func (p *Process) PID() int {
+	return p.cmd.Process.Pid
+}
