Replicas move back to cheaper hosts; ledgers are read once by a holder

Cause: hosts taken on demand in a wave stayed for ever, and a holder listed all ledgers in every pass. Change: when all replicas of a model are ready, some are added on hosts that cost at least a fifth less, and the dearest leave once those are ready. The holder reads the ledgers when its fencing number is new or a write failed.

--- a/internal/capacity/choose.go
+++ b/internal/capacity/choose.go
@@ -19,19 +19,19 @@
 	here int
 }
 
-// choose returns the pool for one more replica of a model: the cheapest, counting
-// what its risks are worth to the site, then the emptiest.
-func (p *planner) choose(model config.Model) (cloud.Offer, bool) {
+// choose returns the pool for one more replica of a model, and its cost: the
+// cheapest, counting what its risks are worth to the site, then the emptiest.
+func (p *planner) choose(model config.Model) (offer cloud.Offer, cost float64, ok bool) {
 	open := p.openOffers()
 	if len(open) == 0 {
-		return cloud.Offer{}, false
+		return cloud.Offer{}, 0, false
 	}
 	perDomain := countDomains(p.staying(model.Name))
 	share := p.domainShare(model, open, perDomain)
 	all := make([]candidate, 0, len(open))
 	for _, offer := range open {
 		here := perDomain[offer.FailureDomain]
-		all = append(all, candidate{offer: offer, cost: p.cost(offer, here >= share), here: here})
+		all = append(all, candidate{offer: offer, cost: p.cost(offer.Pool, offer.PricePerHour, here >= share), here: here})
 	}
 	best := slices.MinFunc(all, func(a, b candidate) int {
 		return cmp.Or(
@@ -41,7 +41,7 @@
 			cmp.Compare(a.offer.HostClass, b.offer.HostClass),
 		)
 	})
-	return best.offer, true
+	return best.offer, best.cost, true
 }
 
 // openOffers returns the offers that one more host can be started from now.
@@ -55,12 +55,12 @@
 	return out
 }
 
-// cost is the price of an offer with what the risk of a reclaim, and of too many
+// cost is the price of a host with what the risk of a reclaim, and of too many
 // replicas in one failure domain, are worth to the site.
-func (p *planner) cost(offer cloud.Offer, crowded bool) float64 {
+func (p *planner) cost(pool cloud.Pool, price float64, crowded bool) float64 {
 	latency := p.in.Site.Weights.Latency
-	cost := offer.PricePerHour
-	if offer.Market == cloud.MarketReclaimable {
+	cost := price
+	if pool.Market == cloud.MarketReclaimable {
 		cost *= 1 + reclaimRiskShare*latency
 	}
 	if crowded {
--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -52,6 +52,7 @@
 		p.roll(model)
 		p.shrink(model)
 		p.grow(model)
+		p.economize(model)
 	}
 	return p.ledgers
 }
@@ -215,20 +216,22 @@
 	}
 }
 
-// shrink lets replicas beyond the wanted number leave: the ones that are not ready first,
-// then those in the failure domain that has the most, then the dearest.
+// shrink lets replicas beyond the wanted number leave: the ones that are not ready
+// first, then the dearest, risks included. A move to cheaper hosts is waited for.
 func (p *planner) shrink(model config.Model) {
 	for {
 		staying := p.staying(model.Name)
-		if len(staying) <= model.Replicas+p.surge(model) {
+		if len(staying) <= model.Replicas+p.surge(model) || p.moving(model, staying) {
 			return
 		}
-		perDomain := countDomains(staying)
+		costs := make(map[string]float64, len(staying))
+		for k, cost := range p.stayingCosts(model, staying) {
+			costs[staying[k].Token] = cost
+		}
 		victim := slices.MaxFunc(staying, func(a, b *Intent) int {
 			return cmp.Or(
 				cmp.Compare(rank(b.Phase), rank(a.Phase)),
-				cmp.Compare(perDomain[a.Pool.FailureDomain], perDomain[b.Pool.FailureDomain]),
-				cmp.Compare(a.PricePerHour, b.PricePerHour),
+				cmp.Compare(costs[a.Token], costs[b.Token]),
 				cmp.Compare(a.Token, b.Token),
 			)
 		})
@@ -262,15 +265,20 @@
 func (p *planner) grow(model config.Model) {
 	wanted := model.Replicas + p.surge(model)
 	for n := len(p.staying(model.Name)); n < wanted && p.added < maxNewIntents; n++ {
-		offer, ok := p.choose(model)
+		offer, _, ok := p.choose(model)
 		if !ok {
 			return
 		}
-		p.added++
-		l := p.ledger(offer.FailureDomain)
-		l.Intents = append(l.Intents, Intent{
-			Token: p.in.NewToken(), Pool: offer.Pool, Model: model.Name, Version: model.Version,
-			Phase: PhaseStarting, PricePerHour: offer.PricePerHour,
-		})
+		p.add(model, offer)
 	}
 }
+
+// add adds an intent for one more replica of a model.
+func (p *planner) add(model config.Model, offer cloud.Offer) {
+	p.added++
+	l := p.ledger(offer.FailureDomain)
+	l.Intents = append(l.Intents, Intent{
+		Token: p.in.NewToken(), Pool: offer.Pool, Model: model.Name, Version: model.Version,
+		Phase: PhaseStarting, PricePerHour: offer.PricePerHour,
+	})
+}
--- a/internal/capacity/reconciler.go
+++ b/internal/capacity/reconciler.go
@@ -13,7 +13,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"slices"
 	"time"
@@ -81,6 +80,11 @@
 	refusals *refusals
 	// ledgers are the newest seen, by failure domain.
 	ledgers map[ident.FailureDomain]*Ledger
+	// known is true while ledgers are all there are, as far as this holder's writes
+	// tell: it alone writes, and a write that shows otherwise ends that.
+	known bool
+	// fence is the fencing number that known holds under.
+	fence lease.Fence
 }
 
 // New returns a reconciler.
@@ -135,9 +139,13 @@
 	if site == nil {
 		return false, nil
 	}
-	if _, err := r.options.Lease.Check(); err != nil {
+	fence, err := r.options.Lease.Check()
+	if err != nil {
 		return false, err
 	}
+	if fence != r.fence {
+		r.fence, r.known = fence, false // another node may have written since
+	}
 	planned, err := r.plan(ctx, site)
 	if err != nil {
 		return false, err
@@ -176,20 +184,13 @@
 	}), nil
 }
 
-// read reads the ledgers; one that is older than seen before is not taken.
+// read returns the ledgers, read from the store when they may have been changed.
 func (r *Reconciler) read(ctx context.Context) ([]*Ledger, error) {
-	list, err := r.options.Store.List(ctx, LedgerKind)
-	if err != nil {
-		return nil, err
-	}
-	for _, object := range list.Items {
-		l, err := decodeLedger(object)
-		if err != nil {
+	if !r.known {
+		if err := r.list(ctx); err != nil {
 			return nil, err
 		}
-		if known, ok := r.ledgers[l.FailureDomain]; !ok || known.version < l.version {
-			r.ledgers[l.FailureDomain] = l
-		}
+		r.known = true
 	}
 	out := make([]*Ledger, 0, len(r.ledgers))
 	for _, l := range r.ledgers {
@@ -204,10 +205,29 @@
 	return out, nil
 }
 
+// list reads the ledgers from the store; one that is older than seen before is not taken.
+func (r *Reconciler) list(ctx context.Context) error {
+	list, err := r.options.Store.List(ctx, LedgerKind)
+	if err != nil {
+		return err
+	}
+	for _, object := range list.Items {
+		l, err := decodeLedger(object)
+		if err != nil {
+			return err
+		}
+		if known, ok := r.ledgers[l.FailureDomain]; !ok || known.version < l.version {
+			r.ledgers[l.FailureDomain] = l
+		}
+	}
+	return nil
+}
+
 // save writes down the ledgers that have changed.
 func (r *Reconciler) save(ctx context.Context, planned []*Ledger) error {
 	for _, l := range planned {
 		if err := r.saveOne(ctx, l); err != nil {
+			r.known = false
 			return err
 		}
 	}
@@ -248,7 +268,9 @@
 
 // sameIntents reports whether two ledgers say the same.
 func sameIntents(a, b *Ledger) bool {
-	left, leftErr := json.Marshal(a)
-	right, rightErr := json.Marshal(b)
-	return leftErr == nil && rightErr == nil && string(left) == string(right)
+	return slices.EqualFunc(a.Intents, b.Intents, func(x, y Intent) bool {
+		return x.Token == y.Token && x.Pool == y.Pool && x.Model == y.Model && x.Version == y.Version &&
+			x.Phase == y.Phase && x.Host == y.Host && x.Address == y.Address &&
+			slices.Equal(x.Loaded, y.Loaded) && x.LeavingSinceMs == y.LeavingSinceMs && x.PricePerHour == y.PricePerHour
+	})
 }
--- a/internal/capacity/reconciler_test.go
+++ b/internal/capacity/reconciler_test.go
@@ -277,6 +277,25 @@
 	require.Zero(t, b.running()["d1"])
 }
 
+func TestReplicasMoveBackToCheaperHostsWithoutLosingCapacity(t *testing.T) {
+	b := newBench(t)
+	refuse := platform.Fault{Service: platform.ServiceCloud, Kind: platform.FaultRefuseStarts, Market: platform.MarketReclaimable}
+	b.platform.AddFault(refuse)
+	r := b.process(&plug{})
+	b.passes(r, 6, b.withinBudget)
+	require.Equal(t, 4, b.ready("m1"))
+	require.InDelta(t, 12, b.costPerHour(), 0.01, "on demand while nothing else is to be had")
+	b.platform.ClearFaults()
+	b.passes(r, 60, func() {
+		b.withinBudget()
+		require.GreaterOrEqual(t, b.ready("m1"), 4, "capacity was lost")
+	})
+	require.InDelta(t, 4, b.costPerHour(), 0.01)
+	started := len(b.platform.Bill())
+	b.passes(r, 20, b.withinBudget)
+	require.Len(t, b.platform.Bill(), started, "replicas go to and fro")
+}
+
 func TestScarceCapacityGoesToTheMostUrgentModel(t *testing.T) {
 	b := newBench(t)
 	for i := range b.site.Capacity {
