--- a/internal/config/propose.go
+++ b/internal/config/propose.go
@@ -9,7 +9,7 @@
 
 const (
 	// proposeTimeout bounds a proposal whose context has no sooner deadline.
-	proposeTimeout = 10 * time.Second
+	proposeTimeout = 2500 * time.Millisecond
 	// retryDelay is the wait before a call is tried again.
 	retryDelay = 100 * time.Millisecond
 )
