Decisions about hosts explained; table of leases

Cause: explain host knew nothing of what the reconciler does, and the table of leases had no source.

Measured: go test -race ./internal/capacity ./internal/operator ./internal/node passes; a test holds that each of four hosts on the bill tells start, order and end. Conclusion: the wish for a host that was refused is found under its pool.

--- a/internal/capacity/act.go
+++ b/internal/capacity/act.go
@@ -55,10 +55,12 @@
 		switch outcome {
 		case resultRefused:
 			refused[intent.Token] = true
+			r.noteStart(&intent, hostRefused, poolID(&intent))
 			r.options.Logger.Info("host start refused", "failureDomain", intent.Pool.FailureDomain,
 				"hostClass", intent.Pool.HostClass, "market", intent.Pool.Market, "model", intent.Model)
 		case resultStarted:
 			r.refusals.clear(intent.Pool)
+			r.noteStart(&intent, hostStarted, string(intent.Host))
 		case resultKept:
 		}
 	}
@@ -145,7 +147,11 @@
 		return err
 	}
 	order := LoadOrder{Model: i.Model, Version: i.Version, Adapter: adapter, Fencing: fence}
-	return r.options.Engines.Load(ctx, i.Address, order)
+	if err := r.options.Engines.Load(ctx, i.Address, order); err != nil {
+		return err
+	}
+	r.noteOrder(i, adapter, fence)
+	return nil
 }
 
 // check checks the lease as the engines of a pool need it.
@@ -173,7 +179,11 @@
 	if _, err := r.options.Lease.Check(); err != nil {
 		return err
 	}
-	return r.options.Cloud.Terminate(ctx, i.Host)
+	if err := r.options.Cloud.Terminate(ctx, i.Host); err != nil {
+		return err
+	}
+	r.noteEnd(i)
+	return nil
 }
 
 // drained reports whether a leaving host may be ended.
--- /dev/null
+++ b/internal/capacity/journal_test.go
@@ -0,0 +1,37 @@
+package capacity
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/internal/explain"
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/standin/platform"
+)
+
+func TestWhatIsDecidedAboutHostsIsExplained(t *testing.T) {
+	b := newBench(t)
+	r := b.process(new(plug))
+	journal := explain.NewJournal("n1_0123456789abcdef", 64, time.Now)
+	r.options.Journal = journal
+	b.platform.AddFault(platform.Fault{Service: platform.ServiceCloud, Kind: platform.FaultRefuseStarts, FailureDomain: "d1"})
+	b.passes(r, 4, func() {})
+	b.site.Models[0].Replicas = 0
+	b.passes(r, 4, func() {})
+
+	refused := journal.Lookup(explain.Subject{Kind: explain.KindHost, ID: "d1/small/reclaimable"})
+	require.NotEmpty(t, refused)
+	require.Contains(t, refused[0].Sentence(), "refused a reclaimable host of class small in failure domain d1 for model m1")
+
+	told := make(map[ident.Host][]string)
+	for _, line := range b.platform.Bill() {
+		id := ident.Host(line.Host.ID)
+		for _, entry := range journal.Lookup(explain.Subject{Kind: explain.KindHost, ID: string(id)}) {
+			told[id] = append(told[id], entry.Decision.Name)
+		}
+		require.Equal(t, []string{"host started", "load ordered", "host ended"}, told[id], id)
+	}
+	require.Len(t, told, 4)
+}
--- a/internal/capacity/reconciler.go
+++ b/internal/capacity/reconciler.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"mangoledge.example/mangoledge/internal/config"
+	"mangoledge.example/mangoledge/internal/explain"
 	"mangoledge.example/mangoledge/internal/fleet"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/lease"
@@ -73,6 +74,8 @@
 	Clock func() time.Time
 	// Logger is slog.Default() when nil.
 	Logger *slog.Logger
+	// Journal notes what is decided about hosts; nothing is noted when nil.
+	Journal *explain.Journal
 }
 
 // Reconciler keeps the declared models running while this node holds the lease.
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mangoledge.example/mangoledge/internal/auth"
+	"mangoledge.example/mangoledge/internal/capacity"
 	"mangoledge.example/mangoledge/internal/explain"
 	"mangoledge.example/mangoledge/internal/operator"
 	"mangoledge.example/mangoledge/internal/tables"
@@ -51,6 +52,9 @@
 	tables.ProvideConfiguration(registry, n.control.manager, n.control.view, n.staleReason)
 	tables.ProvideChanges(registry, n.control.manager.Recent, n.control.manager)
 	tables.ProvidePoison(registry, n.guard.Registry())
+	if n.control.capacity != nil {
+		tables.ProvideLeases(registry, map[string]tables.LeaseView{capacity.LeaseName: n.control.capacity.lease})
+	}
 	return registry
 }
 
--- a/internal/node/reconcile.go
+++ b/internal/node/reconcile.go
@@ -49,6 +49,7 @@
 			RegionOf: n.regionOf,
 			NewToken: rand.Text,
 			Logger:   n.logger,
+			Journal:  n.journal,
 		}),
 	}
 }
--- a/internal/tables/rows.go
+++ b/internal/tables/rows.go
@@ -100,12 +100,13 @@
 	Stale         string  `column:"stale" doc:"why it may be out of date; empty when it is not"`
 }
 
-// Lease is a row of the table leases.
+// Lease is a row of the table leases: a leased duty as this node saw its lease last.
 type Lease struct {
-	Name      string `column:"name" doc:"what the lease is for"`
-	Holder    string `column:"holder" doc:"the incarnation that holds it"`
-	Fencing   int    `column:"fencing" doc:"fencing number"`
-	ExpiresMs int    `column:"expiresMs" doc:"time until it lapses, in milliseconds"`
+	Name    string `column:"name" doc:"the duty"`
+	Holder  string `column:"holder" doc:"the incarnation that holds it; empty after a release"`
+	Fencing int    `column:"fencing" doc:"fencing number of the holder"`
+	TTLMs   int    `column:"ttlMs" doc:"for how long a renewal holds, in milliseconds"`
+	Here    bool   `column:"here" doc:"true when this node holds it now"`
 }
 
 // Poison is a row of the table poison: content that crashed upstreams.
--- a/internal/tables/sources.go
+++ b/internal/tables/sources.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -10,6 +11,7 @@
 	"mangoledge.example/mangoledge/internal/config"
 	"mangoledge.example/mangoledge/internal/fleet"
 	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/lease"
 	"mangoledge.example/mangoledge/internal/membership"
 	"mangoledge.example/mangoledge/internal/poison"
 	"mangoledge.example/mangoledge/internal/request"
@@ -242,3 +244,23 @@
 	n, err := strconv.ParseUint(text, 16, 64)
 	return poison.Fingerprint(n), err
 }
+
+// LeaseView is a node's part in a lease; *lease.Lease is one.
+type LeaseView interface {
+	Seen() lease.Record
+	Check() (lease.Fence, error)
+}
+
+// ProvideLeases fills the table leases; leases are called by the names of their duties.
+func ProvideLeases(r *Registry, leases map[string]LeaseView) {
+	Provide(r, func(context.Context) ([]Lease, error) {
+		var out []Lease
+		for name, view := range leases {
+			seen := view.Seen()
+			_, err := view.Check()
+			out = append(out, Lease{Name: name, Holder: string(seen.Holder), Fencing: int(seen.Fence), TTLMs: int(seen.TTLMs), Here: err == nil})
+		}
+		slices.SortFunc(out, func(a, b Lease) int { return strings.Compare(a.Name, b.Name) })
+		return out, nil
+	})
+}
