--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -15,20 +15,14 @@
 	if err != nil {
 		return err
 	}
-	callers, err := listen(ctx, "callerListen", n.settings.CallerListen)
+	callers, err := n.listenOutside(ctx, "callerListen", n.settings.CallerListen)
 	if err != nil {
 		return err
 	}
-	operators, err := listen(ctx, "operatorListen", n.settings.OperatorListen)
+	operators, err := n.listenOutside(ctx, "operatorListen", n.settings.OperatorListen)
 	if err != nil {
 		return err
 	}
-	if callers, err = n.secure(callers); err != nil {
-		return err
-	}
-	if operators, err = n.secure(operators); err != nil {
-		return err
-	}
 	n.members.Start(ctx)
 	n.dispatcher.Start()
 	n.control.start(ctx)
