--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
+	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"mangoledge.example/mangoledge/internal/tlsconf"
 )
 
 func listen(ctx context.Context, setting, address string) (net.Listener, error) {
@@ -12,3 +16,16 @@
 	listener, err := config.Listen(ctx, "tcp", address)
 	return listener, errors.Wrap(err, setting)
 }
+
+// listenOutside listens for callers or operators, by TLS when the settings ask for it.
+func (n *Node) listenOutside(ctx context.Context, setting, address string) (net.Listener, error) {
+	listener, err := listen(ctx, setting, address)
+	if err != nil || n.settings.TLS == nil {
+		return listener, err
+	}
+	config, err := tlsconf.Server(n.settings.TLS.CertFile, n.settings.TLS.KeyFile, time.Now, n.logger)
+	if err != nil {
+		return nil, err
+	}
+	return tls.NewListener(listener, config), nil
+}
