Marks explained for upstreams of a host, each news once; time for a node to settle

Cause: explain upstream was silent when its host was leaving and repeated one mark several times; during a store outage the command line gave up on a node before that could say that the outcome is unknown. Change: RecordMarks notes a host's upstreams and only news; a change may take a node 12 s, a look 5 s; a load order without adapter reads plainly. Conclusion: none of the explained lines repeats another.

--- a/internal/capacity/journal.go
+++ b/internal/capacity/journal.go
@@ -18,7 +18,11 @@
 	}
 	hostOrdered = &explain.Decision{
 		Name:     "load ordered",
-		Sentence: "Its engine was ordered to load model {model} version {version}, adapter \"{adapter}\", under fencing number {fence}.",
+		Sentence: "Its engine was ordered to load model {model}, version {version}, under fencing number {fence}.",
+	}
+	adapterOrdered = &explain.Decision{
+		Name:     "load ordered",
+		Sentence: "Its engine was ordered to load adapter {adapter} of model {model}, version {version}, under fencing number {fence}.",
 	}
 	hostEnded = &explain.Decision{
 		Name:     "host ended",
@@ -39,9 +43,13 @@
 }
 
 func (r *Reconciler) noteOrder(i *Intent, adapter ident.Adapter, fence lease.Fence) {
-	r.options.Journal.Record(explain.KindHost, string(i.Host), hostOrdered,
-		explain.Text("model", i.Model), explain.Text("version", i.Version),
-		explain.Text("adapter", adapter), explain.Number("fence", uint64(fence)))
+	model, version := explain.Text("model", i.Model), explain.Text("version", i.Version)
+	number := explain.Number("fence", uint64(fence))
+	if adapter == "" {
+		r.options.Journal.Record(explain.KindHost, string(i.Host), hostOrdered, model, version, number)
+		return
+	}
+	r.options.Journal.Record(explain.KindHost, string(i.Host), adapterOrdered, model, version, number, explain.Text("adapter", adapter))
 }
 
 func (r *Reconciler) noteEnd(i *Intent) {
--- a/internal/cli/connection.go
+++ b/internal/cli/connection.go
@@ -37,7 +37,7 @@
 		Envar(envToken).StringVar(&c.token)
 	app.Flag("ca", "PEM file with the certificates to trust. Default: those of the system.").
 		Envar(envCA).StringVar(&c.ca)
-	app.Flag("timeout", "How long an operator's command may take.").Default("10s").DurationVar(&c.timeout)
+	app.Flag("timeout", "How long an operator's command may take.").Default("30s").DurationVar(&c.timeout)
 }
 
 // transport carries requests over TLS as the flags say.
--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -100,6 +100,13 @@
 	a.say("change %s", flags.change)
 }
 
+const (
+	// timeToSettle is a little more than a node takes before it says that an outcome is unknown.
+	timeToSettle = 12 * time.Second
+	// timeToShow is how long one node may take to show something.
+	timeToShow = 5 * time.Second
+)
+
 // errLost marks an error after which nobody here can tell whether the command was run.
 var errLost = errors.New("no answer from the node")
 
@@ -114,8 +121,7 @@
 	err = errors.New("--operator-addr is empty")
 	lost := false
 	addresses := urls(a.connect.operatorAddr)
-	share := a.connect.timeout / time.Duration(max(len(addresses), 1))
-	client := &http.Client{Transport: transport, Timeout: share}
+	client := &http.Client{Transport: transport, Timeout: a.patience(len(addresses), verb)}
 	for _, address := range addresses {
 		var result *operatorapi.CommandResult
 		result, err = a.runAt(ctx, client, address, in)
@@ -132,6 +138,16 @@
 	return nil, err
 }
 
+// patience is how long one of several nodes may take. A node needs its time to
+// settle a change with a store that is slow; whoever only looks is better off with another node.
+func (a *app) patience(nodes int, verb operatorVerb) time.Duration {
+	share := a.connect.timeout / time.Duration(max(nodes, 1))
+	if verb.changes {
+		return min(max(share, timeToSettle), a.connect.timeout)
+	}
+	return min(share, timeToShow)
+}
+
 func (a *app) runAt(ctx context.Context, client *http.Client, address string, in *operatorapi.Command) (*operatorapi.CommandResult, error) {
 	api, err := operatorapi.NewClient(address, bearer(a.connect.token), operatorapi.WithClient(client))
 	if err != nil {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -45,7 +45,7 @@
 	c.manager = config.NewManager(config.ManagerOptions{Store: c.store, Relay: c.relay, Logger: n.logger})
 	c.registry = fleet.NewRegistry(c.store, c.relay, n.logger)
 	c.leaving = fleet.NewLeaving(n.members, time.Now)
-	operator.RecordMarks(n.journal, c.leaving)
+	operator.RecordMarks(n.journal, c.leaving, c.registry)
 	c.view = fleet.NewLeavingView(c.registry, c.leaving)
 	c.notices = newNotices(n, c.leaving)
 	c.capacity = newReconciling(n, c)
--- a/internal/operator/marks.go
+++ b/internal/operator/marks.go
@@ -1,26 +1,84 @@
 package operator
 
 import (
+	"sync"
+
 	"mangoledge.example/mangoledge/internal/explain"
 	"mangoledge.example/mangoledge/internal/fleet"
+	"mangoledge.example/mangoledge/internal/ident"
 )
 
 var (
-	markedLeaving = &explain.Decision{Name: "leaving", Sentence: "Gets no new work from now on: it was learnt by {source} that it is leaving."}
+	markedLeaving = &explain.Decision{Name: "leaving", Sentence: "Gets no new work from now on, since it is leaving. How that was learnt: {source}."}
+	hostLeaving   = &explain.Decision{Name: "leaving", Sentence: "Gets no new work from now on, since its host {host} is leaving. How that was learnt: {source}."}
 	markCleared   = &explain.Decision{Name: "leaving cleared", Sentence: "May get new work again: an operator took back that it is leaving."}
 )
 
-// RecordMarks has journal note each mark of an upstream or host that comes into force on this node.
-func RecordMarks(journal *explain.Journal, leaving *fleet.Leaving) {
-	leaving.OnMark(func(mark fleet.Mark) {
-		kind, id := explain.KindUpstream, string(mark.Subject.Upstream)
-		if id == "" {
-			kind, id = explain.KindHost, string(mark.Subject.Host)
-		}
-		decision := markedLeaving
-		if mark.Cleared {
-			decision = markCleared
+// markNote is what was noted last about a subject.
+type markNote struct {
+	source  fleet.Source
+	cleared bool
+}
+
+// markRecorder notes marks of leaving in a journal, each news once.
+//
+// Lock order: mu is a leaf.
+type markRecorder struct {
+	journal *explain.Journal
+	fleet   fleet.View
+
+	mu   sync.Mutex
+	last map[fleet.Subject]markNote
+}
+
+// RecordMarks has journal note each mark that comes into force on this node,
+// for an upstream or host and for the upstreams of the host that view knows.
+func RecordMarks(journal *explain.Journal, leaving *fleet.Leaving, view fleet.View) {
+	r := &markRecorder{journal: journal, fleet: view, last: make(map[fleet.Subject]markNote)}
+	leaving.OnMark(r.note)
+}
+
+func (r *markRecorder) note(mark fleet.Mark) {
+	if !r.isNews(mark) {
+		return
+	}
+	source := explain.Text("source", mark.Source)
+	decision := markedLeaving
+	if mark.Cleared {
+		decision = markCleared
+	}
+	if mark.Subject.Upstream != "" {
+		r.journal.Record(explain.KindUpstream, string(mark.Subject.Upstream), decision, source)
+		return
+	}
+	r.journal.Record(explain.KindHost, string(mark.Subject.Host), decision, source)
+	if !mark.Cleared {
+		decision = hostLeaving
+	}
+	for _, id := range r.upstreamsOf(mark.Subject.Host) {
+		r.journal.Record(explain.KindUpstream, string(id), decision, source, explain.Text("host", mark.Subject.Host))
+	}
+}
+
+// isNews reports whether the mark says something else than the last one of its subject.
+func (r *markRecorder) isNews(mark fleet.Mark) bool {
+	note := markNote{source: mark.Source, cleared: mark.Cleared}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if known, ok := r.last[mark.Subject]; ok && known == note {
+		return false
+	}
+	r.last[mark.Subject] = note
+	return true
+}
+
+func (r *markRecorder) upstreamsOf(host ident.Host) []ident.Upstream {
+	var out []ident.Upstream
+	upstreams := r.fleet.Upstreams()
+	for i := range upstreams {
+		if upstreams[i].Host == host {
+			out = append(out, upstreams[i].ID)
 		}
-		journal.Record(kind, id, decision, explain.Text("source", mark.Source))
-	})
+	}
+	return out
 }
--- a/internal/operator/nodelocal_test.go
+++ b/internal/operator/nodelocal_test.go
@@ -79,16 +79,23 @@
 	clock := func() time.Time { now = now.Add(time.Second); return now }
 	journal := explain.NewJournal("n1", 64, clock)
 	leaving := fleet.NewLeaving(noSpreader{}, clock)
-	RecordMarks(journal, leaving)
+	RecordMarks(journal, leaving, upstreams{{ID: "u1", Host: "h0"}, {ID: "u2", Host: "h1"}})
 	require.NoError(t, leaving.MarkUpstream("u1", clock(), fleet.SourceAnswer))
 	require.NoError(t, leaving.MarkHost("h1", clock(), fleet.SourceNotice))
+	require.NoError(t, leaving.MarkHost("h1", clock().Add(fleet.MarkLife), fleet.SourceNotice))
 	_, err := leaving.Clear(fleet.Subject{Host: "h1"})
 	require.NoError(t, err)
 
-	upstream := journal.Lookup(explain.Subject{Kind: explain.KindUpstream, ID: "u1"})
-	require.Len(t, upstream, 1)
-	require.Contains(t, upstream[0].Sentence(), "learnt by its own answer")
-	host := journal.Lookup(explain.Subject{Kind: explain.KindHost, ID: "h1"})
-	require.Equal(t, "leaving", host[0].Decision.Name)
-	require.Equal(t, "leaving cleared", host[len(host)-1].Decision.Name)
+	names := func(kind explain.Kind, id string) []string {
+		var out []string
+		for _, entry := range journal.Lookup(explain.Subject{Kind: kind, ID: id}) {
+			out = append(out, entry.Decision.Name)
+		}
+		return out
+	}
+	require.Equal(t, []string{"leaving"}, names(explain.KindUpstream, "u1"))
+	require.Equal(t, []string{"leaving", "leaving cleared"}, names(explain.KindHost, "h1"), "each news once")
+	require.Equal(t, []string{"leaving", "leaving cleared"}, names(explain.KindUpstream, "u2"))
+	told := journal.Lookup(explain.Subject{Kind: explain.KindUpstream, ID: "u2"})
+	require.Contains(t, told[0].Sentence(), "its host h1 is leaving. How that was learnt: reclaim notice.")
 }
