--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -25,6 +25,7 @@
 	}
 	config, err := tlsconf.Server(n.settings.TLS.CertFile, n.settings.TLS.KeyFile, time.Now, n.logger)
 	if err != nil {
+		_ = listener.Close()
 		return nil, err
 	}
 	return tls.NewListener(listener, config), nil
