Fault tests with real processes: twelve provoked failures and seeded schedules

Cause: what must always hold is to be shown with real processes, links that break and hosts that go.

Change: package faulttest starts nodes, stand-ins and the platform's stand-in as processes on loopback, each link behind toxiproxy (datagrams behind a small relay), writes the history of callers and stand-ins, and judges it by historycheck. Directed tests: resend to two nodes at once, home killed, witness killed, home stopped between grant and dispatch, service silent before and after it had the request, engine connections silent, upstream reclaimed, entry host reclaimed, planned stop, failure domain at once, killed partway through a hand-over.

--- /dev/null
+++ b/internal/faulttest/directed_test.go
@@ -0,0 +1,278 @@
+package faulttest
+
+import (
+	"fmt"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/api/callerapi"
+	"mangoledge.example/mangoledge/internal/historycheck"
+	"mangoledge.example/mangoledge/internal/standin/engine"
+	"mangoledge.example/mangoledge/internal/standin/service"
+	"mangoledge.example/mangoledge/internal/verdict"
+)
+
+// longStream is a stream of several seconds.
+func longStream(input string) callerapi.Submission {
+	sub := chatCall(input)
+	sub.MaxTokens = callerapi.NewOptInt(400)
+	return sub
+}
+
+// holdOf is a hold whose home and witness are given.
+func (s *site) holdOf(input string, home, witness *node) callerapi.Submission {
+	sub := holdCall(input)
+	sub.ID = callerapi.NewOptString(s.newID(home, witness))
+	return sub
+}
+
+// lastVerdict returns what the caller was told last.
+func lastVerdict(call historycheck.Call) verdict.Verdict {
+	if call.Whole || len(call.Refusals) == 0 {
+		return verdict.Ran
+	}
+	return call.Refusals[len(call.Refusals)-1].Verdict
+}
+
+// both sends one request to two nodes at once.
+func (s *site) both(sub callerapi.Submission, a, b *node) [2]historycheck.Call {
+	var out [2]historycheck.Call
+	var wg sync.WaitGroup
+	wg.Go(func() { out[0] = s.sendTo(a, sub) })
+	wg.Go(func() { out[1] = s.sendTo(b, sub) })
+	wg.Wait()
+	return out
+}
+
+func TestResendToTwoNodesAtOnceRunsOnce(t *testing.T) {
+	s := startSite(t, siteOptions{nodes: 4, services: 3, engines: 3, seed: 1})
+	for i := range 20 {
+		sub := s.holdOf(fmt.Sprint("dock ", i), s.nodes[0], s.nodes[1])
+		first := s.nodes[0]
+		if i%2 == 1 {
+			first = s.nodes[3]
+		}
+		calls := s.both(sub, first, s.nodes[2])
+		require.Equal(t, 1, s.starts(sub.ID.Value))
+		require.True(t, calls[0].Whole || calls[1].Whole)
+	}
+	s.check()
+}
+
+func TestHomeKilledRunsOnceAndStreamsGoOn(t *testing.T) {
+	s := startSite(t, siteOptions{nodes: 4, services: 3, engines: 3, seed: 2})
+	home, witness, third := s.nodes[0], s.nodes[1], s.nodes[2]
+	stream := longStream("home killed")
+	stream.ID = callerapi.NewOptString(s.newID(home, witness))
+	hold := s.holdOf("dock 1", home, witness)
+	var wg sync.WaitGroup
+	var killed sync.Once
+	var streamed, first historycheck.Call
+	wg.Go(func() {
+		streamed = s.send(s.newCaller(), stream, func(offset int) {
+			if offset == 100 {
+				killed.Do(func() {
+					wg.Go(func() { first = s.sendTo(home, hold) })
+					time.Sleep(serviceDelay / 2)
+					s.killNode(home)
+				})
+			}
+		})
+	})
+	wg.Wait()
+	second := s.sendTo(third, hold)
+	require.True(t, streamed.Whole, "%+v", streamed.Refusals)
+	require.LessOrEqual(t, s.starts(hold.ID.Value), 1)
+	t.Logf("hold: first whole %t, second %s after %d starts", first.Whole, lastVerdict(second), s.starts(hold.ID.Value))
+	s.check()
+}
+
+func TestWitnessKilledIsNeverNotRunAfterARun(t *testing.T) {
+	s := startSite(t, siteOptions{nodes: 4, services: 3, engines: 3, seed: 3})
+	home, witness, third := s.nodes[0], s.nodes[1], s.nodes[2]
+	before := s.holdOf("dock 1", home, witness)
+	require.True(t, s.sendTo(home, before).Whole)
+	stream := longStream("witness killed")
+	stream.ID = callerapi.NewOptString(s.newID(home, witness))
+	late := s.holdOf("dock 2", home, witness)
+	var killed sync.Once
+	streamed := s.send(s.newCaller(), stream, func(offset int) {
+		if offset == 100 {
+			killed.Do(func() { s.killNode(witness) })
+		}
+	})
+	require.True(t, streamed.Whole)
+	again := s.sendTo(third, before)
+	require.NotEqual(t, verdict.NotRun, lastVerdict(again))
+	refused := s.sendTo(home, late)
+	require.False(t, refused.Whole, "the witness that would have granted it is gone")
+	require.Equal(t, verdict.MayHaveRun, lastVerdict(refused))
+	require.Zero(t, s.starts(late.ID.Value))
+	require.True(t, s.send(s.newCaller(), holdCall("dock 3"), nil).Whole, "a fresh prefix names another witness")
+	s.check()
+}
+
+func TestHomeStoppedBetweenGrantAndDispatch(t *testing.T) {
+	const wait = 1500 * time.Millisecond
+	s := startSite(t, siteOptions{nodes: 4, services: 3, engines: 3, seed: 4, env: []string{"MANGOLEDGE_TEST_PAUSE=" + wait.String()}})
+	home, witness, third := s.nodes[0], s.nodes[1], s.nodes[2]
+	hold := s.holdOf("dock 1", home, witness)
+	var wg sync.WaitGroup
+	wg.Go(func() { s.sendTo(home, hold) })
+	time.Sleep(wait / 2)
+	at := s.fault(historycheck.FaultPause, home.name, home.settings.CallerURL)
+	home.process.signal(syscall.SIGSTOP)
+	second := s.sendTo(third, hold)
+	require.False(t, second.Whole)
+	require.NotEqual(t, verdict.NotRun, lastVerdict(second))
+	require.Zero(t, s.starts(hold.ID.Value), "the home was not stopped before the dispatch")
+	home.process.signal(syscall.SIGCONT)
+	s.over(at, settle)
+	wg.Wait()
+	require.Equal(t, 1, s.starts(hold.ID.Value), "the granted holder went on")
+	s.check()
+}
+
+func TestSilentUpstreamIsNeverRunTwice(t *testing.T) {
+	s := startSite(t, siteOptions{nodes: 3, services: 1, engines: 3, seed: 5})
+	for _, c := range []struct {
+		name   string
+		faults service.Faults
+		starts int
+	}{
+		{"before it had the request", service.Faults{SilentBefore: 1}, 0},
+		{"after it had the request", service.Faults{SilentBefore: -1, SilentAfter: 1}, 1},
+	} {
+		s.order(s.services[0], c.faults)
+		hold := s.holdOf(c.name, s.nodes[0], s.nodes[1])
+		hold.DeadlineMs = 4000
+		calls := s.both(hold, s.nodes[0], s.nodes[2])
+		for _, call := range calls {
+			require.False(t, call.Whole, c.name)
+			require.NotEqual(t, verdict.NotRun, lastVerdict(call), c.name)
+		}
+		require.Equal(t, c.starts, s.starts(hold.ID.Value), c.name)
+	}
+	s.check()
+}
+
+func TestSilentEngineConnectionIsReplaced(t *testing.T) {
+	s := startSite(t, siteOptions{nodes: 3, services: 1, engines: 3, seed: 6})
+	var once sync.Once
+	call := s.send(s.newCaller(), longStream("silent engine"), func(offset int) {
+		if offset == 100 {
+			once.Do(func() {
+				at := s.fault(historycheck.FaultLink, "engines", "")
+				for _, u := range s.engines {
+					s.order(u, engine.Faults{Silent: true})
+				}
+				s.over(at, settle)
+			})
+		}
+	})
+	require.True(t, call.Whole)
+	s.check()
+}
+
+// streams runs count streams at once, calls act once all have tokens, and returns the calls.
+func (s *site) streams(count int, act func()) []historycheck.Call {
+	out := make([]historycheck.Call, count)
+	var begun, done sync.WaitGroup
+	begun.Add(count)
+	for i := range count {
+		done.Go(func() {
+			var once sync.Once
+			out[i] = s.send(s.newCaller(), longStream(fmt.Sprint("stream ", i)), func(int) { once.Do(begun.Done) })
+			once.Do(begun.Done)
+		})
+	}
+	begun.Wait()
+	act()
+	done.Wait()
+	return out
+}
+
+func requireWhole(t *testing.T, calls []historycheck.Call) {
+	t.Helper()
+	for _, call := range calls {
+		require.True(t, call.Whole, "%s: %+v", call.Name, call.Refusals)
+	}
+}
+
+func TestUpstreamReclaimedMidStream(t *testing.T) {
+	s := startSite(t, siteOptions{nodes: 3, services: 1, engines: 3, seed: 7})
+	calls := s.streams(12, func() { s.reclaimUpstream(s.engines[0], 2*time.Second) })
+	requireWhole(t, calls)
+	s.check()
+}
+
+func TestPlannedStopCutsOffNothing(t *testing.T) {
+	s := startSite(t, siteOptions{nodes: 4, services: 3, engines: 3, seed: 8})
+	calls := s.streams(12, func() {
+		require.True(t, s.stopNode(s.nodes[1]), "the node did not end")
+	})
+	requireWhole(t, calls)
+	s.check()
+}
+
+func TestFailureDomainAtOnce(t *testing.T) {
+	s := startSite(t, siteOptions{nodes: 6, services: 3, engines: 6, seed: 9})
+	calls := s.streams(18, func() { s.reclaimDomain(domainName(0), 3*time.Second) })
+	requireWhole(t, calls)
+	require.True(t, s.send(s.newCaller(), holdCall("after the reclaim"), nil).Whole)
+	s.check()
+}
+
+// reclaimDomain reclaims every host of a failure domain at once.
+func (s *site) reclaimDomain(domain string, notice time.Duration) {
+	var wg sync.WaitGroup
+	for _, u := range append(append([]*upstream{}, s.engines...), s.services...) {
+		if u.domain == domain {
+			wg.Go(func() { s.reclaimUpstream(u, notice) })
+		}
+	}
+	for _, n := range s.nodes {
+		if string(n.settings.FailureDomain) == domain {
+			wg.Go(func() { s.reclaimNode(n, notice) })
+		}
+	}
+	wg.Wait()
+}
+
+func TestEntryHostReclaimedMidStream(t *testing.T) {
+	s := startSite(t, siteOptions{nodes: 4, services: 3, engines: 3, seed: 10})
+	calls := s.streams(12, func() { s.reclaimNode(s.nodes[2], 2*time.Second) })
+	requireWhole(t, calls)
+	s.check()
+}
+
+func TestKilledPartwayThroughHandOver(t *testing.T) {
+	s := startSite(t, siteOptions{nodes: 4, services: 3, engines: 3, seed: 11})
+	for i, delay := range []time.Duration{0, 5 * time.Millisecond, 20 * time.Millisecond, 80 * time.Millisecond} {
+		home, witness, third := s.nodes[0], s.nodes[1], s.nodes[2]
+		var holds []callerapi.Submission
+		for j := range 10 {
+			hold := s.holdOf(fmt.Sprintf("round %d dock %d", i, j), home, witness)
+			if j%2 == 0 {
+				require.True(t, s.sendTo(home, hold).Whole)
+			}
+			holds = append(holds, hold)
+		}
+		at := s.fault(historycheck.FaultKill, witness.name, witness.settings.CallerURL)
+		witness.process.signal(syscall.SIGTERM)
+		time.Sleep(delay)
+		witness.process.kill()
+		s.over(at, settle)
+		for _, hold := range holds {
+			s.both(hold, home, third)
+			require.LessOrEqual(t, s.starts(hold.ID.Value), 1)
+		}
+		s.startNode(witness)
+		s.waitReady()
+	}
+	s.check()
+}
--- /dev/null
+++ b/internal/faulttest/main_test.go
@@ -0,0 +1,119 @@
+package faulttest
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"mangoledge.example/mangoledge/internal/standin"
+	"mangoledge.example/mangoledge/internal/standin/engine"
+	"mangoledge.example/mangoledge/internal/standin/platform"
+	"mangoledge.example/mangoledge/internal/standin/service"
+)
+
+// roleVariable makes this test program run a stand-in instead of tests; its
+// value is an encoded role.
+const roleVariable = "MANGOLEDGE_FAULTTEST_ROLE"
+
+// role is what a process of this test program is.
+type role struct {
+	Kind   roleKind
+	Listen string
+	Seed   uint64
+	// Engine and Service are used by their kinds.
+	Engine  engine.Options
+	Service service.Options
+}
+
+// roleKind is a kind of stand-in.
+type roleKind string
+
+const (
+	roleEngine   roleKind = "engine"
+	roleService  roleKind = "service"
+	rolePlatform roleKind = "platform"
+)
+
+func TestMain(m *testing.M) {
+	if text := os.Getenv(roleVariable); text != "" {
+		if err := runRole(text); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	code := m.Run()
+	if dir := builtDir(); dir != "" {
+		_ = os.RemoveAll(dir)
+	}
+	os.Exit(code)
+}
+
+func runRole(text string) error {
+	var r role
+	if err := json.Unmarshal([]byte(text), &r); err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	switch r.Kind {
+	case rolePlatform:
+		return platform.Run(ctx, r.Listen, r.Seed)
+	case roleEngine:
+		e, err := engine.New(r.Engine)
+		if err != nil {
+			return err
+		}
+		return standin.Serve(ctx, r.Listen, e.Handler())
+	case roleService:
+		s, err := service.New(r.Service)
+		if err != nil {
+			return err
+		}
+		return standin.Serve(ctx, r.Listen, s.Handler())
+	}
+	return fmt.Errorf("no such role: %s", r.Kind)
+}
+
+// buildTimeout bounds the build of the daemon.
+const buildTimeout = 3 * time.Minute
+
+var (
+	builtMu sync.Mutex
+	built   string
+)
+
+func builtDir() string {
+	builtMu.Lock()
+	defer builtMu.Unlock()
+	return built
+}
+
+// daemon builds the daemon once and returns its path.
+func daemon(t *testing.T) string {
+	t.Helper()
+	builtMu.Lock()
+	defer builtMu.Unlock()
+	if built == "" {
+		dir, err := os.MkdirTemp("", "mangoledge-faulttest-")
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), buildTimeout)
+		defer cancel()
+		build := exec.CommandContext(ctx, "go", "build", "-o", dir, "mangoledge.example/mangoledge/cmd/mangoledged")
+		if out, err := build.CombinedOutput(); err != nil {
+			t.Fatalf("%v\n%s", err, out)
+		}
+		built = dir
+	}
+	return filepath.Join(built, "mangoledged")
+}
--- /dev/null
+++ b/internal/faulttest/seeds_test.go
@@ -0,0 +1,230 @@
+package faulttest
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"mangoledge.example/mangoledge/internal/historycheck"
+)
+
+const (
+	// seedsVariable is how many seeds to run; the tests run fixedSeeds without it.
+	seedsVariable = "MANGOLEDGE_SEEDS"
+	// fixedSeeds is how many seeds every test run has.
+	fixedSeeds = 3
+	// scheduleTime is how long faults are made in one run.
+	scheduleTime = 12 * time.Second
+	// faultCount is how many faults one run has.
+	faultCount = 8
+	// callerCount is how many callers send at once.
+	callerCount = 6
+)
+
+// TestSeeds runs callers under a schedule of faults that the seed decides, and
+// judges the history.
+func TestSeeds(t *testing.T) {
+	seeds := fixedSeeds
+	if text := os.Getenv(seedsVariable); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil {
+			t.Fatalf("%s: %v", seedsVariable, err)
+		}
+		seeds = n
+	}
+	for seed := uint64(1); seed <= uint64(seeds); seed++ {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { runSeed(t, seed) })
+	}
+}
+
+func runSeed(t *testing.T, seed uint64) {
+	s := startSite(t, siteOptions{nodes: 6, services: 3, engines: 6, seed: seed})
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	for i := range callerCount {
+		callers.Go(func() { s.callUntil(stop, i) })
+	}
+	s.runSchedule(schedule(seed))
+	s.mendAll()
+	close(stop)
+	callers.Wait()
+	s.summarise()
+	s.check()
+}
+
+// callUntil sends requests of both kinds until stop is closed.
+func (s *site) callUntil(stop <-chan struct{}, caller int) {
+	client := s.newCaller()
+	random := rand.New(rand.NewPCG(s.options.seed, uint64(caller)))
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		input := fmt.Sprintf("caller %d call %d", caller, i)
+		if random.IntN(2) == 0 {
+			s.send(client, holdCall(input), nil)
+		} else {
+			s.send(client, chatCall(input), nil)
+		}
+	}
+}
+
+func (s *site) summarise() {
+	h := s.history()
+	whole, lost, refused := 0, 0, 0
+	for i := range h.Calls {
+		switch {
+		case h.Calls[i].Whole:
+			whole++
+		case len(h.Calls[i].Refusals) > 0:
+			refused++
+		default:
+			lost++
+		}
+	}
+	s.t.Logf("seed %d: %d calls, %d whole, %d refused, %d without an answer, %d faults", s.options.seed, len(h.Calls), whole, refused, lost, len(h.Faults))
+}
+
+// step is one fault of a schedule.
+type step struct {
+	at     time.Duration
+	kind   stepKind
+	target int
+	// long is how long it lasts.
+	long time.Duration
+}
+
+// stepKind is a kind of fault as schedules choose it.
+type stepKind int
+
+const (
+	stepDelay stepKind = iota
+	stepCut
+	stepSilence
+	stepDrip
+	stepKill
+	stepPause
+	stepStop
+	stepReclaimEngine
+	stepKinds
+)
+
+// schedule makes the faults of a seed; several may fall together.
+func schedule(seed uint64) []step {
+	random := rand.New(rand.NewPCG(seed, seed))
+	out := make([]step, faultCount)
+	for i := range out {
+		out[i] = step{
+			at:     time.Duration(random.Int64N(int64(scheduleTime))),
+			kind:   stepKind(random.IntN(int(stepKinds))),
+			target: random.IntN(1 << 16),
+			long:   500*time.Millisecond + time.Duration(random.Int64N(int64(4*time.Second))),
+		}
+		if i > 0 && random.IntN(3) == 0 {
+			out[i].at = out[i-1].at // together
+		}
+	}
+	return out
+}
+
+// runSchedule makes the faults at their times and waits for the last.
+func (s *site) runSchedule(steps []step) {
+	locks := make([]sync.Mutex, len(s.nodes))
+	var wg sync.WaitGroup
+	for _, st := range steps {
+		wg.Go(func() {
+			time.Sleep(st.at)
+			s.runStep(st, locks)
+		})
+	}
+	wg.Wait()
+}
+
+func (s *site) runStep(st step, locks []sync.Mutex) {
+	i := st.target % len(s.nodes)
+	n := s.nodes[i]
+	switch st.kind {
+	case stepDelay, stepCut, stepSilence, stepDrip:
+		s.breakLink(st)
+	case stepKill, stepPause, stepStop:
+		// One node has one such fault at a time, so that it can be started again.
+		locks[i].Lock()
+		defer locks[i].Unlock()
+		s.breakNode(st, n)
+	case stepReclaimEngine:
+		s.reclaimUpstream(s.engines[st.target%(len(s.engines)/2)], st.long)
+	case stepKinds:
+	}
+}
+
+func (s *site) breakNode(st step, n *node) {
+	switch st.kind {
+	case stepKill:
+		s.killNode(n)
+	case stepPause:
+		s.pauseNode(n, st.long)
+		return
+	case stepStop:
+		s.stopNode(n)
+		n.process.kill()
+	case stepDelay, stepCut, stepSilence, stepDrip, stepReclaimEngine, stepKinds:
+		return
+	}
+	time.Sleep(st.long)
+	s.startNode(n)
+}
+
+// links returns every link of the site.
+func (s *site) links() []*link {
+	var out []*link
+	for _, n := range s.nodes {
+		out = append(out, n.callers, n.peers)
+	}
+	for _, u := range append(append([]*upstream{}, s.engines...), s.services...) {
+		out = append(out, u.link)
+	}
+	return out
+}
+
+func (s *site) breakLink(st step) {
+	all := s.links()
+	l := all[st.target%len(all)]
+	at := s.fault(historycheck.FaultLink, l.name, "")
+	var err error
+	switch st.kind {
+	case stepDelay:
+		err = l.delay(200 * time.Millisecond)
+	case stepCut:
+		l.cut()
+	case stepSilence:
+		err = l.silence()
+	case stepDrip:
+		err = l.drip(1)
+	case stepKill, stepPause, stepStop, stepReclaimEngine, stepKinds:
+	}
+	if err != nil {
+		// Another fault is at work on this link already.
+		s.over(at, 0)
+		return
+	}
+	time.Sleep(st.long)
+	if err := l.mend(); err != nil {
+		s.t.Errorf("%s: %v", l.name, err)
+	}
+	s.over(at, settle)
+}
+
+// mendAll lets everything pass again.
+func (s *site) mendAll() {
+	for _, l := range s.links() {
+		if err := l.mend(); err != nil {
+			s.t.Errorf("%s: %v", l.name, err)
+		}
+	}
+}
