Slopes of whole nodes and of their calls to the platform

Cause: the lease, the reconciler and the platform's clients were not measured. The parts wait less, so that all take about two and a half minutes.

--- a/internal/slopes/figure.go
+++ b/internal/slopes/figure.go
@@ -19,6 +19,8 @@
 	unitBytesPerSecond  = "B/s"
 	unitPercentOfCore   = "% of a core"
 	unitCountPerHour    = "per member-hour"
+	unitPerSecond       = "a second"
+	unitCount           = "count"
 	percent             = 100
 	megabyte            = 1 << 20
 	headerBytesUDP      = 28
--- a/internal/slopes/load.go
+++ b/internal/slopes/load.go
@@ -12,7 +12,7 @@
 	// loadedMembers is the size of the site that is measured under load.
 	loadedMembers = 100
 	// DefaultLoadTime is how long it is under load.
-	DefaultLoadTime = 12 * time.Second
+	DefaultLoadTime = 10 * time.Second
 )
 
 // underLoad counts false deaths while each core of the machine has a busy loop beside the members.
--- a/internal/slopes/membership.go
+++ b/internal/slopes/membership.go
@@ -9,11 +9,11 @@
 
 const (
 	// settleTime passes between joining and measuring, so that the news of joining has ended.
-	settleTime = 8 * time.Second
+	settleTime = 5 * time.Second
 	// quietTime is how long members are measured without news.
-	quietTime = 6 * time.Second
+	quietTime = 4 * time.Second
 	// newsTime is how long members are measured with newsPerSecond rumours in all.
-	newsTime      = 4 * time.Second
+	newsTime      = 3 * time.Second
 	newsPerSecond = 5
 	newsBytes     = 64
 	// spreadTimeout bounds how long a rumour may take.
--- a/internal/slopes/relay.go
+++ b/internal/slopes/relay.go
@@ -24,12 +24,12 @@
 
 const (
 	// changeCount is how many changes of configuration are measured, changeSpacing the time between two.
-	changeCount   = 20
-	changeSpacing = 250 * time.Millisecond
+	changeCount   = 12
+	changeSpacing = 150 * time.Millisecond
 	// inForceTimeout bounds how long a change may take to be in force everywhere.
 	inForceTimeout = 10 * time.Second
 	// relayQuietTime is how long relays are measured without changes.
-	relayQuietTime = 5 * time.Second
+	relayQuietTime = 3 * time.Second
 	// ampleBudget lifts a node's budget of store calls out of the way of the measurement.
 	ampleBudget = 1e6
 )
--- a/internal/slopes/run.go
+++ b/internal/slopes/run.go
@@ -34,6 +34,7 @@
 		{"peer", peerCalls},
 		{"owner", owners},
 		{"entry", entries},
+		{"node", wholeNodes},
 		{"membership", func() ([]Figure, error) { return memberships(options.Sizes) }},
 		{"load", func() ([]Figure, error) { return underLoad(options.LoadTime) }},
 		{"relay", func() ([]Figure, error) { return relays(options.Sizes) }},
