Progress goes to witnesses in batches, and a home has three of them

Cause: each running stream made four calls a second to its witness; at a node's share of full size, about 380 streams, that is 1,520 calls a second, and with any node as witness few of them share one. Change: one call carries the reports of up to 64 requests of a witness; the prefixes of a home name three witnesses out of the other failure domains, chosen by rendezvous hash; reports go out every 500 ms.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -22,7 +22,7 @@
 	// sweepInterval is the time between two sweeps of finished requests.
 	sweepInterval = 5 * time.Second
 	// progressInterval is the time between two reports of progress to the witnesses.
-	progressInterval = 250 * time.Millisecond
+	progressInterval = 500 * time.Millisecond
 	// witnessTimeout bounds one call of a witness.
 	witnessTimeout = 600 * time.Millisecond
 	// cancelTimeout bounds the call that stops a stream at an upstream.
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -6,12 +6,17 @@
 	"time"
 
 	"mangoledge.example/mangoledge/internal/grant"
+	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/request"
 	"mangoledge.example/mangoledge/internal/verdict"
 )
 
-// progressWorkers is how many reports of progress are under way at once.
-const progressWorkers = 8
+const (
+	// progressWorkers is how many batches of progress are under way at once.
+	progressWorkers = 8
+	// maxBatch is how many requests one batch reports on.
+	maxBatch = 64
+)
 
 // progressLoop reports progress to the witnesses.
 func (d *Dispatcher) progressLoop(ctx context.Context) {
@@ -28,48 +33,78 @@
 	}
 }
 
-// reportAll reports the progress of entries and waits for it.
+// reportAll reports what is new of entries, in batches for each witness, and waits for it.
 func (d *Dispatcher) reportAll(entries []*entry) {
-	queue := make(chan *entry)
+	batches := d.batches(entries)
+	queue := make(chan *batch, len(batches))
+	for _, b := range batches {
+		queue <- b
+	}
+	close(queue)
 	var done sync.WaitGroup
-	for range min(progressWorkers, len(entries)) {
-		done.Add(1)
-		go func() {
-			defer done.Done()
-			for e := range queue {
-				d.report(e)
+	for range min(progressWorkers, len(batches)) {
+		done.Go(func() {
+			for b := range queue {
+				d.report(b)
 			}
-		}()
-	}
-	for _, e := range entries {
-		queue <- e
+		})
 	}
-	close(queue)
 	done.Wait()
 }
 
-// report tells the witness of e what is new; it does nothing when nothing is.
-func (d *Dispatcher) report(e *entry) {
-	req, ok := e.progress(d)
-	if !ok {
-		return
+// batch is what is new of several entries with the same witness.
+type batch struct {
+	witness ident.Incarnation
+	entries []*entry
+	reports []grant.ProgressRequest
+}
+
+// batches sorts what is new of entries by witness.
+func (d *Dispatcher) batches(entries []*entry) []*batch {
+	var out []*batch
+	filling := make(map[ident.Incarnation]*batch)
+	for _, e := range entries {
+		report, ok := e.progress(d)
+		if !ok {
+			continue
+		}
+		b := filling[e.spec.ID.Witness]
+		if b == nil || len(b.reports) == maxBatch {
+			b = &batch{witness: e.spec.ID.Witness}
+			filling[b.witness] = b
+			out = append(out, b)
+		}
+		b.entries = append(b.entries, e)
+		b.reports = append(b.reports, *report)
 	}
+	return out
+}
+
+// report sends one batch and takes in the answers.
+func (d *Dispatcher) report(b *batch) {
 	ctx, cancel := context.WithTimeout(context.Background(), witnessTimeout)
 	defer cancel()
-	reply, err := d.options.Witness.Progress(ctx, req)
+	answers, err := d.options.Witness.ProgressBatch(ctx, b.witness, b.reports)
 	if err != nil {
 		return
 	}
-	if reply.Cancelled {
-		d.cancelEntry(e)
-		return
+	for i := range answers {
+		if answers[i].Answered {
+			d.takeAnswer(b.entries[i], &b.reports[i], answers[i].Update)
+		}
 	}
+}
+
+// takeAnswer takes in the answer to one report.
+func (d *Dispatcher) takeAnswer(e *entry, sent *grant.ProgressRequest, reply grant.UpdateReply) {
 	switch {
+	case reply.Cancelled:
+		d.cancelEntry(e)
 	case reply.Applied:
-		e.markReported(req.Offset + len(req.Tokens))
+		e.markReported(sent.Offset + len(sent.Tokens))
 	case reply.Epoch == 0:
 		e.forgotten()
-	case reply.Epoch != req.Epoch:
+	case reply.Epoch != sent.Epoch:
 		d.superseded(e)
 	default:
 		e.markReported(reply.Known)
--- a/internal/entry/addressbook.go
+++ b/internal/entry/addressbook.go
@@ -1,15 +1,22 @@
 package entry
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"mangoledge.example/mangoledge/api/callerapi"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/membership"
 	"mangoledge.example/mangoledge/internal/verdict"
 )
 
+// witnessesPerHome is how many witnesses the prefixes of one home name.
+const witnessesPerHome = 3
+
 // maxAddresses is the most addresses that one answer names.
 const maxAddresses = 16
 
@@ -95,18 +102,32 @@
 }
 
 // witnessFor chooses a witness for home: in another failure domain if there is
-// one, on another node if there is one, home itself otherwise.
+// one, on another node if there is one, home itself otherwise. A home has only a
+// few witnesses, so that its reports of progress go out in few batches.
 func (b *AddressBook) witnessFor(home membership.Member, usable []membership.Member) ident.Incarnation {
-	best := home.Incarnation
-	offset := rand.IntN(len(usable) + 1)
-	for i := range usable {
-		member := usable[(i+offset)%len(usable)]
-		if member.FailureDomain != home.FailureDomain {
-			return member.Incarnation
+	var others, apart []membership.Member
+	for _, member := range usable {
+		if member.Incarnation == home.Incarnation {
+			continue
 		}
-		if member.Incarnation != home.Incarnation {
-			best = member.Incarnation
+		others = append(others, member)
+		if member.FailureDomain != home.FailureDomain {
+			apart = append(apart, member)
 		}
 	}
-	return best
+	if len(apart) > 0 {
+		others = apart
+	}
+	if len(others) == 0 {
+		return home.Incarnation
+	}
+	slices.SortFunc(others, func(a, c membership.Member) int {
+		return cmp.Compare(pairHash(home.Incarnation, a.Incarnation), pairHash(home.Incarnation, c.Incarnation))
+	})
+	return others[rand.IntN(min(len(others), witnessesPerHome))].Incarnation
+}
+
+// pairHash orders witnesses differently for each home.
+func pairHash(home, witness ident.Incarnation) uint64 {
+	return xxhash.Sum64String(string(home) + string(witness))
 }
--- a/internal/grant/messages.go
+++ b/internal/grant/messages.go
@@ -94,6 +94,23 @@
 	Released bool
 }
 
+// ProgressBatch carries reports about several requests to one witness.
+type ProgressBatch struct {
+	Reports []ProgressRequest
+}
+
+// ProgressAnswer answers one report of a batch.
+type ProgressAnswer struct {
+	// Answered is false when the table could not be asked; the report is to be sent again.
+	Answered bool
+	Update   UpdateReply
+}
+
+// ProgressBatchReply has one answer for each report, in their order.
+type ProgressBatchReply struct {
+	Answers []ProgressAnswer
+}
+
 // FinishRequest reports the final state of a request.
 type FinishRequest struct {
 	ID     ident.RequestID
