Dumps hold no content of requests

Cause: a dump, which may be handed on, held callers' inputs and answers. Change: inputs, tokens and replies are shown by their sizes only. Measured: go test -race ./internal/node passes. Conclusion: a dump tells all about a request but what it said.

--- a/internal/node/dump.go
+++ b/internal/node/dump.go
@@ -48,7 +48,7 @@
 		Stale:     n.staleReason(),
 		Upstreams: n.control.view.Upstreams(),
 		Leaving:   n.control.leaving.Marks(),
-		Requests:  n.dispatcher.Records(),
+		Requests:  withoutContent(n.dispatcher.Records()),
 		Witness:   n.witness.Stats(),
 		Owned:     n.router.Ledger().Summaries(time.Now()),
 		Admission: n.intake.Counters(),
--- /dev/null
+++ b/internal/node/withoutcontent_test.go
@@ -0,0 +1,25 @@
+package node
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/internal/request"
+)
+
+func TestDumpsHoldNoContentOfRequests(t *testing.T) {
+	records := []request.Record{{
+		Spec:   request.Spec{Kind: "chat", Input: "planted input"},
+		Tokens: []string{"planted", " token"},
+		Output: "planted output",
+	}}
+	data, err := json.Marshal(withoutContent(records))
+	require.NoError(t, err)
+	require.NotContains(t, string(data), "planted")
+	require.Contains(t, string(data), "(13 bytes)")
+	require.Contains(t, string(data), "(2 tokens)")
+	require.Equal(t, "planted input", records[0].Spec.Input, "the records themselves must stay")
+	require.Equal(t, []string{"planted", " token"}, records[0].Tokens)
+}
