Metrics tell configuration, members, upstreams and admission

Cause: metrics told nothing of the configuration in force, of members and upstreams by state, or of admission. Measured: go test -race ./internal/node passes; the test reads five of them off a running node.

--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -82,6 +82,7 @@
 	if err != nil {
 		return err
 	}
+	n.showGauges()
 	n.operator, err = newOperatorServer(n, tokens)
 	return err
 }
--- a/internal/node/secrets_test.go
+++ b/internal/node/secrets_test.go
@@ -118,7 +118,9 @@
 	require.Equal(t, http.StatusOK, status)
 	status, metrics := ask(t, client, http.MethodGet, operators+"/metrics", "", "")
 	require.Equal(t, http.StatusOK, status)
-	require.Contains(t, metrics, "mangoledge_requests_submitted_total")
+	for _, line := range []string{"mangoledge_requests_submitted_total 0", "mangoledge_config_version 0", "mangoledge_config_stale 1", `mangoledge_members{state="alive"} 1`, "mangoledge_admission_accepted_total 0"} {
+		require.Contains(t, metrics, line+"\n")
+	}
 	status, refused := ask(t, client, http.MethodGet, operators+"/v1/dump", "planted-wrong-token", "")
 	require.Equal(t, http.StatusUnauthorized, status)
 	status, crossed := ask(t, client, http.MethodGet, callers+"/v1/addresses", "planted-operator-token", "")
