Store calls as a metric

Cause: the calls of the object API are budgeted for each node, and no metric told them. Change: mangoledge_store_calls_total, read off the node's budget. Measured: go test -race ./internal/node passes. Conclusion: none beyond the above.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -17,14 +17,16 @@
 // control is the node's part in what the platform's object API holds: the
 // configuration and the list of upstreams, and the marks of those that leave.
 type control struct {
-	node     *Node
-	store    *objects.Client
-	relay    *relay.Relay
-	manager  *config.Manager
-	registry *fleet.Registry
-	leaving  *fleet.Leaving
-	view     *fleet.LeavingView
-	notices  *notices
+	node  *Node
+	store *objects.Client
+	// storeBudget counts the calls of store and bounds them.
+	storeBudget *objects.Budget
+	relay       *relay.Relay
+	manager     *config.Manager
+	registry    *fleet.Registry
+	leaving     *fleet.Leaving
+	view        *fleet.LeavingView
+	notices     *notices
 	// capacity is nil on a node whose settings name no cloud.
 	capacity *reconciling
 	running  sync.WaitGroup
@@ -32,8 +34,8 @@
 
 // newControl makes the control part of n, whose members and peers are there.
 func newControl(n *Node, dialer peer.Dialer) *control {
-	c := &control{node: n}
-	c.store = objects.NewClient(objects.Options{BaseURL: n.settings.Platform.ObjectsURL, Token: n.settings.Platform.Token})
+	c := &control{node: n, storeBudget: objects.NewBudget(objects.DefaultCallsPerSecond, objects.DefaultBurst)}
+	c.store = objects.NewClient(objects.Options{BaseURL: n.settings.Platform.ObjectsURL, Token: n.settings.Platform.Token, Budget: c.storeBudget})
 	c.relay = relay.New(relay.Options{
 		Store:  c.store,
 		Kinds:  []objects.Kind{config.SiteKind, fleet.UpstreamsKind},
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -18,6 +18,7 @@
 	n.gauge("config.stale", "1 when the node may be out of date and hands out no addresses.", n.isStale)
 	n.gauge("requests.in_progress", "Requests that this node runs.", func() int64 { return int64(n.dispatcher.Running()) })
 	n.gauge("poison.contents", "Contents known to have crashed upstreams.", func() int64 { return int64(len(n.guard.Registry().Snapshot())) })
+	n.gauge("store.calls_total", "Calls of the object API, a waiting watch as one; bounded by the node's budget.", func() int64 { return int64(n.control.storeBudget.Calls()) })
 	for _, state := range []membership.State{membership.StateAlive, membership.StateSuspect, membership.StateLeaving} {
 		n.labelled("members", "Members by state, as this node knows them.", state.String(), func() int64 { return n.countMembers(state) })
 	}
