The node that reconciles hosts has a budget of store calls of its own

Cause: watches and the lease take 2.4 of a node's 4 store calls a second, and what is left is too little for a wave over many failure domains; operators' changes at that node waited behind it. Change: a client with 40 calls a second for the one holder, and fleet.Publisher, a registry whose changes go by it.

--- a/internal/capacity/reconciler.go
+++ b/internal/capacity/reconciler.go
@@ -31,6 +31,11 @@
 	LeaseName = "capacity"
 	// TokenPrefix begins the client tokens of the hosts that this package starts.
 	TokenPrefix = "mangoledge-capacity-"
+	// StoreCallsPerSecond is the budget of store calls of the one node that reconciles,
+	// beside the one that every node has.
+	StoreCallsPerSecond = 40
+	// StoreBurst is how many of these calls it may save up.
+	StoreBurst = 120
 	// passInterval is the time between two passes.
 	passInterval = 2 * time.Second
 	// maxRounds is how often a pass plans anew after refused starts.
--- a/internal/capacity/reconciler_test.go
+++ b/internal/capacity/reconciler_test.go
@@ -103,7 +103,7 @@
 	t        testing.TB
 	platform *platform.Server
 	url      string
-	store    *objects.Client
+	store    objects.Store
 	cloud    *cloud.Client
 	registry *fleet.Registry
 	now      time.Time
@@ -114,21 +114,25 @@
 func (b *bench) Current() *config.Site { return &b.site }
 
 func newBench(t testing.TB) *bench {
+	t.Helper()
+	return newBenchOf(t, 3)
+}
+
+// newBenchOf makes a site of some failure domains.
+func newBenchOf(t testing.TB, domains int) *bench {
 	t.Helper()
 	b := &bench{t: t, now: time.Now()}
 	b.platform = platform.NewServer(platform.Options{Seed: 1, Clock: func() time.Time { return b.now }, LoadsPerMinute: 6000})
 	server := httptest.NewServer(b.platform)
 	t.Cleanup(server.Close)
 	b.url = server.URL
-	b.store = objects.NewClient(objects.Options{BaseURL: b.url, Budget: objects.NewBudget(1e6, 1000)})
-	t.Cleanup(b.store.Close)
+	b.useBudget(objects.NewBudget(1e6, 1000))
 	calls := rest.NewClient(rest.Options{BaseURL: b.url, CallsPerSecond: 1e6})
 	t.Cleanup(calls.Close)
 	b.cloud = cloud.NewClient(calls)
-	b.registry = fleet.NewRegistry(b.store, relay.New(relay.Options{Store: b.store}), slog.New(slog.DiscardHandler))
 	b.site = config.Site{Models: []config.Model{{Name: "m1", Version: "v1", Replicas: 4, Priority: 5}}}
 	var offers []platform.Offer
-	for d := range 3 {
+	for d := range domains {
 		domain := fmt.Sprintf("d%d", d+1)
 		b.addPool(&offers, domain, platform.MarketReclaimable, 1)
 		b.addPool(&offers, domain, platform.MarketOnDemand, 3)
@@ -142,6 +146,14 @@
 	return b
 }
 
+// useBudget gives the site's holder a budget of store calls.
+func (b *bench) useBudget(budget *objects.Budget) {
+	store := objects.NewClient(objects.Options{BaseURL: b.url, Budget: budget})
+	b.t.Cleanup(store.Close)
+	b.store = store
+	b.registry = fleet.NewRegistry(store, relay.New(relay.Options{Store: store}), slog.New(slog.DiscardHandler))
+}
+
 func (b *bench) addPool(offers *[]platform.Offer, domain string, market platform.Market, price float64) {
 	*offers = append(*offers, platform.Offer{
 		FailureDomain: domain, HostClass: "small", Market: market, PricePerHour: price, Available: 20,
--- a/internal/capacity/wave_bench_test.go
+++ b/internal/capacity/wave_bench_test.go
@@ -11,6 +11,7 @@
 	"mangoledge.example/mangoledge/internal/config"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/platform/cloud"
+	"mangoledge.example/mangoledge/internal/platform/objects"
 	"mangoledge.example/mangoledge/internal/standin/platform"
 )
 
@@ -76,6 +77,30 @@
 	}
 }
 
+// BenchmarkBudget measures for how long a holder waits for its own budget of store
+// calls while it brings up two replicas in each of 19 failure domains: with what
+// its node's watches and leases leave of the node's budget, and with one of its own.
+func BenchmarkBudget(b *testing.B) {
+	const domains = 19
+	left := func() *objects.Budget { return objects.NewBudget(1.6, objects.DefaultBurst) }
+	own := func() *objects.Budget { return objects.NewBudget(StoreCallsPerSecond, StoreBurst) }
+	for name, budget := range map[string]func() *objects.Budget{"left": left, "own": own} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				s := newBenchOf(b, domains)
+				used := budget()
+				s.useBudget(used)
+				s.site.Models[0].Replicas = 2 * domains
+				s.site.Weights.Latency = 1
+				began := time.Now()
+				s.passUntil(s.process(&plug{}), 2*domains)
+				b.ReportMetric(time.Since(began).Seconds(), "s-waited")
+				b.ReportMetric(float64(used.Calls()), "storecalls")
+			}
+		})
+	}
+}
+
 // BenchmarkPlan measures one plan for the largest site when nothing is to be done.
 func BenchmarkPlan(b *testing.B) {
 	const domains, perDomain, models = 19, 580, 10
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -90,9 +90,14 @@
 // Set changes the list of one failure domain by edit, which may be called again
 // with a later list and must not change the one it is given. The errors are the store's.
 func (r *Registry) Set(ctx context.Context, domain ident.FailureDomain, edit func([]Upstream) []Upstream) error {
+	return r.setBy(ctx, r.store, domain, edit)
+}
+
+// setBy is Set by another client of the store.
+func (r *Registry) setBy(ctx context.Context, store objects.Store, domain ident.FailureDomain, edit func([]Upstream) []Upstream) error {
 	var err error
 	for range maxSetTries {
-		if err = r.trySet(ctx, domain, edit); err == nil || !worthAnotherTry(err) {
+		if err = r.trySet(ctx, store, domain, edit); err == nil || !worthAnotherTry(err) {
 			return err
 		}
 		select {
@@ -110,8 +115,8 @@
 	return kind == objects.KindConflict || kind == objects.KindUnknown || kind == objects.KindUnavailable
 }
 
-func (r *Registry) trySet(ctx context.Context, domain ident.FailureDomain, edit func([]Upstream) []Upstream) error {
-	current, err := r.store.Get(ctx, UpstreamsKind, string(domain))
+func (r *Registry) trySet(ctx context.Context, store objects.Store, domain ident.FailureDomain, edit func([]Upstream) []Upstream) error {
+	current, err := store.Get(ctx, UpstreamsKind, string(domain))
 	missing := objects.KindOf(err) == objects.KindNotFound
 	if err != nil && !missing {
 		return err
@@ -134,10 +139,10 @@
 	next := objects.Object{Kind: UpstreamsKind, Metadata: objects.Metadata{Name: string(domain)}, Spec: spec}
 	var stored objects.Object
 	if missing {
-		stored, err = r.store.Create(ctx, next)
+		stored, err = store.Create(ctx, next)
 	} else {
 		next.Metadata.ResourceVersion = current.Metadata.ResourceVersion
-		stored, err = r.store.Update(ctx, next)
+		stored, err = store.Update(ctx, next)
 	}
 	if err != nil {
 		return err
--- a/internal/node/reconcile.go
+++ b/internal/node/reconcile.go
@@ -6,9 +6,11 @@
 	"time"
 
 	"mangoledge.example/mangoledge/internal/capacity"
+	"mangoledge.example/mangoledge/internal/fleet"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/lease"
 	"mangoledge.example/mangoledge/internal/platform/cloud"
+	"mangoledge.example/mangoledge/internal/platform/objects"
 	"mangoledge.example/mangoledge/internal/platform/rest"
 	"mangoledge.example/mangoledge/internal/platform/weights"
 )
@@ -18,6 +20,7 @@
 type reconciling struct {
 	lease      *lease.Lease
 	reconciler *capacity.Reconciler
+	store      *objects.Client
 }
 
 // newReconciling returns nil when the settings name no cloud.
@@ -29,6 +32,10 @@
 	client := func(url string) *rest.Client {
 		return rest.NewClient(rest.Options{BaseURL: url, Token: platform.Token})
 	}
+	store := objects.NewClient(objects.Options{
+		BaseURL: platform.ObjectsURL, Token: platform.Token,
+		Budget: objects.NewBudget(capacity.StoreCallsPerSecond, capacity.StoreBurst),
+	})
 	held := lease.New(lease.Options{
 		Store:     c.store,
 		Name:      capacity.LeaseName,
@@ -38,13 +45,14 @@
 	})
 	return &reconciling{
 		lease: held,
+		store: store,
 		reconciler: capacity.New(capacity.Options{
-			Store:    c.store,
+			Store:    store,
 			Lease:    held,
 			Cloud:    cloud.NewClient(client(platform.CloudURL)),
 			Weights:  weights.NewClient(client(platform.WeightsURL), time.Now),
 			Engines:  capacity.HTTPEngines{},
-			Registry: c.registry,
+			Registry: fleet.NewPublisher(c.registry, store),
 			Site:     c.manager,
 			RegionOf: n.regionOf,
 			NewToken: rand.Text,
@@ -72,4 +80,5 @@
 	}()
 	r.reconciler.Run(ctx)
 	<-done
+	r.store.Close()
 }
