Owners learn load and cache events from their engines; late news is forgiven

A late reclaim notice left a crash counted against a content, and a dead node's slots stayed taken until their deadline. Change: internal/observe asks the upstreams that a node owns, once a second; the stand-in engine has a prefix cache and tells of it late and with gaps; marks of leaving absolve crashes, members that are dead or left give their slots back.

--- a/cmd/mangoledge-standin/engine.go
+++ b/cmd/mangoledge-standin/engine.go
@@ -20,6 +20,7 @@
 	cmd.Flag("interval", "Time between two tokens.").Default("20ms").DurationVar(&options.TokenInterval)
 	cmd.Flag("poison", "Crash on prompts that hold this text.").StringVar(&options.PoisonMarker)
 	cmd.Flag("ignore-fencing", "Take orders with old fencing numbers.").BoolVar(&options.IgnoreFencing)
+	cmd.Flag("cache-blocks", "Blocks that the prefix cache holds.").Default("4096").IntVar(&options.CacheBlocks)
 	cmd.Flag("seed", "Seed of the tokens.").Default("1").Uint64Var(&options.Seed)
 	cmd.Flag("history", "File that the history goes to.").StringVar(&options.HistoryPath)
 	return command{clause: cmd, run: func(ctx context.Context) error {
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -13,9 +13,11 @@
 	"mangoledge.example/mangoledge/internal/engine"
 	"mangoledge.example/mangoledge/internal/entry"
 	"mangoledge.example/mangoledge/internal/explain"
+	"mangoledge.example/mangoledge/internal/fleet"
 	"mangoledge.example/mangoledge/internal/guard"
 	"mangoledge.example/mangoledge/internal/intake"
 	"mangoledge.example/mangoledge/internal/membership"
+	"mangoledge.example/mangoledge/internal/observe"
 	"mangoledge.example/mangoledge/internal/operator"
 	"mangoledge.example/mangoledge/internal/owner"
 	"mangoledge.example/mangoledge/internal/peer"
@@ -61,6 +63,9 @@
 	n.guard = guard.New(n.members, n.members, n.peers, n.logger)
 	budget := retry.NewBudget(retry.DefaultShare, retry.DefaultReserve)
 	n.intake = intake.New(n.control.manager)
+	engines := engine.NewClient()
+	n.observer = observe.New(n.router.Ledger(), engines)
+	n.forgive()
 	n.dispatcher = dispatch.New(dispatch.Options{
 		Members:    n.members,
 		Witness:    witness.NewClient(n.peers, n.members, n.witness),
@@ -70,7 +75,7 @@
 		Retries:    retry.NewPolicy(budget, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), //nolint:gosec // spreads retries
 		Budget:     budget,
 		Journal:    n.journal,
-		Engines:    engine.NewClient(),
+		Engines:    engines,
 		Services:   plainservice.NewClient(),
 		Peers:      n.peers,
 		Dialer:     dialer,
@@ -87,6 +92,23 @@
 	return err
 }
 
+// forgive lets what is learnt late be known to guard and ledger: an upstream
+// that was reclaimed has not crashed, and a dead node holds no slots.
+func (n *Node) forgive() {
+	n.control.leaving.OnMark(func(mark fleet.Mark) {
+		for _, upstream := range n.control.registry.Upstreams() {
+			if !mark.Cleared && (upstream.ID == mark.Subject.Upstream || upstream.Host == mark.Subject.Host) {
+				n.guard.Reclaimed(upstream.ID)
+			}
+		}
+	})
+	n.members.OnChange(func(member membership.Member) {
+		if member.State == membership.StateDead || member.State == membership.StateLeft {
+			n.router.Ledger().DropHolder(time.Now(), member.Incarnation)
+		}
+	})
+}
+
 // register offers this node's services to the other nodes.
 func (n *Node) register() error {
 	if err := n.witness.Register(n.peerServer); err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"mangoledge.example/mangoledge/internal/intake"
 	"mangoledge.example/mangoledge/internal/logging"
 	"mangoledge.example/mangoledge/internal/membership"
+	"mangoledge.example/mangoledge/internal/observe"
 	"mangoledge.example/mangoledge/internal/operator"
 	"mangoledge.example/mangoledge/internal/peer"
 	"mangoledge.example/mangoledge/internal/placement"
@@ -32,6 +33,8 @@
 	witnessRetention = 10 * time.Minute
 	// journalCapacity is the number of decisions that are kept for explain.
 	journalCapacity = 20000
+	// observeInterval is the time between two looks at the upstreams that this node owns.
+	observeInterval = time.Second
 	// expireInterval is the time between two sweeps of the witness tables.
 	expireInterval = 10 * time.Second
 )
@@ -49,6 +52,7 @@
 	witness    *witness.Service
 	control    *control
 	router     *placement.Router
+	observer   *observe.Observer
 	dispatcher *dispatch.Dispatcher
 	intake     *intake.Intake
 	guard      *guard.Guard
--- /dev/null
+++ b/internal/observe/observer.go
@@ -0,0 +1,133 @@
+// Package observe asks the upstreams that this node owns for their load and for
+// the events of their prefix caches, and teaches the owner's table.
+//
+// Invariants: only the owner asks an upstream, so that the number of calls grows
+// with the upstreams and not with the nodes; an answer that does not come changes
+// nothing, since the owner counts what is in flight by itself.
+//
+// Lock order: Observer.mu is a leaf.
+package observe
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"mangoledge.example/mangoledge/internal/engine"
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/owner"
+	"mangoledge.example/mangoledge/internal/routing"
+)
+
+const (
+	// askTimeout bounds one call of an upstream.
+	askTimeout = 700 * time.Millisecond
+	// askers is how many upstreams are asked at once.
+	askers = 8
+	// blockBase is the base that blocks are written in.
+	blockBase = 16
+	// blockBits is the size of a block's hash.
+	blockBits = 64
+)
+
+// Engines are asked; *engine.Client is one.
+type Engines interface {
+	ReportLoad(ctx context.Context, base string) (*engine.Load, error)
+	ReportCacheEvents(ctx context.Context, base string, since uint64) (*engine.CacheEvents, error)
+}
+
+// Observer asks the upstreams of one ledger.
+type Observer struct {
+	ledger  *owner.Ledger
+	engines Engines
+
+	mu   sync.Mutex
+	next map[ident.Upstream]uint64
+}
+
+// New returns an observer of the upstreams that ledger counts for.
+func New(ledger *owner.Ledger, engines Engines) *Observer {
+	return &Observer{ledger: ledger, engines: engines, next: make(map[ident.Upstream]uint64)}
+}
+
+// Pass asks every upstream once.
+func (o *Observer) Pass(ctx context.Context) {
+	owned := o.ledger.Owned()
+	o.forgetOthers(owned)
+	queue := make(chan owner.Owned, len(owned))
+	for _, upstream := range owned {
+		queue <- upstream
+	}
+	close(queue)
+	var done sync.WaitGroup
+	for range min(askers, len(owned)) {
+		done.Go(func() {
+			for upstream := range queue {
+				o.ask(ctx, upstream)
+			}
+		})
+	}
+	done.Wait()
+}
+
+// ask asks one upstream. A plain service answers neither call.
+func (o *Observer) ask(ctx context.Context, upstream owner.Owned) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	asked := time.Now()
+	load, err := o.engines.ReportLoad(ctx, upstream.URL)
+	if err != nil {
+		return
+	}
+	o.ledger.Table().Report(upstream.ID, routing.Load{Running: load.Running, Waiting: load.Waiting, MeasuredAt: asked})
+	since := o.since(upstream.ID)
+	events, err := o.engines.ReportCacheEvents(ctx, upstream.URL, since)
+	if err != nil {
+		return
+	}
+	o.ledger.Table().CacheEvents(time.Now(), upstream.ID, eventsOf(events.Events))
+	o.remember(upstream.ID, events.Next)
+}
+
+// eventsOf are events as the table takes them; blocks that can't be read are passed over.
+func eventsOf(in []engine.CacheEvent) []routing.CacheEvent {
+	out := make([]routing.CacheEvent, 0, len(in))
+	for _, event := range in {
+		block, err := strconv.ParseUint(event.Block, blockBase, blockBits)
+		if err != nil {
+			continue
+		}
+		op := routing.CacheAdd
+		if event.Op == engine.CacheRemove {
+			op = routing.CacheRemove
+		}
+		out = append(out, routing.CacheEvent{Op: op, Block: routing.Block(block)})
+	}
+	return out
+}
+
+func (o *Observer) since(id ident.Upstream) uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.next[id]
+}
+
+func (o *Observer) remember(id ident.Upstream, next uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.next[id] = next
+}
+
+// forgetOthers drops what is known of upstreams that are owned no more.
+func (o *Observer) forgetOthers(owned []owner.Owned) {
+	keep := make(map[ident.Upstream]uint64, len(owned))
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, upstream := range owned {
+		if next, ok := o.next[upstream.ID]; ok {
+			keep[upstream.ID] = next
+		}
+	}
+	o.next = keep
+}
--- /dev/null
+++ b/internal/owner/owned.go
@@ -0,0 +1,21 @@
+package owner
+
+import "mangoledge.example/mangoledge/internal/ident"
+
+// Owned is one upstream that a ledger counts for.
+type Owned struct {
+	ID ident.Upstream
+	// URL is the upstream's base URL.
+	URL string
+}
+
+// Owned returns the upstreams that this node owns, in no order.
+func (l *Ledger) Owned() []Owned {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]Owned, 0, len(l.urls))
+	for id, url := range l.urls {
+		out = append(out, Owned{ID: id, URL: url})
+	}
+	return out
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"mangoledge.example/mangoledge/internal/engine"
+	"mangoledge.example/mangoledge/internal/routing"
 	"mangoledge.example/mangoledge/internal/standin/chain"
 	"mangoledge.example/mangoledge/internal/standin/history"
 )
@@ -35,6 +36,7 @@
 	mu         sync.Mutex
 	streams    map[string]*stream
 	imported   map[string]bool
+	cache      *cache
 	running    int
 	started    int
 	recomputed int
@@ -54,6 +56,7 @@
 		log:      log,
 		streams:  make(map[string]*stream),
 		imported: make(map[string]bool),
+		cache:    newCache(options.CacheBlocks),
 		random:   rand.New(rand.NewPCG(options.Seed, options.Seed)),
 	}, nil
 }
@@ -73,7 +76,7 @@
 		old.cancel()
 		old.finish(true)
 	}
-	compute := len(strings.Fields(completion.Prompt)) + len(completion.Prefix)
+	compute := e.promptTokens(&completion) + len(completion.Prefix)
 	recomputed := 0
 	if e.imported[string(completion.Generation)] {
 		compute = 0
@@ -95,6 +98,17 @@
 	return s, ""
 }
 
+// promptTokens returns how many tokens of a prompt are not cached, and caches them.
+func (e *Engine) promptTokens(completion *engine.Completion) int {
+	tokens := len(strings.Fields(completion.Prompt))
+	blocks := routing.Blocks(nil, completion.Model, completion.Adapter, completion.Prompt)
+	if len(blocks) == 0 {
+		return tokens
+	}
+	matched := e.cache.use(blocks)
+	return tokens - tokens*matched/len(blocks)
+}
+
 // generate makes the tokens of s.
 func (e *Engine) generate(ctx context.Context, s *stream, prefill time.Duration) {
 	defer e.finish(s)
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -134,11 +134,15 @@
 	writeJSON(w, engine.Load{Running: e.running, Slots: e.options.Slots, AtMs: time.Now().UnixMilli()})
 }
 
-func (e *Engine) serveCacheEvents(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, struct {
-		Events []string `json:"events"`
-		Next   int      `json:"next"`
-	}{Events: []string{}})
+func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
+	since, err := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
+	if err != nil {
+		writeFailure(w, http.StatusBadRequest, "bad_request", err.Error())
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	writeJSON(w, e.cache.since(since))
 }
 
 // order is the body of POST /v1/orders.
--- a/internal/standin/engine/options.go
+++ b/internal/standin/engine/options.go
@@ -18,6 +18,8 @@
 	PoisonMarker string
 	// IgnoreFencing is true for an engine that takes orders with old fencing numbers.
 	IgnoreFencing bool
+	// CacheBlocks is how many blocks its prefix cache holds.
+	CacheBlocks int
 	// Seed seeds the random parts of the tokens.
 	Seed uint64
 	// HistoryPath is the file that its history goes to; empty for none.
