One piece sends the platform clients' requests

Cause: the object API's client and the one of the smaller services each built their requests, and the first followed redirects, which a conditional write must not. Change: rest.Sender, used by both. Conclusion: what tells "sent" from "not sent" stands once.

--- a/internal/platform/objects/client.go
+++ b/internal/platform/objects/client.go
@@ -1,19 +1,17 @@
 package objects
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
-	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"mangoledge.example/mangoledge/internal/platform/rest"
 )
 
 const (
@@ -43,9 +41,8 @@
 
 // Client is a Store over net/http.
 type Client struct {
-	options   Options
-	http      *http.Client
-	transport *http.Transport
+	options Options
+	sender  *rest.Sender
 }
 
 // NewClient returns a client of the object API.
@@ -59,13 +56,11 @@
 	if options.WatchSilence == 0 {
 		options.WatchSilence = DefaultWatchSilence
 	}
-	options.BaseURL = strings.TrimSuffix(options.BaseURL, "/")
-	transport := &http.Transport{MaxIdleConnsPerHost: idleConnections}
-	return &Client{options: options, http: &http.Client{Transport: transport}, transport: transport}
+	return &Client{options: options, sender: rest.NewSender(options.BaseURL, options.Token, idleConnections)}
 }
 
 // Close gives up idle connections.
-func (c *Client) Close() { c.transport.CloseIdleConnections() }
+func (c *Client) Close() { c.sender.Close() }
 
 // Budget returns the budget that the client charges.
 func (c *Client) Budget() *Budget { return c.options.Budget }
@@ -163,9 +158,8 @@
 	if err := c.options.Budget.take(ctx); err != nil {
 		return call.failed(false, errors.Wrap(err, "budget of store calls"))
 	}
-	resp, sent, err := c.send(ctx, call)
+	resp, sent, err := c.sender.Send(ctx, call.method, call.path(), call.body)
 	if err != nil {
-		c.transport.CloseIdleConnections() // what one connection lost, its neighbours may have lost too
 		return call.failed(sent, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
@@ -185,23 +179,6 @@
 	return nil
 }
 
-// send sends the call; sent reports whether any of it may have left this node.
-func (c *Client) send(ctx context.Context, call call) (resp *http.Response, sent bool, err error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	ctx = httptrace.WithClientTrace(ctx, trace)
-	req, err := http.NewRequestWithContext(ctx, call.method, c.options.BaseURL+call.path(), bytes.NewReader(call.body))
-	if err != nil {
-		return nil, false, err
-	}
-	req.Header.Set("Content-Type", "application/json")
-	if c.options.Token != "" {
-		req.Header.Set("Authorization", "Bearer "+c.options.Token)
-	}
-	resp, err = c.http.Do(req) //nolint:bodyclose // the caller closes it
-	return resp, connected.Load(), err
-}
-
 // statusError makes the error of an answer that is one.
 func statusError(call call, code int, data []byte) *Error {
 	var status Status
--- a/internal/platform/objects/watch.go
+++ b/internal/platform/objects/watch.go
@@ -32,7 +32,7 @@
 	}
 	silence := time.AfterFunc(c.options.WatchSilence, func() { cancel(errSilent) })
 	defer silence.Stop()
-	resp, _, err := c.send(ctx, watch)
+	resp, _, err := c.sender.Send(ctx, watch.method, watch.path(), nil)
 	if err != nil {
 		return watchEnd(ctx, watch, err)
 	}
--- a/internal/platform/rest/client.go
+++ b/internal/platform/rest/client.go
@@ -4,16 +4,12 @@
 package rest
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
-	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,6 +23,8 @@
 	DefaultCallsPerSecond = 20
 	// defaultBurst is how many calls a node may save up.
 	defaultBurst = 40
+	// idleConnections is how many idle connections a client keeps.
+	idleConnections = 4
 	// maxAnswerBytes bounds an answer.
 	maxAnswerBytes = 32 << 20
 )
@@ -45,9 +43,9 @@
 
 // Client calls one service.
 type Client struct {
-	options   Options
-	limiter   *rate.Limiter
-	transport *http.Transport
+	options Options
+	limiter *rate.Limiter
+	sender  *Sender
 }
 
 // NewClient returns a client.
@@ -58,13 +56,12 @@
 	if options.CallsPerSecond == 0 {
 		options.CallsPerSecond = DefaultCallsPerSecond
 	}
-	options.BaseURL = strings.TrimSuffix(options.BaseURL, "/")
 	limiter := rate.NewLimiter(rate.Limit(options.CallsPerSecond), defaultBurst)
-	return &Client{options: options, limiter: limiter, transport: &http.Transport{}}
+	return &Client{options: options, limiter: limiter, sender: NewSender(options.BaseURL, options.Token, idleConnections)}
 }
 
 // Close gives up idle connections.
-func (c *Client) Close() { c.transport.CloseIdleConnections() }
+func (c *Client) Close() { c.sender.Close() }
 
 // Error is the error of a call.
 type Error struct {
@@ -127,7 +124,6 @@
 	resp, sent, err := c.send(ctx, method, path, in)
 	failure.NoEffect = !sent || method == http.MethodGet
 	if err != nil {
-		c.transport.CloseIdleConnections()
 		failure.Cause = err
 		return failure
 	}
@@ -151,26 +147,13 @@
 }
 
 func (c *Client) send(ctx context.Context, method, path string, in any) (resp *http.Response, sent bool, err error) {
-	body := []byte(nil)
+	var body []byte
 	if in != nil {
 		if body, err = json.Marshal(in); err != nil {
 			return nil, false, err
 		}
 	}
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
-	req, err := http.NewRequestWithContext(ctx, method, c.options.BaseURL+path, bytes.NewReader(body))
-	if err != nil {
-		return nil, false, err
-	}
-	req.Header.Set("Content-Type", "application/json")
-	if c.options.Token != "" {
-		req.Header.Set("Authorization", "Bearer "+c.options.Token)
-	}
-	resp, err = c.transport.RoundTrip(req) //nolint:bodyclose // the caller closes it
-	return resp, connected.Load(), err
+	return c.sender.Send(ctx, method, path, body)
 }
 
 // refused fills in what an answer that is an error says.
