Tests of control that stand a busy machine

Cause: three tests could depend on the machine: the history check's work grows with outcomes that a busy machine leaves unknown, a lease of 800 ms lapses without a pause, and a write with a deadline of 50 ms may have no connection yet. Change: unknown outcomes are settled by the final document before the check, two operators always meet on one version at the end, the lease lasts 3 s, the write has a connection first and 1 s. Conclusion: their verdicts no longer lean on timing.

--- a/internal/config/history_test.go
+++ b/internal/config/history_test.go
@@ -128,6 +128,7 @@
 	}
 	operating.Wait()
 	c.platform.ClearFaults()
+	meet(t, r, c)
 	final, err := c.nodes[0].manager.read(t.Context())
 	require.NoError(t, err)
 	for _, n := range c.nodes {
@@ -139,6 +140,15 @@
 	checkOutcomes(t, final, r.operations)
 }
 
+// meet lets two operators meet on one version, so that every history has a conflict.
+func meet(t *testing.T, r *recorder, c *cluster) {
+	current, err := c.nodes[0].manager.read(t.Context())
+	require.NoError(t, err)
+	for i := range 2 {
+		r.propose(t.Context(), t, historyOperators+i, c.nodes[i], setReplicas(fmt.Sprintf("meet-%d", i), current.Site.Version, i))
+	}
+}
+
 // operate makes one operator's changes, each sent again to some node while it is unknown.
 func operate(t *testing.T, r *recorder, c *cluster, operator int, random *rand.Rand) {
 	for i := range historyChanges {
@@ -192,9 +202,13 @@
 
 func checkOutcomes(t *testing.T, final *Document, operations []porcupine.Operation) {
 	kinds := make(map[OutcomeKind]int)
+	var settled []porcupine.Operation
 	for _, op := range operations {
 		outcome := op.Output.(Outcome)
 		kinds[outcome.Kind]++
+		if op, effect := settleUnknown(final, op); effect {
+			settled = append(settled, op)
+		}
 		if outcome.Kind == OutcomeAccepted {
 			at := final.find(outcome.Change)
 			require.GreaterOrEqual(t, at, 0, "accepted and not there: %s", outcome.Change)
@@ -204,10 +218,26 @@
 	t.Logf("%d operations: %v; final version %d", len(operations), kinds, final.Site.Version)
 	require.Positive(t, kinds[OutcomeAccepted])
 	require.Positive(t, kinds[OutcomeConflict])
-	result := porcupine.CheckOperationsTimeout(changeModel(), operations, checkTimeout)
+	result := porcupine.CheckOperationsTimeout(changeModel(), settled, checkTimeout)
 	require.Equal(t, porcupine.Ok, result)
 }
 
+// settleUnknown replaces an unknown outcome by what the final document shows: the
+// change was accepted at any time after it was sent, or had no effect at all. That
+// keeps the check's work small, however many outcomes a busy machine leaves open.
+func settleUnknown(final *Document, op porcupine.Operation) (porcupine.Operation, bool) {
+	outcome := op.Output.(Outcome)
+	if outcome.Kind != OutcomeUnknown {
+		return op, true
+	}
+	at := final.find(outcome.Change)
+	if at < 0 {
+		return op, false
+	}
+	op.Output = Outcome{Kind: OutcomeAccepted, Change: outcome.Change, Version: final.versionOf(at)}
+	return op, true
+}
+
 func TestHistoryCheckCatchesAFalseAcceptedAndAFalseConflict(t *testing.T) {
 	op := func(change string, base uint64, at int64, o Outcome) porcupine.Operation {
 		return porcupine.Operation{Input: setReplicas(change, base, 1), Output: o, Call: at, Return: at + 1}
--- a/internal/lease/process_test.go
+++ b/internal/lease/process_test.go
@@ -22,9 +22,9 @@
 const (
 	holderEnv  = "LEASE_TEST_HOLDER"
 	storeEnv   = "LEASE_TEST_STORE"
-	processTTL = 800 * time.Millisecond
+	processTTL = 3 * time.Second
 	// ample is for whatever should come soon.
-	ample = 30 * time.Second
+	ample = time.Minute
 )
 
 // TestMain runs a holder instead of the tests when the environment asks for one.
--- a/internal/platform/objects/client_test.go
+++ b/internal/platform/objects/client_test.go
@@ -92,9 +92,11 @@
 }
 
 func TestHangingWriteIsUnknownAtItsDeadlineAndHangingReadIsUnavailable(t *testing.T) {
-	f := newFixture(t, objects.Options{CallTimeout: 50 * time.Millisecond})
+	f := newFixture(t, objects.Options{CallTimeout: time.Second})
+	_, err := f.store.Create(t.Context(), thing("first", `{}`)) // from here on there is a connection
+	require.NoError(t, err)
 	f.platform.AddFault(platform.Fault{Service: platform.ServiceObjects, Kind: platform.FaultHang})
-	_, err := f.store.Create(t.Context(), thing("a", `{}`))
+	_, err = f.store.Create(t.Context(), thing("a", `{}`))
 	require.Equal(t, objects.KindUnknown, objects.KindOf(err))
 	_, err = f.store.Get(t.Context(), things, "a")
 	require.Equal(t, objects.KindUnavailable, objects.KindOf(err))
