Process tests of leaving upstreams and of the configuration

Cause: two of the seven properties had checkers but no provoked run.

Change: an upstream with notice that stays up is watched for new work under load; changes, silent watches, and a node that starts during an outage of the object API are watched on six nodes.

Conclusion: with these every property is judged over real processes.

--- a/internal/faulttest/caller_test.go
+++ b/internal/faulttest/caller_test.go
@@ -177,21 +177,26 @@
 func (s *site) incarnation(n *node) ident.Incarnation {
 	var out dump
 	s.eventually("dump of "+n.name, func() bool {
-		req, err := http.NewRequestWithContext(s.t.Context(), http.MethodGet, "http://"+n.settings.OperatorListen+"/v1/dump", nil)
-		if err != nil {
-			return false
-		}
-		req.Header.Set("Authorization", "Bearer "+operatorToken)
-		resp, err := shortClient.Do(req)
-		if err != nil {
-			return false
-		}
-		defer func() { _ = resp.Body.Close() }()
-		return json.NewDecoder(resp.Body).Decode(&out) == nil && out.Self.Incarnation != ""
+		return s.readDump(n, &out) && out.Self.Incarnation != ""
 	})
 	return out.Self.Incarnation
 }
 
+// readDump reads the dump of a node, past its links, into out.
+func (s *site) readDump(n *node, out any) bool {
+	req, err := http.NewRequestWithContext(s.t.Context(), http.MethodGet, "http://"+n.settings.OperatorListen+"/v1/dump", nil)
+	if err != nil {
+		return false
+	}
+	req.Header.Set("Authorization", "Bearer "+operatorToken)
+	resp, err := shortClient.Do(req)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return json.NewDecoder(resp.Body).Decode(out) == nil
+}
+
 // sendTo sends a request once to one node, unstreamed, and waits for the answer.
 func (s *site) sendTo(n *node, sub callerapi.Submission) historycheck.Call {
 	sub.Stream.Reset()
--- /dev/null
+++ b/internal/faulttest/control_test.go
@@ -0,0 +1,107 @@
+package faulttest
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/internal/config"
+	"mangoledge.example/mangoledge/internal/historycheck"
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/platform/objects"
+	"mangoledge.example/mangoledge/internal/standin/engine"
+	"mangoledge.example/mangoledge/internal/standin/platform"
+)
+
+func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
+	const notice = 20 * time.Second
+	s := startSite(t, siteOptions{nodes: 3, services: 1, engines: 3, seed: 12})
+	leaving := s.engines[0]
+	s.fault(historycheck.FaultReclaim, leaving.name, "")
+	s.put(http.MethodPost, "/control/reclaim", reclaimOrder{Host: string(leaving.host), NoticeMs: notice.Milliseconds()}, nil)
+	s.order(leaving, engine.Faults{Leave: true})
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	for i := range callerCount {
+		callers.Go(func() { s.callUntil(stop, i) })
+	}
+	time.Sleep(historycheck.LeavingLimit + 4*time.Second)
+	close(stop)
+	callers.Wait()
+	s.check()
+}
+
+// seen asks every node which version is in force, and notes it.
+func (s *site) seen(h *historycheck.History) {
+	for _, n := range s.nodes {
+		var out struct {
+			Self struct{ Incarnation ident.Incarnation }
+			Site *config.Site
+		}
+		if !s.readDump(n, &out) || out.Site == nil {
+			continue
+		}
+		h.Seen = append(h.Seen, historycheck.Seen{Incarnation: out.Self.Incarnation, Version: out.Site.Version, At: time.Now()})
+	}
+}
+
+// change writes a change of the configuration as an operator's program does,
+// and notes it once the store has accepted it.
+func (s *site) change(h *historycheck.History, store *objects.Client, name string) {
+	ctx, cancel := context.WithTimeout(s.t.Context(), readyTimeout)
+	defer cancel()
+	object, err := store.Get(ctx, config.SiteKind, config.SiteName)
+	require.NoError(s.t, err)
+	var document config.Document
+	require.NoError(s.t, json.Unmarshal(object.Spec, &document))
+	document.Site.Kinds = append(document.Site.Kinds, config.Kind{Name: ident.Kind(name), Worth: 1})
+	document.Recent = append(document.Recent, config.ChangeRecord{Change: ident.Change(name), Base: uint64(object.Metadata.ResourceVersion)})
+	object.Spec, err = json.Marshal(document)
+	require.NoError(s.t, err)
+	stored, err := store.Update(ctx, object)
+	require.NoError(s.t, err)
+	h.Changes = append(h.Changes, historycheck.Change{ID: ident.Change(name), Version: uint64(stored.Metadata.ResourceVersion), At: time.Now()})
+}
+
+// watchVersions asks all nodes for their versions during d.
+func (s *site) watchVersions(h *historycheck.History, d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		s.seen(h)
+	}
+}
+
+func TestConfigurationComesInForceEverywhereAndStays(t *testing.T) {
+	s := startSite(t, siteOptions{nodes: 6, services: 1, engines: 3, seed: 13})
+	store := objects.NewClient(objects.Options{BaseURL: s.platform})
+	defer store.Close()
+	h := &historycheck.History{}
+	for i := range 3 {
+		s.change(h, store, fmt.Sprint("plain-", i))
+		s.watchVersions(h, time.Second)
+	}
+	s.put(http.MethodPost, "/faults", platform.Fault{Service: platform.ServiceObjects, Kind: platform.FaultSilentWatch, Verb: "watch", DurationMs: 100}, nil)
+	s.change(h, store, "watches-silent")
+	s.watchVersions(h, historycheck.ConfigLimit+2*time.Second)
+
+	s.put(http.MethodPost, "/faults", platform.Fault{Service: platform.ServiceObjects, Kind: platform.FaultOutage, DurationMs: 8000}, nil)
+	restarted := s.nodes[2]
+	s.killNode(restarted)
+	s.startNode(restarted)
+	s.watchVersions(h, 6*time.Second)
+	fresh := s.incarnation(restarted)
+	found := false
+	for _, seen := range h.Seen {
+		found = found || seen.Incarnation == fresh
+	}
+	require.True(t, found, "a node that starts during an outage gets its configuration from its peers")
+	require.Len(t, h.Changes, 4)
+	for _, violation := range historycheck.CheckConfig(h) {
+		t.Error(violation)
+	}
+}
