--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -245,3 +245,9 @@
 func reachable(e *entry) bool {
 	return !e.Suspected
 }
+
+// newestOf returns the newest incarnation known of node.
+func (c *core) newestOf(node ident.Node) (ident.Incarnation, bool) {
+	newest, ok := c.table.newest[node]
+	return newest, ok
+}
