A wrong command is told once

Cause: the command line printed an error below the command and then again. Change: the mark below the command says it all. Measured: go test ./internal/cli passes.

--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -70,6 +70,7 @@
 		var located *query.Error
 		if errors.As(err, &located) {
 			a.say("%s", located.Point(text))
+			return ExitUsage, nil
 		}
 		return ExitUsage, err
 	}
