Requests wait in the owner's line where engines do not queue

Change: a ledger keeps a line for each upstream; a reservation beyond the slots says Wait, and a slot that comes free goes to the most urgent in line. Bench variants line and -overcommit.

--- a/internal/bench/product.go
+++ b/internal/bench/product.go
@@ -25,6 +25,8 @@
 	fullPause = 20 * time.Millisecond
 	// holdPause is the pause before a request that found no slot asks again.
 	holdPause = 10 * time.Millisecond
+	// linePause is the pause before a request in line asks whether it has a slot.
+	linePause = 20 * time.Millisecond
 	// reservers is how many requests of a pool ask for a slot at once on one node.
 	reservers = 8
 	// overcommit is how many requests more than its slots an owner lets wait at an upstream.
@@ -42,6 +44,10 @@
 	oracle bool
 	// noOwner makes each node choose by itself by late reports.
 	noOwner bool
+	// noOvercommit lets no request wait at an upstream.
+	noOvercommit bool
+	// line makes requests wait in the owner's line instead of the engine's queue.
+	line bool
 	// noPrefix hides prompts' beginnings from all choices.
 	noPrefix bool
 	// noAdmission takes everything in, first come first served.
@@ -123,7 +129,11 @@
 	policy := routing.Cost{Weights: weights}
 	n.table = routing.NewTable(routing.Options{Local: n.member.FailureDomain, MaxAge: owner.MaxListAge})
 	n.router = routing.NewRouter(n.table, policy, source(2))
-	n.ledger = owner.NewLedger(n.member.Node, n.member.FailureDomain, policy, overcommit, source(3))
+	waiting := overcommit
+	if p.variant.noOvercommit {
+		waiting = 0
+	}
+	n.ledger = owner.NewLedger(n.member.Node, n.member.FailureDomain, policy, waiting, source(3))
 	n.directory = owner.NewDirectory(n.member.FailureDomain, source(4))
 	n.estimator = admission.NewEstimator()
 	n.admit = admission.NewController(p.admissionSettings(n))
--- a/internal/bench/productjob.go
+++ b/internal/bench/productjob.go
@@ -7,6 +7,7 @@
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/owner"
 	"mangoledge.example/mangoledge/internal/poison"
+	"mangoledge.example/mangoledge/internal/request"
 	"mangoledge.example/mangoledge/internal/routing"
 	"mangoledge.example/mangoledge/internal/verdict"
 )
@@ -180,12 +181,18 @@
 	return &owner.ReserveArgs{
 		ID:    owner.ReservationID{Holder: n.member.Incarnation, Serial: j.serial},
 		Model: f.Model, Service: f.Service, Blocks: blocks,
-		PromptTokens: f.PromptTokens, MaxTokens: f.MaxTokens, Priority: f.Priority,
+		PromptTokens: f.PromptTokens, MaxTokens: f.MaxTokens, Priority: n.urgency(j),
 		Avoid: f.Avoid, Suspect: f.Suspect,
 		Hold: j.deadline - n.product.world.clock.now + time.Second,
 	}
 }
 
+// urgency is the priority of a job where it waits behind its slot's others.
+func (n *node) urgency(j *job) request.Priority {
+	needs := time.Duration(j.kind.output) * typicalPace
+	return admission.Urgency(n.product.world.clock.wall(), epoch.Add(j.deadline), needs)
+}
+
 // giveBack ends a reservation whose answer came too late.
 func (n *node) giveBack(to *node, id owner.ReservationID, granted bool) {
 	if !granted {
@@ -212,10 +219,30 @@
 		n.pump()
 		return
 	}
+	if reply.Wait && n.product.variant.line {
+		n.settled(j)
+		if n.late(j) {
+			n.giveBack(to, args.ID, true)
+			n.end(j, jobRefused)
+			return
+		}
+		n.pump()
+		n.product.world.later(n.number, linePause, func() { n.askInLine(j, to, args) })
+		return
+	}
 	a := &attempt{job: j, engine: n.product.world.byID[reply.Upstream], owner: to.number, serial: args.ID.Serial, held: true}
 	n.pass(j, a)
 }
 
+// askInLine asks an owner again whether a request in its line has a slot.
+func (n *node) askInLine(j *job, to *node, args *owner.ReserveArgs) {
+	w := n.product.world
+	w.atNode(to.number, n.way(to), func() {
+		reply := to.ledger.Reserve(w.clock.wall(), args)
+		w.atNode(n.number, n.way(to), func() { n.reserved(j, to, args, reply) })
+	})
+}
+
 // chooseAlone chooses an upstream without an owner. A suspect waits for an owner
 // instead, who keeps it apart from other suspects.
 func (n *node) chooseAlone(j *job) {
@@ -281,8 +308,7 @@
 	a.ended = func(a *attempt, how ending) {
 		w.atNode(n.number, hop, func() { n.ended(a, how) })
 	}
-	needs := time.Duration(j.kind.output) * typicalPace
-	a.priority = admission.Urgency(w.clock.wall(), epoch.Add(j.deadline), needs)
+	a.priority = n.urgency(j)
 	n.running = append(n.running, j)
 	n.table.Started(w.clock.wall(), a.engine.upstream.ID, &j.features)
 	w.noteSend(a.engine)
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -44,6 +44,8 @@
 func Variants() []System {
 	return []System{
 		variantOf(variant{name: "-owner", noOwner: true}),
+		variantOf(variant{name: "line", line: true}),
+		variantOf(variant{name: "-overcommit", noOvercommit: true}),
 		variantOf(variant{name: "-admission", noAdmission: true}),
 		variantOf(variant{name: "-prefix", noPrefix: true, weights: func(w *routing.Weights) { w.Prefix = 0 }}),
 		variantOf(variant{name: "-queue", weights: func(w *routing.Weights) { w.Queue = 0 }}),
--- a/internal/owner/ledger.go
+++ b/internal/owner/ledger.go
@@ -10,6 +10,7 @@
 	"mangoledge.example/mangoledge/internal/fleet"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/membership"
+	"mangoledge.example/mangoledge/internal/request"
 	"mangoledge.example/mangoledge/internal/routing"
 )
 
@@ -30,7 +31,9 @@
 	mu     sync.Mutex
 	held   map[ReservationID]*reservation
 	expiry expiryQueue
-	urls   map[ident.Upstream]string
+	// lines are the requests at each upstream.
+	lines map[ident.Upstream]*line
+	urls  map[ident.Upstream]string
 }
 
 // reservation is one slot that is held.
@@ -38,6 +41,9 @@
 	id       ReservationID
 	upstream ident.Upstream
 	suspect  bool
+	// waiting is true while it is in line for a slot.
+	waiting  bool
+	priority request.Priority
 	until    time.Time
 	place    int
 }
@@ -53,6 +59,7 @@
 		table:  table,
 		router: routing.NewRouter(table, policy, random),
 		held:   make(map[ReservationID]*reservation),
+		lines:  make(map[ident.Upstream]*line),
 		urls:   make(map[ident.Upstream]string),
 	}
 }
@@ -76,6 +83,12 @@
 	clear(l.urls)
 	for i := range owned {
 		l.urls[owned[i].ID] = owned[i].URL
+		l.line(owned[i].ID).slots = owned[i].Slots
+	}
+	for id, at := range l.lines {
+		if _, kept := l.urls[id]; !kept && at.empty() {
+			delete(l.lines, id)
+		}
 	}
 	l.table.Update(now, owned)
 }
@@ -88,7 +101,10 @@
 	defer l.mu.Unlock()
 	l.expire(now)
 	if have, ok := l.held[args.ID]; ok {
-		return l.reply(now, have.upstream, &features)
+		if !have.waiting || !l.table.Leaving(have.upstream) {
+			return l.reply(now, have, &features)
+		}
+		l.end(now, have, routing.Outcome{Kind: routing.OutcomeUnsent})
 	}
 	upstream, ok := l.router.Take(now, &features)
 	if !ok {
@@ -98,17 +114,31 @@
 	if hold <= 0 {
 		hold = defaultHold
 	}
-	r := &reservation{id: args.ID, upstream: upstream, suspect: args.Suspect, until: now.Add(hold)}
+	r := &reservation{
+		id: args.ID, upstream: upstream, suspect: args.Suspect, priority: args.Priority, until: now.Add(hold),
+	}
 	l.held[args.ID] = r
+	l.line(upstream).join(r)
 	heap.Push(&l.expiry, r)
-	return l.reply(now, upstream, &features)
+	return l.reply(now, r, &features)
+}
+
+// line returns the line of an upstream.
+func (l *Ledger) line(id ident.Upstream) *line {
+	at, ok := l.lines[id]
+	if !ok {
+		at = new(line)
+		l.lines[id] = at
+	}
+	return at
 }
 
-func (l *Ledger) reply(now time.Time, upstream ident.Upstream, f *routing.Features) ReserveReply {
+func (l *Ledger) reply(now time.Time, r *reservation, f *routing.Features) ReserveReply {
 	return ReserveReply{
 		Granted:  true,
-		Upstream: upstream,
-		URL:      l.urls[upstream],
+		Wait:     r.waiting,
+		Upstream: r.upstream,
+		URL:      l.urls[r.upstream],
 		Summary:  l.summary(now, f.Pool()),
 	}
 }
@@ -178,5 +208,6 @@
 func (l *Ledger) end(now time.Time, r *reservation, out routing.Outcome) {
 	heap.Remove(&l.expiry, r.place)
 	delete(l.held, r.id)
+	l.line(r.upstream).leave(r)
 	l.table.Finished(now, r.upstream, r.suspect, out)
 }
--- a/internal/owner/ledger_test.go
+++ b/internal/owner/ledger_test.go
@@ -17,6 +17,7 @@
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/membership"
 	"mangoledge.example/mangoledge/internal/peer"
+	"mangoledge.example/mangoledge/internal/request"
 	"mangoledge.example/mangoledge/internal/routing"
 )
 
@@ -111,6 +112,11 @@
 				l.Summaries(now)
 			}
 			count := l.Table().Count(now, routing.Pool{Model: "m"})
+			for id, at := range l.lines {
+				if at.active > testSlots || at.active != activeAt(l, id) || len(at.waiting) > 0 && at.active < testSlots {
+					return false
+				}
+			}
 			if count.InFlight > 6*(testSlots+testOvercommit) || count.InFlight != l.Held() {
 				return false
 			}
@@ -120,6 +126,38 @@
 	properties.TestingRun(t)
 }
 
+// activeAt counts the reservations at an upstream that have a slot.
+func activeAt(l *Ledger, id ident.Upstream) int {
+	n := 0
+	for _, r := range l.held {
+		if r.upstream == id && !r.waiting {
+			n++
+		}
+	}
+	return n
+}
+
+func TestRequestsInLineGetTheNextSlot(t *testing.T) {
+	l := NewLedger("n0", "d0", routing.LeastOutstanding{}, 2, rand.New(rand.NewPCG(1, 2)))
+	l.Update(start, upstreams(1), members(1))
+	reserve := func(serial uint64, priority request.Priority) ReserveReply {
+		a := args(serial, time.Minute)
+		a.Priority = priority
+		return l.Reserve(start, a)
+	}
+	require.False(t, reserve(1, 5).Wait)
+	require.False(t, reserve(2, 5).Wait)
+	require.True(t, reserve(3, 1).Wait)
+	require.True(t, reserve(4, 9).Wait)
+	require.False(t, reserve(5, 9).Granted)
+	l.Release(start, ReservationID{Holder: "n1_0", Serial: 1}, routing.Outcome{})
+	require.True(t, reserve(3, 1).Wait)
+	require.False(t, reserve(4, 9).Wait, "the more urgent has the slot")
+	l.Table().MarkLeaving("u0")
+	require.False(t, reserve(3, 1).Granted, "in line at an upstream that leaves is in no line")
+	require.True(t, reserve(4, 9).Granted)
+}
+
 func TestReservationIsCountedOnceAndExpires(t *testing.T) {
 	l := newLedger()
 	first := l.Reserve(start, args(1, time.Second))
--- a/internal/owner/messages.go
+++ b/internal/owner/messages.go
@@ -55,8 +55,12 @@
 // ReserveReply is the answer to ReserveArgs. A refusal is no error: it says
 // when a slot is likely and how full the owner is.
 type ReserveReply struct {
-	// Granted is true when Upstream has a slot for the request.
-	Granted  bool
+	// Granted is true when Upstream is the request's place.
+	Granted bool
+	// Wait is true when all slots of Upstream are taken and the request is in line
+	// for the next one. Engines that queue may be sent the request at once; for
+	// others the holder asks again with the same ID until Wait is false.
+	Wait     bool
 	Upstream ident.Upstream
 	URL      string
 	// Summary is the owner's state after the decision.
