--- a/internal/owner/line.go
+++ b/internal/owner/line.go
@@ -14,7 +14,6 @@
 
 // join gives r a slot, or puts it into the line.
 func (l *line) join(r *reservation) {
-
 	if l.active < l.slots {
 		l.active++
 		return
