Nodes let requests wait in their owner's line

Cause: a node let nothing wait at an upstream, since engines that are full answer 429; when every slot was taken the next one went to whoever asked first. Change: four requests may be in line for the slots of an upstream; a node asks again every 20 ms until the request has its slot, by urgency towards its deadline.

--- a/internal/placement/router.go
+++ b/internal/placement/router.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"mangoledge.example/mangoledge/internal/admission"
 	"mangoledge.example/mangoledge/internal/dispatch"
 	"mangoledge.example/mangoledge/internal/fleet"
 	"mangoledge.example/mangoledge/internal/ident"
@@ -28,8 +29,12 @@
 	lostFor = time.Second
 	// waitForSlot is when to ask again after no owner had a slot.
 	waitForSlot = 20 * time.Millisecond
-	// overcommit is how many requests more than its slots an upstream is given.
-	overcommit = 0
+	// overcommit is how many requests may be in line for the slots of one upstream.
+	overcommit = 4
+	// usualPace is the time between tokens that is expected of an upstream.
+	usualPace = 30 * time.Millisecond
+	// askInLine is when a request in line asks again whether it has a slot.
+	askInLine = 20 * time.Millisecond
 )
 
 // Options are what a Router works with.
@@ -150,8 +155,14 @@
 // reserve asks one owner; reached is false when it did not answer.
 func (r *Router) reserve(ctx context.Context, choice owner.Choice, need *dispatch.Need, features *routing.Features) (place *placed, reached bool) {
 	args := r.reservation(need, features)
-	reply, err := r.askOwner(ctx, choice, args)
+	ctx, cancel := context.WithDeadline(ctx, need.Spec.Deadline)
+	defer cancel()
+	reply, err := r.askUntilSlot(ctx, choice, args)
 	now := time.Now()
+	if ctx.Err() != nil {
+		(&placed{router: r, choice: choice, id: args.ID}).Done(dispatch.OutcomeMoved)
+		return nil, true
+	}
 	if err != nil {
 		r.options.Logger.Warn("an owner did not answer", "owner", string(choice.Owner), "error", err)
 		r.directory.Refused(choice.Owner, features.Pool(), now.Add(lostFor))
@@ -171,6 +182,21 @@
 	return place, true
 }
 
+// askUntilSlot asks an owner until the request has a slot, is in no line or ctx ends.
+func (r *Router) askUntilSlot(ctx context.Context, choice owner.Choice, args *owner.ReserveArgs) (owner.ReserveReply, error) {
+	for {
+		reply, err := r.askOwner(ctx, choice, args)
+		if err != nil || !reply.Wait {
+			return reply, err
+		}
+		select {
+		case <-ctx.Done():
+			return reply, ctx.Err()
+		case <-time.After(askInLine):
+		}
+	}
+}
+
 func (r *Router) askOwner(ctx context.Context, choice owner.Choice, args *owner.ReserveArgs) (owner.ReserveReply, error) {
 	if choice.Owner == r.self.Incarnation {
 		return r.ledger.Reserve(time.Now(), args), nil
@@ -204,7 +230,7 @@
 		Blocks:       features.Blocks,
 		PromptTokens: features.PromptTokens,
 		MaxTokens:    features.MaxTokens,
-		Priority:     features.Priority,
+		Priority:     admission.Urgency(time.Now(), need.Spec.Deadline, time.Duration(features.MaxTokens)*usualPace),
 		Avoid:        features.Avoid,
 		Hold:         time.Until(need.Spec.Deadline),
 	}
