Nodes keep suspects apart

Cause: nodes reserved a slot for a content that had crashed upstreams like for any other, so two suspects could share one. Change: placement asks the guard whether a content is suspect and reserves so; without its owner a suspect waits; when the gate knows of crashes that this node has not heard of, the request asks again.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -83,6 +83,12 @@
 	return nil
 }
 
+// Suspect reports whether upstreams have crashed under the content. Two suspects
+// never share an upstream.
+func (g *Guard) Suspect(spec *request.Spec) bool {
+	return g.registry.Suspect(fingerprint(spec))
+}
+
 // Enter asks the content's gate to let it run. A refusal with RetryAfter may be asked again.
 func (g *Guard) Enter(ctx context.Context, spec *request.Spec) (dispatch.Pass, error) {
 	args := &poison.AcquireArgs{
@@ -104,9 +110,15 @@
 	}
 	switch reply.Answer.Kind {
 	case poison.AnswerPass:
-		return &pass{guard: g, fingerprint: args.Fingerprint, id: args.ID, address: address, local: local}, nil
+		p := &pass{guard: g, fingerprint: args.Fingerprint, id: args.ID, address: address, local: local}
+		if reply.Answer.Crashes > 0 && !g.registry.Suspect(args.Fingerprint) {
+			// Its place was chosen as if it were no suspect; gossip will tell soon.
+			p.Leave("", dispatch.EndingOther)
+			return nil, waitAtTheGate()
+		}
+		return p, nil
 	case poison.AnswerWait:
-		return nil, verdict.New(verdict.NotRun, verdict.CodePoison, "other runs of this content, which has crashed upstreams, must end first").After(waitAtGate)
+		return nil, waitAtTheGate()
 	case poison.AnswerRefuse:
 	}
 	if reply.Answer.Refusal != nil {
@@ -115,6 +127,10 @@
 	return nil, verdict.New(verdict.NotRun, verdict.CodePoison, "this content crashes upstreams")
 }
 
+func waitAtTheGate() *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.CodePoison, "other runs of this content, which has crashed upstreams, must end first").After(waitAtGate)
+}
+
 // Reclaimed forgives crashes of an upstream that turned out to have been reclaimed.
 func (g *Guard) Reclaimed(upstream ident.Upstream) {
 	now := time.Now()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"mangoledge.example/mangoledge/internal/operator"
 	"mangoledge.example/mangoledge/internal/peer"
 	"mangoledge.example/mangoledge/internal/placement"
+	"mangoledge.example/mangoledge/internal/request"
 	"mangoledge.example/mangoledge/internal/settings"
 	"mangoledge.example/mangoledge/internal/witness"
 )
@@ -97,6 +98,7 @@
 		Logger:      n.logger,
 		Policy:      placement.SitePolicy{Site: n.control.manager},
 		MarkLeaving: n.control.markLeaving,
+		Suspect:     func(spec *request.Spec) bool { return n.guard.Suspect(spec) },
 	})
 	if err := n.buildDispatcher(dialer); err != nil {
 		return nil, err
--- a/internal/placement/router.go
+++ b/internal/placement/router.go
@@ -14,6 +14,7 @@
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/membership"
 	"mangoledge.example/mangoledge/internal/owner"
+	"mangoledge.example/mangoledge/internal/request"
 	"mangoledge.example/mangoledge/internal/routing"
 	"mangoledge.example/mangoledge/internal/verdict"
 )
@@ -47,6 +48,8 @@
 	Policy routing.Policy
 	// MarkLeaving spreads the news that an upstream said it is leaving.
 	MarkLeaving func(ident.Upstream)
+	// Suspect reports whether upstreams have crashed under a request's content; nil means never.
+	Suspect func(*request.Spec) bool
 }
 
 // Router places requests; it is a dispatch.Router.
@@ -133,6 +136,7 @@
 // Pick reserves a place for a request.
 func (r *Router) Pick(ctx context.Context, need *dispatch.Need) (dispatch.Placement, error) {
 	features := featuresOf(need)
+	features.Suspect = r.options.Suspect != nil && r.options.Suspect(need.Spec)
 	for range maxOwners {
 		choice, ok := r.directory.Choose(time.Now(), &features)
 		if !ok {
@@ -142,6 +146,9 @@
 		if place != nil {
 			return place, nil
 		}
+		if !reached && features.Suspect {
+			break // only an owner keeps it apart from other suspects
+		}
 		if !reached {
 			return r.pickAlone(&features)
 		}
@@ -232,6 +239,7 @@
 		MaxTokens:    features.MaxTokens,
 		Priority:     admission.Urgency(time.Now(), need.Spec.Deadline, time.Duration(features.MaxTokens)*usualPace),
 		Avoid:        features.Avoid,
+		Suspect:      features.Suspect,
 		Hold:         time.Until(need.Spec.Deadline),
 	}
 }
