--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -5,6 +5,9 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"github.com/ogen-go/ogen/ogenerrors"
+
 	"mangoledge.example/mangoledge/api/callerapi"
 	"mangoledge.example/mangoledge/internal/auth"
 	"mangoledge.example/mangoledge/internal/config"
@@ -117,11 +120,15 @@
 
 // NewError turns an error into the answer to a caller.
 func (h *Handler) NewError(_ context.Context, err error) *callerapi.RefusedStatusCode {
-	refusal := refusalOf(verdict.From(err))
+	cause := verdict.From(err)
+	if errors.Is(err, ogenerrors.ErrSecurityRequirementIsNotSatisfied) {
+		cause = inputError(err)
+	}
+	refusal := refusalOf(cause)
 	if refusal.Verdict != callerapi.RefusalVerdictRan {
 		refusal.RequestIdPrefix = callerapi.NewOptString(h.book.Prefix())
 	}
-	return &callerapi.RefusedStatusCode{StatusCode: statusOf(verdict.From(err).Code), Response: refusal}
+	return &callerapi.RefusedStatusCode{StatusCode: statusOf(cause.Code), Response: refusal}
 }
 
 // principalKey is the context key of the caller.
