--- a/internal/entry/server_test.go
+++ b/internal/entry/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -87,7 +88,14 @@
 	return "http://" + listener.Addr().String()
 }
 
-func send(t *testing.T, base, token, body string) *http.Response {
+// answered is what a caller got.
+type answered struct {
+	status  int
+	refusal callerapi.Refusal
+}
+
+// open sends a request and hands its answer to read before it is closed.
+func open(t *testing.T, base, token, body string, read func(*http.Response)) {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, base+"/v1/requests", strings.NewReader(body))
 	require.NoError(t, err)
@@ -97,16 +105,20 @@
 	}
 	resp, err := http.DefaultClient.Do(req)
 	require.NoError(t, err)
-	t.Cleanup(func() { _ = resp.Body.Close() })
-	return resp
+	defer func() { _ = resp.Body.Close() }()
+	read(resp)
 }
 
-func refusalIn(t *testing.T, resp *http.Response) callerapi.Refusal {
+// send sends a request that is refused.
+func send(t *testing.T, base, token, body string) answered {
 	t.Helper()
-	var out callerapi.Refusal
-	data := make([]byte, 4096)
-	n, _ := resp.Body.Read(data)
-	require.NoError(t, out.UnmarshalJSON(data[:n]), "%s", data[:n])
+	var out answered
+	open(t, base, token, body, func(resp *http.Response) {
+		out.status = resp.StatusCode
+		data, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.NoError(t, out.refusal.UnmarshalJSON(data), "%s", data)
+	})
 	return out
 }
 
@@ -128,18 +140,18 @@
 		}
 		return emit(dispatch.Event{Kind: dispatch.EventDone, Tokens: 1})
 	}}, nil)
-	resp := send(t, base, "caller-token", streamBody)
-	require.Equal(t, http.StatusOK, resp.StatusCode)
-	lines := bufio.NewScanner(resp.Body)
-	for lines.Scan() {
-		if strings.Contains(lines.Text(), `"first"`) {
-			close(seen)
-		}
-		if lines.Text() == "event: done" {
-			return
+	whole := false
+	open(t, base, "caller-token", streamBody, func(resp *http.Response) {
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+		lines := bufio.NewScanner(resp.Body)
+		for lines.Scan() {
+			if strings.Contains(lines.Text(), `"first"`) {
+				close(seen)
+			}
+			whole = whole || lines.Text() == "event: done"
 		}
-	}
-	t.Fatal("the stream ended without its last event")
+	})
+	require.True(t, whole, "the stream ended without its last event")
 }
 
 func TestBadInputNamesTheField(t *testing.T) {
@@ -163,20 +175,19 @@
 		{"other workspace", `{"kind":"chat","model":"m","input":"x","deadlineMs":1,"workspace":"other"}`, "workspace"},
 		{"no JSON", `{"kind":`, "body"},
 	} {
-		resp := send(t, base, "caller-token", c.body)
-		require.GreaterOrEqual(t, resp.StatusCode, 400, c.name)
-		require.Less(t, resp.StatusCode, 500, c.name)
-		refusal := refusalIn(t, resp)
-		require.Equal(t, c.field, refusal.Field.Or(""), "%s: %s", c.name, refusal.Message)
-		require.Equal(t, callerapi.RefusalVerdictNotRun, refusal.Verdict, c.name)
+		got := send(t, base, "caller-token", c.body)
+		require.GreaterOrEqual(t, got.status, 400, c.name)
+		require.Less(t, got.status, 500, c.name)
+		require.Equal(t, c.field, got.refusal.Field.Or(""), "%s: %s", c.name, got.refusal.Message)
+		require.Equal(t, callerapi.RefusalVerdictNotRun, got.refusal.Verdict, c.name)
 	}
 }
 
 func TestCallersNeedTheirOwnToken(t *testing.T) {
 	base := serve(t, &scripted{}, nil)
-	require.Equal(t, http.StatusUnauthorized, send(t, base, "", streamBody).StatusCode)
-	require.Equal(t, http.StatusUnauthorized, send(t, base, "wrong", streamBody).StatusCode)
-	require.Equal(t, http.StatusForbidden, send(t, base, "operator-token", streamBody).StatusCode)
+	require.Equal(t, http.StatusUnauthorized, send(t, base, "", streamBody).status)
+	require.Equal(t, http.StatusUnauthorized, send(t, base, "wrong", streamBody).status)
+	require.Equal(t, http.StatusForbidden, send(t, base, "operator-token", streamBody).status)
 }
 
 func TestLimits(t *testing.T) {
@@ -190,22 +201,23 @@
 	}}, func(l *settings.Limits) { l.MaxConcurrent = 1 })
 	defer close(hold)
 	large := send(t, base, "caller-token", `{"kind":"chat","model":"m","deadlineMs":1,"input":"`+strings.Repeat("x", 5000)+`"}`)
-	require.Equal(t, http.StatusRequestEntityTooLarge, large.StatusCode)
-	require.Equal(t, string(verdict.CodeTooLarge), refusalIn(t, large).Code)
-
-	require.Equal(t, http.StatusOK, send(t, base, "caller-token", streamBody).StatusCode)
-	second := send(t, base, "caller-token", streamBody)
-	require.Equal(t, http.StatusTooManyRequests, second.StatusCode)
-	require.Positive(t, refusalIn(t, second).RetryAfterMs.Or(0))
+	require.Equal(t, http.StatusRequestEntityTooLarge, large.status)
+	require.Equal(t, string(verdict.CodeTooLarge), large.refusal.Code)
+
+	open(t, base, "caller-token", streamBody, func(first *http.Response) {
+		require.Equal(t, http.StatusOK, first.StatusCode)
+		second := send(t, base, "caller-token", streamBody)
+		require.Equal(t, http.StatusTooManyRequests, second.status)
+		require.Positive(t, second.refusal.RetryAfterMs.Or(0))
+	})
 }
 
 func TestRefusalSaysWhenToComeBackAndWithWhichPrefix(t *testing.T) {
 	refusal := verdict.New(verdict.NotRun, verdict.CodeOverloaded, "full").After(300 * time.Millisecond)
 	base := serve(t, &scripted{refusal: refusal}, nil)
-	resp := send(t, base, "caller-token", streamBody)
-	require.Equal(t, http.StatusTooManyRequests, resp.StatusCode)
-	got := refusalIn(t, resp)
-	require.Equal(t, callerapi.RefusalVerdictNotRun, got.Verdict)
-	require.EqualValues(t, 300, got.RetryAfterMs.Or(0))
-	require.Equal(t, fixedBook{}.Prefix(), got.RequestIdPrefix.Or(""))
+	got := send(t, base, "caller-token", streamBody)
+	require.Equal(t, http.StatusTooManyRequests, got.status)
+	require.Equal(t, callerapi.RefusalVerdictNotRun, got.refusal.Verdict)
+	require.EqualValues(t, 300, got.refusal.RetryAfterMs.Or(0))
+	require.Equal(t, fixedBook{}.Prefix(), got.refusal.RequestIdPrefix.Or(""))
 }
