The daemon queues at upstreams as the bench does

Cause: the bench lets 8 requests more than the slots wait at an upstream and gives each the urgency of its deadline; the daemon let none wait and sent the caller's priority, so what was measured was not what ran. Change: both use routing.DefaultOvercommit and admission.Urgency; the stand-in engine has a queue.

--- a/cmd/mangoledge-standin/engine.go
+++ b/cmd/mangoledge-standin/engine.go
@@ -16,6 +16,7 @@
 	options := engine.Options{}
 	cmd.Flag("id", "Name in the history.").Default("engine").StringVar(&options.ID)
 	cmd.Flag("slots", "Requests run at once.").Default("16").IntVar(&options.Slots)
+	cmd.Flag("queue", "Requests more that may wait.").Default("16").IntVar(&options.Queue)
 	cmd.Flag("prefill", "Time to compute one token of a prompt.").Default("100us").DurationVar(&options.PrefillPerToken)
 	cmd.Flag("interval", "Time between two tokens.").Default("20ms").DurationVar(&options.TokenInterval)
 	cmd.Flag("poison", "Crash on prompts that hold this text.").StringVar(&options.PoisonMarker)
--- a/internal/admission/urgency.go
+++ b/internal/admission/urgency.go
@@ -6,6 +6,9 @@
 	"mangoledge.example/mangoledge/internal/request"
 )
 
+// TypicalPace is the time between two tokens that a request is expected to have.
+const TypicalPace = 30 * time.Millisecond
+
 // Urgency returns the priority to give a request at an upstream's own queue,
 // from the time that is left beyond the time it needs: one step less for each
 // second. Requests that were let through in their fair order would otherwise
--- a/internal/bench/product.go
+++ b/internal/bench/product.go
@@ -27,8 +27,6 @@
 	holdPause = 10 * time.Millisecond
 	// reservers is how many requests of a pool ask for a slot at once on one node.
 	reservers = 8
-	// overcommit is how many requests more than its slots an owner lets wait at an upstream.
-	overcommit = 8
 	// silenceTimeout is after what time without a token a connection is replaced.
 	silenceTimeout = 700 * time.Millisecond
 	// watchEvery is how often streams are looked at.
@@ -123,7 +121,7 @@
 	policy := routing.Cost{Weights: weights}
 	n.table = routing.NewTable(routing.Options{Local: n.member.FailureDomain, MaxAge: owner.MaxListAge})
 	n.router = routing.NewRouter(n.table, policy, source(2))
-	n.ledger = owner.NewLedger(n.member.Node, n.member.FailureDomain, policy, overcommit, source(3))
+	n.ledger = owner.NewLedger(n.member.Node, n.member.FailureDomain, policy, routing.DefaultOvercommit, source(3))
 	n.directory = owner.NewDirectory(n.member.FailureDomain, source(4))
 	n.estimator = admission.NewEstimator()
 	n.admit = admission.NewController(p.admissionSettings(n))
--- a/internal/bench/productjob.go
+++ b/internal/bench/productjob.go
@@ -262,9 +262,6 @@
 	}
 }
 
-// typicalPace is the time between tokens that a node expects.
-const typicalPace = 30 * time.Millisecond
-
 // poisonPause is the pause before a content that has to wait at its gate asks again.
 const poisonPause = 100 * time.Millisecond
 
@@ -281,7 +278,7 @@
 	a.ended = func(a *attempt, how ending) {
 		w.atNode(n.number, hop, func() { n.ended(a, how) })
 	}
-	needs := time.Duration(j.kind.output) * typicalPace
+	needs := time.Duration(j.kind.output) * admission.TypicalPace
 	a.priority = admission.Urgency(w.clock.wall(), epoch.Add(j.deadline), needs)
 	n.running = append(n.running, j)
 	n.table.Started(w.clock.wall(), a.engine.upstream.ID, &j.features)
--- a/internal/dispatch/enginerun.go
+++ b/internal/dispatch/enginerun.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"mangoledge.example/mangoledge/internal/admission"
 	"mangoledge.example/mangoledge/internal/engine"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/request"
@@ -41,11 +42,18 @@
 		Prefix:     record.Tokens,
 		Generation: record.Generation,
 		MaxTokens:  record.Spec.MaxTokens,
-		Priority:   int(record.Spec.Priority),
+		Priority:   int(urgencyOf(record)),
 		Stream:     true,
 	}
 }
 
+// urgencyOf is the priority at the engine's own queue: what the caller's priority
+// is worth was decided when the request had its turn.
+func urgencyOf(record *request.Record) request.Priority {
+	left := record.Spec.MaxTokens - len(record.Tokens)
+	return admission.Urgency(time.Now(), record.Spec.Deadline, time.Duration(left)*admission.TypicalPace)
+}
+
 // readWithAttach reads stream to its end, and attaches again when its connection breaks.
 func (d *Dispatcher) readWithAttach(ctx context.Context, e *entry, upstream ident.Upstream, base string, stream *engine.Stream) *verdict.Error {
 	generation := e.snapshot().Generation
--- a/internal/placement/router.go
+++ b/internal/placement/router.go
@@ -28,8 +28,6 @@
 	lostFor = time.Second
 	// waitForSlot is when to ask again after no owner had a slot.
 	waitForSlot = 20 * time.Millisecond
-	// overcommit is how many requests more than its slots an upstream is given.
-	overcommit = 0
 )
 
 // Options are what a Router works with.
@@ -72,7 +70,7 @@
 	return &Router{
 		options:   options,
 		self:      self,
-		ledger:    owner.NewLedger(self.Node, self.FailureDomain, options.Policy, overcommit, random()),
+		ledger:    owner.NewLedger(self.Node, self.FailureDomain, options.Policy, routing.DefaultOvercommit, random()),
 		directory: owner.NewDirectory(self.FailureDomain, random()),
 		client:    owner.NewClient(options.Calls),
 		table:     table,
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -8,6 +8,10 @@
 	"mangoledge.example/mangoledge/internal/ident"
 )
 
+// DefaultOvercommit is how many requests more than its slots an owner lets wait
+// at an upstream. A slot that comes free then has its next request at once.
+const DefaultOvercommit = 8
+
 // Options say how a table counts.
 type Options struct {
 	// Exact is true in the table of an owner, through which all work of its upstreams goes.
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -38,6 +38,7 @@
 	imported   map[string]bool
 	cache      *cache
 	running    int
+	slots      chan struct{}
 	started    int
 	recomputed int
 	leaving    bool
@@ -56,6 +57,7 @@
 		log:      log,
 		streams:  make(map[string]*stream),
 		imported: make(map[string]bool),
+		slots:    make(chan struct{}, options.Slots),
 		cache:    newCache(options.CacheBlocks),
 		random:   rand.New(rand.NewPCG(options.Seed, options.Seed)),
 	}, nil
@@ -69,7 +71,7 @@
 		e.log.Write(history.Entry{Event: history.EventRefused, RequestID: engine.RequestIDOf(completion.RequestID)})
 		return nil, engine.CodeLeaving
 	}
-	if e.running >= e.options.Slots {
+	if e.running >= e.options.Slots+e.options.Queue {
 		return nil, engine.CodeFull
 	}
 	if old, ok := e.streams[completion.RequestID]; ok {
@@ -112,6 +114,12 @@
 // generate makes the tokens of s.
 func (e *Engine) generate(ctx context.Context, s *stream, prefill time.Duration) {
 	defer e.finish(s)
+	select {
+	case e.slots <- struct{}{}:
+		defer func() { <-e.slots }()
+	case <-ctx.Done():
+		return
+	}
 	if !sleep(ctx, prefill) {
 		return
 	}
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -131,7 +131,7 @@
 func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	writeJSON(w, engine.Load{Running: e.running, Slots: e.options.Slots, AtMs: time.Now().UnixMilli()})
+	writeJSON(w, engine.Load{Running: len(e.slots), Waiting: e.running - len(e.slots), Slots: e.options.Slots, AtMs: time.Now().UnixMilli()})
 }
 
 func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/engine/options.go
+++ b/internal/standin/engine/options.go
@@ -10,6 +10,8 @@
 	ID string
 	// Slots is how many requests it runs at once.
 	Slots int
+	// Queue is how many requests more may wait for a slot.
+	Queue int
 	// PrefillPerToken is the time to compute one token of a prompt or prefix.
 	PrefillPerToken time.Duration
 	// TokenInterval is the time between two tokens of a stream.
