Resend while the home is out of reach

Cause: with the home in reach a resend is passed on to it, so that the test of two nodes at once did not lean on the grant.

Change: one more directed test cuts the way to the home, so that the node with the resend claims the request at the witness while the home runs it.

--- a/internal/faulttest/directed_test.go
+++ b/internal/faulttest/directed_test.go
@@ -63,6 +63,27 @@
 	s.check()
 }
 
+func TestResendWhileTheHomeIsOutOfReachRunsOnce(t *testing.T) {
+	s := startSite(t, siteOptions{nodes: 4, services: 3, engines: 3, seed: 14})
+	home, witness := s.nodes[0], s.nodes[1]
+	var holds []callerapi.Submission
+	for i := range 20 {
+		holds = append(holds, s.holdOf(fmt.Sprint("dock ", i), home, witness))
+	}
+	// The home reaches its witness, and nobody reaches the home: the others take its requests over.
+	at := s.fault(historycheck.FaultLink, home.peers.name, "")
+	home.peers.cut()
+	for _, hold := range holds {
+		calls := s.both(hold, home, s.nodes[2])
+		require.LessOrEqual(t, s.starts(hold.ID.Value), 1)
+		for _, call := range calls {
+			require.NotEqual(t, verdict.NotRun, lastVerdict(call))
+		}
+	}
+	s.over(at, settle)
+	s.check()
+}
+
 func TestHomeKilledRunsOnceAndStreamsGoOn(t *testing.T) {
 	s := startSite(t, siteOptions{nodes: 4, services: 3, engines: 3, seed: 2})
 	home, witness, third := s.nodes[0], s.nodes[1], s.nodes[2]
