--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -126,6 +126,20 @@
 	return l.record
 }
 
+// Look reads the lease from the store; it is what this node saw last when that
+// fails. A node that does not compete sees the lease only by this.
+func (l *Lease) Look(ctx context.Context) Record {
+	object, err := l.options.Store.Get(ctx, Kind, l.options.Name)
+	if err != nil {
+		return l.Seen()
+	}
+	record, err := decodeRecord(object)
+	if err != nil {
+		return l.Seen()
+	}
+	return record
+}
+
 // Run takes the lease when it can and keeps it until ctx ends; then it releases it.
 func (l *Lease) Run(ctx context.Context) {
 	interval := l.options.TTL / renewalsPerTTL
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -146,6 +146,17 @@
 	require.Greater(t, len(holders), 3, "the lease never went on")
 }
 
+func TestAnOnlookerSeesTheHolder(t *testing.T) {
+	d := newDuty(t)
+	a := d.node("a_1")
+	require.NoError(t, a.Step(t.Context()))
+	onlooker := d.node("z_1")
+	require.Equal(t, ident.Incarnation("a_1"), onlooker.Look(t.Context()).Holder)
+	d.platform.AddFault(platform.Fault{Service: platform.ServiceObjects, Kind: platform.FaultOutage})
+	require.Equal(t, ident.Incarnation("a_1"), a.Look(t.Context()).Holder, "what was seen last")
+	require.Empty(t, onlooker.Look(t.Context()).Holder)
+}
+
 func TestReleaseLetsTheNextHolderInAtOnce(t *testing.T) {
 	d := newDuty(t)
 	a, b := d.node("a_1"), d.node("b_1")
--- a/internal/tables/rows.go
+++ b/internal/tables/rows.go
@@ -100,7 +100,7 @@
 	Stale         string  `column:"stale" doc:"why it may be out of date; empty when it is not"`
 }
 
-// Lease is a row of the table leases: a leased duty as this node saw its lease last.
+// Lease is a row of the table leases: a leased duty as the store has it, or as this node saw it last when the store does not answer.
 type Lease struct {
 	Name    string `column:"name" doc:"the duty"`
 	Holder  string `column:"holder" doc:"the incarnation that holds it; empty after a release"`
--- a/internal/tables/sources.go
+++ b/internal/tables/sources.go
@@ -247,16 +247,16 @@
 
 // LeaseView is a node's part in a lease; *lease.Lease is one.
 type LeaseView interface {
-	Seen() lease.Record
+	Look(ctx context.Context) lease.Record
 	Check() (lease.Fence, error)
 }
 
 // ProvideLeases fills the table leases; leases are called by the names of their duties.
 func ProvideLeases(r *Registry, leases map[string]LeaseView) {
-	Provide(r, func(context.Context) ([]Lease, error) {
+	Provide(r, func(ctx context.Context) ([]Lease, error) {
 		var out []Lease
 		for name, view := range leases {
-			seen := view.Seen()
+			seen := view.Look(ctx)
 			_, err := view.Check()
 			out = append(out, Lease{Name: name, Holder: string(seen.Holder), Fencing: int(seen.Fence), TTLMs: int(seen.TTLMs), Here: err == nil})
 		}
