--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -71,6 +71,7 @@
 	}
 	l := c.lane(r.Pool)
 	l.observe(now)
+	l.weigh(r)
 	f := l.flow(r.Workspace, c.settings.share(r.Workspace))
 	t := &Ticket{Request: *r, flow: f, serial: c.serial, since: now, settled: make(chan struct{})}
 	c.serial++
@@ -117,7 +118,7 @@
 // ahead returns the cost that goes before t within its flow, in seconds, and
 // how much of it is worth less than t.
 func (c *Controller) ahead(f *flow, t *Ticket) (ahead, lesser float64) {
-	key := t.since.UnixNano() - int64(t.Request.Priority)*int64(agingStep)
+	key := f.lane.key(t.since, &t.Request)
 	for _, other := range f.waiting {
 		if other.key > key {
 			continue
@@ -173,7 +174,7 @@
 			return nil
 		}
 		t := f.waiting[0]
-		if now.Add(c.settings.time(&t.Request)).After(t.Request.Deadline) {
+		if !c.Feasible(now, t) {
 			c.drop(t, verdict.New(verdict.NotRun, verdict.CodeDeadline, "waited until its deadline could no longer be met"))
 			continue
 		}
@@ -188,6 +189,12 @@
 	}
 }
 
+// Feasible reports whether a ticket that was handed out and still looks for a
+// slot is likely to meet its deadline when it gets one at now.
+func (c *Controller) Feasible(now time.Time, t *Ticket) bool {
+	return !now.Add(c.settings.time(&t.Request)).After(t.Request.Deadline)
+}
+
 // Blocked says that no slot could be had for the requests of pool; nothing is
 // handed out until then.
 func (c *Controller) Blocked(pool routing.Pool, until time.Time) {
