An upstream that crashed or does not answer gets no new work; crashes behind a proxy

Cause: a process test with a crashing content showed two faults. An engine behind anything that accepts connections for it, as a proxy does, did not count as crashed when it refused a look, so the content went on to crash others until its deadline. And an engine that had ended was sent further requests, each of which broke and was counted as a crash of its own, harmless content. Ruled out: gossip that came late (the registry of every node had the three crashes within 20 ms in the logs). Change: a broken, not a silent, connection to an engine that does not answer a look, or that has forgotten the stream, is a crash; the owner takes such an upstream out at once, and also one that does not answer its look each second, until it answers again. A content whose request meets an engine between its end and the owner's learning of it may still be counted once; it is cleared when it finishes.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"mangoledge.example/mangoledge/internal/engine"
 	"mangoledge.example/mangoledge/internal/verdict"
 )
 
@@ -33,15 +34,18 @@
 	if failure.Code == verdict.CodeStopping {
 		d.options.Router.MarkLeaving(upstream.ID)
 	}
-	placement.Done(outcomeOf(ctx, failure))
-	pass.Leave(upstream.ID, d.endingOf(ctx, e, placement, failure))
+	ending := d.endingOf(ctx, e, placement, failure)
+	placement.Done(outcomeOf(ctx, failure, ending))
+	pass.Leave(upstream.ID, ending)
 	d.note(e.spec.ID, "upstream failed", string(upstream.ID)+": "+failure.Error())
 	return failure
 }
 
 // outcomeOf tells the router how a failed attempt ended.
-func outcomeOf(ctx context.Context, failure *verdict.Error) Outcome {
+func outcomeOf(ctx context.Context, failure *verdict.Error, ending Ending) Outcome {
 	switch {
+	case ending == EndingCrashed:
+		return OutcomeCrashed
 	case failure.Verdict == verdict.NotRun:
 		return OutcomeRefused
 	case failure.Code == codeMoving || ctx.Err() != nil:
@@ -50,21 +54,24 @@
 	return OutcomeFailed
 }
 
-// endingOf tells whether an engine crashed under the request. One that is
-// leaving, or that still answers, did not.
+// endingOf tells whether an engine crashed under the request: its connection
+// broke, and it does not answer any more or has forgotten the stream. One that is
+// leaving, or that went silent and still answers, did not.
 func (d *Dispatcher) endingOf(ctx context.Context, e *entry, placement Placement, failure *verdict.Error) Ending {
 	upstream := placement.Upstream()
-	innocent := failure.Verdict == verdict.NotRun || failure.Code == codeMoving || e.spec.Service != ""
-	if innocent || ctx.Err() != nil || d.options.Router.Leaving(upstream.ID) {
+	innocent := failure.Verdict == verdict.NotRun || failure.Code == codeMoving || failure.Code == engine.CodeSilent
+	if innocent || e.spec.Service != "" || ctx.Err() != nil || d.options.Router.Leaving(upstream.ID) {
 		return EndingOther
 	}
+	if failure.Code == codeForgotten {
+		return EndingCrashed
+	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	_, err := d.options.Engines.ReportLoad(ctx, upstream.URL)
-	if err == nil || verdict.From(err).Verdict != verdict.NotRun {
-		return EndingOther
+	if _, err := d.options.Engines.ReportLoad(ctx, upstream.URL); err != nil {
+		return EndingCrashed
 	}
-	return EndingCrashed
+	return EndingOther
 }
 
 // callService runs a plain service's call.
--- a/internal/dispatch/enginerun.go
+++ b/internal/dispatch/enginerun.go
@@ -14,6 +14,10 @@
 // codeMoving marks the end of a stream that goes on at another upstream. Callers never see it.
 const codeMoving verdict.Code = "moving"
 
+// codeForgotten marks the failure of a stream that its engine knows no more.
+// Callers never see it.
+const codeForgotten verdict.Code = "forgotten"
+
 // attachTries is how often a broken stream is attached to again on a fresh
 // connection before the request moves to another upstream.
 const attachTries = 2
@@ -70,13 +74,24 @@
 		again, err := d.options.Engines.Attach(ctx, base, streamID, len(e.snapshot().Tokens))
 		if err != nil {
 			d.note(e.spec.ID, "attach failed", err.Error())
-			return failure
+			return forgottenBy(failure, verdict.From(err))
 		}
 		d.note(e.spec.ID, "attach", "again to "+string(upstream))
 		stream = again
 	}
 }
 
+// forgottenBy marks the failure of a stream that its engine knows no more,
+// because the engine was started anew.
+func forgottenBy(failure, attach *verdict.Error) *verdict.Error {
+	if attach.Code != verdict.CodeUnknownRequest {
+		return failure
+	}
+	out := *failure
+	out.Code = codeForgotten
+	return &out
+}
+
 // read takes tokens from stream until its end.
 func (d *Dispatcher) read(e *entry, upstream ident.Upstream, generation ident.Generation, stream *engine.Stream) *verdict.Error {
 	for {
--- a/internal/dispatch/interfaces.go
+++ b/internal/dispatch/interfaces.go
@@ -45,6 +45,8 @@
 	OutcomeRefused
 	// OutcomeFailed means that the upstream failed.
 	OutcomeFailed
+	// OutcomeCrashed means that the upstream has ended.
+	OutcomeCrashed
 	// OutcomeMoved means that the request went on elsewhere, or was cancelled.
 	OutcomeMoved
 )
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -131,7 +131,7 @@
 		defer cancel(nil)
 		return nil, readFailure(resp)
 	}
-	return newStream(resp, cancel, idleLimit), nil
+	return newStream(ctx, resp, cancel, idleLimit), nil
 }
 
 // call sends a call with a JSON answer.
--- a/internal/faulttest/site_test.go
+++ b/internal/faulttest/site_test.go
@@ -53,6 +53,8 @@
 	seed     uint64
 	// env is added to the environment of every node.
 	env []string
+	// poison is a text that crashes every engine whose prompt holds it.
+	poison string
 }
 
 // node is one entry host.
@@ -138,7 +140,7 @@
 	r := role{
 		Kind:    kind,
 		Listen:  address,
-		Engine:  engine.Options{ID: name, Slots: 32, TokenInterval: tokenInterval, IgnoreFencing: true, Seed: s.options.seed + uint64(i), HistoryPath: path},
+		Engine:  engine.Options{ID: name, Slots: 32, TokenInterval: tokenInterval, IgnoreFencing: true, PoisonMarker: s.options.poison, Seed: s.options.seed + uint64(i), HistoryPath: path},
 		Service: service.Options{ID: name, Delay: serviceDelay, HistoryPath: path},
 	}
 	u := &upstream{name: name, domain: domainName(i), host: s.newHost(name, domainName(i)), address: address, role: r}
--- a/internal/observe/observer.go
+++ b/internal/observe/observer.go
@@ -1,6 +1,8 @@
 // Package observe asks the upstreams that this node owns for their load and for
 // the events of their prefix caches, and teaches the owner's table.
 //
+// An upstream that does not answer gets no new work until it does.
+//
 // Invariants: only the owner asks an upstream, so that the number of calls grows
 // with the upstreams and not with the nodes; an answer that does not come changes
 // nothing, since the owner counts what is in flight by itself.
@@ -18,6 +20,7 @@
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/owner"
 	"mangoledge.example/mangoledge/internal/routing"
+	"mangoledge.example/mangoledge/internal/verdict"
 )
 
 const (
@@ -77,6 +80,7 @@
 	defer cancel()
 	asked := time.Now()
 	load, err := o.engines.ReportLoad(ctx, upstream.URL)
+	o.ledger.Table().SetUp(upstream.ID, isUp(err))
 	if err != nil {
 		return
 	}
@@ -90,6 +94,12 @@
 	o.remember(upstream.ID, events.Next)
 }
 
+// isUp reports whether an upstream answered a look, if only that it does not
+// know the call, as plain services do.
+func isUp(err error) bool {
+	return err == nil || verdict.From(err).Code == verdict.CodeUnknownRequest
+}
+
 // eventsOf are events as the table takes them; blocks that can't be read are passed over.
 func eventsOf(in []engine.CacheEvent) []routing.CacheEvent {
 	out := make([]routing.CacheEvent, 0, len(in))
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -62,6 +62,8 @@
 		return routing.Outcome{Kind: routing.OutcomeRefused}
 	case dispatch.OutcomeFailed:
 		return routing.Outcome{Kind: routing.OutcomeFailed}
+	case dispatch.OutcomeCrashed:
+		return routing.Outcome{Kind: routing.OutcomeCrashed}
 	case dispatch.OutcomeMoved:
 		return routing.Outcome{Kind: routing.OutcomeMoved}
 	}
--- a/internal/routing/outcome.go
+++ b/internal/routing/outcome.go
@@ -11,6 +11,8 @@
 	OutcomeDone OutcomeKind = iota
 	// OutcomeFailed is an error or a lost connection that is the upstream's fault.
 	OutcomeFailed
+	// OutcomeCrashed is the end of an upstream; it gets no new work until it was seen up again.
+	OutcomeCrashed
 	// OutcomeRefused is a refusal because the upstream was full.
 	OutcomeRefused
 	// OutcomeMoved is a stream that went on elsewhere because the upstream leaves.
--- a/internal/routing/replica.go
+++ b/internal/routing/replica.go
@@ -22,9 +22,11 @@
 // table is locked. The fields that every choice reads come first, since choices
 // go over hundreds of replicas.
 type Replica struct {
-	// ready, leaving and local are derived from the upstream's state and place.
+	// ready, leaving and local are derived from the upstream's state and place;
+	// down is true from a crash or an unanswered look until the next answer.
 	ready       bool
 	leaving     bool
+	down        bool
 	local       bool
 	fresh       bool
 	seen        bool
@@ -53,7 +55,7 @@
 
 // usable reports whether new work may be sent at now.
 func (r *Replica) usable(now time.Time) bool {
-	return r.ready && !r.leaving && r.breaker.allows(now)
+	return r.ready && !r.leaving && !r.down && r.breaker.allows(now)
 }
 
 // Reported returns the load by the last report alone.
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -210,6 +210,9 @@
 		r.sample(out.PerToken)
 	case OutcomeFailed:
 		r.breaker.failed(now)
+	case OutcomeCrashed:
+		r.down = true
+		r.breaker.failed(now)
 	case OutcomeLeaving:
 		r.leaving = true
 		r.breaker.ended()
@@ -218,6 +221,15 @@
 	}
 }
 
+// SetUp tells whether upstream id answers; one that does not gets no new work.
+func (t *Table) SetUp(id ident.Upstream, up bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r, ok := t.replicas[id]; ok {
+		r.down = !up
+	}
+}
+
 // MarkLeaving keeps new work off upstream id, however its leaving was learnt.
 func (t *Table) MarkLeaving(id ident.Upstream) {
 	t.mu.Lock()
