No refusal on copies that are old, and none without the store's word

Cause: a change that had been made could be told "refused" when it was sent again to a node that was behind and whose read was stale, or that could not reach the store; and "conflict" when more changes lay between than are remembered. Change: a refusal that depends on the document is decided on the one that the store has, got by a conditional write that can't take effect; without the store's word the outcome is unknown, also when nothing was sent from here. The exploration has operators that send later, a node that is behind, and removals. Its variant "a lost answer taken for an unsent write" is no fault any more, since nothing is refused for being unsent; in its place stand "a lost answer told as refused" and "a refusal told on an old document". Conclusion: accepted, refused and conflict are told only on the store's word.

--- a/internal/config/cluster_test.go
+++ b/internal/config/cluster_test.go
@@ -230,3 +230,23 @@
 	require.NoError(t, err)
 	require.Equal(t, second.Version, late.manager.Current().Version)
 }
+
+func TestChangeSentAgainIsNotRefusedOnCopiesThatAreOld(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	first := c.nodes[0].propose(t, setReplicas("c1", 0, 1))
+	require.Equal(t, OutcomeAccepted, first.Kind)
+	behind := NewManager(ManagerOptions{Store: c.nodes[0].store, Relay: relay.New(relay.Options{})})
+	_, err := behind.read(t.Context()) // and hears nothing any more
+	require.NoError(t, err)
+
+	added := c.nodes[0].propose(t, Proposal{Change: "c2", Edits: []Edit{{Table: TableModel, Key: "m9"}}})
+	require.Equal(t, OutcomeAccepted, added.Kind)
+	remove := Proposal{Change: "c3", Edits: []Edit{{Table: TableModel, Key: "m9", Remove: true}}}
+	removed := c.nodes[0].propose(t, remove)
+	require.Equal(t, OutcomeAccepted, removed.Kind)
+
+	c.platform.AddFault(platform.Fault{Service: platform.ServiceObjects, Kind: platform.FaultStaleRead, Behind: 2})
+	again, err := behind.Propose(t.Context(), remove)
+	require.NoError(t, err)
+	require.Equal(t, removed, again)
+}
--- a/internal/config/decide.go
+++ b/internal/config/decide.go
@@ -31,6 +31,8 @@
 	proposal *Proposal
 	// current is the latest document that was heard of, or nil for none.
 	current *Document
+	// known is true when current came with an answer to a conditional write, which is never old.
+	known bool
 	// sent are the versions that the proposal was written over without an answer.
 	sent []uint64
 }
@@ -58,10 +60,23 @@
 		}
 	}
 	if p.BaseVersion != 0 && p.BaseVersion != version {
+		if !current.reaches(p.BaseVersion) {
+			return report(Outcome{Kind: OutcomeUnknown, Change: p.Change, Reason: "too many changes were made since its base version"})
+		}
 		return report(Outcome{Kind: OutcomeConflict, Change: p.Change, Won: current.since(p.BaseVersion)})
 	}
 	// A write over a version that it was already sent over is the same write again.
-	return build(current, p)
+	s := build(current, p)
+	if s.outcome != nil && !a.known {
+		return step{reread: true} // an older document may refuse what a later one has already taken
+	}
+	return s
+}
+
+// learned takes in the document as the store has it now; nil for none.
+func (a *attempt) learned(d *Document) {
+	a.known = true
+	a.heard(d)
 }
 
 // heard takes in a document; what is older than one heard before is dropped.
@@ -78,21 +93,20 @@
 	if answer == writeLost && !slices.Contains(a.sent, base) {
 		a.sent = append(a.sent, base)
 	}
-	a.heard(told)
+	if told != nil {
+		a.learned(told)
+	}
 }
 
-// giveUp is what the operator may be told when there is no time left: that the
-// change was not made is told only when no write of it can still take effect.
-// The last answer may have come just in time, and decides when it does.
+// giveUp is what the operator may be told when there is no time left. The last
+// answer may have come just in time, and decides when it does. Otherwise the
+// outcome is unknown even if nothing was sent from here: the same change may have
+// been sent before, by another node.
 func (a *attempt) giveUp(reason string) Outcome {
 	if s := a.next(); s.outcome != nil {
 		return *s.outcome
 	}
-	if len(a.sent) > 0 {
-		return Outcome{Kind: OutcomeUnknown, Change: a.proposal.Change, Reason: reason}
-	}
-	fault := Fault{Path: "store", Value: reason, Allowed: "reachable; nothing was changed, and the same change can be sent again"}
-	return Outcome{Kind: OutcomeRefused, Change: a.proposal.Change, Faults: []Fault{fault}}
+	return Outcome{Kind: OutcomeUnknown, Change: a.proposal.Change, Reason: reason}
 }
 
 // decideKnown answers for a change that is already in the document.
@@ -126,4 +140,19 @@
 	return step{next: &Document{Site: *site, Recent: recent}, base: current.Site.Version}
 }
 
+// everRefused returns what is wrong with a proposal whatever the document is.
+func everRefused(p *Proposal) []Fault {
+	site := new(Site)
+	var faults []Fault
+	for _, e := range p.Edits {
+		if !e.Remove {
+			faults = append(faults, e.apply(site)...)
+		}
+	}
+	if len(faults) > 0 {
+		return faults
+	}
+	return Validate(site)
+}
+
 func report(o Outcome) step { return step{outcome: &o} }
--- a/internal/config/explore_test.go
+++ b/internal/config/explore_test.go
@@ -42,6 +42,9 @@
 	base     uint64
 	timeouts int
 	outcome  *Outcome
+	started  bool
+	// made is true when the change had been made before the operator sent this proposal.
+	made bool
 }
 
 // message is a conditional write that may still reach the store.
@@ -88,7 +91,8 @@
 	slices.Sort(flight)
 	fmt.Fprintf(&b, "|%v", flight)
 	for _, p := range w.proposers {
-		fmt.Fprintf(&b, "|%s %v %v %d %d", changes(p.attempt.current), p.attempt.sent, p.waiting, p.base, p.timeouts)
+		fmt.Fprintf(&b, "|%v %v", p.started, p.made)
+		fmt.Fprintf(&b, " %s %v %v %v %d %d", changes(p.attempt.current), p.attempt.known, p.attempt.sent, p.waiting, p.base, p.timeouts)
 		if p.outcome != nil {
 			fmt.Fprintf(&b, " %s %d", p.outcome.Kind, p.outcome.Version)
 		}
@@ -122,6 +126,10 @@
 		if p.outcome != nil {
 			continue
 		}
+		if !p.started {
+			out = append(out, w.start(i))
+			continue
+		}
 		if p.waiting {
 			if p.timeouts < w.maxTimeouts {
 				out = append(out, w.with(i, func(_ *world, p *proposer) {
@@ -148,11 +156,7 @@
 	case s.outcome != nil:
 		return []*world{w.with(i, func(_ *world, p *proposer) { p.outcome = s.outcome })}
 	case s.reread:
-		var out []*world
-		for _, d := range w.past { // a read may be as old as it likes
-			out = append(out, w.with(i, func(_ *world, p *proposer) { p.attempt.heard(d) }))
-		}
-		return out
+		return []*world{w.with(i, func(w *world, p *proposer) { p.attempt.learned(w.current()) })}
 	}
 	return []*world{w.with(i, func(w *world, p *proposer) {
 		p.waiting, p.base = true, s.base
@@ -204,13 +208,22 @@
 		switch {
 		case p.outcome.Kind == OutcomeAccepted && (made < 0 || p.outcome.Version != uint64(made+1)):
 			return "a false accepted: " + string(change)
-		case (p.outcome.Kind == OutcomeRefused || p.outcome.Kind == OutcomeConflict) && made >= 0 && w.sentOnce(change):
+		case (p.outcome.Kind == OutcomeRefused || p.outcome.Kind == OutcomeConflict) && made >= 0 && (p.made || w.sentOnce(change)):
 			return "a false " + string(p.outcome.Kind) + ": " + string(change)
 		}
 	}
 	return ""
 }
 
+// start lets a proposer's operator send the proposal; what the node knows is then
+// as old as it was at first.
+func (w *world) start(i int) *world {
+	return w.with(i, func(w *world, p *proposer) {
+		p.started = true
+		p.made = slices.ContainsFunc(w.past, func(d *Document) bool { return d.Site.Change == p.attempt.proposal.Change })
+	})
+}
+
 // sentOnce reports whether a change has one proposer.
 func (w *world) sentOnce(change ident.Change) bool {
 	n := 0
@@ -254,12 +267,29 @@
 	return w
 }
 
+// oneBehind has a second version that adds a model, of which only the first of two
+// nodes has heard; both are sent the same command to remove it.
+func oneBehind(add, remove Proposal) *world {
+	w := startWorld(1, remove, remove)
+	adding := attempt{proposal: &add, current: w.current(), known: true}
+	d := *adding.next().next
+	d.Site.Version = 2
+	w.past = append(w.past, &d)
+	w.proposers[0].attempt.current = &d
+	return w
+}
+
 func scenarios() map[string]*world {
+	add := Proposal{Change: "a", Edits: []Edit{{Table: TableModel, Key: "m9"}}}
+	remove := Proposal{Change: "b", Edits: []Edit{{Table: TableModel, Key: "m9", Remove: true}}}
 	return map[string]*world{
-		"two on one version":    startWorld(2, setReplicas("a", 1, 1), setReplicas("b", 1, 2)),
-		"two on any version":    startWorld(2, setReplicas("a", 0, 1), setReplicas("b", 0, 2)),
-		"one sent at two nodes": startWorld(1, setReplicas("a", 0, 1), setReplicas("a", 0, 1), setReplicas("b", 1, 2)),
-		"base not yet heard":    startWorld(2, setReplicas("a", 1, 1), setReplicas("b", 2, 2)),
+		"removed at two nodes":                 startWorld(1, add, remove, remove),
+		"one node is behind":                   oneBehind(add, remove),
+		"two on one version":                   startWorld(2, setReplicas("a", 1, 1), setReplicas("b", 1, 2)),
+		"two on any version":                   startWorld(2, setReplicas("a", 0, 1), setReplicas("b", 0, 2)),
+		"one sent at two nodes":                startWorld(1, setReplicas("a", 0, 1), setReplicas("a", 0, 1), setReplicas("b", 1, 2)),
+		"one sent at two nodes on one version": startWorld(1, setReplicas("a", 1, 1), setReplicas("a", 1, 1), setReplicas("b", 1, 2)),
+		"base not yet heard":                   startWorld(2, setReplicas("a", 1, 1), setReplicas("b", 2, 2)),
 	}
 }
 
@@ -274,13 +304,20 @@
 
 func TestExplorationCatchesPlantedFaults(t *testing.T) {
 	variants := map[string]func(*rules){
-		"a lost answer taken for an unsent write": func(r *rules) {
-			wrote := r.wrote
-			r.wrote = func(a attempt, answer writeAnswer, base uint64, told *Document) attempt {
-				if answer == writeLost {
-					answer = writeUnsent
+		"a lost answer told as refused": func(r *rules) {
+			giveUp := r.giveUp
+			r.giveUp = func(a attempt) Outcome {
+				if o := giveUp(a); o.Kind != OutcomeUnknown || len(a.sent) == 0 {
+					return o
 				}
-				return wrote(a, answer, base, told)
+				return Outcome{Kind: OutcomeRefused}
+			}
+		},
+		"a refusal told on an old document": func(r *rules) {
+			next := r.next
+			r.next = func(a attempt) step {
+				a.known = true
+				return next(a)
 			}
 		},
 		"a lost answer taken for accepted": func(r *rules) {
--- a/internal/config/manager.go
+++ b/internal/config/manager.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -10,6 +11,9 @@
 	"mangoledge.example/mangoledge/internal/relay"
 )
 
+// impossibleVersion is a version that no object ever has.
+const impossibleVersion = math.MaxInt64
+
 // ManagerOptions configure a Manager.
 type ManagerOptions struct {
 	Store objects.Store
@@ -93,7 +97,27 @@
 	}
 }
 
-// read reads the document from the store; nil when there is none.
+// readCurrent reads the document as it is, which a plain read need not: it makes
+// a conditional write that can't take effect, since no object has that version,
+// and takes the object that the conflict carries. It returns nil when there is none.
+func (m *Manager) readCurrent(ctx context.Context) (*Document, error) {
+	object, err := encodeDocument(&Document{}, impossibleVersion)
+	if err != nil {
+		return nil, err
+	}
+	_, err = m.options.Store.Update(ctx, object)
+	if objects.KindOf(err) == objects.KindNotFound {
+		return nil, nil
+	}
+	current, told := objects.CurrentOf(err)
+	if !told {
+		return nil, err
+	}
+	m.options.Relay.Offer(current)
+	return decodeDocument(current)
+}
+
+// read reads the document from the store, perhaps as it was; nil when there is none.
 func (m *Manager) read(ctx context.Context) (*Document, error) {
 	object, err := m.options.Store.Get(ctx, SiteKind, SiteName)
 	if objects.KindOf(err) == objects.KindNotFound {
--- a/internal/config/propose.go
+++ b/internal/config/propose.go
@@ -24,6 +24,9 @@
 		fault := Fault{Path: "change", Value: string(p.Change), Allowed: aName}
 		return Outcome{Kind: OutcomeRefused, Change: p.Change, Faults: []Fault{fault}}, nil
 	}
+	if faults := everRefused(&p); len(faults) > 0 {
+		return Outcome{Kind: OutcomeRefused, Change: p.Change, Faults: faults}, nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	outcome := m.negotiate(ctx, &attempt{proposal: &p, current: m.document.Load()})
@@ -33,37 +36,27 @@
 
 // negotiate goes from step to step until there is an outcome or no time left.
 func (m *Manager) negotiate(ctx context.Context, a *attempt) Outcome {
-	fromStore := false
 	reason := "no answer in time"
 	for ctx.Err() == nil {
 		s := a.next()
-		refused := s.outcome != nil && s.outcome.Kind == OutcomeRefused
-		if s.outcome != nil && (fromStore || !refused) {
+		if s.outcome != nil {
 			return *s.outcome
 		}
 		var err error
-		if s.next == nil { // also read once more before refusing on what is held here
+		if s.reread {
 			var d *Document
-			d, err = m.read(ctx)
-			a.heard(d)
-			fromStore = fromStore || err == nil
-			if err != nil && refused {
-				return *s.outcome
+			if d, err = m.readCurrent(ctx); err == nil {
+				a.learned(d)
 			}
 		} else {
 			err = m.write(ctx, a, s)
-			fromStore = true
-		}
-		if err == nil && !s.reread {
-			continue
 		}
 		if err != nil {
 			reason = err.Error()
 		}
-		if objects.KindOf(err) == objects.KindRefused {
-			break
+		if err != nil || s.reread {
+			pause(ctx, retryDelay)
 		}
-		pause(ctx, retryDelay)
 	}
 	return a.giveUp(reason)
 }
