--- a/internal/faulttest/directed_test.go
+++ b/internal/faulttest/directed_test.go
@@ -199,6 +199,25 @@
 	s.check()
 }
 
+func TestSilentLinksOfTheHomeAreReplaced(t *testing.T) {
+	s := startSite(t, siteOptions{nodes: 4, services: 1, engines: 3, seed: 15})
+	home, witness := s.nodes[0], s.nodes[1]
+	stream := longStream("silent home")
+	stream.ID = callerapi.NewOptString(s.newID(home, witness))
+	var once sync.Once
+	call := s.send(s.newCaller(), stream, func(offset int) {
+		if offset == 100 {
+			once.Do(func() {
+				s.fault(historycheck.FaultLink, home.name, home.settings.CallerURL)
+				require.NoError(t, home.callers.silence())
+				require.NoError(t, home.peers.silence())
+			})
+		}
+	})
+	require.True(t, call.Whole)
+	s.check()
+}
+
 // streams runs count streams at once, calls act once all have tokens, and returns the calls.
 func (s *site) streams(count int, act func()) []historycheck.Call {
 	out := make([]historycheck.Call, count)
