Membership: a round sends each piece of news once to each target

Cause: a round made up to eight datagrams from the same queue, so a single piece of news went up to eight times to the same three members and had used up its transmissions at once; and the digest hashed everything anew each time. Change: what a round has sent is not sent again in it; a record and a rumour keep their hash. Batches of progress are measured. Conclusion: news cost less and reach more different members.

--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -67,12 +67,12 @@
 	out := make(digest, digestBytes)
 	for _, e := range c.table.entries {
 		if sendable(e, now) {
-			out.toggle(e.bucket(), e.hash())
+			out.toggle(e.place, e.sum)
 		}
 	}
-	for name, held := range c.rumours.held {
+	for _, held := range c.rumours.held {
 		if held.expireAt.Sub(now) >= minSentLife {
-			out.toggle(name.bucket(), held.hash())
+			out.toggle(held.bucket, held.sum)
 		}
 	}
 	return out
@@ -96,12 +96,12 @@
 	}
 	for _, e := range c.table.entries {
 		if sendable(e, now) {
-			add(e.bucket(), func() []byte { return encodeRecord(e.record, e.remaining(now)) })
+			add(e.place, func() []byte { return encodeRecord(e.record, e.remaining(now)) })
 		}
 	}
-	for name, held := range c.rumours.held {
+	for _, held := range c.rumours.held {
 		if life := held.expireAt.Sub(now); life >= minSentLife {
-			add(name.bucket(), func() []byte { return encodeRumour(held.Rumour, life) })
+			add(held.bucket, func() []byte { return encodeRumour(held.Rumour, life) })
 		}
 	}
 	var out [][]byte
--- a/internal/membership/failure_test.go
+++ b/internal/membership/failure_test.go
@@ -262,3 +262,15 @@
 		require.GreaterOrEqual(t, listener.stats.Syncs-before, uint64(freshSyncs))
 	}
 }
+
+func TestARoundSendsEachNewsOnceToEachTarget(t *testing.T) {
+	n := newNetwork(t, 16)
+	n.addMany(10, "r1")
+	n.run(20*time.Second, func() {})
+	c := n.cores[3]
+	r := Rumour{Topic: TopicConfig, Key: "v", Version: 1}
+	n.publish(c, r)
+	c.gossip(n.now)
+	require.Len(t, c.out, gossipFanout)
+	require.Equal(t, gossipFanout, c.queue.waiting[newsName{rumour: r.name()}].sent)
+}
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"time"
 )
 
@@ -79,20 +80,19 @@
 	if len(c.queue.waiting) == 0 {
 		return
 	}
+	c.queue.round++
 	targets := c.pick(gossipFanout, reachable)
 	if len(targets) == 0 {
 		return
 	}
+	waiting := c.queue.sorted()
 	for range gossipDatagrams {
-		waiting := c.queue.sorted()
-		if len(waiting) == 0 {
-			return
-		}
 		head := c.newsHead()
 		data := c.fill(now, head, waiting, len(targets))
 		if len(data) == len(head) {
 			return
 		}
+		waiting = slices.DeleteFunc(waiting, func(n *news) bool { return n.round == c.queue.round })
 		for _, target := range targets {
 			c.emit(target.Details.PeerAddress, append([]byte(nil), data...))
 		}
--- a/internal/membership/queue.go
+++ b/internal/membership/queue.go
@@ -27,6 +27,8 @@
 	sent int
 	// order grows with each piece of news.
 	order uint64
+	// round is the round of news that last sent it.
+	round uint64
 	// full is true when the details of a record are news as well.
 	full bool
 	// bulk is true for rumours that wait for all others.
@@ -38,6 +40,8 @@
 type queue struct {
 	waiting map[newsName]*news
 	order   uint64
+	// round counts the rounds of news.
+	round uint64
 }
 
 func newQueue() *queue {
@@ -76,6 +80,7 @@
 // sent notes that n went to some members and drops it when that was often enough.
 func (q *queue) sent(n *news, times, members int) {
 	n.sent += times
+	n.round = q.round
 	if n.sent >= transmits(members) {
 		delete(q.waiting, n.name)
 	}
--- a/internal/membership/rumour.go
+++ b/internal/membership/rumour.go
@@ -74,6 +74,9 @@
 
 type heldRumour struct {
 	Rumour
+	// bucket and sum are its place and its part in the digest.
+	bucket   int
+	sum      uint64
 	expireAt time.Time
 }
 
@@ -92,7 +95,7 @@
 	if known && !r.newer(current.Rumour) {
 		return false
 	}
-	s.held[r.name()] = &heldRumour{Rumour: r, expireAt: now.Add(life)}
+	s.held[r.name()] = &heldRumour{Rumour: r, bucket: r.name().bucket(), sum: r.hash(), expireAt: now.Add(life)}
 	return true
 }
 
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -9,6 +9,10 @@
 // entry is a record with this node's own clock readings.
 type entry struct {
 	record
+	// sum is the record's part in the digest.
+	sum uint64
+	// place is its bucket of the digest.
+	place int
 	// suspectedAt is when this node learnt of the suspicion; zero when there is none.
 	suspectedAt time.Time
 	// lastCalls is how often this node has pinged it since suspectedAt.
@@ -71,7 +75,7 @@
 func (t *table) joinOne(now time.Time, news record, life time.Duration, changes []change) []change {
 	e, known := t.entries[news.Incarnation]
 	if !known {
-		e = &entry{record: record{Incarnation: news.Incarnation}}
+		e = &entry{record: record{Incarnation: news.Incarnation}, place: news.bucket()}
 		t.entries[news.Incarnation] = e
 	}
 	joined := e.join(news)
@@ -81,6 +85,7 @@
 	before := e.state()
 	wasSuspected, wasFinal := e.Suspected, e.Final != finalNone
 	e.record = joined
+	e.sum = joined.hash()
 	if e.Suspected != wasSuspected {
 		e.suspectedAt = time.Time{}
 		e.lastCalls = 0
--- a/internal/slopes/peer.go
+++ b/internal/slopes/peer.go
@@ -24,6 +24,8 @@
 const (
 	// peerCallCount is how many calls are measured.
 	peerCallCount = 4000
+	// batchReports is how many requests a batch of progress reports on.
+	batchReports = 2
 	// linkSeconds is how long idle connections are measured, linkCount how many.
 	linkCount   = 200
 	linkSeconds = 6
@@ -139,6 +141,14 @@
 		caller.measure("progress", "Witness.Progress", func(n int) (args, reply any) {
 			return &grant.ProgressRequest{ID: specs[n].ID, Holder: home, Epoch: 1, Upstream: "u1", Generation: "g1", Tokens: tokensOf(progressTokens)}, new(grant.UpdateReply)
 		}),
+		caller.measure("progress_batch", "Witness.ProgressBatch", func(n int) (args, reply any) {
+			reports := make([]grant.ProgressRequest, batchReports)
+			for i := range reports {
+				id := specs[(n+i)%peerCallCount].ID
+				reports[i] = grant.ProgressRequest{ID: id, Holder: home, Epoch: 1, Upstream: "u1", Generation: "g1", Offset: progressTokens, Tokens: tokensOf(progressTokens)}
+			}
+			return &grant.ProgressBatch{Reports: reports}, new(grant.ProgressBatchReply)
+		}),
 		caller.measure("finish", "Witness.Finish", func(n int) (args, reply any) {
 			done := request.Record{Spec: *specs[n], Phase: request.PhaseDone, Holder: home, Epoch: 1, Generation: "g1", Tokens: tokensOf(answerTokens)}
 			return &grant.FinishRequest{ID: specs[n].ID, Holder: home, Epoch: 1, Record: done}, new(grant.UpdateReply)
