Owners are worked out by failure domain, and only when something changed

Change: members are sorted by failure domain once, so that an upstream is compared with 24 of 460; a directory finds its owners by a map; the router takes over upstreams, members and marks only when one of them changed, and every 10 s.

--- a/internal/fleet/leaving.go
+++ b/internal/fleet/leaving.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"mangoledge.example/mangoledge/internal/ident"
@@ -27,6 +28,9 @@
 	spreader Spreader
 	now      func() time.Time
 
+	// changes counts the marks that came into force or were cleared.
+	changes atomic.Uint64
+
 	mu     sync.RWMutex
 	marks  map[Subject]heldMark
 	onMark []func(Mark)
@@ -49,6 +53,11 @@
 	return l
 }
 
+// Changes counts the marks that came into force or were cleared; it only grows.
+func (l *Leaving) Changes() uint64 {
+	return l.changes.Load()
+}
+
 // OnMark has f called with each mark that comes into force from now on.
 func (l *Leaving) OnMark(f func(Mark)) {
 	l.mu.Lock()
@@ -126,6 +135,7 @@
 	}
 	l.dropOld(l.now())
 	l.marks[m.Subject] = heldMark{Mark: m, until: l.now().Add(MarkLife)}
+	l.changes.Add(1)
 	callbacks := slices.Clone(l.onMark)
 	l.mu.Unlock()
 	for _, f := range callbacks {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -93,6 +93,8 @@
 	n.router = placement.NewRouter(placement.Options{
 		Members:     n.members,
 		Fleet:       n.control.view,
+		Listed:      n.control.registry,
+		Marks:       n.control.leaving.Changes,
 		Calls:       n.peers,
 		Logger:      n.logger,
 		Policy:      placement.SitePolicy{Site: n.control.manager},
--- a/internal/owner/directory.go
+++ b/internal/owner/directory.go
@@ -74,42 +74,33 @@
 
 // Update takes in the upstreams and members; summaries of owners that stay are kept.
 func (d *Directory) Update(upstreams []fleet.Upstream, members []membership.Member) {
-	fresh := make(map[PoolKey][]*entry)
+	fresh := newPools()
+	owners := NewOwners(members)
 	for i := range upstreams {
 		u := &upstreams[i]
 		if u.State != fleet.StateReady {
 			continue
 		}
-		m, ok := Of(u, members)
+		m, ok := owners.Of(u)
 		if !ok {
 			continue
 		}
 		hash := xxhash.Sum64String(string(u.ID))
 		if u.Service != "" {
-			addOwner(fresh, KeyOf(routing.Pool{Service: u.Service}), m, hash)
+			fresh.add(KeyOf(routing.Pool{Service: u.Service}), m, hash)
 		}
 		for _, model := range u.Models {
-			addOwner(fresh, KeyOf(routing.Pool{Model: model}), m, hash)
+			fresh.add(KeyOf(routing.Pool{Model: model}), m, hash)
 		}
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for key, entries := range fresh {
+	for key, entries := range fresh.entries {
 		for _, e := range entries {
 			keepSummary(e, d.find(key, e.member.Incarnation))
 		}
 	}
-	d.pools = fresh
-}
-
-func addOwner(pools map[PoolKey][]*entry, key PoolKey, m membership.Member, upstream uint64) {
-	for _, e := range pools[key] {
-		if e.member.Incarnation == m.Incarnation {
-			e.upstreams = append(e.upstreams, upstream)
-			return
-		}
-	}
-	pools[key] = append(pools[key], &entry{member: m, upstreams: []uint64{upstream}})
+	d.pools = fresh.entries
 }
 
 func keepSummary(e, before *entry) {
--- a/internal/owner/ledger.go
+++ b/internal/owner/ledger.go
@@ -71,9 +71,10 @@
 
 // Update takes over the upstreams that self owns among members and drops the others.
 func (l *Ledger) Update(now time.Time, upstreams []fleet.Upstream, members []membership.Member) {
-	owned := make([]fleet.Upstream, 0, len(upstreams))
+	var owned []fleet.Upstream
+	owners := NewOwners(members)
 	for i := range upstreams {
-		m, ok := Of(&upstreams[i], members)
+		m, ok := owners.Of(&upstreams[i])
 		if ok && m.Node == l.self {
 			owned = append(owned, upstreams[i])
 		}
--- a/internal/placement/router.go
+++ b/internal/placement/router.go
@@ -38,9 +38,14 @@
 // Options are what a Router works with.
 type Options struct {
 	Members membership.View
-	Fleet   fleet.View
-	Calls   owner.Caller
-	Logger  *slog.Logger
+	// Fleet is the list of upstreams with the marks of those that leave.
+	Fleet fleet.View
+	// Listed is the same list without the marks; it gives the same slice until it changes.
+	Listed fleet.View
+	// Marks counts the marks of leaving that came or went.
+	Marks  func() uint64
+	Calls  owner.Caller
+	Logger *slog.Logger
 	// Policy chooses among the upstreams of this node.
 	Policy routing.Policy
 	// MarkLeaving spreads the news that an upstream said it is leaving.
@@ -56,6 +61,8 @@
 	ledger    *owner.Ledger
 	directory *owner.Directory
 	client    *owner.Client
+	// seen is touched by Update alone, which one goroutine calls.
+	seen seen
 	// fallback is used when owners can't be reached.
 	fallback *routing.Router
 	table    *routing.Table
@@ -94,8 +101,14 @@
 	return r.directory
 }
 
-// Update takes over the upstreams and members as they are now.
+// Update takes over the upstreams and members as they are now. When nothing has
+// changed it only notes that what is known is still true.
 func (r *Router) Update(now time.Time) {
+	if !r.seen.changed(now, r.options) {
+		r.table.Confirm(now)
+		r.ledger.Table().Confirm(now)
+		return
+	}
 	upstreams := r.options.Fleet.Upstreams()
 	members := r.options.Members.Members()
 	known := make(map[ident.Upstream]fleet.Upstream, len(upstreams))
