An answered call proves a connection as a heartbeat does

Cause: docs/CAPACITY.md shows the connections between nodes over the budget; each sent a heartbeat a second, also when calls were answered on it all the time. Change: a heartbeat goes out after five seconds without an answered call; an idle connection is closed after 30 s as before. A call on a connection that went silent within these seconds costs its own deadline, after which a fresh one is dialled.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -4,20 +4,24 @@
 	"context"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 )
 
 const (
-	// heartbeatInterval is the time between two heartbeats on a connection.
-	heartbeatInterval = time.Second
+	// lookInterval is the time between two looks at a connection.
+	lookInterval = time.Second
+	// quietLooks is after how many looks without an answer a heartbeat is sent; an
+	// answer to a call proves as much as one.
+	quietLooks = 5
 	// heartbeatTimeout is how long a heartbeat may take before its connection is replaced.
 	heartbeatTimeout = 700 * time.Millisecond
 	// retireGrace is how long calls in progress on a replaced connection may still go on.
 	retireGrace = 2 * time.Second
-	// idleHeartbeats is after how many heartbeats without a call a connection is closed.
-	idleHeartbeats = 30
+	// idleLooks is after how many looks without an answer to a call a connection is closed.
+	idleLooks = 30
 )
 
 // ErrTimeout is returned when a call had no answer by its deadline; it may have taken effect.
@@ -35,13 +39,13 @@
 	closed bool
 }
 
-// link is one connection with its use count.
+// link is one connection.
 type link struct {
-	rpc   *rpc.Client
-	mu    sync.Mutex
-	calls int
-	done  chan struct{}
-	once  sync.Once
+	rpc *rpc.Client
+	// answered counts the calls that were answered since the last look.
+	answered atomic.Int64
+	done     chan struct{}
+	once     sync.Once
 }
 
 // NewClient returns a client that dials by dialer.
@@ -57,10 +61,10 @@
 	if err != nil {
 		return err
 	}
-	l.mark()
 	call := l.rpc.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
+		l.answered.Add(1)
 		if errors.Is(call.Error, rpc.ErrShutdown) {
 			c.retire(address, l)
 		}
@@ -127,41 +131,28 @@
 
 // heartbeat proves l alive until it is closed, silent or idle.
 func (c *Client) heartbeat(address string, l *link) {
-	ticker := time.NewTicker(heartbeatInterval)
+	ticker := time.NewTicker(lookInterval)
 	defer ticker.Stop()
-	idle := 0
+	quiet := 0
 	for {
 		select {
 		case <-l.done:
 			return
 		case <-ticker.C:
 		}
-		if l.takeCalls() > 0 {
-			idle = 0
-		} else {
-			idle++
+		if l.answered.Swap(0) > 0 {
+			quiet = 0
+			continue
 		}
-		if idle > idleHeartbeats || !l.ping() {
+		quiet++
+		silent := quiet%quietLooks == 0 && !l.ping()
+		if silent || quiet > idleLooks {
 			c.retire(address, l)
 			return
 		}
 	}
 }
 
-func (l *link) mark() {
-	l.mu.Lock()
-	l.calls++
-	l.mu.Unlock()
-}
-
-func (l *link) takeCalls() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	n := l.calls
-	l.calls = 0
-	return n
-}
-
 // ping reports whether the other end answers.
 func (l *link) ping() bool {
 	call := l.rpc.Go(pingMethod, &Ping{}, &Pong{}, make(chan *rpc.Call, 1))
