Slopes: the stand-in engine gets a prefix cache

Cause: the stand-in engine now needs a size of its cache and failed without one, so the measure of a token's way failed. Change: it is given the size that its command has by default.

--- a/internal/slopes/entry.go
+++ b/internal/slopes/entry.go
@@ -34,6 +34,8 @@
 	// tokenInterval is the time between two tokens of the stand-in engine.
 	tokenInterval = 20 * time.Millisecond
 	streamTimeout = 30 * time.Second
+	// cacheBlocks is how many blocks of prefixes the stand-in engine holds.
+	cacheBlocks = 4096
 )
 
 // openAdmission, openGuard, oneRouter and noJournal stand where a node has its
@@ -105,7 +107,7 @@
 // entries measures a token's and a stream's way through the dispatcher: engine,
 // dispatcher and witness, less what the engine and its client cost alone.
 func entries() ([]Figure, error) {
-	e, err := standinengine.New(standinengine.Options{ID: "u1", Slots: 4 * streamCount, TokenInterval: tokenInterval, Seed: 1})
+	e, err := standinengine.New(standinengine.Options{ID: "u1", Slots: 4 * streamCount, TokenInterval: tokenInterval, CacheBlocks: cacheBlocks, Seed: 1})
 	if err != nil {
 		return nil, err
 	}
