--- a/internal/bench/product.go
+++ b/internal/bench/product.go
@@ -29,8 +29,6 @@
 	linePause = 20 * time.Millisecond
 	// reservers is how many requests of a pool ask for a slot at once on one node.
 	reservers = 8
-	// overcommit is how many requests more than its slots an owner lets wait at an upstream.
-	overcommit = 8
 	// silenceTimeout is after what time without a token a connection is replaced.
 	silenceTimeout = 700 * time.Millisecond
 	// watchEvery is how often streams are looked at.
@@ -129,7 +127,7 @@
 	policy := routing.Cost{Weights: weights}
 	n.table = routing.NewTable(routing.Options{Local: n.member.FailureDomain, MaxAge: owner.MaxListAge})
 	n.router = routing.NewRouter(n.table, policy, source(2))
-	waiting := overcommit
+	waiting := routing.DefaultOvercommit
 	if p.variant.noOvercommit {
 		waiting = 0
 	}
--- a/internal/bench/productjob.go
+++ b/internal/bench/productjob.go
@@ -189,7 +189,7 @@
 
 // urgency is the priority of a job where it waits behind its slot's others.
 func (n *node) urgency(j *job) request.Priority {
-	needs := time.Duration(j.kind.output) * typicalPace
+	needs := time.Duration(j.kind.output) * admission.TypicalPace
 	return admission.Urgency(n.product.world.clock.wall(), epoch.Add(j.deadline), needs)
 }
 
@@ -289,9 +289,6 @@
 	}
 }
 
-// typicalPace is the time between tokens that a node expects.
-const typicalPace = 30 * time.Millisecond
-
 // poisonPause is the pause before a content that has to wait at its gate asks again.
 const poisonPause = 100 * time.Millisecond
 
--- a/internal/placement/router.go
+++ b/internal/placement/router.go
@@ -32,8 +32,6 @@
 	waitForSlot = 20 * time.Millisecond
 	// overcommit is how many requests may be in line for the slots of one upstream.
 	overcommit = 4
-	// usualPace is the time between tokens that is expected of an upstream.
-	usualPace = 30 * time.Millisecond
 	// askInLine is when a request in line asks again whether it has a slot.
 	askInLine = 20 * time.Millisecond
 )
@@ -41,9 +39,14 @@
 // Options are what a Router works with.
 type Options struct {
 	Members membership.View
-	Fleet   fleet.View
-	Calls   owner.Caller
-	Logger  *slog.Logger
+	// Fleet is the list of upstreams with the marks of those that leave.
+	Fleet fleet.View
+	// Listed is the same list without the marks; it gives the same slice until it changes.
+	Listed fleet.View
+	// Marks counts the marks of leaving that came or went.
+	Marks  func() uint64
+	Calls  owner.Caller
+	Logger *slog.Logger
 	// Policy chooses among the upstreams of this node.
 	Policy routing.Policy
 	// MarkLeaving spreads the news that an upstream said it is leaving.
@@ -61,6 +64,8 @@
 	ledger    *owner.Ledger
 	directory *owner.Directory
 	client    *owner.Client
+	// seen is touched by Update alone, which one goroutine calls.
+	seen seen
 	// fallback is used when owners can't be reached.
 	fallback *routing.Router
 	table    *routing.Table
@@ -99,8 +104,14 @@
 	return r.directory
 }
 
-// Update takes over the upstreams and members as they are now.
+// Update takes over the upstreams and members as they are now. When nothing has
+// changed it only notes that what is known is still true.
 func (r *Router) Update(now time.Time) {
+	if !r.seen.changed(now, r.options) {
+		r.table.Confirm(now)
+		r.ledger.Table().Confirm(now)
+		return
+	}
 	upstreams := r.options.Fleet.Upstreams()
 	members := r.options.Members.Members()
 	known := make(map[ident.Upstream]fleet.Upstream, len(upstreams))
@@ -237,7 +248,7 @@
 		Blocks:       features.Blocks,
 		PromptTokens: features.PromptTokens,
 		MaxTokens:    features.MaxTokens,
-		Priority:     admission.Urgency(time.Now(), need.Spec.Deadline, time.Duration(features.MaxTokens)*usualPace),
+		Priority:     admission.Urgency(time.Now(), need.Spec.Deadline, time.Duration(features.MaxTokens)*admission.TypicalPace),
 		Avoid:        features.Avoid,
 		Suspect:      features.Suspect,
 		Hold:         time.Until(need.Spec.Deadline),
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -8,6 +8,10 @@
 	"mangoledge.example/mangoledge/internal/ident"
 )
 
+// DefaultOvercommit is how many requests more than its slots an owner lets wait
+// at an upstream. A slot that comes free then has its next request at once.
+const DefaultOvercommit = 8
+
 // Options say how a table counts.
 type Options struct {
 	// Exact is true in the table of an owner, through which all work of its upstreams goes.
@@ -206,6 +210,9 @@
 		r.sample(out.PerToken)
 	case OutcomeFailed:
 		r.breaker.failed(now)
+	case OutcomeCrashed:
+		r.down = true
+		r.breaker.failed(now)
 	case OutcomeLeaving:
 		r.leaving = true
 		r.breaker.ended()
@@ -214,6 +221,15 @@
 	}
 }
 
+// SetUp tells whether upstream id answers; one that does not gets no new work.
+func (t *Table) SetUp(id ident.Upstream, up bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r, ok := t.replicas[id]; ok {
+		r.down = !up
+	}
+}
+
 // MarkLeaving keeps new work off upstream id, however its leaving was learnt.
 func (t *Table) MarkLeaving(id ident.Upstream) {
 	t.mu.Lock()
