--- a/internal/slopes/relay.go
+++ b/internal/slopes/relay.go
@@ -167,7 +167,11 @@
 		Table: config.TableModel, Key: "model-1",
 		Assignments: []config.Assignment{{Column: "replicas", Value: fmt.Sprint(n + 1)}},
 	}}}
-	outcome, err := s.nodes[n%len(s.nodes)].manager.Propose(ctx, proposal)
+	proposer := s.nodes[n%len(s.nodes)].manager
+	outcome, err := proposer.Propose(ctx, proposal)
+	for err == nil && outcome.Kind == config.OutcomeUnknown { // the same change can be sent again
+		outcome, err = proposer.Propose(ctx, proposal)
+	}
 	if err != nil {
 		return 0, err
 	}
