Hand-over asks another member only before one has acknowledged; two tests mended

Cause: a leaving node gave all its time to the first member it tried, so that one that had just died cost the witness tables. A stand-in engine without a cache ended its process at the first block. A test of a dying engine could find its 60-token stream ended before the engine died, on a busy machine. Change: a member has a third of the time to acknowledge the offer; once it has, it alone is asked; a limit of 0 means no cache; the streams of such tests have 1,000 tokens, with the same assertions.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -29,7 +29,12 @@
 	"mangoledge.example/mangoledge/internal/witness"
 )
 
-const prompt = "write the findings"
+const (
+	prompt = "write the findings"
+	// longStream is a number of tokens that takes seconds, so that no stream ends
+	// before its failure is provoked, however busy the machine is.
+	longStream = 1000
+)
 
 // fakeSite is a few nodes and engines in this process.
 type fakeSite struct {
@@ -264,7 +269,7 @@
 	home, wit := site.addNode("home"), site.addNode("wit")
 	first := site.addEngine("e1", 5*time.Millisecond)
 	site.addEngine("e2", time.Millisecond)
-	a, err := home.dispatcher.Submit(t.Context(), dispatch.Submission{Spec: spec(home, wit, 60)})
+	a, err := home.dispatcher.Submit(t.Context(), dispatch.Submission{Spec: spec(home, wit, longStream)})
 	require.NoError(t, err)
 	var got received
 	got.follow(t, a, 10)
@@ -276,7 +281,7 @@
 	})
 	require.NoError(t, err)
 	got.follow(t, b, 0)
-	got.requireWhole(t, 60)
+	got.requireWhole(t, longStream)
 	require.Equal(t, 1, got.last.Moves)
 }
 
@@ -284,7 +289,7 @@
 	site := newFakeSite(t)
 	home, wit := site.addNode("home"), site.addNode("wit")
 	e := site.addEngine("e1", 10*time.Millisecond)
-	a, err := home.dispatcher.Submit(t.Context(), dispatch.Submission{Spec: spec(home, wit, 50)})
+	a, err := home.dispatcher.Submit(t.Context(), dispatch.Submission{Spec: spec(home, wit, longStream)})
 	require.NoError(t, err)
 	var got received
 	got.follow(t, a, 5)
@@ -295,7 +300,7 @@
 	})
 	require.NoError(t, err)
 	got.follow(t, b, 0)
-	got.requireWhole(t, 50)
+	got.requireWhole(t, longStream)
 	require.Zero(t, got.last.Moves, "the stream goes on at its engine")
 }
 
@@ -303,7 +308,7 @@
 	site := newFakeSite(t)
 	home, wit, other := site.addNode("home"), site.addNode("wit"), site.addNode("other")
 	site.addEngine("e1", 5*time.Millisecond)
-	s := spec(home, wit, 80)
+	s := spec(home, wit, longStream)
 	a, err := home.dispatcher.Submit(t.Context(), dispatch.Submission{Spec: s})
 	require.NoError(t, err)
 	var got received
@@ -316,7 +321,7 @@
 	})
 	require.NoError(t, err)
 	got.follow(t, b, 0)
-	got.requireWhole(t, 80)
+	got.requireWhole(t, longStream)
 }
 
 func TestProgressLostWithHomeAndEngineGoesOnFromTheCallersTokens(t *testing.T) {
@@ -362,7 +367,7 @@
 	home, wit := site.addNode("home"), site.addNode("wit")
 	site.addEngine("e1", 5*time.Millisecond)
 	second := site.addEngine("e2", time.Millisecond)
-	a, err := home.dispatcher.Submit(t.Context(), dispatch.Submission{Spec: spec(home, wit, 60)})
+	a, err := home.dispatcher.Submit(t.Context(), dispatch.Submission{Spec: spec(home, wit, longStream)})
 	require.NoError(t, err)
 	var got received
 	got.follow(t, a, 10)
@@ -373,7 +378,7 @@
 	})
 	require.NoError(t, err)
 	got.follow(t, b, 0)
-	got.requireWhole(t, 60)
+	got.requireWhole(t, longStream)
 	require.Equal(t, 1, got.last.Moves)
 	require.Zero(t, statsOf(t, second.URL).Recomputed, "the cache came along")
 }
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -14,6 +14,8 @@
 	drainPoll = 20 * time.Millisecond
 	// handOverTime is how long the hand-over of the witness tables may take.
 	handOverTime = 3 * time.Second
+	// offerShare is the part of the hand-over's time, as one in so many, that a member has to acknowledge.
+	offerShare = 3
 	// closeTime is how long listeners may take to close.
 	closeTime = 2 * time.Second
 	// releaseMargin is how long before the end of a notice requests are given up.
@@ -83,10 +85,11 @@
 }
 
 // handOver moves the witness tables to a successor and names it; it names none
-// when no member could take them.
+// when no member could take them. A successor that has acknowledged the offer is
+// the only one for ever: it is asked again until ctx ends.
 func (n *Node) handOver(ctx context.Context) ident.Incarnation {
 	for _, candidate := range n.successors() {
-		err := n.witness.HandOver(ctx, candidate)
+		err := n.tryHandOver(ctx, candidate)
 		if err == nil {
 			if err := n.members.SetSuccessor(candidate.Incarnation); err != nil {
 				n.logger.Warn("the successor could not be named", "error", err)
@@ -94,13 +97,26 @@
 			return candidate.Incarnation
 		}
 		n.logger.Warn("hand-over of the witness tables failed", "successor", string(candidate.Incarnation), "error", err)
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || n.witness.Successor() == candidate.Incarnation {
 			return ""
 		}
 	}
 	return ""
 }
 
+// tryHandOver offers the tables to one member: for a part of the time as long as
+// it has not acknowledged, then for all that is left.
+func (n *Node) tryHandOver(ctx context.Context, candidate membership.Member) error {
+	deadline, _ := ctx.Deadline()
+	offer, cancel := context.WithTimeout(ctx, time.Until(deadline)/offerShare)
+	defer cancel()
+	err := n.witness.HandOver(offer, candidate)
+	if err != nil && n.witness.Successor() == candidate.Incarnation {
+		return n.witness.HandOver(ctx, candidate)
+	}
+	return err
+}
+
 // successors returns the members that may take the witness tables, those of
 // other failure domains first.
 func (n *Node) successors() []membership.Member {
--- a/internal/placement/router.go
+++ b/internal/placement/router.go
@@ -182,6 +182,8 @@
 		return nil, true
 	}
 	if err != nil {
+		// The owner may have reserved a slot all the same.
+		(&placed{router: r, choice: choice, id: args.ID}).Done(dispatch.OutcomeMoved)
 		r.options.Logger.Warn("an owner did not answer", "owner", string(choice.Owner), "error", err)
 		r.directory.Refused(choice.Owner, features.Pool(), now.Add(lostFor))
 		return nil, false
--- a/internal/standin/engine/cache.go
+++ b/internal/standin/engine/cache.go
@@ -17,7 +17,7 @@
 	hexBase = 16
 )
 
-// cache is a prefix cache of limited size; the block added first goes first.
+// cache is a prefix cache of limited size, 0 for none; the block added first goes first.
 // It is guarded by Engine.mu.
 type cache struct {
 	limit  int
@@ -49,7 +49,7 @@
 }
 
 func (c *cache) add(block routing.Block) {
-	if c.blocks[block] {
+	if c.blocks[block] || c.limit == 0 {
 		return
 	}
 	if len(c.order) >= c.limit {
--- a/internal/standin/engine/options.go
+++ b/internal/standin/engine/options.go
@@ -20,7 +20,7 @@
 	PoisonMarker string
 	// IgnoreFencing is true for an engine that takes orders with old fencing numbers.
 	IgnoreFencing bool
-	// CacheBlocks is how many blocks its prefix cache holds.
+	// CacheBlocks is how many blocks its prefix cache holds; 0 for no cache.
 	CacheBlocks int
 	// Seed seeds the random parts of the tokens.
 	Seed uint64
--- a/internal/witness/handover.go
+++ b/internal/witness/handover.go
@@ -68,6 +68,14 @@
 	return nil
 }
 
+// Successor returns the member that the tables of this node go to, for ever, once
+// one has acknowledged; empty before.
+func (s *Service) Successor() ident.Incarnation {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.successor
+}
+
 // choose makes successor the one that all tables of this node go to. The node
 // publishes one successor, so that tables at two would not be found.
 func (s *Service) choose(successor ident.Incarnation) error {
