--- a/cmd/mangoledged/main.go
+++ b/cmd/mangoledged/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
 	"time"
 
@@ -35,6 +36,7 @@
 
 // run runs one incarnation after the other until the process is to end.
 func run(loaded *settings.Settings) error {
+	runtime.GOMAXPROCS(min(runtime.GOMAXPROCS(0), loaded.Limits.MaxProcessors))
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	for {
--- a/internal/settings/check_limits.go
+++ b/internal/settings/check_limits.go
@@ -9,6 +9,7 @@
 	minHeaderBytes   = 1 << 10
 	maxHeaderBytes   = 1 << 20
 	maxConcurrent    = 1_000_000
+	maxProcessors    = 1024
 	minTimeoutMs     = 10
 	maxTimeoutMs     = 600_000
 	maxDrainMs       = 24 * 3_600_000
@@ -19,6 +20,7 @@
 	c.between("limits.maxBodyBytes", l.MaxBodyBytes, minBodyBytes, maxBodyBytes, "bytes")
 	c.between("limits.maxHeaderBytes", int64(l.MaxHeaderBytes), minHeaderBytes, maxHeaderBytes, "bytes")
 	c.between("limits.maxConcurrent", int64(l.MaxConcurrent), 1, maxConcurrent, "requests")
+	c.between("limits.maxProcessors", int64(l.MaxProcessors), 1, maxProcessors, "processors")
 	c.between("limits.headerTimeoutMs", int64(l.HeaderTimeoutMs), minTimeoutMs, maxTimeoutMs, "milliseconds")
 	c.between("limits.bodyTimeoutMs", int64(l.BodyTimeoutMs), minTimeoutMs, maxTimeoutMs, "milliseconds")
 	c.between("limits.drainTimeoutMs", int64(l.DrainTimeoutMs), minTimeoutMs, maxDrainMs, "milliseconds")
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -56,6 +56,7 @@
 	setDefault(&s.Limits.MaxBodyBytes, 2<<20)
 	setDefault(&s.Limits.MaxHeaderBytes, 16<<10)
 	setDefault(&s.Limits.MaxConcurrent, 4096)
+	setDefault(&s.Limits.MaxProcessors, 2)
 	setDefault(&s.Limits.HeaderTimeoutMs, 5000)
 	setDefault(&s.Limits.BodyTimeoutMs, 30000)
 	setDefault(&s.Limits.DrainTimeoutMs, 600000)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -103,6 +103,10 @@
 	MaxBodyBytes int64 `json:"maxBodyBytes"`
 	// MaxHeaderBytes is the largest request header in bytes. Default 16384.
 	MaxHeaderBytes int `json:"maxHeaderBytes"`
+	// MaxProcessors is the most processors that the process works on at once. More
+	// cost processor time for waking each other. Default 2; the host's number when
+	// it has fewer.
+	MaxProcessors int `json:"maxProcessors"`
 	// MaxConcurrent is the most caller requests in progress at once. Default 4096.
 	MaxConcurrent int `json:"maxConcurrent"`
 	// HeaderTimeoutMs is how long a caller may take to send its header, in milliseconds. Default 5000.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -49,6 +49,7 @@
 	require.Equal(t, "127.0.0.1:7201", s.PeerAdvertise)
 	require.EqualValues(t, "n1", s.Host)
 	require.Equal(t, 4096, s.Limits.MaxConcurrent)
+	require.Equal(t, 2, s.Limits.MaxProcessors)
 	require.Nil(t, s.TLS)
 	s, err = Parse(changed(t, `"n1",`, `"n1", "tls": {"certFile": "c", "keyFile": "k"},`))
 	require.NoError(t, err)
