One wait for a time or the end of a context

Cause: the same ten lines stood in dispatch, node and config. Change: they call wait.For; nothing else changed.

--- a/internal/config/propose.go
+++ b/internal/config/propose.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mangoledge.example/mangoledge/internal/platform/objects"
+	"mangoledge.example/mangoledge/internal/wait"
 )
 
 const (
@@ -55,7 +56,7 @@
 			reason = err.Error()
 		}
 		if err != nil || s.reread {
-			pause(ctx, retryDelay)
+			wait.For(ctx, retryDelay)
 		}
 	}
 	return a.giveUp(reason)
@@ -114,13 +115,3 @@
 	}
 	return d
 }
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -10,6 +10,7 @@
 	"mangoledge.example/mangoledge/internal/request"
 	"mangoledge.example/mangoledge/internal/retry"
 	"mangoledge.example/mangoledge/internal/verdict"
+	"mangoledge.example/mangoledge/internal/wait"
 )
 
 const (
@@ -71,7 +72,7 @@
 			if refusal.RetryAfter <= 0 {
 				return d.settleNotRun(e, refusal)
 			}
-			pause(ctx, refusal.RetryAfter)
+			wait.For(ctx, refusal.RetryAfter)
 			continue
 		}
 		e.ticket.Placed()
@@ -124,10 +125,10 @@
 	for ctx.Err() == nil {
 		delay, ok := d.options.Retries.Next(min(attempt, retry.DefaultMaxAttempts-1), failure.Verdict, e.spec.Idempotent, time.Now(), e.spec.Deadline)
 		if ok {
-			pause(ctx, delay)
+			wait.For(ctx, delay)
 			return
 		}
-		pause(ctx, budgetPause)
+		wait.For(ctx, budgetPause)
 	}
 }
 
@@ -212,13 +213,3 @@
 	}
 	return avoid
 }
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -7,6 +7,7 @@
 
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/membership"
+	"mangoledge.example/mangoledge/internal/wait"
 )
 
 const (
@@ -35,7 +36,7 @@
 	n.members.SetLeaving()
 	n.dispatcher.Drain()
 	for ctx.Err() == nil && n.dispatcher.Running() > 0 {
-		pause(ctx, drainPoll)
+		wait.For(ctx, drainPoll)
 	}
 	n.finish(handOverTime)
 }
@@ -49,7 +50,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), max(0, notice-releaseMargin))
 	defer cancel()
 	for ctx.Err() == nil && n.dispatcher.Running() > 0 {
-		pause(ctx, drainPoll)
+		wait.For(ctx, drainPoll)
 	}
 	n.finish(min(handOverTime, releaseMargin))
 }
@@ -64,7 +65,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), abandonTime)
 	defer cancel()
 	for ctx.Err() == nil && n.dispatcher.Running() > 0 {
-		pause(ctx, drainPoll)
+		wait.For(ctx, drainPoll)
 	}
 	n.close()
 }
@@ -139,7 +140,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
 	defer cancel()
 	_ = n.entry.Shutdown(ctx)
-	pause(ctx, forwardTime)
+	wait.For(ctx, forwardTime)
 	n.dispatcher.Stop()
 	_ = n.operator.Shutdown(ctx)
 	_ = n.peerServer.Shutdown(ctx)
@@ -149,13 +150,3 @@
 	n.control.wait()
 	n.running.Wait()
 }
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -8,6 +8,7 @@
 	"mangoledge.example/mangoledge/internal/platform/cloud"
 	"mangoledge.example/mangoledge/internal/platform/hostlist"
 	"mangoledge.example/mangoledge/internal/platform/rest"
+	"mangoledge.example/mangoledge/internal/wait"
 )
 
 const (
@@ -56,7 +57,7 @@
 		}
 		w.readHostList(ctx)
 		if !w.readNotices(ctx, noticeWait) {
-			pause(ctx, noticePause)
+			wait.For(ctx, noticePause)
 		}
 	}
 }
--- /dev/null
+++ b/internal/wait/wait.go
@@ -0,0 +1,17 @@
+// Package wait waits for a time or for the end of a context, whichever is first.
+package wait
+
+import (
+	"context"
+	"time"
+)
+
+// For waits for d or until ctx ends.
+func For(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
