Closing the peer client ends its retired connections too

Cause: the check found a heartbeat still running after the witness tests: a call that timed out takes its connection out of the client's table and leaves it a grace period of 2 s, and Close closed only what was still in the table. Ruled out: a heartbeat stuck in its ping, which ends when its connection closes.

Change: the client remembers the connections in their grace period, and Close closes these too and waits for the heartbeats.

Before: TestCloseEndsTheConnectionsInTheirGracePeriodToo finds a heartbeat after Close; internal/witness failed by goleak now and then. After: both pass, three times under the race detector.

Conclusion: nothing of the client runs after Close returns.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/rpc"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,9 +36,14 @@
 type Client struct {
 	dialer Dialer
 
-	mu     sync.Mutex
-	links  map[string]*link
-	closed bool
+	mu sync.Mutex
+	// links are the connections in use, by address.
+	links map[string]*link
+	// retired are the connections out of use that still have their grace period.
+	retired map[*link]struct{}
+	closed  bool
+	// heartbeats are the running ones; they are added to under mu and not after closed.
+	heartbeats sync.WaitGroup
 }
 
 // link is one connection.
@@ -50,7 +57,11 @@
 
 // NewClient returns a client that dials by dialer.
 func NewClient(dialer Dialer) *Client {
-	return &Client{dialer: dialer, links: make(map[string]*link)}
+	return &Client{
+		dialer:  dialer,
+		links:   make(map[string]*link),
+		retired: make(map[*link]struct{}),
+	}
 }
 
 // Call calls method ("Service.Method") at address. The context must have a deadline.
@@ -75,16 +86,20 @@
 	}
 }
 
-// Close closes every connection.
+// Close closes every connection, also those in their grace period, and returns
+// when nothing of the client runs any more.
 func (c *Client) Close() {
 	c.mu.Lock()
-	links := c.links
-	c.links = make(map[string]*link)
+	links := slices.Collect(maps.Values(c.links))
+	links = slices.AppendSeq(links, maps.Keys(c.retired))
+	clear(c.links)
+	clear(c.retired)
 	c.closed = true
 	c.mu.Unlock()
 	for _, l := range links {
 		l.close()
 	}
+	c.heartbeats.Wait()
 }
 
 // link returns the connection to address, dialling when there is none.
@@ -114,8 +129,8 @@
 		return nil, notSent(errors.New("the client is closed"))
 	}
 	c.links[address] = fresh
+	c.heartbeats.Go(func() { c.heartbeat(address, fresh) })
 	c.mu.Unlock()
-	go c.heartbeat(address, fresh)
 	return fresh, nil
 }
 
@@ -124,9 +139,18 @@
 	c.mu.Lock()
 	if c.links[address] == l {
 		delete(c.links, address)
+		c.retired[l] = struct{}{}
+		time.AfterFunc(retireGrace, func() { c.drop(l) })
 	}
 	c.mu.Unlock()
-	time.AfterFunc(retireGrace, l.close)
+}
+
+// drop closes l, whose grace period is over.
+func (c *Client) drop(l *link) {
+	c.mu.Lock()
+	delete(c.retired, l)
+	c.mu.Unlock()
+	l.close()
 }
 
 // heartbeat proves l alive until it is closed, silent or idle.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"runtime"
 	"testing"
 	"time"
 
@@ -69,6 +70,21 @@
 	require.Equal(t, "again", reply.Text)
 }
 
+func TestCloseEndsTheConnectionsInTheirGracePeriodToo(t *testing.T) {
+	address := startServer(t, "secret")
+	client := NewClient(Dialer{Token: "secret"})
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	err := client.Call(ctx, address, "Echo.Hang", &EchoArgs{}, &EchoArgs{})
+	require.True(t, errors.Is(err, ErrTimeout), "got %v", err)
+
+	client.Close()
+
+	stacks := make([]byte, 1<<20)
+	stacks = stacks[:runtime.Stack(stacks, true)]
+	require.NotContains(t, string(stacks), "peer.(*Client).heartbeat(")
+}
+
 func TestCallWithWrongTokenIsNotSent(t *testing.T) {
 	address := startServer(t, "secret")
 	client := NewClient(Dialer{Token: "other"})
