Callers spread new requests over all addresses

Cause: the answer to "which addresses may I use" held one prefix of request IDs and is kept for 10 s; the home in it got all of a caller's requests for that time. Sites have few workspaces, some of them large, and no balancer.

Change: each address comes with a prefix whose home it is. The caller's client chooses one at random for each new request, leaving out those that failed lately, and sends to the home first, which saves forwarding after a fresh prefix of a refusal too. The one prefix of the answer stays, for callers that use it.

Conclusion: the load of a node no longer hangs on which callers asked when.

--- a/api/callerapi/oas_json_gen.go
+++ b/api/callerapi/oas_json_gen.go
@@ -32,12 +32,17 @@
 		e.FieldStart("failureDomain")
 		e.Str(s.FailureDomain)
 	}
+	{
+		e.FieldStart("requestIdPrefix")
+		e.Str(s.RequestIdPrefix)
+	}
 }
 
-var jsonFieldsNameOfAddress = [3]string{
+var jsonFieldsNameOfAddress = [4]string{
 	0: "url",
 	1: "node",
 	2: "failureDomain",
+	3: "requestIdPrefix",
 }
 
 // Decode decodes Address from json.
@@ -85,6 +90,18 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"failureDomain\"")
 			}
+		case "requestIdPrefix":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Str()
+				s.RequestIdPrefix = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"requestIdPrefix\"")
+			}
 		default:
 			return d.Skip()
 		}
@@ -95,7 +112,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00000111,
+		0b00001111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
--- a/api/callerapi/oas_schemas_gen.go
+++ b/api/callerapi/oas_schemas_gen.go
@@ -18,6 +18,9 @@
 	URL           string `json:"url"`
 	Node          string `json:"node"`
 	FailureDomain string `json:"failureDomain"`
+	// The prefix of request IDs whose home is this address. Choose an address at random for each new
+	// request, use its prefix, and send to it first.
+	RequestIdPrefix string `json:"requestIdPrefix"`
 }
 
 // GetURL returns the value of URL.
@@ -35,6 +38,11 @@
 	return s.FailureDomain
 }
 
+// GetRequestIdPrefix returns the value of RequestIdPrefix.
+func (s *Address) GetRequestIdPrefix() string {
+	return s.RequestIdPrefix
+}
+
 // SetURL sets the value of URL.
 func (s *Address) SetURL(val string) {
 	s.URL = val
@@ -50,13 +58,18 @@
 	s.FailureDomain = val
 }
 
+// SetRequestIdPrefix sets the value of RequestIdPrefix.
+func (s *Address) SetRequestIdPrefix(val string) {
+	s.RequestIdPrefix = val
+}
+
 // Ref: #/components/schemas/AddressBook
 type AddressBook struct {
 	Addresses []Address `json:"addresses"`
 	// How long this answer may be kept, in milliseconds.
 	KeepMs int64 `json:"keepMs"`
-	// A request ID is this prefix followed by at least 16 random characters out of a-z, 0-9. Choose the ID
-	// before the first send and use the same ID for every resend.
+	// The prefix of the first address. A request ID is a prefix followed by at least 16 random characters
+	// out of a-z, 0-9. Choose the ID before the first send and use the same ID for every resend.
 	RequestIdPrefix string `json:"requestIdPrefix"`
 }
 
--- a/internal/callerclient/addresses.go
+++ b/internal/callerclient/addresses.go
@@ -58,7 +58,7 @@
 func (c *Client) askForAddresses(ctx context.Context, old *callerapi.AddressBook) (*callerapi.AddressBook, error) {
 	err := ErrNoAddress
 	for _, address := range c.askingOrder(old) {
-		book, askErr := c.askOne(ctx, address)
+		book, askErr := c.askOne(ctx, address.URL)
 		if askErr != nil {
 			err = errors.Mark(askErr, ErrNoAddress)
 			continue
@@ -73,29 +73,30 @@
 }
 
 // askingOrder lists whom to ask: known addresses first, then the seeds, those that failed lately last.
-func (c *Client) askingOrder(old *callerapi.AddressBook) []string {
-	var all []string
+func (c *Client) askingOrder(old *callerapi.AddressBook) []callerapi.Address {
+	var all []callerapi.Address
 	if old != nil {
-		for _, a := range old.Addresses {
-			all = append(all, a.URL)
-		}
+		all = append(all, old.Addresses...)
+	}
+	for _, seed := range c.options.Seeds {
+		all = append(all, callerapi.Address{URL: seed})
 	}
-	all = append(all, c.options.Seeds...)
 	return c.avoidedLast(all)
 }
 
-func (c *Client) avoidedLast(all []string) []string {
+// avoidedLast returns each address once, those that failed lately last.
+func (c *Client) avoidedLast(all []callerapi.Address) []callerapi.Address {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	seen := make(map[string]bool, len(all))
-	var good, bad []string
+	var good, bad []callerapi.Address
 	for _, address := range all {
-		if seen[address] {
+		if seen[address.URL] {
 			continue
 		}
-		seen[address] = true
-		if now.Before(c.avoided[address]) {
+		seen[address.URL] = true
+		if now.Before(c.avoided[address.URL]) {
 			bad = append(bad, address)
 		} else {
 			good = append(good, address)
--- a/internal/callerclient/call.go
+++ b/internal/callerclient/call.go
@@ -1,7 +1,9 @@
 package callerclient
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -89,7 +91,7 @@
 		return endOf(err)
 	}
 	if k.result.ID == "" {
-		k.result.ID = idWithPrefix(book.RequestIdPrefix)
+		k.result.ID = k.client.newID(book)
 		k.mayHaveLeft = false
 	}
 	address := k.pick(book)
@@ -123,17 +125,27 @@
 	k.client.forget()
 }
 
-// pick returns the address to try: the first that did not fail lately, and not the last one tried when there is another.
+// pick returns the address to try: the request's home, else the first that did
+// not fail lately, and not the last one tried when there is another.
 func (k *call) pick(book *callerapi.AddressBook) string {
-	var all []string
-	for _, a := range book.Addresses {
-		all = append(all, a.URL)
-	}
-	ordered := k.client.avoidedLast(all)
-	if len(ordered) > 1 && ordered[0] == k.lastAddress {
-		return ordered[1]
+	home := homeOf(k.result.ID)
+	homeFirst := slices.Clone(book.Addresses)
+	slices.SortStableFunc(homeFirst, func(a, b callerapi.Address) int {
+		return cmp.Compare(rankOf(a, home), rankOf(b, home))
+	})
+	ordered := k.client.avoidedLast(homeFirst)
+	if len(ordered) > 1 && ordered[0].URL == k.lastAddress {
+		return ordered[1].URL
+	}
+	return ordered[0].URL
+}
+
+// rankOf is 0 for the address of home and 1 for others.
+func rankOf(address callerapi.Address, home string) int {
+	if homeOf(address.RequestIdPrefix) == home {
+		return 0
 	}
-	return ordered[0]
+	return 1
 }
 
 func (k *call) decide(end attemptEnd) action {
--- a/internal/callerclient/fakenode_test.go
+++ b/internal/callerclient/fakenode_test.go
@@ -84,13 +84,18 @@
 
 func (s *fakeSite) serveAddresses(w http.ResponseWriter) {
 	book := &callerapi.AddressBook{KeepMs: 10000, RequestIdPrefix: testPrefix}
-	for _, node := range s.nodes {
-		book.Addresses = append(book.Addresses, callerapi.Address{URL: node.URL})
+	for i, node := range s.nodes {
+		book.Addresses = append(book.Addresses, callerapi.Address{URL: node.URL, RequestIdPrefix: prefixOf(i)})
 	}
 	data, _ := book.MarshalJSON()
 	_, _ = w.Write(data)
 }
 
+// prefixOf is the prefix of IDs whose home is node i of the site.
+func prefixOf(i int) string {
+	return fmt.Sprintf("n%d_0123456789abcdef.n%d_0123456789abcdef.", i+1, 2-i)
+}
+
 func (s *fakeSite) seen() []siteCall {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/callerclient/unary.go
+++ b/internal/callerclient/unary.go
@@ -108,7 +108,7 @@
 	}
 	for _, address := range c.askingOrder(book) {
 		var state *callerapi.RequestState
-		state, err = c.stateAt(ctx, method, address, id)
+		state, err = c.stateAt(ctx, method, address.URL, id)
 		if err == nil {
 			return state, nil
 		}
@@ -116,7 +116,7 @@
 		if errors.As(err, &refused) && !elsewhere[verdict.Code(refused.Refusal.Code)] {
 			return nil, err
 		}
-		c.avoid(address)
+		c.avoid(address.URL)
 	}
 	return nil, err
 }
--- a/internal/cli/addresses.go
+++ b/internal/cli/addresses.go
@@ -8,7 +8,7 @@
 )
 
 func (a *app) addressesCommand() {
-	a.command("addresses", "Show which addresses to use, in the order to try them.", func(ctx context.Context) (ExitCode, error) {
+	a.command("addresses", "Show which addresses to use, and how the request IDs of each begin.", func(ctx context.Context) (ExitCode, error) {
 		client, err := a.connect.caller()
 		if err != nil {
 			return ExitUsage, err
@@ -23,10 +23,10 @@
 		}
 		var rows [][]string
 		for _, address := range book.Addresses {
-			rows = append(rows, []string{address.URL, address.Node, address.FailureDomain})
+			rows = append(rows, []string{address.URL, address.Node, address.FailureDomain, address.RequestIdPrefix})
 		}
-		_, err = fmt.Fprint(a.streams.Out, texttable.Format([]string{"url", "node", "failureDomain"}, rows))
-		a.say("keep this for %d ms; request IDs begin with %s", book.KeepMs, book.RequestIdPrefix)
+		_, err = fmt.Fprint(a.streams.Out, texttable.Format([]string{"url", "node", "failureDomain", "requestIdPrefix"}, rows))
+		a.say("keep this for %d ms; a request's ID begins with the prefix of the address that it is sent to first", book.KeepMs)
 		return ExitOK, err
 	})
 }
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -42,7 +42,7 @@
 			w.WriteHeader(http.StatusUnauthorized)
 			_, _ = fmt.Fprint(w, `{"verdict":"not_run","code":"unauthorized","message":"no"}`)
 		case r.URL.Path == "/v1/addresses":
-			_, _ = fmt.Fprintf(w, `{"addresses":[{"url":%q,"node":"n1","failureDomain":"a"}],"keepMs":1000,"requestIdPrefix":%q}`, "http://"+r.Host, idPrefix)
+			_, _ = fmt.Fprintf(w, `{"addresses":[{"url":%q,"node":"n1","failureDomain":"a","requestIdPrefix":%q}],"keepMs":1000,"requestIdPrefix":%q}`, "http://"+r.Host, idPrefix, idPrefix)
 		case r.Method == http.MethodPost:
 			sub := new(callerapi.Submission)
 			_ = json.NewDecoder(r.Body).Decode(sub)
--- a/internal/entry/addressbook.go
+++ b/internal/entry/addressbook.go
@@ -36,7 +36,7 @@
 	return &AddressBook{members: members, keep: keep, stale: stale}
 }
 
-// Addresses names the usable nodes, the home of the prefix first.
+// Addresses names usable nodes in random order, each with a prefix whose home it is.
 func (b *AddressBook) Addresses() (*callerapi.AddressBook, error) {
 	if reason, stale := b.stale(); stale {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeStale, "this node may be out of date and hands out no addresses: %s", reason).After(staleRetryAfter)
@@ -45,17 +45,16 @@
 	if len(usable) == 0 {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeStopping, "no node takes new work now").After(staleRetryAfter)
 	}
-	out := &callerapi.AddressBook{
-		KeepMs:          b.keep.Milliseconds(),
-		RequestIdPrefix: ident.Prefix(usable[0].Incarnation, b.witnessFor(usable[0], usable)),
-	}
+	out := &callerapi.AddressBook{KeepMs: b.keep.Milliseconds()}
 	for _, member := range usable[:min(maxAddresses, len(usable))] {
 		out.Addresses = append(out.Addresses, callerapi.Address{
-			URL:           member.CallerURL,
-			Node:          string(member.Node),
-			FailureDomain: string(member.FailureDomain),
+			URL:             member.CallerURL,
+			Node:            string(member.Node),
+			FailureDomain:   string(member.FailureDomain),
+			RequestIdPrefix: ident.Prefix(member.Incarnation, b.witnessFor(member, usable)),
 		})
 	}
+	out.RequestIdPrefix = out.Addresses[0].RequestIdPrefix
 	return out, nil
 }
 
