--- /dev/null
+++ b/internal/faulttest/history_test.go
@@ -0,0 +1,64 @@
+package faulttest
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/internal/historycheck"
+	"mangoledge.example/mangoledge/internal/standin/history"
+)
+
+// history returns what callers and stand-ins wrote so far.
+func (s *site) history() *historycheck.History {
+	var paths []string
+	for _, u := range append(append([]*upstream{}, s.engines...), s.services...) {
+		if path := u.role.Engine.HistoryPath; path != "" {
+			if _, err := os.Stat(path); err == nil {
+				paths = append(paths, path)
+			}
+		}
+	}
+	runs, err := history.Read(paths...)
+	require.NoError(s.t, err)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &historycheck.History{Calls: s.calls, Runs: runs, Faults: s.faults}
+}
+
+// check fails the test for each violation of the history.
+func (s *site) check() {
+	s.t.Helper()
+	for _, violation := range historycheck.Check(s.history()) {
+		s.t.Errorf("seed %d: %s", s.options.seed, violation)
+	}
+}
+
+// starts returns how often the stand-ins began a request.
+func (s *site) starts(id string) int {
+	n := 0
+	for _, entry := range s.history().Runs {
+		if entry.Event == history.EventStart && entry.RequestID == id {
+			n++
+		}
+	}
+	return n
+}
+
+// logTail is how much of each process's log a failed test shows, in bytes.
+const logTail = 3000
+
+func (s *site) showLogs() {
+	if !s.t.Failed() {
+		return
+	}
+	logs, _ := filepath.Glob(filepath.Join(s.dir, "n*.log"))
+	for _, path := range logs {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			continue
+		}
+		s.t.Logf("%s:\n%s", filepath.Base(path), data[max(0, len(data)-logTail):])
+	}
+}
--- /dev/null
+++ b/internal/faulttest/node_test.go
@@ -0,0 +1,94 @@
+package faulttest
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/api/callerapi"
+	"mangoledge.example/mangoledge/internal/auth"
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/settings"
+)
+
+// node is one entry host.
+type node struct {
+	name     string
+	settings settings.Settings
+	file     string
+	process  *process
+	callers  *link
+	peers    *link
+}
+
+// newNode makes a node with its links; it is not started yet.
+func (s *site) newNode(i int) *node {
+	name := fmt.Sprintf("n%d", i)
+	callerAddress, peerAddress := freeAddress(s.t), freeAddress(s.t)
+	n := &node{
+		name:    name,
+		file:    filepath.Join(s.dir, name+".json"),
+		callers: newLink(s.t, name+" callers", callerAddress, false),
+		peers:   newLink(s.t, name+" peers", peerAddress, true),
+	}
+	n.settings = settings.Settings{
+		Node:           ident.Node(name),
+		Region:         "default",
+		FailureDomain:  ident.FailureDomain(domainName(i)),
+		Host:           s.newHost(name, domainName(i)),
+		CallerListen:   callerAddress,
+		CallerURL:      "http://" + n.callers.address,
+		OperatorListen: freeAddress(s.t),
+		PeerListen:     peerAddress,
+		PeerAdvertise:  n.peers.address,
+		PeerToken:      peerToken,
+		Platform:       settings.Platform{ObjectsURL: s.platform, CloudURL: s.platform, HostListURL: s.platform, WeightsURL: s.platform},
+		Tokens: []settings.Token{
+			{Name: "caller", Role: settings.RoleCaller, Workspace: workspace, SHA256: auth.Digest(callerToken)},
+			{Name: "operator", Role: settings.RoleOperator, SHA256: auth.Digest(operatorToken)},
+		},
+		Log:    settings.Log{Level: "debug", Format: "text"},
+		Limits: settings.Limits{AddressKeepMs: 1000, DrainTimeoutMs: 15000},
+	}
+	for _, other := range s.nodes {
+		n.settings.Seeds = append(n.settings.Seeds, other.peers.address)
+	}
+	return n
+}
+
+// startNode starts a process for n, with a new incarnation.
+func (s *site) startNode(n *node) {
+	data, err := json.Marshal(n.settings)
+	require.NoError(s.t, err)
+	require.NoError(s.t, os.WriteFile(n.file, data, 0o600))
+	n.process = startProcess(s.t, s.dir, n.name, daemon(s.t), s.options.env, "--settings", n.file)
+}
+
+// addresses asks n itself for the addresses of the site.
+func (s *site) addresses(n *node) []callerapi.Address {
+	book := s.book(n)
+	if book == nil {
+		return nil
+	}
+	return book.Addresses
+}
+
+func (s *site) book(n *node) *callerapi.AddressBook {
+	req, err := http.NewRequestWithContext(s.t.Context(), http.MethodGet, "http://"+n.callers.address+"/v1/addresses", nil)
+	require.NoError(s.t, err)
+	req.Header.Set("Authorization", "Bearer "+callerToken)
+	resp, err := shortClient.Do(req)
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	book := new(callerapi.AddressBook)
+	if json.NewDecoder(resp.Body).Decode(book) != nil || resp.StatusCode != http.StatusOK {
+		return nil
+	}
+	return book
+}
--- /dev/null
+++ b/internal/faulttest/platform_test.go
@@ -0,0 +1,73 @@
+package faulttest
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/standin/platform"
+)
+
+func (s *site) startPlatform() {
+	address := freeAddress(s.t)
+	s.startRole("platform", role{Kind: rolePlatform, Listen: address, Seed: s.options.seed})
+	s.platform = "http://" + address
+	s.waitListening(s.platform + "/counts")
+	s.offerHosts()
+}
+
+// shortClient makes small calls of the harness itself.
+var shortClient = &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
+// reclaimOrder is the body of the platform's POST /control/reclaim.
+type reclaimOrder struct {
+	Host     string `json:"host"`
+	NoticeMs int64  `json:"noticeMs"`
+}
+
+// hostOrder is the body of the platform's POST /cloud/v1/hosts.
+type hostOrder struct {
+	ClientToken   string          `json:"clientToken"`
+	FailureDomain string          `json:"failureDomain"`
+	HostClass     string          `json:"hostClass"`
+	Market        platform.Market `json:"market"`
+}
+
+// hostClass is the host class of all hosts.
+const hostClass = "entry"
+
+// newHost has the platform start a host and returns its name.
+func (s *site) newHost(name, domain string) ident.Host {
+	var host platform.Host
+	s.put(http.MethodPost, "/cloud/v1/hosts", hostOrder{ClientToken: name, FailureDomain: domain, HostClass: hostClass, Market: platform.MarketReclaimable}, &host)
+	require.NotEmpty(s.t, host.ID)
+	return ident.Host(host.ID)
+}
+
+// offerHosts has the platform offer hosts.
+func (s *site) offerHosts() {
+	var offers []platform.Offer
+	for i := range domains {
+		offers = append(offers, platform.Offer{FailureDomain: domainName(i), HostClass: hostClass, Market: platform.MarketReclaimable, PricePerHour: 1, Available: 100})
+	}
+	s.put(http.MethodPut, "/control/offers", offers, nil)
+}
+
+// put sends body to the platform and reads the answer into out, if it is not nil.
+func (s *site) put(method, path string, body, out any) {
+	data, err := json.Marshal(body)
+	require.NoError(s.t, err)
+	req, err := http.NewRequestWithContext(s.t.Context(), method, s.platform+path, bytes.NewReader(data))
+	require.NoError(s.t, err)
+	resp, err := shortClient.Do(req)
+	require.NoError(s.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	require.Less(s.t, resp.StatusCode, http.StatusBadRequest, path)
+	if out != nil {
+		require.NoError(s.t, json.NewDecoder(resp.Body).Decode(out))
+	}
+}
