--- a/internal/callerclient/call.go
+++ b/internal/callerclient/call.go
@@ -24,6 +24,8 @@
 	// mayHaveLeft is true once a byte of a request under the current ID may have left this process.
 	mayHaveLeft bool
 	lastAddress string
+	// toldID is the ID that the observer was told last.
+	toldID string
 }
 
 // Send sends sub and comes back with the same ID until its outcome is known or
@@ -92,6 +94,7 @@
 		k.result.ID = idWithPrefix(book.RequestIdPrefix)
 		k.mayHaveLeft = false
 	}
+	k.tellID()
 	address := k.pick(book)
 	k.result.Attempts++
 	k.result.Addresses = append(k.result.Addresses, address)
@@ -114,6 +117,17 @@
 	return end
 }
 
+// tellID tells the observer the ID before anything is sent under it.
+func (k *call) tellID() {
+	if k.toldID == k.result.ID {
+		return
+	}
+	k.toldID = k.result.ID
+	if observer, ok := k.observer.(IDObserver); ok {
+		observer.Using(k.result.ID)
+	}
+}
+
 // noteLoss has a failed address avoided, unless it was the caller who gave up.
 func (k *call) noteLoss(ctx context.Context, address string, err error) {
 	if ctx.Err() != nil && !errors.Is(err, errSilent) {
--- a/internal/callerclient/observer.go
+++ b/internal/callerclient/observer.go
@@ -20,6 +20,15 @@
 	Refused(id string, refusal callerapi.Refusal)
 }
 
+// IDObserver is an Observer that is also told the request's ID, so that a caller
+// can keep it and come back with it after its own process has ended.
+type IDObserver interface {
+	Observer
+	// Using is called before a request is first sent under id. It returns when
+	// the caller has kept id.
+	Using(id string)
+}
+
 // Silent is an Observer that does nothing.
 type Silent struct{}
 
--- a/internal/callerclient/send_test.go
+++ b/internal/callerclient/send_test.go
@@ -37,6 +37,32 @@
 	requireSameID(t, site.seen())
 }
 
+// idKeeper keeps the IDs it is told, with how many sends had been made by then.
+type idKeeper struct {
+	Silent
+	site  *fakeSite
+	ids   []string
+	sends []int
+}
+
+func (k *idKeeper) Using(id string) {
+	k.ids = append(k.ids, id)
+	k.sends = append(k.sends, len(k.site.seen()))
+}
+
+func TestEachIDIsToldBeforeItIsFirstSent(t *testing.T) {
+	site := newFakeSite(t,
+		refuse(http.StatusServiceUnavailable, "may_have_run", "witness_lost", 5),
+		refuse(http.StatusServiceUnavailable, "not_run", "overloaded", 5),
+		answer("$ID", "ok"))
+	keeper := &idKeeper{site: site}
+	result := site.client().Send(t.Context(), submission(false, false), keeper)
+	require.Equal(t, OutcomeWhole, result.Outcome, result.Err)
+	calls := site.seen()
+	require.Equal(t, []string{calls[0].sub.ID.Or(""), calls[2].sub.ID.Or("")}, keeper.ids)
+	require.Equal(t, []int{0, 2}, keeper.sends)
+}
+
 func TestBadInputIsNotSentAgain(t *testing.T) {
 	site := newFakeSite(t, refuse(http.StatusBadRequest, "not_run", "bad_input", 5))
 	result := site.client().Send(t.Context(), submission(false, true), nil)
--- a/internal/faulttest/caller_test.go
+++ b/internal/faulttest/caller_test.go
@@ -1,30 +1,28 @@
 package faulttest
 
 import (
-	"bytes"
-	"context"
 	"encoding/json"
-	"net/http"
+	"fmt"
+	"path/filepath"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
 
 	"mangoledge.example/mangoledge/api/callerapi"
-	"mangoledge.example/mangoledge/internal/callerclient"
 	"mangoledge.example/mangoledge/internal/historycheck"
-	"mangoledge.example/mangoledge/internal/ident"
-	"mangoledge.example/mangoledge/internal/verdict"
 )
 
 const (
 	// callDeadline is the deadline of a caller's request.
 	callDeadline = 30 * time.Second
+	// callGrace is how long after its deadline a caller may still tell how a request ended.
+	callGrace = 30 * time.Second
+	// journalInterval is the time between two looks into a caller's journal.
+	journalInterval = 5 * time.Millisecond
 	// streamTokens is the length of a stream.
 	streamTokens = 100
-	// moved is what the caller's client says of a stream whose node leaves.
-	moved = "the node leaves"
 )
 
 // chatCall is an idempotent stream.
@@ -43,74 +41,137 @@
 	}
 }
 
-// recorder writes down what a caller is told.
-type recorder struct {
-	mu    sync.Mutex
-	call  historycheck.Call
-	token func(offset int)
-}
+// caller is a caller's process and what its journal has told so far.
+//
+// Lock order: site.mu is not taken under mu, and no token is told on under it.
+type caller struct {
+	site    *site
+	name    string
+	role    role
+	journal *journalReader
 
-// Token is told each token.
-func (r *recorder) Token(offset int, text string) {
-	r.mu.Lock()
-	r.call.Tokens = append(r.call.Tokens[:min(offset, len(r.call.Tokens))], text)
-	r.mu.Unlock()
-	if r.token != nil {
-		r.token(offset)
-	}
+	mu      sync.Mutex
+	process *process
+	calls   []*orderedCall
 }
 
-// Restart is told that the tokens are void.
-func (r *recorder) Restart() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.call.Tokens = nil
+// orderedCall is a request that a caller was told to send.
+type orderedCall struct {
+	order callerOrder
+	told  *journalCall
+	// token is called at each token; it may be nil.
+	token func(offset int)
+	done  chan struct{}
 }
 
-// Retry is told why the request is sent again.
-func (r *recorder) Retry(address string, reason error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var refused *callerclient.RefusedError
-	if reason == nil || errors.As(reason, &refused) || strings.Contains(reason.Error(), moved) {
-		return
+// newCaller starts a caller's process that knows all nodes as seeds.
+func (s *site) newCaller() *caller {
+	s.mu.Lock()
+	s.callers++
+	name := fmt.Sprint("caller", s.callers)
+	s.mu.Unlock()
+	path := filepath.Join(s.dir, name+".journal")
+	c := &caller{site: s, name: name, journal: &journalReader{path: path}}
+	c.role = role{Kind: roleCaller, Caller: callerOptions{Token: callerToken, Journal: path}}
+	for _, n := range s.nodes {
+		c.role.Caller.Seeds = append(c.role.Caller.Seeds, "http://"+n.callers.address)
 	}
-	r.call.Losses = append(r.call.Losses, historycheck.Loss{Address: address, At: time.Now()})
+	c.process = s.startRole(name, c.role)
+	go c.follow()
+	return c
 }
 
-// Refused is told each refusal.
-func (r *recorder) Refused(id string, refusal callerapi.Refusal) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.refused(id, refusal)
+// newCallers starts count callers.
+func (s *site) newCallers(count int) []*caller {
+	var out []*caller
+	for range count {
+		out = append(out, s.newCaller())
+	}
+	return out
 }
 
-func (r *recorder) refused(id string, refusal callerapi.Refusal) {
-	r.call.IDs = append(r.call.IDs, id)
-	r.call.Refusals = append(r.call.Refusals, historycheck.Refusal{ID: id, Verdict: verdictOf(refusal.Verdict), At: time.Now()})
+// kill ends the caller's process without a word.
+func (c *caller) kill() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.process.kill()
+}
+
+// restart starts the caller's process again. It comes back to the requests in
+// its journal; those that it never read are told to it once more.
+func (c *caller) restart() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	begun := make(map[int]bool)
+	entries, err := readJournal(c.journal.path)
+	require.NoError(c.site.t, err)
+	for i := range entries {
+		begun[entries[i].Call] = true
+	}
+	c.process = c.site.startRole(c.name, c.role)
+	for _, o := range c.calls {
+		if !begun[o.order.Call] {
+			c.tell(&o.order)
+		}
+	}
 }
 
-func verdictOf(text callerapi.RefusalVerdict) verdict.Verdict {
-	switch text {
-	case callerapi.RefusalVerdictNotRun:
-		return verdict.NotRun
-	case callerapi.RefusalVerdictRan:
-		return verdict.Ran
-	case callerapi.RefusalVerdictMayHaveRun:
+// tell hands the process an order. One that has ended is told again by restart.
+func (c *caller) tell(order *callerOrder) {
+	data, err := json.Marshal(order)
+	require.NoError(c.site.t, err)
+	_, _ = c.process.stdin.Write(append(data, '\n'))
+}
+
+// order has the process send a request and waits for its outcome.
+func (c *caller) order(order callerOrder, token func(offset int)) historycheck.Call {
+	o := &orderedCall{order: order, told: &journalCall{}, token: token, done: make(chan struct{})}
+	c.mu.Lock()
+	o.order.Call = len(c.calls)
+	c.calls = append(c.calls, o)
+	c.tell(&o.order)
+	c.mu.Unlock()
+	limit := time.Duration(order.Submission.DeadlineMs)*time.Millisecond + callGrace
+	select {
+	case <-o.done:
+	case <-time.After(limit):
+		c.site.t.Errorf("%s: no outcome of %q %s after it was told to send it", c.name, order.Submission.Input, limit)
+		return historycheck.Call{}
+	}
+	call := o.told.call
+	if !call.Whole {
+		c.site.t.Logf("%s: %s: %s", c.name, call.Name, o.told.outcome)
+	}
+	return c.site.keep(call)
+}
+
+// follow takes in what the process writes down until the test is over.
+func (c *caller) follow() {
+	ticker := time.NewTicker(journalInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.site.t.Context().Done():
+			return
+		case <-ticker.C:
+		}
+		for _, entry := range c.journal.next() {
+			c.take(&entry)
+		}
 	}
-	return verdict.MayHaveRun
 }
 
-func newRecorder(sub *callerapi.Submission) *recorder {
-	return &recorder{call: historycheck.Call{
-		Name:       sub.Kind + " " + sub.Input,
-		Input:      sub.Input,
-		Service:    sub.Service.Set,
-		Idempotent: sub.Idempotent.Or(true),
-		MaxTokens:  sub.MaxTokens.Or(0),
-		Started:    time.Now(),
-		Deadline:   time.Now().Add(time.Duration(sub.DeadlineMs) * time.Millisecond),
-	}}
+func (c *caller) take(entry *journalEntry) {
+	c.mu.Lock()
+	o := c.calls[entry.Call]
+	c.mu.Unlock()
+	o.told.apply(entry)
+	switch {
+	case entry.Event == eventToken && o.token != nil:
+		o.token(entry.Offset)
+	case entry.Event == eventEnd:
+		close(o.done)
+	}
 }
 
 // keep adds a finished call to the site's history.
@@ -121,128 +182,19 @@
 	return call
 }
 
-// newCaller returns a caller's client that knows all nodes as seeds.
-func (s *site) newCaller() *callerclient.Client {
-	var seeds []string
-	for _, n := range s.nodes {
-		seeds = append(seeds, "http://"+n.callers.address)
-	}
-	return callerclient.New(callerclient.Options{Seeds: seeds, Token: callerToken})
-}
-
 // send sends a request as a caller does, resends and all; token is called at each token and may be nil.
-func (s *site) send(client *callerclient.Client, sub callerapi.Submission, token func(offset int)) historycheck.Call {
-	r := newRecorder(&sub)
-	r.token = token
-	result := client.Send(s.t.Context(), sub, r)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if result.ID != "" {
-		r.call.IDs = append(r.call.IDs, result.ID)
-	}
-	r.call.IDs = unique(r.call.IDs)
-	r.call.Accepted = result.Accepted
-	r.call.Whole = result.Outcome == callerclient.OutcomeWhole
-	r.call.Output = result.Output
-	r.call.Finished = time.Now()
-	if !r.call.Whole {
-		s.t.Logf("%s: %s after %d attempts at %v with %d tokens: %v", r.call.Name, result.Outcome, result.Attempts, result.Addresses, len(result.Tokens), result.Err)
-	}
-	return s.keep(r.call)
-}
-
-func unique(ids []string) []string {
-	var out []string
-	seen := make(map[string]bool)
-	for _, id := range ids {
-		if !seen[id] {
-			seen[id] = true
-			out = append(out, id)
-		}
-	}
-	return out
-}
-
-// newID makes a request ID whose home and witness are the given nodes.
-func (s *site) newID(home, witness *node) string {
-	return ident.NewRequestID(s.incarnation(home), s.incarnation(witness)).String()
-}
-
-// dump is the part of a node's dump that the harness reads.
-type dump struct {
-	Self struct{ Incarnation ident.Incarnation }
-}
-
-// incarnation asks a node, past its links, for its incarnation.
-func (s *site) incarnation(n *node) ident.Incarnation {
-	var out dump
-	s.eventually("dump of "+n.name, func() bool {
-		return s.readDump(n, &out) && out.Self.Incarnation != ""
-	})
-	return out.Self.Incarnation
-}
-
-// readDump reads the dump of a node, past its links, into out.
-func (s *site) readDump(n *node, out any) bool {
-	req, err := http.NewRequestWithContext(s.t.Context(), http.MethodGet, "http://"+n.settings.OperatorListen+"/v1/dump", nil)
-	if err != nil {
-		return false
-	}
-	req.Header.Set("Authorization", "Bearer "+operatorToken)
-	resp, err := shortClient.Do(req)
-	if err != nil {
-		return false
-	}
-	defer func() { _ = resp.Body.Close() }()
-	return json.NewDecoder(resp.Body).Decode(out) == nil
+func (s *site) send(c *caller, sub callerapi.Submission, token func(offset int)) historycheck.Call {
+	return c.order(callerOrder{Submission: &sub}, token)
 }
 
 // sendTo sends a request once to one node, unstreamed, and waits for the answer.
 func (s *site) sendTo(n *node, sub callerapi.Submission) historycheck.Call {
 	sub.Stream.Reset()
-	r := newRecorder(&sub)
-	ctx, cancel := context.WithTimeout(s.t.Context(), callDeadline)
-	defer cancel()
-	s.post(ctx, n, &sub, r)
-	r.call.Finished = time.Now()
-	return s.keep(r.call)
-}
-
-func (s *site) post(ctx context.Context, n *node, sub *callerapi.Submission, r *recorder) {
-	id := sub.ID.Or("")
-	if id != "" {
-		r.call.IDs = []string{id}
-	}
-	data, err := json.Marshal(sub)
-	if err != nil {
-		s.t.Error(err)
-		return
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.callers.address+"/v1/requests", bytes.NewReader(data))
-	if err != nil {
-		s.t.Error(err)
-		return
-	}
-	req.Header.Set("Authorization", "Bearer "+callerToken)
-	req.Header.Set("Content-Type", "application/json")
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		r.call.Losses = append(r.call.Losses, historycheck.Loss{Address: n.settings.CallerURL, At: time.Now()})
-		return
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		var refusal callerapi.Refusal
-		if json.NewDecoder(resp.Body).Decode(&refusal) == nil {
-			r.refused(id, refusal)
-		}
-		return
-	}
-	var answer callerapi.Answer
-	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
-		return
-	}
-	r.call.Accepted = true
-	r.call.Whole = true
-	r.call.Output = answer.Output
+	s.proberOnce.Do(func() { s.prober = s.newCaller() })
+	return s.prober.order(callerOrder{Submission: &sub, To: "http://" + n.callers.address}, nil)
+}
+
+// nameOf names a request in reports.
+func nameOf(sub *callerapi.Submission) string {
+	return strings.TrimSpace(sub.Kind + " " + sub.Input)
 }
--- /dev/null
+++ b/internal/faulttest/callerprocess_test.go
@@ -0,0 +1,239 @@
+package faulttest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"mangoledge.example/mangoledge/api/callerapi"
+	"mangoledge.example/mangoledge/internal/callerclient"
+	"mangoledge.example/mangoledge/internal/verdict"
+)
+
+// moved is what the caller's client says of a stream whose node leaves.
+const moved = "the node leaves"
+
+// callerOptions are what a caller's process is started with.
+type callerOptions struct {
+	// Seeds are base URLs of nodes.
+	Seeds []string
+	Token string
+	// Journal is the path of its journal; unfinished requests there are come back to.
+	Journal string
+}
+
+// callerOrder has a caller send a request. It comes as one line on standard input.
+type callerOrder struct {
+	// Call numbers the requests of one caller.
+	Call       int
+	Submission *callerapi.Submission
+	// To is the base URL of the one node that gets it once; empty for a call with resends.
+	To string
+}
+
+// callerProcess runs in a process of its own and sends what it is told to.
+type callerProcess struct {
+	options callerOptions
+	client  *callerclient.Client
+	journal journal
+}
+
+// runCaller sends what standard input orders until it ends.
+func runCaller(ctx context.Context, options callerOptions) error {
+	unfinished, err := unfinishedCalls(options.Journal)
+	if err != nil {
+		return err
+	}
+	file, err := os.OpenFile(options.Journal, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	p := &callerProcess{
+		options: options,
+		client:  callerclient.New(callerclient.Options{Seeds: options.Seeds, Token: options.Token}),
+		journal: journal{file: file},
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for _, c := range unfinished {
+		go p.comeBack(ctx, c)
+	}
+	return p.serve(ctx, os.Stdin)
+}
+
+// unfinishedCalls returns the requests of an earlier run of the process that have no outcome.
+func unfinishedCalls(path string) ([]*journalCall, error) {
+	entries, err := readJournal(path)
+	if err != nil {
+		return nil, err
+	}
+	calls := make(map[int]*journalCall)
+	for i := range entries {
+		number := entries[i].Call
+		if calls[number] == nil {
+			calls[number] = &journalCall{}
+		}
+		calls[number].apply(&entries[i])
+	}
+	var out []*journalCall
+	for _, c := range calls {
+		if !c.ended {
+			out = append(out, c)
+		}
+	}
+	return out, nil
+}
+
+func (p *callerProcess) serve(ctx context.Context, orders io.Reader) error {
+	decoder := json.NewDecoder(orders)
+	for {
+		var order callerOrder
+		if err := decoder.Decode(&order); err != nil {
+			if errors.Is(err, io.EOF) {
+				return nil
+			}
+			return err
+		}
+		p.journal.write(&journalEntry{Call: order.Call, Event: eventBegin, Submission: order.Submission, To: order.To})
+		go p.call(ctx, &order)
+	}
+}
+
+// comeBack sends a request again under the ID in the journal, with the time that is left.
+func (p *callerProcess) comeBack(ctx context.Context, c *journalCall) {
+	p.journal.write(&journalEntry{Call: c.order.Call, Event: eventBack})
+	sub := *c.order.Submission
+	if n := len(c.call.IDs); n > 0 {
+		sub.ID = callerapi.NewOptString(c.call.IDs[n-1])
+	}
+	sub.DeadlineMs = max(time.Until(c.call.Deadline).Milliseconds(), 1)
+	p.call(ctx, &callerOrder{Call: c.order.Call, Submission: &sub, To: c.order.To})
+}
+
+// call sends one request and writes down its outcome.
+func (p *callerProcess) call(ctx context.Context, order *callerOrder) {
+	r := &recorder{journal: &p.journal, call: order.Call}
+	if order.To != "" {
+		r.end(p.post(ctx, order, r))
+		return
+	}
+	result := p.client.Send(ctx, *order.Submission, r)
+	r.end(&journalEntry{
+		Accepted: result.Accepted,
+		Whole:    result.Outcome == callerclient.OutcomeWhole,
+		Output:   result.Output,
+		Verdict:  result.Verdict,
+		Outcome:  fmt.Sprintf("%s, %s, after %d attempts at %v with %d tokens: %v", result.Outcome, result.Verdict, result.Attempts, result.Addresses, len(result.Tokens), result.Err),
+	})
+}
+
+// post sends a request once to one node and returns its end.
+func (p *callerProcess) post(ctx context.Context, order *callerOrder, r *recorder) *journalEntry {
+	sub := order.Submission
+	r.Using(sub.ID.Or(""))
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(sub.DeadlineMs)*time.Millisecond)
+	defer cancel()
+	lost := &journalEntry{Verdict: verdict.MayHaveRun, Outcome: "lost"}
+	resp, err := p.open(ctx, order)
+	if err != nil {
+		r.Retry(order.To, err)
+		return lost
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode == http.StatusOK {
+		var answer callerapi.Answer
+		if json.NewDecoder(resp.Body).Decode(&answer) != nil {
+			return lost
+		}
+		return &journalEntry{Accepted: true, Whole: true, Verdict: verdict.Ran, Output: answer.Output}
+	}
+	var refusal callerapi.Refusal
+	if json.NewDecoder(resp.Body).Decode(&refusal) != nil {
+		return lost
+	}
+	r.Refused(sub.ID.Or(""), refusal)
+	return &journalEntry{Verdict: verdictOf(refusal.Verdict), Outcome: "refused: " + refusal.Message}
+}
+
+func (p *callerProcess) open(ctx context.Context, order *callerOrder) (*http.Response, error) {
+	data, err := json.Marshal(order.Submission)
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, order.To+"/v1/requests", bytes.NewReader(data))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+p.options.Token)
+	req.Header.Set("Content-Type", "application/json")
+	return http.DefaultClient.Do(req)
+}
+
+// recorder writes down what a caller is told about one request.
+type recorder struct {
+	journal *journal
+	call    int
+	// mu is held while an entry is written.
+	mu sync.Mutex
+}
+
+func (r *recorder) write(entry *journalEntry) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	entry.Call = r.call
+	r.journal.write(entry)
+}
+
+func (r *recorder) end(entry *journalEntry) {
+	entry.Event = eventEnd
+	r.write(entry)
+}
+
+// Using is told the ID before it is first sent.
+func (r *recorder) Using(id string) {
+	r.write(&journalEntry{Event: eventID, ID: id})
+}
+
+// Token is told each token.
+func (r *recorder) Token(offset int, text string) {
+	r.write(&journalEntry{Event: eventToken, Offset: offset, Text: text})
+}
+
+// Restart is told that the tokens are void.
+func (r *recorder) Restart() {
+	r.write(&journalEntry{Event: eventRestart})
+}
+
+// Retry is told why the request is sent again.
+func (r *recorder) Retry(address string, reason error) {
+	var refused *callerclient.RefusedError
+	if reason == nil || errors.As(reason, &refused) || strings.Contains(reason.Error(), moved) {
+		return
+	}
+	r.write(&journalEntry{Event: eventLoss, Address: address})
+}
+
+// Refused is told each refusal.
+func (r *recorder) Refused(id string, refusal callerapi.Refusal) {
+	r.write(&journalEntry{Event: eventRefused, ID: id, Verdict: verdictOf(refusal.Verdict)})
+}
+
+func verdictOf(text callerapi.RefusalVerdict) verdict.Verdict {
+	switch text {
+	case callerapi.RefusalVerdictNotRun:
+		return verdict.NotRun
+	case callerapi.RefusalVerdictRan:
+		return verdict.Ran
+	case callerapi.RefusalVerdictMayHaveRun:
+	}
+	return verdict.MayHaveRun
+}
--- a/internal/faulttest/control_test.go
+++ b/internal/faulttest/control_test.go
@@ -27,13 +27,13 @@
 	s.put(http.MethodPost, "/control/reclaim", reclaimOrder{Host: string(leaving.host), NoticeMs: notice.Milliseconds()}, nil)
 	s.order(leaving, engine.Faults{Leave: true})
 	stop := make(chan struct{})
-	var callers sync.WaitGroup
-	for i := range callerCount {
-		callers.Go(func() { s.callUntil(stop, i) })
+	var calls sync.WaitGroup
+	for i, c := range s.newCallers(callerCount) {
+		calls.Go(func() { s.callUntil(stop, c, i) })
 	}
 	time.Sleep(historycheck.LeavingLimit + 4*time.Second)
 	close(stop)
-	callers.Wait()
+	calls.Wait()
 	s.check()
 }
 
--- a/internal/faulttest/directed_test.go
+++ b/internal/faulttest/directed_test.go
@@ -223,10 +223,10 @@
 	out := make([]historycheck.Call, count)
 	var begun, done sync.WaitGroup
 	begun.Add(count)
-	for i := range count {
+	for i, c := range s.newCallers(count) {
 		done.Go(func() {
 			var once sync.Once
-			out[i] = s.send(s.newCaller(), longStream(fmt.Sprint("stream ", i)), func(int) { once.Do(begun.Done) })
+			out[i] = s.send(c, longStream(fmt.Sprint("stream ", i)), func(int) { once.Do(begun.Done) })
 			once.Do(begun.Done)
 		})
 	}
--- a/internal/faulttest/history_test.go
+++ b/internal/faulttest/history_test.go
@@ -37,9 +37,18 @@
 
 // starts returns how often the stand-ins began a request.
 func (s *site) starts(id string) int {
+	return s.events(id, history.EventStart)
+}
+
+// dones returns how often the stand-ins ran a request to its end.
+func (s *site) dones(id string) int {
+	return s.events(id, history.EventDone)
+}
+
+func (s *site) events(id string, event history.Event) int {
 	n := 0
 	for _, entry := range s.history().Runs {
-		if entry.Event == history.EventStart && entry.RequestID == id {
+		if entry.Event == event && entry.RequestID == id {
 			n++
 		}
 	}
--- /dev/null
+++ b/internal/faulttest/journal_test.go
@@ -0,0 +1,189 @@
+package faulttest
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"os"
+	"slices"
+	"time"
+
+	"mangoledge.example/mangoledge/api/callerapi"
+	"mangoledge.example/mangoledge/internal/historycheck"
+	"mangoledge.example/mangoledge/internal/verdict"
+)
+
+// journalEvent is the kind of a journalEntry.
+type journalEvent string
+
+// The events of a caller's journal.
+const (
+	// eventBegin is written before anything else of a request.
+	eventBegin journalEvent = "begin"
+	// eventID is written before a request is first sent under an ID.
+	eventID journalEvent = "id"
+	// eventToken is written when a token has come.
+	eventToken journalEvent = "token"
+	// eventRestart is written when the tokens so far are void.
+	eventRestart journalEvent = "restart"
+	// eventLoss is written when a connection broke.
+	eventLoss journalEvent = "loss"
+	// eventRefused is written for each refusal.
+	eventRefused journalEvent = "refused"
+	// eventBack is written when a process that was started again comes back to a request.
+	eventBack journalEvent = "back"
+	// eventEnd is written when the outcome is known.
+	eventEnd journalEvent = "end"
+)
+
+// journalEntry is one line of a caller's journal.
+type journalEntry struct {
+	At    time.Time
+	Call  int
+	Event journalEvent
+	// Submission and To are set at eventBegin.
+	Submission *callerapi.Submission `json:",omitempty"`
+	To         string                `json:",omitempty"`
+	ID         string                `json:",omitempty"`
+	// Offset and Text are set at eventToken.
+	Offset  int    `json:",omitempty"`
+	Text    string `json:",omitempty"`
+	Address string `json:",omitempty"`
+	// Verdict is set at eventRefused and eventEnd.
+	Verdict verdict.Verdict `json:",omitempty"`
+	// Accepted, Whole, Output and Outcome are set at eventEnd.
+	Accepted bool   `json:",omitempty"`
+	Whole    bool   `json:",omitempty"`
+	Output   string `json:",omitempty"`
+	Outcome  string `json:",omitempty"`
+}
+
+// journalCall is what the entries of one request add up to.
+type journalCall struct {
+	call    historycheck.Call
+	order   callerOrder
+	ended   bool
+	outcome string
+}
+
+// apply adds one entry.
+func (c *journalCall) apply(e *journalEntry) {
+	switch e.Event {
+	case eventBegin:
+		c.begin(e)
+	case eventID:
+		c.use(e.ID)
+	case eventToken:
+		c.call.Accepted = true
+		c.call.Tokens = append(c.call.Tokens[:min(e.Offset, len(c.call.Tokens))], e.Text)
+	case eventRestart:
+		c.call.Tokens = nil
+	case eventLoss:
+		c.call.Losses = append(c.call.Losses, historycheck.Loss{Address: e.Address, At: e.At})
+	case eventRefused:
+		c.use(e.ID)
+		c.call.Refusals = append(c.call.Refusals, historycheck.Refusal{ID: e.ID, Verdict: e.Verdict, At: e.At})
+	case eventBack:
+		c.call.Returns++
+	case eventEnd:
+		c.end(e)
+	}
+}
+
+func (c *journalCall) begin(e *journalEntry) {
+	sub := e.Submission
+	c.order = callerOrder{Call: e.Call, Submission: sub, To: e.To}
+	c.call = historycheck.Call{
+		Name:       nameOf(sub),
+		Input:      sub.Input,
+		Service:    sub.Service.Set,
+		Idempotent: sub.Idempotent.Or(true),
+		MaxTokens:  sub.MaxTokens.Or(0),
+		Started:    e.At,
+		Deadline:   e.At.Add(time.Duration(sub.DeadlineMs) * time.Millisecond),
+	}
+}
+
+// use notes an ID; the last one is the one in use.
+func (c *journalCall) use(id string) {
+	if id != "" && !slices.Contains(c.call.IDs, id) {
+		c.call.IDs = append(c.call.IDs, id)
+	}
+}
+
+func (c *journalCall) end(e *journalEntry) {
+	c.call.Accepted = c.call.Accepted || e.Accepted
+	c.call.Whole = e.Whole
+	c.call.Output = e.Output
+	c.call.Verdict = e.Verdict
+	c.call.Finished = e.At
+	c.ended = true
+	c.outcome = e.Outcome
+}
+
+// journalReader reads a journal that is still written.
+type journalReader struct {
+	path string
+	at   int64
+}
+
+// next returns the entries that are new; a line that is not whole yet waits.
+func (r *journalReader) next() []journalEntry {
+	file, err := os.Open(r.path)
+	if err != nil {
+		return nil // not begun yet
+	}
+	defer func() { _ = file.Close() }()
+	if _, err := file.Seek(r.at, io.SeekStart); err != nil {
+		return nil
+	}
+	data, err := io.ReadAll(file)
+	if err != nil {
+		return nil
+	}
+	data = data[:bytes.LastIndexByte(data, '\n')+1]
+	r.at += int64(len(data))
+	entries, _ := decodeJournal(data)
+	return entries
+}
+
+// readJournal reads a journal from its start; there may be none.
+func readJournal(path string) ([]journalEntry, error) {
+	data, err := os.ReadFile(path)
+	if os.IsNotExist(err) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return decodeJournal(data[:bytes.LastIndexByte(data, '\n')+1])
+}
+
+func decodeJournal(data []byte) ([]journalEntry, error) {
+	var out []journalEntry
+	for line := range bytes.Lines(data) {
+		var entry journalEntry
+		if err := json.Unmarshal(line, &entry); err != nil {
+			return out, err
+		}
+		out = append(out, entry)
+	}
+	return out, nil
+}
+
+// journal is the file in which a caller's process writes down what it does and is told.
+type journal struct {
+	file *os.File
+}
+
+// write adds an entry by one call of the system, so that a kill leaves it whole or not at all.
+func (j *journal) write(entry *journalEntry) {
+	entry.At = time.Now()
+	line, err := json.Marshal(entry)
+	if err != nil {
+		panic(err)
+	}
+	if _, err := j.file.Write(append(line, '\n')); err != nil {
+		panic(err)
+	}
+}
--- a/internal/faulttest/main_test.go
+++ b/internal/faulttest/main_test.go
@@ -19,7 +19,7 @@
 	"mangoledge.example/mangoledge/internal/standin/service"
 )
 
-// roleVariable makes this test program run a stand-in instead of tests; its
+// roleVariable makes this test program run a stand-in or a caller instead of tests; its
 // value is an encoded role.
 const roleVariable = "MANGOLEDGE_FAULTTEST_ROLE"
 
@@ -28,18 +28,20 @@
 	Kind   roleKind
 	Listen string
 	Seed   uint64
-	// Engine and Service are used by their kinds.
+	// Engine, Service and Caller are used by their kinds.
 	Engine  engine.Options
 	Service service.Options
+	Caller  callerOptions
 }
 
-// roleKind is a kind of stand-in.
+// roleKind is a kind of process.
 type roleKind string
 
 const (
 	roleEngine   roleKind = "engine"
 	roleService  roleKind = "service"
 	rolePlatform roleKind = "platform"
+	roleCaller   roleKind = "caller"
 )
 
 func TestMain(m *testing.M) {
@@ -79,6 +81,8 @@
 			return err
 		}
 		return standin.Serve(ctx, r.Listen, s.Handler())
+	case roleCaller:
+		return runCaller(ctx, r.Caller)
 	}
 	return fmt.Errorf("no such role: %s", r.Kind)
 }
--- a/internal/faulttest/node_test.go
+++ b/internal/faulttest/node_test.go
@@ -92,3 +92,37 @@
 	}
 	return book
 }
+
+// newID makes a request ID whose home and witness are the given nodes.
+func (s *site) newID(home, witness *node) string {
+	return ident.NewRequestID(s.incarnation(home), s.incarnation(witness)).String()
+}
+
+// dump is the part of a node's dump that the harness reads.
+type dump struct {
+	Self struct{ Incarnation ident.Incarnation }
+}
+
+// incarnation asks a node, past its links, for its incarnation.
+func (s *site) incarnation(n *node) ident.Incarnation {
+	var out dump
+	s.eventually("dump of "+n.name, func() bool {
+		return s.readDump(n, &out) && out.Self.Incarnation != ""
+	})
+	return out.Self.Incarnation
+}
+
+// readDump reads the dump of a node, past its links, into out.
+func (s *site) readDump(n *node, out any) bool {
+	req, err := http.NewRequestWithContext(s.t.Context(), http.MethodGet, "http://"+n.settings.OperatorListen+"/v1/dump", nil)
+	if err != nil {
+		return false
+	}
+	req.Header.Set("Authorization", "Bearer "+operatorToken)
+	resp, err := shortClient.Do(req)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return json.NewDecoder(resp.Body).Decode(out) == nil
+}
--- a/internal/faulttest/process_test.go
+++ b/internal/faulttest/process_test.go
@@ -1,6 +1,7 @@
 package faulttest
 
 import (
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -19,7 +20,9 @@
 	name string
 	cmd  *exec.Cmd
 	log  string
-	done chan struct{}
+	// stdin is the process's standard input.
+	stdin io.WriteCloser
+	done  chan struct{}
 }
 
 // startProcess starts a program whose output goes to a file in dir.
@@ -32,8 +35,10 @@
 	cmd.Env = append(os.Environ(), env...)
 	cmd.Stdout = log
 	cmd.Stderr = log
+	stdin, err := cmd.StdinPipe()
+	require.NoError(t, err)
 	require.NoError(t, cmd.Start())
-	p := &process{name: name, cmd: cmd, log: log.Name(), done: make(chan struct{})}
+	p := &process{name: name, cmd: cmd, log: log.Name(), stdin: stdin, done: make(chan struct{})}
 	go func() {
 		_ = cmd.Wait()
 		close(p.done)
--- a/internal/faulttest/seeds_test.go
+++ b/internal/faulttest/seeds_test.go
@@ -44,41 +44,42 @@
 func runSeed(t *testing.T, seed uint64) {
 	s := startSite(t, siteOptions{nodes: 6, services: 3, engines: 6, seed: seed})
 	stop := make(chan struct{})
-	var callers sync.WaitGroup
-	for i := range callerCount {
-		callers.Go(func() { s.callUntil(stop, i) })
+	var calls sync.WaitGroup
+	callers := s.newCallers(callerCount)
+	for i, c := range callers {
+		calls.Go(func() { s.callUntil(stop, c, i) })
 	}
-	s.runSchedule(schedule(seed))
+	s.runSchedule(schedule(seed), callers)
 	s.mendAll()
 	close(stop)
-	callers.Wait()
+	calls.Wait()
 	s.summarise()
 	s.check()
 }
 
 // callUntil sends requests of both kinds until stop is closed.
-func (s *site) callUntil(stop <-chan struct{}, caller int) {
-	client := s.newCaller()
-	random := rand.New(rand.NewPCG(s.options.seed, uint64(caller)))
+func (s *site) callUntil(stop <-chan struct{}, c *caller, number int) {
+	random := rand.New(rand.NewPCG(s.options.seed, uint64(number)))
 	for i := 0; ; i++ {
 		select {
 		case <-stop:
 			return
 		default:
 		}
-		input := fmt.Sprintf("caller %d call %d", caller, i)
+		input := fmt.Sprintf("caller %d call %d", number, i)
 		if random.IntN(2) == 0 {
-			s.send(client, holdCall(input), nil)
+			s.send(c, holdCall(input), nil)
 		} else {
-			s.send(client, chatCall(input), nil)
+			s.send(c, chatCall(input), nil)
 		}
 	}
 }
 
 func (s *site) summarise() {
 	h := s.history()
-	whole, lost, refused := 0, 0, 0
+	whole, lost, refused, returned := 0, 0, 0, 0
 	for i := range h.Calls {
+		returned += h.Calls[i].Returns
 		switch {
 		case h.Calls[i].Whole:
 			whole++
@@ -88,7 +89,7 @@
 			lost++
 		}
 	}
-	s.t.Logf("seed %d: %d calls, %d whole, %d refused, %d without an answer, %d faults", s.options.seed, len(h.Calls), whole, refused, lost, len(h.Faults))
+	s.t.Logf("seed %d: %d calls, %d whole, %d refused, %d without an answer, %d come back to, %d faults", s.options.seed, len(h.Calls), whole, refused, lost, returned, len(h.Faults))
 }
 
 // step is one fault of a schedule.
@@ -112,6 +113,7 @@
 	stepPause
 	stepStop
 	stepReclaimEngine
+	stepKillCaller
 	stepKinds
 )
 
@@ -134,12 +136,20 @@
 }
 
 // runSchedule makes the faults at their times and waits for the last.
-func (s *site) runSchedule(steps []step) {
+func (s *site) runSchedule(steps []step, callers []*caller) {
 	locks := make([]sync.Mutex, len(s.nodes))
+	callerLocks := make([]sync.Mutex, len(callers))
 	var wg sync.WaitGroup
 	for _, st := range steps {
 		wg.Go(func() {
 			time.Sleep(st.at)
+			if st.kind == stepKillCaller {
+				i := st.target % len(callers)
+				callerLocks[i].Lock()
+				defer callerLocks[i].Unlock()
+				breakCaller(st, callers[i])
+				return
+			}
 			s.runStep(st, locks)
 		})
 	}
@@ -159,10 +169,17 @@
 		s.breakNode(st, n)
 	case stepReclaimEngine:
 		s.reclaimUpstream(s.engines[st.target%(len(s.engines)/2)], st.long)
-	case stepKinds:
+	case stepKillCaller, stepKinds:
 	}
 }
 
+// breakCaller ends a caller's process and starts it again later.
+func breakCaller(st step, c *caller) {
+	c.kill()
+	time.Sleep(st.long)
+	c.restart()
+}
+
 func (s *site) breakNode(st step, n *node) {
 	switch st.kind {
 	case stepKill:
@@ -173,7 +190,7 @@
 	case stepStop:
 		s.stopNode(n)
 		n.process.kill()
-	case stepDelay, stepCut, stepSilence, stepDrip, stepReclaimEngine, stepKinds:
+	case stepDelay, stepCut, stepSilence, stepDrip, stepReclaimEngine, stepKillCaller, stepKinds:
 		return
 	}
 	time.Sleep(st.long)
@@ -206,7 +223,7 @@
 		err = l.silence()
 	case stepDrip:
 		err = l.drip(1)
-	case stepKill, stepPause, stepStop, stepReclaimEngine, stepKinds:
+	case stepKill, stepPause, stepStop, stepReclaimEngine, stepKillCaller, stepKinds:
 	}
 	if err != nil {
 		// Another fault is at work on this link already.
--- a/internal/faulttest/site_test.go
+++ b/internal/faulttest/site_test.go
@@ -41,6 +41,8 @@
 	seed     uint64
 	// env is added to the environment of every node.
 	env []string
+	// serviceDelay is how long a call of a plain service takes; 0 for the usual time.
+	serviceDelay time.Duration
 	// poison is a text that crashes every engine whose prompt holds it.
 	poison string
 }
@@ -60,6 +62,12 @@
 	mu     sync.Mutex
 	faults []historycheck.Fault
 	calls  []historycheck.Call
+	// callers is how many callers were started.
+	callers int
+
+	// prober is the caller that sends to one node; proberOnce starts it.
+	proberOnce sync.Once
+	prober     *caller
 }
 
 // startSite starts a site and waits until every node is an address of it.
--- a/internal/faulttest/upstream_test.go
+++ b/internal/faulttest/upstream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -41,7 +42,7 @@
 		Kind:    kind,
 		Listen:  address,
 		Engine:  engine.Options{ID: name, Slots: 32, TokenInterval: tokenInterval, IgnoreFencing: true, PoisonMarker: s.options.poison, Seed: s.options.seed + uint64(i), HistoryPath: path},
-		Service: service.Options{ID: name, Delay: serviceDelay, HistoryPath: path},
+		Service: service.Options{ID: name, Delay: cmp.Or(s.options.serviceDelay, serviceDelay), HistoryPath: path},
 	}
 	u := &upstream{name: name, domain: domainName(i), host: s.newHost(name, domainName(i)), address: address, role: r}
 	u.process = s.startRole(name, r)
--- a/internal/historycheck/history.go
+++ b/internal/historycheck/history.go
@@ -42,6 +42,10 @@
 	Deadline time.Time
 	// Whole is true when the caller received its last event or its whole answer.
 	Whole bool
+	// Verdict is what the caller knows at the end about whether it may have run.
+	Verdict verdict.Verdict
+	// Returns is how often the caller's process was started again while the request was open.
+	Returns int
 	// Cancelled is true when the caller gave the request up.
 	Cancelled bool
 	// Tokens are what the caller received of a stream.
