Fault tests hold a process at a named point instead of counting time

Cause: TestKilledPartwayThroughHandOver killed after 0 to 80 ms without knowing whether the hand-over was under way, and TestHomeStoppedBetweenGrantAndDispatch slept 750 ms inside a pause of 1.5 s. Change: internal/testpause names five points; a process that comes to one which a test holds says so by a file and waits. The kill now strikes after the offer, after the close, between two parts, and after the install, each asserted; the home is stopped once it says that it stands between grant and dispatch. Without the environment variable of the tests nothing waits. Conclusion: a kill at any step of a hand-over leaves at most one run, and no 'not run' of what ran.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -9,6 +9,7 @@
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/request"
 	"mangoledge.example/mangoledge/internal/retry"
+	"mangoledge.example/mangoledge/internal/testpause"
 	"mangoledge.example/mangoledge/internal/verdict"
 	"mangoledge.example/mangoledge/internal/wait"
 )
@@ -148,7 +149,7 @@
 	}
 	e.setGranted()
 	d.note(e.spec.ID, "granted", "by "+string(e.spec.ID.Witness))
-	pauseForTest()
+	testpause.At(testpause.Granted)
 	return nil
 }
 
--- a/internal/faulttest/directed_test.go
+++ b/internal/faulttest/directed_test.go
@@ -13,6 +13,7 @@
 	"mangoledge.example/mangoledge/internal/historycheck"
 	"mangoledge.example/mangoledge/internal/standin/engine"
 	"mangoledge.example/mangoledge/internal/standin/service"
+	"mangoledge.example/mangoledge/internal/testpause"
 	"mangoledge.example/mangoledge/internal/verdict"
 )
 
@@ -138,19 +139,20 @@
 }
 
 func TestHomeStoppedBetweenGrantAndDispatch(t *testing.T) {
-	const wait = 1500 * time.Millisecond
-	s := startSite(t, siteOptions{nodes: 4, services: 3, engines: 3, seed: 4, env: []string{"MANGOLEDGE_TEST_PAUSE=" + wait.String()}})
+	s := startSite(t, siteOptions{nodes: 4, services: 3, engines: 3, seed: 4})
 	home, witness, third := s.nodes[0], s.nodes[1], s.nodes[2]
 	hold := s.holdOf("dock 1", home, witness)
+	s.hold(home, testpause.Granted)
 	var wg sync.WaitGroup
 	wg.Go(func() { s.sendTo(home, hold) })
-	time.Sleep(wait / 2)
+	s.waitHeld(home, testpause.Granted)
 	at := s.fault(historycheck.FaultPause, home.name, home.settings.CallerURL)
 	home.process.signal(syscall.SIGSTOP)
 	second := s.sendTo(third, hold)
 	require.False(t, second.Whole)
 	require.NotEqual(t, verdict.NotRun, lastVerdict(second))
 	require.Zero(t, s.starts(hold.ID.Value), "the home was not stopped before the dispatch")
+	s.release(home, testpause.Granted)
 	home.process.signal(syscall.SIGCONT)
 	s.over(at, settle)
 	wg.Wait()
@@ -290,21 +292,25 @@
 	s.check()
 }
 
+// TestKilledPartwayThroughHandOver kills a witness at each step of its hand-over.
 func TestKilledPartwayThroughHandOver(t *testing.T) {
 	s := startSite(t, siteOptions{nodes: 4, services: 3, engines: 3, seed: 11})
-	for i, delay := range []time.Duration{0, 5 * time.Millisecond, 20 * time.Millisecond, 80 * time.Millisecond} {
-		home, witness, third := s.nodes[0], s.nodes[1], s.nodes[2]
+	home, witness, third := s.nodes[0], s.nodes[1], s.nodes[2]
+	for _, point := range []testpause.Point{
+		testpause.HandOverOffered, testpause.HandOverClosed, testpause.HandOverPartSent, testpause.HandOverInstalled,
+	} {
 		var holds []callerapi.Submission
 		for j := range 10 {
-			hold := s.holdOf(fmt.Sprintf("round %d dock %d", i, j), home, witness)
+			hold := s.holdOf(fmt.Sprintf("%s dock %d", point, j), home, witness)
 			if j%2 == 0 {
 				require.True(t, s.sendTo(home, hold).Whole)
 			}
 			holds = append(holds, hold)
 		}
+		s.hold(witness, point)
 		at := s.fault(historycheck.FaultKill, witness.name, witness.settings.CallerURL)
 		witness.process.signal(syscall.SIGTERM)
-		time.Sleep(delay)
+		s.waitHeld(witness, point)
 		witness.process.kill()
 		s.over(at, settle)
 		for _, hold := range holds {
--- a/internal/faulttest/node_test.go
+++ b/internal/faulttest/node_test.go
@@ -13,6 +13,7 @@
 	"mangoledge.example/mangoledge/internal/auth"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/settings"
+	"mangoledge.example/mangoledge/internal/testpause"
 )
 
 // node is one entry host.
@@ -65,7 +66,7 @@
 	data, err := json.Marshal(n.settings)
 	require.NoError(s.t, err)
 	require.NoError(s.t, os.WriteFile(n.file, data, 0o600))
-	n.process = startProcess(s.t, s.dir, n.name, daemon(s.t), s.options.env, "--settings", n.file)
+	n.process = startProcess(s.t, s.dir, n.name, daemon(s.t), []string{testpause.DirVariable + "=" + s.dir}, "--settings", n.file)
 }
 
 // addresses asks n itself for the addresses of the site.
--- a/internal/faulttest/process_test.go
+++ b/internal/faulttest/process_test.go
@@ -57,6 +57,10 @@
 	_ = p.cmd.Process.Signal(s)
 }
 
+func (p *process) pid() int {
+	return p.cmd.Process.Pid
+}
+
 // ended waits for the end of the process and reports whether it came in time.
 func (p *process) ended(timeout time.Duration) bool {
 	select {
--- a/internal/faulttest/site_test.go
+++ b/internal/faulttest/site_test.go
@@ -39,8 +39,6 @@
 	engines  int
 	services int
 	seed     uint64
-	// env is added to the environment of every node.
-	env []string
 	// serviceDelay is how long a call of a plain service takes; 0 for the usual time.
 	serviceDelay time.Duration
 	// poison is a text that crashes every engine whose prompt holds it.
--- a/internal/witness/handover.go
+++ b/internal/witness/handover.go
@@ -9,6 +9,7 @@
 	"mangoledge.example/mangoledge/internal/grant"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/membership"
+	"mangoledge.example/mangoledge/internal/testpause"
 )
 
 const (
@@ -53,9 +54,11 @@
 	if err := s.choose(successor.Incarnation); err != nil {
 		return err
 	}
+	testpause.At(testpause.HandOverOffered)
 	if err := h.close(successor); err != nil {
 		return err
 	}
+	testpause.At(testpause.HandOverClosed)
 	count, err := s.sendChunks(ctx, h, successor)
 	if err != nil {
 		return err
@@ -64,6 +67,7 @@
 	if err := s.insist(ctx, successor, "Install", install); err != nil {
 		return err
 	}
+	testpause.At(testpause.HandOverInstalled)
 	h.markMoved()
 	return nil
 }
@@ -108,6 +112,7 @@
 				return 0, err
 			}
 			count++
+			testpause.At(testpause.HandOverPartSent)
 		}
 	}
 	return count, nil
