A stopped lease holder is shown to do no harm when it goes on

Cause: the lease was tested by SIGSTOP alone, the reconciler by calls inside one process; no test had a real node stopped between its check and its order. Change: two more points of testpause, before a host start and before an order to an engine. Real nodes: the holder is stopped there, another takes the lease over and finishes, the first goes on. Stand-in engines write orders down, taken or fenced.

--- a/internal/capacity/act.go
+++ b/internal/capacity/act.go
@@ -13,6 +13,7 @@
 	"mangoledge.example/mangoledge/internal/lease"
 	"mangoledge.example/mangoledge/internal/platform/cloud"
 	"mangoledge.example/mangoledge/internal/platform/weights"
+	"mangoledge.example/mangoledge/internal/testpause"
 )
 
 // result is what became of the work on one intent.
@@ -96,6 +97,7 @@
 	if _, err := r.options.Lease.Check(); err != nil {
 		return resultKept
 	}
+	testpause.At(testpause.CapacityStart)
 	host, err := r.options.Cloud.Start(ctx, cloud.Start{ClientToken: i.Token, Pool: i.Pool})
 	if cloud.IsNoCapacity(err) {
 		return resultRefused
@@ -146,6 +148,7 @@
 	if _, err := r.check(site, i.Pool); err != nil {
 		return err
 	}
+	testpause.At(testpause.CapacityOrder)
 	order := LoadOrder{Model: i.Model, Version: i.Version, Adapter: adapter, Fencing: fence}
 	if err := r.options.Engines.Load(ctx, i.Address, order); err != nil {
 		return err
--- a/internal/faulttest/control_test.go
+++ b/internal/faulttest/control_test.go
@@ -51,22 +51,31 @@
 	}
 }
 
-// change writes a change of the configuration as an operator's program does,
-// and notes it once the store has accepted it.
-func (s *site) change(h *historycheck.History, store *objects.Client, name string) {
+// edit changes the configuration as an operator's program does, and returns the
+// change and the version once the store has accepted it.
+func (s *site) edit(store *objects.Client, edit func(*config.Site)) (ident.Change, uint64) {
 	ctx, cancel := context.WithTimeout(s.t.Context(), readyTimeout)
 	defer cancel()
 	object, err := store.Get(ctx, config.SiteKind, config.SiteName)
 	require.NoError(s.t, err)
 	var document config.Document
 	require.NoError(s.t, json.Unmarshal(object.Spec, &document))
-	document.Site.Kinds = append(document.Site.Kinds, config.Kind{Name: ident.Kind(name), Worth: 1})
-	document.Recent = append(document.Recent, config.ChangeRecord{Change: ident.Change(name), Base: uint64(object.Metadata.ResourceVersion)})
+	edit(&document.Site)
+	change := ident.Change(fmt.Sprint("change-", len(document.Recent)))
+	document.Recent = append(document.Recent, config.ChangeRecord{Change: change, Base: uint64(object.Metadata.ResourceVersion)})
 	object.Spec, err = json.Marshal(document)
 	require.NoError(s.t, err)
 	stored, err := store.Update(ctx, object)
 	require.NoError(s.t, err)
-	h.Changes = append(h.Changes, historycheck.Change{ID: ident.Change(name), Version: uint64(stored.Metadata.ResourceVersion), At: time.Now()})
+	return change, uint64(stored.Metadata.ResourceVersion)
+}
+
+// change adds a kind of requests and notes the change.
+func (s *site) change(h *historycheck.History, store *objects.Client, name string) {
+	change, version := s.edit(store, func(site *config.Site) {
+		site.Kinds = append(site.Kinds, config.Kind{Name: ident.Kind(name), Worth: 1})
+	})
+	h.Changes = append(h.Changes, historycheck.Change{ID: change, Version: version, At: time.Now()})
 }
 
 // watchVersions asks all nodes for their versions during d.
--- a/internal/faulttest/upstream_test.go
+++ b/internal/faulttest/upstream_test.go
@@ -34,22 +34,43 @@
 	return startProcess(s.t, s.dir, name, os.Args[0], []string{roleVariable + "=" + string(text)})
 }
 
+// startUpstream starts a stand-in on a host of its own.
 func (s *site) startUpstream(kind roleKind, i int) *upstream {
+	u := s.newUpstream(kind, i)
+	u.host = s.newHost(u.name, u.domain)
+	s.runUpstream(u)
+	return u
+}
+
+// startEngine starts an engine without a host; the cloud gives it one by its address.
+func (s *site) startEngine(i int, ignoreFencing bool) *upstream {
+	u := s.newUpstream(roleEngine, i)
+	u.role.Engine.IgnoreFencing = ignoreFencing
+	s.runUpstream(u)
+	return u
+}
+
+func (s *site) newUpstream(kind roleKind, i int) *upstream {
 	name := fmt.Sprintf("%s%d", kind, i)
 	path := filepath.Join(s.dir, name+".history")
 	address := freeAddress(s.t)
-	r := role{
-		Kind:    kind,
-		Listen:  address,
-		Engine:  engine.Options{ID: name, Slots: 32, TokenInterval: tokenInterval, IgnoreFencing: true, PoisonMarker: s.options.poison, Seed: s.options.seed + uint64(i), HistoryPath: path},
+	return &upstream{name: name, domain: domainName(i), address: address, role: role{
+		Kind:   kind,
+		Listen: address,
+		Engine: engine.Options{
+			ID: name, Slots: 32, TokenInterval: tokenInterval, IgnoreFencing: true,
+			PoisonMarker: s.options.poison, Seed: s.options.seed + uint64(i), HistoryPath: path,
+		},
 		Service: service.Options{ID: name, Delay: cmp.Or(s.options.serviceDelay, serviceDelay), HistoryPath: path},
-	}
-	u := &upstream{name: name, domain: domainName(i), host: s.newHost(name, domainName(i)), address: address, role: r}
-	u.process = s.startRole(name, r)
-	u.link = newLink(s.t, name, address, false)
-	u.link.fault.Upstream = name
-	s.waitListening("http://" + address + "/")
-	return u
+	}}
+}
+
+// runUpstream starts the process and its link.
+func (s *site) runUpstream(u *upstream) {
+	u.process = s.startRole(u.name, u.role)
+	u.link = newLink(s.t, u.name, u.address, false)
+	u.link.fault.Upstream = u.name
+	s.waitListening("http://" + u.address + "/")
 }
 
 func domainName(i int) string {
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -149,6 +149,7 @@
 type order struct {
 	Order   string `json:"order"`
 	Model   string `json:"model"`
+	Version string `json:"version"`
 	Fencing uint64 `json:"fencing"`
 }
 
@@ -160,10 +161,14 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	entry := history.Entry{Event: history.EventOrder, Order: o.Order + " " + o.Model + " " + o.Version, Fencing: o.Fencing}
 	if o.Fencing < e.fencing && !e.options.IgnoreFencing {
+		entry.Event = history.EventFenced
+		e.log.Write(entry)
 		writeFailure(w, http.StatusConflict, engine.CodeFenced, "the fencing number is old")
 		return
 	}
+	e.log.Write(entry)
 	e.fencing = max(e.fencing, o.Fencing)
 	w.WriteHeader(http.StatusNoContent)
 }
--- a/internal/standin/history/history.go
+++ b/internal/standin/history/history.go
@@ -28,6 +28,10 @@
 	EventRefused Event = "refused"
 	// EventExport is written when a cache was exported.
 	EventExport Event = "export"
+	// EventOrder is written before an order takes effect.
+	EventOrder Event = "order"
+	// EventFenced is written when an order is refused for its old fencing number.
+	EventFenced Event = "fenced"
 )
 
 // Entry is one line.
@@ -40,6 +44,9 @@
 	Prefix int `json:"prefix,omitempty"`
 	// Recomputed is the number of tokens computed again for want of a cache.
 	Recomputed int `json:"recomputed,omitempty"`
+	// Order and Fencing are an order in words and its fencing number.
+	Order   string `json:"order,omitempty"`
+	Fencing uint64 `json:"fencing,omitempty"`
 }
 
 // Log appends entries to a file.
--- a/internal/testpause/testpause.go
+++ b/internal/testpause/testpause.go
@@ -34,6 +34,10 @@
 	HandOverPartSent Point = "handover-part-sent"
 	// HandOverInstalled is after the successor answers, before anybody else hears of it.
 	HandOverInstalled Point = "handover-installed"
+	// CapacityStart is between the check of the lease and the start of a host.
+	CapacityStart Point = "capacity-start"
+	// CapacityOrder is between the check of the lease and an order to an engine.
+	CapacityOrder Point = "capacity-order"
 )
 
 // HoldPath is the file that holds process pid at point.
