--- a/internal/faulttest/link_test.go
+++ b/internal/faulttest/link_test.go
@@ -32,17 +32,33 @@
 // newLink starts a proxy before target at a port of its own.
 func newLink(t *testing.T, name, target string, datagrams bool) *link {
 	t.Helper()
-	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
-	address := freeAddress(t)
-	l := &link{name: name, address: address, fault: historycheck.Fault{Kind: historycheck.FaultLink, Target: name}, proxy: toxiproxy.NewProxy(server, name, address, target)}
-	require.NoError(t, l.proxy.Start())
+	l := &link{name: name, fault: historycheck.Fault{Kind: historycheck.FaultLink, Target: name}}
+	var err error
+	for range portTries {
+		if err = l.listen(target); err == nil {
+			break
+		}
+	}
+	require.NoError(t, err)
 	t.Cleanup(l.proxy.Stop)
 	if datagrams {
-		l.relay = newRelay(t, address, target)
+		l.relay = newRelay(t, l.address, target)
 	}
 	return l
 }
 
+// listen starts the proxy at a free port.
+func (l *link) listen(target string) error {
+	address, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
+	l.address = address
+	l.proxy = toxiproxy.NewProxy(server, l.name, address, target)
+	return l.proxy.Start()
+}
+
 // cut breaks every connection and refuses new ones until mend.
 func (l *link) cut() {
 	l.proxy.Stop()
--- a/internal/faulttest/node_test.go
+++ b/internal/faulttest/node_test.go
@@ -29,7 +29,7 @@
 // newNode makes a node with its links; it is not started yet.
 func (s *site) newNode(i int) *node {
 	name := fmt.Sprintf("n%d", i)
-	callerAddress, peerAddress := freeAddress(s.t), freeAddress(s.t)
+	callerAddress, peerAddress := s.freeAddress(), s.freeAddress()
 	n := &node{
 		name:    name,
 		file:    filepath.Join(s.dir, name+".json"),
@@ -43,7 +43,7 @@
 		Host:           s.newHost(name, domainName(i)),
 		CallerListen:   callerAddress,
 		CallerURL:      "http://" + n.callers.address,
-		OperatorListen: freeAddress(s.t),
+		OperatorListen: s.freeAddress(),
 		PeerListen:     peerAddress,
 		PeerAdvertise:  n.peers.address,
 		PeerToken:      peerToken,
--- a/internal/faulttest/platform_test.go
+++ b/internal/faulttest/platform_test.go
@@ -13,7 +13,7 @@
 )
 
 func (s *site) startPlatform() {
-	address := freeAddress(s.t)
+	address := s.freeAddress()
 	s.startRole("platform", role{Kind: rolePlatform, Listen: address, Seed: s.options.seed})
 	s.platform = "http://" + address
 	s.waitListening(s.platform + "/counts")
--- a/internal/faulttest/ports_test.go
+++ b/internal/faulttest/ports_test.go
@@ -5,7 +5,8 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"testing"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -15,6 +16,9 @@
 	lastPort  = 32000
 	// portBlock is how many ports one test process has to itself.
 	portBlock = 2000
+	// portTries is how often a port is chosen anew when a process of another
+	// program has taken it in between.
+	portTries = 5
 )
 
 // nextPort counts the ports that were given out.
@@ -41,20 +45,18 @@
 
 // freeAddress returns an address on loopback whose port is free for TCP and
 // UDP, and was not returned lately.
-func freeAddress(t *testing.T) string {
-	t.Helper()
+func freeAddress() (string, error) {
 	first := firstOfBlock()
 	if first == 0 {
-		t.Fatal("every block of ports is taken")
+		return "", errors.New("every block of ports is taken")
 	}
 	for range portBlock {
 		address := loopback(first + 1 + nextPort.Add(1)%(portBlock-1))
 		if isFree(address) {
-			return address
+			return address, nil
 		}
 	}
-	t.Fatal("no port is free")
-	return ""
+	return "", errors.New("no port is free")
 }
 
 func isFree(address string) bool {
--- a/internal/faulttest/site_test.go
+++ b/internal/faulttest/site_test.go
@@ -143,6 +143,13 @@
 	}
 }
 
+// freeAddress returns an address for a listener.
+func (s *site) freeAddress() string {
+	address, err := freeAddress()
+	require.NoError(s.t, err)
+	return address
+}
+
 func (s *site) eventually(what string, done func() bool) {
 	s.t.Helper()
 	deadline := time.Now().Add(readyTimeout)
--- a/internal/faulttest/upstream_test.go
+++ b/internal/faulttest/upstream_test.go
@@ -53,7 +53,7 @@
 func (s *site) newUpstream(kind roleKind, i int) *upstream {
 	name := fmt.Sprintf("%s%d", kind, i)
 	path := filepath.Join(s.dir, name+".history")
-	address := freeAddress(s.t)
+	address := s.freeAddress()
 	return &upstream{name: name, domain: domainName(i), address: address, role: role{
 		Kind:   kind,
 		Listen: address,
