--- a/internal/faulttest/control_test.go
+++ b/internal/faulttest/control_test.go
@@ -23,17 +23,17 @@
 	const notice = 20 * time.Second
 	s := startSite(t, siteOptions{nodes: 3, services: 1, engines: 3, seed: 12})
 	leaving := s.engines[0]
-	s.fault(historycheck.FaultReclaim, leaving.name, "")
+	s.fault(leaving.faultOf(historycheck.FaultReclaim))
 	s.put(http.MethodPost, "/control/reclaim", reclaimOrder{Host: string(leaving.host), NoticeMs: notice.Milliseconds()}, nil)
 	s.order(leaving, engine.Faults{Leave: true})
 	stop := make(chan struct{})
-	var callers sync.WaitGroup
-	for i := range callerCount {
-		callers.Go(func() { s.callUntil(stop, i) })
+	var calls sync.WaitGroup
+	for i, c := range s.newCallers(callerCount) {
+		calls.Go(func() { s.callUntil(stop, c, i) })
 	}
 	time.Sleep(historycheck.LeavingLimit + 4*time.Second)
 	close(stop)
-	callers.Wait()
+	calls.Wait()
 	s.check()
 }
 
@@ -51,22 +51,31 @@
 	}
 }
 
-// change writes a change of the configuration as an operator's program does,
-// and notes it once the store has accepted it.
-func (s *site) change(h *historycheck.History, store *objects.Client, name string) {
+// edit changes the configuration as an operator's program does, and returns the
+// change and the version once the store has accepted it.
+func (s *site) edit(store *objects.Client, edit func(*config.Site)) (ident.Change, uint64) {
 	ctx, cancel := context.WithTimeout(s.t.Context(), readyTimeout)
 	defer cancel()
 	object, err := store.Get(ctx, config.SiteKind, config.SiteName)
 	require.NoError(s.t, err)
 	var document config.Document
 	require.NoError(s.t, json.Unmarshal(object.Spec, &document))
-	document.Site.Kinds = append(document.Site.Kinds, config.Kind{Name: ident.Kind(name), Worth: 1})
-	document.Recent = append(document.Recent, config.ChangeRecord{Change: ident.Change(name), Base: uint64(object.Metadata.ResourceVersion)})
+	edit(&document.Site)
+	change := ident.Change(fmt.Sprint("change-", len(document.Recent)))
+	document.Recent = append(document.Recent, config.ChangeRecord{Change: change, Base: uint64(object.Metadata.ResourceVersion)})
 	object.Spec, err = json.Marshal(document)
 	require.NoError(s.t, err)
 	stored, err := store.Update(ctx, object)
 	require.NoError(s.t, err)
-	h.Changes = append(h.Changes, historycheck.Change{ID: ident.Change(name), Version: uint64(stored.Metadata.ResourceVersion), At: time.Now()})
+	return change, uint64(stored.Metadata.ResourceVersion)
+}
+
+// change adds a kind of requests and notes the change.
+func (s *site) change(h *historycheck.History, store *objects.Client, name string) {
+	change, version := s.edit(store, func(site *config.Site) {
+		site.Kinds = append(site.Kinds, config.Kind{Name: ident.Kind(name), Worth: 1})
+	})
+	h.Changes = append(h.Changes, historycheck.Change{ID: change, Version: version, At: time.Now()})
 }
 
 // watchVersions asks all nodes for their versions during d.
--- a/internal/faulttest/directed_test.go
+++ b/internal/faulttest/directed_test.go
@@ -13,6 +13,7 @@
 	"mangoledge.example/mangoledge/internal/historycheck"
 	"mangoledge.example/mangoledge/internal/standin/engine"
 	"mangoledge.example/mangoledge/internal/standin/service"
+	"mangoledge.example/mangoledge/internal/testpause"
 	"mangoledge.example/mangoledge/internal/verdict"
 )
 
@@ -71,7 +72,7 @@
 		holds = append(holds, s.holdOf(fmt.Sprint("dock ", i), home, witness))
 	}
 	// The home reaches its witness, and nobody reaches the home: the others take its requests over.
-	at := s.fault(historycheck.FaultLink, home.peers.name, "")
+	at := s.fault(home.peers.fault)
 	home.peers.cut()
 	for _, hold := range holds {
 		calls := s.both(hold, home, s.nodes[2])
@@ -80,7 +81,7 @@
 			require.NotEqual(t, verdict.NotRun, lastVerdict(call))
 		}
 	}
-	s.over(at, settle)
+	s.over(at)
 	s.check()
 }
 
@@ -138,21 +139,22 @@
 }
 
 func TestHomeStoppedBetweenGrantAndDispatch(t *testing.T) {
-	const wait = 1500 * time.Millisecond
-	s := startSite(t, siteOptions{nodes: 4, services: 3, engines: 3, seed: 4, env: []string{"MANGOLEDGE_TEST_PAUSE=" + wait.String()}})
+	s := startSite(t, siteOptions{nodes: 4, services: 3, engines: 3, seed: 4})
 	home, witness, third := s.nodes[0], s.nodes[1], s.nodes[2]
 	hold := s.holdOf("dock 1", home, witness)
+	s.hold(home, testpause.Granted)
 	var wg sync.WaitGroup
 	wg.Go(func() { s.sendTo(home, hold) })
-	time.Sleep(wait / 2)
-	at := s.fault(historycheck.FaultPause, home.name, home.settings.CallerURL)
+	s.waitHeld(home, testpause.Granted)
+	at := s.fault(home.faultOf(historycheck.FaultPause))
 	home.process.signal(syscall.SIGSTOP)
 	second := s.sendTo(third, hold)
 	require.False(t, second.Whole)
 	require.NotEqual(t, verdict.NotRun, lastVerdict(second))
 	require.Zero(t, s.starts(hold.ID.Value), "the home was not stopped before the dispatch")
+	s.release(home, testpause.Granted)
 	home.process.signal(syscall.SIGCONT)
-	s.over(at, settle)
+	s.over(at)
 	wg.Wait()
 	require.Equal(t, 1, s.starts(hold.ID.Value), "the granted holder went on")
 	s.check()
@@ -168,6 +170,7 @@
 		{"before it had the request", service.Faults{SilentBefore: 1}, 0},
 		{"after it had the request", service.Faults{SilentBefore: -1, SilentAfter: 1}, 1},
 	} {
+		s.fault(s.services[0].link.fault)
 		s.order(s.services[0], c.faults)
 		hold := s.holdOf(c.name, s.nodes[0], s.nodes[1])
 		hold.DeadlineMs = 4000
@@ -187,11 +190,11 @@
 	call := s.send(s.newCaller(), longStream("silent engine"), func(offset int) {
 		if offset == 100 {
 			once.Do(func() {
-				at := s.fault(historycheck.FaultLink, "engines", "")
 				for _, u := range s.engines {
+					at := s.fault(u.link.fault)
 					s.order(u, engine.Faults{Silent: true})
+					s.over(at)
 				}
-				s.over(at, settle)
 			})
 		}
 	})
@@ -208,7 +211,7 @@
 	call := s.send(s.newCaller(), stream, func(offset int) {
 		if offset == 100 {
 			once.Do(func() {
-				s.fault(historycheck.FaultLink, home.name, home.settings.CallerURL)
+				s.fault(home.faultOf(historycheck.FaultLink))
 				require.NoError(t, home.callers.silence())
 				require.NoError(t, home.peers.silence())
 			})
@@ -223,10 +226,10 @@
 	out := make([]historycheck.Call, count)
 	var begun, done sync.WaitGroup
 	begun.Add(count)
-	for i := range count {
+	for i, c := range s.newCallers(count) {
 		done.Go(func() {
 			var once sync.Once
-			out[i] = s.send(s.newCaller(), longStream(fmt.Sprint("stream ", i)), func(int) { once.Do(begun.Done) })
+			out[i] = s.send(c, longStream(fmt.Sprint("stream ", i)), func(int) { once.Do(begun.Done) })
 			once.Do(begun.Done)
 		})
 	}
@@ -290,23 +293,27 @@
 	s.check()
 }
 
+// TestKilledPartwayThroughHandOver kills a witness at each step of its hand-over.
 func TestKilledPartwayThroughHandOver(t *testing.T) {
 	s := startSite(t, siteOptions{nodes: 4, services: 3, engines: 3, seed: 11})
-	for i, delay := range []time.Duration{0, 5 * time.Millisecond, 20 * time.Millisecond, 80 * time.Millisecond} {
-		home, witness, third := s.nodes[0], s.nodes[1], s.nodes[2]
+	home, witness, third := s.nodes[0], s.nodes[1], s.nodes[2]
+	for _, point := range []testpause.Point{
+		testpause.HandOverOffered, testpause.HandOverClosed, testpause.HandOverPartSent, testpause.HandOverInstalled,
+	} {
 		var holds []callerapi.Submission
 		for j := range 10 {
-			hold := s.holdOf(fmt.Sprintf("round %d dock %d", i, j), home, witness)
+			hold := s.holdOf(fmt.Sprintf("%s dock %d", point, j), home, witness)
 			if j%2 == 0 {
 				require.True(t, s.sendTo(home, hold).Whole)
 			}
 			holds = append(holds, hold)
 		}
-		at := s.fault(historycheck.FaultKill, witness.name, witness.settings.CallerURL)
+		s.hold(witness, point)
+		at := s.fault(witness.faultOf(historycheck.FaultKill))
 		witness.process.signal(syscall.SIGTERM)
-		time.Sleep(delay)
+		s.waitHeld(witness, point)
 		witness.process.kill()
-		s.over(at, settle)
+		s.over(at)
 		for _, hold := range holds {
 			s.both(hold, home, third)
 			require.LessOrEqual(t, s.starts(hold.ID.Value), 1)
