--- a/internal/bench/group.go
+++ b/internal/bench/group.go
@@ -45,6 +45,7 @@
 	mean(&g.BetweenTokensP95, r.BetweenTokensP95)
 	mean(&g.CostPerWorth, r.CostPerWorth)
 	mean(&g.RetryShare, r.RetryShare)
+	mean(&g.RefusalP95, r.RefusalP95)
 	g.FairShare = min(g.FairShare, r.FairShare)
 	g.Crashes = max(g.Crashes, r.Crashes)
 	g.LateWork = max(g.LateWork, r.LateWork)
@@ -52,6 +53,7 @@
 	g.Recomputed += r.Recomputed
 	g.Requests += r.Requests
 	g.Refused += r.Refused
+	g.Withdrawn += r.Withdrawn
 	g.Late += r.Late
 	g.Failed += r.Failed
 	g.Stays += r.Stays
--- a/internal/bench/job.go
+++ b/internal/bench/job.go
@@ -50,7 +50,9 @@
 	attempt      *attempt
 	serial       uint64
 	passed       bool
-	waiting      bool
+	// accepted is true once admission has taken the job in.
+	accepted bool
+	waiting  bool
 }
 
 // open reports whether the job still waits for its answer.
--- a/internal/bench/productjob.go
+++ b/internal/bench/productjob.go
@@ -33,6 +33,7 @@
 		return
 	}
 	j.ticket = t
+	j.accepted = true
 	n.product.jobs[t] = j
 	n.budget.Attempt()
 	n.pump()
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -30,6 +30,10 @@
 	Refused  int `json:"refused_not_run"`
 	Late     int `json:"late"`
 	Failed   int `json:"failed"`
+	// Withdrawn is how many of the refused had been accepted before, and
+	// RefusalP95 how long a refused request had to wait for its refusal, in milliseconds.
+	Withdrawn  int     `json:"withdrawn_not_run"`
+	RefusalP95 float64 `json:"refusal_p95_ms"`
 	// Sends is how often a request was accepted by an upstream; RetryShare is
 	// the part of it beyond the first time of each request.
 	Sends      int     `json:"sends"`
@@ -50,6 +54,7 @@
 
 	first   *hdrhistogram.Histogram
 	between *hdrhistogram.Histogram
+	refusal *hdrhistogram.Histogram
 }
 
 func newResult(shape Shape, scenario Scenario, seed uint64) *Result {
@@ -57,6 +62,7 @@
 		Shape: shape.Name, Scenario: scenario.Name, Seed: seed,
 		first:   hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3),
 		between: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3),
+		refusal: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3),
 	}
 }
 
@@ -69,6 +75,15 @@
 	_ = r.between.RecordValue(int64((now - j.last) / time.Microsecond))
 }
 
+// noteRefusal counts a job that was told that it was not run.
+func (r *Result) noteRefusal(j *job) {
+	r.Refused++
+	if j.accepted {
+		r.Withdrawn++
+	}
+	_ = r.refusal.RecordValue(int64((j.ended - j.arrive) / time.Microsecond))
+}
+
 // sum fills in the figures at the end of a run.
 func (r *Result) sum(w *world) {
 	first := 0
@@ -84,7 +99,7 @@
 			r.Whole++
 			r.Answered += j.kind.worth
 		case jobRefused:
-			r.Refused++
+			r.noteRefusal(j)
 		case jobFailed:
 			r.Failed++
 		case jobLate, jobOpen:
@@ -95,6 +110,7 @@
 	r.RetryShare = ratio(float64(r.Sends-first), float64(r.Sends))
 	r.FirstTokenP95 = float64(r.first.ValueAtQuantile(95)) / 1000
 	r.BetweenTokensP95 = float64(r.between.ValueAtQuantile(95)) / 1000
+	r.RefusalP95 = float64(r.refusal.ValueAtQuantile(95)) / 1000
 	r.CostPerWorth = ratio(cost(w), r.Answered)
 	r.FairShare = leastFairShare(w)
 }
--- a/internal/bench/run_test.go
+++ b/internal/bench/run_test.go
@@ -19,7 +19,8 @@
 	for _, s := range Systems() {
 		task := Task{Shape: shortShape(), Scenario: all, System: s, Seed: 5, Load: NominalLoad}
 		a, b := Run(task), Run(task)
-		a.first, a.between, b.first, b.between = nil, nil, nil, nil
+		a.first, a.between, a.refusal = nil, nil, nil
+		b.first, b.between, b.refusal = nil, nil, nil
 		require.Equal(t, a, b, s.Name)
 		task.Seed = 6
 		c := Run(task)
--- a/internal/bench/table.go
+++ b/internal/bench/table.go
@@ -16,7 +16,7 @@
 	last := groupKey{}
 	for _, key := range g.order {
 		if key.shape != last.shape || key.scenario != last.scenario {
-			_, _ = fmt.Fprintf(table, "\n%s %s\tgoodput\tttft95 ms\tgap95 ms\tcost/answer\trecomputed\tnot run\tlate\tfailed\tretries\tfair\tcrashes\tfalse\tlate work\tstay/kv/prefill/resume\t\n", key.shape, key.scenario)
+			_, _ = fmt.Fprintf(table, "\n%s %s\tgoodput\tttft95 ms\tgap95 ms\tcost/answer\trecomputed\tnot run\twithdrawn\trefusal95 ms\tlate\tfailed\tretries\tfair\tcrashes\tfalse\tlate work\tstay/kv/prefill/resume\t\n", key.shape, key.scenario)
 		}
 		last = key
 		writeRow(table, g.byKey[key])
@@ -25,9 +25,9 @@
 }
 
 func writeRow(table io.Writer, r *group) {
-	_, _ = fmt.Fprintf(table, "%s\t%.3f\t%.0f\t%.1f\t%.5f\t%d\t%d\t%d\t%d\t%.3f\t%.2f\t%d\t%d\t%d\t%d/%d/%d/%d\t\n",
+	_, _ = fmt.Fprintf(table, "%s\t%.3f\t%.0f\t%.1f\t%.5f\t%d\t%d\t%d\t%.0f\t%d\t%d\t%.3f\t%.2f\t%d\t%d\t%d\t%d/%d/%d/%d\t\n",
 		r.System, r.Goodput, r.FirstTokenP95, r.BetweenTokensP95, r.CostPerWorth, r.Recomputed,
-		r.Refused, r.Late, r.Failed, r.RetryShare, r.FairShare, r.Crashes, r.FalseConvictions,
+		r.Refused, r.Withdrawn, r.RefusalP95, r.Late, r.Failed, r.RetryShare, r.FairShare, r.Crashes, r.FalseConvictions,
 		r.LateWork, r.Stays, r.Transfers, r.Prefills, r.Resumes)
 }
 
