Requests wait at an engine by their latest start

Cause: the urgency sent to an engine was the slack at the time of sending, in steps from 0 to 9. It did not grow while the request waited there, so everything shorter that came later went before a draft.

Change: the urgency is the latest time at which the request may start, which keeps its meaning however long it waits. The owner's line orders by it too.

--- a/internal/bench/baseline.go
+++ b/internal/bench/baseline.go
@@ -6,6 +6,7 @@
 
 	"mangoledge.example/mangoledge/internal/fleet"
 	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/request"
 	"mangoledge.example/mangoledge/internal/routing"
 )
 
@@ -81,7 +82,7 @@
 	}
 	j.attempts++
 	e := b.world.byID[id]
-	a := &attempt{job: j, engine: e, priority: j.kind.priority}
+	a := &attempt{job: j, engine: e, urgency: request.Urgency(j.kind.priority)}
 	a.ended = func(a *attempt, how ending) {
 		b.world.atNode(j.home, hop, func() { b.ended(a, how) })
 	}
--- a/internal/bench/job.go
+++ b/internal/bench/job.go
@@ -74,8 +74,8 @@
 	engine *engine
 	// ended is called when the attempt ends, at the engine's time.
 	ended func(*attempt, ending)
-	// priority orders the attempts that wait at the engine.
-	priority request.Priority
+	// urgency orders the attempts that wait at the engine, the greatest first.
+	urgency request.Urgency
 	// prefill is how many tokens are left to prefill.
 	prefill int
 	// moved is true when the KV cache was imported.
--- a/internal/bench/productattempt.go
+++ b/internal/bench/productattempt.go
@@ -18,7 +18,7 @@
 	a.ended = func(a *attempt, how ending) {
 		w.atNode(n.number, hop, func() { n.ended(a, how) })
 	}
-	a.priority = n.urgency(j)
+	a.urgency = n.urgency(j)
 	n.running = append(n.running, j)
 	n.table.Started(w.clock.wall(), a.engine.upstream.ID, &j.features)
 	w.noteSend(a.engine)
--- a/internal/bench/productreserve.go
+++ b/internal/bench/productreserve.go
@@ -60,16 +60,16 @@
 	return &owner.ReserveArgs{
 		ID:    owner.ReservationID{Holder: n.member.Incarnation, Serial: j.serial},
 		Model: f.Model, Service: f.Service, Blocks: blocks,
-		PromptTokens: f.PromptTokens, MaxTokens: f.MaxTokens, Priority: n.urgency(j),
+		PromptTokens: f.PromptTokens, MaxTokens: f.MaxTokens, Urgency: n.urgency(j),
 		Avoid: f.Avoid, Suspect: f.Suspect,
 		Hold: j.deadline - n.product.world.clock.now + time.Second,
 	}
 }
 
 // urgency is the priority of a job where it waits behind its slot's others.
-func (n *node) urgency(j *job) request.Priority {
+func (n *node) urgency(j *job) request.Urgency {
 	needs := time.Duration(j.kind.output) * admission.TypicalPace
-	return admission.Urgency(n.product.world.clock.wall(), epoch.Add(j.deadline), needs)
+	return request.UrgencyOf(epoch.Add(j.deadline), needs)
 }
 
 // giveBack ends a reservation whose answer came too late.
--- a/internal/dispatch/enginerun.go
+++ b/internal/dispatch/enginerun.go
@@ -52,10 +52,11 @@
 }
 
 // urgencyOf is the priority at the engine's own queue: what the caller's priority
-// is worth was decided when the request had its turn.
-func urgencyOf(record *request.Record) request.Priority {
+// is worth was decided when the request had its turn. It follows the deadline, so
+// that nothing which arrives later starves a request that waits there.
+func urgencyOf(record *request.Record) request.Urgency {
 	left := record.Spec.MaxTokens - len(record.Tokens)
-	return admission.Urgency(time.Now(), record.Spec.Deadline, time.Duration(left)*admission.TypicalPace)
+	return request.UrgencyOf(record.Spec.Deadline, time.Duration(left)*admission.TypicalPace)
 }
 
 // readWithAttach reads stream to its end, and attaches again when its connection breaks.
--- a/internal/owner/ledger.go
+++ b/internal/owner/ledger.go
@@ -42,10 +42,10 @@
 	upstream ident.Upstream
 	suspect  bool
 	// waiting is true while it is in line for a slot.
-	waiting  bool
-	priority request.Priority
-	until    time.Time
-	place    int
+	waiting bool
+	urgency request.Urgency
+	until   time.Time
+	place   int
 }
 
 // NewLedger returns the ledger of node self, which chooses by policy among the
@@ -116,7 +116,7 @@
 		hold = defaultHold
 	}
 	r := &reservation{
-		id: args.ID, upstream: upstream, suspect: args.Suspect, priority: args.Priority, until: now.Add(hold),
+		id: args.ID, upstream: upstream, suspect: args.Suspect, urgency: args.Urgency, until: now.Add(hold),
 	}
 	l.held[args.ID] = r
 	l.line(upstream).join(r)
--- a/internal/owner/line.go
+++ b/internal/owner/line.go
@@ -35,7 +35,7 @@
 	}
 	next := l.waiting[0]
 	for _, w := range l.waiting[1:] {
-		if w.priority > next.priority {
+		if w.urgency > next.urgency {
 			next = w
 		}
 	}
--- a/internal/owner/messages.go
+++ b/internal/owner/messages.go
@@ -34,7 +34,8 @@
 	Blocks       []routing.Block
 	PromptTokens int
 	MaxTokens    int
-	Priority     request.Priority
+	// Urgency orders the requests in line.
+	Urgency request.Urgency
 	// Avoid is an upstream that lately failed this request, or empty.
 	Avoid ident.Upstream
 	// Suspect is true when the content was running at an upstream that crashed.
@@ -47,7 +48,7 @@
 func (a *ReserveArgs) Features() routing.Features {
 	return routing.Features{
 		Model: a.Model, Adapter: a.Adapter, Service: a.Service, Blocks: a.Blocks,
-		PromptTokens: a.PromptTokens, MaxTokens: a.MaxTokens, Priority: a.Priority,
+		PromptTokens: a.PromptTokens, MaxTokens: a.MaxTokens,
 		Avoid: a.Avoid, Suspect: a.Suspect,
 	}
 }
--- a/internal/placement/features.go
+++ b/internal/placement/features.go
@@ -17,7 +17,6 @@
 		Service:      spec.Service,
 		PromptTokens: len(spec.Input)/bytesPerToken + need.Tokens,
 		MaxTokens:    spec.MaxTokens,
-		Priority:     spec.Priority,
 	}
 	if spec.Service == "" {
 		out.Blocks = routing.Blocks(nil, spec.Model, spec.Adapter, spec.Input)
--- a/internal/placement/router.go
+++ b/internal/placement/router.go
@@ -250,7 +250,7 @@
 		Blocks:       features.Blocks,
 		PromptTokens: features.PromptTokens,
 		MaxTokens:    features.MaxTokens,
-		Priority:     admission.Urgency(time.Now(), need.Spec.Deadline, time.Duration(features.MaxTokens)*admission.TypicalPace),
+		Urgency:      request.UrgencyOf(need.Spec.Deadline, time.Duration(features.MaxTokens)*admission.TypicalPace),
 		Avoid:        features.Avoid,
 		Suspect:      features.Suspect,
 		Hold:         time.Until(need.Spec.Deadline),
--- a/internal/routing/features.go
+++ b/internal/routing/features.go
@@ -2,7 +2,6 @@
 
 import (
 	"mangoledge.example/mangoledge/internal/ident"
-	"mangoledge.example/mangoledge/internal/request"
 )
 
 // Features are what the choice of an upstream depends on.
@@ -18,7 +17,6 @@
 	PromptTokens int
 	// MaxTokens is the most tokens to generate.
 	MaxTokens int
-	Priority  request.Priority
 	// Avoid is an upstream that lately failed this request, or empty.
 	Avoid ident.Upstream
 	// Suspect is true when the content was running at an upstream that crashed.
