What waits in vain is told so at once

Cause: a waiting request was held against its deadline only when its turn came. The daemon had no such check at all after a request's turn: it looked for a slot until the deadline.

A request that looks for a slot asks its ticket whether it is overdue, and an owner's line is waited in until the latest start at most.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -21,6 +21,8 @@
 	serial   uint64
 	counters Counters
 	shed     []*Ticket
+	// scratch is space of expire.
+	scratch []*Ticket
 }
 
 // NewController returns a controller without requests.
@@ -137,8 +139,7 @@
 	if l.queued < c.settings.MaxQueued {
 		return nil
 	}
-	wait := time.Duration(l.cost / l.throughput() * float64(time.Second))
-	refusal := verdict.New(verdict.NotRun, verdict.CodeOverloaded, "%d requests are waiting", l.queued).After(clampRetry(wait))
+	refusal := verdict.New(verdict.NotRun, verdict.CodeOverloaded, "%d requests are waiting", l.queued).After(l.comeBack())
 	victim := l.longest()
 	worst := victim.worst()
 	own := (t.flow.cost + t.Request.Cost.Seconds()) / t.flow.share
@@ -174,8 +175,8 @@
 			return nil
 		}
 		t := f.waiting[0]
-		if !c.Feasible(now, t) {
-			c.drop(t, verdict.New(verdict.NotRun, verdict.CodeDeadline, "waited until its deadline could no longer be met"))
+		if refusal := c.overdue(now, t); refusal != nil {
+			c.drop(t, refusal)
 			continue
 		}
 		f.remove(t)
@@ -189,10 +190,50 @@
 	}
 }
 
-// Feasible reports whether a ticket that was handed out and still looks for a
-// slot is likely to meet its deadline when it gets one at now.
-func (c *Controller) Feasible(now time.Time, t *Ticket) bool {
-	return !now.Add(c.settings.time(&t.Request)).After(t.Request.Deadline)
+// Expire sheds the waiting requests that are unlikely to meet their deadlines
+// any more, so that each is told at once and not when its turn would have come.
+func (c *Controller) Expire(now time.Time) {
+	c.mu.Lock()
+	for _, l := range c.order {
+		for _, f := range l.flows {
+			c.expire(now, f)
+		}
+	}
+	shed := c.takeShed()
+	c.mu.Unlock()
+	c.report(shed)
+}
+
+func (c *Controller) expire(now time.Time, f *flow) {
+	c.scratch = append(c.scratch[:0], f.waiting...)
+	for _, t := range c.scratch {
+		if refusal := c.overdue(now, t); refusal != nil {
+			c.drop(t, refusal)
+		}
+	}
+	clear(c.scratch)
+}
+
+// Overdue returns the refusal of a ticket that is unlikely to meet its deadline
+// when it gets a slot at now, or nil. It is for tickets that wait or look for a
+// slot; one that was sent to an upstream is not overdue before its deadline.
+func (c *Controller) Overdue(now time.Time, t *Ticket) *verdict.Error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.overdue(now, t)
+}
+
+func (c *Controller) overdue(now time.Time, t *Ticket) *verdict.Error {
+	if !now.After(c.LatestStart(t)) {
+		return nil
+	}
+	return verdict.New(verdict.NotRun, verdict.CodeDeadlineUnlikely, "waited until its deadline could no longer be met").
+		After(t.flow.lane.comeBack())
+}
+
+// LatestStart is when a ticket has to have a slot to be likely to meet its deadline.
+func (c *Controller) LatestStart(t *Ticket) time.Time {
+	return t.Request.Deadline.Add(-c.settings.time(&t.Request))
 }
 
 // Blocked says that no slot could be had for the requests of pool; nothing is
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -208,6 +208,37 @@
 	}
 }
 
+// A waiting request is told as soon as its deadline can't be met any more, also
+// when others go before it, and is told when to come back.
+func TestExpireTellsAtOnceWhatWaitsInVain(t *testing.T) {
+	shed := make(map[*Ticket]int)
+	c := NewController(Settings{OnShed: func(t *Ticket, _ *verdict.Error) { shed[t]++ }})
+	var short []*Ticket
+	for range 4 {
+		ticket, refusal := c.Admit(start, ask("w", 0, 1, time.Second, 5*time.Second))
+		require.Nil(t, refusal)
+		short = append(short, ticket)
+	}
+	long, refusal := c.Admit(start, ask("w", 9, 1, time.Second, time.Hour))
+	require.Nil(t, refusal)
+	latest := c.LatestStart(short[0])
+	require.Equal(t, start.Add(5*time.Second-1250*time.Millisecond), latest)
+	c.Expire(latest)
+	require.Empty(t, shed, "it may still start")
+	require.Nil(t, c.Overdue(latest, short[0]))
+	c.Expire(latest.Add(time.Nanosecond))
+	require.Len(t, shed, len(short))
+	for _, ticket := range short {
+		require.Equal(t, 1, shed[ticket])
+		<-ticket.Settled()
+		require.Equal(t, verdict.NotRun, ticket.Refusal().Verdict)
+		require.Positive(t, ticket.Refusal().RetryAfter)
+	}
+	next, ok := c.Next(latest.Add(time.Second), model)
+	require.True(t, ok)
+	require.Same(t, long, next)
+}
+
 // BenchmarkAdmission admits, hands out and releases with 100 workspaces waiting.
 func BenchmarkAdmission(b *testing.B) {
 	c := NewController(Settings{MaxQueued: 1 << 20})
--- a/internal/admission/lane.go
+++ b/internal/admission/lane.go
@@ -104,6 +104,12 @@
 	return min(own, l.cost-f.cost+ahead) / l.throughput()
 }
 
+// comeBack returns when a caller that was refused may try again: when what is
+// waiting now has been served.
+func (l *lane) comeBack() time.Duration {
+	return clampRetry(time.Duration(l.cost / l.throughput() * float64(time.Second)))
+}
+
 // next returns the flow that is to be served next, or nil.
 func (l *lane) next() *flow {
 	var best *flow
--- a/internal/bench/product.go
+++ b/internal/bench/product.go
@@ -8,6 +8,7 @@
 	"mangoledge.example/mangoledge/internal/admission"
 	"mangoledge.example/mangoledge/internal/fleet"
 	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/intake"
 	"mangoledge.example/mangoledge/internal/membership"
 	"mangoledge.example/mangoledge/internal/owner"
 	"mangoledge.example/mangoledge/internal/poison"
@@ -111,6 +112,7 @@
 	}
 	w.clock.after(summaryEvery, p.gossip)
 	w.clock.after(watchEvery, p.watch)
+	w.clock.after(intake.SweepInterval, p.sweep)
 	return p
 }
 
@@ -187,6 +189,19 @@
 
 func (p *product) finish(*Result) {}
 
+// sweep refuses what waits in vain, as the intake of a node does.
+func (p *product) sweep() {
+	w := p.world
+	w.clock.after(intake.SweepInterval, p.sweep)
+	for _, n := range p.nodes {
+		if w.clock.now < w.paused[n.number] {
+			continue
+		}
+		n.admit.Expire(w.clock.wall())
+		n.pump()
+	}
+}
+
 // gossip spreads summaries and crash counts.
 func (p *product) gossip() {
 	w := p.world
--- a/internal/bench/productjob.go
+++ b/internal/bench/productjob.go
@@ -118,7 +118,7 @@
 
 // late reports whether a job that was not sent can't meet its deadline any more.
 func (n *node) late(j *job) bool {
-	return j.sent == 0 && !n.admit.Feasible(n.product.world.clock.wall(), j.ticket)
+	return j.sent == 0 && n.admit.Overdue(n.product.world.clock.wall(), j.ticket) != nil
 }
 
 // hold tries again after a pause.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -44,6 +44,8 @@
 	// upstreams are tried in this order.
 	upstreams []fleet.Upstream
 	leaving   map[ident.Upstream]bool
+	// admission is what the nodes that are added accept by.
+	admission dispatch.Admission
 }
 
 // fakeNode is one node of a fakeSite.
@@ -56,7 +58,7 @@
 }
 
 func newFakeSite(t *testing.T) *fakeSite {
-	return &fakeSite{t: t, leaving: make(map[ident.Upstream]bool)}
+	return &fakeSite{t: t, leaving: make(map[ident.Upstream]bool), admission: freeAdmission{}}
 }
 
 func (s *fakeSite) Members() []membership.Member {
@@ -105,6 +107,8 @@
 }
 
 func (freeTicket) Refusal() *verdict.Error { return nil }
+func (freeTicket) LatestStart() time.Time  { return time.Now().Add(time.Hour) }
+func (freeTicket) Overdue() *verdict.Error { return nil }
 func (freeTicket) Placed()                 {}
 func (freeTicket) Release(bool)            {}
 
@@ -179,7 +183,7 @@
 	budget := retry.NewBudget(1, 100)
 	d := dispatch.New(dispatch.Options{
 		Guard: noGuard{}, Budget: budget, Retries: retry.NewPolicy(budget, rand.New(rand.NewPCG(1, 1))),
-		Members: view, Witness: witness.NewClient(peers, view, tables), Router: s, Admission: freeAdmission{},
+		Members: view, Witness: witness.NewClient(peers, view, tables), Router: s, Admission: s.admission,
 		Journal: noJournal{}, Engines: engine.NewClient(), Services: plainservice.NewClient(),
 		Peers: peers, Dialer: dialer, Logger: discard(), MaxRunning: 64,
 	})
--- a/internal/dispatch/interfaces.go
+++ b/internal/dispatch/interfaces.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"mangoledge.example/mangoledge/internal/fleet"
 	"mangoledge.example/mangoledge/internal/grant"
@@ -76,6 +77,10 @@
 	Turn() <-chan struct{}
 	// Refusal returns why the request was shed, or nil; valid once Turn is closed.
 	Refusal() *verdict.Error
+	// LatestStart is when the request has to have a place to be likely to meet its deadline.
+	LatestStart() time.Time
+	// Overdue returns why a request without a place is given up now, or nil.
+	Overdue() *verdict.Error
 	// Placed says that the request has a place at an upstream.
 	Placed()
 	// Release ends the request's stay; done is true when it ran to its end.
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -69,6 +69,9 @@
 		need.Tokens = len(e.snapshot().Tokens)
 		placement, pass, refusal := d.findPlace(ctx, e, &need)
 		if refusal != nil {
+			if overdue := overdueOf(e); overdue != nil {
+				return d.settleNotRun(e, overdue)
+			}
 			if refusal.RetryAfter <= 0 {
 				return d.settleNotRun(e, refusal)
 			}
@@ -94,8 +97,22 @@
 	}
 }
 
-// findPlace gets a pass for the content and a place at an upstream.
+// overdueOf returns why a request that was sent to no upstream is given up now, or nil.
+func overdueOf(e *entry) *verdict.Error {
+	if e.wasDispatched() {
+		return nil
+	}
+	return e.ticket.Overdue()
+}
+
+// findPlace gets a pass for the content and a place at an upstream. A request
+// that was sent to none yet looks for one until its latest start at most.
 func (d *Dispatcher) findPlace(ctx context.Context, e *entry, need *Need) (Placement, Pass, *verdict.Error) {
+	if !e.wasDispatched() {
+		bounded, cancel := context.WithDeadline(ctx, e.ticket.LatestStart())
+		defer cancel()
+		ctx = bounded
+	}
 	placement, err := d.options.Router.Pick(ctx, need)
 	if err != nil {
 		return nil, nil, verdict.From(err)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -20,6 +20,10 @@
 	"mangoledge.example/mangoledge/internal/routing"
 )
 
+// SweepInterval is the time between two looks for waiting requests that can't
+// meet their deadlines any more.
+const SweepInterval = 100 * time.Millisecond
+
 const (
 	// askers is how many requests of one pool ask for slots at once.
 	askers = 16
@@ -77,6 +81,13 @@
 	return t, nil
 }
 
+// Sweep refuses the waiting requests that can't meet their deadlines any more,
+// and hands out turns. It is to be called every SweepInterval.
+func (in *Intake) Sweep() {
+	in.controller.Expire(time.Now())
+	in.pump()
+}
+
 // pump hands out turns.
 func (in *Intake) pump() {
 	in.mu.Lock()
--- a/internal/intake/ticket.go
+++ b/internal/intake/ticket.go
@@ -31,6 +31,16 @@
 	return t.admitted.Refusal()
 }
 
+// LatestStart is when the request has to have a slot to be likely to meet its deadline.
+func (t *ticket) LatestStart() time.Time {
+	return t.intake.controller.LatestStart(t.admitted)
+}
+
+// Overdue returns why a request without a slot is given up now, or nil.
+func (t *ticket) Overdue() *verdict.Error {
+	return t.intake.controller.Overdue(time.Now(), t.admitted)
+}
+
 // Placed says that the request has a slot and asks no more.
 func (t *ticket) Placed() {
 	t.mu.Lock()
--- a/internal/slopes/entry.go
+++ b/internal/slopes/entry.go
@@ -58,6 +58,8 @@
 
 func (t openTicket) Turn() <-chan struct{}                { return t.turn }
 func (openTicket) Refusal() *verdict.Error                { return nil }
+func (openTicket) LatestStart() time.Time                 { return time.Now().Add(time.Hour) }
+func (openTicket) Overdue() *verdict.Error                { return nil }
 func (openTicket) Placed()                                {}
 func (openTicket) Release(bool)                           {}
 func (openGuard) Check(*request.Spec) error               { return nil }
