Slow upstreams get fewer requests, and the daemon measures their pace

An owner has one or two replicas there, so its choice by pace has nothing to choose from, and the directory counts a slow replica's slots like any other's. Paces were learnt only from requests that ended, so those that were given up for being late told nothing. The daemon told no pace at all: its policy's term for slow upstreams never had a value.

Change: a replica whose time between tokens is above 33 ms offers fewer slots (by the square of the ratio, a fifth at least) and less overcommit; summaries and choices follow. Paces are learnt from moved and cancelled runs as well. The dispatcher measures the pace and gives it back with the place.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -24,7 +24,7 @@
 		failure = d.runAtEngine(ctx, e, placement)
 	}
 	if failure == nil {
-		placement.Done(OutcomeDone)
+		placement.Done(OutcomeDone, e.pace())
 		pass.Leave(upstream.ID, EndingFinished)
 		return nil
 	}
@@ -35,7 +35,7 @@
 		d.options.Router.MarkLeaving(upstream.ID)
 	}
 	ending := d.endingOf(ctx, e, placement, failure)
-	placement.Done(outcomeOf(ctx, failure, ending))
+	placement.Done(outcomeOf(ctx, failure, ending), e.pace())
 	pass.Leave(upstream.ID, ending)
 	d.note(e.spec.ID, "upstream failed", string(upstream.ID)+": "+failure.Error())
 	return failure
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -44,6 +44,8 @@
 	// upstreams are tried in this order.
 	upstreams []fleet.Upstream
 	leaving   map[ident.Upstream]bool
+	// paces are the times between tokens that the places were given back with.
+	paces []time.Duration
 	// admission is what the nodes that are added accept by.
 	admission dispatch.Admission
 }
@@ -128,10 +130,21 @@
 
 func (noJournal) Request(ident.RequestID, string, string) {}
 
-type place struct{ upstream fleet.Upstream }
+type place struct {
+	site     *fakeSite
+	upstream fleet.Upstream
+}
+
+func (s *fakeSite) notePace(perToken time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.paces = append(s.paces, perToken)
+}
 
 func (p place) Upstream() fleet.Upstream { return p.upstream }
-func (place) Done(dispatch.Outcome)      {}
+func (p place) Done(_ dispatch.Outcome, perToken time.Duration) {
+	p.site.notePace(perToken)
+}
 
 // Pick takes the first upstream that is not leaving; one to be avoided only when there is no other.
 func (s *fakeSite) Pick(_ context.Context, need *dispatch.Need) (dispatch.Placement, error) {
@@ -144,11 +157,11 @@
 		case slices.Contains(need.Avoid, u.ID):
 			avoided = &s.upstreams[i]
 		default:
-			return place{upstream: u}, nil
+			return place{site: s, upstream: u}, nil
 		}
 	}
 	if avoided != nil {
-		return place{upstream: *avoided}, nil
+		return place{site: s, upstream: *avoided}, nil
 	}
 	return nil, verdict.New(verdict.NotRun, verdict.CodeNoUpstream, "none").After(10 * time.Millisecond)
 }
@@ -257,6 +270,24 @@
 	require.NoError(t, chain.Verify(prompt, r.tokens))
 }
 
+// The place of a stream is given back with the pace of its upstream, by which
+// slow upstreams are known.
+func TestPlaceIsGivenBackWithThePace(t *testing.T) {
+	const interval = 5 * time.Millisecond
+	site := newFakeSite(t)
+	home, wit := site.addNode("home"), site.addNode("wit")
+	site.addEngine("e1", interval)
+	a, err := home.dispatcher.Submit(t.Context(), dispatch.Submission{Spec: spec(home, wit, 10)})
+	require.NoError(t, err)
+	var got received
+	got.follow(t, a, 0)
+	got.requireWhole(t, 10)
+	site.mu.Lock()
+	defer site.mu.Unlock()
+	require.Len(t, site.paces, 1)
+	require.Positive(t, site.paces[0])
+}
+
 func TestStreamIsWhole(t *testing.T) {
 	site := newFakeSite(t)
 	home, wit := site.addNode("home"), site.addNode("wit")
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -33,6 +33,8 @@
 	released bool
 	// moved is true when followers are to be sent away after a release.
 	moved bool
+	// meter measures the upstream that the request runs at.
+	meter paceMeter
 	// reported is the number of tokens that the witness knows.
 	reported int
 	// export is the cache that the next upstream is to import, or nil.
@@ -76,6 +78,7 @@
 		return
 	}
 	e.record.Tokens = append(e.record.Tokens, text)
+	e.meter.token(time.Now())
 	e.wake()
 }
 
@@ -90,6 +93,15 @@
 	e.record.UpstreamURL = upstream.URL
 	e.record.Phase = request.PhaseRunning
 	e.dispatched = true
+	e.meter = paceMeter{}
+}
+
+// pace returns the mean time between the tokens of the upstream at which the
+// request runs or ran last, or 0 when it is unknown.
+func (e *entry) pace() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.meter.pace()
 }
 
 // undo notes that the upstream did not take the request after all.
--- a/internal/dispatch/interfaces.go
+++ b/internal/dispatch/interfaces.go
@@ -56,8 +56,9 @@
 type Placement interface {
 	// Upstream is where to send the request.
 	Upstream() fleet.Upstream
-	// Done gives the place back; it is called once.
-	Done(outcome Outcome)
+	// Done gives the place back; it is called once. The mean time between the
+	// tokens that came from there is perToken, or 0 when it is unknown.
+	Done(outcome Outcome, perToken time.Duration)
 }
 
 // Router chooses upstreams.
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -80,7 +80,7 @@
 		}
 		e.ticket.Placed()
 		if failure := d.ensureGranted(ctx, e); failure != nil {
-			placement.Done(OutcomeMoved)
+			placement.Done(OutcomeMoved, 0)
 			pass.Leave("", EndingOther)
 			return failure
 		}
@@ -119,7 +119,7 @@
 	}
 	pass, err := d.options.Guard.Enter(ctx, &e.spec)
 	if err != nil {
-		placement.Done(OutcomeMoved)
+		placement.Done(OutcomeMoved, 0)
 		return nil, nil, verdict.From(err)
 	}
 	return placement, pass, nil
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -24,8 +24,8 @@
 }
 
 // Done gives the slot back; the call to another owner is not waited for.
-func (p *placed) Done(outcome dispatch.Outcome) {
-	out := outcomeOf(outcome)
+func (p *placed) Done(outcome dispatch.Outcome, perToken time.Duration) {
+	out := outcomeOf(outcome, perToken)
 	if p.choice.Owner == p.router.self.Incarnation {
 		p.router.ledger.Release(time.Now(), p.id, out)
 		return
@@ -49,23 +49,27 @@
 }
 
 // Done ends the count of the request here.
-func (a *alone) Done(outcome dispatch.Outcome) {
-	a.router.table.Finished(time.Now(), a.upstream.ID, false, outcomeOf(outcome))
+func (a *alone) Done(outcome dispatch.Outcome, perToken time.Duration) {
+	a.router.table.Finished(time.Now(), a.upstream.ID, false, outcomeOf(outcome, perToken))
 }
 
 // outcomeOf is an outcome as the routing tables take it.
-func outcomeOf(outcome dispatch.Outcome) routing.Outcome {
+func outcomeOf(outcome dispatch.Outcome, perToken time.Duration) routing.Outcome {
+	return routing.Outcome{Kind: kindOf(outcome), PerToken: perToken}
+}
+
+func kindOf(outcome dispatch.Outcome) routing.OutcomeKind {
 	switch outcome {
 	case dispatch.OutcomeDone:
-		return routing.Outcome{Kind: routing.OutcomeDone}
+		return routing.OutcomeDone
 	case dispatch.OutcomeRefused:
-		return routing.Outcome{Kind: routing.OutcomeRefused}
+		return routing.OutcomeRefused
 	case dispatch.OutcomeFailed:
-		return routing.Outcome{Kind: routing.OutcomeFailed}
+		return routing.OutcomeFailed
 	case dispatch.OutcomeCrashed:
-		return routing.Outcome{Kind: routing.OutcomeCrashed}
+		return routing.OutcomeCrashed
 	case dispatch.OutcomeMoved:
-		return routing.Outcome{Kind: routing.OutcomeMoved}
+		return routing.OutcomeMoved
 	}
-	return routing.Outcome{Kind: routing.OutcomeFailed}
+	return routing.OutcomeFailed
 }
--- a/internal/placement/router.go
+++ b/internal/placement/router.go
@@ -178,12 +178,12 @@
 	reply, err := r.askUntilSlot(ctx, choice, args)
 	now := time.Now()
 	if ctx.Err() != nil {
-		(&placed{router: r, choice: choice, id: args.ID}).Done(dispatch.OutcomeMoved)
+		(&placed{router: r, choice: choice, id: args.ID}).Done(dispatch.OutcomeMoved, 0)
 		return nil, true
 	}
 	if err != nil {
 		// The owner may have reserved a slot all the same.
-		(&placed{router: r, choice: choice, id: args.ID}).Done(dispatch.OutcomeMoved)
+		(&placed{router: r, choice: choice, id: args.ID}).Done(dispatch.OutcomeMoved, 0)
 		r.options.Logger.Warn("an owner did not answer", "owner", string(choice.Owner), "error", err)
 		r.directory.Refused(choice.Owner, features.Pool(), now.Add(lostFor))
 		return nil, false
@@ -196,7 +196,7 @@
 	upstream, ok := r.upstream(reply.Upstream)
 	place = &placed{router: r, choice: choice, id: args.ID, upstream: upstream}
 	if !ok || r.Leaving(reply.Upstream) {
-		place.Done(dispatch.OutcomeMoved)
+		place.Done(dispatch.OutcomeMoved, 0)
 		return nil, true
 	}
 	return place, true
--- a/internal/routing/replica.go
+++ b/internal/routing/replica.go
@@ -11,6 +11,10 @@
 	slowStartTime = 10 * time.Second
 	// slowStartShare is the part of its slots that a new replica gets at once.
 	slowStartShare = 0.25
+	// slowPace is the time between tokens, in seconds, above which a replica gets less than its slots.
+	slowPace = 0.033
+	// leastSpeed is the least part of its slots that a slow replica gets.
+	leastSpeed = 0.2
 	// adoptTime is how long an exact table also trusts reports on a replica that is new to it,
 	// since its former owner's counts are lost.
 	adoptTime = 3 * time.Second
@@ -73,17 +77,29 @@
 	return max(r.inFlight, r.Reported()+r.startedSince-r.endedSince)
 }
 
-// room returns how many requests the replica should have at most at now.
+// room returns how many requests the replica should have at most at now: fewer
+// while it is new, and fewer when it is so slow that many would all be late.
 func (r *Replica) room(now time.Time) float64 {
+	room := r.slots * r.speed()
 	if !r.fresh {
-		return r.slots
+		return max(1, room)
 	}
 	age := now.Sub(r.joined)
 	if age >= slowStartTime {
-		return r.slots
+		return max(1, room)
 	}
 	share := slowStartShare + (1-slowStartShare)*age.Seconds()/slowStartTime.Seconds()
-	return max(1, r.slots*share)
+	return max(1, room*share)
+}
+
+// speed is the part of its slots that a slow replica gets. It falls by the square
+// of the pace: with fewer in the batch each request gets back some of its time.
+func (r *Replica) speed() float64 {
+	if r.pace <= slowPace {
+		return 1
+	}
+	ratio := slowPace / r.pace
+	return max(leastSpeed, ratio*ratio)
 }
 
 // sample adds a measured time between tokens.
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -167,6 +167,37 @@
 	require.InDelta(t, testSlots, table.replicas["u1"].room(start.Add(slowStartTime)), 1e-9)
 }
 
+// A slow replica takes fewer requests, also when those that ran there were
+// given up before their ends, and gets its slots back with its pace.
+func TestSlowReplicaGetsFewerRequests(t *testing.T) {
+	const overcommit = 2
+	table := NewTable(Options{Exact: true, Overcommit: overcommit})
+	table.Update(start, replicas(1))
+	router := NewRouter(table, LeastOutstanding{}, rand.New(rand.NewPCG(1, 2)))
+	fill := func(kind OutcomeKind, perToken time.Duration) int {
+		taken := 0
+		for {
+			if _, ok := router.Take(start, features()); !ok {
+				break
+			}
+			taken++
+		}
+		for range taken {
+			table.Finished(start, "u0", false, Outcome{Kind: kind, PerToken: perToken})
+		}
+		return taken
+	}
+	require.Equal(t, testSlots+overcommit, fill(OutcomeCancelled, 100*time.Millisecond))
+	for range 5 {
+		fill(OutcomeCancelled, 100*time.Millisecond)
+	}
+	require.Equal(t, 2, fill(OutcomeDone, 20*time.Millisecond), "one for the room, one for the overcommit")
+	for range 20 {
+		fill(OutcomeDone, 20*time.Millisecond)
+	}
+	require.Equal(t, testSlots+overcommit, fill(OutcomeDone, 20*time.Millisecond))
+}
+
 func TestRefusalBecauseOfLeavingEndsNewWork(t *testing.T) {
 	table := NewTable(Options{Exact: true})
 	table.Update(start, replicas(1))
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -217,6 +217,7 @@
 		r.leaving = true
 		r.breaker.ended()
 	case OutcomeRefused, OutcomeMoved, OutcomeCancelled, OutcomeUnsent:
+		r.sample(out.PerToken)
 		r.breaker.ended()
 	}
 }
