A paused node places nothing before it can have heard from others

Cause: the router's 200 ms timer confirms the list of upstreams whenever nothing has changed here, and after a pause nothing has changed because nothing was heard yet; after more than 10 s the whole list was even taken over anew. The table of the node's own choice, for owners that do not answer, had no age limit in the daemon at all.

Change: the table compares the time since the last confirmation at each decision; the confirmation that ends a longer silence than MaxListAge does not count, and confirmations have to go on for a second before the list is chosen from. The node's own table has the same limit. The router's clock is handed in.

The last part of TestSuspectsKeepApartAndStaleListsAreNotUsed held that one confirmation after a silence is enough, which was the fault; it now holds that it is not, and when it is.

--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -27,7 +27,7 @@
 func (p *placed) Done(outcome dispatch.Outcome, perToken time.Duration) {
 	out := outcomeOf(outcome, perToken)
 	if p.choice.Owner == p.router.self.Incarnation {
-		p.router.ledger.Release(time.Now(), p.id, out)
+		p.router.ledger.Release(p.router.options.Now(), p.id, out)
 		return
 	}
 	go func() {
@@ -50,7 +50,7 @@
 
 // Done ends the count of the request here.
 func (a *alone) Done(outcome dispatch.Outcome, perToken time.Duration) {
-	a.router.table.Finished(time.Now(), a.upstream.ID, false, outcomeOf(outcome, perToken))
+	a.router.table.Finished(a.router.options.Now(), a.upstream.ID, false, outcomeOf(outcome, perToken))
 }
 
 // outcomeOf is an outcome as the routing tables take it.
--- a/internal/placement/router.go
+++ b/internal/placement/router.go
@@ -44,8 +44,10 @@
 	// Listed is the same list without the marks; it gives the same slice until it changes.
 	Listed fleet.View
 	// Marks counts the marks of leaving that came or went.
-	Marks  func() uint64
-	Calls  owner.Caller
+	Marks func() uint64
+	Calls owner.Caller
+	// Now is the clock; nil means the machine's.
+	Now    func() time.Time
 	Logger *slog.Logger
 	// Policy chooses among the upstreams of this node.
 	Policy routing.Policy
@@ -79,9 +81,12 @@
 
 // NewRouter returns a router that knows no upstream until Update is called.
 func NewRouter(options Options) *Router {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
 	self := options.Members.Self()
 	random := func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) } //nolint:gosec // chooses upstreams
-	table := routing.NewTable(routing.Options{Local: self.FailureDomain})
+	table := routing.NewTable(routing.Options{Local: self.FailureDomain, MaxAge: owner.MaxListAge})
 	return &Router{
 		options:   options,
 		self:      self,
@@ -105,7 +110,9 @@
 }
 
 // Update takes over the upstreams and members as they are now. When nothing has
-// changed it only notes that what is known is still true.
+// changed it only notes that what is known is still true. That a process was
+// paused shows at each decision by the time since the last Update, and the tables
+// choose again only when updates have gone on for a while.
 func (r *Router) Update(now time.Time) {
 	if !r.seen.changed(now, r.options) {
 		r.table.Confirm(now)
@@ -149,7 +156,7 @@
 	features := featuresOf(need)
 	features.Suspect = r.options.Suspect != nil && r.options.Suspect(need.Spec)
 	for range maxOwners {
-		choice, ok := r.directory.Choose(time.Now(), &features)
+		choice, ok := r.directory.Choose(r.options.Now(), &features)
 		if !ok {
 			break
 		}
@@ -176,7 +183,7 @@
 	ctx, cancel := context.WithDeadline(ctx, need.Spec.Deadline)
 	defer cancel()
 	reply, err := r.askUntilSlot(ctx, choice, args)
-	now := time.Now()
+	now := r.options.Now()
 	if ctx.Err() != nil {
 		(&placed{router: r, choice: choice, id: args.ID}).Done(dispatch.OutcomeMoved, 0)
 		return nil, true
@@ -219,7 +226,7 @@
 
 func (r *Router) askOwner(ctx context.Context, choice owner.Choice, args *owner.ReserveArgs) (owner.ReserveReply, error) {
 	if choice.Owner == r.self.Incarnation {
-		return r.ledger.Reserve(time.Now(), args), nil
+		return r.ledger.Reserve(r.options.Now(), args), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
@@ -228,7 +235,7 @@
 
 // pickAlone chooses without an owner. Two owners for a moment cost only load.
 func (r *Router) pickAlone(features *routing.Features) (dispatch.Placement, error) {
-	now := time.Now()
+	now := r.options.Now()
 	id, ok := r.fallback.Take(now, features)
 	if !ok {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeNoUpstream, "no upstream serves %s%s now", features.Model, features.Service).After(waitForSlot)
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -71,7 +71,7 @@
 
 // pick chooses with the table locked; nil means that nothing is usable.
 func (r *Router) pick(now time.Time, f *Features) *Replica {
-	if !r.table.current(now) {
+	if !r.table.fresh.current(now) {
 		return nil
 	}
 	r.gather(now, f)
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -226,8 +226,15 @@
 
 	_, ok = router.Take(start.Add(3*time.Second), features())
 	require.False(t, ok, "nobody confirmed the list")
-	table.Confirm(start.Add(3 * time.Second))
-	_, ok = router.Take(start.Add(3*time.Second), features())
+	awake := start.Add(3 * time.Second)
+	table.Confirm(awake)
+	_, ok = router.Take(awake, features())
+	require.False(t, ok, "the first confirmation may have waited during a pause")
+	table.Confirm(awake.Add(settleTime - 1))
+	_, ok = router.Take(awake.Add(settleTime-1), features())
+	require.False(t, ok, "not for long enough")
+	table.Confirm(awake.Add(settleTime))
+	_, ok = router.Take(awake.Add(settleTime), features())
 	require.True(t, ok)
 }
 
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -22,7 +22,8 @@
 	Local ident.FailureDomain
 	// MaxAge is how old the list of upstreams may be, counted from the last Update or
 	// Confirm, and still be chosen from; 0 means any age. It keeps a process that
-	// was paused from sending to upstreams that left meanwhile.
+	// was paused from sending to upstreams that left meanwhile. After a longer
+	// silence confirmations have to go on for a while before they count.
 	MaxAge time.Duration
 }
 
@@ -36,8 +37,8 @@
 	index    *prefixIndex
 	free     []int
 	numbers  int
-	// confirmed is when the list was last known to be current.
-	confirmed time.Time
+	// fresh knows whether the list is current.
+	fresh freshness
 	// filled is true after the first Update that named an upstream; replicas that join later start slowly.
 	filled  bool
 	started uint64
@@ -48,6 +49,7 @@
 func NewTable(options Options) *Table {
 	return &Table{
 		options:  options,
+		fresh:    freshness{maxAge: options.MaxAge},
 		replicas: make(map[ident.Upstream]*Replica),
 		pools:    make(map[Pool]*pool),
 		index:    newPrefixIndex(),
@@ -71,7 +73,7 @@
 		}
 	}
 	t.filled = t.filled || len(upstreams) > 0
-	t.confirmed = now
+	t.fresh.confirm(now)
 	t.rebuildPools(upstreams)
 }
 
@@ -80,12 +82,7 @@
 func (t *Table) Confirm(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.confirmed = now
-}
-
-// current reports whether the list is young enough to choose from.
-func (t *Table) current(now time.Time) bool {
-	return t.options.MaxAge == 0 || now.Sub(t.confirmed) <= t.options.MaxAge
+	t.fresh.confirm(now)
 }
 
 func (t *Table) put(now time.Time, u *fleet.Upstream) {
