--- a/internal/dispatch/interfaces.go
+++ b/internal/dispatch/interfaces.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"mangoledge.example/mangoledge/internal/fleet"
 	"mangoledge.example/mangoledge/internal/grant"
@@ -55,8 +56,9 @@
 type Placement interface {
 	// Upstream is where to send the request.
 	Upstream() fleet.Upstream
-	// Done gives the place back; it is called once.
-	Done(outcome Outcome)
+	// Done gives the place back; it is called once. The mean time between the
+	// tokens that came from there is perToken, or 0 when it is unknown.
+	Done(outcome Outcome, perToken time.Duration)
 }
 
 // Router chooses upstreams.
@@ -76,6 +78,10 @@
 	Turn() <-chan struct{}
 	// Refusal returns why the request was shed, or nil; valid once Turn is closed.
 	Refusal() *verdict.Error
+	// LatestStart is when the request has to have a place to be likely to meet its deadline.
+	LatestStart() time.Time
+	// Overdue returns why a request without a place is given up now, or nil.
+	Overdue() *verdict.Error
 	// Placed says that the request has a place at an upstream.
 	Placed()
 	// Release ends the request's stay; done is true when it ran to its end.
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -71,7 +71,7 @@
 
 // pick chooses with the table locked; nil means that nothing is usable.
 func (r *Router) pick(now time.Time, f *Features) *Replica {
-	if !r.table.current(now) {
+	if !r.table.fresh.current(now) {
 		return nil
 	}
 	r.gather(now, f)
@@ -134,7 +134,7 @@
 	if !t.options.Exact {
 		return true
 	}
-	return float64(t.load(now, c)) < c.room(now)+float64(t.options.Overcommit)
+	return float64(t.load(now, c)) < c.room(now)+float64(t.options.Overcommit)*c.speed()
 }
 
 func hasAdapter(r *Replica, adapter ident.Adapter) bool {
--- a/internal/slopes/entry.go
+++ b/internal/slopes/entry.go
@@ -58,6 +58,8 @@
 
 func (t openTicket) Turn() <-chan struct{}                { return t.turn }
 func (openTicket) Refusal() *verdict.Error                { return nil }
+func (openTicket) LatestStart() time.Time                 { return time.Now().Add(time.Hour) }
+func (openTicket) Overdue() *verdict.Error                { return nil }
 func (openTicket) Placed()                                {}
 func (openTicket) Release(bool)                           {}
 func (openGuard) Check(*request.Spec) error               { return nil }
@@ -66,7 +68,7 @@
 func (r oneRouter) Leaving(ident.Upstream) bool           { return false }
 func (r oneRouter) MarkLeaving(ident.Upstream)            {}
 func (p onePlace) Upstream() fleet.Upstream               { return p.upstream }
-func (onePlace) Done(dispatch.Outcome)                    {}
+func (onePlace) Done(dispatch.Outcome, time.Duration)     {}
 func (openGuard) Enter(context.Context, *request.Spec) (dispatch.Pass, error) {
 	return openPass{}, nil
 }
