Slopes: readings leave out what they cost themselves

Cause: a reading took the processor time before it ran the collector twice, so that every mean of calls and the quiet time of connections held two collections of a heap that other parts had filled. Reservations were asked of a ledger whose list nobody had confirmed for 2 s, so that some of them were refused and their bytes differed by when they came. Connections were watched for 6 s, which holds one heartbeat of an interval of 5 s.

Change: the collector runs first; the ledger is confirmed before each call; connections are watched for 10 s.

--- a/internal/slopes/peer.go
+++ b/internal/slopes/peer.go
@@ -28,7 +28,7 @@
 	batchReports = 2
 	// linkSeconds is how long idle connections are measured, linkCount how many.
 	linkCount   = 200
-	linkSeconds = 6
+	linkSeconds = 10
 	callTimeout = 5 * time.Second
 )
 
@@ -70,6 +70,7 @@
 type peerServer struct {
 	listener *countingListener
 	server   *peer.Server
+	ledger   *owner.Ledger
 	self     ident.Incarnation
 }
 
@@ -81,12 +82,13 @@
 	p := &peerServer{
 		listener: &countingListener{Listener: inner},
 		server:   peer.NewServer("slopes"),
+		ledger:   smallLedger(),
 		self:     memberN(1, time.Now(), "").Incarnation,
 	}
 	if err := witness.NewService(p.self, nil).Register(p.server); err != nil {
 		return nil, err
 	}
-	if err := p.server.Register(owner.ServiceName, owner.NewService(smallLedger(), time.Now)); err != nil {
+	if err := p.server.Register(owner.ServiceName, owner.NewService(p.ledger, time.Now)); err != nil {
 		return nil, err
 	}
 	go func() { _ = p.server.Serve(p.listener, nil) }() // ends with the listener
@@ -158,6 +160,7 @@
 		caller.measure("reserve", owner.MethodReserve, func(n int) (args, reply any) {
 			id := owner.ReservationID{Holder: home, Serial: uint64(n)}
 			blocks := routing.Blocks(nil, "model-0", "", specs[n].Input)
+			p.ledger.Table().Confirm(time.Now())
 			return &owner.ReserveArgs{ID: id, Model: "model-0", Blocks: blocks, PromptTokens: promptBytes / tokenBytes, MaxTokens: answerTokens}, new(owner.ReserveReply)
 		}),
 		caller.measure("release", owner.MethodRelease, func(n int) (args, reply any) {
--- a/internal/slopes/usage.go
+++ b/internal/slopes/usage.go
@@ -14,20 +14,23 @@
 	memory uint64
 }
 
-// now reads the usage; collect also runs the collector, so that memory counts only what is reachable.
+// now reads the usage; collect also runs the collector first, so that memory
+// counts only what is reachable. What this reading itself costs is in no
+// difference between it and a later one.
 func now(collect bool) usage {
-	var r syscall.Rusage
-	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &r)
-	u := usage{wall: time.Now()}
-	u.processor = time.Duration(r.Utime.Nano() + r.Stime.Nano())
 	if collect {
 		runtime.GC()
 		runtime.GC()
 	}
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
-	u.memory = m.HeapAlloc + m.StackInuse
-	return u
+	var r syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &r)
+	return usage{
+		wall:      time.Now(),
+		processor: time.Duration(r.Utime.Nano() + r.Stime.Nano()),
+		memory:    m.HeapAlloc + m.StackInuse,
+	}
 }
 
 // cost is the mean processor time of one call of step, in microseconds.
