A node asks the owners of its own region, and a few elsewhere

Cause: a node chose among all owners of a pool. Where a model runs everywhere that are all nodes of the site, so that each node kept a connection to each.

Only load depends on which owner is asked: counts stay with the one owner of an upstream, and the choice of witnesses is as it was (they are named in the request's ID, out of the home's region).

A site of one region chooses as before.

--- a/internal/bench/product.go
+++ b/internal/bench/product.go
@@ -132,7 +132,7 @@
 		waiting = 0
 	}
 	n.ledger = owner.NewLedger(n.member.Node, n.member.FailureDomain, policy, waiting, source(3))
-	n.directory = owner.NewDirectory(n.member.FailureDomain, source(4))
+	n.directory = owner.NewDirectory(n.member, source(4))
 	n.estimator = admission.NewEstimator()
 	n.admit = admission.NewController(p.admissionSettings(n))
 	n.budget = retry.NewBudget(retry.DefaultShare, retry.DefaultReserve)
--- a/internal/owner/directory.go
+++ b/internal/owner/directory.go
@@ -41,10 +41,10 @@
 // It is safe for concurrent use.
 type Directory struct {
 	random *rand.Rand
-	local  ident.FailureDomain
+	self   membership.Member
 
 	mu    sync.Mutex
-	pools map[PoolKey][]*entry
+	pools map[PoolKey]*ownerSet
 }
 
 // entry is what is known of one owner of one pool.
@@ -67,9 +67,9 @@
 	Address string
 }
 
-// NewDirectory returns an empty directory of a node in failure domain local.
-func NewDirectory(local ident.FailureDomain, random *rand.Rand) *Directory {
-	return &Directory{random: random, local: local, pools: make(map[PoolKey][]*entry)}
+// NewDirectory returns an empty directory of node self.
+func NewDirectory(self membership.Member, random *rand.Rand) *Directory {
+	return &Directory{random: random, self: self, pools: make(map[PoolKey]*ownerSet)}
 }
 
 // Update takes in the upstreams and members; summaries of owners that stay are kept.
@@ -93,14 +93,15 @@
 			fresh.add(KeyOf(routing.Pool{Model: model}), m, hash)
 		}
 	}
+	divided := fresh.divide(d.self)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for key, entries := range fresh.entries {
-		for _, e := range entries {
+	for key, known := range divided {
+		for _, e := range known.entries() {
 			keepSummary(e, d.find(key, e.member.Incarnation))
 		}
 	}
-	d.pools = fresh.entries
+	d.pools = divided
 }
 
 func keepSummary(e, before *entry) {
@@ -133,14 +134,34 @@
 	}
 }
 
-// Choose returns the owner to ask for a slot. It is false when there is none,
-// or when the best one is full and the others have hardly a free slot.
+// Choose returns the owner to ask for a slot: one near, or one elsewhere that
+// has room when no near one has. It is false when there is none, or when the
+// best one is full and the others have hardly a free slot.
 func (d *Directory) Choose(now time.Time, f *routing.Features) (Choice, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	entries := d.pools[KeyOf(f.Pool())]
+	known, ok := d.pools[KeyOf(f.Pool())]
+	if !ok {
+		return Choice{}, false
+	}
+	best, free := d.cheapest(now, f, known.near)
+	if best != nil && now.Before(best.full) {
+		best = free
+	}
+	if best == nil {
+		_, best = d.cheapest(now, f, known.elsewhere)
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	best.sent++
+	return Choice{Owner: best.member.Incarnation, Address: best.member.PeerAddress}, true
+}
+
+// cheapest returns the entry that costs least, and the one that costs least
+// among those with room; nil for none.
+func (d *Directory) cheapest(now time.Time, f *routing.Features, entries []*entry) (best, free *entry) {
 	first, second := ranked(entries, f)
-	var best, free *entry
 	least, leastFree := math.Inf(1), math.Inf(1)
 	for _, e := range entries {
 		missing := 1.0
@@ -154,21 +175,11 @@
 		if cost < least {
 			best, least = e, cost
 		}
-		if cost < leastFree && e.busy(now) < elsewhereBusy && !now.Before(e.full) {
+		if cost < leastFree && e.hasRoom(now) {
 			free, leastFree = e, cost
 		}
 	}
-	if best == nil {
-		return Choice{}, false
-	}
-	if now.Before(best.full) {
-		best = free
-	}
-	if best == nil {
-		return Choice{}, false
-	}
-	best.sent++
-	return Choice{Owner: best.member.Incarnation, Address: best.member.PeerAddress}, true
+	return best, free
 }
 
 // ranked returns the owners of the first and the second upstream in the order
@@ -221,11 +232,15 @@
 	return float64(int(e.summary.InFlight)+e.sent) / float64(e.summary.Slots)
 }
 
+// hasRoom reports whether the owner takes a request whose best owner is full.
+func (e *entry) hasRoom(now time.Time) bool {
+	return e.busy(now) < elsewhereBusy && !now.Before(e.full)
+}
+
 func (d *Directory) find(key PoolKey, owner ident.Incarnation) *entry {
-	for _, e := range d.pools[key] {
-		if e.member.Incarnation == owner {
-			return e
-		}
+	known, ok := d.pools[key]
+	if !ok {
+		return nil
 	}
-	return nil
+	return known.find(owner)
 }
--- /dev/null
+++ b/internal/owner/directory_test.go
@@ -0,0 +1,152 @@
+package owner
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/internal/fleet"
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/membership"
+	"mangoledge.example/mangoledge/internal/routing"
+)
+
+const (
+	testRegions = 5
+	testDomains = 20
+	testNodes   = 200
+)
+
+// wideSite is a site of several regions whose upstreams serve model "m"; those
+// of the first region serve "only-r0" as well.
+func wideSite() ([]fleet.Upstream, []membership.Member) {
+	var list []fleet.Upstream
+	for n := range 4 * testNodes {
+		domain := n % testDomains
+		u := fleet.Upstream{
+			ID: ident.Upstream(fmt.Sprintf("u%d", n)), Region: regionOf(domain), FailureDomain: domainName(domain),
+			Models: []ident.Model{"m"}, Slots: testSlots, State: fleet.StateReady,
+		}
+		if u.Region == "r0" {
+			u.Models = append(u.Models, "only-r0")
+		}
+		list = append(list, u)
+	}
+	var all []membership.Member
+	for n := range testNodes {
+		domain := n % testDomains
+		node := ident.Node(fmt.Sprintf("n%d", n))
+		all = append(all, membership.Member{
+			Incarnation: ident.Incarnation(node + "_0"), Node: node, Region: regionOf(domain),
+			FailureDomain: domainName(domain), PeerAddress: string(node),
+		})
+	}
+	return list, all
+}
+
+func domainName(domain int) ident.FailureDomain {
+	return ident.FailureDomain(fmt.Sprintf("d%d", domain))
+}
+
+func regionOf(domain int) ident.Region {
+	return ident.Region(fmt.Sprintf("r%d", domain%testRegions))
+}
+
+func newWideDirectory(self membership.Member, list []fleet.Upstream, all []membership.Member) *Directory {
+	d := NewDirectory(self, rand.New(rand.NewPCG(1, 2)))
+	d.Update(list, all)
+	return d
+}
+
+func regionsOf(all []membership.Member) map[ident.Incarnation]ident.Region {
+	out := make(map[ident.Incarnation]ident.Region)
+	for _, m := range all {
+		out[m.Incarnation] = m.Region
+	}
+	return out
+}
+
+func TestOwnersOfTheOwnRegionAreAsked(t *testing.T) {
+	list, all := wideSite()
+	d := newWideDirectory(all[1], list, all)
+	regions := regionsOf(all)
+	asked := make(map[ident.Incarnation]bool)
+	for n := range 5000 {
+		f := routing.Features{Model: "m", MaxTokens: 100, PromptTokens: 4000, Blocks: []routing.Block{routing.Block(n * 7919)}}
+		choice, ok := d.Choose(start, &f)
+		require.True(t, ok)
+		require.Equal(t, all[1].Region, regions[choice.Owner])
+		asked[choice.Owner] = true
+	}
+	require.Len(t, asked, testNodes/testRegions, "every owner of the region gets its part")
+}
+
+func TestAFullRegionAsksAFewOwnersElsewhere(t *testing.T) {
+	list, all := wideSite()
+	d := newWideDirectory(all[1], list, all)
+	regions := regionsOf(all)
+	f := routing.Features{Model: "m", MaxTokens: 100}
+	for _, m := range all {
+		if m.Region == all[1].Region {
+			d.Refused(m.Incarnation, f.Pool(), start.Add(time.Minute))
+		}
+	}
+	asked := make(map[ident.Incarnation]bool)
+	for range 5000 {
+		choice, ok := d.Choose(start, &f)
+		require.True(t, ok)
+		require.NotEqual(t, all[1].Region, regions[choice.Owner])
+		asked[choice.Owner] = true
+	}
+	require.LessOrEqual(t, len(asked), maxElsewhere)
+	for owner := range asked {
+		d.Refused(owner, f.Pool(), start.Add(time.Minute))
+	}
+	for range maxElsewhere {
+		choice, ok := d.Choose(start, &f)
+		if ok {
+			d.Refused(choice.Owner, f.Pool(), start.Add(time.Minute))
+		}
+	}
+	_, ok := d.Choose(start, &f)
+	require.False(t, ok, "with everyone full the request waits")
+}
+
+func TestARegionWithoutThePoolGoesToOneRegionTogether(t *testing.T) {
+	list, all := wideSite()
+	regions := regionsOf(all)
+	prefix := routing.Features{Model: "only-r0", MaxTokens: 100, PromptTokens: 4000, Blocks: []routing.Block{77}}
+	var first Choice
+	for n, self := range []membership.Member{all[1], all[6], all[11]} {
+		require.Equal(t, ident.Region("r1"), self.Region)
+		choice, ok := newWideDirectory(self, list, all).Choose(start, &prefix)
+		require.True(t, ok)
+		require.Equal(t, ident.Region("r0"), regions[choice.Owner])
+		if n == 0 {
+			first = choice
+		}
+		require.Equal(t, first, choice, "nodes of one region agree on where a prefix belongs")
+	}
+}
+
+func TestOwnersOfALostRegionAreReplaced(t *testing.T) {
+	list, all := wideSite()
+	var left []membership.Member
+	for _, m := range all {
+		if m.Region != all[1].Region || m.Node == all[1].Node {
+			left = append(left, m)
+		}
+	}
+	d := newWideDirectory(all[1], list, left)
+	f := routing.Features{Model: "m", MaxTokens: 100}
+	choice, ok := d.Choose(start, &f)
+	require.True(t, ok)
+	require.Equal(t, all[1].Incarnation, choice.Owner, "the one that is left owns the region's upstreams")
+	d.Refused(choice.Owner, f.Pool(), start.Add(time.Minute))
+	choice, ok = d.Choose(start, &f)
+	require.True(t, ok)
+	require.NotEqual(t, all[1].Region, regionsOf(all)[choice.Owner])
+}
--- a/internal/owner/ledger_test.go
+++ b/internal/owner/ledger_test.go
@@ -191,7 +191,7 @@
 }
 
 func TestDirectoryKeepsPrefixesAndLeavesFullOwnersAlone(t *testing.T) {
-	d := NewDirectory("d0", rand.New(rand.NewPCG(1, 2)))
+	d := NewDirectory(members(1)[0], rand.New(rand.NewPCG(1, 2)))
 	all := members(6)
 	d.Update(upstreams(60), all)
 	f := routing.Features{Model: "m", Blocks: []routing.Block{77}, PromptTokens: 4000, MaxTokens: 100}
@@ -264,7 +264,7 @@
 
 // BenchmarkChoose chooses among the 24 owners of 580 upstreams.
 func BenchmarkChoose(b *testing.B) {
-	d := NewDirectory("d0", rand.New(rand.NewPCG(1, 2)))
+	d := NewDirectory(members(1)[0], rand.New(rand.NewPCG(1, 2)))
 	d.Update(upstreams(580), members(24))
 	f := routing.Features{Model: "m", Blocks: []routing.Block{77}, PromptTokens: 4000, MaxTokens: 100}
 	b.ReportAllocs()
--- a/internal/placement/router.go
+++ b/internal/placement/router.go
@@ -86,7 +86,7 @@
 		options:   options,
 		self:      self,
 		ledger:    owner.NewLedger(self.Node, self.FailureDomain, options.Policy, overcommit, random()),
-		directory: owner.NewDirectory(self.FailureDomain, random()),
+		directory: owner.NewDirectory(self, random()),
 		client:    owner.NewClient(options.Calls),
 		table:     table,
 		fallback:  routing.NewRouter(table, options.Policy, random()),
--- a/internal/slopes/owner.go
+++ b/internal/slopes/owner.go
@@ -60,14 +60,16 @@
 	policy := routing.Cost{Weights: routing.WeightsFor(evenWeight)}
 	self := members[0]
 	ledger := owner.NewLedger(self.Node, self.FailureDomain, policy, 0, random)
-	directory := owner.NewDirectory(self.FailureDomain, random)
+	directory := owner.NewDirectory(self, random)
 	at := time.Now()
 	ledgerUpdate := cost(updates, func(int) { ledger.Update(at, upstreams, members) })
 	directoryUpdate := cost(updates, func(int) { directory.Update(upstreams, members) })
 	built := now(true)
 	runtime.KeepAlive(upstreams)
+	asked := make(map[ident.Incarnation]struct{})
 	choose := cost(decisions, func(n int) {
-		directory.Choose(at, &routing.Features{Model: modelN(n), PromptTokens: 500})
+		choice, _ := directory.Choose(at, &routing.Features{Model: modelN(n), PromptTokens: 500})
+		asked[choice.Owner] = struct{}{}
 	})
 	reserve := cost(decisions, func(n int) {
 		id := owner.ReservationID{Holder: self.Incarnation, Serial: uint64(n)}
@@ -77,6 +79,7 @@
 	how := fmt.Sprintf("%d upstreams, %d members, %d models", siteUpstreams, siteMembers, siteModels)
 	return []Figure{
 		{Name: "owner.choose", Value: choose, Unit: unitMicroseconds, How: how},
+		{Name: "owner.asked", Value: float64(len(asked)), Unit: unitCount, How: fmt.Sprintf("%s, owners that one node asked for %d requests", how, decisions)},
 		{Name: "owner.reserve_release", Value: reserve, Unit: unitMicroseconds, How: how},
 		{Name: "owner.ledger_update", Value: ledgerUpdate, Unit: unitMicroseconds, How: how},
 		{Name: "owner.directory_update", Value: directoryUpdate, Unit: unitMicroseconds, How: how},
