Calls between nodes are msgpack in frames, without state for each connection

Cause: gob sends and compiles its types anew for each connection, which was most of a connection's 73 KB, and names the method in each request and response.

Change: net/rpc gets a codec of msgpack, which the project has already. A message is one write behind its length; a method's name is sent once and numbered from then on; fields go by name without the empty ones. A body that can't be read refuses its call and leaves the connection. A node of the earlier encoding is refused when it connects.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -118,7 +118,7 @@
 	if err != nil {
 		return nil, notSent(err)
 	}
-	fresh := &link{rpc: rpc.NewClient(conn), done: make(chan struct{})}
+	fresh := &link{rpc: rpc.NewClientWithCodec(newClientCodec(conn)), done: make(chan struct{})}
 	c.mu.Lock()
 	if other, raced := c.links[address]; raced || c.closed {
 		c.mu.Unlock()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -1,6 +1,11 @@
 // Package peer carries calls between nodes: small control messages by net/rpc,
 // streams by net/http, both on one TCP listener.
 //
+// Bodies of calls are msgpack. Structs go by the names of their fields without
+// the empty ones, so that nodes of different releases understand each other;
+// those marked as_array go by position, and a call with one of another length is
+// refused.
+//
 // Invariants: every call has a deadline; a connection that went silent is
 // replaced, not waited for; nothing large goes through net/rpc.
 package peer
@@ -17,7 +22,8 @@
 )
 
 const (
-	rpcPath = "/rpc"
+	// rpcPath names the encoding, so that nodes with another one are refused and not misread.
+	rpcPath = "/rpc/msgpack"
 	// readHeaderTimeout bounds how long another node may take to send its request header.
 	readHeaderTimeout = 2 * time.Second
 	tokenHeader       = "X-Mangoledge-Peer-Token" //nolint:gosec // the name of a header
@@ -102,7 +108,7 @@
 		_ = conn.Close()
 		return
 	}
-	s.rpc.ServeConn(conn)
+	s.rpc.ServeCodec(newServerCodec(conn))
 }
 
 // Close closes the listener and every connection but those switched to net/rpc.
