Reservations in a shorter form, renewed for as long as their request runs

Change: messages of owners go by position and name the holder by a hash of 8 bytes; the reply leaves out the URL, which the asker knows by its own list. A reservation lasts for a minute; its holder renews what is older than 20 s, one call for each owner, and stops renewing what the owner does not know.

Before, TestASlotIsHeldForAsLongAsItsRequestRuns could not be written, as there was no renewal; it now runs 5 minutes of a request whose deadline was one second.

--- a/internal/bench/productattempt.go
+++ b/internal/bench/productattempt.go
@@ -49,7 +49,7 @@
 	}
 	a.held = false
 	to := n.product.nodes[a.owner]
-	id := owner.ReservationID{Holder: n.member.Incarnation, Serial: a.serial}
+	id := owner.ReservationID{Holder: owner.HolderOf(n.member.Incarnation), Serial: a.serial}
 	w.atNode(to.number, n.way(to), func() { to.ledger.Release(w.clock.wall(), id, out) })
 }
 
--- a/internal/bench/productreserve.go
+++ b/internal/bench/productreserve.go
@@ -58,7 +58,7 @@
 		blocks = nil
 	}
 	return &owner.ReserveArgs{
-		ID:    owner.ReservationID{Holder: n.member.Incarnation, Serial: j.serial},
+		ID:    owner.ReservationID{Holder: owner.HolderOf(n.member.Incarnation), Serial: j.serial},
 		Model: f.Model, Service: f.Service, Blocks: blocks,
 		PromptTokens: f.PromptTokens, MaxTokens: f.MaxTokens, Priority: n.urgency(j),
 		Avoid: f.Avoid, Suspect: f.Suspect,
--- a/internal/ident/requestid.go
+++ b/internal/ident/requestid.go
@@ -22,6 +22,8 @@
 // RequestID names a request and the two incarnations that decide who runs it.
 // Its text is "<home>.<witness>.<random>".
 type RequestID struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
 	// Home is the incarnation that runs the request while it is alive.
 	Home Incarnation
 	// Witness is the incarnation that grants the right to run it.
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"mangoledge.example/mangoledge/internal/placement"
 )
 
 // Start listens and takes part until Stop.
@@ -30,6 +32,7 @@
 	n.serve("callers", func() error { return n.entry.Serve(callers) })
 	n.serve("operators", func() error { return n.operator.Serve(operators) })
 	n.loop(ctx, updateInterval, func() { n.router.Update(time.Now()) })
+	n.loop(ctx, placement.RenewInterval, func() { n.router.Renew(ctx, time.Now()) })
 	n.loop(ctx, observeInterval, func() { n.observer.Pass(ctx) })
 	n.loop(ctx, expireInterval, func() { n.witness.Expire(time.Now(), witnessRetention) })
 	n.logger.Info("started", "callers", n.settings.CallerListen, "peers", n.settings.PeerListen)
--- a/internal/owner/client.go
+++ b/internal/owner/client.go
@@ -35,6 +35,13 @@
 	return c.caller.Call(ctx, address, MethodRelease, &ReleaseArgs{ID: id, Outcome: out}, &ReleaseReply{})
 }
 
+// Renew lets reservations of holder at address go on; it returns those that had ended.
+func (c *Client) Renew(ctx context.Context, address string, holder Holder, serials []uint64) ([]uint64, error) {
+	var reply RenewReply
+	err := c.caller.Call(ctx, address, MethodRenew, &RenewArgs{Holder: holder, Serials: serials}, &reply)
+	return reply.Unknown, err
+}
+
 // Summary asks the owner at address how full its upstreams are.
 func (c *Client) Summary(ctx context.Context, address string) ([]Summary, error) {
 	var reply SummaryReply
--- a/internal/owner/ledger.go
+++ b/internal/owner/ledger.go
@@ -14,8 +14,8 @@
 	"mangoledge.example/mangoledge/internal/routing"
 )
 
-// defaultHold is how long a reservation lasts when its holder names no time.
-const defaultHold = time.Minute
+// DefaultHold is how long a reservation lasts without a renewal when its holder names no time.
+const DefaultHold = time.Minute
 
 // MaxListAge is how old a node's list of upstreams may be and still be chosen
 // from. A process that was paused for longer first has to hear from others.
@@ -44,8 +44,10 @@
 	// waiting is true while it is in line for a slot.
 	waiting  bool
 	priority request.Priority
-	until    time.Time
-	place    int
+	// hold is how long it lasts from its last renewal, until when that is.
+	hold  time.Duration
+	until time.Time
+	place int
 }
 
 // NewLedger returns the ledger of node self, which chooses by policy among the
@@ -95,7 +97,7 @@
 }
 
 // Reserve takes a slot for a request. Asked again with the same ID it gives the
-// same answer while the reservation lasts.
+// same answer while the reservation lasts, and renews it.
 func (l *Ledger) Reserve(now time.Time, args *ReserveArgs) ReserveReply {
 	features := args.Features()
 	l.mu.Lock()
@@ -103,6 +105,7 @@
 	l.expire(now)
 	if have, ok := l.held[args.ID]; ok {
 		if !have.waiting || !l.table.Leaving(have.upstream) {
+			l.renew(now, have)
 			return l.reply(now, have, &features)
 		}
 		l.end(now, have, routing.Outcome{Kind: routing.OutcomeUnsent})
@@ -113,10 +116,11 @@
 	}
 	hold := args.Hold
 	if hold <= 0 {
-		hold = defaultHold
+		hold = DefaultHold
 	}
 	r := &reservation{
-		id: args.ID, upstream: upstream, suspect: args.Suspect, priority: args.Priority, until: now.Add(hold),
+		id: args.ID, upstream: upstream, suspect: args.Suspect, priority: args.Priority,
+		hold: hold, until: now.Add(hold),
 	}
 	l.held[args.ID] = r
 	l.line(upstream).join(r)
@@ -139,7 +143,6 @@
 		Granted:  true,
 		Wait:     r.waiting,
 		Upstream: r.upstream,
-		URL:      l.urls[r.upstream],
 		Summary:  l.summary(now, f.Pool()),
 	}
 }
@@ -161,8 +164,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	dropped := 0
+	key := HolderOf(holder)
 	for id, r := range l.held {
-		if id.Holder == holder {
+		if id.Holder == key {
 			l.end(now, r, routing.Outcome{Kind: routing.OutcomeCancelled})
 			dropped++
 		}
--- a/internal/owner/messages.go
+++ b/internal/owner/messages.go
@@ -15,17 +15,22 @@
 const (
 	MethodReserve = ServiceName + ".Reserve"
 	MethodRelease = ServiceName + ".Release"
+	MethodRenew   = ServiceName + ".Renew"
 	MethodSummary = ServiceName + ".Summary"
 )
 
 // ReservationID names a reservation: its holder and the holder's own number.
 type ReservationID struct {
-	Holder ident.Incarnation
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	Holder Holder
 	Serial uint64
 }
 
 // ReserveArgs asks for a slot at one of the owner's upstreams.
 type ReserveArgs struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
 	ID      ReservationID
 	Model   ident.Model
 	Adapter ident.Adapter
@@ -39,7 +44,8 @@
 	Avoid ident.Upstream
 	// Suspect is true when the content was running at an upstream that crashed.
 	Suspect bool
-	// Hold is how long the reservation lasts without a release.
+	// Hold is how long the reservation lasts without a release or a renewal;
+	// DefaultHold when it is 0.
 	Hold time.Duration
 }
 
@@ -55,6 +61,8 @@
 // ReserveReply is the answer to ReserveArgs. A refusal is no error: it says
 // when a slot is likely and how full the owner is.
 type ReserveReply struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
 	// Granted is true when Upstream is the request's place.
 	Granted bool
 	// Wait is true when all slots of Upstream are taken and the request is in line
@@ -62,23 +70,42 @@
 	// others the holder asks again with the same ID until Wait is false.
 	Wait     bool
 	Upstream ident.Upstream
-	URL      string
 	// Summary is the owner's state after the decision.
 	Summary Summary
 }
 
 // ReleaseArgs ends a reservation.
 type ReleaseArgs struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
 	ID      ReservationID
 	Outcome routing.Outcome
 }
 
 // ReleaseReply answers ReleaseArgs.
 type ReleaseReply struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
 	// Known is false when the reservation had ended before.
 	Known bool
 }
 
+// RenewArgs has reservations of one holder last for their whole time again.
+type RenewArgs struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	Holder  Holder
+	Serials []uint64
+}
+
+// RenewReply answers RenewArgs.
+type RenewReply struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	// Unknown are those that had ended before.
+	Unknown []uint64
+}
+
 // SummaryArgs asks for an owner's summaries.
 type SummaryArgs struct{}
 
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -28,6 +28,12 @@
 	return nil
 }
 
+// Renew lets reservations go on.
+func (s *Service) Renew(args *RenewArgs, reply *RenewReply) error {
+	reply.Unknown = s.ledger.Renew(s.now(), args.Holder, args.Serials)
+	return nil
+}
+
 // Summary returns how full the owner's upstreams are.
 func (s *Service) Summary(_ *SummaryArgs, reply *SummaryReply) error {
 	reply.Summaries = s.ledger.Summaries(s.now())
--- a/internal/owner/summary.go
+++ b/internal/owner/summary.go
@@ -25,6 +25,8 @@
 
 // Summary tells how full an owner's upstreams of one pool are.
 type Summary struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
 	Pool PoolKey
 	// Slots is the room of the owner's usable upstreams.
 	Slots uint16
--- a/internal/placement/doc.go
+++ b/internal/placement/doc.go
@@ -3,6 +3,6 @@
 // be reached.
 //
 // Invariants: an upstream that is known to be leaving gets no new request;
-// a slot that was reserved is given back once, or expires with the request's
-// deadline; no lock is held during a call to another node.
+// a slot that was reserved is renewed until it is given back, once, and expires
+// when its holder does neither; no lock is held during a call to another node.
 package placement
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -26,6 +26,7 @@
 // Done gives the slot back; the call to another owner is not waited for.
 func (p *placed) Done(outcome dispatch.Outcome) {
 	out := outcomeOf(outcome)
+	p.router.places.remove(p.id.Serial)
 	if p.choice.Owner == p.router.self.Incarnation {
 		p.router.ledger.Release(time.Now(), p.id, out)
 		return
--- /dev/null
+++ b/internal/placement/renew_test.go
@@ -0,0 +1,146 @@
+package placement
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/internal/dispatch"
+	"mangoledge.example/mangoledge/internal/fleet"
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/membership"
+	"mangoledge.example/mangoledge/internal/owner"
+	"mangoledge.example/mangoledge/internal/request"
+	"mangoledge.example/mangoledge/internal/routing"
+)
+
+const renewStep = owner.DefaultHold / 4
+
+// fixedMembers is a view of two nodes, the first of which is Self.
+type fixedMembers []membership.Member
+
+func (f fixedMembers) Self() membership.Member      { return f[0] }
+func (f fixedMembers) Members() []membership.Member { return f }
+func (f fixedMembers) Lookup(ident.Incarnation) (membership.Member, bool) {
+	return membership.Member{}, false
+}
+
+// fixedFleet is a list of upstreams that never changes.
+type fixedFleet []fleet.Upstream
+
+func (f fixedFleet) Upstreams() []fleet.Upstream { return f }
+
+// ownerCall carries calls to the service of one owner without a network.
+type ownerCall struct {
+	service *owner.Service
+	lost    bool
+	renewed int
+}
+
+func (c *ownerCall) Call(_ context.Context, _, method string, args, reply any) error {
+	if c.lost {
+		return errors.New("lost")
+	}
+	switch method {
+	case owner.MethodReserve:
+		return c.service.Reserve(args.(*owner.ReserveArgs), reply.(*owner.ReserveReply))
+	case owner.MethodRelease:
+		return c.service.Release(args.(*owner.ReleaseArgs), reply.(*owner.ReleaseReply))
+	case owner.MethodRenew:
+		c.renewed++
+		return c.service.Renew(args.(*owner.RenewArgs), reply.(*owner.RenewReply))
+	}
+	return errors.Newf("no method %s", method)
+}
+
+// renewSite is a router whose only upstream another node owns.
+type renewSite struct {
+	router *Router
+	ledger *owner.Ledger
+	calls  *ownerCall
+	now    time.Time
+}
+
+func newRenewSite() *renewSite {
+	members := fixedMembers{
+		{Incarnation: "n1_0", Node: "n1", Region: "r", FailureDomain: "d1", PeerAddress: "n1"},
+		{Incarnation: "n2_0", Node: "n2", Region: "r", FailureDomain: "d2", PeerAddress: "n2"},
+	}
+	upstreams := fixedFleet{{ID: "u", Region: "r", FailureDomain: "d2", Models: []ident.Model{"m"}, Slots: 1, State: fleet.StateReady}}
+	s := &renewSite{now: time.Now()}
+	s.ledger = owner.NewLedger("n2", "d2", routing.LeastOutstanding{}, 0, rand.New(rand.NewPCG(1, 2)))
+	s.ledger.Update(s.now, upstreams, members)
+	s.calls = &ownerCall{service: owner.NewService(s.ledger, func() time.Time { return s.now })}
+	s.router = NewRouter(Options{
+		Members: members, Fleet: upstreams, Listed: upstreams, Marks: func() uint64 { return 0 },
+		Calls: s.calls, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Policy: routing.LeastOutstanding{},
+	})
+	s.router.Update(s.now)
+	return s
+}
+
+// pick reserves the slot for a request whose deadline is soon.
+func (s *renewSite) pick(t *testing.T) dispatch.Placement {
+	t.Helper()
+	spec := &request.Spec{Model: "m", MaxTokens: 10, Deadline: time.Now().Add(time.Second)}
+	place, err := s.router.Pick(t.Context(), &dispatch.Need{Spec: spec})
+	require.NoError(t, err)
+	require.Equal(t, 1, s.inFlight())
+	return place
+}
+
+// inFlight is what the owner counts now.
+func (s *renewSite) inFlight() int {
+	return int(s.ledger.Summaries(s.now)[0].InFlight)
+}
+
+func TestASlotIsHeldForAsLongAsItsRequestRuns(t *testing.T) {
+	s := newRenewSite()
+	place := s.pick(t)
+	for range 20 {
+		s.now = s.now.Add(renewStep)
+		s.router.Renew(t.Context(), s.now)
+		require.Equal(t, 1, s.inFlight(), "the request still runs, long after its deadline")
+	}
+	place.Done(dispatch.OutcomeDone)
+	require.Eventually(t, func() bool { return s.ledger.Held() == 0 }, 10*time.Second, time.Millisecond)
+	told := s.calls.renewed
+	s.now = s.now.Add(owner.DefaultHold)
+	s.router.Renew(t.Context(), s.now)
+	require.Equal(t, told, s.calls.renewed, "what was given back is not renewed")
+}
+
+func TestASlotThatNobodyRenewsExpires(t *testing.T) {
+	s := newRenewSite()
+	s.pick(t)
+	s.now = s.now.Add(owner.DefaultHold + time.Second)
+	require.Zero(t, s.inFlight())
+	s.router.Renew(t.Context(), s.now)
+	require.Empty(t, s.router.places.due(s.now.Add(time.Hour)), "a slot that the owner does not know is asked for no more")
+}
+
+func TestARenewalThatIsLostIsRepeated(t *testing.T) {
+	s := newRenewSite()
+	s.pick(t)
+	s.now = s.now.Add(owner.DefaultHold / 2)
+	s.calls.lost = true
+	s.router.Renew(t.Context(), s.now)
+	s.calls.lost = false
+	s.now = s.now.Add(renewStep)
+	s.router.Renew(t.Context(), s.now)
+	s.now = s.now.Add(owner.DefaultHold / 2)
+	require.Equal(t, 1, s.inFlight())
+}
+
+func TestShortRequestsAreNotRenewed(t *testing.T) {
+	s := newRenewSite()
+	s.pick(t)
+	s.router.Renew(t.Context(), s.now.Add(renewAge/2))
+	require.Zero(t, s.calls.renewed)
+}
--- a/internal/placement/router.go
+++ b/internal/placement/router.go
@@ -57,7 +57,7 @@
 
 // Router places requests; it is a dispatch.Router.
 //
-// Lock order: Router.mu is a leaf.
+// Lock order: Router.mu and places.mu are leaves.
 type Router struct {
 	options   Options
 	self      membership.Member
@@ -70,6 +70,10 @@
 	fallback *routing.Router
 	table    *routing.Table
 	serial   atomic.Uint64
+	// holder is this node as the owners know it.
+	holder owner.Holder
+	// places are the slots that this node holds.
+	places *places
 
 	mu        sync.RWMutex
 	upstreams map[ident.Upstream]fleet.Upstream
@@ -91,6 +95,8 @@
 		table:     table,
 		fallback:  routing.NewRouter(table, options.Policy, random()),
 		upstreams: make(map[ident.Upstream]fleet.Upstream),
+		holder:    owner.HolderOf(self.Incarnation),
+		places:    newPlaces(),
 	}
 }
 
@@ -195,6 +201,7 @@
 	}
 	upstream, ok := r.upstream(reply.Upstream)
 	place = &placed{router: r, choice: choice, id: args.ID, upstream: upstream}
+	r.places.add(now, place)
 	if !ok || r.Leaving(reply.Upstream) {
 		place.Done(dispatch.OutcomeMoved)
 		return nil, true
@@ -243,7 +250,7 @@
 
 func (r *Router) reservation(need *dispatch.Need, features *routing.Features) *owner.ReserveArgs {
 	return &owner.ReserveArgs{
-		ID:           owner.ReservationID{Holder: r.self.Incarnation, Serial: r.serial.Add(1)},
+		ID:           owner.ReservationID{Holder: r.holder, Serial: r.serial.Add(1)},
 		Model:        features.Model,
 		Adapter:      features.Adapter,
 		Service:      features.Service,
@@ -253,7 +260,6 @@
 		Priority:     admission.Urgency(time.Now(), need.Spec.Deadline, time.Duration(features.MaxTokens)*admission.TypicalPace),
 		Avoid:        features.Avoid,
 		Suspect:      features.Suspect,
-		Hold:         time.Until(need.Spec.Deadline),
 	}
 }
 
--- a/internal/routing/outcome.go
+++ b/internal/routing/outcome.go
@@ -27,6 +27,8 @@
 
 // Outcome is how an attempt at an upstream ended and how fast it was.
 type Outcome struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
 	Kind OutcomeKind
 	// PerToken is the mean time between tokens, or 0 when unknown.
 	PerToken time.Duration
--- a/internal/slopes/peer.go
+++ b/internal/slopes/peer.go
@@ -158,13 +158,13 @@
 	}
 	figures = append(figures,
 		caller.measure("reserve", owner.MethodReserve, func(n int) (args, reply any) {
-			id := owner.ReservationID{Holder: home, Serial: uint64(n)}
+			id := owner.ReservationID{Holder: owner.HolderOf(home), Serial: uint64(n)}
 			blocks := routing.Blocks(nil, "model-0", "", specs[n].Input)
 			p.ledger.Table().Confirm(time.Now())
 			return &owner.ReserveArgs{ID: id, Model: "model-0", Blocks: blocks, PromptTokens: promptBytes / tokenBytes, MaxTokens: answerTokens}, new(owner.ReserveReply)
 		}),
 		caller.measure("release", owner.MethodRelease, func(n int) (args, reply any) {
-			return &owner.ReleaseArgs{ID: owner.ReservationID{Holder: home, Serial: uint64(n)}}, new(owner.ReleaseReply)
+			return &owner.ReleaseArgs{ID: owner.ReservationID{Holder: owner.HolderOf(home), Serial: uint64(n)}}, new(owner.ReleaseReply)
 		}),
 	)
 	figures = append(figures, caller.bytes...)
