A witness forgets old grants, and refuses what it may have forgotten

Change: prefixes of request IDs carry when they were issued. Fingerprints are kept by periods of ten minutes of that, and a period is forgotten 2 h 10 min after its end: the longest time that a caller may keep a prefix, the longest deadline, and ten minutes of grace. From then on the table refuses every unknown non-idempotent ID of that time as "may have run", also when it is full and after a hand-over. Clocks decide when something is forgotten, never whether an ID that was granted is refused.

--- a/internal/entry/addressbook.go
+++ b/internal/entry/addressbook.go
@@ -47,7 +47,7 @@
 	}
 	out := &callerapi.AddressBook{
 		KeepMs:          b.keep.Milliseconds(),
-		RequestIdPrefix: ident.Prefix(usable[0].Incarnation, b.witnessFor(usable[0], usable)),
+		RequestIdPrefix: ident.StampedPrefix(usable[0].Incarnation, b.witnessFor(usable[0], usable), time.Now()),
 	}
 	for _, member := range usable[:min(maxAddresses, len(usable))] {
 		out.Addresses = append(out.Addresses, callerapi.Address{
@@ -62,7 +62,7 @@
 // Prefix makes a fresh request-ID prefix.
 func (b *AddressBook) Prefix() string {
 	home, witness := b.pair()
-	return ident.Prefix(home, witness)
+	return ident.StampedPrefix(home, witness, time.Now())
 }
 
 // OwnID makes a request ID whose home is this node.
--- a/internal/grant/claim.go
+++ b/internal/grant/claim.go
@@ -39,6 +39,9 @@
 	if req.Spec == nil {
 		return ClaimReply{}, nil
 	}
+	if !req.Spec.Idempotent && t.mayBeSpent(req.ID) {
+		return ClaimReply{Found: true, Granted: true, Record: spentRecord(req.ID)}, nil
+	}
 	if !req.Spec.Idempotent && !t.reserve() {
 		return ClaimReply{}, ErrFull
 	}
--- a/internal/grant/explore_test.go
+++ b/internal/grant/explore_test.go
@@ -103,12 +103,13 @@
 		{"not run without consuming the grant", rules{notRunWithoutVoid: true}, "called not run, and was run"},
 		{"snapshot sent before granting stops", rules{snapshotBefore: true}, "run twice"},
 		{"expiry forgets what was granted", rules{expiryForgets: true}, "run twice"},
+		{"old fingerprints forgotten without a limit", rules{forgetsWithoutLimit: true}, "called not run, and was run"},
 		{"recorded result is wrong", rules{resultUnrecorded: true}, "called not run, and was run"},
 	}
 	for _, variant := range variants {
 		t.Run(variant.name, func(t *testing.T) {
 			m := newModel(variant.rules)
-			m.expiry = variant.rules.expiryForgets
+			m.expiry = variant.rules.expiryForgets || variant.rules.forgetsWithoutLimit
 			found := explore(m, stateLimit)
 			t.Logf("%d states until %q:\n%s", found.states, found.violated, strings.Join(found.story, "\n"))
 			require.NotEmpty(t, found.violated)
--- a/internal/grant/handover.go
+++ b/internal/grant/handover.go
@@ -14,7 +14,9 @@
 	// Entries are in the order of their IDs.
 	Entries []Entry
 	// Spent are the fingerprints of expired requests whose slot was taken.
-	Spent []Fingerprint
+	Spent []SpentPeriod
+	// Forgotten is the last period of which the fingerprints were forgotten.
+	Forgotten uint32
 	// Full is true when the table takes no further non-idempotent requests.
 	Full bool
 }
@@ -48,19 +50,13 @@
 }
 
 func (t *Table) contents() Snapshot {
-	out := Snapshot{Full: t.full}
+	out := Snapshot{Full: t.full, Spent: t.spent.list(), Forgotten: uint32(t.spent.limit)}
 	for _, e := range t.entries {
 		out.Entries = append(out.Entries, *e)
 	}
 	slices.SortFunc(out.Entries, func(a, b Entry) int {
 		return strings.Compare(a.Record.Spec.ID.String(), b.Record.Spec.ID.String())
 	})
-	for f := range t.spent {
-		out.Spent = append(out.Spent, f)
-	}
-	slices.SortFunc(out.Spent, func(a, b Fingerprint) int {
-		return slices.Compare(a[:], b[:])
-	})
 	return out
 }
 
@@ -74,9 +70,7 @@
 		e := s.Entries[i]
 		t.put(&e)
 	}
-	for _, f := range s.Spent {
-		t.spent[f] = struct{}{}
-	}
+	t.spent.adopt(s.Spent, s.Forgotten)
 	t.full = s.Full
 	t.mode = modeActive
 }
--- a/internal/grant/model_test.go
+++ b/internal/grant/model_test.go
@@ -18,6 +18,8 @@
 	snapshotBefore    bool
 	expiryForgets     bool
 	resultUnrecorded  bool
+	// forgetsWithoutLimit forgets old fingerprints and does not refuse IDs of their time.
+	forgetsWithoutLimit bool
 }
 
 // step is where a runner is in its program.
@@ -157,6 +159,8 @@
 	holders     = [runnerCount]ident.Incarnation{home, other}
 	successors  = [witnessCount]ident.Incarnation{"w1", "w2", "w3"}
 	longAfter   = deadline.Add(time.Hour)
+	tooLate     = deadline.Add(time.Hour + FingerprintLife + periodTime)
+	modelID     = stampedID(deadline)
 	modelSpec   = spec(false)
 	firstTable  = 0
 	emptyRecord = request.Record{}
@@ -175,7 +179,13 @@
 	snapshots  []Snapshot
 	snapIndex  map[string]int
 	handled    map[[2]int]outcome
-	expired    map[uint16]uint16
+	expired    map[expiry]uint16
+}
+
+// expiry is a table that expires its entries, and may forget their fingerprints as well.
+type expiry struct {
+	table   uint16
+	forgets bool
 }
 
 // outcome is what a table did with a message.
@@ -193,7 +203,7 @@
 		index:      make(map[message]int),
 		snapIndex:  make(map[string]int),
 		handled:    make(map[[2]int]outcome),
-		expired:    make(map[uint16]uint16),
+		expired:    make(map[expiry]uint16),
 	}
 }
 
@@ -209,7 +219,7 @@
 // tableKey returns a text that is the same for equal tables.
 func tableKey(t *Table) string {
 	c := t.contents()
-	key := fmt.Sprint(t.mode, t.successor, c.Spent, c.Full)
+	key := fmt.Sprint(t.mode, t.successor, c.Spent, c.Forgotten, c.Full)
 	for _, e := range c.Entries {
 		failure := ""
 		if e.Record.Failure != nil {
@@ -262,10 +272,8 @@
 		copied := *e
 		out.entries[id] = &copied
 	}
-	out.spent = make(map[Fingerprint]struct{}, len(t.spent))
-	for f := range t.spent {
-		out.spent[f] = struct{}{}
-	}
+	out.spent = newSpentSlots()
+	out.spent.adopt(t.spent.list(), uint32(t.spent.limit))
 	return &out
 }
 
@@ -291,23 +299,23 @@
 	holder := holders[msg.from]
 	switch msg.kind {
 	case kindClaim:
-		r, err := t.Claim(&ClaimRequest{ID: testID, Holder: holder, Spec: modelSpec, SeenEpoch: msg.epoch})
+		r, err := t.Claim(&ClaimRequest{ID: modelID, Holder: holder, Spec: modelSpec, SeenEpoch: msg.epoch})
 		a := learn(r.Claimed, r.Granted, r.Record)
 		if a.meaning == meansYes || a.meaning == meansHeld {
 			a.epoch = r.Record.Epoch
 		}
 		return a, err
 	case kindAsk:
-		r, err := t.Grant(&Request{ID: testID, Holder: holder, Epoch: msg.epoch})
+		r, err := t.Grant(&Request{ID: modelID, Holder: holder, Epoch: msg.epoch})
 		return learn(r.Granted, false, r.Record), err
 	case kindVoid:
-		r, err := t.Void(&VoidRequest{ID: testID, Holder: holder, Spec: modelSpec})
+		r, err := t.Void(&VoidRequest{ID: modelID, Holder: holder, Spec: modelSpec})
 		return learn(r.Voided, false, r.Record), err
 	case kindRelease:
-		r, err := t.Progress(&ProgressRequest{ID: testID, Holder: holder, Epoch: msg.epoch, Released: true, Moves: 9})
+		r, err := t.Progress(&ProgressRequest{ID: modelID, Holder: holder, Epoch: msg.epoch, Released: true, Moves: 9})
 		return learn(r.Applied, false, emptyRecord), err
 	case kindFinish:
-		r, err := t.Finish(&FinishRequest{ID: testID, Holder: holder, Epoch: msg.epoch, Record: finalRecord(msg.phase)})
+		r, err := t.Finish(&FinishRequest{ID: modelID, Holder: holder, Epoch: msg.epoch, Record: finalRecord(msg.phase)})
 		return learn(r.Applied, false, emptyRecord), err
 	case kindSnapshot:
 		s := m.snapshots[msg.snapshot]
--- /dev/null
+++ b/internal/grant/spent_test.go
@@ -0,0 +1,136 @@
+package grant
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/request"
+	"mangoledge.example/mangoledge/internal/verdict"
+)
+
+// runOnce claims and is granted a non-idempotent request.
+func runOnce(t *testing.T, table *Table, id ident.RequestID, until time.Time) {
+	t.Helper()
+	s := &request.Spec{Workspace: "w", Deadline: until}
+	reply, err := table.Claim(&ClaimRequest{ID: id, Holder: home, Spec: s})
+	require.NoError(t, err)
+	require.True(t, reply.Claimed)
+	given, err := table.Grant(&Request{ID: id, Holder: home, Epoch: 1})
+	require.NoError(t, err)
+	require.True(t, given.Granted)
+}
+
+// requireRefused checks that nobody gets id again, by no way, and that nobody says "not run".
+func requireRefused(t *testing.T, table *Table, id ident.RequestID) {
+	t.Helper()
+	s := &request.Spec{Workspace: "w", Deadline: deadline}
+	claimed, err := table.Claim(&ClaimRequest{ID: id, Holder: other, Spec: s})
+	require.NoError(t, err)
+	require.False(t, claimed.Claimed)
+	require.True(t, claimed.Granted)
+	require.Equal(t, verdict.MayHaveRun, claimed.Record.Failure.Verdict)
+	given, err := table.Grant(&Request{ID: id, Holder: home, Epoch: 1})
+	require.NoError(t, err)
+	require.False(t, given.Granted)
+	for _, brought := range []*request.Spec{s, nil} {
+		voided, err := table.Void(&VoidRequest{ID: id, Holder: other, Spec: brought})
+		require.NoError(t, err)
+		require.False(t, voided.Voided)
+	}
+}
+
+func TestForgottenGrantIsRefused(t *testing.T) {
+	issued := deadline.Add(-time.Minute)
+	id := stampedID(issued)
+	table := NewTable(10)
+	runOnce(t, table, id, deadline)
+	for after := time.Duration(0); after < 2*FingerprintLife; after += periodTime / 2 {
+		table.Expire(deadline.Add(after), time.Minute)
+		if table.Len() == 0 {
+			requireRefused(t, table, id)
+		}
+	}
+	require.Zero(t, table.Spent(), "its fingerprint is not kept any more")
+	requireRefused(t, table, id)
+
+	fresh := stampedID(issued.Add(2 * periodTime))
+	runOnce(t, table, fresh, deadline)
+}
+
+func TestForgottenGrantIsRefusedByAFullTableToo(t *testing.T) {
+	id := stampedID(deadline)
+	table := NewTable(1)
+	runOnce(t, table, id, deadline)
+	late := stampedID(deadline.Add(FingerprintLife))
+	_, err := table.Claim(&ClaimRequest{ID: late, Holder: home, Spec: spec(false)})
+	require.ErrorIs(t, err, ErrFull)
+	table.Expire(tooLate, 0)
+	require.Zero(t, table.Spent())
+	requireRefused(t, table, id)
+}
+
+func TestForgottenGrantIsRefusedAfterAHandOver(t *testing.T) {
+	id := stampedID(deadline)
+	kept := stampedID(deadline.Add(FingerprintLife))
+	table := NewTable(10)
+	runOnce(t, table, id, deadline)
+	runOnce(t, table, kept, deadline)
+	table.Expire(tooLate, 0)
+	require.Equal(t, 1, table.Spent())
+	require.NoError(t, table.Close(other))
+	snapshot, err := table.Snapshot()
+	require.NoError(t, err)
+	data, err := snapshot.Encode()
+	require.NoError(t, err)
+	back, err := DecodeSnapshot(data)
+	require.NoError(t, err)
+	next := NewSuccessorTable(10)
+	next.Adopt(back)
+	requireRefused(t, next, id)
+	requireRefused(t, next, kept)
+}
+
+func TestIdempotentRequestsOfLongAgoAreStillTaken(t *testing.T) {
+	id := stampedID(deadline)
+	table := NewTable(10)
+	runOnce(t, table, id, deadline)
+	table.Expire(tooLate, 0)
+	again := stampedID(deadline)
+	again.Random += "b"
+	reply, err := table.Claim(&ClaimRequest{ID: again, Holder: home, Spec: spec(true)})
+	require.NoError(t, err)
+	require.True(t, reply.Claimed)
+}
+
+func TestIDsWithoutAStampAreNeverForgotten(t *testing.T) {
+	table := NewTable(10)
+	runOnce(t, table, testID, deadline)
+	runOnce(t, table, stampedID(deadline), deadline)
+	table.Expire(tooLate, 0)
+	require.Equal(t, 1, table.Spent())
+	requireRefused(t, table, testID)
+	unknown := testID
+	unknown.Random = "cccccccccccccccc"
+	runOnce(t, table, unknown, deadline)
+}
+
+// A witness at one request a second for a day remembers those of a few hours.
+func TestRememberedGrantsAreBounded(t *testing.T) {
+	const every = 10 * time.Second
+	table := NewTable(1 << 20)
+	most := 0
+	for n := range int(24 * time.Hour / every) {
+		now := deadline.Add(time.Duration(n) * every)
+		id := stampedID(now)
+		id.Random += fmt.Sprintf("%08d", n)
+		runOnce(t, table, id, now.Add(time.Minute))
+		table.Expire(now, time.Minute)
+		most = max(most, table.Spent())
+	}
+	require.LessOrEqual(t, most, int((FingerprintLife+2*periodTime)/every))
+	require.Positive(t, most)
+}
--- a/internal/grant/steps_test.go
+++ b/internal/grant/steps_test.go
@@ -164,7 +164,8 @@
 		})
 	})
 	if m.expiry {
-		m.expire(number, become)
+		m.expire(expiry{table: number}, become)
+		m.expire(expiry{table: number, forgets: true}, become)
 	}
 	if w == firstTable {
 		m.handOver(s, number, become)
@@ -179,19 +180,31 @@
 
 type becomeFunc func(event func() string, table uint16, change func(*state))
 
-// expire lets a table drop every entry.
-func (m *model) expire(number uint16, become becomeFunc) {
-	next, ok := m.expired[number]
+// expire lets a table drop every entry, and what it remembers of them.
+func (m *model) expire(how expiry, become becomeFunc) {
+	next, ok := m.expired[how]
 	if !ok {
-		t := cloneTable(m.tables[number])
-		t.Expire(longAfter, 0)
-		if m.rules.expiryForgets {
-			clear(t.spent)
+		t := cloneTable(m.tables[how.table])
+		at := longAfter
+		if how.forgets {
+			at = tooLate
 		}
+		t.Expire(at, 0)
+		m.breakExpiry(t)
 		next = m.tableNumber(t)
-		m.expired[number] = next
+		m.expired[how] = next
+	}
+	become(func() string { return fmt.Sprintf("expires its entries, forgets them: %t", how.forgets) }, next, nil)
+}
+
+// breakExpiry breaks the rules that are planted to be broken.
+func (m *model) breakExpiry(t *Table) {
+	if m.rules.expiryForgets {
+		t.spent = newSpentSlots()
+	}
+	if m.rules.forgetsWithoutLimit {
+		t.spent.limit = 0
 	}
-	become(func() string { return "expires its entries" }, next, nil)
 }
 
 // handOver lets the first witness close for any one successor and send its snapshot any number of times.
--- a/internal/grant/table.go
+++ b/internal/grant/table.go
@@ -23,7 +23,7 @@
 	successor ident.Incarnation
 	entries   map[ident.RequestID]*Entry
 	// spent holds the taken slots whose entries have expired.
-	spent map[Fingerprint]struct{}
+	spent *spentSlots
 	// once counts the entries of non-idempotent requests.
 	once  int
 	limit int
@@ -36,7 +36,7 @@
 func NewTable(limit int) *Table {
 	return &Table{
 		entries: make(map[ident.RequestID]*Entry),
-		spent:   make(map[Fingerprint]struct{}),
+		spent:   newSpentSlots(),
 		limit:   limit,
 	}
 }
@@ -53,9 +53,9 @@
 	return len(t.entries)
 }
 
-// Spent returns how many expired requests the table remembers as granted.
+// Spent returns how many expired requests the table remembers one by one as granted.
 func (t *Table) Spent() int {
-	return len(t.spent)
+	return t.spent.count
 }
 
 // Full reports whether the table takes no further non-idempotent requests.
@@ -76,15 +76,20 @@
 	return ErrClosed
 }
 
-// isSpent reports whether the slot of an expired entry was taken.
+// isSpent reports whether the slot of an expired entry was taken for certain.
 func (t *Table) isSpent(id ident.RequestID) bool {
-	_, ok := t.spent[fingerprint(id)]
-	return ok
+	return t.spent.has(id)
+}
+
+// mayBeSpent reports whether the slot of an unknown ID may have been taken: it is
+// so old that this is no longer remembered.
+func (t *Table) mayBeSpent(id ident.RequestID) bool {
+	return t.spent.has(id) || t.spent.mayHaveForgotten(id)
 }
 
 // reserve reports whether there is room for another non-idempotent request.
 func (t *Table) reserve() bool {
-	if t.once+len(t.spent) >= t.limit {
+	if t.once+t.spent.count >= t.limit {
 		t.full = true
 	}
 	return !t.full
--- a/internal/grant/table_test.go
+++ b/internal/grant/table_test.go
@@ -22,6 +22,15 @@
 	deadline = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 )
 
+// stampedID is an ID whose prefix was issued at a time.
+func stampedID(issued time.Time) ident.RequestID {
+	id, err := ident.ParseRequestID(ident.StampedPrefix(home, witness, issued) + testID.Random)
+	if err != nil {
+		panic(err)
+	}
+	return id
+}
+
 func spec(idempotent bool) *request.Spec {
 	return &request.Spec{ID: testID, Workspace: "w", Idempotent: idempotent, Deadline: deadline}
 }
--- a/internal/grant/void.go
+++ b/internal/grant/void.go
@@ -45,12 +45,15 @@
 	if req.Spec != nil && req.Spec.Idempotent {
 		return VoidReply{Voided: true}
 	}
+	if t.mayBeSpent(req.ID) {
+		return VoidReply{Record: spentRecord(req.ID)}
+	}
 	if !t.reserve() {
 		// A full table never grants a request that it does not know.
 		return VoidReply{Voided: true}
 	}
 	if req.Spec == nil {
-		t.spent[fingerprint(req.ID)] = struct{}{}
+		t.spent.add(req.ID)
 		return VoidReply{Voided: true}
 	}
 	e := newEntry(*req.Spec, req.Holder, firstEpoch)
--- a/internal/slopes/grant.go
+++ b/internal/slopes/grant.go
@@ -25,7 +25,7 @@
 
 // specN returns the nth request of home at witness.
 func specN(home, witness ident.Incarnation, n int) *request.Spec {
-	id := ident.RequestID{Home: home, Witness: witness, Random: fmt.Sprintf("%020d", n)}
+	id := ident.RequestID{Home: home, Witness: witness, Random: fmt.Sprintf("%08x-%020d", time.Now().Unix(), n)}
 	return &request.Spec{
 		ID: id, Workspace: "workspace-1", Kind: "draft", Model: "model-1",
 		Input:     strings.Repeat("x", promptBytes-8) + fmt.Sprintf("%08d", n),
--- a/internal/witness/handover.go
+++ b/internal/witness/handover.go
@@ -143,8 +143,11 @@
 
 // splitSnapshot cuts s into parts of about size bytes each; there is at least one.
 func splitSnapshot(s *grant.Snapshot, size int) []grant.Snapshot {
-	out := []grant.Snapshot{{Shard: s.Shard, Spent: s.Spent, Full: s.Full}}
-	used := len(s.Spent) * len(grant.Fingerprint{})
+	out := []grant.Snapshot{{Shard: s.Shard, Spent: s.Spent, Forgotten: s.Forgotten, Full: s.Full}}
+	used := 0
+	for _, period := range s.Spent {
+		used += len(period.Slots) * len(grant.Fingerprint{})
+	}
 	for i := range s.Entries {
 		e := &s.Entries[i]
 		if used > size {
--- a/internal/witness/holding.go
+++ b/internal/witness/holding.go
@@ -158,6 +158,7 @@
 		}
 		out.Entries = append(out.Entries, chunk.Entries...)
 		out.Spent = append(out.Spent, chunk.Spent...)
+		out.Forgotten = max(out.Forgotten, chunk.Forgotten)
 		out.Full = out.Full || chunk.Full
 	}
 	return out
