One goroutine looks at all connections of a node

Cause: each connection had a goroutine and a ticker of its own, which woke once a second for nothing. The slope measured one client for each connection, which no node has.

Change: the client looks at all its connections in one goroutine and starts one for a heartbeat only. The test of Close looks for any goroutine of the client, not for the heartbeats alone.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -41,9 +41,12 @@
 	links map[string]*link
 	// retired are the connections out of use that still have their grace period.
 	retired map[*link]struct{}
+	// looking is true once a goroutine looks at the connections; it does until done is closed.
+	looking bool
 	closed  bool
-	// heartbeats are the running ones; they are added to under mu and not after closed.
-	heartbeats sync.WaitGroup
+	done    chan struct{}
+	// running are the goroutines of the client; they are added to under mu and not after closed.
+	running sync.WaitGroup
 }
 
 // link is one connection.
@@ -51,8 +54,9 @@
 	rpc *rpc.Client
 	// answered counts the calls that were answered since the last look.
 	answered atomic.Int64
-	done     chan struct{}
-	once     sync.Once
+	// quiet counts the looks since an answer; only the goroutine that looks touches it.
+	quiet int
+	once  sync.Once
 }
 
 // NewClient returns a client that dials by dialer.
@@ -61,6 +65,7 @@
 		dialer:  dialer,
 		links:   make(map[string]*link),
 		retired: make(map[*link]struct{}),
+		done:    make(chan struct{}),
 	}
 }
 
@@ -94,12 +99,15 @@
 	links = slices.AppendSeq(links, maps.Keys(c.retired))
 	clear(c.links)
 	clear(c.retired)
+	if !c.closed {
+		close(c.done)
+	}
 	c.closed = true
 	c.mu.Unlock()
 	for _, l := range links {
 		l.close()
 	}
-	c.heartbeats.Wait()
+	c.running.Wait()
 }
 
 // link returns the connection to address, dialling when there is none.
@@ -118,7 +126,7 @@
 	if err != nil {
 		return nil, notSent(err)
 	}
-	fresh := &link{rpc: rpc.NewClientWithCodec(newClientCodec(conn)), done: make(chan struct{})}
+	fresh := &link{rpc: rpc.NewClientWithCodec(newClientCodec(conn))}
 	c.mu.Lock()
 	if other, raced := c.links[address]; raced || c.closed {
 		c.mu.Unlock()
@@ -129,7 +137,10 @@
 		return nil, notSent(errors.New("the client is closed"))
 	}
 	c.links[address] = fresh
-	c.heartbeats.Go(func() { c.heartbeat(address, fresh) })
+	if !c.looking {
+		c.looking = true
+		c.running.Go(c.look)
+	}
 	c.mu.Unlock()
 	return fresh, nil
 }
@@ -153,30 +164,57 @@
 	l.close()
 }
 
-// heartbeat proves l alive until it is closed, silent or idle.
-func (c *Client) heartbeat(address string, l *link) {
+// look looks at all connections at an interval until the client is closed.
+func (c *Client) look() {
 	ticker := time.NewTicker(lookInterval)
 	defer ticker.Stop()
-	quiet := 0
 	for {
 		select {
-		case <-l.done:
+		case <-c.done:
 			return
 		case <-ticker.C:
+			c.lookOnce()
 		}
-		if l.answered.Swap(0) > 0 {
-			quiet = 0
-			continue
-		}
-		quiet++
-		silent := quiet%quietLooks == 0 && !l.ping()
-		if silent || quiet > idleLooks {
+	}
+}
+
+// lookOnce closes the connections that are idle and sends heartbeats on those
+// that were quiet for a while.
+func (c *Client) lookOnce() {
+	c.mu.Lock()
+	links := maps.Clone(c.links)
+	c.mu.Unlock()
+	for address, l := range links {
+		switch {
+		case l.answered.Swap(0) > 0:
+			l.quiet = 0
+		case l.quiet == idleLooks:
 			c.retire(address, l)
-			return
+		default:
+			l.quiet++
+			if l.quiet%quietLooks == 0 {
+				c.start(func() { c.heartbeat(address, l) })
+			}
 		}
 	}
 }
 
+// start runs f, which Close waits for, unless the client is closed.
+func (c *Client) start(f func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closed {
+		c.running.Go(f)
+	}
+}
+
+// heartbeat takes l out of use when the other end does not answer.
+func (c *Client) heartbeat(address string, l *link) {
+	if !l.ping() {
+		c.retire(address, l)
+	}
+}
+
 // ping reports whether the other end answers.
 func (l *link) ping() bool {
 	call := l.rpc.Go(pingMethod, &Ping{}, &Pong{}, make(chan *rpc.Call, 1))
@@ -192,7 +230,6 @@
 
 func (l *link) close() {
 	l.once.Do(func() {
-		close(l.done)
 		_ = l.rpc.Close()
 	})
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -82,7 +82,7 @@
 
 	stacks := make([]byte, 1<<20)
 	stacks = stacks[:runtime.Stack(stacks, true)]
-	require.NotContains(t, string(stacks), "peer.(*Client).heartbeat(")
+	require.NotContains(t, string(stacks), "peer.(*Client).")
 }
 
 func TestCallWithWrongTokenIsNotSent(t *testing.T) {
--- a/internal/slopes/peer.go
+++ b/internal/slopes/peer.go
@@ -40,11 +40,23 @@
 
 // Accept implements net.Listener.
 func (l *countingListener) Accept() (net.Conn, error) {
+	shared := sharedListener{Listener: l.Listener, bytes: &l.bytes}
+	return shared.Accept()
+}
+
+// sharedListener counts the bytes of its connections together with others.
+type sharedListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l *sharedListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &countingConn{Conn: conn, bytes: &l.bytes}, nil
+	return &countingConn{Conn: conn, bytes: l.bytes}, nil
 }
 
 type countingConn struct {
@@ -95,6 +107,21 @@
 	return p, nil
 }
 
+// listenMore answers at count further addresses.
+func (p *peerServer) listenMore(count int) ([]string, error) {
+	var out []string
+	for range count {
+		inner, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // opens at once
+		if err != nil {
+			return nil, err
+		}
+		listener := &sharedListener{Listener: inner, bytes: &p.listener.bytes}
+		go func() { _ = p.server.Serve(listener, nil) }() // ends with the server
+		out = append(out, inner.Addr().String())
+	}
+	return out, nil
+}
+
 // smallLedger is the ledger of an owner with one node's share of the large site.
 func smallLedger() *owner.Ledger {
 	self := memberN(0, time.Now(), "")
@@ -215,12 +242,15 @@
 	defer p.close()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
+	addresses, err := p.listenMore(linkCount)
+	if err != nil {
+		return nil, err
+	}
+	client := peer.NewClient(peer.Dialer{Token: "slopes"})
+	defer client.Close()
 	before := now(true)
-	clients := make([]*peer.Client, linkCount)
-	for n := range clients {
-		clients[n] = peer.NewClient(peer.Dialer{Token: "slopes"})
-		defer clients[n].Close()
-		ping := clients[n].Call(ctx, p.listener.Addr().String(), "Heartbeat.Ping", &peer.Ping{}, &peer.Pong{})
+	for _, address := range addresses {
+		ping := client.Call(ctx, address, "Heartbeat.Ping", &peer.Ping{}, &peer.Pong{})
 		err = firstError(err, ping)
 	}
 	open := now(true)
