--- a/internal/poison/gate.go
+++ b/internal/poison/gate.go
@@ -17,12 +17,16 @@
 
 // PassID names a pass: its holder and the holder's own number.
 type PassID struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
 	Holder ident.Incarnation
 	Serial uint64
 }
 
 // Answer is what a gate says to a content.
 type Answer struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
 	Kind AnswerKind
 	// Crashes is how many crashes count against the content. When there are
 	// any, the run must not share its upstream with another suspect.
--- a/internal/poison/service.go
+++ b/internal/poison/service.go
@@ -18,6 +18,8 @@
 
 // AcquireArgs asks to run a content once.
 type AcquireArgs struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
 	Fingerprint Fingerprint
 	ID          PassID
 	// Hold is how long the pass lasts without a release.
@@ -26,11 +28,15 @@
 
 // AcquireReply is the gate's answer.
 type AcquireReply struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
 	Answer Answer
 }
 
 // ReleaseArgs gives a pass back.
 type ReleaseArgs struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
 	Fingerprint Fingerprint
 	ID          PassID
 	Upstream    ident.Upstream
--- a/internal/slopes/peer.go
+++ b/internal/slopes/peer.go
@@ -16,6 +16,7 @@
 	"mangoledge.example/mangoledge/internal/membership"
 	"mangoledge.example/mangoledge/internal/owner"
 	"mangoledge.example/mangoledge/internal/peer"
+	"mangoledge.example/mangoledge/internal/poison"
 	"mangoledge.example/mangoledge/internal/request"
 	"mangoledge.example/mangoledge/internal/routing"
 	"mangoledge.example/mangoledge/internal/witness"
@@ -103,6 +104,10 @@
 	if err := p.server.Register(owner.ServiceName, owner.NewService(p.ledger, time.Now)); err != nil {
 		return nil, err
 	}
+	gate := poison.NewService(poison.NewGate(poison.NewRegistry()), time.Now)
+	if err := p.server.Register(poison.ServiceName, gate); err != nil {
+		return nil, err
+	}
 	go func() { _ = p.server.Serve(p.listener, nil) }() // ends with the listener
 	return p, nil
 }
@@ -194,6 +199,16 @@
 			return &owner.ReleaseArgs{ID: owner.ReservationID{Holder: owner.HolderOf(home), Serial: uint64(n)}}, new(owner.ReleaseReply)
 		}),
 	)
+	figures = append(figures,
+		caller.measure("gate_acquire", poison.MethodAcquire, func(n int) (args, reply any) {
+			id := poison.PassID{Holder: home, Serial: uint64(n)}
+			return &poison.AcquireArgs{Fingerprint: poison.Of("model-0", "", "", specs[n].Input), ID: id, Hold: deadlineAfter}, new(poison.AcquireReply)
+		}),
+		caller.measure("gate_release", poison.MethodRelease, func(n int) (args, reply any) {
+			id := poison.PassID{Holder: home, Serial: uint64(n)}
+			return &poison.ReleaseArgs{Fingerprint: poison.Of("model-0", "", "", specs[n].Input), ID: id, Upstream: upstreamN(n).ID, Ending: poison.EndingFinished}, new(poison.ReleaseReply)
+		}),
+	)
 	figures = append(figures, caller.bytes...)
 	idle, err := idleLinks()
 	return append(figures, idle...), firstError(caller.err, err)
