Finished answers are kept in two pieces of memory

Cause: the tokens of a finished answer were kept as separate strings for a minute at its home and for ten minutes at its witness: 16 B of header and 8 B or more of memory for each token of 4 B.

Change: at conclusion they are packed into one text and its lengths, at the home and in the witness's table, and unpacked for who reads them. A hand-over carries them as before, so that nodes of other releases read them. What only asks whether a request was released or runs does not unpack.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -102,8 +102,7 @@
 func (d *Dispatcher) Running() int {
 	running := 0
 	for _, e := range d.table.all() {
-		now := e.view()
-		if !now.record.Phase.Final() && !now.released {
+		if e.inProgress() {
 			running++
 		}
 	}
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -23,6 +23,10 @@
 
 	mu     sync.Mutex
 	record request.Record
+	// packed are the tokens of a request that has ended, once isPacked is true; the
+	// record has none then.
+	packed   request.PackedTokens
+	isPacked bool
 	// witnessed is true when the witness has a record under this holder.
 	witnessed bool
 	// granted is true when this holder may run a non-idempotent request.
@@ -59,7 +63,42 @@
 func (e *entry) snapshot() request.Record {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.record
+	return e.current()
+}
+
+// current returns the record with its tokens; e.mu is held.
+func (e *entry) current() request.Record {
+	out := e.record
+	if e.isPacked {
+		out.Tokens = e.packed.Tokens()
+	}
+	return out
+}
+
+// pack puts the tokens of a request that has ended into little memory.
+func (e *entry) pack() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.isPacked || !e.record.Phase.Final() {
+		return
+	}
+	e.packed = request.PackTokens(e.record.Tokens)
+	e.record.Tokens = nil
+	e.isPacked = true
+}
+
+// isReleased reports whether the request was given up for another node.
+func (e *entry) isReleased() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.released
+}
+
+// inProgress reports whether the request is still to end here.
+func (e *entry) inProgress() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.record.Phase.Final() && !e.released
 }
 
 // wake wakes all followers; e.mu is held.
@@ -183,7 +222,7 @@
 func (e *entry) view() view {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return view{record: e.record, released: e.released, moved: e.moved, changed: e.changed}
+	return view{record: e.current(), released: e.released, moved: e.moved, changed: e.changed}
 }
 
 // wasDispatched reports whether an upstream may have begun to run the request.
--- a/internal/dispatch/kvmove.go
+++ b/internal/dispatch/kvmove.go
@@ -16,7 +16,7 @@
 // exportKV takes the cache of a stream off an engine that is leaving, with the
 // tokens that had not come yet. Without it the next engine prefills again.
 func (d *Dispatcher) exportKV(ctx context.Context, e *entry, generation ident.Generation, base string) {
-	if e.view().released {
+	if e.isReleased() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, kvTimeout)
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -11,7 +11,7 @@
 
 // Resume follows a request from where the caller stands. Its error is a *verdict.Error.
 func (d *Dispatcher) Resume(ctx context.Context, res Resumption) (Attachment, error) {
-	if e, ok := d.table.get(res.ID); ok && !e.view().released {
+	if e, ok := d.table.get(res.ID); ok && !e.isReleased() {
 		return d.attachAt(e, res)
 	}
 	if !res.Forwarded && res.ID.Home != d.self && d.reachable(res.ID.Home) {
@@ -47,7 +47,7 @@
 
 // Fetch returns what is known about a request. Its error is a *verdict.Error.
 func (d *Dispatcher) Fetch(ctx context.Context, id ident.RequestID, workspace ident.Workspace) (*request.Record, error) {
-	if e, ok := d.table.get(id); ok && !e.view().released {
+	if e, ok := d.table.get(id); ok && !e.isReleased() {
 		if e.spec.Workspace != workspace {
 			return nil, errUnknown()
 		}
@@ -71,7 +71,7 @@
 
 // Cancel ends a request; one that has ended already stays as it is.
 func (d *Dispatcher) Cancel(ctx context.Context, id ident.RequestID, workspace ident.Workspace) (*request.Record, error) {
-	if e, ok := d.table.get(id); ok && !e.view().released {
+	if e, ok := d.table.get(id); ok && !e.isReleased() {
 		if e.spec.Workspace != workspace {
 			return nil, errUnknown()
 		}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -32,7 +32,7 @@
 	switch {
 	case failure == nil:
 		d.conclude(e, request.PhaseDone, nil)
-	case e.view().released:
+	case e.isReleased():
 		d.note(e.spec.ID, "release", "the request goes on at another node")
 	default:
 		d.conclude(e, request.PhaseFailed, failure)
@@ -63,7 +63,7 @@
 	}
 	need := Need{Spec: &e.spec}
 	for {
-		if ctx.Err() != nil || e.view().released {
+		if ctx.Err() != nil || e.isReleased() {
 			return d.timeFailure(e)
 		}
 		need.Tokens = len(e.snapshot().Tokens)
@@ -184,6 +184,7 @@
 	if e.spec.Idempotent || phase == request.PhaseCancelled {
 		d.reportFinal(e, phase, e.snapshot().Failure)
 	}
+	e.pack()
 	d.note(e.spec.ID, string(phase), failureText(failure))
 }
 
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -30,7 +30,7 @@
 // Fetch returns a record that this node holds.
 func (s *Service) Fetch(args *RecordArgs, reply *RecordReply) error {
 	e, ok := s.dispatcher.table.get(args.ID)
-	if !ok || e.spec.Workspace != args.Workspace || e.view().released {
+	if !ok || e.spec.Workspace != args.Workspace || e.isReleased() {
 		return peer.EncodeError(errUnknown())
 	}
 	reply.Record = e.snapshot()
@@ -40,7 +40,7 @@
 // Cancel ends a request that this node holds.
 func (s *Service) Cancel(args *RecordArgs, reply *RecordReply) error {
 	e, ok := s.dispatcher.table.get(args.ID)
-	if !ok || e.spec.Workspace != args.Workspace || e.view().released {
+	if !ok || e.spec.Workspace != args.Workspace || e.isReleased() {
 		return peer.EncodeError(errUnknown())
 	}
 	s.dispatcher.cancelEntry(e)
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -18,7 +18,7 @@
 // Submit accepts a request, or finds the one that was accepted under its ID.
 // Its error is a *verdict.Error.
 func (d *Dispatcher) Submit(ctx context.Context, sub Submission) (Attachment, error) {
-	if e, ok := d.table.get(sub.Spec.ID); ok && !e.view().released {
+	if e, ok := d.table.get(sub.Spec.ID); ok && !e.isReleased() {
 		return d.attach(e, &sub)
 	}
 	if d.stopping.Load() {
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -48,7 +48,7 @@
 	s := t.shard(e.spec.ID)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if old, ok := s.entries[e.spec.ID]; ok && !old.view().released {
+	if old, ok := s.entries[e.spec.ID]; ok && !old.isReleased() {
 		return old, false
 	}
 	s.entries[e.spec.ID] = e
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -14,7 +14,7 @@
 // followHolder follows a request that another node holds, or takes it from a holder that is gone.
 func (d *Dispatcher) followHolder(ctx context.Context, claim *grant.ClaimReply, sub *Submission) (Attachment, error) {
 	// A send of the same request may have begun here while this one was claimed.
-	if e, ok := d.table.get(sub.Spec.ID); ok && !e.view().released {
+	if e, ok := d.table.get(sub.Spec.ID); ok && !e.isReleased() {
 		return d.attach(e, sub)
 	}
 	record := &claim.Record
--- a/internal/grant/cancel.go
+++ b/internal/grant/cancel.go
@@ -29,6 +29,7 @@
 	e.Cancelled = true
 	if e.Record.Spec.Idempotent {
 		e.Record.Phase = request.PhaseCancelled
+		e.pack()
 		return
 	}
 	if !e.Slot.Taken {
--- a/internal/grant/entry.go
+++ b/internal/grant/entry.go
@@ -13,6 +13,10 @@
 	Slot Slot
 	// Cancelled is true when the caller wants no answer any more.
 	Cancelled bool
+	// packed are the tokens of a request that has ended, once isPacked is true;
+	// Record has none then.
+	packed   request.PackedTokens
+	isPacked bool
 }
 
 func newEntry(spec request.Spec, holder ident.Incarnation, epoch uint64) *Entry {
@@ -27,10 +31,36 @@
 // record returns a copy whose tokens stay as they are when the entry goes on.
 func (e *Entry) record() request.Record {
 	out := e.Record
+	if e.isPacked {
+		out.Tokens = e.packed.Tokens()
+	}
 	out.Tokens = out.Tokens[:len(out.Tokens):len(out.Tokens)]
 	return out
 }
 
+// pack puts the tokens of a request that has ended into little memory.
+func (e *Entry) pack() {
+	if e.isPacked || !e.Record.Phase.Final() {
+		return
+	}
+	e.packed = request.PackTokens(e.Record.Tokens)
+	e.Record.Tokens = nil
+	e.isPacked = true
+}
+
+// unpacked returns the entry as it is handed over.
+func (e *Entry) unpacked() Entry {
+	return Entry{Record: e.record(), Slot: e.Slot, Cancelled: e.Cancelled}
+}
+
+// tokenCount returns how many tokens are known.
+func (e *Entry) tokenCount() int {
+	if e.isPacked {
+		return e.packed.Len()
+	}
+	return len(e.Record.Tokens)
+}
+
 // claim makes holder the holder if it may be, and reports whether it is.
 func (e *Entry) claim(holder ident.Incarnation, seenEpoch uint64) bool {
 	if e.Record.Phase.Final() {
@@ -89,7 +119,7 @@
 	return UpdateReply{
 		Applied:   applied,
 		Epoch:     e.Record.Epoch,
-		Known:     len(e.Record.Tokens),
+		Known:     e.tokenCount(),
 		Cancelled: e.Cancelled,
 	}
 }
--- a/internal/grant/finish.go
+++ b/internal/grant/finish.go
@@ -43,5 +43,6 @@
 	r.Output = final.Output
 	r.Moves = max(r.Moves, final.Moves)
 	r.Failure = final.Failure
+	e.pack()
 	return e.update(true), nil
 }
--- a/internal/grant/handover.go
+++ b/internal/grant/handover.go
@@ -52,7 +52,7 @@
 func (t *Table) contents() Snapshot {
 	out := Snapshot{Full: t.full, Spent: t.spent.list(), Forgotten: uint32(t.spent.limit)}
 	for _, e := range t.entries {
-		out.Entries = append(out.Entries, *e)
+		out.Entries = append(out.Entries, e.unpacked())
 	}
 	slices.SortFunc(out.Entries, func(a, b Entry) int {
 		return strings.Compare(a.Record.Spec.ID.String(), b.Record.Spec.ID.String())
@@ -68,6 +68,7 @@
 	}
 	for i := range s.Entries {
 		e := s.Entries[i]
+		e.pack()
 		t.put(&e)
 	}
 	t.spent.adopt(s.Spent, s.Forgotten)
