Slopes of what the page had not measured: engines asked, lists, reconciler

Cause: CAPACITY.md had no figures for owners that ask engines, for the lists of the platform, and for a reconciler that has work to do.

Change: three parts. observe asks 23 stand-in engines over HTTP; lists takes the size of a failure domain's list, of the host list and of the cloud's list, and the work of reading them; reconciler passes over 1,100 and 2,200 replicas before the stand-in of the platform, with engines and weights that let all go on.

--- a/internal/slopes/run_test.go
+++ b/internal/slopes/run_test.go
@@ -10,7 +10,7 @@
 )
 
 func TestRunMeasuresWhatItIsAskedFor(t *testing.T) {
-	report, err := Run(Options{Sizes: []int{2}, Only: []string{"witness", "entry"}, Progress: io.Discard})
+	report, err := Run(Options{Sizes: []int{2}, Only: []string{"witness", "entry", "observe", "lists", "reconciler"}, Progress: io.Discard})
 	require.NoError(t, err)
 	parts := make(map[string]int)
 	for _, f := range report.Figures {
@@ -20,7 +20,7 @@
 		require.NotEmpty(t, f.Unit, f.Name)
 		require.NotEmpty(t, f.How, f.Name)
 	}
-	require.Equal(t, map[string]int{"witness": 7, "entry": 3}, parts)
+	require.Equal(t, map[string]int{"witness": 7, "entry": 3, "observe": 3, "lists": 9, "reconciler": 8}, parts)
 }
 
 func TestWaitForGivesUp(t *testing.T) {
