--- a/internal/entry/addressbook.go
+++ b/internal/entry/addressbook.go
@@ -46,12 +46,13 @@
 		return nil, verdict.New(verdict.NotRun, verdict.CodeStopping, "no node takes new work now").After(staleRetryAfter)
 	}
 	out := &callerapi.AddressBook{KeepMs: b.keep.Milliseconds()}
+	now := time.Now()
 	for _, member := range usable[:min(maxAddresses, len(usable))] {
 		out.Addresses = append(out.Addresses, callerapi.Address{
 			URL:             member.CallerURL,
 			Node:            string(member.Node),
 			FailureDomain:   string(member.FailureDomain),
-			RequestIdPrefix: ident.Prefix(member.Incarnation, b.witnessFor(member, usable)),
+			RequestIdPrefix: ident.StampedPrefix(member.Incarnation, b.witnessFor(member, usable), now),
 		})
 	}
 	out.RequestIdPrefix = out.Addresses[0].RequestIdPrefix
@@ -61,7 +62,7 @@
 // Prefix makes a fresh request-ID prefix.
 func (b *AddressBook) Prefix() string {
 	home, witness := b.pair()
-	return ident.Prefix(home, witness)
+	return ident.StampedPrefix(home, witness, time.Now())
 }
 
 // OwnID makes a request ID whose home is this node.
--- a/internal/slopes/peer.go
+++ b/internal/slopes/peer.go
@@ -16,6 +16,7 @@
 	"mangoledge.example/mangoledge/internal/membership"
 	"mangoledge.example/mangoledge/internal/owner"
 	"mangoledge.example/mangoledge/internal/peer"
+	"mangoledge.example/mangoledge/internal/poison"
 	"mangoledge.example/mangoledge/internal/request"
 	"mangoledge.example/mangoledge/internal/routing"
 	"mangoledge.example/mangoledge/internal/witness"
@@ -28,7 +29,7 @@
 	batchReports = 2
 	// linkSeconds is how long idle connections are measured, linkCount how many.
 	linkCount   = 200
-	linkSeconds = 6
+	linkSeconds = 10
 	callTimeout = 5 * time.Second
 )
 
@@ -40,11 +41,23 @@
 
 // Accept implements net.Listener.
 func (l *countingListener) Accept() (net.Conn, error) {
+	shared := sharedListener{Listener: l.Listener, bytes: &l.bytes}
+	return shared.Accept()
+}
+
+// sharedListener counts the bytes of its connections together with others.
+type sharedListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l *sharedListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &countingConn{Conn: conn, bytes: &l.bytes}, nil
+	return &countingConn{Conn: conn, bytes: l.bytes}, nil
 }
 
 type countingConn struct {
@@ -70,6 +83,7 @@
 type peerServer struct {
 	listener *countingListener
 	server   *peer.Server
+	ledger   *owner.Ledger
 	self     ident.Incarnation
 }
 
@@ -81,18 +95,38 @@
 	p := &peerServer{
 		listener: &countingListener{Listener: inner},
 		server:   peer.NewServer("slopes"),
+		ledger:   smallLedger(),
 		self:     memberN(1, time.Now(), "").Incarnation,
 	}
 	if err := witness.NewService(p.self, nil).Register(p.server); err != nil {
 		return nil, err
 	}
-	if err := p.server.Register(owner.ServiceName, owner.NewService(smallLedger(), time.Now)); err != nil {
+	if err := p.server.Register(owner.ServiceName, owner.NewService(p.ledger, time.Now)); err != nil {
+		return nil, err
+	}
+	gate := poison.NewService(poison.NewGate(poison.NewRegistry()), time.Now)
+	if err := p.server.Register(poison.ServiceName, gate); err != nil {
 		return nil, err
 	}
 	go func() { _ = p.server.Serve(p.listener, nil) }() // ends with the listener
 	return p, nil
 }
 
+// listenMore answers at count further addresses.
+func (p *peerServer) listenMore(count int) ([]string, error) {
+	var out []string
+	for range count {
+		inner, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // opens at once
+		if err != nil {
+			return nil, err
+		}
+		listener := &sharedListener{Listener: inner, bytes: &p.listener.bytes}
+		go func() { _ = p.server.Serve(listener, nil) }() // ends with the server
+		out = append(out, inner.Addr().String())
+	}
+	return out, nil
+}
+
 // smallLedger is the ledger of an owner with one node's share of the large site.
 func smallLedger() *owner.Ledger {
 	self := memberN(0, time.Now(), "")
@@ -156,12 +190,23 @@
 	}
 	figures = append(figures,
 		caller.measure("reserve", owner.MethodReserve, func(n int) (args, reply any) {
-			id := owner.ReservationID{Holder: home, Serial: uint64(n)}
+			id := owner.ReservationID{Holder: owner.HolderOf(home), Serial: uint64(n)}
 			blocks := routing.Blocks(nil, "model-0", "", specs[n].Input)
+			p.ledger.Table().Confirm(time.Now())
 			return &owner.ReserveArgs{ID: id, Model: "model-0", Blocks: blocks, PromptTokens: promptBytes / tokenBytes, MaxTokens: answerTokens}, new(owner.ReserveReply)
 		}),
 		caller.measure("release", owner.MethodRelease, func(n int) (args, reply any) {
-			return &owner.ReleaseArgs{ID: owner.ReservationID{Holder: home, Serial: uint64(n)}}, new(owner.ReleaseReply)
+			return &owner.ReleaseArgs{ID: owner.ReservationID{Holder: owner.HolderOf(home), Serial: uint64(n)}}, new(owner.ReleaseReply)
+		}),
+	)
+	figures = append(figures,
+		caller.measure("gate_acquire", poison.MethodAcquire, func(n int) (args, reply any) {
+			id := poison.PassID{Holder: home, Serial: uint64(n)}
+			return &poison.AcquireArgs{Fingerprint: poison.Of("model-0", "", "", specs[n].Input), ID: id, Hold: deadlineAfter}, new(poison.AcquireReply)
+		}),
+		caller.measure("gate_release", poison.MethodRelease, func(n int) (args, reply any) {
+			id := poison.PassID{Holder: home, Serial: uint64(n)}
+			return &poison.ReleaseArgs{Fingerprint: poison.Of("model-0", "", "", specs[n].Input), ID: id, Upstream: upstreamN(n).ID, Ending: poison.EndingFinished}, new(poison.ReleaseReply)
 		}),
 	)
 	figures = append(figures, caller.bytes...)
@@ -212,12 +257,15 @@
 	defer p.close()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
+	addresses, err := p.listenMore(linkCount)
+	if err != nil {
+		return nil, err
+	}
+	client := peer.NewClient(peer.Dialer{Token: "slopes"})
+	defer client.Close()
 	before := now(true)
-	clients := make([]*peer.Client, linkCount)
-	for n := range clients {
-		clients[n] = peer.NewClient(peer.Dialer{Token: "slopes"})
-		defer clients[n].Close()
-		ping := clients[n].Call(ctx, p.listener.Addr().String(), "Heartbeat.Ping", &peer.Ping{}, &peer.Pong{})
+	for _, address := range addresses {
+		ping := client.Call(ctx, address, "Heartbeat.Ping", &peer.Ping{}, &peer.Pong{})
 		err = firstError(err, ping)
 	}
 	open := now(true)
