Endings of streams have a code for callers

Cause: forgotten and upstream_silent tell the dispatcher how a stream broke. A non-idempotent model request is not sent again, so the code of its broken stream became its final one, with the verdict ran, against the comment that callers never see them. A replaced stream (moving) could do the same.

Change: the three are turned into upstream_failed with may_have_run when the request ends; retries and the guard still see them as they are.

Run: go test ./internal/dispatch -run TestEndingsOfStreams: before, both cases failed (forgotten, upstream_silent were told to the caller); after, both pass, and so does go test ./internal/dispatch (20.0 s).

Conclusion: callers meet documented codes only.

--- /dev/null
+++ b/internal/dispatch/conclusion_test.go
@@ -0,0 +1,64 @@
+package dispatch_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/internal/dispatch"
+	"mangoledge.example/mangoledge/internal/fleet"
+	"mangoledge.example/mangoledge/internal/verdict"
+)
+
+// addHalfEngine starts an engine that sends one token of a stream, then does
+// as broken says, and answers each attach with status.
+func (s *fakeSite) addHalfEngine(broken func(r *http.Request), status int) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/streams/{id}", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) })
+	mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "data: {\"offset\":0,\"text\":\"a\"}\n\n")
+		_ = http.NewResponseController(w).Flush()
+		broken(r)
+	})
+	server := httptest.NewServer(mux)
+	s.t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.upstreams = append(s.upstreams, fleet.Upstream{ID: "half", URL: server.URL, State: fleet.StateReady})
+}
+
+// TestEndingsOfStreamsHaveACodeForCallers breaks the stream of a non-idempotent
+// model request, which may not be sent again, in each way that has a code of its own.
+func TestEndingsOfStreamsHaveACodeForCallers(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		broken func(r *http.Request)
+		status int
+	}{
+		{"the engine has forgotten the stream", func(*http.Request) { panic(http.ErrAbortHandler) }, http.StatusNotFound},
+		{"the engine falls silent", func(r *http.Request) { <-r.Context().Done() }, http.StatusInternalServerError},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			site := newFakeSite(t)
+			home, wit := site.addNode("home"), site.addNode("wit")
+			site.addHalfEngine(c.broken, c.status)
+			s := spec(home, wit, longStream)
+			s.Idempotent = false
+			a, err := home.dispatcher.Submit(t.Context(), dispatch.Submission{Spec: s})
+			require.NoError(t, err)
+			var got received
+			got.follow(t, a, 0)
+			require.Equal(t, dispatch.EventError, got.last.Kind)
+			require.Equal(t, verdict.CodeUpstreamFailed, got.last.Failure.Code)
+			require.Equal(t, verdict.MayHaveRun, got.last.Failure.Verdict)
+			record, err := home.dispatcher.Fetch(t.Context(), s.ID, "w")
+			require.NoError(t, err)
+			require.Equal(t, verdict.CodeUpstreamFailed, record.Failure.Code, "the state of the request says the same")
+		})
+	}
+}
--- a/internal/dispatch/enginerun.go
+++ b/internal/dispatch/enginerun.go
@@ -11,11 +11,11 @@
 	"mangoledge.example/mangoledge/internal/verdict"
 )
 
-// codeMoving marks the end of a stream that goes on at another upstream. Callers never see it.
+// codeMoving marks the end of a stream that goes on at another upstream. Callers never see it: see forCaller.
 const codeMoving verdict.Code = "moving"
 
 // codeForgotten marks the failure of a stream that its engine knows no more.
-// Callers never see it.
+// Callers never see it: see forCaller.
 const codeForgotten verdict.Code = "forgotten"
 
 // attachTries is how often a broken stream is attached to again on a fresh
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -35,7 +35,7 @@
 	case e.view().released:
 		d.note(e.spec.ID, "release", "the request goes on at another node")
 	default:
-		d.conclude(e, request.PhaseFailed, failure)
+		d.conclude(e, request.PhaseFailed, forCaller(failure))
 	}
 }
 
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -30,7 +30,8 @@
 	return s
 }
 
-// CodeSilent is the code of a stream that sent nothing for too long.
+// CodeSilent is the code of a stream that sent nothing for too long. The
+// dispatcher keeps it from callers.
 const CodeSilent verdict.Code = "upstream_silent"
 
 // Next returns the next chunk. An error means that the stream has broken; the
