A benchmark of a reclaim, and a stand-in whose exports take time

Cause: what a reclaim costs the streams of a daemon was not measured: the stand-in exported caches of no size in no time, and never failed.

Change: the stand-in engine sizes caches, exports them one after the other at a rate (the stream goes on until its turn, as engines do), and can fail exports and imports. BenchmarkReclaim runs eight streams through the dispatcher, takes their engine away after a notice, checks each answer and reports tokens recomputed at the next engine and the longest gap.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -38,7 +38,7 @@
 
 // fakeSite is a few nodes and engines in this process.
 type fakeSite struct {
-	t       *testing.T
+	t       testing.TB
 	mu      sync.Mutex
 	members []membership.Member
 	// upstreams are tried in this order.
@@ -55,7 +55,7 @@
 	server     *http.Server
 }
 
-func newFakeSite(t *testing.T) *fakeSite {
+func newFakeSite(t testing.TB) *fakeSite {
 	return &fakeSite{t: t, leaving: make(map[ident.Upstream]bool)}
 }
 
@@ -200,13 +200,18 @@
 
 // addEngine starts an engine and returns its server.
 func (s *fakeSite) addEngine(id ident.Upstream, interval time.Duration) *httptest.Server {
-	e, err := standinengine.New(standinengine.Options{ID: string(id), Slots: 8, TokenInterval: interval, Seed: 7})
+	return s.addEngineLike(standinengine.Options{ID: string(id), Slots: 8, TokenInterval: interval, Seed: 7})
+}
+
+// addEngineLike starts an engine that behaves as options say and returns its server.
+func (s *fakeSite) addEngineLike(options standinengine.Options) *httptest.Server {
+	e, err := standinengine.New(options)
 	require.NoError(s.t, err)
 	server := httptest.NewServer(e.Handler())
 	s.t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.upstreams = append(s.upstreams, fleet.Upstream{ID: id, URL: server.URL, State: fleet.StateReady})
+	s.upstreams = append(s.upstreams, fleet.Upstream{ID: ident.Upstream(options.ID), URL: server.URL, State: fleet.StateReady})
 	return server
 }
 
@@ -226,7 +231,7 @@
 }
 
 // follow reads events until the last one, or until stop tokens have come.
-func (r *received) follow(t *testing.T, a dispatch.Attachment, stop int) {
+func (r *received) follow(t testing.TB, a dispatch.Attachment, stop int) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
@@ -383,7 +388,7 @@
 	require.Zero(t, statsOf(t, second.URL).Recomputed, "the cache came along")
 }
 
-func statsOf(t *testing.T, base string) standinengine.Stats {
+func statsOf(t testing.TB, base string) standinengine.Stats {
 	t.Helper()
 	resp, err := http.Get(base + "/stats")
 	require.NoError(t, err)
--- /dev/null
+++ b/internal/dispatch/reclaim_test.go
@@ -0,0 +1,158 @@
+package dispatch_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/internal/dispatch"
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/standin/chain"
+	standinengine "mangoledge.example/mangoledge/internal/standin/engine"
+)
+
+const (
+	// reclaimedStreams is how many streams run on the upstream that is reclaimed.
+	reclaimedStreams = 8
+	// reclaimedAfter is how many tokens each has when the notice comes.
+	reclaimedAfter = 10
+	// reclaimPace is the time between two tokens of an engine.
+	reclaimPace = 10 * time.Millisecond
+	// reclaimPrefill is the time to compute one token of a prompt.
+	reclaimPrefill = 200 * time.Microsecond
+	// reclaimKVBytes and reclaimExportRate are in bytes a token and bytes a second.
+	reclaimKVBytes    = 330_000
+	reclaimExportRate = 3e9
+)
+
+// reclaimEngine is an engine whose prefills and exports take time.
+func reclaimEngine(id string) standinengine.Options {
+	return standinengine.Options{
+		ID: id, Slots: 2 * reclaimedStreams, TokenInterval: reclaimPace, PrefillPerToken: reclaimPrefill,
+		KVBytesPerToken: reclaimKVBytes, ExportBytesPerSecond: reclaimExportRate, Seed: 7,
+	}
+}
+
+// kill ends a server as the end of its host does: its connections break and it takes no new ones.
+func kill(server *httptest.Server) {
+	_ = server.Listener.Close()
+	server.CloseClientConnections()
+}
+
+// words returns a prompt of n words, no two prompts alike. A word has as many
+// bytes as the prompts of callers have for each token.
+func words(n, which int) string {
+	return strings.Repeat("abc ", n-1) + string(rune('a'+which)) + "bc "
+}
+
+// reclaimed is what one stream went through.
+type reclaimed struct {
+	// gap is the longest time between two of its tokens.
+	gap    time.Duration
+	tokens int
+}
+
+// followTimed reads a stream to its end, calls begun once reclaimedAfter tokens
+// are there, and checks that the answer is whole.
+func followTimed(t testing.TB, a dispatch.Attachment, input string, begun func()) reclaimed {
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	var out reclaimed
+	var tokens []string
+	var last time.Time
+	ended := dispatch.EventAccepted
+	_ = a.Follow(ctx, func(e dispatch.Event) error {
+		ended = e.Kind
+		if e.Kind != dispatch.EventToken {
+			return nil
+		}
+		if len(tokens) != e.Offset {
+			t.Errorf("token %d came in place of %d", e.Offset, len(tokens))
+		}
+		tokens = append(tokens, e.Text)
+		now := time.Now()
+		if !last.IsZero() {
+			out.gap = max(out.gap, now.Sub(last))
+		}
+		last = now
+		if len(tokens) == reclaimedAfter {
+			begun()
+		}
+		return nil
+	})
+	if ended != dispatch.EventDone {
+		t.Errorf("the answer ended by %s", ended)
+	}
+	if err := chain.Verify(input, tokens); err != nil {
+		t.Error(err)
+	}
+	out.tokens = len(tokens)
+	return out
+}
+
+// reclaim runs streams of a prompt length and a number of tokens on an upstream
+// that is taken away with a notice, and returns what each went through.
+func reclaim(t testing.TB, promptWords, tokens int, notice time.Duration) ([]reclaimed, standinengine.Stats) {
+	site := newFakeSite(t)
+	home, wit := site.addNode("home"), site.addNode("wit")
+	first := site.addEngineLike(reclaimEngine("e1"))
+	second := site.addEngineLike(reclaimEngine("e2"))
+	out := make([]reclaimed, reclaimedStreams)
+	var begun, done sync.WaitGroup
+	begun.Add(reclaimedStreams)
+	for i := range reclaimedStreams {
+		s := spec(home, wit, tokens)
+		s.Input = words(promptWords, i)
+		a, err := home.dispatcher.Submit(t.Context(), dispatch.Submission{Spec: s})
+		require.NoError(t, err)
+		done.Go(func() { out[i] = followTimed(t, a, s.Input, begun.Done) })
+	}
+	begun.Wait()
+	site.reclaim("e1", notice)
+	taken := time.AfterFunc(notice, func() { kill(first) })
+	defer taken.Stop()
+	done.Wait()
+	return out, statsOf(t, second.URL)
+}
+
+// reclaim tells that an upstream is taken away after notice.
+func (s *fakeSite) reclaim(id ident.Upstream, _ time.Duration) {
+	s.MarkLeaving(id)
+}
+
+// BenchmarkReclaim measures, for eight streams on an upstream that is reclaimed,
+// the tokens computed again and the longest gap between two tokens of a stream.
+func BenchmarkReclaim(b *testing.B) {
+	for _, c := range []struct {
+		name   string
+		prompt int
+		tokens int
+		notice time.Duration
+	}{
+		{"little-left", 2000, 80, 2 * time.Second},
+		{"time-for-exports", 2000, 400, 3 * time.Second},
+		{"time-for-some", 4000, 400, 1500 * time.Millisecond},
+		{"time-for-none", 4000, 400, 500 * time.Millisecond},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			var recomputed int
+			var worst, sum time.Duration
+			for range b.N {
+				streams, target := reclaim(b, c.prompt, c.tokens, c.notice)
+				recomputed += target.Recomputed
+				for _, s := range streams {
+					worst = max(worst, s.gap)
+					sum += s.gap
+				}
+			}
+			b.ReportMetric(float64(recomputed)/float64(b.N), "recomputed-tokens")
+			b.ReportMetric(float64(worst.Milliseconds()), "worst-gap-ms")
+			b.ReportMetric(float64(sum.Milliseconds())/float64(b.N*reclaimedStreams), "mean-gap-ms")
+		})
+	}
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -32,6 +32,11 @@
 	log     *history.Log
 	silent  atomic.Int64 // number of the silence order in force
 	slow    atomic.Int64 // milliseconds
+	// failExports and failImports are faults in force.
+	failExports atomic.Bool
+	failImports atomic.Bool
+	// exports has room for the one export that is under way.
+	exports chan struct{}
 
 	mu         sync.Mutex
 	streams    map[string]*stream
@@ -58,6 +63,7 @@
 		streams:  make(map[string]*stream),
 		imported: make(map[string]bool),
 		slots:    make(chan struct{}, options.Slots),
+		exports:  make(chan struct{}, 1),
 		cache:    newCache(options.CacheBlocks),
 		random:   rand.New(rand.NewPCG(options.Seed, options.Seed)),
 	}, nil
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -8,7 +8,6 @@
 
 	"mangoledge.example/mangoledge/internal/engine"
 	"mangoledge.example/mangoledge/internal/sse"
-	"mangoledge.example/mangoledge/internal/standin/history"
 )
 
 // heartbeatInterval is the time between two comments on a quiet stream.
@@ -100,34 +99,6 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
-	id := r.PathValue("id")
-	s, ok := e.find(id)
-	if !ok {
-		writeFailure(w, http.StatusNotFound, engine.CodeUnknown, "no such stream")
-		return
-	}
-	s.cancel()
-	s.finish(true)
-	e.log.Write(history.Entry{Event: history.EventExport, RequestID: engine.RequestIDOf(id)})
-	writeJSON(w, engine.KVExport{
-		Handle: string(s.completion.Generation),
-		Tokens: s.view().tokens,
-	})
-}
-
-func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
-	var from engine.KVImport
-	if err := json.NewDecoder(r.Body).Decode(&from); err != nil {
-		writeFailure(w, http.StatusBadRequest, "bad_request", err.Error())
-		return
-	}
-	e.mu.Lock()
-	e.imported[from.Handle] = true
-	e.mu.Unlock()
-	w.WriteHeader(http.StatusNoContent)
-}
-
 func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -180,6 +151,12 @@
 	if faults.Silent {
 		e.silent.Add(1)
 	}
+	if faults.FailExports {
+		e.failExports.Store(true)
+	}
+	if faults.FailImports {
+		e.failImports.Store(true)
+	}
 	if faults.SlowMs != 0 {
 		e.slow.Store(max(0, faults.SlowMs))
 	}
--- a/internal/standin/engine/options.go
+++ b/internal/standin/engine/options.go
@@ -22,6 +22,10 @@
 	IgnoreFencing bool
 	// CacheBlocks is how many blocks its prefix cache holds; 0 for no cache.
 	CacheBlocks int
+	// KVBytesPerToken is the size of the KV cache of one token, in bytes.
+	KVBytesPerToken int64
+	// ExportBytesPerSecond is the rate at which caches leave, one after the other; 0 for no time at all.
+	ExportBytesPerSecond float64
 	// Seed seeds the random parts of the tokens.
 	Seed uint64
 	// HistoryPath is the file that its history goes to; empty for none.
@@ -38,6 +42,10 @@
 	SlowMs int64 `json:"slowMs,omitempty"`
 	// Leave makes the engine refuse new work.
 	Leave bool `json:"leave,omitempty"`
+	// FailExports makes each export stop its stream and then break its connection.
+	FailExports bool `json:"failExports,omitempty"`
+	// FailImports makes the engine refuse each import.
+	FailImports bool `json:"failImports,omitempty"`
 }
 
 // Stats is the answer of GET /stats.
