Marks of leaving hosts carry when the platform takes them

Cause: a reclaim notice names the time at which the host is taken, but the mark that nodes spread said only that it leaves, so no node could weigh what fits into the notice.

Change: fleet.Mark has ReclaimAt. A notice that tells a time, or another time, is news even when the host list or an operator was first; a later mark without a time leaves the known one in force; taking a mark back ends it. Without a notice (host list, the upstream's own answer, operator) the time stays unknown, and is zero. LeavingView.ReclaimAt tells it for an upstream.

Run: go test ./internal/fleet ./internal/node ./internal/operator: pass, with the new TestTheReclaimTimeIsKeptAndSpread and TestTheViewTellsTheReclaimTimeOfAnUpstream.

Conclusion: every node knows how much of a notice is left.

--- a/internal/fleet/leaving.go
+++ b/internal/fleet/leaving.go
@@ -21,7 +21,8 @@
 // at whichever node it was learnt.
 //
 // Invariants: a mark made here is in force here when Mark returns; of one
-// subject the later mark wins on every node.
+// subject the later mark wins on every node; one that doesn't know the reclaim
+// time leaves the known one in force.
 //
 // Lock order: Leaving.mu is a leaf; nothing is spread and no callback runs while it is held.
 type Leaving struct {
@@ -77,6 +78,13 @@
 	return l.mark(Mark{Subject: Subject{Host: id}, At: at, Source: source})
 }
 
+// MarkReclaim marks every upstream of a host that was learnt, at the time at, to
+// be taken away at reclaimAt. It returns the errors of the spreader; the mark is
+// in force here all the same.
+func (l *Leaving) MarkReclaim(id ident.Host, at, reclaimAt time.Time) error {
+	return l.mark(Mark{Subject: Subject{Host: id}, At: at, Source: SourceNotice, ReclaimAt: reclaimAt})
+}
+
 // Clear takes a mark back on every node and reports whether there was one.
 // What is learnt later marks the subject again.
 func (l *Leaving) Clear(subject Subject) (bool, error) {
@@ -86,19 +94,29 @@
 	if !known || !current.inForce(l.now()) {
 		return false, nil
 	}
-	at := l.now()
-	if at.Sub(current.At) < time.Millisecond {
-		at = current.At.Add(time.Millisecond)
-	}
+	at := after(l.now(), current.At)
 	return true, l.spread(Mark{Subject: subject, At: at, Source: SourceOperator, Cleared: true})
 }
 
-// mark spreads m unless the subject is marked already and will be for a while.
+// after returns at, or the first time behind before that a mark can tell from it.
+func after(at, before time.Time) time.Time {
+	if at.Sub(before) < time.Millisecond {
+		return before.Add(time.Millisecond)
+	}
+	return at
+}
+
+// mark spreads m unless the subject is marked already and will be for a while,
+// and m says nothing new of its reclaim time.
 func (l *Leaving) mark(m Mark) error {
 	m.At = m.At.Truncate(time.Millisecond)
 	l.mu.RLock()
 	current, known := l.marks[m.Subject]
 	l.mu.RUnlock()
+	if known && !current.Cleared && m.tellsReclaim(current.Mark) {
+		m.At = after(m.At, current.At)
+		return l.spread(m)
+	}
 	if known && !current.Cleared && m.At.Sub(current.At) < MarkLife/2 {
 		return nil
 	}
@@ -133,6 +151,9 @@
 		l.mu.Unlock()
 		return
 	}
+	if known && m.ReclaimAt.IsZero() && !m.Cleared && current.inForce(l.now()) {
+		m.ReclaimAt = current.ReclaimAt
+	}
 	l.dropOld(l.now())
 	l.marks[m.Subject] = heldMark{Mark: m, until: l.now().Add(MarkLife)}
 	l.changes.Add(1)
@@ -168,6 +189,18 @@
 	return ok && m.inForce(now)
 }
 
+// ReclaimAt returns when the host of an upstream is taken away, by the platform's
+// clock. It is zero when the upstream isn't marked or nobody has said when.
+func (l *Leaving) ReclaimAt(u Upstream) time.Time {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	m, ok := l.marks[Subject{Host: u.Host}]
+	if !ok || !m.inForce(l.now()) {
+		return time.Time{}
+	}
+	return m.ReclaimAt
+}
+
 // Marks returns the marks in force, sorted by subject, for operators.
 func (l *Leaving) Marks() []Mark {
 	l.mu.RLock()
--- a/internal/fleet/leaving_test.go
+++ b/internal/fleet/leaving_test.go
@@ -82,6 +82,50 @@
 	require.False(t, found)
 }
 
+func TestTheReclaimTimeIsKeptAndSpread(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000)
+	clock := func() time.Time { return now }
+	soon, later := now.Add(5*time.Second), now.Add(9*time.Second)
+	r := &recorder{}
+	l := NewLeaving(r, clock)
+	require.Zero(t, l.ReclaimAt(sample))
+	require.NoError(t, l.MarkHost("h1", now, SourceHostList))
+	require.Zero(t, l.ReclaimAt(sample), "the host list says no time")
+	require.NoError(t, l.MarkReclaim("h1", now, soon))
+	require.True(t, soon.Equal(l.ReclaimAt(sample)), "a time is news, though the host is marked")
+	require.NoError(t, l.MarkReclaim("h1", now.Add(time.Second), soon))
+	require.Len(t, r.published, 2, "the same time is spread once")
+	require.NoError(t, l.MarkReclaim("h1", now.Add(time.Second), later))
+	require.True(t, later.Equal(l.ReclaimAt(sample)), "the platform put it off")
+
+	other := NewLeaving(&recorder{}, clock)
+	for i := range r.published {
+		other.hear(r.published[len(r.published)-1-i])
+	}
+	require.True(t, later.Equal(other.ReclaimAt(sample)), "another node knows it, in whatever order it hears")
+
+	now = now.Add(MarkLife/2 + 2*time.Second)
+	require.NoError(t, l.MarkHost("h1", now, SourceHostList))
+	require.Len(t, r.published, 4)
+	require.True(t, later.Equal(l.ReclaimAt(sample)), "a later mark without a time leaves it in force")
+	found, err := l.Clear(Subject{Host: "h1"})
+	require.NoError(t, err)
+	require.True(t, found)
+	require.Zero(t, l.ReclaimAt(sample))
+	require.NoError(t, l.MarkHost("h1", now.Add(time.Second), SourceOperator))
+	require.Zero(t, l.ReclaimAt(sample), "the time went with the mark that was taken back")
+}
+
+func TestTheViewTellsTheReclaimTimeOfAnUpstream(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000)
+	l := NewLeaving(&recorder{}, func() time.Time { return now })
+	view := NewLeavingView(fixedView{sample, {ID: "u3", Host: "h3", State: StateReady}}, l)
+	require.NoError(t, l.MarkReclaim("h1", now, now.Add(time.Second)))
+	require.True(t, now.Add(time.Second).Equal(view.ReclaimAt("u1")))
+	require.Zero(t, view.ReclaimAt("u3"))
+	require.Zero(t, view.ReclaimAt("unknown"))
+}
+
 func TestUnreadableMarksAreIgnored(t *testing.T) {
 	r := &recorder{}
 	l := NewLeaving(r, time.Now)
--- a/internal/fleet/leavingview.go
+++ b/internal/fleet/leavingview.go
@@ -1,6 +1,11 @@
 package fleet
 
-import "slices"
+import (
+	"slices"
+	"time"
+
+	"mangoledge.example/mangoledge/internal/ident"
+)
 
 // LeavingView shows the upstreams of another view, those that are marked as leaving.
 type LeavingView struct {
@@ -32,3 +37,15 @@
 	}
 	return marked
 }
+
+// ReclaimAt returns when the host of an upstream is taken away, by the
+// platform's clock; zero while nobody has said.
+func (v *LeavingView) ReclaimAt(id ident.Upstream) time.Time {
+	upstreams := v.upstreams.Upstreams()
+	for i := range upstreams {
+		if upstreams[i].ID == id {
+			return v.leaving.ReclaimAt(upstreams[i])
+		}
+	}
+	return time.Time{}
+}
--- a/internal/fleet/mark.go
+++ b/internal/fleet/mark.go
@@ -66,10 +66,18 @@
 	// At is when it was learnt, by the clock of the node that learnt it. The later mark of a subject wins.
 	At     time.Time `json:"at"`
 	Source Source    `json:"source"`
+	// ReclaimAt is when the platform takes the host away, by the platform's clock;
+	// zero while nobody has said.
+	ReclaimAt time.Time `json:"reclaimAt,omitzero"`
 	// Cleared is true when an operator took the mark back.
 	Cleared bool `json:"cleared,omitempty"`
 }
 
+// tellsReclaim reports whether m knows another reclaim time than known does.
+func (m Mark) tellsReclaim(known Mark) bool {
+	return !m.ReclaimAt.IsZero() && !m.ReclaimAt.Equal(known.ReclaimAt)
+}
+
 func (m Mark) version() uint64 {
 	return uint64(max(0, m.At.UnixMilli()))
 }
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -107,7 +107,7 @@
 }
 
 func (w *notices) mark(notice cloud.Notice) {
-	if err := w.leaving.MarkHost(notice.Host, time.Now(), fleet.SourceNotice); err != nil {
+	if err := w.leaving.MarkReclaim(notice.Host, time.Now(), time.UnixMilli(notice.ReclaimAtMs)); err != nil {
 		w.node.logger.Warn("a reclaim notice could not be told to other nodes", "host", string(notice.Host), "error", err)
 	}
 }
