The daemon chooses how a stream leaves its upstream

The daemon exported the cache of every stream of a leaving upstream, before it had a place for it, and gave up after 1.5 s whatever the notice.

Change: dispatch asks recovery.Choose for each stream on a leaving upstream, every 50 ms, with what the node knows: the reclaim time of the mark (through dispatch.Reclaims), the stream's own pace, tokens there and left, the size of its cache and the rates of exports and prefills (learnt from the node's own streams), its exports under way at that upstream, and what the owner believes cached at the target (now in the owner's reply). A stream that ends in time stays. Any other is read on until it has a place elsewhere; its cache is then exported, bounded by the notice and not by 1.5 s, while it is read on until its turn comes. A failed export or import, a place that isn't found and a lost connection lead to the next method; a broken stream of an upstream whose notice is over is not attached to any more. An upstream of which nobody has said when it goes (host list, its own answer, operator) is assumed to stay for 2 s: an export is tried, staying is not.

Two faults met on the way, of which the callers could have been given tokens of two generations in one answer: - a node that took a stream over and saw its engine leaving went on in the same generation behind fewer tokens than the caller held. It begins a new one now unless an export brought all tokens. - a stream begun just before its request was restarted was read as the new generation's. It is read as the one it was asked for.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -21,6 +21,7 @@
 	"mangoledge.example/mangoledge/internal/membership"
 	"mangoledge.example/mangoledge/internal/peer"
 	"mangoledge.example/mangoledge/internal/plainservice"
+	"mangoledge.example/mangoledge/internal/recovery"
 	"mangoledge.example/mangoledge/internal/request"
 	"mangoledge.example/mangoledge/internal/retry"
 	"mangoledge.example/mangoledge/internal/standin/chain"
@@ -44,6 +45,67 @@
 	// upstreams are tried in this order.
 	upstreams []fleet.Upstream
 	leaving   map[ident.Upstream]bool
+	reclaims  map[ident.Upstream]time.Time
+	notes     []journalNote
+	recovered map[recovery.Method]recoveryCount
+}
+
+// journalNote is a decision about a request.
+type journalNote struct{ decision, reason string }
+
+// recoveryCount is how many streams went on, and the tokens computed again.
+type recoveryCount struct{ streams, tokens int }
+
+// Request implements dispatch.Journal.
+func (s *fakeSite) Request(_ ident.RequestID, decision, reason string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.notes = append(s.notes, journalNote{decision, reason})
+}
+
+// noted returns the reasons of a decision, in order.
+func (s *fakeSite) noted(decision string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for _, note := range s.notes {
+		if note.decision == decision {
+			out = append(out, note.reason)
+		}
+	}
+	return out
+}
+
+// Recovered implements dispatch.Recoveries.
+func (s *fakeSite) Recovered(method recovery.Method, recomputed int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := s.recovered[method]
+	count.streams++
+	count.tokens += recomputed
+	s.recovered[method] = count
+}
+
+// recoveredBy returns what was counted of a method.
+func (s *fakeSite) recoveredBy(method recovery.Method) recoveryCount {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.recovered[method]
+}
+
+// ReclaimAt implements dispatch.Reclaims.
+func (s *fakeSite) ReclaimAt(id ident.Upstream) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reclaims[id]
+}
+
+// reclaim tells that an upstream is taken away after notice.
+func (s *fakeSite) reclaim(id ident.Upstream, notice time.Duration) {
+	s.mu.Lock()
+	s.reclaims[id] = time.Now().Add(notice)
+	s.mu.Unlock()
+	s.MarkLeaving(id)
 }
 
 // fakeNode is one node of a fakeSite.
@@ -56,7 +118,10 @@
 }
 
 func newFakeSite(t testing.TB) *fakeSite {
-	return &fakeSite{t: t, leaving: make(map[ident.Upstream]bool)}
+	return &fakeSite{
+		t: t, leaving: make(map[ident.Upstream]bool),
+		reclaims: make(map[ident.Upstream]time.Time), recovered: make(map[recovery.Method]recoveryCount),
+	}
 }
 
 func (s *fakeSite) Members() []membership.Member {
@@ -120,13 +185,10 @@
 
 func (noGuard) Enter(context.Context, *request.Spec) (dispatch.Pass, error) { return freePass{}, nil }
 
-type noJournal struct{}
-
-func (noJournal) Request(ident.RequestID, string, string) {}
-
 type place struct{ upstream fleet.Upstream }
 
 func (p place) Upstream() fleet.Upstream { return p.upstream }
+func (p place) CachedTokens() int        { return 0 }
 func (place) Done(dispatch.Outcome)      {}
 
 // Pick takes the first upstream that is not leaving; one to be avoided only when there is no other.
@@ -180,7 +242,7 @@
 	d := dispatch.New(dispatch.Options{
 		Guard: noGuard{}, Budget: budget, Retries: retry.NewPolicy(budget, rand.New(rand.NewPCG(1, 1))),
 		Members: view, Witness: witness.NewClient(peers, view, tables), Router: s, Admission: freeAdmission{},
-		Journal: noJournal{}, Engines: engine.NewClient(), Services: plainservice.NewClient(),
+		Journal: s, Reclaims: s, Recoveries: s, Engines: engine.NewClient(), Services: plainservice.NewClient(),
 		Peers: peers, Dialer: dialer, Logger: discard(), MaxRunning: 64,
 	})
 	server := peer.NewServer("t")
@@ -252,10 +314,16 @@
 }
 
 func (r *received) requireWhole(t *testing.T, tokens int) {
+	t.Helper()
+	r.requireWholeOf(t, prompt, tokens)
+}
+
+// requireWholeOf is requireWhole of the answer to another input.
+func (r *received) requireWholeOf(t *testing.T, input string, tokens int) {
 	t.Helper()
 	require.Equal(t, dispatch.EventDone, r.last.Kind, "%+v", r.last.Failure)
 	require.Len(t, r.tokens, tokens)
-	require.NoError(t, chain.Verify(prompt, r.tokens))
+	require.NoError(t, chain.Verify(input, r.tokens))
 }
 
 func TestStreamIsWhole(t *testing.T) {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -39,11 +39,15 @@
 	Retries   *retry.Policy
 	Budget    *retry.Budget
 	Journal   Journal
-	Engines   *engine.Client
-	Services  *plainservice.Client
-	Peers     *peer.Client
-	Dialer    peer.Dialer
-	Logger    *slog.Logger
+	// Reclaims may be nil: no time is ever known then.
+	Reclaims Reclaims
+	// Recoveries may be nil: nothing is counted then.
+	Recoveries Recoveries
+	Engines    *engine.Client
+	Services   *plainservice.Client
+	Peers      *peer.Client
+	Dialer     peer.Dialer
+	Logger     *slog.Logger
 	// Prefix makes a fresh request-ID prefix for callers whose old one can no longer serve.
 	Prefix func() string
 	// MaxRunning is the number of workers, and so of requests run at once.
@@ -57,6 +61,7 @@
 	table     *table
 	workers   *workers
 	forwarder *forwarder
+	costs     *costs
 	stopping  atomic.Bool
 	stop      context.CancelFunc
 	done      sync.WaitGroup
@@ -69,6 +74,7 @@
 		self:      options.Members.Self().Incarnation,
 		table:     newTable(),
 		forwarder: newForwarder(options.Dialer),
+		costs:     newCosts(),
 	}
 	d.workers = newWorkers(options.MaxRunning, d.run)
 	return d
--- a/internal/dispatch/enginerun.go
+++ b/internal/dispatch/enginerun.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"mangoledge.example/mangoledge/internal/admission"
 	"mangoledge.example/mangoledge/internal/engine"
 	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/recovery"
 	"mangoledge.example/mangoledge/internal/request"
 	"mangoledge.example/mangoledge/internal/verdict"
 )
@@ -18,22 +20,48 @@
 // Callers never see it: see forCaller.
 const codeForgotten verdict.Code = "forgotten"
 
-// attachTries is how often a broken stream is attached to again on a fresh
-// connection before the request moves to another upstream.
-const attachTries = 2
-
 // runAtEngine runs the request at an engine, behind the tokens that are there.
 func (d *Dispatcher) runAtEngine(ctx context.Context, e *entry, placement Placement) *verdict.Error {
 	upstream := placement.Upstream()
+	imported := false
 	if export := e.takeExport(); export != nil {
-		d.importKV(ctx, e, upstream, *export)
+		imported = d.importKV(ctx, e, upstream, *export)
 	}
 	record := e.snapshot()
+	begun := time.Now()
 	stream, err := d.options.Engines.Start(ctx, upstream.URL, completionOf(&record), e.spec.Idempotent)
 	if err != nil {
 		return verdict.From(err)
 	}
-	return d.readWithAttach(ctx, e, upstream.ID, upstream.URL, stream)
+	tokens := max(0, e.spec.PromptTokens()+len(record.Tokens)-placement.CachedTokens())
+	r := d.newReading(ctx, e, record.Generation, upstream.ID, upstream.URL)
+	again := e.begin()
+	switch {
+	case imported:
+		d.recovered(recovery.MethodTransfer, 0)
+	case again:
+		d.recovered(recovery.MethodPrefill, tokens)
+		d.note(e.spec.ID, "prefill", "about "+strconv.Itoa(tokens)+" tokens at "+string(upstream.ID))
+	}
+	if !imported {
+		r.prefill = prefill{begun: begun, tokens: tokens}
+	}
+	return r.run(stream)
+}
+
+// recovered counts how a stream went on, and the tokens computed again for it.
+func (d *Dispatcher) recovered(method recovery.Method, recomputed int) {
+	if d.options.Recoveries != nil {
+		d.options.Recoveries.Recovered(method, recomputed)
+	}
+}
+
+// reclaimAt returns when an upstream is taken away; zero while nobody has said.
+func (d *Dispatcher) reclaimAt(upstream ident.Upstream) time.Time {
+	if d.options.Reclaims == nil {
+		return time.Time{}
+	}
+	return d.options.Reclaims.ReclaimAt(upstream)
 }
 
 // completionOf is the call that goes on behind the tokens of record.
@@ -58,29 +86,6 @@
 	return admission.Urgency(time.Now(), record.Spec.Deadline, time.Duration(left)*admission.TypicalPace)
 }
 
-// readWithAttach reads stream to its end, and attaches again when its connection breaks.
-func (d *Dispatcher) readWithAttach(ctx context.Context, e *entry, upstream ident.Upstream, base string, stream *engine.Stream) *verdict.Error {
-	generation := e.snapshot().Generation
-	streamID := engine.StreamID(e.spec.ID, generation)
-	for tries := 0; ; tries++ {
-		failure := d.read(e, upstream, generation, stream)
-		stream.Close()
-		if failure != nil && failure.Code == codeMoving && d.options.Router.Leaving(upstream) {
-			d.exportKV(ctx, e, generation, base)
-		}
-		if failure == nil || failure.Code == codeMoving || ctx.Err() != nil || tries == attachTries {
-			return failure
-		}
-		again, err := d.options.Engines.Attach(ctx, base, streamID, len(e.snapshot().Tokens))
-		if err != nil {
-			d.note(e.spec.ID, "attach failed", err.Error())
-			return forgottenBy(failure, verdict.From(err))
-		}
-		d.note(e.spec.ID, "attach", "again to "+string(upstream))
-		stream = again
-	}
-}
-
 // forgottenBy marks the failure of a stream that its engine knows no more,
 // because the engine was started anew.
 func forgottenBy(failure, attach *verdict.Error) *verdict.Error {
@@ -92,26 +97,6 @@
 	return &out
 }
 
-// read takes tokens from stream until its end.
-func (d *Dispatcher) read(e *entry, upstream ident.Upstream, generation ident.Generation, stream *engine.Stream) *verdict.Error {
-	for {
-		chunk, err := stream.Next()
-		if err != nil {
-			return verdict.From(err)
-		}
-		if chunk.Done {
-			return d.streamEnd(e, generation, chunk)
-		}
-		e.addToken(generation, chunk.Offset, chunk.Text)
-		if now := e.view(); now.released || now.record.Generation != generation {
-			return verdict.New(verdict.Ran, codeMoving, "the request goes on elsewhere")
-		}
-		if e.spec.Idempotent && d.options.Router.Leaving(upstream) {
-			return verdict.New(verdict.Ran, codeMoving, "the upstream is leaving")
-		}
-	}
-}
-
 // streamEnd checks that the end of a stream is the end of the answer.
 func (d *Dispatcher) streamEnd(e *entry, generation ident.Generation, chunk engine.Chunk) *verdict.Error {
 	record := e.snapshot()
@@ -135,7 +120,9 @@
 	stream, err := d.options.Engines.Attach(ctx, record.UpstreamURL, engine.StreamID(e.spec.ID, record.Generation), len(record.Tokens))
 	if err == nil {
 		d.note(e.spec.ID, "attach", "to the stream at "+string(record.Upstream))
-		failure := d.readWithAttach(ctx, e, record.Upstream, record.UpstreamURL, stream)
+		d.recovered(recovery.MethodResume, 0)
+		e.begin()
+		failure := d.newReading(ctx, e, record.Generation, record.Upstream, record.UpstreamURL).run(stream)
 		if failure == nil {
 			return nil, true
 		}
@@ -144,8 +131,10 @@
 	if ctx.Err() != nil {
 		return d.timeFailure(e), true
 	}
-	if now := e.snapshot(); now.Generation == record.Generation && verdict.From(err).Code != codeMoving {
-		e.fork(newGeneration(e.spec.ID, now.Epoch))
+	// The earlier holder's callers may hold more tokens than came here; only an
+	// export is sure to have them all.
+	if now := e.view(); now.record.Generation == record.Generation && !now.released && !e.hasExport() {
+		e.fork(newGeneration(e.spec.ID, now.record.Epoch))
 	}
 	d.note(e.spec.ID, "attach failed", err.Error()+" after "+time.Since(started).Round(time.Millisecond).String())
 	return nil, false
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -36,7 +36,11 @@
 	// reported is the number of tokens that the witness knows.
 	reported int
 	// export is the cache that the next upstream is to import, or nil.
-	export   *engine.KVImport
+	export *engine.KVImport
+	// reserved is the place that the next attempt has already, or nil.
+	reserved Placement
+	// begun is true once an engine has begun to compute the request.
+	begun    bool
 	changed  chan struct{}
 	finished time.Time
 }
@@ -219,3 +223,38 @@
 	defer e.mu.Unlock()
 	e.export = export
 }
+
+func (e *entry) hasExport() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.export != nil
+}
+
+// reserve keeps a place for the next attempt, in place of one that was kept before.
+func (e *entry) reserve(placement Placement) {
+	e.mu.Lock()
+	before := e.reserved
+	e.reserved = placement
+	e.mu.Unlock()
+	if before != nil {
+		before.Done(OutcomeMoved)
+	}
+}
+
+// takeReserved returns the place that was kept for this attempt, or nil.
+func (e *entry) takeReserved() Placement {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := e.reserved
+	e.reserved = nil
+	return out
+}
+
+// begin notes that an engine computes the request, and reports whether one did before.
+func (e *entry) begin() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	before := e.begun || len(e.record.Tokens) > 0
+	e.begun = true
+	return before
+}
--- a/internal/dispatch/interfaces.go
+++ b/internal/dispatch/interfaces.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"time"
 
 	"mangoledge.example/mangoledge/internal/fleet"
 	"mangoledge.example/mangoledge/internal/grant"
 	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/recovery"
 	"mangoledge.example/mangoledge/internal/request"
 	"mangoledge.example/mangoledge/internal/verdict"
 )
@@ -55,6 +57,9 @@
 type Placement interface {
 	// Upstream is where to send the request.
 	Upstream() fleet.Upstream
+	// CachedTokens is how many leading tokens of the prompt the upstream is
+	// believed to have cached.
+	CachedTokens() int
 	// Done gives the place back; it is called once.
 	Done(outcome Outcome)
 }
@@ -116,6 +121,20 @@
 	Enter(ctx context.Context, spec *request.Spec) (Pass, error)
 }
 
+// Reclaims tells when upstreams are taken away; *fleet.LeavingView does.
+type Reclaims interface {
+	// ReclaimAt returns when the upstream's host is taken away, by the platform's
+	// clock; zero while nobody has said.
+	ReclaimAt(upstream ident.Upstream) time.Time
+}
+
+// Recoveries counts how streams went on whose upstream left or was lost.
+type Recoveries interface {
+	// Recovered counts one stream that went on by method, for which about so many
+	// tokens were computed again.
+	Recovered(method recovery.Method, recomputed int)
+}
+
 // Journal keeps what was decided about a request, for operators.
 type Journal interface {
 	// Request notes one decision.
--- a/internal/dispatch/reclaim_test.go
+++ b/internal/dispatch/reclaim_test.go
@@ -11,7 +11,6 @@
 	"github.com/stretchr/testify/require"
 
 	"mangoledge.example/mangoledge/internal/dispatch"
-	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/standin/chain"
 	standinengine "mangoledge.example/mangoledge/internal/standin/engine"
 )
@@ -120,11 +119,6 @@
 	return out, statsOf(t, second.URL)
 }
 
-// reclaim tells that an upstream is taken away after notice.
-func (s *fakeSite) reclaim(id ident.Upstream, _ time.Duration) {
-	s.MarkLeaving(id)
-}
-
 // BenchmarkReclaim measures, for eight streams on an upstream that is reclaimed,
 // the tokens computed again and the longest gap between two tokens of a stream.
 func BenchmarkReclaim(b *testing.B) {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -28,6 +28,7 @@
 	if failure == nil {
 		failure = d.runToEnd(ctx, e)
 	}
+	e.reserve(nil)
 	e.ticket.Release(failure == nil)
 	switch {
 	case failure == nil:
@@ -96,7 +97,7 @@
 
 // findPlace gets a pass for the content and a place at an upstream.
 func (d *Dispatcher) findPlace(ctx context.Context, e *entry, need *Need) (Placement, Pass, *verdict.Error) {
-	placement, err := d.options.Router.Pick(ctx, need)
+	placement, err := d.pick(ctx, e, need)
 	if err != nil {
 		return nil, nil, verdict.From(err)
 	}
@@ -108,6 +109,19 @@
 	return placement, pass, nil
 }
 
+// pick returns the place that was kept for the request while it can be used, else a new one.
+func (d *Dispatcher) pick(ctx context.Context, e *entry, need *Need) (Placement, error) {
+	kept := e.takeReserved()
+	if kept == nil {
+		return d.options.Router.Pick(ctx, need)
+	}
+	if d.options.Router.Leaving(kept.Upstream().ID) {
+		kept.Done(OutcomeMoved)
+		return d.options.Router.Pick(ctx, need)
+	}
+	return kept, nil
+}
+
 // mayRetry reports whether the request may be sent to an upstream once more.
 func mayRetry(e *entry, failure *verdict.Error) bool {
 	if failure.Code == verdict.CodeBadInput {
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -84,10 +84,11 @@
 	return c.call(ctx, http.MethodDelete, base+"/v1/streams/"+url.PathEscape(requestID), nil, nil)
 }
 
-// Export stops a stream and makes its cache ready for another engine.
+// Export stops a stream, once its turn has come, and makes its cache ready for
+// another engine. How long that may take is the caller's to bound by ctx.
 func (c *Client) Export(ctx context.Context, base, requestID string) (*KVExport, error) {
 	out := new(KVExport)
-	err := c.call(ctx, http.MethodPost, base+"/v1/kv/"+url.PathEscape(requestID)+"/export", nil, out)
+	err := c.callWithin(ctx, http.MethodPost, base+"/v1/kv/"+url.PathEscape(requestID)+"/export", nil, out)
 	if err != nil {
 		return nil, err
 	}
@@ -134,10 +135,15 @@
 	return newStream(ctx, resp, cancel, idleLimit), nil
 }
 
-// call sends a call with a JSON answer.
+// call sends a call with a JSON answer that comes soon.
 func (c *Client) call(ctx context.Context, method, target string, body []byte, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, headerLimit)
 	defer cancel()
+	return c.callWithin(ctx, method, target, body, out)
+}
+
+// callWithin sends a call with a JSON answer that ctx alone bounds.
+func (c *Client) callWithin(ctx context.Context, method, target string, body []byte, out any) error {
 	resp, err := c.send(ctx, c.pooled, method, target, body)
 	if err != nil {
 		return err
--- a/internal/explain/sentences.go
+++ b/internal/explain/sentences.go
@@ -8,6 +8,8 @@
 	"upstream failed": "The request left its upstream, {reason}.",
 	"attach":          "The stream was attached {reason}.",
 	"attach failed":   "The running stream could not be attached again: {reason}.",
+	"recovery":        "The upstream leaves, and it was decided how the stream goes on: {reason}.",
+	"prefill":         "The prompt and the answer so far were computed again: {reason}.",
 	"export":          "The upstream leaves, so its work was taken out: {reason}.",
 	"export failed":   "The work could not be taken out of the leaving upstream: {reason}.",
 	"import":          "The next upstream took in a copy {reason}, so the prompt need not be computed again.",
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -75,6 +75,8 @@
 		Retries:    retry.NewPolicy(budget, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), //nolint:gosec // spreads retries
 		Budget:     budget,
 		Journal:    n.journal,
+		Reclaims:   n.control.view,
+		Recoveries: requestmetrics.NewRecoveries(n.metrics),
 		Engines:    engines,
 		Services:   plainservice.NewClient(),
 		Peers:      n.peers,
--- a/internal/owner/ledger.go
+++ b/internal/owner/ledger.go
@@ -41,6 +41,8 @@
 	id       ReservationID
 	upstream ident.Upstream
 	suspect  bool
+	// cached is how many leading tokens of the prompt the upstream had cached when it was chosen.
+	cached int
 	// waiting is true while it is in line for a slot.
 	waiting  bool
 	priority request.Priority
@@ -107,7 +109,7 @@
 		}
 		l.end(now, have, routing.Outcome{Kind: routing.OutcomeUnsent})
 	}
-	upstream, ok := l.router.Take(now, &features)
+	taken, ok := l.router.TakeKnown(now, &features)
 	if !ok {
 		return ReserveReply{Summary: l.summary(now, features.Pool())}
 	}
@@ -116,10 +118,11 @@
 		hold = defaultHold
 	}
 	r := &reservation{
-		id: args.ID, upstream: upstream, suspect: args.Suspect, priority: args.Priority, until: now.Add(hold),
+		id: args.ID, upstream: taken.Upstream, cached: taken.CachedTokens,
+		suspect: args.Suspect, priority: args.Priority, until: now.Add(hold),
 	}
 	l.held[args.ID] = r
-	l.line(upstream).join(r)
+	l.line(taken.Upstream).join(r)
 	heap.Push(&l.expiry, r)
 	return l.reply(now, r, &features)
 }
@@ -136,11 +139,12 @@
 
 func (l *Ledger) reply(now time.Time, r *reservation, f *routing.Features) ReserveReply {
 	return ReserveReply{
-		Granted:  true,
-		Wait:     r.waiting,
-		Upstream: r.upstream,
-		URL:      l.urls[r.upstream],
-		Summary:  l.summary(now, f.Pool()),
+		Granted:      true,
+		Wait:         r.waiting,
+		Upstream:     r.upstream,
+		URL:          l.urls[r.upstream],
+		CachedTokens: r.cached,
+		Summary:      l.summary(now, f.Pool()),
 	}
 }
 
--- a/internal/owner/ledger_test.go
+++ b/internal/owner/ledger_test.go
@@ -272,3 +272,25 @@
 		_, _ = d.Choose(start, &f)
 	}
 }
+
+func TestTheReplyTellsWhatIsCached(t *testing.T) {
+	l := newLedger()
+	args := &ReserveArgs{
+		ID: ReservationID{Holder: "h", Serial: 1}, Model: "m", PromptTokens: 1000, MaxTokens: 10,
+		Blocks: []routing.Block{1, 2, 3},
+	}
+	first := l.Reserve(start, args)
+	require.True(t, first.Granted)
+	require.Zero(t, first.CachedTokens, "nobody has sent it before")
+	require.True(t, l.Release(start, args.ID, routing.Outcome{Kind: routing.OutcomeDone}))
+	for i := range 6 {
+		id := ident.Upstream(fmt.Sprintf("u%d", i))
+		l.Table().CacheEvents(start, id, []routing.CacheEvent{{Op: routing.CacheAdd, Block: 1}, {Op: routing.CacheAdd, Block: 2}})
+		l.Table().CacheEvents(start, id, []routing.CacheEvent{{Op: routing.CacheRemove, Block: 3}})
+	}
+	args.ID.Serial++
+	again := l.Reserve(start, args)
+	require.True(t, again.Granted)
+	require.Equal(t, 2*routing.BlockBytes/request.BytesPerToken, again.CachedTokens)
+	require.Equal(t, again.CachedTokens, l.Reserve(start, args).CachedTokens, "asked again it says the same")
+}
--- a/internal/owner/messages.go
+++ b/internal/owner/messages.go
@@ -63,6 +63,8 @@
 	Wait     bool
 	Upstream ident.Upstream
 	URL      string
+	// CachedTokens is how many leading tokens of the prompt Upstream is believed to have cached.
+	CachedTokens int
 	// Summary is the owner's state after the decision.
 	Summary Summary
 }
--- a/internal/placement/features.go
+++ b/internal/placement/features.go
@@ -5,9 +5,6 @@
 	"mangoledge.example/mangoledge/internal/routing"
 )
 
-// bytesPerToken is how many bytes of a prompt make about one token.
-const bytesPerToken = 4
-
 // featuresOf is what the choice of an upstream depends on.
 func featuresOf(need *dispatch.Need) routing.Features {
 	spec := need.Spec
@@ -15,7 +12,7 @@
 		Model:        spec.Model,
 		Adapter:      spec.Adapter,
 		Service:      spec.Service,
-		PromptTokens: len(spec.Input)/bytesPerToken + need.Tokens,
+		PromptTokens: spec.PromptTokens() + need.Tokens,
 		MaxTokens:    spec.MaxTokens,
 		Priority:     spec.Priority,
 	}
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -16,6 +16,8 @@
 	choice   owner.Choice
 	id       owner.ReservationID
 	upstream fleet.Upstream
+	// cached is in tokens.
+	cached int
 }
 
 // Upstream is where to send the request.
@@ -23,6 +25,11 @@
 	return p.upstream
 }
 
+// CachedTokens is what the owner believed cached when it chose.
+func (p *placed) CachedTokens() int {
+	return p.cached
+}
+
 // Done gives the slot back; the call to another owner is not waited for.
 func (p *placed) Done(outcome dispatch.Outcome) {
 	out := outcomeOf(outcome)
@@ -41,6 +48,8 @@
 type alone struct {
 	router   *Router
 	upstream fleet.Upstream
+	// cached is in tokens.
+	cached int
 }
 
 // Upstream is where to send the request.
@@ -48,6 +57,11 @@
 	return a.upstream
 }
 
+// CachedTokens is what this node believed cached when it chose.
+func (a *alone) CachedTokens() int {
+	return a.cached
+}
+
 // Done ends the count of the request here.
 func (a *alone) Done(outcome dispatch.Outcome) {
 	a.router.table.Finished(time.Now(), a.upstream.ID, false, outcomeOf(outcome))
--- a/internal/placement/router.go
+++ b/internal/placement/router.go
@@ -194,7 +194,7 @@
 		return nil, true
 	}
 	upstream, ok := r.upstream(reply.Upstream)
-	place = &placed{router: r, choice: choice, id: args.ID, upstream: upstream}
+	place = &placed{router: r, choice: choice, id: args.ID, upstream: upstream, cached: reply.CachedTokens}
 	if !ok || r.Leaving(reply.Upstream) {
 		place.Done(dispatch.OutcomeMoved)
 		return nil, true
@@ -229,16 +229,16 @@
 // pickAlone chooses without an owner. Two owners for a moment cost only load.
 func (r *Router) pickAlone(features *routing.Features) (dispatch.Placement, error) {
 	now := time.Now()
-	id, ok := r.fallback.Take(now, features)
+	taken, ok := r.fallback.TakeKnown(now, features)
 	if !ok {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeNoUpstream, "no upstream serves %s%s now", features.Model, features.Service).After(waitForSlot)
 	}
-	upstream, ok := r.upstream(id)
-	if !ok || r.Leaving(id) {
-		r.table.Finished(now, id, false, routing.Outcome{Kind: routing.OutcomeUnsent})
+	upstream, ok := r.upstream(taken.Upstream)
+	if !ok || r.Leaving(taken.Upstream) {
+		r.table.Finished(now, taken.Upstream, false, routing.Outcome{Kind: routing.OutcomeUnsent})
 		return nil, verdict.New(verdict.NotRun, verdict.CodeNoUpstream, "the chosen upstream has just left").After(waitForSlot)
 	}
-	return &alone{router: r, upstream: upstream}, nil
+	return &alone{router: r, upstream: upstream, cached: taken.CachedTokens}, nil
 }
 
 func (r *Router) reservation(need *dispatch.Need, features *routing.Features) *owner.ReserveArgs {
--- a/internal/recovery/plan.go
+++ b/internal/recovery/plan.go
@@ -19,8 +19,13 @@
 	MethodPrefill Method = "prefill"
 )
 
-// noticeMargin is the time kept free at the end of a notice.
-const noticeMargin = 250 * time.Millisecond
+// Methods returns all methods.
+func Methods() []Method {
+	return []Method{MethodStay, MethodResume, MethodTransfer, MethodPrefill}
+}
+
+// NoticeMargin is the time kept free at the end of a notice.
+const NoticeMargin = 250 * time.Millisecond
 
 // Stream is a stream in progress.
 type Stream struct {
@@ -40,6 +45,9 @@
 	// Leaving is true when it is going away after Notice.
 	Leaving bool
 	Notice  time.Duration
+	// Assumed is true when nobody has said when it goes. Notice is then a guess
+	// that an export is tried on, but not that a stream may stay on.
+	Assumed bool
 	// PerToken is the time between tokens there.
 	PerToken time.Duration
 	// Exports is true when it can export KV cache.
@@ -96,11 +104,11 @@
 }
 
 func staysToEnd(stream Stream, source Source) bool {
-	if !source.Reachable {
+	if !source.Reachable || source.Assumed {
 		return false
 	}
 	left := time.Duration(stream.Remaining) * source.PerToken
-	return left+noticeMargin <= source.Notice
+	return left+NoticeMargin <= source.Notice
 }
 
 func prefillPlan(stream Stream, target Target) Plan {
@@ -118,7 +126,7 @@
 		return Plan{}, false
 	}
 	ends := seconds(float64(source.Ahead+stream.KVBytes)/source.BytesPerSecond) + 2*target.RoundTrip
-	if ends+noticeMargin > source.Notice {
+	if ends+NoticeMargin > source.Notice {
 		return Plan{}, false
 	}
 	pause := seconds(float64(stream.KVBytes)/source.BytesPerSecond) + 2*target.RoundTrip
--- a/internal/recovery/plan_test.go
+++ b/internal/recovery/plan_test.go
@@ -42,6 +42,9 @@
 	lost := source(5 * time.Second)
 	lost.Reachable = false
 	require.Equal(t, MethodPrefill, Choose(stream(3000, 100, 1), lost, target()).Method)
+	assumed := source(5 * time.Second)
+	assumed.Assumed = true
+	require.Equal(t, MethodTransfer, Choose(stream(3000, 100, 20), assumed, target()).Method, "nobody said that it has the time to stay")
 	silent := Source{Reachable: true}
 	require.Equal(t, MethodResume, Choose(stream(3000, 100, 500), silent, target()).Method)
 }
--- a/internal/request/spec.go
+++ b/internal/request/spec.go
@@ -14,6 +14,9 @@
 // MaxPriority is the most urgent priority.
 const MaxPriority Priority = 9
 
+// BytesPerToken is how many bytes of a prompt make about one token.
+const BytesPerToken = 4
+
 // Spec is a caller's request as accepted. It never changes afterwards.
 type Spec struct {
 	ID        ident.RequestID
@@ -35,3 +38,8 @@
 	Idempotent bool
 	Stream     bool
 }
+
+// PromptTokens returns about how many tokens the prompt has.
+func (s *Spec) PromptTokens() int {
+	return len(s.Input) / BytesPerToken
+}
--- a/internal/requestmetrics/requestmetrics_test.go
+++ b/internal/requestmetrics/requestmetrics_test.go
@@ -9,6 +9,7 @@
 
 	"mangoledge.example/mangoledge/internal/dispatch"
 	shown "mangoledge.example/mangoledge/internal/metrics"
+	"mangoledge.example/mangoledge/internal/recovery"
 	"mangoledge.example/mangoledge/internal/verdict"
 )
 
@@ -84,6 +85,20 @@
 	require.EqualValues(t, 2, count(`requests.refused_total{code="overloaded",verdict="not_run"}`))
 }
 
+func TestRecoveriesAreCountedByMethod(t *testing.T) {
+	registry := metrics.NewRegistry()
+	r := NewRecoveries(registry)
+	count := func(name string) int64 { return metrics.GetOrRegisterCounter(name, registry).Count() }
+	require.NotNil(t, registry.Get(`streams.recovered_total{method="stay"}`), "shown before the first")
+	r.Recovered(recovery.MethodPrefill, 1200)
+	r.Recovered(recovery.MethodPrefill, 300)
+	r.Recovered(recovery.MethodTransfer, 0)
+	require.EqualValues(t, 2, count(`streams.recovered_total{method="prefill"}`))
+	require.EqualValues(t, 1500, count(`streams.recomputed_tokens_total{method="prefill"}`))
+	require.EqualValues(t, 1, count(`streams.recovered_total{method="transfer"}`))
+	require.Zero(t, count(`streams.recomputed_tokens_total{method="transfer"}`))
+}
+
 func BenchmarkToken(b *testing.B) {
 	f := &followed{counts: New(&script{}, metrics.NewRegistry())}
 	event := dispatch.Event{Kind: dispatch.EventToken, Text: "x"}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/request"
 )
 
 // Policy chooses among the candidates of a request. It is called with the
@@ -59,14 +60,28 @@
 
 // Take chooses an upstream for a request and counts the request there in one step.
 func (r *Router) Take(now time.Time, f *Features) (ident.Upstream, bool) {
+	taken, ok := r.TakeKnown(now, f)
+	return taken.Upstream, ok
+}
+
+// Taken is an upstream that was chosen for a request, and what it has of it.
+type Taken struct {
+	Upstream ident.Upstream
+	// CachedTokens is how many leading tokens of the prompt it is believed to have cached.
+	CachedTokens int
+}
+
+// TakeKnown is Take that also tells what the upstream has cached.
+func (r *Router) TakeKnown(now time.Time, f *Features) (Taken, bool) {
 	r.table.mu.Lock()
 	defer r.table.mu.Unlock()
 	chosen := r.pick(now, f)
 	if chosen == nil {
-		return "", false
+		return Taken{}, false
 	}
+	taken := Taken{Upstream: chosen.ID, CachedTokens: chosen.matched * BlockBytes / request.BytesPerToken}
 	r.table.start(now, chosen, f)
-	return chosen.ID, true
+	return taken, true
 }
 
 // pick chooses with the table locked; nil means that nothing is usable.
--- a/internal/slopes/entry.go
+++ b/internal/slopes/entry.go
@@ -66,6 +66,7 @@
 func (r oneRouter) Leaving(ident.Upstream) bool           { return false }
 func (r oneRouter) MarkLeaving(ident.Upstream)            {}
 func (p onePlace) Upstream() fleet.Upstream               { return p.upstream }
+func (onePlace) CachedTokens() int                        { return 0 }
 func (onePlace) Done(dispatch.Outcome)                    {}
 func (openGuard) Enter(context.Context, *request.Spec) (dispatch.Pass, error) {
 	return openPass{}, nil
