Exports keep 100 ms of a notice free, stays 250 ms

Cause: with 250 ms kept free, a third export that fits into a notice of 1.5 s was not tried. An export that comes too late costs a pause; a stay that does costs a prefill as well.

Change: exportMargin is 100 ms; a stay still keeps 250 ms.

--- a/internal/recovery/plan.go
+++ b/internal/recovery/plan.go
@@ -24,9 +24,13 @@
 	return []Method{MethodStay, MethodResume, MethodTransfer, MethodPrefill}
 }
 
-// NoticeMargin is the time kept free at the end of a notice.
+// NoticeMargin is the time kept free behind a stream that stays to its end.
 const NoticeMargin = 250 * time.Millisecond
 
+// exportMargin is the time kept free behind an export. An export that comes too
+// late costs its stream a pause, where a stay that does costs it a prefill too.
+const exportMargin = 100 * time.Millisecond
+
 // Stream is a stream in progress.
 type Stream struct {
 	PromptTokens int
@@ -126,7 +130,7 @@
 		return Plan{}, false
 	}
 	ends := seconds(float64(source.Ahead+stream.KVBytes)/source.BytesPerSecond) + 2*target.RoundTrip
-	if ends+NoticeMargin > source.Notice {
+	if ends+exportMargin > source.Notice {
 		return Plan{}, false
 	}
 	pause := seconds(float64(stream.KVBytes)/source.BytesPerSecond) + 2*target.RoundTrip
