--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -18,13 +18,14 @@
 	e.place(upstream)
 	d.note(e.spec.ID, "dispatch", "to "+string(upstream.ID))
 	var failure *verdict.Error
+	var perToken time.Duration
 	if e.spec.Service != "" {
 		failure = d.callService(ctx, e, upstream.URL)
 	} else {
-		failure = d.runAtEngine(ctx, e, placement)
+		failure, perToken = d.runAtEngine(ctx, e, placement)
 	}
 	if failure == nil {
-		placement.Done(OutcomeDone, e.pace())
+		placement.Done(OutcomeDone, perToken)
 		pass.Leave(upstream.ID, EndingFinished)
 		return nil
 	}
@@ -35,7 +36,7 @@
 		d.options.Router.MarkLeaving(upstream.ID)
 	}
 	ending := d.endingOf(ctx, e, placement, failure)
-	placement.Done(outcomeOf(ctx, failure, ending), e.pace())
+	placement.Done(outcomeOf(ctx, failure, ending), perToken)
 	pass.Leave(upstream.ID, ending)
 	d.note(e.spec.ID, "upstream failed", string(upstream.ID)+": "+failure.Error())
 	return failure
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -21,6 +21,7 @@
 	"mangoledge.example/mangoledge/internal/membership"
 	"mangoledge.example/mangoledge/internal/peer"
 	"mangoledge.example/mangoledge/internal/plainservice"
+	"mangoledge.example/mangoledge/internal/recovery"
 	"mangoledge.example/mangoledge/internal/request"
 	"mangoledge.example/mangoledge/internal/retry"
 	"mangoledge.example/mangoledge/internal/standin/chain"
@@ -38,7 +39,7 @@
 
 // fakeSite is a few nodes and engines in this process.
 type fakeSite struct {
-	t       *testing.T
+	t       testing.TB
 	mu      sync.Mutex
 	members []membership.Member
 	// upstreams are tried in this order.
@@ -48,6 +49,67 @@
 	paces []time.Duration
 	// admission is what the nodes that are added accept by.
 	admission dispatch.Admission
+	reclaims  map[ident.Upstream]time.Time
+	notes     []journalNote
+	recovered map[recovery.Method]recoveryCount
+}
+
+// journalNote is a decision about a request.
+type journalNote struct{ decision, reason string }
+
+// recoveryCount is how many streams went on, and the tokens computed again.
+type recoveryCount struct{ streams, tokens int }
+
+// Request implements dispatch.Journal.
+func (s *fakeSite) Request(_ ident.RequestID, decision, reason string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.notes = append(s.notes, journalNote{decision, reason})
+}
+
+// noted returns the reasons of a decision, in order.
+func (s *fakeSite) noted(decision string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for _, note := range s.notes {
+		if note.decision == decision {
+			out = append(out, note.reason)
+		}
+	}
+	return out
+}
+
+// Recovered implements dispatch.Recoveries.
+func (s *fakeSite) Recovered(method recovery.Method, recomputed int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := s.recovered[method]
+	count.streams++
+	count.tokens += recomputed
+	s.recovered[method] = count
+}
+
+// recoveredBy returns what was counted of a method.
+func (s *fakeSite) recoveredBy(method recovery.Method) recoveryCount {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.recovered[method]
+}
+
+// ReclaimAt implements dispatch.Reclaims.
+func (s *fakeSite) ReclaimAt(id ident.Upstream) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reclaims[id]
+}
+
+// reclaim tells that an upstream is taken away after notice.
+func (s *fakeSite) reclaim(id ident.Upstream, notice time.Duration) {
+	s.mu.Lock()
+	s.reclaims[id] = time.Now().Add(notice)
+	s.mu.Unlock()
+	s.MarkLeaving(id)
 }
 
 // fakeNode is one node of a fakeSite.
@@ -59,8 +121,11 @@
 	server     *http.Server
 }
 
-func newFakeSite(t *testing.T) *fakeSite {
-	return &fakeSite{t: t, leaving: make(map[ident.Upstream]bool), admission: freeAdmission{}}
+func newFakeSite(t testing.TB) *fakeSite {
+	return &fakeSite{
+		t: t, leaving: make(map[ident.Upstream]bool), admission: freeAdmission{},
+		reclaims: make(map[ident.Upstream]time.Time), recovered: make(map[recovery.Method]recoveryCount),
+	}
 }
 
 func (s *fakeSite) Members() []membership.Member {
@@ -126,10 +191,6 @@
 
 func (noGuard) Enter(context.Context, *request.Spec) (dispatch.Pass, error) { return freePass{}, nil }
 
-type noJournal struct{}
-
-func (noJournal) Request(ident.RequestID, string, string) {}
-
 type place struct {
 	site     *fakeSite
 	upstream fleet.Upstream
@@ -142,6 +203,7 @@
 }
 
 func (p place) Upstream() fleet.Upstream { return p.upstream }
+func (p place) CachedTokens() int        { return 0 }
 func (p place) Done(_ dispatch.Outcome, perToken time.Duration) {
 	p.site.notePace(perToken)
 }
@@ -197,7 +259,7 @@
 	d := dispatch.New(dispatch.Options{
 		Guard: noGuard{}, Budget: budget, Retries: retry.NewPolicy(budget, rand.New(rand.NewPCG(1, 1))),
 		Members: view, Witness: witness.NewClient(peers, view, tables), Router: s, Admission: s.admission,
-		Journal: noJournal{}, Engines: engine.NewClient(), Services: plainservice.NewClient(),
+		Journal: s, Reclaims: s, Recoveries: s, Engines: engine.NewClient(), Services: plainservice.NewClient(),
 		Peers: peers, Dialer: dialer, Logger: discard(), MaxRunning: 64,
 	})
 	server := peer.NewServer("t")
@@ -217,13 +279,18 @@
 
 // addEngine starts an engine and returns its server.
 func (s *fakeSite) addEngine(id ident.Upstream, interval time.Duration) *httptest.Server {
-	e, err := standinengine.New(standinengine.Options{ID: string(id), Slots: 8, TokenInterval: interval, Seed: 7})
+	return s.addEngineLike(standinengine.Options{ID: string(id), Slots: 8, TokenInterval: interval, Seed: 7})
+}
+
+// addEngineLike starts an engine that behaves as options say and returns its server.
+func (s *fakeSite) addEngineLike(options standinengine.Options) *httptest.Server {
+	e, err := standinengine.New(options)
 	require.NoError(s.t, err)
 	server := httptest.NewServer(e.Handler())
 	s.t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.upstreams = append(s.upstreams, fleet.Upstream{ID: id, URL: server.URL, State: fleet.StateReady})
+	s.upstreams = append(s.upstreams, fleet.Upstream{ID: ident.Upstream(options.ID), URL: server.URL, State: fleet.StateReady})
 	return server
 }
 
@@ -243,7 +310,7 @@
 }
 
 // follow reads events until the last one, or until stop tokens have come.
-func (r *received) follow(t *testing.T, a dispatch.Attachment, stop int) {
+func (r *received) follow(t testing.TB, a dispatch.Attachment, stop int) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
@@ -264,10 +331,16 @@
 }
 
 func (r *received) requireWhole(t *testing.T, tokens int) {
+	t.Helper()
+	r.requireWholeOf(t, prompt, tokens)
+}
+
+// requireWholeOf is requireWhole of the answer to another input.
+func (r *received) requireWholeOf(t *testing.T, input string, tokens int) {
 	t.Helper()
 	require.Equal(t, dispatch.EventDone, r.last.Kind, "%+v", r.last.Failure)
 	require.Len(t, r.tokens, tokens)
-	require.NoError(t, chain.Verify(prompt, r.tokens))
+	require.NoError(t, chain.Verify(input, r.tokens))
 }
 
 // The place of a stream is given back with the pace of its upstream, by which
@@ -418,7 +491,7 @@
 	require.Zero(t, statsOf(t, second.URL).Recomputed, "the cache came along")
 }
 
-func statsOf(t *testing.T, base string) standinengine.Stats {
+func statsOf(t testing.TB, base string) standinengine.Stats {
 	t.Helper()
 	resp, err := http.Get(base + "/stats")
 	require.NoError(t, err)
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -37,12 +37,14 @@
 	released bool
 	// moved is true when followers are to be sent away after a release.
 	moved bool
-	// meter measures the upstream that the request runs at.
-	meter paceMeter
 	// reported is the number of tokens that the witness knows.
 	reported int
 	// export is the cache that the next upstream is to import, or nil.
-	export   *engine.KVImport
+	export *engine.KVImport
+	// reserved is the place that the next attempt has already, or nil.
+	reserved Placement
+	// begun is true once an engine has begun to compute the request.
+	begun    bool
 	changed  chan struct{}
 	finished time.Time
 }
@@ -117,7 +119,6 @@
 		return
 	}
 	e.record.Tokens = append(e.record.Tokens, text)
-	e.meter.token(time.Now())
 	e.wake()
 }
 
@@ -132,15 +133,6 @@
 	e.record.UpstreamURL = upstream.URL
 	e.record.Phase = request.PhaseRunning
 	e.dispatched = true
-	e.meter = paceMeter{}
-}
-
-// pace returns the mean time between the tokens of the upstream at which the
-// request runs or ran last, or 0 when it is unknown.
-func (e *entry) pace() time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.meter.pace()
 }
 
 // undo notes that the upstream did not take the request after all.
@@ -270,3 +262,38 @@
 	defer e.mu.Unlock()
 	e.export = export
 }
+
+func (e *entry) hasExport() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.export != nil
+}
+
+// reserve keeps a place for the next attempt, in place of one that was kept before.
+func (e *entry) reserve(placement Placement) {
+	e.mu.Lock()
+	before := e.reserved
+	e.reserved = placement
+	e.mu.Unlock()
+	if before != nil {
+		before.Done(OutcomeMoved, 0)
+	}
+}
+
+// takeReserved returns the place that was kept for this attempt, or nil.
+func (e *entry) takeReserved() Placement {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := e.reserved
+	e.reserved = nil
+	return out
+}
+
+// begin notes that an engine computes the request, and reports whether one did before.
+func (e *entry) begin() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	before := e.begun || len(e.record.Tokens) > 0
+	e.begun = true
+	return before
+}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -29,6 +29,7 @@
 	if failure == nil {
 		failure = d.runToEnd(ctx, e)
 	}
+	e.reserve(nil)
 	e.ticket.Release(failure == nil)
 	switch {
 	case failure == nil:
@@ -36,7 +37,7 @@
 	case e.isReleased():
 		d.note(e.spec.ID, "release", "the request goes on at another node")
 	default:
-		d.conclude(e, request.PhaseFailed, failure)
+		d.conclude(e, request.PhaseFailed, forCaller(failure))
 	}
 }
 
@@ -114,7 +115,7 @@
 		defer cancel()
 		ctx = bounded
 	}
-	placement, err := d.options.Router.Pick(ctx, need)
+	placement, err := d.pick(ctx, e, need)
 	if err != nil {
 		return nil, nil, verdict.From(err)
 	}
@@ -126,6 +127,19 @@
 	return placement, pass, nil
 }
 
+// pick returns the place that was kept for the request while it can be used, else a new one.
+func (d *Dispatcher) pick(ctx context.Context, e *entry, need *Need) (Placement, error) {
+	kept := e.takeReserved()
+	if kept == nil {
+		return d.options.Router.Pick(ctx, need)
+	}
+	if d.options.Router.Leaving(kept.Upstream().ID) {
+		kept.Done(OutcomeMoved, 0)
+		return d.options.Router.Pick(ctx, need)
+	}
+	return kept, nil
+}
+
 // mayRetry reports whether the request may be sent to an upstream once more.
 func mayRetry(e *entry, failure *verdict.Error) bool {
 	if failure.Code == verdict.CodeBadInput {
--- a/internal/owner/messages.go
+++ b/internal/owner/messages.go
@@ -71,6 +71,8 @@
 	// others the holder asks again with the same ID until Wait is false.
 	Wait     bool
 	Upstream ident.Upstream
+	// CachedTokens is how many leading tokens of the prompt Upstream is believed to have cached.
+	CachedTokens int
 	// Summary is the owner's state after the decision.
 	Summary Summary
 }
