An operator's drain is configuration, and lasts until it is cleared

Cause: a drain was a mark of leaving by gossip, which ends after 15 minutes, and was lost when all nodes restarted; the drained host came back in silence.

Change: drain host|upstream is an edit of the site's object, with a change ID, conflicts and the versions of any configuration. Leaving merges the drains of the version in force, by which the router, the tables and explain see them. clear drain host/<id>|upstream/<id> takes one back; show drains lists them with their changes. A drain of what no node lists is accepted and told as such: a node's lagging list can't refuse truthfully what another node may have written already.

--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -26,7 +26,7 @@
 	{name: "explain", help: "Tell what was decided, by which node and from which inputs: explain request|upstream|host|change <id>."},
 	{name: "set", help: "Declare or change an object: set <object> <name> <key>=<value> ...", changes: true},
 	{name: "drain", help: "Empty something by plan, cutting nothing off: drain host|node|upstream <id>.", changes: true},
-	{name: "clear", help: "Take back what the system has noted, or remove an object: clear poison|leaving|model|service|workspace|kind|capacity <id>.", changes: true},
+	{name: "clear", help: "Take back what the system has noted, or remove an object: clear poison|leaving|drain|model|service|workspace|kind|capacity <id>.", changes: true},
 	{name: "dump", help: "Show the whole state of one node as JSON."},
 }
 
--- a/internal/config/decide.go
+++ b/internal/config/decide.go
@@ -132,6 +132,7 @@
 		return report(Outcome{Kind: OutcomeRefused, Change: p.Change, Faults: faults})
 	}
 	site.Change = p.Change
+	nameDrains(site, p.Change)
 	recent := append([]ChangeRecord(nil), current.Recent...)
 	recent = append(recent, ChangeRecord{Change: p.Change, Base: current.Site.Version, Digest: p.digest(), Summary: p.summary()})
 	if len(recent) > MaxRecentChanges {
--- a/internal/config/edit.go
+++ b/internal/config/edit.go
@@ -18,6 +18,8 @@
 	TableCapacity Table = "capacity"
 	// TableWeights has one row, with an empty key.
 	TableWeights Table = "weights"
+	// TableDrain has keys "host/<id>" and "upstream/<id>" and no columns.
+	TableDrain Table = "drain"
 )
 
 // Assignment gives one column of a row a value.
@@ -34,7 +36,8 @@
 	Assignments []Assignment `json:"assignments,omitempty"`
 	// Remove takes the row away.
 	Remove bool `json:"remove,omitempty"`
-	// Replace puts a whole configuration in place of the current one; Table is then empty.
+	// Replace puts a whole configuration in place of the current one, but for its
+	// drains, which stay; Table is then empty.
 	Replace *Site `json:"replace,omitempty"`
 }
 
@@ -43,6 +46,9 @@
 	if e.Replace != nil {
 		return "replace the whole configuration"
 	}
+	if e.Table == TableDrain && !e.Remove {
+		return "drain " + strings.Replace(e.Key, "/", " ", 1)
+	}
 	if e.Remove {
 		return strings.TrimSpace("clear " + string(e.Table) + " " + e.Key)
 	}
@@ -56,7 +62,7 @@
 	return strings.Join(words, " ")
 }
 
-// Tables lists the tables, for help and completion.
+// Tables lists the tables that are declared by set, for help and completion.
 func Tables() []Table {
 	return []Table{TableModel, TableService, TableWorkspace, TableKind, TableCapacity, TableWeights}
 }
@@ -64,9 +70,9 @@
 // apply makes the edit to site and returns what is wrong with it.
 func (e Edit) apply(site *Site) []Fault {
 	if e.Replace != nil {
-		version, change := site.Version, site.Change
+		version, change, drains := site.Version, site.Change, site.Drains
 		*site = *clone(e.Replace)
-		site.Version, site.Change = version, change
+		site.Version, site.Change, site.Drains = version, change, drains
 		return nil
 	}
 	switch e.Table {
@@ -82,6 +88,8 @@
 		return editCapacity(e, site)
 	case TableWeights:
 		return assign(e, &site.Weights, weightsColumns)
+	case TableDrain:
+		return editDrain(e, site)
 	}
 	return []Fault{{Path: "table", Value: string(e.Table), Allowed: "one of " + joinTables()}}
 }
--- a/internal/config/manager.go
+++ b/internal/config/manager.go
@@ -21,6 +21,9 @@
 	Relay *relay.Relay
 	// Logger is slog.Default() when nil.
 	Logger *slog.Logger
+	// InForce is told of each version that comes in force, when not nil. Two calls
+	// may overlap, and the one with the later version may come first.
+	InForce func(*Site)
 }
 
 // Manager keeps the configuration in force on one node and changes it for operators.
@@ -91,6 +94,9 @@
 		}
 	}
 	m.options.Logger.Info("configuration in force", "version", d.Site.Version, "change", d.Site.Change)
+	if m.options.InForce != nil {
+		m.options.InForce(&d.Site)
+	}
 	select {
 	case m.changed <- struct{}{}:
 	default:
--- a/internal/config/rows.go
+++ b/internal/config/rows.go
@@ -150,5 +150,6 @@
 	out.Workspaces = slices.Clone(site.Workspaces)
 	out.Kinds = slices.Clone(site.Kinds)
 	out.Capacity = slices.Clone(site.Capacity)
+	out.Drains = slices.Clone(site.Drains)
 	return &out
 }
--- a/internal/config/site.go
+++ b/internal/config/site.go
@@ -20,6 +20,8 @@
 	Kinds      []Kind       `json:"kinds"`
 	Capacity   []Capacity   `json:"capacity"`
 	Weights    Weights      `json:"weights"`
+	// Drains are the hosts and upstreams that operators drain.
+	Drains []Drain `json:"drains,omitempty"`
 }
 
 // Model is a model that the site wants to run.
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -48,6 +48,7 @@
 	for _, row := range site.Capacity {
 		c.capacity(row)
 	}
+	c.drains(site.Drains)
 	c.number("weights/latency", site.Weights.Latency, 0, 1)
 	return c.faults
 }
--- /dev/null
+++ b/internal/fleet/declared_test.go
@@ -0,0 +1,39 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestDrainOutlivesMarks(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := &recorder{}
+	l := NewLeaving(r, func() time.Time { return now })
+	view := NewLeavingView(fixedView{{ID: "u1", Host: "h1", State: StateReady}}, l)
+	var told []Mark
+	l.OnMark(func(m Mark) { told = append(told, m) })
+
+	l.Declare(5, []Subject{{Host: "h1"}})
+	require.Equal(t, StateLeaving, view.Upstreams()[0].State)
+	require.NoError(t, l.MarkUpstream("u1", now, SourceAnswer))
+	now = now.Add(100 * MarkLife)
+	require.NoError(t, l.MarkUpstream("u9", now, SourceAnswer)) // has old marks dropped
+	require.Equal(t, StateLeaving, view.Upstreams()[0].State, "the drain ended with the mark")
+	_, err := l.Clear(Subject{Host: "h1"})
+	require.NoError(t, err)
+	require.Equal(t, StateLeaving, view.Upstreams()[0].State, "a mark taken back is no drain cleared")
+	require.Contains(t, l.Marks(), Mark{Subject: Subject{Host: "h1"}, At: time.Unix(1000, 0), Source: SourceDrain})
+
+	changes := l.Changes()
+	l.Declare(4, nil)
+	require.Equal(t, StateLeaving, view.Upstreams()[0].State, "an older version was taken")
+	l.Declare(6, []Subject{{Host: "h1"}})
+	require.Equal(t, changes, l.Changes(), "nothing changed")
+	l.Declare(7, nil)
+	require.Greater(t, l.Changes(), changes)
+	require.Equal(t, StateReady, view.Upstreams()[0].State)
+	require.Equal(t, []bool{false, false, false, true}, []bool{told[0].Cleared, told[1].Cleared, told[2].Cleared, told[3].Cleared})
+	require.Len(t, told, 4)
+}
--- a/internal/fleet/leaving.go
+++ b/internal/fleet/leaving.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -21,7 +22,8 @@
 // at whichever node it was learnt.
 //
 // Invariants: a mark made here is in force here when Mark returns; of one
-// subject the later mark wins on every node.
+// subject the later mark wins on every node; a drain that the configuration
+// declares ends with the configuration only, whatever marks of its subject come and go.
 //
 // Lock order: Leaving.mu is a leaf; nothing is spread and no callback runs while it is held.
 type Leaving struct {
@@ -31,9 +33,12 @@
 	// changes counts the marks that came into force or were cleared.
 	changes atomic.Uint64
 
-	mu     sync.RWMutex
-	marks  map[Subject]heldMark
-	onMark []func(Mark)
+	mu    sync.RWMutex
+	marks map[Subject]heldMark
+	// declared are the drains of the configuration, by its version declaredVersion.
+	declared        map[Subject]Mark
+	declaredVersion uint64
+	onMark          []func(Mark)
 }
 
 // heldMark is a mark with the time at which it ends, by this node's clock.
@@ -161,14 +166,18 @@
 
 // isLeaving needs l.mu.
 func (l *Leaving) isLeaving(u *Upstream, now time.Time) bool {
-	if m, ok := l.marks[Subject{Upstream: u.ID}]; ok && m.inForce(now) {
-		return true
+	for _, subject := range []Subject{{Upstream: u.ID}, {Host: u.Host}} {
+		if _, drained := l.declared[subject]; drained {
+			return true
+		}
+		if m, ok := l.marks[subject]; ok && m.inForce(now) {
+			return true
+		}
 	}
-	m, ok := l.marks[Subject{Host: u.Host}]
-	return ok && m.inForce(now)
+	return false
 }
 
-// Marks returns the marks in force, sorted by subject, for operators.
+// Marks returns the marks in force, drains among them, sorted by subject, for operators.
 func (l *Leaving) Marks() []Mark {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
@@ -179,6 +188,7 @@
 			out = append(out, m.Mark)
 		}
 	}
+	out = slices.AppendSeq(out, maps.Values(l.declared))
 	slices.SortFunc(out, func(a, b Mark) int { return strings.Compare(a.Subject.String(), b.Subject.String()) })
 	return out
 }
--- a/internal/fleet/leavingview.go
+++ b/internal/fleet/leavingview.go
@@ -20,7 +20,7 @@
 	all := v.upstreams.Upstreams()
 	v.leaving.mu.RLock()
 	defer v.leaving.mu.RUnlock()
-	if len(v.leaving.marks) == 0 {
+	if len(v.leaving.marks) == 0 && len(v.leaving.declared) == 0 {
 		return all
 	}
 	now := v.leaving.now()
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -44,9 +44,9 @@
 		Dialer: dialer,
 		Logger: n.logger,
 	})
-	c.manager = config.NewManager(config.ManagerOptions{Store: c.store, Relay: c.relay, Logger: n.logger})
 	c.registry = fleet.NewRegistry(c.store, c.relay, n.logger)
 	c.leaving = fleet.NewLeaving(n.members, time.Now)
+	c.manager = config.NewManager(config.ManagerOptions{Store: c.store, Relay: c.relay, Logger: n.logger, InForce: c.declareDrains})
 	operator.RecordMarks(n.journal, c.leaving, c.registry)
 	c.view = fleet.NewLeavingView(c.registry, c.leaving)
 	c.notices = newNotices(n, c.leaving)
@@ -66,6 +66,15 @@
 	}
 }
 
+// declareDrains puts the drains of a version of the configuration in force.
+func (c *control) declareDrains(site *config.Site) {
+	subjects := make([]fleet.Subject, 0, len(site.Drains))
+	for _, d := range site.Drains {
+		subjects = append(subjects, fleet.Subject{Upstream: d.Upstream, Host: d.Host})
+	}
+	c.leaving.Declare(site.Version, subjects)
+}
+
 // register offers the relay to other nodes.
 func (c *control) register(server *peer.Server) error {
 	return c.relay.Register(server)
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -18,7 +18,6 @@
 func newOperatorServer(n *Node, tokens *auth.Tokens) (*http.Server, error) {
 	local := &operator.NodeLocal{
 		Leaving: n.control.leaving,
-		Fleet:   n.control.view,
 		Poison:  n.guard.Registry(),
 		Stop:    n.requestDrain,
 		Now:     time.Now,
@@ -33,6 +32,7 @@
 		Explainer: explain.NewCollector(n.journal, n.members, n.peers),
 		Editor:    n.control.manager,
 		Orders:    operator.NewOrders(n.members, n.peers, n.orders),
+		Upstreams: n.control.view,
 		Dumper:    dumper{node: n},
 		Journal:   n.journal,
 	})
@@ -51,6 +51,7 @@
 	tables.ProvideRequests(registry, n.dispatcher.Records)
 	tables.ProvideConfiguration(registry, n.control.manager, n.control.view, n.staleReason)
 	tables.ProvideChanges(registry, n.control.manager.Recent, n.control.manager)
+	tables.ProvideDrains(registry, n.control.manager, n.control.view)
 	tables.ProvidePoison(registry, n.guard.Registry())
 	if n.control.capacity != nil {
 		tables.ProvideLeases(registry, map[string]tables.LeaseView{capacity.LeaseName: n.control.capacity.lease})
--- a/internal/operator/edit.go
+++ b/internal/operator/edit.go
@@ -23,8 +23,21 @@
 	return out
 }
 
-// removal returns the edit that removes an object, or false for what is no object of the configuration.
+// drainEdit returns the edit that a drain command asks for, or false for a drain
+// that is no part of the configuration.
+func drainEdit(in *query.Drain) (config.Edit, bool) {
+	if in.Kind.Text != query.KindHost && in.Kind.Text != query.KindUpstream {
+		return config.Edit{}, false
+	}
+	return config.Edit{Table: config.TableDrain, Key: in.Kind.Text + "/" + in.ID.Text}, true
+}
+
+// removal returns the edit that removes an object or a drain, or false for what is
+// no part of the configuration.
 func removal(in *query.Clear, schema query.Schema) (config.Edit, bool) {
+	if in.Kind.Text == query.KindDrain {
+		return config.Edit{Table: config.TableDrain, Key: in.ID.Text, Remove: true}, true
+	}
 	object, ok := schema.Object(in.Kind.Text)
 	if !ok || !object.Removable {
 		return config.Edit{}, false
--- a/internal/operator/interfaces.go
+++ b/internal/operator/interfaces.go
@@ -5,7 +5,6 @@
 
 	"mangoledge.example/mangoledge/internal/config"
 	"mangoledge.example/mangoledge/internal/explain"
-	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/query"
 )
 
@@ -30,13 +29,10 @@
 type Local interface {
 	// DrainNode begins the planned stop of this node and returns at once.
 	DrainNode(ctx context.Context) error
-	// DrainUpstream gives the upstream no new work; false when it is not known here.
-	DrainUpstream(id ident.Upstream) (bool, error)
-	// DrainHost gives the upstreams of the host no new work; false when none is known here.
-	DrainHost(id ident.Host) (bool, error)
 	// ClearPoison forgets a content that crashed upstreams; false when it is not known here.
 	ClearPoison(id string) (bool, error)
-	// ClearLeaving takes the drain of an upstream or host back; false when there is none here.
+	// ClearLeaving takes back that an upstream or host was learnt to be leaving; false when
+	// it was not. A drain stays.
 	ClearLeaving(id string) (bool, error)
 }
 
--- a/internal/operator/marks.go
+++ b/internal/operator/marks.go
@@ -11,6 +11,8 @@
 var (
 	markedLeaving = &explain.Decision{Name: "leaving", Sentence: "Gets no new work from now on, since it is leaving. How that was learnt: {source}."}
 	hostLeaving   = &explain.Decision{Name: "leaving", Sentence: "Gets no new work from now on, since its host {host} is leaving. How that was learnt: {source}."}
+	drained       = &explain.Decision{Name: "drained", Sentence: "Gets no new work from now on: an operator drains {subject}, until `clear drain {subject}`."}
+	drainCleared  = &explain.Decision{Name: "drain cleared", Sentence: "The drain of {subject} was cleared: it may get new work again, unless it is leaving for another reason."}
 	markCleared   = &explain.Decision{Name: "leaving cleared", Sentence: "May get new work again: an operator took back that it is leaving."}
 )
 
@@ -42,6 +44,10 @@
 	if !r.isNews(mark) {
 		return
 	}
+	if mark.Source == fleet.SourceDrain {
+		r.noteDrain(mark)
+		return
+	}
 	source := explain.Text("source", mark.Source)
 	decision := markedLeaving
 	if mark.Cleared {
@@ -60,6 +66,23 @@
 	}
 }
 
+// noteDrain notes a drain that came or went.
+func (r *markRecorder) noteDrain(mark fleet.Mark) {
+	decision := drained
+	if mark.Cleared {
+		decision = drainCleared
+	}
+	subject := explain.Text("subject", mark.Subject.String())
+	if mark.Subject.Upstream != "" {
+		r.journal.Record(explain.KindUpstream, string(mark.Subject.Upstream), decision, subject)
+		return
+	}
+	r.journal.Record(explain.KindHost, string(mark.Subject.Host), decision, subject)
+	for _, id := range r.upstreamsOf(mark.Subject.Host) {
+		r.journal.Record(explain.KindUpstream, string(id), decision, subject)
+	}
+}
+
 // isNews reports whether the mark says something else than the last one of its subject.
 func (r *markRecorder) isNews(mark fleet.Mark) bool {
 	note := markNote{source: mark.Source, cleared: mark.Cleared}
--- a/internal/operator/nodelocal.go
+++ b/internal/operator/nodelocal.go
@@ -15,7 +15,6 @@
 // NodeLocal carries orders out on a running node.
 type NodeLocal struct {
 	Leaving *fleet.Leaving
-	Fleet   fleet.View
 	Poison  *poison.Registry
 	// Stop begins the planned stop of the process and returns at once; doing it twice is harmless.
 	Stop func()
@@ -31,22 +30,6 @@
 	return nil
 }
 
-// DrainUpstream marks the upstream as leaving.
-func (l *NodeLocal) DrainUpstream(id ident.Upstream) (bool, error) {
-	if !l.has(func(u *fleet.Upstream) bool { return u.ID == id }) {
-		return false, nil
-	}
-	return true, l.Leaving.MarkUpstream(id, l.Now(), fleet.SourceOperator)
-}
-
-// DrainHost marks every upstream of the host as leaving.
-func (l *NodeLocal) DrainHost(id ident.Host) (bool, error) {
-	if !l.has(func(u *fleet.Upstream) bool { return u.Host == id }) {
-		return false, nil
-	}
-	return true, l.Leaving.MarkHost(id, l.Now(), fleet.SourceOperator)
-}
-
 // ClearPoison forgets the crashes of a content, named as in the table poison.
 func (l *NodeLocal) ClearPoison(id string) (bool, error) {
 	fingerprint, err := tables.ParsePoisonID(id)
@@ -62,13 +45,3 @@
 	host, hostErr := l.Leaving.Clear(fleet.Subject{Host: ident.Host(id)})
 	return upstream || host, errors.CombineErrors(err, hostErr)
 }
-
-func (l *NodeLocal) has(wanted func(*fleet.Upstream) bool) bool {
-	upstreams := l.Fleet.Upstreams()
-	for i := range upstreams {
-		if wanted(&upstreams[i]) {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/operator/orders.go
+++ b/internal/operator/orders.go
@@ -32,7 +32,7 @@
 	return &Orders{members: members, caller: caller, service: service}
 }
 
-// Drain drains a host, node or upstream.
+// Drain drains a node.
 func (o *Orders) Drain(ctx context.Context, kind, id string) Decision {
 	return o.carry(ctx, Order{Verb: "drain", Kind: kind, ID: id})
 }
@@ -107,7 +107,11 @@
 		return Decision{Outcome: OutcomeUnknown, Reason: fmt.Sprintf("done by %d nodes, no confirmation from %s", len(found), strings.Join(silent, ", "))}
 	}
 	if len(found) == 0 {
-		return Decision{Outcome: OutcomeRefused, Reason: fmt.Sprintf("no node knows %s %q; see `show %s`", order.Kind, order.ID, tableOf(order))}
+		reason := fmt.Sprintf("no node knows %s %q; see `show %s`", order.Kind, order.ID, tableOf(order))
+		if order.Kind == kindLeaving {
+			reason += "; a drain is taken back by `clear drain`, see `show drains`"
+		}
+		return Decision{Outcome: OutcomeRefused, Reason: reason}
 	}
 	reason := fmt.Sprintf("%s %s %s: done by %d of %d nodes", order.Verb, order.Kind, order.ID, len(found), len(answers))
 	if len(found) < len(answers) {
@@ -120,8 +124,6 @@
 	switch order.Kind {
 	case kindNode:
 		return "nodes"
-	case kindHost:
-		return "hosts"
 	case kindPoison:
 		return "poison"
 	}
--- a/internal/operator/orderservice.go
+++ b/internal/operator/orderservice.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 
-	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/peer"
 	"mangoledge.example/mangoledge/internal/verdict"
 )
@@ -13,11 +12,9 @@
 
 // What orders may be about.
 const (
-	kindNode     = "node"
-	kindHost     = "host"
-	kindUpstream = "upstream"
-	kindPoison   = "poison"
-	kindLeaving  = "leaving"
+	kindNode    = "node"
+	kindPoison  = "poison"
+	kindLeaving = "leaving"
 )
 
 // Order is a drain or clear for one node to carry out.
@@ -54,10 +51,6 @@
 	switch order.Verb + " " + order.Kind {
 	case "drain " + kindNode:
 		return true, s.local.DrainNode(context.Background())
-	case "drain " + kindHost:
-		return s.local.DrainHost(ident.Host(order.ID))
-	case "drain " + kindUpstream:
-		return s.local.DrainUpstream(ident.Upstream(order.ID))
 	case "clear " + kindPoison:
 		return s.local.ClearPoison(order.ID)
 	case "clear " + kindLeaving:
--- a/internal/operator/runner.go
+++ b/internal/operator/runner.go
@@ -10,6 +10,7 @@
 
 	"mangoledge.example/mangoledge/internal/config"
 	"mangoledge.example/mangoledge/internal/explain"
+	"mangoledge.example/mangoledge/internal/fleet"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/query"
 	"mangoledge.example/mangoledge/internal/texttable"
@@ -24,6 +25,8 @@
 	Explainer Explainer
 	Editor    Editor
 	Orders    *Orders
+	// Upstreams are those that this node knows of.
+	Upstreams fleet.View
 	Dumper    Dumper
 	// Journal notes each change, for explain.
 	Journal *explain.Journal
@@ -165,7 +168,13 @@
 	switch {
 	case command.Set != nil:
 		return r.edit(ctx, in, setEdit(command.Set))
-	case command.Drain != nil && r.options.Orders != nil:
+	case command.Drain != nil:
+		if edit, ok := drainEdit(command.Drain); ok {
+			return r.drain(ctx, in, edit)
+		}
+		if r.options.Orders == nil {
+			return Decision{}, ErrNotAvailable
+		}
 		return r.options.Orders.Drain(ctx, command.Drain.Kind.Text, command.Drain.ID.Text), nil
 	case command.Clear != nil:
 		if edit, ok := removal(command.Clear, r.options.Schema); ok {
--- a/internal/query/ast.go
+++ b/internal/query/ast.go
@@ -6,6 +6,7 @@
 //	set <object> <name> <key>=<value> ...
 //	drain host|node|upstream <id>
 //	clear poison|leaving|<object> <id>
+//	clear drain host/<id>|upstream/<id>
 //	dump
 //
 // Invariants: parsing and checking need nothing but the text and the schema;
--- a/internal/query/check.go
+++ b/internal/query/check.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strconv"
+	"strings"
 )
 
 // check finds what the grammar lets through: unknown names and values of the wrong type.
@@ -17,7 +18,21 @@
 	case c.Drain != nil:
 		return checkKind(c.Drain.Kind, DrainKinds)
 	case c.Clear != nil:
-		return checkKind(c.Clear.Kind, s.ClearKinds())
+		return s.checkClear(c.Clear)
+	}
+	return nil
+}
+
+func (s Schema) checkClear(c *Clear) error {
+	if err := checkKind(c.Kind, s.ClearKinds()); err != nil {
+		return err
+	}
+	if c.Kind.Text != KindDrain {
+		return nil
+	}
+	kind, id, _ := strings.Cut(c.ID.Text, "/")
+	if id == "" || (kind != KindHost && kind != KindUpstream) {
+		return wrong(c.ID, "host/<id> or upstream/<id>, as in `show drains`")
 	}
 	return nil
 }
--- a/internal/query/schema.go
+++ b/internal/query/schema.go
@@ -62,7 +62,16 @@
 var (
 	ExplainKinds = []string{"request", "upstream", "host", "change"}
 	DrainKinds   = []string{"host", "node", "upstream"}
-	clearNotes   = []string{"poison", "leaving"}
+	clearNotes   = []string{"poison", "leaving", KindDrain}
+)
+
+// Words of drain and clear.
+const (
+	// KindDrain is what clear calls a drain.
+	KindDrain = "drain"
+	// KindHost and KindUpstream are what drain may be told to keep new work from.
+	KindHost     = "host"
+	KindUpstream = "upstream"
 )
 
 // ClearKinds returns what clear may be given: what the system has noted, and objects.
--- a/internal/tables/rows.go
+++ b/internal/tables/rows.go
@@ -117,6 +117,13 @@
 	ClearedAt string `column:"clearedAt" doc:"when an operator cleared it last, UTC"`
 }
 
+// Drain is a row of the table drains.
+type Drain struct {
+	ID        string `column:"id" doc:"what is drained, host/<id> or upstream/<id>"`
+	Change    string `column:"change" doc:"the change that asked for it"`
+	Upstreams int    `column:"upstreams" doc:"upstreams that it keeps new work from, as this node knows"`
+}
+
 // Host is a row of the table hosts.
 type Host struct {
 	ID            string  `column:"id" doc:"the platform's name"`
--- a/internal/tables/schema.go
+++ b/internal/tables/schema.go
@@ -30,6 +30,7 @@
 	{"capacity", "capacity to pay for", reflect.TypeFor[Capacity]()},
 	{"config", "the configuration in force on this node", reflect.TypeFor[Config]()},
 	{"leases", "leases and their holders", reflect.TypeFor[Lease]()},
+	{"drains", "hosts and upstreams that operators drain, until they clear it", reflect.TypeFor[Drain]()},
 	{"poison", "content that crashed upstreams", reflect.TypeFor[Poison]()},
 	{"hosts", "hosts of upstreams", reflect.TypeFor[Host]()},
 	{"changes", "changes of configuration that this node has seen", reflect.TypeFor[Change]()},
--- a/internal/tables/sources.go
+++ b/internal/tables/sources.go
@@ -155,6 +155,31 @@
 	})
 }
 
+// ProvideDrains fills the table drains.
+func ProvideDrains(r *Registry, view config.View, upstreams fleet.View) {
+	Provide(r, func(context.Context) ([]Drain, error) {
+		site := view.Current()
+		if site == nil {
+			return nil, nil
+		}
+		return rowsOf(site.Drains, func(d config.Drain) Drain {
+			return Drain{ID: d.Key(), Change: string(d.Change), Upstreams: DrainedBy(upstreams, &d)}
+		}), nil
+	})
+}
+
+// DrainedBy counts the upstreams that a drain is about.
+func DrainedBy(view fleet.View, drain *config.Drain) int {
+	n := 0
+	upstreams := view.Upstreams()
+	for i := range upstreams {
+		if drain.Covers(upstreams[i].Host, upstreams[i].ID) {
+			n++
+		}
+	}
+	return n
+}
+
 func rowsOf[In, Out any](in []In, row func(In) Out) []Out {
 	out := make([]Out, 0, len(in))
 	for _, one := range in {
