The reconciler honours drains: replaced first, ended then

Cause: a drained host counted as a replica, so its model stayed short of one for as long as the drain lasted.

Change: a drained host is no replica but is paid for; its replacement is started, and it leaves once its model has its declared number ready without it. Until then clear drain brings it back.

Conclusion: the operator's drain is honoured without losing capacity for it.

--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -46,6 +46,7 @@
 func Plan(in Inputs) []*Ledger {
 	p := newPlanner(in)
 	p.followCloud()
+	p.followDrains()
 	p.adoptStrays()
 	p.dropUndeclared()
 	for _, model := range p.modelsByPriority() {
@@ -53,6 +54,7 @@
 		p.shrink(model)
 		p.grow(model)
 		p.economize(model)
+		p.releaseDrained(model)
 	}
 	return p.ledgers
 }
@@ -62,6 +64,8 @@
 	in      Inputs
 	ledgers []*Ledger
 	hosts   map[string]cloud.Host
+	// drained are the tokens of the intents whose host an operator drains.
+	drained map[string]bool
 	// added counts the new intents.
 	added int
 }
@@ -172,11 +176,11 @@
 	return out
 }
 
-// staying returns the intents of a model that do not leave.
+// staying returns the intents of a model that neither leave nor are drained.
 func (p *planner) staying(model ident.Model) []*Intent {
 	var out []*Intent
 	p.intents(func(i *Intent) {
-		if i.Model == model && i.Phase != PhaseLeaving {
+		if i.Model == model && i.Phase != PhaseLeaving && !p.drained[i.Token] {
 			out = append(out, i)
 		}
 	})
--- a/internal/capacity/publish.go
+++ b/internal/capacity/publish.go
@@ -43,6 +43,11 @@
 
 func isManaged(u fleet.Upstream) bool { return strings.HasPrefix(string(u.ID), upstreamPrefix) }
 
+// upstreamOf returns the ID of the upstream on a host.
+func upstreamOf(host ident.Host) ident.Upstream {
+	return ident.Upstream(upstreamPrefix + string(host))
+}
+
 // sameListing compares what a ledger decides about an upstream.
 func sameListing(a, b fleet.Upstream) bool {
 	return a.ID == b.ID && a.URL == b.URL && a.State == b.State &&
@@ -63,7 +68,7 @@
 }
 
 func (r *Reconciler) upstream(ctx context.Context, i Intent, listed []fleet.Upstream) fleet.Upstream {
-	id := ident.Upstream(upstreamPrefix + string(i.Host))
+	id := upstreamOf(i.Host)
 	state := fleet.StateReady
 	if i.Phase == PhaseLeaving {
 		state = fleet.StateLeaving
