Change IDs are remembered beyond the 256 that the document lists

Who finds a change in neither asks the archive after it heard of the version. An archived change is accepted with its version or refused for another command; a base version long gone is a conflict, no longer unknown. A full archive object forgets its oldest and then says unknown. Summaries are cut at 256 bytes, and a document beyond 1 MB is refused.

--- /dev/null
+++ b/internal/config/archive_test.go
@@ -0,0 +1,248 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/platform/objects"
+)
+
+const (
+	// narrowWindow is how many changes documents keep in tests of the archive.
+	narrowWindow = 4
+	// archiveOperators send changes at the same time, each some of them again later.
+	archiveOperators = 4
+	archiveChanges   = 15
+)
+
+// narrowCluster keeps few changes in the document.
+func narrowCluster(t *testing.T, nodes int) *cluster {
+	c := newCluster(t, 0, 1)
+	c.window = narrowWindow
+	for i := range nodes {
+		c.start(ident.Node(fmt.Sprintf("n%d", i)), ident.FailureDomain(fmt.Sprintf("d%d", i%2)))
+	}
+	return c
+}
+
+// accept proposes until the change is accepted.
+func accept(t *testing.T, c *cluster, p Proposal) Outcome {
+	t.Helper()
+	for i := range 20 {
+		outcome := c.nodes[i%len(c.nodes)].propose(t, p)
+		if outcome.Kind != OutcomeUnknown {
+			require.Equal(t, OutcomeAccepted, outcome.Kind, "%+v", outcome)
+			return outcome
+		}
+	}
+	t.Fatal("the outcome stays unknown")
+	return Outcome{}
+}
+
+// made returns the version that a change made, as the document or the archive has
+// it, or 0 when it was never made.
+func made(t *testing.T, n *testNode, change ident.Change) uint64 {
+	t.Helper()
+	d, err := n.manager.readCurrent(t.Context())
+	require.NoError(t, err)
+	if i := d.find(change); i >= 0 {
+		return d.versionOf(i)
+	}
+	b, err := n.manager.archive.read(t.Context(), bucketOf(change))
+	require.NoError(t, err)
+	if found := b.find(change); found != nil {
+		return found.Version
+	}
+	return 0
+}
+
+func TestChangeSentAgainLongAfterItWasDroppedIsNotMadeTwice(t *testing.T) {
+	c := narrowCluster(t, 2)
+	first := accept(t, c, setReplicas("first", 0, 1))
+	for i := range 10 * narrowWindow {
+		accept(t, c, setReplicas(fmt.Sprint("c", i), 0, 100+i))
+	}
+	d, err := c.nodes[0].manager.readCurrent(t.Context())
+	require.NoError(t, err)
+	require.True(t, d.Dropped)
+	require.Less(t, d.find("first"), 0, "the document still has it")
+	require.LessOrEqual(t, len(d.Recent), maxWindows*narrowWindow)
+
+	again := c.nodes[1].propose(t, setReplicas("first", 0, 1))
+	require.Equal(t, first, again)
+	other := c.nodes[0].propose(t, setReplicas("first", 0, 2))
+	require.Equal(t, OutcomeRefused, other.Kind, "one ID for two changes: %+v", other)
+	late := c.nodes[0].propose(t, setReplicas("late", first.Version, 2))
+	require.Equal(t, OutcomeConflict, late.Kind, "%+v", late)
+	require.Contains(t, late.Reason, "only the latest")
+	fresh := c.nodes[0].propose(t, setReplicas("never seen", 0, 7))
+	require.Equal(t, OutcomeRefused, fresh.Kind, "no ID: %+v", fresh)
+	require.Equal(t, OutcomeAccepted, c.nodes[0].propose(t, setReplicas("fresh", 0, 7)).Kind)
+	after, err := c.nodes[0].manager.readCurrent(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, d.Site.Version, after.Recent[len(after.Recent)-1].Base, "one change was made since")
+	require.Equal(t, 7, after.Site.Models[0].Replicas)
+}
+
+func TestChangesSentAgainUnderFaultsAreMadeOnce(t *testing.T) {
+	c := narrowCluster(t, 3)
+	storeFaults(c.platform)
+	stop := make(chan struct{})
+	var operating, watching sync.WaitGroup
+	bases := make([]map[ident.Change]uint64, len(c.nodes))
+	for i, n := range c.nodes {
+		watching.Go(func() { bases[i] = observeBases(t, n, stop) })
+	}
+	outcomes := make([]map[ident.Change]Outcome, archiveOperators)
+	for o := range archiveOperators {
+		operating.Go(func() { outcomes[o] = resend(t, c, o) })
+	}
+	operating.Wait()
+	c.platform.ClearFaults()
+	close(stop)
+	watching.Wait()
+
+	versions := make(map[uint64]ident.Change)
+	accepted := 0
+	for o := range archiveOperators {
+		for i := range archiveChanges {
+			change := ident.Change(fmt.Sprintf("o%d-%d", o, i))
+			version := made(t, c.nodes[0], change)
+			if told, ok := outcomes[o][change]; ok {
+				accepted++
+				require.Equal(t, told.Version, version, "%s was told accepted", change)
+			}
+			if version == 0 {
+				continue
+			}
+			require.Empty(t, versions[version], "%s made the same version", change)
+			versions[version] = change
+		}
+	}
+	d, err := c.nodes[0].manager.readCurrent(t.Context())
+	require.NoError(t, err)
+	require.True(t, d.Dropped)
+	seen := make(map[ident.Change]uint64)
+	for _, listed := range bases {
+		for change, base := range listed {
+			before, known := seen[change]
+			require.True(t, !known || before == base, "%s was made twice", change)
+			seen[change] = base
+		}
+	}
+	require.Greater(t, 2*len(seen), len(versions), "too few changes were watched")
+	t.Logf("%d of %d changes accepted, %d versions", accepted, archiveOperators*archiveChanges, len(versions))
+	require.Positive(t, accepted)
+}
+
+// observeBases notes on which version each change was made that a node lists until stop.
+func observeBases(t *testing.T, n *testNode, stop <-chan struct{}) map[ident.Change]uint64 {
+	out := make(map[ident.Change]uint64)
+	for {
+		for _, r := range n.manager.Recent() {
+			if base, known := out[r.Change]; known && base != r.Base {
+				t.Errorf("%s was made on %d and on %d", r.Change, base, r.Base)
+			}
+			out[r.Change] = r.Base
+		}
+		select {
+		case <-stop:
+			return out
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
+// resend sends changes and, now and then, one of those before again; it returns what
+// was told accepted, which must never be told otherwise later.
+func resend(t *testing.T, c *cluster, operator int) map[ident.Change]Outcome {
+	random := rand.New(rand.NewPCG(7, uint64(operator)))
+	told := make(map[ident.Change]Outcome)
+	for i := range archiveChanges {
+		for _, k := range []int{i, random.IntN(i + 1)} {
+			p := setReplicas(fmt.Sprintf("o%d-%d", operator, k), 0, 100*operator+k)
+			ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+			outcome, err := c.nodes[random.IntN(len(c.nodes))].manager.Propose(ctx, p)
+			cancel()
+			if err != nil || outcome.Kind == OutcomeUnknown {
+				continue
+			}
+			before, ok := told[p.Change]
+			if outcome.Kind != OutcomeAccepted || (ok && before.Version != outcome.Version) {
+				t.Errorf("%s was told %+v, and before that %+v", p.Change, outcome, before)
+			}
+			told[p.Change] = outcome
+		}
+	}
+	return told
+}
+
+func TestFullBucketForgetsItsOldestAndSaysSo(t *testing.T) {
+	b := &bucket{}
+	longest := func(i int) ident.Change { return ident.Change(fmt.Sprintf("%064d", i)) }
+	for i := range maxBucketChanges {
+		b.Changes = append(b.Changes, archivedChange{Change: longest(i), Digest: 1<<64 - 1, Version: 1 << 40})
+	}
+	object, err := encodeBucket("changes-000", b)
+	require.NoError(t, err)
+	require.Less(t, len(object.Spec), MaxDocumentBytes)
+	full := b.with(archivedChange{Change: "next"})
+	require.Len(t, full.Changes, maxBucketChanges)
+	require.True(t, full.Forgot)
+	require.Nil(t, full.find(longest(0)))
+	require.NotNil(t, full.find("next"))
+	require.False(t, b.Forgot, "the bucket itself is left alone")
+	require.Less(t, MaxDocumentBytes, objects.MaxObjectBytes)
+}
+
+func TestDocumentThatTheStoreCannotHoldIsRefused(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	site := &Site{}
+	for i := range 20000 {
+		site.Workspaces = append(site.Workspaces, Workspace{Name: ident.Workspace(fmt.Sprintf("w%060d", i)), Share: 1})
+	}
+	refused := c.nodes[0].propose(t, Proposal{Change: "c1", Edits: []Edit{{Replace: site}}})
+	require.Equal(t, OutcomeRefused, refused.Kind, "%+v", refused)
+	require.Equal(t, "site", refused.Faults[0].Path)
+}
+
+// BenchmarkBeyondTheWindow measures the store calls of a change, without and with a
+// base version, when the document has dropped older ones.
+func BenchmarkBeyondTheWindow(b *testing.B) {
+	for _, based := range []bool{false, true} {
+		b.Run(fmt.Sprintf("based=%t", based), func(b *testing.B) {
+			c := newCluster(b, 0, 1)
+			c.window = narrowWindow
+			n := c.start("n0", "d0")
+			version := uint64(0)
+			made := 0
+			change := func() {
+				made++
+				p := setReplicas(fmt.Sprint("c", made), 0, made%100)
+				if based {
+					p.BaseVersion = version
+				}
+				outcome := n.propose(b, p)
+				require.Equal(b, OutcomeAccepted, outcome.Kind, "%+v", outcome)
+				version = outcome.Version
+				n.waitVersion(b, version)
+				require.Eventually(b, func() bool { return !n.manager.archiving.Load() }, ample, time.Millisecond)
+			}
+			for range 4 * narrowWindow {
+				change()
+			}
+			before := n.store.Budget().Calls()
+			for b.Loop() {
+				change()
+			}
+			b.ReportMetric(float64(n.store.Budget().Calls()-before)/float64(b.N), "storecalls/change")
+		})
+	}
+}
--- a/internal/config/decide.go
+++ b/internal/config/decide.go
@@ -1,6 +1,9 @@
 package config
 
-import "slices"
+import (
+	"encoding/json"
+	"strconv"
+)
 
 // writeAnswer is what the store said to the conditional write of a proposal.
 type writeAnswer uint8
@@ -18,25 +21,17 @@
 )
 
 // step is what to do next with a proposal: report outcome, read the document
-// again, or write next over version base.
+// again, ask the archive for the change, put another change into the archive, or
+// write next over version base.
 type step struct {
 	outcome *Outcome
 	reread  bool
+	search  bool
+	archive *archivedChange
 	next    *Document
 	base    uint64
 }
 
-// attempt is a proposal on its way. Its methods are pure.
-type attempt struct {
-	proposal *Proposal
-	// current is the latest document that was heard of, or nil for none.
-	current *Document
-	// known is true when current came with an answer to a conditional write, which is never old.
-	known bool
-	// sent are the versions that the proposal was written over without an answer.
-	sent []uint64
-}
-
 // next says what to do now.
 func (a *attempt) next() step {
 	current := a.current
@@ -47,6 +42,9 @@
 	if i := current.find(p.Change); i >= 0 {
 		return decideKnown(current, p, i)
 	}
+	if a.search != nil && a.search.found != nil {
+		return decideArchived(p, a.search.found)
+	}
 	version := current.Site.Version
 	if version < p.BaseVersion {
 		return step{reread: true} // what was heard of is older than what the operator saw
@@ -55,49 +53,24 @@
 		if version < base {
 			return step{reread: true}
 		}
-		if version > base && !current.reaches(base) {
-			return report(Outcome{Kind: OutcomeUnknown, Change: p.Change, Reason: "too many changes were made since it was sent"})
-		}
+	}
+	if !a.isSettled(current) {
+		return step{search: true}
+	}
+	if a.search != nil && a.search.forgot && (p.BaseVersion == 0 || !current.reaches(p.BaseVersion)) {
+		return report(Outcome{Kind: OutcomeUnknown, Change: p.Change, Reason: "the oldest changes are forgotten, and it may be one of them; a new command with --base-version can be told"})
 	}
 	if p.BaseVersion != 0 && p.BaseVersion != version {
-		if !current.reaches(p.BaseVersion) {
-			return report(Outcome{Kind: OutcomeUnknown, Change: p.Change, Reason: "too many changes were made since its base version"})
-		}
-		return report(Outcome{Kind: OutcomeConflict, Change: p.Change, Won: current.since(p.BaseVersion)})
+		return report(conflict(current, p))
 	}
 	// A write over a version that it was already sent over is the same write again.
-	s := build(current, p)
+	s := a.build(current)
 	if s.outcome != nil && !a.known {
 		return step{reread: true} // an older document may refuse what a later one has already taken
 	}
 	return s
 }
 
-// learned takes in the document as the store has it now; nil for none.
-func (a *attempt) learned(d *Document) {
-	a.known = true
-	a.heard(d)
-}
-
-// heard takes in a document; what is older than one heard before is dropped.
-func (a *attempt) heard(d *Document) {
-	if d == nil || (a.current != nil && d.Site.Version < a.current.Site.Version) {
-		return
-	}
-	a.current = d
-}
-
-// wrote takes in the store's answer to a write over base; told is the document
-// that the answer carried, or nil.
-func (a *attempt) wrote(answer writeAnswer, base uint64, told *Document) {
-	if answer == writeLost && !slices.Contains(a.sent, base) {
-		a.sent = append(a.sent, base)
-	}
-	if told != nil {
-		a.learned(told)
-	}
-}
-
 // giveUp is what the operator may be told when there is no time left. The last
 // answer may have come just in time, and decides when it does. Otherwise the
 // outcome is unknown even if nothing was sent from here: the same change may have
@@ -118,8 +91,28 @@
 	return report(Outcome{Kind: OutcomeAccepted, Change: p.Change, Version: current.versionOf(i)})
 }
 
-// build makes the document that the proposal asks for.
-func build(current *Document, p *Proposal) step {
+// decideArchived answers for a change that is in the archive.
+func decideArchived(p *Proposal, found *archivedChange) step {
+	if found.Digest != p.digest() {
+		fault := Fault{Path: "change", Value: string(p.Change), Allowed: "a new ID; another command under it made version " + strconv.FormatUint(found.Version, 10)}
+		return report(Outcome{Kind: OutcomeRefused, Change: p.Change, Faults: []Fault{fault}})
+	}
+	return report(Outcome{Kind: OutcomeAccepted, Change: p.Change, Version: found.Version})
+}
+
+// conflict names the changes that came first, as far as current lists them.
+func conflict(current *Document, p *Proposal) Outcome {
+	out := Outcome{Kind: OutcomeConflict, Change: p.Change, Won: current.since(p.BaseVersion)}
+	if !current.reaches(p.BaseVersion) {
+		out.Reason = "only the latest of the changes that came first are listed"
+	}
+	return out
+}
+
+// build makes the document that the proposal asks for, without the oldest changes
+// that the archive has. When too many are not there yet, the oldest is to go there first.
+func (a *attempt) build(current *Document) step {
+	p := a.proposal
 	site := clone(&current.Site)
 	var faults []Fault
 	for _, e := range p.Edits {
@@ -133,12 +126,29 @@
 	}
 	site.Change = p.Change
 	nameDrains(site, p.Change)
-	recent := append([]ChangeRecord(nil), current.Recent...)
-	recent = append(recent, ChangeRecord{Change: p.Change, Base: current.Site.Version, Digest: p.digest(), Summary: p.summary()})
-	if len(recent) > MaxRecentChanges {
-		recent = recent[len(recent)-MaxRecentChanges:]
+	next := &Document{Site: *site, Dropped: current.Dropped}
+	next.Recent = append(next.Recent, current.Recent...)
+	next.Recent = append(next.Recent, ChangeRecord{Change: p.Change, Base: current.Site.Version, Digest: p.digest(), Summary: p.summary()})
+	for len(next.Recent) > a.window && a.archived[next.Recent[0].Change] {
+		next.Recent, next.Dropped = next.Recent[1:], true
+	}
+	if len(next.Recent) > maxWindows*a.window {
+		oldest := next.archivable(0)
+		return step{archive: &oldest}
+	}
+	if fault := tooLarge(next); fault != nil {
+		return report(Outcome{Kind: OutcomeRefused, Change: p.Change, Faults: []Fault{*fault}})
+	}
+	return step{next: next, base: current.Site.Version}
+}
+
+// tooLarge returns a fault when the store can't hold a document.
+func tooLarge(d *Document) *Fault {
+	data, err := json.Marshal(d)
+	if err == nil && len(data) <= MaxDocumentBytes {
+		return nil
 	}
-	return step{next: &Document{Site: *site, Recent: recent}, base: current.Site.Version}
+	return &Fault{Path: "site", Value: strconv.Itoa(len(data)) + " bytes", Allowed: "a configuration of at most " + strconv.Itoa(MaxDocumentBytes) + " bytes"}
 }
 
 // everRefused returns what is wrong with a proposal whatever the document is.
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -15,8 +15,14 @@
 	SiteKind objects.Kind = "sites"
 	// SiteName is the name of the one object of that kind.
 	SiteName = "site"
-	// MaxRecentChanges is how many changes a document remembers.
+	// MaxRecentChanges is how many changes a document keeps; the archive has those before.
 	MaxRecentChanges = 256
+	// maxWindows is how many times as many it keeps while the archive lacks them.
+	maxWindows = 4
+	// MaxDocumentBytes is the largest encoded document; the store holds a little more.
+	MaxDocumentBytes = 1_000_000
+	// maxSummaryBytes is how much of a change's summary is kept.
+	maxSummaryBytes = 256
 )
 
 // ChangeRecord remembers a change that was accepted.
@@ -35,6 +41,8 @@
 	Site Site `json:"site"`
 	// Recent are the latest changes, oldest first; the last made this version.
 	Recent []ChangeRecord `json:"recent"`
+	// Dropped is true when earlier changes were dropped from Recent. The archive has them.
+	Dropped bool `json:"dropped,omitempty"`
 }
 
 // find returns the index of a change in Recent, or -1.
@@ -62,7 +70,14 @@
 
 // reaches reports whether Recent holds every change made on version base or later ones.
 func (d *Document) reaches(base uint64) bool {
-	return len(d.Recent) < MaxRecentChanges || d.Recent[0].Base <= base
+	return !d.Dropped || d.Recent[0].Base <= base
+}
+
+// archivable returns the change at index i of Recent as the archive keeps it; it is
+// not the last one.
+func (d *Document) archivable(i int) archivedChange {
+	r := d.Recent[i]
+	return archivedChange{Change: r.Change, Digest: r.Digest, Version: d.Recent[i+1].Base}
 }
 
 // encodeDocument makes the object that replaces version base by d.
--- a/internal/config/manager.go
+++ b/internal/config/manager.go
@@ -4,9 +4,11 @@
 	"context"
 	"log/slog"
 	"math"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/platform/objects"
 	"mangoledge.example/mangoledge/internal/relay"
 )
@@ -24,14 +26,26 @@
 	// InForce is told of each version that comes in force, when not nil. Two calls
 	// may overlap, and the one with the later version may come first.
 	InForce func(*Site)
+	// Window is how many changes the document keeps once the archive has those
+	// before; MaxRecentChanges when 0. It need not be the same on every node.
+	Window int
 }
 
 // Manager keeps the configuration in force on one node and changes it for operators.
 // It is a View.
+//
+// Lock order: mu is a leaf.
 type Manager struct {
 	options  ManagerOptions
+	archive  archive
 	document atomic.Pointer[Document]
 	changed  chan struct{}
+	// archiving is true while changes are put into the archive.
+	archiving atomic.Bool
+
+	mu sync.Mutex
+	// archived are changes of the document that the archive has.
+	archived map[ident.Change]bool
 }
 
 // NewManager returns a manager that hears of configuration by the relay.
@@ -39,7 +53,10 @@
 	if options.Logger == nil {
 		options.Logger = slog.Default()
 	}
-	m := &Manager{options: options, changed: make(chan struct{}, 1)}
+	if options.Window == 0 {
+		options.Window = MaxRecentChanges
+	}
+	m := &Manager{options: options, archive: archive{store: options.Store}, changed: make(chan struct{}, 1)}
 	options.Relay.Subscribe(SiteKind, m.apply)
 	return m
 }
--- a/internal/config/proposal.go
+++ b/internal/config/proposal.go
@@ -30,11 +30,15 @@
 	return xxhash.Sum64(data)
 }
 
-// summary says what is proposed, in the operators' language.
+// summary says what is proposed, in the operators' language, shortened when it is long.
 func (p *Proposal) summary() string {
 	parts := make([]string, 0, len(p.Edits))
 	for _, e := range p.Edits {
 		parts = append(parts, e.String())
 	}
-	return strings.Join(parts, "; ")
+	all := strings.Join(parts, "; ")
+	if len(all) <= maxSummaryBytes {
+		return all
+	}
+	return strings.ToValidUTF8(all[:maxSummaryBytes], "") + "…"
 }
--- a/internal/config/propose.go
+++ b/internal/config/propose.go
@@ -30,7 +30,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	outcome := m.negotiate(ctx, &attempt{proposal: &p, current: m.document.Load()})
+	outcome := m.negotiate(ctx, &attempt{proposal: &p, window: m.options.Window, current: m.document.Load(), archived: m.knownArchived()})
+	if outcome.Kind == OutcomeAccepted {
+		m.archiveSoon()
+	}
 	m.options.Logger.Info("change proposed", "change", p.Change, "outcome", outcome.Kind, "version", outcome.Version)
 	return outcome, nil
 }
@@ -43,15 +46,7 @@
 		if s.outcome != nil {
 			return *s.outcome
 		}
-		var err error
-		if s.reread {
-			var d *Document
-			if d, err = m.readCurrent(ctx); err == nil {
-				a.learned(d)
-			}
-		} else {
-			err = m.write(ctx, a, s)
-		}
+		err := m.take(ctx, a, s)
 		if err != nil {
 			reason = err.Error()
 		}
@@ -62,6 +57,32 @@
 	return a.giveUp(reason)
 }
 
+// take takes one step; an error is one to try again after.
+func (m *Manager) take(ctx context.Context, a *attempt, s step) error {
+	switch {
+	case s.reread:
+		d, err := m.readCurrent(ctx)
+		if err == nil {
+			a.learned(d)
+		}
+		return err
+	case s.search:
+		at := a.current.Site.Version
+		b, err := m.archive.read(ctx, bucketOf(a.proposal.Change))
+		if err == nil {
+			a.searched(at, b)
+		}
+		return err
+	case s.archive != nil:
+		err := m.keep(ctx, *s.archive)
+		if err == nil {
+			a.keptInArchive(s.archive.Change)
+		}
+		return err
+	}
+	return m.write(ctx, a, s)
+}
+
 // write makes the conditional write of a step; an error is one to try again after.
 func (m *Manager) write(ctx context.Context, a *attempt, s step) error {
 	object, err := encodeDocument(s.next, s.base)
