Urgent models take running hosts; a roll-out that waits is told

Cause: a model of high priority only came first when hosts were started, so it had nothing when starts were refused; a version waited for a spare host in silence.

Change: a model that gets no host by a start takes one of the least urgent model. The host gets no new work, and the next model is loaded when its engine is idle, however long that takes; it is given back when it is not wanted any more. The last ready replica is taken only for a model that has none. Where engines ignore fencing numbers only the holder that started a host may take it, since a late order of another could load the old model over the new one. show rollouts and explain model tell of versions on their way, and of those that wait.

--- a/internal/capacity/act.go
+++ b/internal/capacity/act.go
@@ -82,6 +82,8 @@
 		return r.start(ctx, i)
 	case PhaseLoading, PhaseReady:
 		err = r.load(ctx, site, i)
+	case PhaseMoving:
+		r.move(ctx, site, i)
 	case PhaseLeaving:
 		err = r.end(ctx, i)
 	}
@@ -186,6 +188,24 @@
 	return nil
 }
 
+// move gives a host that is empty to its next model, which is loaded once that is
+// written down. It waits for as long as there is work, so that nothing is cut off.
+func (r *Reconciler) move(ctx context.Context, site *config.Site, i *Intent) {
+	at := slices.IndexFunc(site.Models, func(m config.Model) bool { return m.Name == i.Next })
+	since := r.options.Clock().Sub(time.UnixMilli(i.LeavingSinceMs))
+	if at < 0 || since < minDrain || !r.idle(ctx, i) {
+		return
+	}
+	i.Model, i.Version, i.Next = i.Next, site.Models[at].Version, ""
+	i.Phase, i.Loaded, i.LeavingSinceMs = PhaseLoading, nil, 0
+}
+
+// idle reports whether the engine of a host says that it has no work.
+func (r *Reconciler) idle(ctx context.Context, i *Intent) bool {
+	status, err := r.options.Engines.Status(ctx, i.Address)
+	return err == nil && status.Running == 0 && status.Waiting == 0
+}
+
 // drained reports whether a leaving host may be ended.
 func (r *Reconciler) drained(ctx context.Context, i *Intent) bool {
 	if i.Address == "" {
@@ -198,6 +218,5 @@
 	if leaving >= maxDrain {
 		return true
 	}
-	status, err := r.options.Engines.Status(ctx, i.Address)
-	return err == nil && status.Running == 0 && status.Waiting == 0
+	return r.idle(ctx, i)
 }
--- a/internal/capacity/economy.go
+++ b/internal/capacity/economy.go
@@ -38,8 +38,12 @@
 	}
 }
 
-// moving reports whether a model's surplus is a move to cheaper hosts that is not done yet.
+// moving reports whether a model's surplus is a move to cheaper hosts that is not done
+// yet. A host that is taken from another model is no such move.
 func (p *planner) moving(model config.Model, staying []*Intent) bool {
+	if slices.ContainsFunc(staying, func(i *Intent) bool { return i.Phase == PhaseMoving }) {
+		return false
+	}
 	ready := countReady(staying)
 	return ready >= model.Replicas && ready < len(staying) && len(staying)-model.Replicas <= economySteps(model)
 }
--- a/internal/capacity/journal.go
+++ b/internal/capacity/journal.go
@@ -24,6 +24,18 @@
 		Name:     "load ordered",
 		Sentence: "Its engine was ordered to load adapter {adapter} of model {model}, version {version}, under fencing number {fence}.",
 	}
+	hostTaken = &explain.Decision{
+		Name:     "host taken",
+		Sentence: "No host could be started for model {to}, which is more urgent than {from}: host {host} is emptied, and model {to} is loaded when its work is done.",
+	}
+	rolloutWaits = &explain.Decision{
+		Name:     "roll-out waits",
+		Sentence: "The roll-out of version {version} of model {model} waits for a spare host: {outdated} of {replicas} replicas have another version, and none may leave before a new one is ready. Raise maxHosts or maxPricePerHour, or lower replicas by one.",
+	}
+	rolloutGoesOn = &explain.Decision{
+		Name:     "roll-out goes on",
+		Sentence: "The roll-out of model {model} does not wait for a spare host any more.",
+	}
 	hostEnded = &explain.Decision{
 		Name:     "host ended",
 		Sentence: "Ended: it was leaving, and its work was done or had had its time.",
@@ -52,6 +64,42 @@
 	r.options.Journal.Record(explain.KindHost, string(i.Host), adapterOrdered, model, version, number, explain.Text("adapter", adapter))
 }
 
+// notePlan notes what a plan decided, each news once.
+func (r *Reconciler) notePlan(plan *Planned) {
+	r.rollouts.Store(&plan.Rollouts)
+	for _, t := range plan.Takings {
+		r.options.Logger.Info("host taken for a more urgent model", "host", t.Host, "from", t.From, "to", t.To)
+		inputs := []explain.Input{explain.Text("host", t.Host), explain.Text("from", t.From), explain.Text("to", t.To)}
+		r.options.Journal.Record(explain.KindHost, string(t.Host), hostTaken, inputs...)
+		r.options.Journal.Record(explain.KindModel, string(t.From), hostTaken, inputs...)
+		r.options.Journal.Record(explain.KindModel, string(t.To), hostTaken, inputs...)
+	}
+	waiting := make(map[ident.Model]bool)
+	for _, rollout := range plan.Rollouts {
+		if rollout.Waits {
+			waiting[rollout.Model] = true
+			r.noteWait(rollout)
+		}
+	}
+	for model := range r.waiting {
+		if !waiting[model] {
+			r.options.Journal.Record(explain.KindModel, string(model), rolloutGoesOn, explain.Text("model", model))
+		}
+	}
+	r.waiting = waiting
+}
+
+// noteWait notes that a roll-out began to wait.
+func (r *Reconciler) noteWait(rollout Rollout) {
+	if r.waiting[rollout.Model] {
+		return
+	}
+	r.options.Logger.Info("a roll-out waits for a spare host", "model", rollout.Model, "version", rollout.Version)
+	r.options.Journal.Record(explain.KindModel, string(rollout.Model), rolloutWaits,
+		explain.Text("model", rollout.Model), explain.Text("version", rollout.Version),
+		explain.Number("outdated", rollout.Outdated), explain.Number("replicas", rollout.Replicas))
+}
+
 func (r *Reconciler) noteEnd(i *Intent) {
 	r.options.Journal.Record(explain.KindHost, string(i.Host), hostEnded, explain.Text("model", i.Model))
 }
--- a/internal/capacity/ledger.go
+++ b/internal/capacity/ledger.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/lease"
 	"mangoledge.example/mangoledge/internal/platform/cloud"
 	"mangoledge.example/mangoledge/internal/platform/objects"
 )
@@ -13,7 +14,9 @@
 // LedgerKind is the kind of the objects that hold ledgers, one for each failure domain.
 const LedgerKind objects.Kind = "capacity"
 
-// Phase is how far an intent has come; it moves only downwards in this list.
+// Phase is how far an intent has come. It moves only downwards in this list, but for
+// a host that is taken by another model: it goes from moving to loading again, or
+// back to ready.
 type Phase string
 
 // The phases.
@@ -24,6 +27,8 @@
 	PhaseLoading Phase = "loading"
 	// PhaseReady has a host that serves.
 	PhaseReady Phase = "ready"
+	// PhaseMoving takes no new work; when its work is done another model is loaded.
+	PhaseMoving Phase = "moving"
 	// PhaseLeaving takes no new work, and its host is ended after the drain.
 	PhaseLeaving Phase = "leaving"
 )
@@ -39,12 +44,28 @@
 	Host    ident.Host      `json:"host,omitempty"`
 	Address string          `json:"address,omitempty"`
 	Loaded  []ident.Adapter `json:"loaded,omitempty"`
-	// LeavingSinceMs is when it began to leave, in Unix milliseconds.
+	// Next is the model that the host is emptied for, while moving.
+	Next ident.Model `json:"next,omitempty"`
+	// Fence is the fencing number under which the intent was made.
+	Fence lease.Fence `json:"fence,omitempty"`
+	// LeavingSinceMs is when it began to leave or move, in Unix milliseconds.
 	LeavingSinceMs int64 `json:"leavingSinceMs,omitempty"`
 	// PricePerHour is the price when it was started.
 	PricePerHour float64 `json:"pricePerHour,omitempty"`
 }
 
+// servesOrWill reports whether the intent is a replica of a model or is being emptied for it.
+func (i *Intent) servesOrWill(model ident.Model) bool {
+	switch i.Phase {
+	case PhaseLeaving:
+		return false
+	case PhaseMoving:
+		return i.Next == model
+	case PhaseStarting, PhaseLoading, PhaseReady:
+	}
+	return i.Model == model
+}
+
 // Ledger is every intent of one failure domain.
 type Ledger struct {
 	FailureDomain ident.FailureDomain `json:"failureDomain"`
--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -9,6 +9,7 @@
 
 	"mangoledge.example/mangoledge/internal/config"
 	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/lease"
 	"mangoledge.example/mangoledge/internal/platform/cloud"
 )
 
@@ -38,12 +39,24 @@
 	// Resting are pools that refused a start lately.
 	Resting []cloud.Pool
 	Now     time.Time
+	// Fence is the fencing number of the holder that plans.
+	Fence lease.Fence
 	// NewToken makes a client token that was never used before.
 	NewToken func() string
 }
 
-// Plan returns the ledgers as they should be. It does no I/O and changes no input.
-func Plan(in Inputs) []*Ledger {
+// Planned is a plan.
+type Planned struct {
+	// Ledgers are the ledgers as they should be.
+	Ledgers []*Ledger
+	// Takings are the hosts that the plan takes from less urgent models.
+	Takings []Taking
+	// Rollouts are the models whose replicas do not all have their version.
+	Rollouts []Rollout
+}
+
+// Plan makes a plan. It does no I/O and changes no input.
+func Plan(in Inputs) Planned {
 	p := newPlanner(in)
 	p.followCloud()
 	p.followDrains()
@@ -55,8 +68,9 @@
 		p.grow(model)
 		p.economize(model)
 		p.releaseDrained(model)
+		p.noteRollout(model)
 	}
-	return p.ledgers
+	return Planned{Ledgers: p.ledgers, Takings: p.takings, Rollouts: p.rollouts}
 }
 
 // planner holds a plan in the making.
@@ -67,7 +81,9 @@
 	// drained are the tokens of the intents whose host an operator drains.
 	drained map[string]bool
 	// added counts the new intents.
-	added int
+	added    int
+	takings  []Taking
+	rollouts []Rollout
 }
 
 func newPlanner(in Inputs) *planner {
@@ -163,24 +179,31 @@
 // dropUndeclared lets go what serves a model that is no longer declared.
 func (p *planner) dropUndeclared() {
 	p.intents(func(i *Intent) {
-		declared := slices.ContainsFunc(p.in.Site.Models, func(m config.Model) bool { return m.Name == i.Model })
-		if !declared {
+		if i.Phase == PhaseMoving && !p.declared(i.Next) {
+			p.giveBack(i)
+		}
+		if i.Phase != PhaseMoving && !p.declared(i.Model) {
 			p.leave(i)
 		}
 	})
 }
 
+func (p *planner) declared(model ident.Model) bool {
+	return slices.ContainsFunc(p.in.Site.Models, func(m config.Model) bool { return m.Name == model })
+}
+
 func (p *planner) modelsByPriority() []config.Model {
 	out := slices.Clone(p.in.Site.Models)
 	slices.SortStableFunc(out, func(a, b config.Model) int { return cmp.Compare(b.Priority, a.Priority) })
 	return out
 }
 
-// staying returns the intents of a model that neither leave nor are drained.
+// staying returns the intents of a model that neither leave nor are drained, those
+// that are being emptied for it among them.
 func (p *planner) staying(model ident.Model) []*Intent {
 	var out []*Intent
 	p.intents(func(i *Intent) {
-		if i.Model == model && i.Phase != PhaseLeaving && !p.drained[i.Token] {
+		if i.servesOrWill(model) && !p.drained[i.Token] {
 			out = append(out, i)
 		}
 	})
@@ -190,7 +213,7 @@
 // surge is by how many replicas a model runs above its number while its version is rolled.
 func (p *planner) surge(model config.Model) int {
 	for _, i := range p.staying(model.Name) {
-		if i.Version != model.Version {
+		if i.Phase != PhaseMoving && i.Version != model.Version {
 			return int(math.Ceil(surgeShare * float64(model.Replicas)))
 		}
 	}
@@ -205,7 +228,7 @@
 		if i.Phase == PhaseReady {
 			ready++
 		}
-		if i.Version != model.Version {
+		if i.Phase != PhaseMoving && i.Version != model.Version {
 			outdated = append(outdated, i)
 		}
 	}
@@ -239,19 +262,21 @@
 				cmp.Compare(a.Token, b.Token),
 			)
 		})
-		p.leave(victim)
+		p.letGo(victim)
 	}
 }
 
 // rank orders phases by how much a replica in it is worth.
 func rank(phase Phase) int {
 	switch phase {
-	case PhaseStarting:
+	case PhaseMoving:
 		return 0
-	case PhaseLoading:
+	case PhaseStarting:
 		return 1
-	case PhaseReady:
+	case PhaseLoading:
 		return 2
+	case PhaseReady:
+		return 3
 	case PhaseLeaving:
 	}
 	return -1
@@ -265,15 +290,18 @@
 	return out
 }
 
-// grow adds intents until a model has its wanted number, or no pool is left.
+// grow adds intents until a model has its wanted number, or no pool is left; then it
+// takes running hosts of less urgent models up to the declared number.
 func (p *planner) grow(model config.Model) {
 	wanted := model.Replicas + p.surge(model)
 	for n := len(p.staying(model.Name)); n < wanted && p.added < maxNewIntents; n++ {
 		offer, _, ok := p.choose(model)
-		if !ok {
+		switch {
+		case ok:
+			p.add(model, offer)
+		case n >= model.Replicas || !p.take(model):
 			return
 		}
-		p.add(model, offer)
 	}
 }
 
@@ -283,6 +311,6 @@
 	l := p.ledger(offer.FailureDomain)
 	l.Intents = append(l.Intents, Intent{
 		Token: p.in.NewToken(), Pool: offer.Pool, Model: model.Name, Version: model.Version,
-		Phase: PhaseStarting, PricePerHour: offer.PricePerHour,
+		Phase: PhaseStarting, PricePerHour: offer.PricePerHour, Fence: p.in.Fence,
 	})
 }
--- a/internal/capacity/publish.go
+++ b/internal/capacity/publish.go
@@ -58,7 +58,7 @@
 func (r *Reconciler) upstreams(ctx context.Context, l *Ledger, listed []fleet.Upstream) []fleet.Upstream {
 	var out []fleet.Upstream
 	for _, i := range l.Intents {
-		if i.Address == "" || (i.Phase != PhaseReady && i.Phase != PhaseLeaving) {
+		if i.Address == "" || i.Phase == PhaseStarting || i.Phase == PhaseLoading {
 			continue
 		}
 		out = append(out, r.upstream(ctx, i, listed))
@@ -70,7 +70,7 @@
 func (r *Reconciler) upstream(ctx context.Context, i Intent, listed []fleet.Upstream) fleet.Upstream {
 	id := upstreamOf(i.Host)
 	state := fleet.StateReady
-	if i.Phase == PhaseLeaving {
+	if i.Phase != PhaseReady {
 		state = fleet.StateLeaving
 	}
 	return fleet.Upstream{
--- a/internal/capacity/reconciler.go
+++ b/internal/capacity/reconciler.go
@@ -15,6 +15,7 @@
 	"context"
 	"log/slog"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"mangoledge.example/mangoledge/internal/config"
@@ -88,11 +89,15 @@
 	refusals *refusals
 	// ledgers are the newest seen, by failure domain.
 	ledgers map[ident.FailureDomain]*Ledger
+	// rollouts are those of the last plan, for Rollouts.
+	rollouts atomic.Pointer[[]Rollout]
 	// known is true while ledgers are all there are, as far as this holder's writes
 	// tell: it alone writes, and a write that shows otherwise ends that.
 	known bool
 	// fence is the fencing number that known holds under.
 	fence lease.Fence
+	// waiting are the models whose roll-out was told to wait last.
+	waiting map[ident.Model]bool
 }
 
 // New returns a reconciler.
@@ -107,9 +112,22 @@
 		options:  options,
 		refusals: newRefusals(options.Clock),
 		ledgers:  make(map[ident.FailureDomain]*Ledger),
+		waiting:  make(map[ident.Model]bool),
 	}
 }
 
+// Rollouts returns the models whose replicas do not all have their version, as this
+// node planned last; none when it does not hold the lease.
+func (r *Reconciler) Rollouts() []Rollout {
+	if _, err := r.options.Lease.Check(); err != nil {
+		return nil
+	}
+	if last := r.rollouts.Load(); last != nil {
+		return *last
+	}
+	return nil
+}
+
 // Run passes at an interval until ctx ends, doing nothing while the lease is not held.
 func (r *Reconciler) Run(ctx context.Context) {
 	ticker := time.NewTicker(passInterval)
@@ -154,13 +172,15 @@
 	if fence != r.fence {
 		r.fence, r.known = fence, false // another node may have written since
 	}
-	planned, err := r.plan(ctx, site)
+	plan, err := r.plan(ctx, site)
 	if err != nil {
 		return false, err
 	}
+	planned := plan.Ledgers
 	if err := r.save(ctx, planned); err != nil {
 		return false, err
 	}
+	r.notePlan(&plan)
 	r.publish(ctx, planned)
 	refused = r.act(ctx, site, planned)
 	if err := r.save(ctx, planned); err != nil {
@@ -172,22 +192,22 @@
 
 // plan reads what there is and plans. The hosts are read before the ledgers, so
 // that a host without an intent has lost it and is not about to get it.
-func (r *Reconciler) plan(ctx context.Context, site *config.Site) ([]*Ledger, error) {
+func (r *Reconciler) plan(ctx context.Context, site *config.Site) (Planned, error) {
 	hosts, err := r.options.Cloud.Hosts(ctx)
 	if err != nil {
-		return nil, err
+		return Planned{}, err
 	}
 	offers, err := r.options.Cloud.Offers(ctx)
 	if err != nil {
-		return nil, err
+		return Planned{}, err
 	}
 	ledgers, err := r.read(ctx)
 	if err != nil {
-		return nil, err
+		return Planned{}, err
 	}
 	return Plan(Inputs{
 		Site: site, Offers: offers, Hosts: hosts, Ledgers: ledgers,
-		Resting: r.refusals.resting(), Now: r.options.Clock(),
+		Resting: r.refusals.resting(), Now: r.options.Clock(), Fence: r.fence,
 		NewToken: func() string { return TokenPrefix + r.options.NewToken() },
 	}), nil
 }
@@ -279,6 +299,6 @@
 	return slices.EqualFunc(a.Intents, b.Intents, func(x, y Intent) bool {
 		return x.Token == y.Token && x.Pool == y.Pool && x.Model == y.Model && x.Version == y.Version &&
 			x.Phase == y.Phase && x.Host == y.Host && x.Address == y.Address &&
-			slices.Equal(x.Loaded, y.Loaded) && x.LeavingSinceMs == y.LeavingSinceMs && x.PricePerHour == y.PricePerHour
+			x.Next == y.Next && x.Fence == y.Fence && slices.Equal(x.Loaded, y.Loaded) && x.LeavingSinceMs == y.LeavingSinceMs && x.PricePerHour == y.PricePerHour
 	})
 }
--- a/internal/capacity/reconciler_test.go
+++ b/internal/capacity/reconciler_test.go
@@ -90,6 +90,12 @@
 func (holding) Check() (lease.Fence, error)         { return 1, nil }
 func (holding) CheckUnfenced() (lease.Fence, error) { return 1, nil }
 
+// heldUnder is a lease that is always held under a fencing number.
+type heldUnder lease.Fence
+
+func (h heldUnder) Check() (lease.Fence, error)         { return lease.Fence(h), nil }
+func (h heldUnder) CheckUnfenced() (lease.Fence, error) { return lease.Fence(h), nil }
+
 // idleEngines take every order and have nothing to do.
 type idleEngines struct{}
 
--- a/internal/capacity/wave_bench_test.go
+++ b/internal/capacity/wave_bench_test.go
@@ -124,7 +124,7 @@
 	}
 	for b.Loop() {
 		planned := Plan(in)
-		require.Len(b, planned[0].Intents, perDomain)
+		require.Len(b, planned.Ledgers[0].Intents, perDomain)
 	}
 	object, err := in.Ledgers[0].encode()
 	require.NoError(b, err)
--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -23,7 +23,7 @@
 
 var operatorVerbs = []operatorVerb{
 	{name: "show", help: "Show a table: show <table> [where <column> <op> <value> [and ...]] [sort by <column> [desc]] [limit <n>]. Quote < and > for the shell."},
-	{name: "explain", help: "Tell what was decided, by which node and from which inputs: explain request|upstream|host|change <id>."},
+	{name: "explain", help: "Tell what was decided, by which node and from which inputs: explain request|upstream|host|model|change <id>."},
 	{name: "set", help: "Declare or change an object: set <object> <name> <key>=<value> ...", changes: true},
 	{name: "drain", help: "Empty something by plan, cutting nothing off: drain host|node|upstream <id>.", changes: true},
 	{name: "clear", help: "Take back what the system has noted, or remove an object: clear poison|leaving|drain|model|service|workspace|kind|capacity <id>.", changes: true},
--- a/internal/explain/entry.go
+++ b/internal/explain/entry.go
@@ -22,6 +22,7 @@
 	KindUpstream
 	KindHost
 	KindChange
+	KindModel
 	kinds
 )
 
@@ -36,6 +37,8 @@
 		return "host"
 	case KindChange:
 		return "change"
+	case KindModel:
+		return "model"
 	case kinds:
 	}
 	return "unknown"
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -53,9 +53,12 @@
 	tables.ProvideChanges(registry, n.control.manager.Recent, n.control.manager)
 	tables.ProvideDrains(registry, n.control.manager, n.control.view)
 	tables.ProvidePoison(registry, n.guard.Registry())
+	var rollouts func() []capacity.Rollout
 	if n.control.capacity != nil {
+		rollouts = n.control.capacity.reconciler.Rollouts
 		tables.ProvideLeases(registry, map[string]tables.LeaseView{capacity.LeaseName: n.control.capacity.lease})
 	}
+	tables.ProvideRollouts(registry, rollouts)
 	return registry
 }
 
--- a/internal/query/ast.go
+++ b/internal/query/ast.go
@@ -2,7 +2,7 @@
 // command line.
 //
 //	show <table> [where <column> <op> <value> [and ...]] [sort by <column> [desc]] [limit <n>]
-//	explain request|upstream|host|change <id>
+//	explain request|upstream|host|model|change <id>
 //	set <object> <name> <key>=<value> ...
 //	drain host|node|upstream <id>
 //	clear poison|leaving|<object> <id>
--- a/internal/query/schema.go
+++ b/internal/query/schema.go
@@ -60,7 +60,7 @@
 
 // What the commands explain, drain and clear may be given.
 var (
-	ExplainKinds = []string{"request", "upstream", "host", "change"}
+	ExplainKinds = []string{"request", "upstream", "host", "model", "change"}
 	DrainKinds   = []string{"host", "node", "upstream"}
 	clearNotes   = []string{"poison", "leaving", KindDrain}
 )
--- a/internal/tables/rows.go
+++ b/internal/tables/rows.go
@@ -117,6 +117,16 @@
 	ClearedAt string `column:"clearedAt" doc:"when an operator cleared it last, UTC"`
 }
 
+// Rollout is a row of the table rollouts: a model whose replicas do not all have its version.
+type Rollout struct {
+	Model    string `column:"model" doc:"the model's name"`
+	Version  string `column:"version" doc:"version that is rolled out"`
+	Replicas int    `column:"replicas" doc:"replicas wanted"`
+	Ready    int    `column:"ready" doc:"replicas that take work with that version"`
+	Outdated int    `column:"outdated" doc:"replicas that have another version"`
+	State    string `column:"state" doc:"rolling, or waits for a spare host"`
+}
+
 // Drain is a row of the table drains.
 type Drain struct {
 	ID        string `column:"id" doc:"what is drained, host/<id> or upstream/<id>"`
--- a/internal/tables/schema.go
+++ b/internal/tables/schema.go
@@ -30,6 +30,7 @@
 	{"capacity", "capacity to pay for", reflect.TypeFor[Capacity]()},
 	{"config", "the configuration in force on this node", reflect.TypeFor[Config]()},
 	{"leases", "leases and their holders", reflect.TypeFor[Lease]()},
+	{"rollouts", "models whose new version is being rolled out, told by the node that reconciles", reflect.TypeFor[Rollout]()},
 	{"drains", "hosts and upstreams that operators drain, until they clear it", reflect.TypeFor[Drain]()},
 	{"poison", "content that crashed upstreams", reflect.TypeFor[Poison]()},
 	{"hosts", "hosts of upstreams", reflect.TypeFor[Host]()},
@@ -63,11 +64,17 @@
 	}},
 }
 
+// eachNode are the tables that each node keeps rows of its own for.
+var eachNode = map[reflect.Type]bool{
+	reflect.TypeFor[Request](): true,
+	reflect.TypeFor[Rollout](): true,
+}
+
 // Schema returns the schema of the operators' language.
 func Schema() query.Schema {
 	out := query.Schema{Objects: objects}
 	for _, d := range definitions {
-		out.Tables = append(out.Tables, query.Table{Name: d.name, Doc: d.doc, Columns: columnsOf(d.row), EachNode: d.row == reflect.TypeFor[Request]()})
+		out.Tables = append(out.Tables, query.Table{Name: d.name, Doc: d.doc, Columns: columnsOf(d.row), EachNode: eachNode[d.row]})
 	}
 	return out
 }
--- a/internal/tables/sources.go
+++ b/internal/tables/sources.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"mangoledge.example/mangoledge/internal/capacity"
 	"mangoledge.example/mangoledge/internal/config"
 	"mangoledge.example/mangoledge/internal/fleet"
 	"mangoledge.example/mangoledge/internal/ident"
@@ -155,6 +156,28 @@
 	})
 }
 
+// The states of a roll-out.
+const (
+	rolloutRolling = "rolling"
+	rolloutWaits   = "waits for a spare host"
+)
+
+// ProvideRollouts fills the table rollouts; list is nil on a node that never reconciles.
+func ProvideRollouts(r *Registry, list func() []capacity.Rollout) {
+	Provide(r, func(context.Context) ([]Rollout, error) {
+		if list == nil {
+			return nil, nil
+		}
+		return rowsOf(list(), func(o capacity.Rollout) Rollout {
+			out := Rollout{Model: string(o.Model), Version: string(o.Version), Replicas: o.Replicas, Ready: o.Ready, Outdated: o.Outdated, State: rolloutRolling}
+			if o.Waits {
+				out.State = rolloutWaits
+			}
+			return out
+		}), nil
+	})
+}
+
 // ProvideDrains fills the table drains.
 func ProvideDrains(r *Registry, view config.View, upstreams fleet.View) {
 	Provide(r, func(context.Context) ([]Drain, error) {
