Goodput and cost through a wave, with the reconciler acting

Change: BenchmarkGoodput, run by make goodput: two models through a wave with all starts refused, without the reconciler, with it, and with one model more urgent. The requests are the bench's own queue; hosts, refusals and bill are the stand-in's.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 # SEEDS is how many seeds the soak runs, and each small shape of the bench.
 SEEDS ?= 3
 
-.PHONY: all build test soak demo figures bench bench-short slopes known-red tools format format-check lint generate generate-check clean
+.PHONY: all build test soak demo figures bench bench-short goodput slopes known-red tools format format-check lint generate generate-check clean
 
 all: build
 
@@ -34,6 +34,9 @@
 bench-short: ## The same for one shape and a few scenarios, in under 30 s.
 	$(GO) run ./cmd/mangoledge-bench --short --json $(BIN)/bench-short.jsonl
 
+goodput: ## Measure answers in time and cost through a reclaim wave with refused starts.
+	$(GO) test -run xxx -bench 'Wave|Goodput' -benchtime 1x ./internal/capacity
+
 slopes: ## Measure what control costs, for docs/CAPACITY.md; takes about two and a half minutes.
 	$(GO) run ./cmd/mangoledge-slopes --json docs/capacity/slopes.json --table docs/capacity/slopes.txt
 
