--- a/internal/fleet/leaving.go
+++ b/internal/fleet/leaving.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -11,6 +12,10 @@
 	"mangoledge.example/mangoledge/internal/membership"
 )
 
+// drainTime is how long an upstream that is only drained is there at least: the
+// longest that a request may take.
+const drainTime = time.Hour
+
 // Spreader carries marks between the nodes; *membership.Cluster is one.
 type Spreader interface {
 	Publish(topic membership.Topic, key string, version uint64, payload []byte) error
@@ -22,7 +27,8 @@
 //
 // Invariants: a mark made here is in force here when Mark returns; of one
 // subject the later mark wins on every node; one that doesn't know the reclaim
-// time leaves the known one in force.
+// time leaves the known one in force; a drain that the configuration declares ends
+// with the configuration only, whatever marks of its subject come and go.
 //
 // Lock order: Leaving.mu is a leaf; nothing is spread and no callback runs while it is held.
 type Leaving struct {
@@ -32,9 +38,12 @@
 	// changes counts the marks that came into force or were cleared.
 	changes atomic.Uint64
 
-	mu     sync.RWMutex
-	marks  map[Subject]heldMark
-	onMark []func(Mark)
+	mu    sync.RWMutex
+	marks map[Subject]heldMark
+	// declared are the drains of the configuration, by its version declaredVersion.
+	declared        map[Subject]Mark
+	declaredVersion uint64
+	onMark          []func(Mark)
 }
 
 // heldMark is a mark with the time at which it ends, by this node's clock.
@@ -182,26 +191,45 @@
 
 // isLeaving needs l.mu.
 func (l *Leaving) isLeaving(u *Upstream, now time.Time) bool {
-	if m, ok := l.marks[Subject{Upstream: u.ID}]; ok && m.inForce(now) {
+	if l.isDrained(u) {
 		return true
 	}
-	m, ok := l.marks[Subject{Host: u.Host}]
-	return ok && m.inForce(now)
+	for _, subject := range []Subject{{Upstream: u.ID}, {Host: u.Host}} {
+		if m, ok := l.marks[subject]; ok && m.inForce(now) {
+			return true
+		}
+	}
+	return false
 }
 
 // ReclaimAt returns when the host of an upstream is taken away, by the platform's
-// clock. It is zero when the upstream isn't marked or nobody has said when.
+// clock. It is zero when the upstream isn't marked or nobody has said when. One
+// that is only drained is not taken away while work is in progress there: it is
+// drainTime ahead.
 func (l *Leaving) ReclaimAt(u Upstream) time.Time {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	m, ok := l.marks[Subject{Host: u.Host}]
-	if !ok || !m.inForce(l.now()) {
+	now := l.now()
+	if m, ok := l.marks[Subject{Host: u.Host}]; ok && m.inForce(now) {
+		return m.ReclaimAt
+	}
+	if m, ok := l.marks[Subject{Upstream: u.ID}]; ok && m.inForce(now) {
 		return time.Time{}
 	}
-	return m.ReclaimAt
+	if l.isDrained(&u) {
+		return now.Add(drainTime)
+	}
+	return time.Time{}
+}
+
+// isDrained needs l.mu.
+func (l *Leaving) isDrained(u *Upstream) bool {
+	_, upstream := l.declared[Subject{Upstream: u.ID}]
+	_, host := l.declared[Subject{Host: u.Host}]
+	return upstream || host
 }
 
-// Marks returns the marks in force, sorted by subject, for operators.
+// Marks returns the marks in force, drains among them, sorted by subject, for operators.
 func (l *Leaving) Marks() []Mark {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
@@ -212,6 +240,7 @@
 			out = append(out, m.Mark)
 		}
 	}
+	out = slices.AppendSeq(out, maps.Values(l.declared))
 	slices.SortFunc(out, func(a, b Mark) int { return strings.Compare(a.Subject.String(), b.Subject.String()) })
 	return out
 }
--- a/internal/query/ast.go
+++ b/internal/query/ast.go
@@ -2,10 +2,11 @@
 // command line.
 //
 //	show <table> [where <column> <op> <value> [and ...]] [sort by <column> [desc]] [limit <n>]
-//	explain request|upstream|host|change <id>
+//	explain request|upstream|host|model|change <id>
 //	set <object> <name> <key>=<value> ...
 //	drain host|node|upstream <id>
 //	clear poison|leaving|<object> <id>
+//	clear drain host/<id>|upstream/<id>
 //	dump
 //
 // Invariants: parsing and checking need nothing but the text and the schema;
--- a/internal/query/schema.go
+++ b/internal/query/schema.go
@@ -60,9 +60,18 @@
 
 // What the commands explain, drain and clear may be given.
 var (
-	ExplainKinds = []string{"request", "upstream", "host", "change"}
+	ExplainKinds = []string{"request", "upstream", "host", "model", "change"}
 	DrainKinds   = []string{"host", "node", "upstream"}
-	clearNotes   = []string{"poison", "leaving"}
+	clearNotes   = []string{"poison", "leaving", KindDrain}
+)
+
+// Words of drain and clear.
+const (
+	// KindDrain is what clear calls a drain.
+	KindDrain = "drain"
+	// KindHost and KindUpstream are what drain may be told to keep new work from.
+	KindHost     = "host"
+	KindUpstream = "upstream"
 )
 
 // ClearKinds returns what clear may be given: what the system has noted, and objects.
