--- a/internal/operator/marks.go
+++ b/internal/operator/marks.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"mangoledge.example/mangoledge/internal/explain"
 	"mangoledge.example/mangoledge/internal/fleet"
@@ -9,8 +10,8 @@
 )
 
 var (
-	markedLeaving = &explain.Decision{Name: "leaving", Sentence: "Gets no new work from now on, since it is leaving. How that was learnt: {source}."}
-	hostLeaving   = &explain.Decision{Name: "leaving", Sentence: "Gets no new work from now on, since its host {host} is leaving. How that was learnt: {source}."}
+	markedLeaving = &explain.Decision{Name: "leaving", Sentence: "Gets no new work from now on, since it is leaving. How that was learnt: {source}. When it is taken away: {reclaim}."}
+	hostLeaving   = &explain.Decision{Name: "leaving", Sentence: "Gets no new work from now on, since its host {host} is leaving. How that was learnt: {source}. When it is taken away: {reclaim}."}
 	markCleared   = &explain.Decision{Name: "leaving cleared", Sentence: "May get new work again: an operator took back that it is leaving."}
 )
 
@@ -18,6 +19,18 @@
 type markNote struct {
 	source  fleet.Source
 	cleared bool
+	// reclaimAt is in Unix milliseconds; 0 while nobody has said.
+	reclaimAt int64
+}
+
+// reclaimUnknown stands for the time at which a host is taken while nobody has said it.
+const reclaimUnknown = "nobody has said"
+
+func reclaimText(mark fleet.Mark) string {
+	if mark.ReclaimAt.IsZero() {
+		return reclaimUnknown
+	}
+	return mark.ReclaimAt.UTC().Format(time.RFC3339)
 }
 
 // markRecorder notes marks of leaving in a journal, each news once.
@@ -43,26 +56,30 @@
 		return
 	}
 	source := explain.Text("source", mark.Source)
+	reclaim := explain.Text("reclaim", reclaimText(mark))
 	decision := markedLeaving
 	if mark.Cleared {
 		decision = markCleared
 	}
 	if mark.Subject.Upstream != "" {
-		r.journal.Record(explain.KindUpstream, string(mark.Subject.Upstream), decision, source)
+		r.journal.Record(explain.KindUpstream, string(mark.Subject.Upstream), decision, source, reclaim)
 		return
 	}
-	r.journal.Record(explain.KindHost, string(mark.Subject.Host), decision, source)
+	r.journal.Record(explain.KindHost, string(mark.Subject.Host), decision, source, reclaim)
 	if !mark.Cleared {
 		decision = hostLeaving
 	}
 	for _, id := range r.upstreamsOf(mark.Subject.Host) {
-		r.journal.Record(explain.KindUpstream, string(id), decision, source, explain.Text("host", mark.Subject.Host))
+		r.journal.Record(explain.KindUpstream, string(id), decision, source, reclaim, explain.Text("host", mark.Subject.Host))
 	}
 }
 
 // isNews reports whether the mark says something else than the last one of its subject.
 func (r *markRecorder) isNews(mark fleet.Mark) bool {
 	note := markNote{source: mark.Source, cleared: mark.Cleared}
+	if !mark.ReclaimAt.IsZero() {
+		note.reclaimAt = mark.ReclaimAt.UnixMilli()
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if known, ok := r.last[mark.Subject]; ok && known == note {
