The reclaim time of an upstream is found without a scan

Cause: each plan for a stream went through the list of all upstreams for the host of its own, twenty times a second for each stream that leaves; at 11,000 upstreams that is most of a plan's work.

Change: the router, which keeps upstreams by ID, answers dispatch.Reclaims. LeavingView.ReclaimAt and its test are gone with it; the router's own test asks the same (known, unknown, not listed), and TestTheReclaimTimeIsKeptAndSpread still covers the marks.

Run: go test ./internal/placement ./internal/fleet ./internal/node, faulttest TestTheNoticeOfThePlatformDecidesHowStreamsGoOn: pass. The cost was not measured.

--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -11,5 +11,6 @@
 //     that goes on behind the very tokens the caller holds;
 //   - a request in a final phase never changes again.
 //
-// Lock order: table shard, then entry; neither is held during a call.
+// Lock order: table shard, then entry; neither is held during a call. The lock of
+// the learnt costs is a leaf.
 package dispatch
--- a/internal/dispatch/interfaces.go
+++ b/internal/dispatch/interfaces.go
@@ -121,7 +121,7 @@
 	Enter(ctx context.Context, spec *request.Spec) (Pass, error)
 }
 
-// Reclaims tells when upstreams are taken away; *fleet.LeavingView does.
+// Reclaims tells when upstreams are taken away. It is asked often.
 type Reclaims interface {
 	// ReclaimAt returns when the upstream's host is taken away, by the platform's
 	// clock; zero while nobody has said.
--- a/internal/fleet/leaving_test.go
+++ b/internal/fleet/leaving_test.go
@@ -116,16 +116,6 @@
 	require.Zero(t, l.ReclaimAt(sample), "the time went with the mark that was taken back")
 }
 
-func TestTheViewTellsTheReclaimTimeOfAnUpstream(t *testing.T) {
-	now := time.UnixMilli(1_700_000_000_000)
-	l := NewLeaving(&recorder{}, func() time.Time { return now })
-	view := NewLeavingView(fixedView{sample, {ID: "u3", Host: "h3", State: StateReady}}, l)
-	require.NoError(t, l.MarkReclaim("h1", now, now.Add(time.Second)))
-	require.True(t, now.Add(time.Second).Equal(view.ReclaimAt("u1")))
-	require.Zero(t, view.ReclaimAt("u3"))
-	require.Zero(t, view.ReclaimAt("unknown"))
-}
-
 func TestUnreadableMarksAreIgnored(t *testing.T) {
 	r := &recorder{}
 	l := NewLeaving(r, time.Now)
--- a/internal/fleet/leavingview.go
+++ b/internal/fleet/leavingview.go
@@ -1,11 +1,6 @@
 package fleet
 
-import (
-	"slices"
-	"time"
-
-	"mangoledge.example/mangoledge/internal/ident"
-)
+import "slices"
 
 // LeavingView shows the upstreams of another view, those that are marked as leaving.
 type LeavingView struct {
@@ -37,15 +32,3 @@
 	}
 	return marked
 }
-
-// ReclaimAt returns when the host of an upstream is taken away, by the
-// platform's clock; zero while nobody has said.
-func (v *LeavingView) ReclaimAt(id ident.Upstream) time.Time {
-	upstreams := v.upstreams.Upstreams()
-	for i := range upstreams {
-		if upstreams[i].ID == id {
-			return v.leaving.ReclaimAt(upstreams[i])
-		}
-	}
-	return time.Time{}
-}
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -75,7 +75,7 @@
 		Retries:    retry.NewPolicy(budget, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), //nolint:gosec // spreads retries
 		Budget:     budget,
 		Journal:    n.journal,
-		Reclaims:   n.control.view,
+		Reclaims:   n.router,
 		Recoveries: requestmetrics.NewRecoveries(n.metrics),
 		Engines:    engines,
 		Services:   plainservice.NewClient(),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -100,6 +100,7 @@
 		Logger:      n.logger,
 		Policy:      placement.SitePolicy{Site: n.control.manager},
 		MarkLeaving: n.control.markLeaving,
+		ReclaimAt:   n.control.leaving.ReclaimAt,
 		Suspect:     func(spec *request.Spec) bool { return n.guard.Suspect(spec) },
 	})
 	if err := n.buildDispatcher(dialer); err != nil {
--- a/internal/placement/router.go
+++ b/internal/placement/router.go
@@ -51,11 +51,14 @@
 	Policy routing.Policy
 	// MarkLeaving spreads the news that an upstream said it is leaving.
 	MarkLeaving func(ident.Upstream)
+	// ReclaimAt returns when the host of an upstream is taken away, by the
+	// platform's clock, or zero while nobody has said; nil means never said.
+	ReclaimAt func(fleet.Upstream) time.Time
 	// Suspect reports whether upstreams have crashed under a request's content; nil means never.
 	Suspect func(*request.Spec) bool
 }
 
-// Router places requests; it is a dispatch.Router.
+// Router places requests; it is a dispatch.Router and a dispatch.Reclaims.
 //
 // Lock order: Router.mu is a leaf.
 type Router struct {
@@ -75,7 +78,10 @@
 	upstreams map[ident.Upstream]fleet.Upstream
 }
 
-var _ dispatch.Router = (*Router)(nil)
+var (
+	_ dispatch.Router   = (*Router)(nil)
+	_ dispatch.Reclaims = (*Router)(nil)
+)
 
 // NewRouter returns a router that knows no upstream until Update is called.
 func NewRouter(options Options) *Router {
@@ -137,6 +143,16 @@
 	return ok && u.State != fleet.StateReady
 }
 
+// ReclaimAt returns when the upstream's host is taken away, by the platform's
+// clock; zero while nobody has said.
+func (r *Router) ReclaimAt(id ident.Upstream) time.Time {
+	u, ok := r.upstream(id)
+	if !ok || r.options.ReclaimAt == nil {
+		return time.Time{}
+	}
+	return r.options.ReclaimAt(u)
+}
+
 // MarkLeaving stops new work for the upstream here and spreads the news.
 func (r *Router) MarkLeaving(id ident.Upstream) {
 	r.table.MarkLeaving(id)
--- /dev/null
+++ b/internal/placement/router_test.go
@@ -0,0 +1,53 @@
+package placement
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/internal/fleet"
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/membership"
+	"mangoledge.example/mangoledge/internal/routing"
+)
+
+// oneNode is a membership of this node alone, and a list of one upstream.
+type oneNode struct{ upstreams []fleet.Upstream }
+
+func (oneNode) Self() membership.Member { return membership.Member{Node: "n1", Incarnation: "n1_0"} }
+
+func (n oneNode) Members() []membership.Member {
+	return []membership.Member{n.Self()}
+}
+
+func (oneNode) Lookup(ident.Incarnation) (membership.Member, bool) {
+	return membership.Member{}, false
+}
+
+func (n oneNode) Upstreams() []fleet.Upstream { return n.upstreams }
+
+func TestTheReclaimTimeIsThatOfTheUpstreamsHost(t *testing.T) {
+	at := time.Unix(2000, 0)
+	known := oneNode{upstreams: []fleet.Upstream{{ID: "u1", Host: "h1", State: fleet.StateLeaving}, {ID: "u2", Host: "h2"}}}
+	options := Options{
+		Members: known, Fleet: known, Listed: known, Logger: slog.Default(), Policy: routing.LeastOutstanding{},
+		Marks: func() uint64 { return 0 },
+		ReclaimAt: func(u fleet.Upstream) time.Time {
+			if u.Host == "h1" {
+				return at
+			}
+			return time.Time{}
+		},
+	}
+	r := NewRouter(options)
+	require.Zero(t, r.ReclaimAt("u1"), "not listed yet")
+	r.Update(time.Unix(1000, 0))
+	require.Equal(t, at, r.ReclaimAt("u1"))
+	require.Zero(t, r.ReclaimAt("u2"))
+	options.ReclaimAt = nil
+	r = NewRouter(options)
+	r.Update(time.Unix(1000, 0))
+	require.Zero(t, r.ReclaimAt("u1"))
+}
