--- a/internal/recovery/plan_test.go
+++ b/internal/recovery/plan_test.go
@@ -59,9 +59,9 @@
 		str := stream(prompt, generated, remaining)
 		switch Choose(str, s, target()).Method {
 		case MethodStay:
-			return time.Duration(remaining)*s.PerToken < s.Notice
+			return time.Duration(remaining)*s.PerToken+NoticeMargin <= s.Notice
 		case MethodTransfer:
-			return float64(ahead+str.KVBytes)/s.BytesPerSecond < s.Notice.Seconds()
+			return float64(ahead+str.KVBytes)/s.BytesPerSecond+exportMargin.Seconds() < s.Notice.Seconds()
 		case MethodPrefill:
 			return true
 		case MethodResume:
