--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -90,6 +90,7 @@
 	for _, e := range d.table.all() {
 		e.cancel()
 	}
+	d.workers.stop()
 	d.forwarder.close()
 }
 
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -13,13 +13,16 @@
 	run   func(*entry)
 	limit int
 	queue chan *entry
+	// stopped is closed when no further work comes.
+	stopped  chan struct{}
+	stopOnce sync.Once
 
 	mu    sync.Mutex
 	count int
 }
 
 func newWorkers(limit int, run func(*entry)) *workers {
-	return &workers{run: run, limit: limit, queue: make(chan *entry, limit)}
+	return &workers{run: run, limit: limit, queue: make(chan *entry, limit), stopped: make(chan struct{})}
 }
 
 // submit hands e to a worker; it reports false when the queue is full.
@@ -38,7 +41,12 @@
 	return true
 }
 
-// work runs entries until there has been none for a while.
+// stop ends every worker once it has run what is queued.
+func (w *workers) stop() {
+	w.stopOnce.Do(func() { close(w.stopped) })
+}
+
+// work runs entries until there has been none for a while, or the pool is stopped.
 func (w *workers) work() {
 	timer := time.NewTimer(workerIdleTime)
 	defer timer.Stop()
@@ -47,6 +55,10 @@
 		case e := <-w.queue:
 			w.run(e)
 			timer.Reset(workerIdleTime)
+		case <-w.stopped:
+			if w.leave() {
+				return
+			}
 		case <-timer.C:
 			if w.leave() {
 				return
--- /dev/null
+++ b/internal/node/main_test.go
@@ -0,0 +1,11 @@
+package node
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -13,7 +13,10 @@
 	"mangoledge.example/mangoledge/internal/verdict"
 )
 
-type echoService struct{}
+type echoService struct {
+	// ended is closed when the test is over.
+	ended chan struct{}
+}
 
 // EchoArgs is exported because net/rpc asks for it.
 type EchoArgs struct{ Text string }
@@ -27,8 +30,8 @@
 	return EncodeError(verdict.New(verdict.NotRun, verdict.CodeOverloaded, "full").After(time.Second))
 }
 
-func (echoService) Hang(_ *EchoArgs, _ *EchoArgs) error {
-	time.Sleep(5 * time.Second)
+func (s echoService) Hang(_ *EchoArgs, _ *EchoArgs) error {
+	<-s.ended
 	return nil
 }
 
@@ -37,9 +40,11 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	server := NewServer(token)
-	require.NoError(t, server.Register("Echo", echoService{}))
+	service := echoService{ended: make(chan struct{})}
+	t.Cleanup(func() { close(service.ended) })
+	require.NoError(t, server.Register("Echo", service))
 	go func() { _ = server.Serve(listener, nil) }()
-	t.Cleanup(func() { _ = server.http.Close() })
+	t.Cleanup(func() { _ = server.Close() })
 	return listener.Addr().String()
 }
 
@@ -85,6 +90,23 @@
 	require.NotContains(t, string(stacks), "peer.(*Client).heartbeat(")
 }
 
+func TestClosedServerAnswersNoMore(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := NewServer("secret")
+	go func() { _ = server.Serve(listener, nil) }()
+	client := NewClient(Dialer{Token: "secret"})
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	address := listener.Addr().String()
+	require.NoError(t, client.Call(ctx, address, pingMethod, &Ping{}, &Pong{}))
+
+	require.NoError(t, server.Close())
+
+	require.Error(t, client.Call(ctx, address, pingMethod, &Ping{}, &Pong{}), "a closed server answers on")
+}
+
 func TestCallWithWrongTokenIsNotSent(t *testing.T) {
 	address := startServer(t, "secret")
 	client := NewClient(Dialer{Token: "other"})
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"net/rpc"
+	"sync"
 	"time"
 )
 
@@ -42,11 +43,17 @@
 	mux   *http.ServeMux
 	http  *http.Server
 	token string
+
+	// mu guards rpcConns and closed; it is a leaf.
+	mu sync.Mutex
+	// rpcConns are the connections switched to net/rpc, which net/http has forgotten.
+	rpcConns map[net.Conn]struct{}
+	closed   bool
 }
 
 // NewServer returns a server that lets in nodes that show token.
 func NewServer(token string) *Server {
-	s := &Server{rpc: rpc.NewServer(), mux: http.NewServeMux(), token: token}
+	s := &Server{rpc: rpc.NewServer(), mux: http.NewServeMux(), token: token, rpcConns: make(map[net.Conn]struct{})}
 	_ = s.rpc.RegisterName(pingService, heartbeat{})
 	s.mux.HandleFunc("CONNECT "+rpcPath, s.serveRPC)
 	s.http = &http.Server{Handler: s.checkToken(s.mux), ReadHeaderTimeout: readHeaderTimeout}
@@ -71,8 +78,10 @@
 	return s.http.Serve(listener)
 }
 
-// Shutdown waits for streams in progress and closes the listener.
+// Shutdown closes the listener, waits for streams in progress, and then closes
+// the connections switched to net/rpc.
 func (s *Server) Shutdown(ctx context.Context) error {
+	defer s.closeRPC()
 	return s.http.Shutdown(ctx)
 }
 
@@ -102,10 +111,43 @@
 		_ = conn.Close()
 		return
 	}
+	if !s.keep(conn) {
+		_ = conn.Close()
+		return
+	}
+	defer s.forget(conn)
 	s.rpc.ServeConn(conn)
 }
 
-// Close closes the listener and every connection but those switched to net/rpc.
+// keep notes a connection; it reports false when the server has closed.
+func (s *Server) keep(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.rpcConns[conn] = struct{}{}
+	return true
+}
+
+func (s *Server) forget(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.rpcConns, conn)
+}
+
+// closeRPC closes the connections switched to net/rpc and takes no new ones.
+func (s *Server) closeRPC() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for conn := range s.rpcConns {
+		_ = conn.Close()
+	}
+}
+
+// Close closes the listener and every connection.
 func (s *Server) Close() error {
+	defer s.closeRPC()
 	return s.http.Close()
 }
--- /dev/null
+++ b/internal/platform/objects/main_test.go
@@ -0,0 +1,11 @@
+package objects
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
