Tests of the guard between two nodes, watched for goroutines

Cause: internal/guard had no test of its own and gives passes back in the background; nothing watched that this ends. Change: two guards with gossip and calls in memory: one gate for both, crashes seen by one convict at both, each its own gate when the other is out of reach; goleak over all.

--- /dev/null
+++ b/internal/guard/guard_test.go
@@ -0,0 +1,162 @@
+package guard
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"mangoledge.example/mangoledge/internal/dispatch"
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/membership"
+	"mangoledge.example/mangoledge/internal/poison"
+	"mangoledge.example/mangoledge/internal/request"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// patience is how long tests wait for what must happen.
+const patience = time.Minute
+
+// site is two nodes whose gossip arrives at once.
+type site struct {
+	members []membership.Member
+	guards  []*Guard
+	hear    []func(membership.Rumour)
+	// cut is true while the nodes can't call each other.
+	cut bool
+}
+
+func newSite() *site {
+	s := &site{}
+	for i := range 2 {
+		name := fmt.Sprint("n", i)
+		s.members = append(s.members, membership.Member{
+			Incarnation: ident.Incarnation(name + "_1"), Node: ident.Node(name), PeerAddress: name, State: membership.StateAlive,
+		})
+	}
+	for i := range s.members {
+		s.guards = append(s.guards, New(view{s, i}, s, s, slog.New(slog.NewTextHandler(io.Discard, nil))))
+	}
+	return s
+}
+
+func (s *site) Publish(topic membership.Topic, key string, version uint64, payload []byte) error {
+	for _, hear := range s.hear {
+		hear(membership.Rumour{Topic: topic, Key: key, Version: version, Payload: payload})
+	}
+	return nil
+}
+
+func (s *site) Subscribe(_ membership.Topic, hear func(membership.Rumour)) {
+	s.hear = append(s.hear, hear)
+}
+
+func (s *site) Call(_ context.Context, address, method string, args, reply any) error {
+	if s.cut {
+		return errors.New("cut")
+	}
+	for i := range s.members {
+		if s.members[i].PeerAddress != address {
+			continue
+		}
+		service := s.guards[i].Service()
+		if method == poison.MethodAcquire {
+			return service.Acquire(args.(*poison.AcquireArgs), reply.(*poison.AcquireReply))
+		}
+		return service.Release(args.(*poison.ReleaseArgs), reply.(*poison.ReleaseReply))
+	}
+	return errors.Newf("no node at %s", address)
+}
+
+// view is the list of members as one node sees it.
+type view struct {
+	site *site
+	self int
+}
+
+func (v view) Self() membership.Member      { return v.site.members[v.self] }
+func (v view) Members() []membership.Member { return v.site.members }
+
+func (v view) Lookup(incarnation ident.Incarnation) (membership.Member, bool) {
+	for _, m := range v.site.members {
+		if m.Incarnation == incarnation {
+			return m, true
+		}
+	}
+	return membership.Member{}, false
+}
+
+func content() *request.Spec {
+	return &request.Spec{Model: "m", Input: "p", Deadline: time.Now().Add(patience)}
+}
+
+func TestRunsOfOneContentPassOneGate(t *testing.T) {
+	s := newSite()
+	var passes []dispatch.Pass
+	for i := range poison.MaxCrashes {
+		pass, err := s.guards[i%2].Enter(t.Context(), content())
+		require.NoError(t, err)
+		passes = append(passes, pass)
+	}
+	for _, g := range s.guards {
+		_, err := g.Enter(t.Context(), content())
+		require.Error(t, err, "as many runs go on as may crash")
+	}
+	for _, pass := range passes {
+		pass.Leave("e1", dispatch.EndingOther)
+	}
+	for _, g := range s.guards {
+		require.Eventually(t, func() bool {
+			pass, err := g.Enter(t.Context(), content())
+			if err != nil {
+				return false
+			}
+			pass.Leave("e1", dispatch.EndingOther)
+			return true
+		}, patience, time.Millisecond, "a pass was not given back")
+	}
+}
+
+func TestCrashesSeenByOneNodeConvictAtAll(t *testing.T) {
+	s := newSite()
+	for i := range poison.MaxCrashes {
+		for _, g := range s.guards {
+			require.NoError(t, g.Check(content()))
+			require.Equal(t, i > 0, g.Suspect(content()))
+		}
+		pass, err := s.guards[0].Enter(t.Context(), content())
+		require.NoError(t, err)
+		pass.Leave(ident.Upstream(fmt.Sprint("e", i)), dispatch.EndingCrashed)
+	}
+	for _, g := range s.guards {
+		require.Error(t, g.Check(content()))
+		_, err := g.Enter(t.Context(), content())
+		require.Error(t, err)
+	}
+	require.True(t, s.guards[1].Clear(poison.Of("m", "", "", "p")))
+	for _, g := range s.guards {
+		require.NoError(t, g.Check(content()))
+	}
+}
+
+func TestOwnGateIsAskedWhenTheOtherIsOutOfReach(t *testing.T) {
+	s := newSite()
+	s.cut = true
+	for _, g := range s.guards {
+		for range poison.MaxCrashes {
+			_, err := g.Enter(t.Context(), content())
+			require.NoError(t, err)
+		}
+		_, err := g.Enter(t.Context(), content())
+		require.Error(t, err, "the bound holds at each side")
+	}
+}
