Tests of placement between two nodes, watched for goroutines

Cause: internal/placement had no test of its own and gives slots back to other owners in the background. Change: two routers before one upstream: two suspects never share it, whichever node placed the first, and harmless requests go on beside one; without the owner a suspect waits and a harmless request does not. goleak over all.

--- /dev/null
+++ b/internal/placement/router_test.go
@@ -0,0 +1,151 @@
+package placement
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"mangoledge.example/mangoledge/internal/dispatch"
+	"mangoledge.example/mangoledge/internal/fleet"
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/membership"
+	"mangoledge.example/mangoledge/internal/owner"
+	"mangoledge.example/mangoledge/internal/request"
+	"mangoledge.example/mangoledge/internal/routing"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+const (
+	// patience is how long tests wait for what must happen.
+	patience = time.Minute
+	// slots is how many requests the one upstream runs at once.
+	slots = 2
+)
+
+// site is two nodes before one upstream, which one of them owns.
+type site struct {
+	members []membership.Member
+	routers []*Router
+	// cut is true while the nodes can't call each other.
+	cut bool
+}
+
+func newSite() *site {
+	s := &site{}
+	for i := range 2 {
+		name := fmt.Sprint("n", i)
+		s.members = append(s.members, membership.Member{
+			Incarnation: ident.Incarnation(name + "_1"), Node: ident.Node(name), FailureDomain: "a", PeerAddress: name, State: membership.StateAlive,
+		})
+	}
+	for i := range s.members {
+		r := NewRouter(Options{
+			Members: view{s, i}, Fleet: s, Listed: s, Marks: func() uint64 { return 0 }, Calls: s,
+			Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Policy: routing.Cost{Weights: routing.WeightsFor(defaultLatencyWeight)},
+			MarkLeaving: func(ident.Upstream) {},
+			Suspect:     func(spec *request.Spec) bool { return spec.Input == "suspect" },
+		})
+		r.Update(time.Now())
+		s.routers = append(s.routers, r)
+	}
+	return s
+}
+
+func (s *site) Upstreams() []fleet.Upstream {
+	return []fleet.Upstream{{
+		ID: "e1", URL: "http://e1", FailureDomain: "a", Models: []ident.Model{"m"}, Slots: slots, State: fleet.StateReady,
+	}}
+}
+
+func (s *site) Call(_ context.Context, address, method string, args, reply any) error {
+	if s.cut {
+		return errors.New("cut")
+	}
+	for i := range s.members {
+		if s.members[i].PeerAddress != address {
+			continue
+		}
+		service := owner.NewService(s.routers[i].Ledger(), time.Now)
+		if method == owner.MethodReserve {
+			return service.Reserve(args.(*owner.ReserveArgs), reply.(*owner.ReserveReply))
+		}
+		return service.Release(args.(*owner.ReleaseArgs), reply.(*owner.ReleaseReply))
+	}
+	return errors.Newf("no node at %s", address)
+}
+
+// view is the list of members as one node sees it.
+type view struct {
+	site *site
+	self int
+}
+
+func (v view) Self() membership.Member      { return v.site.members[v.self] }
+func (v view) Members() []membership.Member { return v.site.members }
+
+func (v view) Lookup(incarnation ident.Incarnation) (membership.Member, bool) {
+	for _, m := range v.site.members {
+		if m.Incarnation == incarnation {
+			return m, true
+		}
+	}
+	return membership.Member{}, false
+}
+
+func need(input string, deadline time.Duration) *dispatch.Need {
+	return &dispatch.Need{Spec: &request.Spec{Model: "m", Input: input, MaxTokens: 1, Deadline: time.Now().Add(deadline)}}
+}
+
+// eventuallyPlaced asks until there is a place: an owner that refused one request
+// is left alone for a moment.
+func eventuallyPlaced(t *testing.T, r *Router, input string) dispatch.Placement {
+	t.Helper()
+	var place dispatch.Placement
+	require.Eventually(t, func() bool {
+		var err error
+		place, err = r.Pick(t.Context(), need(input, patience))
+		return err == nil
+	}, patience, time.Millisecond)
+	return place
+}
+
+// A suspect waits for the one that is there already, whichever node placed it.
+func TestTwoSuspectsNeverShareAnUpstream(t *testing.T) {
+	s := newSite()
+	for i, r := range s.routers {
+		other := s.routers[1-i]
+		first := eventuallyPlaced(t, r, "suspect")
+		_, err := other.Pick(t.Context(), need("suspect", 100*time.Millisecond))
+		require.Error(t, err)
+		eventuallyPlaced(t, other, "harmless").Done(dispatch.OutcomeDone)
+		first.Done(dispatch.OutcomeDone)
+		eventuallyPlaced(t, other, "suspect").Done(dispatch.OutcomeDone)
+	}
+}
+
+// Without its owner a harmless request goes on; a suspect waits.
+func TestSuspectGoesNowhereWithoutTheOwner(t *testing.T) {
+	s := newSite()
+	s.cut = true
+	placed := 0
+	for _, r := range s.routers {
+		place, err := r.Pick(t.Context(), need("harmless", patience))
+		require.NoError(t, err)
+		place.Done(dispatch.OutcomeDone)
+		if place, err := r.Pick(t.Context(), need("suspect", 100*time.Millisecond)); err == nil {
+			placed++
+			place.Done(dispatch.OutcomeDone)
+		}
+	}
+	require.Equal(t, 1, placed, "only the owner itself places it")
+}
