A process that has ended is counted as ended

Cause: process.ended(0) chose at random between a process that has ended and a time of nothing that is over, so that the poison tests counted too few crashed engines: TestPoisonCrashesAFewEnginesInAll could pass with more than it allows, and TestSuspectsAreKeptApart failed now and then with none. Change: hasEnded looks at the process alone; ended looks again when its time is up.

--- a/internal/faulttest/hold_test.go
+++ b/internal/faulttest/hold_test.go
@@ -38,5 +38,5 @@
 		_, err := os.Stat(testpause.ReachedPath(s.dir, point, n.process.pid()))
 		return err == nil
 	})
-	require.False(s.t, n.process.ended(0), "%s ended before it was killed at %s", n.name, point)
+	require.False(s.t, n.process.hasEnded(), "%s ended before it was killed at %s", n.name, point)
 }
--- a/internal/faulttest/poison_test.go
+++ b/internal/faulttest/poison_test.go
@@ -15,7 +15,7 @@
 func (s *site) crashed() int {
 	n := 0
 	for _, u := range s.engines {
-		if u.process.ended(0) {
+		if u.process.hasEnded() {
 			n++
 		}
 	}
--- a/internal/faulttest/process_test.go
+++ b/internal/faulttest/process_test.go
@@ -67,6 +67,16 @@
 	case <-p.done:
 		return true
 	case <-time.After(timeout):
+		return p.hasEnded()
+	}
+}
+
+// hasEnded reports whether the process has ended by now.
+func (p *process) hasEnded() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
 		return false
 	}
 }
