--- a/internal/peer/tls_test.go
+++ b/internal/peer/tls_test.go
@@ -39,7 +39,9 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(tb, err)
 	server := NewServer(token)
-	require.NoError(tb, server.Register("Echo", echoService{}))
+	service := echoService{ended: make(chan struct{})}
+	tb.Cleanup(func() { close(service.ended) })
+	require.NoError(tb, server.Register("Echo", service))
 	go func() { _ = server.Serve(listener, config) }()
 	tb.Cleanup(func() { _ = server.Close() })
 	return listener.Addr().String()
--- a/internal/placement/router_test.go
+++ b/internal/placement/router_test.go
@@ -1,53 +1,151 @@
 package placement
 
 import (
+	"context"
+	"fmt"
+	"io"
 	"log/slog"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
 
+	"mangoledge.example/mangoledge/internal/dispatch"
 	"mangoledge.example/mangoledge/internal/fleet"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/membership"
+	"mangoledge.example/mangoledge/internal/owner"
+	"mangoledge.example/mangoledge/internal/request"
 	"mangoledge.example/mangoledge/internal/routing"
 )
 
-// oneNode is a membership of this node alone, and a list of one upstream.
-type oneNode struct{ upstreams []fleet.Upstream }
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+const (
+	// patience is how long tests wait for what must happen.
+	patience = time.Minute
+	// slots is how many requests the one upstream runs at once.
+	slots = 2
+)
+
+// pair is two nodes before one upstream, which one of them owns.
+type pair struct {
+	members []membership.Member
+	routers []*Router
+	// cut is true while the nodes can't call each other.
+	cut bool
+}
+
+func newPair() *pair {
+	s := &pair{}
+	for i := range 2 {
+		name := fmt.Sprint("n", i)
+		s.members = append(s.members, membership.Member{
+			Incarnation: ident.Incarnation(name + "_1"), Node: ident.Node(name), FailureDomain: "a", PeerAddress: name, State: membership.StateAlive,
+		})
+	}
+	for i := range s.members {
+		r := NewRouter(Options{
+			Members: pairView{s, i}, Fleet: s, Listed: s, Marks: func() uint64 { return 0 }, Calls: s,
+			Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Policy: routing.Cost{Weights: routing.WeightsFor(defaultLatencyWeight)},
+			MarkLeaving: func(ident.Upstream) {},
+			Suspect:     func(spec *request.Spec) bool { return spec.Input == "suspect" },
+		})
+		r.Update(time.Now())
+		s.routers = append(s.routers, r)
+	}
+	return s
+}
 
-func (oneNode) Self() membership.Member { return membership.Member{Node: "n1", Incarnation: "n1_0"} }
+func (s *pair) Upstreams() []fleet.Upstream {
+	return []fleet.Upstream{{
+		ID: "e1", URL: "http://e1", FailureDomain: "a", Models: []ident.Model{"m"}, Slots: slots, State: fleet.StateReady,
+	}}
+}
 
-func (n oneNode) Members() []membership.Member {
-	return []membership.Member{n.Self()}
+func (s *pair) Call(_ context.Context, address, method string, args, reply any) error {
+	if s.cut {
+		return errors.New("cut")
+	}
+	for i := range s.members {
+		if s.members[i].PeerAddress != address {
+			continue
+		}
+		service := owner.NewService(s.routers[i].Ledger(), time.Now)
+		if method == owner.MethodReserve {
+			return service.Reserve(args.(*owner.ReserveArgs), reply.(*owner.ReserveReply))
+		}
+		return service.Release(args.(*owner.ReleaseArgs), reply.(*owner.ReleaseReply))
+	}
+	return errors.Newf("no node at %s", address)
 }
 
-func (oneNode) Lookup(ident.Incarnation) (membership.Member, bool) {
+// pairView is the list of members as one node sees it.
+type pairView struct {
+	pair *pair
+	self int
+}
+
+func (v pairView) Self() membership.Member      { return v.pair.members[v.self] }
+func (v pairView) Members() []membership.Member { return v.pair.members }
+
+func (v pairView) Lookup(incarnation ident.Incarnation) (membership.Member, bool) {
+	for _, m := range v.pair.members {
+		if m.Incarnation == incarnation {
+			return m, true
+		}
+	}
 	return membership.Member{}, false
 }
 
-func (n oneNode) Upstreams() []fleet.Upstream { return n.upstreams }
-
-func TestTheReclaimTimeIsThatOfTheUpstreamsHost(t *testing.T) {
-	at := time.Unix(2000, 0)
-	known := oneNode{upstreams: []fleet.Upstream{{ID: "u1", Host: "h1", State: fleet.StateLeaving}, {ID: "u2", Host: "h2"}}}
-	options := Options{
-		Members: known, Fleet: known, Listed: known, Logger: slog.Default(), Policy: routing.LeastOutstanding{},
-		Marks: func() uint64 { return 0 },
-		ReclaimAt: func(u fleet.Upstream) time.Time {
-			if u.Host == "h1" {
-				return at
-			}
-			return time.Time{}
-		},
+func need(input string, deadline time.Duration) *dispatch.Need {
+	return &dispatch.Need{Spec: &request.Spec{Model: "m", Input: input, MaxTokens: 1, Deadline: time.Now().Add(deadline)}}
+}
+
+// eventuallyPlaced asks until there is a place: an owner that refused one request
+// is left alone for a moment.
+func eventuallyPlaced(t *testing.T, r *Router, input string) dispatch.Placement {
+	t.Helper()
+	var place dispatch.Placement
+	require.Eventually(t, func() bool {
+		var err error
+		place, err = r.Pick(t.Context(), need(input, patience))
+		return err == nil
+	}, patience, time.Millisecond)
+	return place
+}
+
+// A suspect waits for the one that is there already, whichever node placed it.
+func TestTwoSuspectsNeverShareAnUpstream(t *testing.T) {
+	s := newPair()
+	for i, r := range s.routers {
+		other := s.routers[1-i]
+		first := eventuallyPlaced(t, r, "suspect")
+		_, err := other.Pick(t.Context(), need("suspect", 100*time.Millisecond))
+		require.Error(t, err)
+		eventuallyPlaced(t, other, "harmless").Done(dispatch.OutcomeDone, 0)
+		first.Done(dispatch.OutcomeDone, 0)
+		eventuallyPlaced(t, other, "suspect").Done(dispatch.OutcomeDone, 0)
+	}
+}
+
+// Without its owner a harmless request goes on; a suspect waits.
+func TestSuspectGoesNowhereWithoutTheOwner(t *testing.T) {
+	s := newPair()
+	s.cut = true
+	placed := 0
+	for _, r := range s.routers {
+		place, err := r.Pick(t.Context(), need("harmless", patience))
+		require.NoError(t, err)
+		place.Done(dispatch.OutcomeDone, 0)
+		if place, err := r.Pick(t.Context(), need("suspect", 100*time.Millisecond)); err == nil {
+			placed++
+			place.Done(dispatch.OutcomeDone, 0)
+		}
 	}
-	r := NewRouter(options)
-	require.Zero(t, r.ReclaimAt("u1"), "not listed yet")
-	r.Update(time.Unix(1000, 0))
-	require.Equal(t, at, r.ReclaimAt("u1"))
-	require.Zero(t, r.ReclaimAt("u2"))
-	options.ReclaimAt = nil
-	r = NewRouter(options)
-	r.Update(time.Unix(1000, 0))
-	require.Zero(t, r.ReclaimAt("u1"))
+	require.Equal(t, 1, placed, "only the owner itself places it")
 }
