Passes name their holder in few bytes, and the end of a request goes without its prompt

Cause: a pass of a gate named its holder's incarnation in full; and the report of a request's end carried the prompt to the witness a second time, which reads nothing of it.

Change: reservations and passes name their holder by a hash of the incarnation, which is one type now; the end of a request is reported without its spec.

--- a/internal/bench/productattempt.go
+++ b/internal/bench/productattempt.go
@@ -49,7 +49,7 @@
 	}
 	a.held = false
 	to := n.product.nodes[a.owner]
-	id := owner.ReservationID{Holder: owner.HolderOf(n.member.Incarnation), Serial: a.serial}
+	id := owner.ReservationID{Holder: n.member.Incarnation.Hash(), Serial: a.serial}
 	w.atNode(to.number, n.way(to), func() { to.ledger.Release(w.clock.wall(), id, out) })
 }
 
@@ -143,7 +143,7 @@
 	j.passed = false
 	w := n.product.world
 	gate := n.gateOf(j)
-	id := poison.PassID{Holder: n.member.Incarnation, Serial: uint64(j.number)}
+	id := poison.PassID{Holder: n.member.Incarnation.Hash(), Serial: uint64(j.number)}
 	w.atNode(gate.number, n.way(gate), func() {
 		gate.gate.Release(w.clock.wall(), j.print, id, a.engine.upstream.ID, ending)
 	})
--- a/internal/bench/productreserve.go
+++ b/internal/bench/productreserve.go
@@ -58,7 +58,7 @@
 		blocks = nil
 	}
 	return &owner.ReserveArgs{
-		ID:    owner.ReservationID{Holder: owner.HolderOf(n.member.Incarnation), Serial: j.serial},
+		ID:    owner.ReservationID{Holder: n.member.Incarnation.Hash(), Serial: j.serial},
 		Model: f.Model, Service: f.Service, Blocks: blocks,
 		PromptTokens: f.PromptTokens, MaxTokens: f.MaxTokens, Priority: n.urgency(j),
 		Avoid: f.Avoid, Suspect: f.Suspect,
@@ -139,7 +139,7 @@
 func (n *node) pass(j *job, a *attempt) {
 	w := n.product.world
 	gate := n.gateOf(j)
-	id := poison.PassID{Holder: n.member.Incarnation, Serial: uint64(j.number)}
+	id := poison.PassID{Holder: n.member.Incarnation.Hash(), Serial: uint64(j.number)}
 	answer := gate.gate.Acquire(w.clock.wall(), j.print, id, j.deadline-w.clock.now+time.Second)
 	if answer.Kind == poison.AnswerPass && answer.Crashes > 0 && !j.features.Suspect {
 		j.features.Suspect = true
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -148,6 +148,7 @@
 	}
 	record.Phase = phase
 	record.Failure = failure
+	record.Spec = request.Spec{} // the witness has the rest from the claim
 	ctx, cancel := context.WithTimeout(context.Background(), witnessTimeout)
 	defer cancel()
 	_, err := d.options.Witness.Finish(ctx, &grant.FinishRequest{ID: e.spec.ID, Holder: d.self, Epoch: record.Epoch, Record: record})
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -93,7 +93,7 @@
 func (g *Guard) Enter(ctx context.Context, spec *request.Spec) (dispatch.Pass, error) {
 	args := &poison.AcquireArgs{
 		Fingerprint: fingerprint(spec),
-		ID:          poison.PassID{Holder: g.members.Self().Incarnation, Serial: g.serial.Add(1)},
+		ID:          poison.PassID{Holder: g.members.Self().Incarnation.Hash(), Serial: g.serial.Add(1)},
 		Hold:        time.Until(spec.Deadline),
 	}
 	address, local := g.coordinator(args.Fingerprint)
--- a/internal/owner/client.go
+++ b/internal/owner/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/routing"
 )
 
@@ -36,7 +37,7 @@
 }
 
 // Renew lets reservations of holder at address go on; it returns those that had ended.
-func (c *Client) Renew(ctx context.Context, address string, holder Holder, serials []uint64) ([]uint64, error) {
+func (c *Client) Renew(ctx context.Context, address string, holder ident.IncarnationHash, serials []uint64) ([]uint64, error) {
 	var reply RenewReply
 	err := c.caller.Call(ctx, address, MethodRenew, &RenewArgs{Holder: holder, Serials: serials}, &reply)
 	return reply.Unknown, err
--- a/internal/owner/concurrent_test.go
+++ b/internal/owner/concurrent_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/routing"
 )
 
@@ -20,7 +21,7 @@
 		group.Go(func() {
 			for i := range uint64(each) {
 				a := args(i, time.Minute)
-				a.ID.Holder = Holder(h)
+				a.ID.Holder = ident.IncarnationHash(h)
 				reply := l.Reserve(start, a)
 				if reply.Summary.InFlight > 6*(testSlots+testOvercommit) {
 					t.Errorf("in flight %d", reply.Summary.InFlight)
--- a/internal/owner/ledger.go
+++ b/internal/owner/ledger.go
@@ -164,7 +164,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	dropped := 0
-	key := HolderOf(holder)
+	key := holder.Hash()
 	for id, r := range l.held {
 		if id.Holder == key {
 			l.end(now, r, routing.Outcome{Kind: routing.OutcomeCancelled})
--- a/internal/owner/ledger_test.go
+++ b/internal/owner/ledger_test.go
@@ -26,7 +26,7 @@
 	testOvercommit = 1
 )
 
-var testHolder = HolderOf("n1_0")
+var testHolder = ident.Incarnation("n1_0").Hash()
 
 var start = time.Unix(1000, 0)
 
--- a/internal/owner/messages.go
+++ b/internal/owner/messages.go
@@ -23,7 +23,7 @@
 type ReservationID struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 
-	Holder Holder
+	Holder ident.IncarnationHash
 	Serial uint64
 }
 
@@ -94,7 +94,7 @@
 type RenewArgs struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 
-	Holder  Holder
+	Holder  ident.IncarnationHash
 	Serials []uint64
 }
 
--- a/internal/owner/renew.go
+++ b/internal/owner/renew.go
@@ -3,11 +3,13 @@
 import (
 	"container/heap"
 	"time"
+
+	"mangoledge.example/mangoledge/internal/ident"
 )
 
 // Renew lets reservations of a holder last for their whole time from now on, and
 // returns the serials of those that have ended.
-func (l *Ledger) Renew(now time.Time, holder Holder, serials []uint64) []uint64 {
+func (l *Ledger) Renew(now time.Time, holder ident.IncarnationHash, serials []uint64) []uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.expire(now)
--- a/internal/placement/router.go
+++ b/internal/placement/router.go
@@ -71,7 +71,7 @@
 	table    *routing.Table
 	serial   atomic.Uint64
 	// holder is this node as the owners know it.
-	holder owner.Holder
+	holder ident.IncarnationHash
 	// places are the slots that this node holds.
 	places *places
 
@@ -95,7 +95,7 @@
 		table:     table,
 		fallback:  routing.NewRouter(table, options.Policy, random()),
 		upstreams: make(map[ident.Upstream]fleet.Upstream),
-		holder:    owner.HolderOf(self.Incarnation),
+		holder:    self.Incarnation.Hash(),
 		places:    newPlaces(),
 	}
 }
--- a/internal/poison/gate.go
+++ b/internal/poison/gate.go
@@ -19,7 +19,7 @@
 type PassID struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 
-	Holder ident.Incarnation
+	Holder ident.IncarnationHash
 	Serial uint64
 }
 
--- a/internal/poison/registry_test.go
+++ b/internal/poison/registry_test.go
@@ -106,7 +106,7 @@
 		now := start
 		for i := range uint64(200) {
 			now = now.Add(50 * time.Millisecond)
-			id := PassID{Holder: ident.Incarnation(fmt.Sprint(random.IntN(5))), Serial: i}
+			id := PassID{Holder: ident.IncarnationHash(random.IntN(5)), Serial: i}
 			if gate.Acquire(now, 1, id, time.Hour).Kind == AnswerPass {
 				running = append(running, id)
 			}
--- a/internal/slopes/owner.go
+++ b/internal/slopes/owner.go
@@ -72,7 +72,7 @@
 		asked[choice.Owner] = struct{}{}
 	})
 	reserve := cost(decisions, func(n int) {
-		id := owner.ReservationID{Holder: owner.HolderOf(self.Incarnation), Serial: uint64(n)}
+		id := owner.ReservationID{Holder: self.Incarnation.Hash(), Serial: uint64(n)}
 		ledger.Reserve(at, &owner.ReserveArgs{ID: id, Model: modelN(n), PromptTokens: 500, MaxTokens: answerTokens})
 		ledger.Release(at, id, routing.Outcome{})
 	})
--- a/internal/slopes/peer.go
+++ b/internal/slopes/peer.go
@@ -184,28 +184,28 @@
 			return &grant.ProgressBatch{Reports: reports}, new(grant.ProgressBatchReply)
 		}),
 		caller.measure("finish", "Witness.Finish", func(n int) (args, reply any) {
-			done := request.Record{Spec: *specs[n], Phase: request.PhaseDone, Holder: home, Epoch: 1, Generation: "g1", Tokens: tokensOf(answerTokens)}
+			done := request.Record{Phase: request.PhaseDone, Holder: home, Epoch: 1, Generation: "g1", Tokens: tokensOf(answerTokens)}
 			return &grant.FinishRequest{ID: specs[n].ID, Holder: home, Epoch: 1, Record: done}, new(grant.UpdateReply)
 		}),
 	}
 	figures = append(figures,
 		caller.measure("reserve", owner.MethodReserve, func(n int) (args, reply any) {
-			id := owner.ReservationID{Holder: owner.HolderOf(home), Serial: uint64(n)}
+			id := owner.ReservationID{Holder: home.Hash(), Serial: uint64(n)}
 			blocks := routing.Blocks(nil, "model-0", "", specs[n].Input)
 			p.ledger.Table().Confirm(time.Now())
 			return &owner.ReserveArgs{ID: id, Model: "model-0", Blocks: blocks, PromptTokens: promptBytes / tokenBytes, MaxTokens: answerTokens}, new(owner.ReserveReply)
 		}),
 		caller.measure("release", owner.MethodRelease, func(n int) (args, reply any) {
-			return &owner.ReleaseArgs{ID: owner.ReservationID{Holder: owner.HolderOf(home), Serial: uint64(n)}}, new(owner.ReleaseReply)
+			return &owner.ReleaseArgs{ID: owner.ReservationID{Holder: home.Hash(), Serial: uint64(n)}}, new(owner.ReleaseReply)
 		}),
 	)
 	figures = append(figures,
 		caller.measure("gate_acquire", poison.MethodAcquire, func(n int) (args, reply any) {
-			id := poison.PassID{Holder: home, Serial: uint64(n)}
+			id := poison.PassID{Holder: home.Hash(), Serial: uint64(n)}
 			return &poison.AcquireArgs{Fingerprint: poison.Of("model-0", "", "", specs[n].Input), ID: id, Hold: deadlineAfter}, new(poison.AcquireReply)
 		}),
 		caller.measure("gate_release", poison.MethodRelease, func(n int) (args, reply any) {
-			id := poison.PassID{Holder: home, Serial: uint64(n)}
+			id := poison.PassID{Holder: home.Hash(), Serial: uint64(n)}
 			return &poison.ReleaseArgs{Fingerprint: poison.Of("model-0", "", "", specs[n].Input), ID: id, Upstream: upstreamN(n).ID, Ending: poison.EndingFinished}, new(poison.ReleaseReply)
 		}),
 	)
