--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 bench-short: ## The same for one shape and a few scenarios, in under 30 s.
 	$(GO) run ./cmd/mangoledge-bench --short --json $(BIN)/bench-short.jsonl
 
-slopes: ## Measure what control costs, for docs/CAPACITY.md; takes about two and a half minutes.
+slopes: ## Measure what control costs, for docs/CAPACITY.md; takes about three minutes.
 	$(GO) run ./cmd/mangoledge-slopes --json docs/capacity/slopes.json --table docs/capacity/slopes.txt
 
 demo: build ## Show the whole system at work on this machine.
