--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 goodput: ## Measure answers in time and cost through a reclaim wave with refused starts.
 	$(GO) test -run xxx -bench 'Wave|Goodput' -benchtime 1x ./internal/capacity
 
-slopes: ## Measure what control costs, for docs/CAPACITY.md; takes about two and a half minutes.
+slopes: ## Measure what control costs, for docs/CAPACITY.md; takes about three minutes.
 	$(GO) run ./cmd/mangoledge-slopes --json docs/capacity/slopes.json --table docs/capacity/slopes.txt
 
 demo: build ## Show the whole system at work on this machine.
