Admission foresees what will overtake a request

Cause: the wait was estimated from what waits ahead at the moment. A workspace's speed was taken as its share beside all that had anything waiting, however little.

Change: each workspace's accepted work is counted by kind. The wait of a request counts what will be queued ahead of it, for as long as the shortage is expected to last: as long again as it has so far. A workspace gets what the others, each with what it brings, leave of their shares.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -84,6 +84,7 @@
 		return nil, refusal
 	}
 	f.push(now, t)
+	f.arrived(now, r)
 	c.accepted[r.Workspace]++
 	c.counters.Accepted++
 	return t, nil
@@ -98,15 +99,17 @@
 		return verdict.New(verdict.NotRun, verdict.CodeDeadlineUnlikely, "the deadline leaves less time than the request takes")
 	}
 	ahead, lesser := c.ahead(f, t)
-	if l.wait(f, ahead) <= left {
+	view := l.outlook(now, f, l.lead(&t.Request))
+	expected := view.wait(ahead)
+	if expected <= left {
 		return nil
 	}
-	wait := time.Duration(l.wait(f, ahead) * float64(time.Second))
-	if l.wait(f, ahead-lesser) > left {
+	wait := time.Duration(expected * float64(time.Second))
+	if view.wait(ahead-lesser) > left {
 		return verdict.New(verdict.NotRun, verdict.CodeDeadlineUnlikely,
 			"about %v of waiting before the request leave too little time until its deadline", wait.Round(time.Millisecond)).After(clampRetry(wait))
 	}
-	for l.wait(f, ahead) > left {
+	for view.wait(ahead) > left {
 		worst := f.worst()
 		if worst == nil || !worst.lessWorth(t) {
 			return nil
--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -22,6 +22,34 @@
 	// inFlight counts requests handed out and not released.
 	inFlight int
 	share    float64
+	// arrivals is the accepted work, by kind.
+	arrivals []*arrivals
+}
+
+// arrived takes in an accepted request.
+func (f *flow) arrived(now time.Time, r *Request) {
+	a := f.arrivalsOf(r.Kind)
+	a.add(now, r.Cost.Seconds(), f.lane.lead(r))
+}
+
+func (f *flow) arrivalsOf(kind ident.Kind) *arrivals {
+	for _, a := range f.arrivals {
+		if a.kind == kind {
+			return a
+		}
+	}
+	a := &arrivals{kind: kind}
+	f.arrivals = append(f.arrivals, a)
+	return a
+}
+
+// rate returns the accepted cost in seconds per second.
+func (f *flow) rate(now time.Time) float64 {
+	sum := 0.0
+	for _, a := range f.arrivals {
+		sum += a.at(now)
+	}
+	return sum
 }
 
 // push adds t, which was admitted at now.
@@ -29,6 +57,9 @@
 	t.key = f.lane.key(now, &t.Request)
 	heap.Push(&f.waiting, t)
 	f.cost += t.Request.Cost.Seconds()
+	if f.lane.queued == 0 {
+		f.lane.backlogged = now
+	}
 	f.lane.queued++
 	f.lane.cost += t.Request.Cost.Seconds()
 }
--- a/internal/admission/lane.go
+++ b/internal/admission/lane.go
@@ -35,6 +35,11 @@
 	measured time.Time
 	// density is the mean worth per second of the requests that ask.
 	density float64
+	// backlogged is since when something has been waiting all the time.
+	backlogged time.Time
+	// streams and claims are scratch space of outlook.
+	streams []stream
+	claims  []claim
 	// paused is until when nothing is handed out.
 	paused time.Time
 }
@@ -67,11 +72,16 @@
 // key orders the requests of a workspace; the least goes first. A step of
 // priority, or a doubled worth per second, counts as much as agingStep of waiting.
 func (l *lane) key(now time.Time, r *Request) int64 {
+	return now.UnixNano() - int64(l.lead(r)*float64(time.Second))
+}
+
+// lead is how far ahead of its arrival r is queued, in seconds.
+func (l *lane) lead(r *Request) float64 {
 	steps := float64(r.Priority)
 	if d := r.density(); d > 0 && l.density > 0 {
 		steps += densitySteps * min(max(math.Log2(d/l.density), -1), 1)
 	}
-	return now.UnixNano() - int64(steps*float64(agingStep))
+	return steps * agingStep.Seconds()
 }
 
 // observe brings the mean number in flight up to now.
@@ -91,19 +101,6 @@
 	return max(l.mean, float64(l.inFlight), 1)
 }
 
-// wait returns the expected time in the queue for a new request of f that has
-// ahead seconds of cost before it within its workspace.
-func (l *lane) wait(f *flow, ahead float64) float64 {
-	shares := f.share
-	for _, other := range l.flows {
-		if other != f && len(other.waiting) > 0 {
-			shares += other.share
-		}
-	}
-	own := ahead * shares / f.share
-	return min(own, l.cost-f.cost+ahead) / l.throughput()
-}
-
 // comeBack returns when a caller that was refused may try again: when what is
 // waiting now has been served.
 func (l *lane) comeBack() time.Duration {
