--- a/internal/dispatch/interfaces.go
+++ b/internal/dispatch/interfaces.go
@@ -8,6 +8,7 @@
 	"mangoledge.example/mangoledge/internal/grant"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/request"
+	"mangoledge.example/mangoledge/internal/routing"
 	"mangoledge.example/mangoledge/internal/verdict"
 )
 
@@ -27,6 +28,8 @@
 // Need says what a request needs of an upstream.
 type Need struct {
 	Spec *request.Spec
+	// Blocks are the blocks of the prompt, which the router fills in when it is first asked.
+	Blocks []routing.Block
 	// Tokens is the number of tokens that are already there.
 	Tokens int
 	// Avoid are upstreams that have just failed this request.
