A request that began elsewhere is not refused as not run

Cause: a holder that takes a request over did not count it as dispatched, so when no place was found it was said to be not run, though the record named an upstream or had tokens. Giving overdue requests up early would have made that more likely.

Change: an idempotent request whose record has an upstream or tokens counts as dispatched from the start; it looks for a place until its deadline.

Conclusion: the promise of not run holds for taken-over requests too. Admission at the new holder still holds them against the cost of a whole run.

--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -54,6 +54,9 @@
 		record:   record,
 		reported: len(record.Tokens),
 		changed:  make(chan struct{}),
+		// Another holder may have sent it to an upstream before. Of one that is not
+		// idempotent the witness knows by its grant.
+		dispatched: record.Spec.Idempotent && (record.Upstream != "" || len(record.Tokens) > 0),
 	}
 }
 
