--- a/cmd/mangoledged/main.go
+++ b/cmd/mangoledged/main.go
@@ -14,18 +14,22 @@
 
 	"mangoledge.example/mangoledge/internal/node"
 	"mangoledge.example/mangoledge/internal/settings"
+	"mangoledge.example/mangoledge/internal/tlsconf"
 )
 
 func main() {
 	app := kingpin.New("mangoledged", "The mangoledge daemon: one per entry host.")
 	path := app.Flag("settings", "Path of the JSON settings.").Required().String()
-	check := app.Flag("check-settings", "Check the settings, say what is wrong, and end.").Bool()
+	check := app.Flag("check-settings", "Check the settings and the files that they name, say what is wrong, and end.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	loaded, err := settings.Load(*path)
 	if err != nil {
 		fail(err)
 	}
 	if *check {
+		if err := checkFiles(loaded); err != nil {
+			fail(err)
+		}
 		fmt.Println("the settings are valid")
 		return
 	}
@@ -34,6 +38,14 @@
 	}
 }
 
+// checkFiles returns what is wrong with the files that the settings name.
+func checkFiles(loaded *settings.Settings) error {
+	if loaded.TLS == nil {
+		return nil
+	}
+	return tlsconf.Check(loaded.TLS.CertFile, loaded.TLS.KeyFile, time.Now())
+}
+
 // run runs one incarnation after the other until the process is to end.
 func run(loaded *settings.Settings) error {
 	runtime.GOMAXPROCS(min(runtime.GOMAXPROCS(0), loaded.Limits.MaxProcessors))
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -35,6 +35,9 @@
 	if _, err := reader.Token(); !errors.Is(err, io.EOF) {
 		d.add("", "", "has more text behind the JSON document")
 	}
+	for _, path := range duplicates(data) {
+		d.add(path, "", "is given more than once; each key is allowed once")
+	}
 	d.value("", tree, reflect.ValueOf(out).Elem(), false)
 }
 
--- /dev/null
+++ b/internal/tlsconf/check_test.go
@@ -0,0 +1,29 @@
+package tlsconf
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/internal/standin/certificate"
+)
+
+func TestCheckFindsFaultsOfTheFiles(t *testing.T) {
+	dir := t.TempDir()
+	certFile, keyFile := filepath.Join(dir, "cert.pem"), filepath.Join(dir, "key.pem")
+	now := time.Now()
+	require.ErrorContains(t, Check(certFile, keyFile, now), certFile, "the files are missing")
+	require.NoError(t, certificate.Write(certFile, keyFile, 1))
+	require.NoError(t, Check(certFile, keyFile, now))
+	require.ErrorContains(t, Check(certFile, keyFile, now.AddDate(100, 0, 0)), "has expired at")
+	require.ErrorContains(t, Check(certFile, keyFile, now.AddDate(-100, 0, 0)), "is not valid before")
+
+	otherCert, otherKey := filepath.Join(dir, "other.pem"), filepath.Join(dir, "other-key.pem")
+	require.NoError(t, certificate.Write(otherCert, otherKey, 2))
+	require.ErrorContains(t, Check(certFile, otherKey, now), "private key does not match")
+	require.NoError(t, os.WriteFile(keyFile, []byte("broken"), 0o600))
+	require.Error(t, Check(certFile, keyFile, now))
+}
