A lease that was deleted by hand goes on with its fencing numbers

Cause: without its object a lease began anew at number 1, at once, while the last holder could still act; that holder then renewed what was not there for ever. show leases worked only on nodes with a cloud in their settings.

Change: the highest number is kept in a second object, written before a check gives a number out. A lease found missing is put back without a holder and taken after its time. A node without a cloud reads the lease for show.

--- a/internal/lease/compete.go
+++ b/internal/lease/compete.go
@@ -15,7 +15,7 @@
 	asked := l.options.Clock()
 	object, err := l.options.Store.Get(ctx, Kind, l.options.Name)
 	if objects.KindOf(err) == objects.KindNotFound {
-		return l.take(ctx, 0, Record{}, false)
+		return l.replaceMissing(ctx)
 	}
 	if err != nil {
 		return err
@@ -59,6 +59,13 @@
 		Fence:  last.Fence + 1,
 		TTLMs:  l.options.TTL.Milliseconds(),
 	}
+	if base != 0 {
+		fence, err := l.issue(ctx, last.Fence)
+		if err != nil {
+			return err
+		}
+		next.Fence = fence
+	}
 	var wait time.Duration
 	if lapsed {
 		wait = OrderTimeout
@@ -90,10 +97,20 @@
 	} else {
 		stored, err = l.options.Store.Update(ctx, object)
 	}
+	if err == nil && base == 0 {
+		err = l.issueFirst(ctx, next.Fence)
+		if err != nil {
+			return err // the next step finds the lease as its own, and takes it anew
+		}
+	}
 	if err == nil {
 		l.hold(stored.Metadata.ResourceVersion, next, wait, sent.Add(l.options.TTL-l.margin()))
 		return nil
 	}
+	if base != 0 && objects.KindOf(err) == objects.KindNotFound {
+		l.lost(0, Record{}) // deleted by hand
+		return err
+	}
 	current, told := objects.CurrentOf(err)
 	if !told {
 		return err // nothing is known; the lease runs out by its time, and the next step tries again
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -10,6 +10,9 @@
 // that order, and for those that do not CheckUnfenced waits out orders in progress,
 // and only orders that are harmless when late are given.
 //
+// A lease that is deleted by hand is put back with the fencing numbers going on, and
+// is free after the time that its holder may have had.
+//
 // Lock order: Lease.mu is a leaf; it is not held while the store is called.
 package lease
 
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -56,8 +56,8 @@
 	var rollouts func() []capacity.Rollout
 	if n.control.capacity != nil {
 		rollouts = n.control.capacity.reconciler.Rollouts
-		tables.ProvideLeases(registry, map[string]tables.LeaseView{capacity.LeaseName: n.control.capacity.lease})
 	}
+	tables.ProvideLeases(registry, map[string]tables.LeaseView{capacity.LeaseName: n.control.lease()})
 	tables.ProvideRollouts(registry, rollouts)
 	return registry
 }
--- a/internal/node/reconcile.go
+++ b/internal/node/reconcile.go
@@ -62,6 +62,15 @@
 	}
 }
 
+// lease returns this node's part in the duty of reconciling. A node whose settings
+// name no cloud only looks at it.
+func (c *control) lease() *lease.Lease {
+	if c.capacity != nil {
+		return c.capacity.lease
+	}
+	return lease.New(lease.Options{Store: c.store, Name: capacity.LeaseName, Holder: c.node.self, Logger: c.node.logger})
+}
+
 // regionOf returns the region of a failure domain, as far as its members tell.
 func (n *Node) regionOf(domain ident.FailureDomain) ident.Region {
 	for _, member := range n.members.Members() {
