A test that a drain outlives the replacement of every node, with whole nodes

Cause: the restart was tested at the configuration only, not at what show tells.

Change: a node drains a host and ends; the next one on the same store shows the upstreams of that host as leaving and the others as ready.

--- a/internal/node/commands_test.go
+++ b/internal/node/commands_test.go
@@ -1,17 +1,25 @@
 package node
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"reflect"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"mangoledge.example/mangoledge/internal/auth"
 	"mangoledge.example/mangoledge/internal/capacity"
+	"mangoledge.example/mangoledge/internal/fleet"
+	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/lease"
 	"mangoledge.example/mangoledge/internal/platform/objects"
+	"mangoledge.example/mangoledge/internal/settings"
+	"mangoledge.example/mangoledge/internal/standin/platform"
 )
 
 // commandAnswer is what operators get of a command.
@@ -50,3 +58,61 @@
 	require.Equal(t, "refused", command("clear drain host/h7").Outcome)
 	require.Empty(t, command("show rollouts").Rows)
 }
+
+// startPlainNode starts a node over a store and returns its settings.
+func startPlainNode(t *testing.T, storeURL string) (*settings.Settings, *Node) {
+	t.Helper()
+	s := &settings.Settings{
+		Node: "n1", Region: "default", FailureDomain: "a", Host: "h1",
+		CallerListen: freeAddress(t), OperatorListen: freeAddress(t), PeerListen: freeAddress(t), PeerToken: "secret",
+		Platform: settings.Platform{ObjectsURL: storeURL},
+		Tokens:   []settings.Token{{Name: "desk", Role: settings.RoleOperator, SHA256: auth.Digest("o")}},
+		Log:      settings.Log{Level: "error", Format: "json"},
+		Limits:   settings.Limits{MaxBodyBytes: 1 << 20, MaxHeaderBytes: 16 << 10, MaxConcurrent: 16, HeaderTimeoutMs: 5000, BodyTimeoutMs: 5000, DrainTimeoutMs: 1000, AddressKeepMs: 1000},
+	}
+	s.CallerURL, s.PeerAdvertise = "http://"+s.CallerListen, s.PeerListen
+	n, err := New(s, io.Discard)
+	require.NoError(t, err)
+	require.NoError(t, n.Start(t.Context()))
+	return s, n
+}
+
+// states returns the states of the upstreams that a node tells.
+func states(t *testing.T, s *settings.Settings, client *http.Client) map[string]string {
+	t.Helper()
+	status, answer := ask(t, client, http.MethodPost, "http://"+s.OperatorListen+"/v1/command", "o", `{"command":"show upstreams"}`)
+	require.Equal(t, http.StatusOK, status, answer)
+	var told commandAnswer
+	require.NoError(t, json.Unmarshal([]byte(answer), &told))
+	out := make(map[string]string)
+	for _, row := range told.Rows {
+		out[row[0]] = row[1]
+	}
+	return out
+}
+
+func TestDrainedHostIsLeavingAfterEveryNodeWasReplaced(t *testing.T) {
+	store := httptest.NewServer(platform.NewServer(platform.Options{}))
+	defer store.Close()
+	objectStore := objects.NewClient(objects.Options{BaseURL: store.URL})
+	defer objectStore.Close()
+	list, err := json.Marshal(fleet.DomainList{Upstreams: []fleet.Upstream{
+		{ID: "u1", URL: "http://127.0.0.1:1", Host: "h7", FailureDomain: "a", Models: []ident.Model{"m"}, Slots: 1, State: fleet.StateReady},
+		{ID: "u2", URL: "http://127.0.0.1:1", Host: "h8", FailureDomain: "a", Models: []ident.Model{"m"}, Slots: 1, State: fleet.StateReady},
+	}})
+	require.NoError(t, err)
+	_, err = objectStore.Create(t.Context(), objects.Object{Kind: fleet.UpstreamsKind, Metadata: objects.Metadata{Name: "a"}, Spec: list})
+	require.NoError(t, err)
+	client := &http.Client{Timeout: 10 * time.Second}
+	want := map[string]string{"u1": "leaving", "u2": "ready"}
+
+	for run, command := range []string{`{"command":"drain host h7"}`, `{"command":"show drains"}`} {
+		s, n := startPlainNode(t, store.URL)
+		status, answer := ask(t, client, http.MethodPost, "http://"+s.OperatorListen+"/v1/command", "o", command)
+		require.Equal(t, http.StatusOK, status, answer)
+		require.Eventually(t, func() bool { return reflect.DeepEqual(want, states(t, s, client)) }, 10*time.Second, 20*time.Millisecond, "run %d", run)
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		n.Drain(ctx)
+		cancel()
+	}
+}
