Engines are ordered to take roles

Cause: the platform's engines take orders to change role, and nothing gave them.

Change: set model <name> role=<role> is ordered to the model's engines: before a host takes work, and of those that do a twentieth at a time. A late order would undo a later one, so only engines that check fencing numbers get it; explain model tells of the others. Routing makes nothing of roles.

--- a/internal/capacity/act.go
+++ b/internal/capacity/act.go
@@ -121,8 +121,14 @@
 		if err := r.order(ctx, site, i, ""); err != nil {
 			return err
 		}
+		if err := r.orderRole(ctx, site, i); err != nil {
+			return err
+		}
 		i.Phase = PhaseReady
 	}
+	if err := r.orderRole(ctx, site, i); err != nil {
+		return err
+	}
 	for _, adapter := range site.Models[at].Adapters {
 		if slices.Contains(i.Loaded, adapter) {
 			continue
@@ -156,6 +162,24 @@
 	return nil
 }
 
+// orderRole orders the engine to take its role unless it was ordered to. Engines that
+// ignore fencing numbers get no role by the plan.
+func (r *Reconciler) orderRole(ctx context.Context, site *config.Site, i *Intent) error {
+	if i.Role == i.OrderedRole || !checksFencing(site, i.Pool) {
+		return nil
+	}
+	fence, err := r.options.Lease.Check()
+	if err != nil {
+		return err
+	}
+	if err := r.options.Engines.TakeRole(ctx, i.Address, RoleOrder{Role: i.Role, Fencing: fence}); err != nil {
+		return err
+	}
+	i.OrderedRole = i.Role
+	r.noteRole(i, fence)
+	return nil
+}
+
 // check checks the lease as the engines of a pool need it.
 func (r *Reconciler) check(site *config.Site, pool cloud.Pool) (lease.Fence, error) {
 	if checksFencing(site, pool) {
--- a/internal/capacity/journal.go
+++ b/internal/capacity/journal.go
@@ -1,6 +1,8 @@
 package capacity
 
 import (
+	"slices"
+
 	"mangoledge.example/mangoledge/internal/explain"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/lease"
@@ -24,6 +26,14 @@
 		Name:     "load ordered",
 		Sentence: "Its engine was ordered to load adapter {adapter} of model {model}, version {version}, under fencing number {fence}.",
 	}
+	roleOrdered = &explain.Decision{
+		Name:     "role ordered",
+		Sentence: "Its engine was ordered to take the role {role}, for model {model}, under fencing number {fence}.",
+	}
+	roleNotOrdered = &explain.Decision{
+		Name:     "role not ordered",
+		Sentence: "Some engines of model {model} are not ordered to take its role, since they ignore fencing numbers: a late order of another node could undo it. See checksFencing in `show capacity`.",
+	}
 	hostTaken = &explain.Decision{
 		Name:     "host taken",
 		Sentence: "No host could be started for model {to}, which is more urgent than {from}: host {host} is emptied, and model {to} is loaded when its work is done.",
@@ -74,6 +84,12 @@
 		r.options.Journal.Record(explain.KindModel, string(t.From), hostTaken, inputs...)
 		r.options.Journal.Record(explain.KindModel, string(t.To), hostTaken, inputs...)
 	}
+	for _, model := range plan.Unordered {
+		if !slices.Contains(r.unordered, model) {
+			r.options.Journal.Record(explain.KindModel, string(model), roleNotOrdered, explain.Text("model", model))
+		}
+	}
+	r.unordered = plan.Unordered
 	waiting := make(map[ident.Model]bool)
 	for _, rollout := range plan.Rollouts {
 		if rollout.Waits {
@@ -100,6 +116,11 @@
 		explain.Number("outdated", rollout.Outdated), explain.Number("replicas", rollout.Replicas))
 }
 
+func (r *Reconciler) noteRole(i *Intent, fence lease.Fence) {
+	r.options.Journal.Record(explain.KindHost, string(i.Host), roleOrdered,
+		explain.Text("role", i.Role), explain.Text("model", i.Model), explain.Number("fence", uint64(fence)))
+}
+
 func (r *Reconciler) noteEnd(i *Intent) {
 	r.options.Journal.Record(explain.KindHost, string(i.Host), hostEnded, explain.Text("model", i.Model))
 }
--- a/internal/capacity/ledger.go
+++ b/internal/capacity/ledger.go
@@ -48,6 +48,9 @@
 	Next ident.Model `json:"next,omitempty"`
 	// Fence is the fencing number under which the intent was made.
 	Fence lease.Fence `json:"fence,omitempty"`
+	// Role is what the engine is to be ordered to be, and OrderedRole what it was.
+	Role        ident.Role `json:"role,omitempty"`
+	OrderedRole ident.Role `json:"orderedRole,omitempty"`
 	// LeavingSinceMs is when it began to leave or move, in Unix milliseconds.
 	LeavingSinceMs int64 `json:"leavingSinceMs,omitempty"`
 	// PricePerHour is the price when it was started.
--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -53,6 +53,8 @@
 	Takings []Taking
 	// Rollouts are the models whose replicas do not all have their version.
 	Rollouts []Rollout
+	// Unordered are the models with a role of which some engines ignore fencing numbers.
+	Unordered []ident.Model
 }
 
 // Plan makes a plan. It does no I/O and changes no input.
@@ -68,9 +70,10 @@
 		p.grow(model)
 		p.economize(model)
 		p.releaseDrained(model)
+		p.assignRoles(model)
 		p.noteRollout(model)
 	}
-	return Planned{Ledgers: p.ledgers, Takings: p.takings, Rollouts: p.rollouts}
+	return Planned{Ledgers: p.ledgers, Takings: p.takings, Rollouts: p.rollouts, Unordered: p.unordered}
 }
 
 // planner holds a plan in the making.
@@ -84,6 +87,8 @@
 	added    int
 	takings  []Taking
 	rollouts []Rollout
+	// unordered are models whose role some engines can't be ordered to take.
+	unordered []ident.Model
 }
 
 func newPlanner(in Inputs) *planner {
--- a/internal/capacity/reconciler.go
+++ b/internal/capacity/reconciler.go
@@ -98,6 +98,8 @@
 	fence lease.Fence
 	// waiting are the models whose roll-out was told to wait last.
 	waiting map[ident.Model]bool
+	// unordered are the models whose role was told not to be ordered last.
+	unordered []ident.Model
 }
 
 // New returns a reconciler.
@@ -299,6 +301,6 @@
 	return slices.EqualFunc(a.Intents, b.Intents, func(x, y Intent) bool {
 		return x.Token == y.Token && x.Pool == y.Pool && x.Model == y.Model && x.Version == y.Version &&
 			x.Phase == y.Phase && x.Host == y.Host && x.Address == y.Address &&
-			x.Next == y.Next && x.Fence == y.Fence && slices.Equal(x.Loaded, y.Loaded) && x.LeavingSinceMs == y.LeavingSinceMs && x.PricePerHour == y.PricePerHour
+			x.Next == y.Next && x.Fence == y.Fence && x.Role == y.Role && x.OrderedRole == y.OrderedRole && slices.Equal(x.Loaded, y.Loaded) && x.LeavingSinceMs == y.LeavingSinceMs && x.PricePerHour == y.PricePerHour
 	})
 }
--- a/internal/capacity/reconciler_test.go
+++ b/internal/capacity/reconciler_test.go
@@ -99,7 +99,8 @@
 // idleEngines take every order and have nothing to do.
 type idleEngines struct{}
 
-func (idleEngines) Load(context.Context, string, LoadOrder) error { return nil }
+func (idleEngines) Load(context.Context, string, LoadOrder) error     { return nil }
+func (idleEngines) TakeRole(context.Context, string, RoleOrder) error { return nil }
 func (idleEngines) Status(context.Context, string) (EngineLoad, error) {
 	return EngineLoad{Slots: 8}, nil
 }
--- /dev/null
+++ b/internal/capacity/roles_test.go
@@ -0,0 +1,86 @@
+package capacity
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/internal/explain"
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/platform/rest"
+	"mangoledge.example/mangoledge/internal/standin/engine"
+)
+
+// rolesOf returns the roles that the engines of a model's upstreams were ordered to take.
+func (b *bench) rolesOf(model ident.Model, engines *busyEngines) []ident.Role {
+	var out []ident.Role
+	for _, u := range b.registry.Upstreams() {
+		if u.Serves(model) {
+			out = append(out, engines.roles[u.URL[len("http://"):]])
+		}
+	}
+	return out
+}
+
+func TestEnginesAreOrderedToTakeTheirRole(t *testing.T) {
+	b, r, engines := short(t, true)
+	require.Empty(t, engines.roles, "without a role no order is given")
+	b.site.Models[0].Role = "prefill"
+	plan, err := r.plan(t.Context(), &b.site)
+	require.NoError(t, err)
+	asked := 0
+	for _, l := range plan.Ledgers {
+		for _, i := range l.Intents {
+			if i.Role != i.OrderedRole {
+				asked++
+			}
+		}
+	}
+	require.Equal(t, 1, asked, "those that take work change one at a time")
+	b.site.Models[1].Role = "decode"
+	b.passes(r, 8, b.withinBudget)
+	require.Equal(t, []ident.Role{"prefill"}, b.rolesOf("low", engines))
+	require.Equal(t, []ident.Role{"decode", "decode", "decode"}, b.rolesOf("high", engines), "taken hosts change their role too")
+	b.site.Models[1].Role = ""
+	b.passes(r, 4, b.withinBudget)
+	require.Equal(t, []ident.Role{"", "", ""}, b.rolesOf("high", engines))
+}
+
+func TestEnginesThatIgnoreFencingGetNoRoleAndThatIsTold(t *testing.T) {
+	b, r, engines := short(t, false)
+	b.site.Models[0].Role = "prefill"
+	b.passes(r, 4, b.withinBudget)
+	require.Empty(t, engines.roles)
+	told := r.options.Journal.Lookup(explain.Subject{Kind: explain.KindModel, ID: "low"})
+	found := 0
+	for _, entry := range told {
+		if entry.Decision.Name == roleNotOrdered.Name {
+			found++
+		}
+	}
+	require.Equal(t, 1, found, "told once")
+}
+
+func TestRoleOrderWithAnOldFencingNumberIsRefused(t *testing.T) {
+	stand, err := engine.New(engine.Options{ID: "e", Slots: 1})
+	require.NoError(t, err)
+	server := httptest.NewServer(stand.Handler())
+	defer server.Close()
+	address := server.Listener.Addr().String()
+	var engines HTTPEngines
+	require.NoError(t, engines.TakeRole(t.Context(), address, RoleOrder{Role: "decode", Fencing: 5}))
+	var refused *rest.Error
+	require.ErrorAs(t, engines.TakeRole(t.Context(), address, RoleOrder{Role: "prefill", Fencing: 4}), &refused)
+	resp, err := http.Get(server.URL + "/stats")
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	var stats engine.Stats
+	require.NoError(t, json.Unmarshal(data, &stats))
+	require.Equal(t, "decode", stats.Role)
+}
--- a/internal/capacity/take_test.go
+++ b/internal/capacity/take_test.go
@@ -24,10 +24,11 @@
 	// interrupted are the addresses that got an order while they had work.
 	interrupted []string
 	loaded      map[string]ident.Model
+	roles       map[string]ident.Role
 }
 
 func newBusyEngines() *busyEngines {
-	return &busyEngines{busy: make(map[string]bool), loaded: make(map[string]ident.Model)}
+	return &busyEngines{busy: make(map[string]bool), loaded: make(map[string]ident.Model), roles: make(map[string]ident.Role)}
 }
 
 func (e *busyEngines) Load(_ context.Context, address string, order LoadOrder) error {
@@ -40,6 +41,13 @@
 	return nil
 }
 
+func (e *busyEngines) TakeRole(_ context.Context, address string, order RoleOrder) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.roles[address] = order.Role
+	return nil
+}
+
 func (e *busyEngines) Status(_ context.Context, address string) (EngineLoad, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/config/columns.go
+++ b/internal/config/columns.go
@@ -50,6 +50,7 @@
 	{name: "adapters", allowed: "names with commas between", set: setAdapters},
 	intColumn("replicas", func(m *Model) *int { return &m.Replicas }),
 	intColumn("priority", func(m *Model) *int { return &m.Priority }),
+	{name: "role", allowed: aName, set: func(m *Model, v string) bool { m.Role = ident.Role(v); return true }},
 }
 
 var serviceColumns = []column[Service]{
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -58,6 +58,9 @@
 	if m.Version != "" {
 		c.pattern(path+"/version", string(m.Version))
 	}
+	if m.Role != "" {
+		c.pattern(path+"/role", string(m.Role))
+	}
 	for _, a := range m.Adapters {
 		c.pattern(path+"/adapters", string(a))
 	}
--- a/internal/ident/ident.go
+++ b/internal/ident/ident.go
@@ -25,6 +25,9 @@
 // Adapter is the name of an adapter of a model.
 type Adapter string
 
+// Role is what a model engine does, such as compute prompts only, in the engine's own words.
+type Role string
+
 // Version is the name of a version of a model's weights.
 type Version string
 
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -43,6 +43,7 @@
 	recomputed int
 	leaving    bool
 	fencing    uint64
+	role       string
 	random     *rand.Rand
 }
 
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -149,6 +149,7 @@
 type order struct {
 	Order   string `json:"order"`
 	Model   string `json:"model"`
+	Role    string `json:"role"`
 	Fencing uint64 `json:"fencing"`
 }
 
@@ -165,6 +166,9 @@
 		return
 	}
 	e.fencing = max(e.fencing, o.Fencing)
+	if o.Order == "role" {
+		e.role = o.Role
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
@@ -189,7 +193,7 @@
 func (e *Engine) serveStats(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	writeJSON(w, Stats{Running: e.running, Started: e.started, Recomputed: e.recomputed, Fencing: e.fencing})
+	writeJSON(w, Stats{Running: e.running, Started: e.started, Recomputed: e.recomputed, Fencing: e.fencing, Role: e.role})
 }
 
 func writeJSON(w http.ResponseWriter, value any) {
--- a/internal/standin/engine/options.go
+++ b/internal/standin/engine/options.go
@@ -46,4 +46,6 @@
 	Started    int    `json:"started"`
 	Recomputed int    `json:"recomputed"`
 	Fencing    uint64 `json:"fencing"`
+	// Role is the role that it was ordered to take last.
+	Role string `json:"role"`
 }
--- a/internal/tables/rows.go
+++ b/internal/tables/rows.go
@@ -64,6 +64,7 @@
 	Name     string `column:"name" doc:"the model's name"`
 	Version  string `column:"version" doc:"version of its weights"`
 	Adapters string `column:"adapters" doc:"adapters wanted, with commas"`
+	Role     string `column:"role" doc:"role that its engines are ordered to take"`
 	Replicas int    `column:"replicas" doc:"replicas wanted"`
 	Ready    int    `column:"ready" doc:"replicas that take work, as this node knows"`
 	Priority int    `column:"priority" doc:"0 to 9, 9 the most urgent when capacity is short"`
--- a/internal/tables/schema.go
+++ b/internal/tables/schema.go
@@ -43,6 +43,7 @@
 		{Name: "replicas", Type: query.TypeNumber, Doc: "replicas wanted, a whole number"},
 		{Name: "priority", Type: query.TypeNumber, Doc: "0 to 9, 9 the most urgent"},
 		{Name: "adapters", Type: query.TypeList, Doc: "adapters wanted, with commas"},
+		{Name: "role", Type: query.TypeText, Doc: "role that its engines are ordered to take, in their own words"},
 	}},
 	{Name: "service", Removable: true, Doc: "a plain service", NameDoc: "the service's name", Keys: []query.Column{
 		{Name: "repeatable", Type: query.TypeBool, Doc: "false when its calls must not be repeated"},
--- a/internal/tables/sources.go
+++ b/internal/tables/sources.go
@@ -133,7 +133,7 @@
 	})
 	Provide(r, func(context.Context) ([]Model, error) {
 		return rowsOf(site().Models, func(m config.Model) Model {
-			return Model{Name: string(m.Name), Version: string(m.Version), Adapters: commas(m.Adapters), Replicas: m.Replicas, Priority: m.Priority, Ready: readyFor(upstreams, m.Name)}
+			return Model{Name: string(m.Name), Version: string(m.Version), Adapters: commas(m.Adapters), Role: string(m.Role), Replicas: m.Replicas, Priority: m.Priority, Ready: readyFor(upstreams, m.Name)}
 		}), nil
 	})
 	Provide(r, func(context.Context) ([]Service, error) {
