--- a/internal/slopes/reconcile.go
+++ b/internal/slopes/reconcile.go
@@ -46,6 +46,10 @@
 type willingEngines struct{}
 
 func (willingEngines) Load(context.Context, string, capacity.LoadOrder) error { return nil }
+func (willingEngines) TakeRole(context.Context, string, capacity.RoleOrder) error {
+	return nil
+}
+
 func (willingEngines) Status(context.Context, string) (capacity.EngineLoad, error) {
 	return capacity.EngineLoad{Slots: upstreamSlots}, nil
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -48,6 +48,7 @@
 	recomputed int
 	leaving    bool
 	fencing    uint64
+	role       string
 	random     *rand.Rand
 }
 
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -122,6 +122,7 @@
 	Order   string `json:"order"`
 	Model   string `json:"model"`
 	Version string `json:"version"`
+	Role    string `json:"role"`
 	Fencing uint64 `json:"fencing"`
 }
 
@@ -142,6 +143,9 @@
 	}
 	e.log.Write(entry)
 	e.fencing = max(e.fencing, o.Fencing)
+	if o.Order == "role" {
+		e.role = o.Role
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
@@ -172,7 +176,7 @@
 func (e *Engine) serveStats(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	writeJSON(w, Stats{Running: e.running, Started: e.started, Recomputed: e.recomputed, Fencing: e.fencing})
+	writeJSON(w, Stats{Running: e.running, Started: e.started, Recomputed: e.recomputed, Fencing: e.fencing, Role: e.role})
 }
 
 func writeJSON(w http.ResponseWriter, value any) {
