An exact table compares a replica's count with a limit derived once

Cause: the first look at each replica worked out room and overcommit in floating point and was half of a choice.

Change: the limit is derived with the room.

--- a/internal/routing/replica.go
+++ b/internal/routing/replica.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"time"
 
 	"mangoledge.example/mangoledge/internal/fleet"
@@ -46,6 +47,8 @@
 	// speed is the part of its slots that a slow replica gets. It falls by the square
 	// of the pace: with fewer in the batch each request gets back some of its time.
 	speed float64
+	// limit is how many requests an exact table counts there at most once it is not new.
+	limit int
 	// slowness is the pace in typical paces, 1 when unknown.
 	slowness float64
 	// matched is how many leading blocks of the request at hand are believed cached.
@@ -105,7 +108,7 @@
 }
 
 // tune derives what choices read from the slots and the pace.
-func (r *Replica) tune() {
+func (r *Replica) tune(options *Options) {
 	r.speed = 1
 	r.slowness = 1
 	if r.pace > 0 {
@@ -116,10 +119,16 @@
 		r.speed = max(leastSpeed, ratio*ratio)
 	}
 	r.steadyRoom = max(1, r.slots*r.speed)
+	r.limit = int(math.Ceil(r.steadyRoom + r.overcommit(options)))
+}
+
+// overcommit is how many requests beyond its room may wait at the replica.
+func (r *Replica) overcommit(options *Options) float64 {
+	return float64(options.Overcommit) * r.speed
 }
 
 // sample adds a measured time between tokens.
-func (r *Replica) sample(perToken time.Duration) {
+func (r *Replica) sample(perToken time.Duration, options *Options) {
 	if perToken <= 0 {
 		return
 	}
@@ -129,5 +138,5 @@
 	} else {
 		r.pace += paceGain * (s - r.pace)
 	}
-	r.tune()
+	r.tune(options)
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -134,7 +134,10 @@
 	if !t.options.Exact {
 		return true
 	}
-	return float64(t.load(now, c)) < c.room(now)+float64(t.options.Overcommit)*c.speed
+	if !c.fresh {
+		return c.inFlight < c.limit
+	}
+	return float64(t.load(now, c)) < c.room(now)+c.overcommit(&t.options)
 }
 
 func hasAdapter(r *Replica, adapter ident.Adapter) bool {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -100,7 +100,7 @@
 	r.ready = u.State == fleet.StateReady
 	r.local = u.FailureDomain == t.options.Local
 	r.slots = float64(u.Slots)
-	r.tune()
+	r.tune(&t.options)
 	r.price = u.PricePerHour
 	r.reclaimable = u.Reclaimable
 	if u.State == fleet.StateLeaving || u.State == fleet.StateGone {
@@ -205,7 +205,7 @@
 	switch out.Kind {
 	case OutcomeDone:
 		r.breaker.succeeded()
-		r.sample(out.PerToken)
+		r.sample(out.PerToken, &t.options)
 	case OutcomeFailed:
 		r.breaker.failed(now)
 	case OutcomeCrashed:
@@ -215,7 +215,7 @@
 		r.leaving = true
 		r.breaker.ended()
 	case OutcomeRefused, OutcomeMoved, OutcomeCancelled, OutcomeUnsent:
-		r.sample(out.PerToken)
+		r.sample(out.PerToken, &t.options)
 		r.breaker.ended()
 	}
 }
