A request whose witness is dead is answered for good

Cause: a non-idempotent request whose witness was killed was refused as witness_lost with a time to come back for its whole deadline, although an incarnation that was declared dead never comes back and has no successor any more. A request that its home had given up for want of the grant told the caller to come back too, to find the same end each time.

Change: witness.Client tells a witness that did not answer (alive, suspect, not known, or its successor is) from one that never will (dead or left without a successor, or with a last successor that is). The dispatcher leaves retryAfterMs out in the second case, and only when no other node can know more: it is the home itself, or the home is dead or has left. A home that is alive or suspect and does not answer is asked again, and one that runs the request gives its answer. A refusal of admission whose grant could not be voided is final by the same rule. A request that its home gave up because the witness did not grant or void it is final at once: its end stays. The code stays witness_lost; callerclient took its form without retryAfterMs as final already, and a test says so now. No other refusal changes.

Conclusion: the caller comes back only while that can bring another answer. Not changed: GET and DELETE of a request by ID, and resumed streams, still name a time to come back when neither home nor witness answers.

--- a/internal/callerclient/send_test.go
+++ b/internal/callerclient/send_test.go
@@ -35,6 +35,12 @@
 	result = site.client().Send(t.Context(), submission(false, false), nil)
 	require.Equal(t, OutcomeWhole, result.Outcome)
 	requireSameID(t, site.seen())
+
+	site = newFakeSite(t, refuse(http.StatusServiceUnavailable, "may_have_run", "witness_lost", 0), answer("$ID", "twice"))
+	result = site.client().Send(t.Context(), submission(false, false), nil)
+	require.Equal(t, OutcomeRefused, result.Outcome)
+	require.Equal(t, verdict.MayHaveRun, result.Verdict)
+	require.Len(t, site.seen(), 1, "without a time to come back the answer is final")
 }
 
 // idKeeper keeps the IDs it is told, with how many sends had been made by then.
--- a/internal/dispatch/interfaces.go
+++ b/internal/dispatch/interfaces.go
@@ -14,7 +14,8 @@
 )
 
 // Witness keeps records and gives grants. An error means that the witness is
-// lost or did not answer in time.
+// lost or did not answer in time; one of verdict.CodeWitnessLost without a
+// RetryAfter says that it never answers again.
 type Witness interface {
 	Claim(ctx context.Context, req *grant.ClaimRequest) (grant.ClaimReply, error)
 	Grant(ctx context.Context, req *grant.Request) (grant.Reply, error)
--- a/internal/dispatch/once_test.go
+++ b/internal/dispatch/once_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -177,3 +178,149 @@
 	require.Equal(t, dispatch.EventError, after.last.Kind)
 	require.Equal(t, verdict.CodeCancelled, after.last.Failure.Code)
 }
+
+// unreachable has the members know an address of a node where nobody answers.
+func (s *fakeSite) unreachable(n *fakeNode) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(s.t, err)
+	require.NoError(s.t, listener.Close())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.members {
+		if s.members[i].Incarnation == n.self.Incarnation {
+			s.members[i].PeerAddress = listener.Addr().String()
+		}
+	}
+}
+
+// leave has the members know that a node left and who took its table.
+func (s *fakeSite) leave(n *fakeNode, successor ident.Incarnation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.members {
+		if s.members[i].Incarnation == n.self.Incarnation {
+			s.members[i].State = membership.StateLeft
+			s.members[i].Successor = successor
+		}
+	}
+}
+
+// requireWitnessLost submits at node and checks the refusal; final is false when the caller may come back.
+func requireWitnessLost(t *testing.T, node *fakeNode, s *request.Spec, final bool) {
+	t.Helper()
+	_, err := node.dispatcher.Submit(t.Context(), dispatch.Submission{Spec: *s})
+	refusal := verdict.From(err)
+	require.Equal(t, verdict.MayHaveRun, refusal.Verdict)
+	require.Equal(t, verdict.CodeWitnessLost, refusal.Code)
+	require.Equal(t, final, refusal.RetryAfter == 0, "come back after %s", refusal.RetryAfter)
+}
+
+func TestWitnessLostIsFinalOnceTheWitnessIsGone(t *testing.T) {
+	site := newFakeSite(t)
+	home, wit, other, heir := site.addNode("home"), site.addNode("wit"), site.addNode("other"), site.addNode("heir")
+	calls := site.addService(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "held") })
+	s := onceSpec(home, wit)
+	site.unreachable(wit)
+	site.unreachable(heir)
+	steps := []struct {
+		name  string
+		known func()
+		final bool
+	}{
+		{"alive and silent", func() {}, false},
+		{"suspect", func() { site.setState(wit.self.Incarnation, membership.StateSuspect) }, false},
+		{"dead", func() { site.setState(wit.self.Incarnation, membership.StateDead) }, true},
+		{"left without a successor", func() { site.leave(wit, "") }, true},
+		{"left with a successor that is silent", func() { site.leave(wit, heir.self.Incarnation) }, false},
+		{"left with a successor that is dead", func() { site.setState(heir.self.Incarnation, membership.StateDead) }, true},
+		{"left with a successor that is not known", func() { site.leave(wit, "n9_0000000000000009") }, false},
+	}
+	for _, step := range steps {
+		step.known()
+		t.Run(step.name, func(t *testing.T) {
+			requireWitnessLost(t, home, &s, step.final)
+			requireWitnessLost(t, other, &s, step.final)
+		})
+	}
+	require.Zero(t, calls.Load())
+}
+
+// A home that does not answer may still run the request, for as long as it is not declared dead.
+func TestWitnessLostIsNotFinalWhileTheHomeMayAnswer(t *testing.T) {
+	site := newFakeSite(t)
+	home, wit, other := site.addNode("home"), site.addNode("wit"), site.addNode("other")
+	s := onceSpec(home, wit)
+	site.unreachable(home)
+	site.setState(wit.self.Incarnation, membership.StateDead)
+	requireWitnessLost(t, other, &s, false)
+	site.setState(home.self.Incarnation, membership.StateSuspect)
+	requireWitnessLost(t, other, &s, false)
+	site.setState(home.self.Incarnation, membership.StateDead)
+	requireWitnessLost(t, other, &s, true)
+}
+
+func TestHomeTellsWhatItRunsAfterItsWitnessDied(t *testing.T) {
+	site := newFakeSite(t)
+	home, wit, other := site.addNode("home"), site.addNode("wit"), site.addNode("other")
+	release := make(chan struct{})
+	calls := site.addService(func(w http.ResponseWriter, _ *http.Request) {
+		<-release
+		_, _ = io.WriteString(w, "held")
+	})
+	s := onceSpec(home, wit)
+	_, err := home.dispatcher.Submit(t.Context(), dispatch.Submission{Spec: s})
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return calls.Load() == 1 }, 10*time.Second, time.Millisecond)
+	site.setState(wit.self.Incarnation, membership.StateDead)
+	a, err := other.dispatcher.Submit(t.Context(), dispatch.Submission{Spec: s})
+	require.NoError(t, err)
+	close(release)
+	var running, ended received
+	running.follow(t, a, 0)
+	require.Equal(t, "held", running.last.Output)
+	b, err := home.dispatcher.Submit(t.Context(), dispatch.Submission{Spec: s})
+	require.NoError(t, err)
+	ended.follow(t, b, 0)
+	require.Equal(t, "held", ended.last.Output)
+	require.EqualValues(t, 1, calls.Load())
+}
+
+// The home gives a request up that it was not granted, so that coming back is of no use.
+func TestRequestGivenUpWithoutItsGrantIsFinal(t *testing.T) {
+	site := newFakeSite(t)
+	home, wit := site.addNode("home"), site.addNode("wit")
+	s := onceSpec(home, wit)
+	a, err := home.dispatcher.Submit(t.Context(), dispatch.Submission{Spec: s})
+	require.NoError(t, err)
+	site.unreachable(wit)
+	calls := site.addService(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "held") })
+	var got received
+	got.follow(t, a, 0)
+	require.Equal(t, dispatch.EventError, got.last.Kind)
+	require.Equal(t, verdict.MayHaveRun, got.last.Failure.Verdict)
+	require.Equal(t, verdict.CodeWitnessLost, got.last.Failure.Code)
+	require.Zero(t, got.last.Failure.RetryAfter)
+	require.Zero(t, calls.Load())
+}
+
+// fullAdmission has room for nothing.
+type fullAdmission struct{}
+
+func (fullAdmission) Admit(*request.Spec) (dispatch.Ticket, error) {
+	return nil, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "full").After(time.Second)
+}
+
+func TestRefusalWhoseWitnessIsGoneIsFinal(t *testing.T) {
+	site := newFakeSite(t)
+	site.admission = fullAdmission{}
+	home, wit := site.addNode("home"), site.addNode("wit")
+	s := onceSpec(home, wit)
+	site.unreachable(wit)
+	for _, state := range []membership.State{membership.StateSuspect, membership.StateDead} {
+		site.setState(wit.self.Incarnation, state)
+		_, err := home.dispatcher.Submit(t.Context(), dispatch.Submission{Spec: s})
+		refusal := verdict.From(err)
+		require.Equal(t, verdict.MayHaveRun, refusal.Verdict)
+		require.Equal(t, state == membership.StateDead, refusal.RetryAfter == 0, "%s: come back after %s", state, refusal.RetryAfter)
+	}
+}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -164,7 +164,8 @@
 	}
 }
 
-// ensureGranted gets the right to run a non-idempotent request.
+// ensureGranted gets the right to run a non-idempotent request. Without an answer
+// of the witness the request ends here, and every resend would find just that end.
 func (d *Dispatcher) ensureGranted(ctx context.Context, e *entry) *verdict.Error {
 	if e.spec.Idempotent || e.isGranted() {
 		return nil
@@ -173,7 +174,7 @@
 	defer cancel()
 	reply, err := d.options.Witness.Grant(ctx, &grant.Request{ID: e.spec.ID, Holder: d.self, Epoch: e.snapshot().Epoch})
 	if err != nil {
-		return verdict.New(verdict.MayHaveRun, verdict.CodeWitnessLost, "the witness did not grant the request in time").After(resendDelay)
+		return verdict.New(verdict.MayHaveRun, verdict.CodeWitnessLost, "the witness did not grant the request in time, so it was given up")
 	}
 	if !reply.Granted {
 		return verdict.New(verdict.MayHaveRun, verdict.CodeGrantTaken, "another node was given the right to run this request").After(resendDelay)
@@ -192,7 +193,11 @@
 	if e.spec.Idempotent || e.isGranted() {
 		return failure
 	}
-	return verdict.From(d.refuse(context.Background(), &e.spec, failure))
+	refusal := verdict.From(d.refuse(context.Background(), &e.spec, failure))
+	if refusal.Verdict == verdict.MayHaveRun {
+		return refusal.After(0) // every resend would find this end
+	}
+	return refusal
 }
 
 // timeFailure is the failure of a request whose time is up, or that was cancelled.
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -95,8 +95,7 @@
 	}
 	if !sub.Spec.Idempotent {
 		ticket.Release(false)
-		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeWitnessLost,
-			"the witness of this ID can't be reached, so nobody can tell whether it was run; the same ID may be sent again").After(resendDelay)
+		return nil, d.witnessLost(sub.Spec.ID, cause)
 	}
 	d.note(sub.Spec.ID, "accept", "without a witness")
 	record := request.Record{Spec: sub.Spec, Phase: request.PhaseWaiting, Holder: d.self, Epoch: 1}
@@ -163,7 +162,8 @@
 }
 
 // refuse makes a refusal true: of a non-idempotent request, "not run" is said
-// only after its grant was given to nobody.
+// only after its grant was given to nobody. It names no time to come back once
+// no resend can bring another answer.
 func (d *Dispatcher) refuse(ctx context.Context, spec *request.Spec, refusal *verdict.Error) error {
 	if spec.Idempotent || refusal.Verdict != verdict.NotRun {
 		return refusal
@@ -176,6 +176,9 @@
 	}
 	out := *refusal
 	out.Verdict = verdict.MayHaveRun
+	if d.neverDecided(spec.ID, err) {
+		out.RetryAfter = 0
+	}
 	return &out
 }
 
--- a/internal/faulttest/directed_test.go
+++ b/internal/faulttest/directed_test.go
@@ -11,6 +11,7 @@
 
 	"mangoledge.example/mangoledge/api/callerapi"
 	"mangoledge.example/mangoledge/internal/historycheck"
+	"mangoledge.example/mangoledge/internal/membership"
 	"mangoledge.example/mangoledge/internal/standin/engine"
 	"mangoledge.example/mangoledge/internal/standin/service"
 	"mangoledge.example/mangoledge/internal/testpause"
@@ -138,6 +139,32 @@
 	s.check()
 }
 
+// TestWitnessKilledEndsItsRequests counts how often a caller sends a request whose
+// witness was killed: until the death is noticed it comes back when it is told,
+// and from then on the first answer is the last.
+func TestWitnessKilledEndsItsRequests(t *testing.T) {
+	s := startSite(t, siteOptions{nodes: 4, services: 3, engines: 3, seed: 23})
+	home, witness := s.nodes[0], s.nodes[1]
+	dead := s.incarnation(witness)
+	unnoticed := s.holdOf("dock 1", home, witness)
+	noticed := s.holdOf("dock 2", home, witness)
+	s.killNode(witness)
+	first := s.send(s.newCaller(), unnoticed, nil)
+	for _, n := range []*node{home, s.nodes[2], s.nodes[3]} {
+		s.waitState(n, dead, membership.StateDead)
+	}
+	second := s.send(s.newCaller(), noticed, nil)
+	for _, call := range []historycheck.Call{first, second} {
+		require.False(t, call.Whole)
+		require.Equal(t, verdict.MayHaveRun, lastVerdict(call))
+		require.Zero(t, s.starts(call.IDs[0]))
+		t.Logf("%s: %d refusals in %s", call.Name, len(call.Refusals), call.Finished.Sub(call.Started))
+	}
+	require.Len(t, second.Refusals, 1, "the death was known to all nodes")
+	require.Less(t, first.Finished.Sub(first.Started), callDeadline/2, "the death was noticed long before the deadline")
+	s.check()
+}
+
 func TestHomeStoppedBetweenGrantAndDispatch(t *testing.T) {
 	s := startSite(t, siteOptions{nodes: 4, services: 3, engines: 3, seed: 4})
 	home, witness, third := s.nodes[0], s.nodes[1], s.nodes[2]
--- a/internal/faulttest/node_test.go
+++ b/internal/faulttest/node_test.go
@@ -6,12 +6,14 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 
 	"github.com/stretchr/testify/require"
 
 	"mangoledge.example/mangoledge/api/callerapi"
 	"mangoledge.example/mangoledge/internal/auth"
 	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/membership"
 	"mangoledge.example/mangoledge/internal/settings"
 	"mangoledge.example/mangoledge/internal/testpause"
 )
@@ -103,7 +105,18 @@
 
 // dump is the part of a node's dump that the harness reads.
 type dump struct {
-	Self struct{ Incarnation ident.Incarnation }
+	Self    struct{ Incarnation ident.Incarnation }
+	Members []membership.Member
+}
+
+// waitState waits until n knows that a member is in state.
+func (s *site) waitState(n *node, member ident.Incarnation, state membership.State) {
+	s.eventually(n.name+" knows that "+string(member)+" is "+state.String(), func() bool {
+		var out dump
+		return s.readDump(n, &out) && slices.ContainsFunc(out.Members, func(m membership.Member) bool {
+			return m.Incarnation == member && m.State == state
+		})
+	})
 }
 
 // incarnation asks a node, past its links, for its incarnation.
--- a/internal/witness/client.go
+++ b/internal/witness/client.go
@@ -21,13 +21,19 @@
 	maxSuccessors = 32
 )
 
-// errGone is the cause when no member is left that could hold a table.
-var errGone = errors.New("the witness is gone and named no successor")
+var (
+	// errGone is the cause when no member is left that could hold a table. It is
+	// final: an incarnation that is dead or has left never comes back.
+	errGone = errors.New("it is gone, and no member has its table")
+	// errNotKnown is the cause when a member that may hold a table is not known here.
+	errNotKnown = errors.New("no such member is known here")
+)
 
 // Client asks witnesses, wherever their tables are now.
 //
 // Its errors are *verdict.Error; verdict.CodeWitnessLost with MayHaveRun means
-// that the call may or may not have taken effect.
+// that the call may or may not have taken effect. Its RetryAfter is 0 when the
+// witness never answers again.
 type Client struct {
 	peers Caller
 	view  membership.View
@@ -74,21 +80,25 @@
 	return ask(ctx, c, req.ID.Witness, "Cancel", req, c.local.Cancel)
 }
 
-// Place returns the member that holds the table of witness now.
-func (c *Client) Place(witness ident.Incarnation) (membership.Member, bool) {
+// place returns the member that holds the table of witness now. Its error is
+// errGone when there is none and never will be.
+func (c *Client) place(witness ident.Incarnation) (membership.Member, error) {
 	at := witness
 	for range maxSuccessors {
 		member, ok := c.view.Lookup(at)
 		if !ok {
-			return membership.Member{}, false
+			return membership.Member{}, errNotKnown
+		}
+		if member.Successor != "" {
+			at = member.Successor
+			continue
 		}
-		if member.Successor == "" {
-			gone := member.State == membership.StateDead || member.State == membership.StateLeft
-			return member, !gone
+		if member.State == membership.StateDead || member.State == membership.StateLeft {
+			return membership.Member{}, errGone
 		}
-		at = member.Successor
+		return member, nil
 	}
-	return membership.Member{}, false
+	return membership.Member{}, errNotKnown
 }
 
 // ask makes one call to the place of witness, and once more when nobody answered.
@@ -96,9 +106,12 @@
 	var none R
 	var last error
 	for range attempts {
-		place, ok := c.Place(witness)
-		if !ok {
-			return none, lost(witness, errGone)
+		place, err := c.place(witness)
+		if errors.Is(err, errGone) {
+			return none, gone(witness)
+		}
+		if err != nil {
+			return none, lost(witness, err)
 		}
 		reply, err := askAt(ctx, c, place, method, req, local)
 		if err == nil {
--- a/internal/witness/errors.go
+++ b/internal/witness/errors.go
@@ -1,6 +1,8 @@
 package witness
 
 import (
+	"time"
+
 	"github.com/cockroachdb/errors"
 
 	"mangoledge.example/mangoledge/internal/grant"
@@ -11,9 +13,17 @@
 // messageNotHeld is the refusal of a node that does not hold the table.
 const messageNotHeld = "this node does not hold the witness table of %s"
 
-// lost is the error for requests whose witness can't be asked any more.
+// askAgainAfter is when a witness that did not answer may be asked again.
+const askAgainAfter = 500 * time.Millisecond
+
+// lost is the error for requests whose witness did not answer, and may answer later.
 func lost(witness ident.Incarnation, cause error) *verdict.Error {
-	return verdict.New(verdict.MayHaveRun, verdict.CodeWitnessLost, "the witness %s has not answered: %v", witness, cause)
+	return verdict.New(verdict.MayHaveRun, verdict.CodeWitnessLost, "the witness %s has not answered: %v", witness, cause).After(askAgainAfter)
+}
+
+// gone is the error for requests whose witness never answers again.
+func gone(witness ident.Incarnation) *verdict.Error {
+	return verdict.New(verdict.MayHaveRun, verdict.CodeWitnessLost, "the witness %s: %v", witness, errGone)
 }
 
 func notHeld(witness ident.Incarnation) *verdict.Error {
--- a/internal/witness/witness_test.go
+++ b/internal/witness/witness_test.go
@@ -278,6 +278,36 @@
 	requireLost(t, err)
 }
 
+func TestWitnessThatIsGoneIsNotAskedAgain(t *testing.T) {
+	c, nodes := startNodes(t, 3)
+	home, wit, next := nodes[0], nodes[1], nodes[2]
+	id := ident.NewRequestID(home.member.Incarnation, wit.member.Incarnation)
+	wit.stop()
+	next.stop()
+	known := func(n *testNode, state membership.State, successor ident.Incarnation) {
+		m := n.member
+		m.State, m.Successor = state, successor
+		c.set(m)
+	}
+	requireRetryAfter := func(after time.Duration) {
+		t.Helper()
+		_, err := home.client.Fetch(testContext(t), &grant.FetchRequest{ID: id})
+		requireLost(t, err)
+		require.Equal(t, after, verdict.From(err).RetryAfter)
+	}
+	requireRetryAfter(askAgainAfter)
+	known(wit, membership.StateSuspect, "")
+	requireRetryAfter(askAgainAfter)
+	known(wit, membership.StateDead, "")
+	requireRetryAfter(0)
+	known(wit, membership.StateLeft, "n9_0000000000000009")
+	requireRetryAfter(askAgainAfter)
+	known(wit, membership.StateLeft, next.member.Incarnation)
+	requireRetryAfter(askAgainAfter)
+	known(next, membership.StateDead, "")
+	requireRetryAfter(0)
+}
+
 func requireLost(t *testing.T, err error) {
 	t.Helper()
 	var refusal *verdict.Error
