A suspect's refusal leaves its owner open to others

Cause: an owner that had no place for a suspect, because another one runs at its upstream, was taken for full by the node for 30 ms, for harmless requests as well, although it had free slots for them.

Change: the directory keeps until when suspects leave an owner alone apart from until when all do. Refusals of other requests, and owners that do not answer, count for suspects as before.

Seen: TestRefusalOfASuspectHoldsNobodyElseUp failed before and passes.

Conclusion: only suspects wait for suspects.

--- a/internal/owner/directory.go
+++ b/internal/owner/directory.go
@@ -58,6 +58,8 @@
 	sent int
 	// full is until when the owner is taken for full after it refused.
 	full time.Time
+	// fullForSuspects is until when it is taken for full for suspects alone.
+	fullForSuspects time.Time
 }
 
 // Choice is the owner to ask.
@@ -112,6 +114,7 @@
 	e.heard = before.heard
 	e.sent = before.sent
 	e.full = before.full
+	e.fullForSuspects = before.fullForSuspects
 }
 
 // Heard takes in a summary of owner.
@@ -134,6 +137,16 @@
 	}
 }
 
+// RefusedSuspect notes that owner had no place for a suspect. It may have slots
+// for others, so that only suspects should leave it alone until then.
+func (d *Directory) RefusedSuspect(owner ident.Incarnation, pool routing.Pool, until time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e := d.find(KeyOf(pool), owner); e != nil {
+		e.fullForSuspects = until
+	}
+}
+
 // Choose returns the owner to ask for a slot: one near, or one elsewhere that
 // has room when no near one has. It is false when there is none, or when the
 // best one is full and the others have hardly a free slot.
@@ -145,7 +158,7 @@
 		return Choice{}, false
 	}
 	best, free := d.cheapest(now, f, known.near)
-	if best != nil && now.Before(best.full) {
+	if best != nil && best.refuses(now, f) {
 		best = free
 	}
 	if best == nil {
@@ -175,7 +188,7 @@
 		if cost < least {
 			best, least = e, cost
 		}
-		if cost < leastFree && e.hasRoom(now) {
+		if cost < leastFree && e.hasRoom(now, f) {
 			free, leastFree = e, cost
 		}
 	}
@@ -210,7 +223,7 @@
 // the part missing of its prefix is not cached there.
 func (e *entry) cost(now time.Time, f *routing.Features, missing float64) float64 {
 	busy := e.busy(now)
-	if now.Before(e.full) {
+	if e.refuses(now, f) {
 		busy = max(busy, busyOfFull)
 	}
 	tokens := float64(f.MaxTokens)
@@ -233,8 +246,13 @@
 }
 
 // hasRoom reports whether the owner takes a request whose best owner is full.
-func (e *entry) hasRoom(now time.Time) bool {
-	return e.busy(now) < elsewhereBusy && !now.Before(e.full)
+func (e *entry) hasRoom(now time.Time, f *routing.Features) bool {
+	return e.busy(now) < elsewhereBusy && !e.refuses(now, f)
+}
+
+// refuses reports whether the owner has just refused a request like this one.
+func (e *entry) refuses(now time.Time, f *routing.Features) bool {
+	return now.Before(e.full) || (f.Suspect && now.Before(e.fullForSuspects))
 }
 
 func (d *Directory) find(key PoolKey, owner ident.Incarnation) *entry {
--- a/internal/placement/router.go
+++ b/internal/placement/router.go
@@ -219,7 +219,7 @@
 	}
 	r.directory.Heard(now, choice.Owner, reply.Summary)
 	if !reply.Granted {
-		r.directory.Refused(choice.Owner, features.Pool(), now.Add(fullFor))
+		r.noteRefusal(choice.Owner, features, now.Add(fullFor))
 		return nil, true
 	}
 	upstream, ok := r.upstream(reply.Upstream)
@@ -232,6 +232,15 @@
 	return place, true
 }
 
+// noteRefusal has an owner that had no slot left alone until then, by requests like this one.
+func (r *Router) noteRefusal(owner ident.Incarnation, features *routing.Features, until time.Time) {
+	if features.Suspect {
+		r.directory.RefusedSuspect(owner, features.Pool(), until)
+		return
+	}
+	r.directory.Refused(owner, features.Pool(), until)
+}
+
 // askUntilSlot asks an owner until the request has a slot, is in no line or ctx ends.
 func (r *Router) askUntilSlot(ctx context.Context, choice owner.Choice, args *owner.ReserveArgs) (owner.ReserveReply, error) {
 	for {
--- a/internal/placement/router_test.go
+++ b/internal/placement/router_test.go
@@ -38,10 +38,16 @@
 	routers []*Router
 	// cut is true while the nodes can't call each other.
 	cut bool
+	now func() time.Time
 }
 
 func newPair() *pair {
-	s := &pair{}
+	return newPairAt(time.Now)
+}
+
+// newPairAt is newPair with a clock.
+func newPairAt(now func() time.Time) *pair {
+	s := &pair{now: now}
 	for i := range 2 {
 		name := fmt.Sprint("n", i)
 		s.members = append(s.members, membership.Member{
@@ -50,12 +56,12 @@
 	}
 	for i := range s.members {
 		r := NewRouter(Options{
-			Members: pairView{s, i}, Fleet: s, Listed: s, Marks: func() uint64 { return 0 }, Calls: s,
+			Members: pairView{s, i}, Fleet: s, Listed: s, Marks: func() uint64 { return 0 }, Calls: s, Now: now,
 			Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Policy: routing.Cost{Weights: routing.WeightsFor(defaultLatencyWeight)},
 			MarkLeaving: func(ident.Upstream) {},
 			Suspect:     func(spec *request.Spec) bool { return spec.Input == "suspect" },
 		})
-		r.Update(time.Now())
+		r.Update(now())
 		s.routers = append(s.routers, r)
 	}
 	return s
@@ -75,7 +81,7 @@
 		if s.members[i].PeerAddress != address {
 			continue
 		}
-		service := owner.NewService(s.routers[i].Ledger(), time.Now)
+		service := owner.NewService(s.routers[i].Ledger(), s.now)
 		if method == owner.MethodReserve {
 			return service.Reserve(args.(*owner.ReserveArgs), reply.(*owner.ReserveReply))
 		}
@@ -133,6 +139,23 @@
 	}
 }
 
+// An owner that has no place for a suspect has slots for others, and they ask it at once.
+func TestRefusalOfASuspectHoldsNobodyElseUp(t *testing.T) {
+	now := time.Now()
+	for i := range 2 {
+		s := newPairAt(func() time.Time { return now })
+		first, err := s.routers[i].Pick(t.Context(), need("suspect", patience))
+		require.NoError(t, err)
+		other := s.routers[1-i]
+		_, err = other.Pick(t.Context(), need("suspect", patience))
+		require.Error(t, err)
+		harmless, err := other.Pick(t.Context(), need("harmless", patience))
+		require.NoError(t, err, "the upstream has a free slot")
+		harmless.Done(dispatch.OutcomeDone, 0)
+		first.Done(dispatch.OutcomeDone, 0)
+	}
+}
+
 // Without its owner a harmless request goes on; a suspect waits.
 func TestSuspectGoesNowhereWithoutTheOwner(t *testing.T) {
 	s := newPair()
