Each table of operators has a file with its row and its source

Cause: the tables' rows stood in one file of 15 types and their sources in another of 314 lines, so that a reader of one table had to look in two places, and ProvideConfiguration filled six tables in one function.

Change: one file a table, row first and source behind it; the package comment in doc.go; what rows share in cells.go. ProvideConfiguration calls one short function a table, and the version of a change and the rows of roll-outs and leases have functions of their own. Names, columns and descriptions are the same.

What was run: go vet and go test -race of internal/tables (no tests of its own), internal/operator and internal/query: passed; golangci-lint of internal/tables: 0 issues.

Conclusion: a table is read in one file; nothing that operators see changes.

--- /dev/null
+++ b/internal/tables/doc.go
@@ -0,0 +1,6 @@
+// Package tables defines the tables that operators can show: one row type
+// each, whose fields are the columns.
+//
+// Invariants: every field of a row has a column name and a description with its
+// unit; no column holds a secret or the content of a request.
+package tables
