A stream's departure is in three files: the plan, the place, the export

Cause: departure.go held, on 293 lines, what is chosen for a stream on a leaving upstream, the search for a place elsewhere, the export of its cache, and the making of the question that a plan answers.

Change: departure.go keeps the type and the choice; departureplace.go has the search for a place, departureexport.go the export and its result. The question is made in question.go beside its type, with the two times it assumes. No line of a function changed.

Conclusion: each concern is read on one screen or two; behaviour is unchanged.

--- a/internal/dispatch/question.go
+++ b/internal/dispatch/question.go
@@ -18,12 +18,49 @@
 }
 
 const (
+	// assumedNotice is the notice of an upstream that is leaving when nobody has said when it goes.
+	assumedNotice = 2 * time.Second
+	// callTime is the time of a small call of an upstream.
+	callTime = 2 * time.Millisecond
 	// noteUnit is the precision of times in notes.
 	noteUnit = 10 * time.Millisecond
 	// bytesPerMegabyte is the unit of sizes in notes.
 	bytesPerMegabyte = 1e6
 )
 
+// question asks how the stream is to go on.
+func (r *reading) question(now time.Time) *question {
+	record := r.e.snapshot()
+	q := &question{
+		upstream: r.upstream,
+		model:    r.e.spec.Model,
+		stream: recovery.Stream{
+			PromptTokens: r.e.spec.PromptTokens(),
+			Generated:    len(record.Tokens),
+			Remaining:    max(0, r.e.spec.MaxTokens-len(record.Tokens)),
+		},
+		source: recovery.Source{Reachable: true, PerToken: r.pace.perToken()},
+		target: recovery.Target{Imports: true, RoundTrip: callTime},
+	}
+	q.source.Leaving = r.d.options.Router.Leaving(r.upstream)
+	if !q.source.Leaving {
+		return q
+	}
+	at := r.d.reclaimAt(r.upstream)
+	q.source.Assumed = at.IsZero()
+	q.source.Notice = assumedNotice
+	if !at.IsZero() {
+		q.source.Notice = max(0, at.Sub(now))
+		q.source.Reachable = q.source.Notice > 0
+	}
+	p := r.departure
+	q.source.Exports = q.stream.Generated > 0 && (p == nil || !p.noExport)
+	if p != nil && p.target != nil {
+		q.target.CachedTokens = p.target.CachedTokens()
+	}
+	return q
+}
+
 // note tells a person what was chosen and from what.
 func (q *question) note(plan recovery.Plan) string {
 	return q.choice(plan) + "; " + q.notice() + ", " + q.remaining() + ", " + q.cache() + ", " + q.prefill()
