--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -8,25 +8,6 @@
 	"mangoledge.example/mangoledge/internal/ident"
 )
 
-// DefaultOvercommit is how many requests more than its slots an owner lets wait
-// at an upstream. A slot that comes free then has its next request at once.
-const DefaultOvercommit = 8
-
-// Options say how a table counts.
-type Options struct {
-	// Exact is true in the table of an owner, through which all work of its upstreams goes.
-	Exact bool
-	// Overcommit is how many requests beyond its slots an exact table lets wait at an upstream.
-	Overcommit int
-	// Local is the failure domain of the node.
-	Local ident.FailureDomain
-	// MaxAge is how old the list of upstreams may be, counted from the last Update or
-	// Confirm, and still be chosen from; 0 means any age. It keeps a process that
-	// was paused from sending to upstreams that left meanwhile. After a longer
-	// silence confirmations have to go on for a while before they count.
-	MaxAge time.Duration
-}
-
 // Table is what a node knows about upstreams. It is safe for concurrent use.
 type Table struct {
 	options Options
@@ -129,17 +110,6 @@
 	return t.numbers - 1
 }
 
-// pool lists the replicas of a pool.
-type pool struct {
-	replicas  []*Replica
-	meanPrice float64
-}
-
-func (p *pool) add(r *Replica) {
-	p.replicas = append(p.replicas, r)
-	p.meanPrice += (r.PricePerHour - p.meanPrice) / float64(len(p.replicas))
-}
-
 // rebuildPools lists the replicas by pool, in the order of upstreams.
 func (t *Table) rebuildPools(upstreams []fleet.Upstream) {
 	clear(t.pools)
@@ -163,63 +133,6 @@
 	return p
 }
 
-// Started counts a request sent to upstream id.
-func (t *Table) Started(now time.Time, id ident.Upstream, f *Features) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if r, ok := t.replicas[id]; ok {
-		t.start(now, r, f)
-	}
-}
-
-func (t *Table) start(now time.Time, r *Replica, f *Features) {
-	r.inFlight++
-	r.startedSince++
-	r.breaker.started()
-	t.started++
-	if f.Suspect {
-		r.suspects++
-	}
-	if r.number < 0 {
-		return
-	}
-	for _, block := range f.Blocks {
-		t.index.add(now, block, r.number)
-	}
-}
-
-// Finished counts the end of a request that was started at upstream id.
-func (t *Table) Finished(now time.Time, id ident.Upstream, suspect bool, out Outcome) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	r, ok := t.replicas[id]
-	if !ok || r.inFlight == 0 {
-		return
-	}
-	r.inFlight--
-	r.endedSince++
-	t.ended++
-	if suspect {
-		r.suspects = max(0, r.suspects-1)
-	}
-	switch out.Kind {
-	case OutcomeDone:
-		r.breaker.succeeded()
-		r.sample(out.PerToken, &t.options)
-	case OutcomeFailed:
-		r.breaker.failed(now)
-	case OutcomeCrashed:
-		r.down = true
-		r.breaker.failed(now)
-	case OutcomeLeaving:
-		r.leaving = true
-		r.breaker.ended()
-	case OutcomeRefused, OutcomeMoved, OutcomeCancelled, OutcomeUnsent:
-		r.sample(out.PerToken, &t.options)
-		r.breaker.ended()
-	}
-}
-
 // SetUp tells whether upstream id answers; one that does not gets no new work.
 func (t *Table) SetUp(id ident.Upstream, up bool) {
 	t.mu.Lock()
@@ -276,74 +189,3 @@
 		}
 	}
 }
-
-// Count is the size of a pool and how much of it is taken.
-type Count struct {
-	// Slots is the room of the usable replicas.
-	Slots int
-	// InFlight is what is counted or estimated there.
-	InFlight int
-	// Replicas is how many are usable.
-	Replicas int
-}
-
-// Free returns how many more requests find a slot.
-func (c Count) Free() int {
-	return max(0, c.Slots-c.InFlight)
-}
-
-// Count sums up the usable replicas of pool.
-func (t *Table) Count(now time.Time, pool Pool) Count {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var out Count
-	p, ok := t.pools[pool]
-	if !ok {
-		return out
-	}
-	for _, r := range p.replicas {
-		if !r.usable(now) {
-			continue
-		}
-		out.Replicas++
-		out.Slots += int(r.room(now))
-		out.InFlight += t.load(now, r)
-	}
-	return out
-}
-
-// Pools appends the names of the pools to dst and returns it.
-func (t *Table) Pools(dst []Pool) []Pool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for pool := range t.pools {
-		dst = append(dst, pool)
-	}
-	return dst
-}
-
-// Counters returns how many requests were started and ended here; both only grow.
-func (t *Table) Counters() (started, ended uint64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.started, t.ended
-}
-
-// load returns the best known load of r.
-func (t *Table) load(now time.Time, r *Replica) int {
-	if t.options.Exact && !r.fresh {
-		return r.inFlight
-	}
-	return t.estimatedLoad(now, r)
-}
-
-// estimatedLoad is the load of a replica whose exact count is not known.
-func (t *Table) estimatedLoad(now time.Time, r *Replica) int {
-	if !t.options.Exact {
-		return r.estimate()
-	}
-	if now.Sub(r.joined) < adoptTime {
-		return max(r.inFlight, r.Reported())
-	}
-	return r.inFlight
-}
--- /dev/null
+++ b/internal/routing/tablecounts.go
@@ -0,0 +1,120 @@
+package routing
+
+import (
+	"time"
+
+	"mangoledge.example/mangoledge/internal/ident"
+)
+
+// Started counts a request sent to upstream id.
+func (t *Table) Started(now time.Time, id ident.Upstream, f *Features) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r, ok := t.replicas[id]; ok {
+		t.start(now, r, f)
+	}
+}
+
+func (t *Table) start(now time.Time, r *Replica, f *Features) {
+	r.inFlight++
+	r.startedSince++
+	r.breaker.started()
+	t.started++
+	if f.Suspect {
+		r.suspects++
+	}
+	if r.number < 0 {
+		return
+	}
+	for _, block := range f.Blocks {
+		t.index.add(now, block, r.number)
+	}
+}
+
+// Finished counts the end of a request that was started at upstream id.
+func (t *Table) Finished(now time.Time, id ident.Upstream, suspect bool, out Outcome) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.replicas[id]
+	if !ok || r.inFlight == 0 {
+		return
+	}
+	r.inFlight--
+	r.endedSince++
+	t.ended++
+	if suspect {
+		r.suspects = max(0, r.suspects-1)
+	}
+	switch out.Kind {
+	case OutcomeDone:
+		r.breaker.succeeded()
+		r.sample(out.PerToken, &t.options)
+	case OutcomeFailed:
+		r.breaker.failed(now)
+	case OutcomeCrashed:
+		r.down = true
+		r.breaker.failed(now)
+	case OutcomeLeaving:
+		r.leaving = true
+		r.breaker.ended()
+	case OutcomeRefused, OutcomeMoved, OutcomeCancelled, OutcomeUnsent:
+		r.sample(out.PerToken, &t.options)
+		r.breaker.ended()
+	}
+}
+
+// Count sums up the usable replicas of pool.
+func (t *Table) Count(now time.Time, pool Pool) Count {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out Count
+	p, ok := t.pools[pool]
+	if !ok {
+		return out
+	}
+	for _, r := range p.replicas {
+		if !r.usable(now) {
+			continue
+		}
+		out.Replicas++
+		out.Slots += int(r.room(now))
+		out.InFlight += t.load(now, r)
+	}
+	return out
+}
+
+// Pools appends the names of the pools to dst and returns it.
+func (t *Table) Pools(dst []Pool) []Pool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for pool := range t.pools {
+		dst = append(dst, pool)
+	}
+	return dst
+}
+
+// Counters returns how many requests were started and ended here; both only grow.
+func (t *Table) Counters() (started, ended uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.started, t.ended
+}
+
+// load returns the best known load of r.
+func (t *Table) load(now time.Time, r *Replica) int {
+	if t.options.Exact && !r.fresh {
+		return r.inFlight
+	}
+	return t.estimatedLoad(now, r)
+}
+
+// estimatedLoad is the load of a replica whose exact count is not known.
+func (t *Table) estimatedLoad(now time.Time, r *Replica) int {
+	if !t.options.Exact {
+		return r.estimate()
+	}
+	if now.Sub(r.joined) < adoptTime {
+		return max(r.inFlight, r.Reported())
+	}
+	return r.inFlight
+}
