The followers of the store and the stand-ins wait by internal/wait

Cause: the wait for a time or the end of a context was written out again in the follower of the object API, in the stand-in engine and in the stand-in platform.

Change: all three call wait.For, which now returns at once for a time of 0 or less, as the stand-in engine's own function did; it has tests. Where a wait's result was asked for, the context is asked instead, so when time and context end together the context always wins; before, either could.

The stand-ins have no tests of their own.

Conclusion: one function waits there. The caller's client still has its own.

--- a/internal/platform/objects/follower.go
+++ b/internal/platform/objects/follower.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"mangoledge.example/mangoledge/internal/wait"
 )
 
 const (
@@ -46,9 +48,7 @@
 		if time.Since(began) > maxBackoff {
 			backoff = firstBackoff
 		}
-		if !sleep(ctx, jitter(backoff)) {
-			return
-		}
+		wait.For(ctx, jitter(backoff))
 		backoff = min(backoff*2, maxBackoff)
 	}
 }
@@ -94,15 +94,3 @@
 func jitter(d time.Duration) time.Duration {
 	return d/2 + rand.N(d/2+1) //nolint:gosec // spreading, not a secret
 }
-
-// sleep waits for d and reports whether ctx is still going on.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -13,6 +13,7 @@
 	"mangoledge.example/mangoledge/internal/routing"
 	"mangoledge.example/mangoledge/internal/standin/chain"
 	"mangoledge.example/mangoledge/internal/standin/history"
+	"mangoledge.example/mangoledge/internal/wait"
 )
 
 const (
@@ -127,7 +128,8 @@
 	case <-ctx.Done():
 		return
 	}
-	if !sleep(ctx, prefill) {
+	wait.For(ctx, prefill)
+	if ctx.Err() != nil {
 		return
 	}
 	next := time.Now()
@@ -139,7 +141,8 @@
 			return
 		}
 		next = next.Add(e.options.TokenInterval + time.Duration(e.slow.Load())*time.Millisecond)
-		if !sleep(ctx, time.Until(next)) {
+		wait.For(ctx, time.Until(next))
+		if ctx.Err() != nil {
 			return
 		}
 		s.add(chain.Token(index, previous, e.draw()))
@@ -193,18 +196,3 @@
 		time.AfterFunc(notice, func() { os.Exit(reclaimExitCode) })
 	}
 }
-
-// sleep waits for d and reports whether ctx is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/standin/engine/kv.go
+++ b/internal/standin/engine/kv.go
@@ -8,6 +8,7 @@
 
 	"mangoledge.example/mangoledge/internal/engine"
 	"mangoledge.example/mangoledge/internal/standin/history"
+	"mangoledge.example/mangoledge/internal/wait"
 )
 
 // serveExport exports the cache of a stream. Exports leave one after the other;
@@ -30,7 +31,8 @@
 	prompt := len(strings.Fields(s.completion.Prompt))
 	tokens := s.view().tokens
 	bytes := int64(prompt+len(tokens)) * e.options.KVBytesPerToken
-	if !sleep(r.Context(), e.exportTime(bytes)) {
+	wait.For(r.Context(), e.exportTime(bytes))
+	if r.Context().Err() != nil {
 		return
 	}
 	if e.failExports.Load() {
--- a/internal/standin/platform/cloudapi.go
+++ b/internal/standin/platform/cloudapi.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"mangoledge.example/mangoledge/internal/wait"
 )
 
 // noticePollInterval is how often a waiting call for notices looks again.
@@ -138,7 +140,7 @@
 			writeJSON(w, http.StatusOK, out)
 			return
 		}
-		sleepOrGone(r, noticePollInterval)
+		wait.For(r.Context(), noticePollInterval)
 	}
 }
 
--- a/internal/standin/platform/service.go
+++ b/internal/standin/platform/service.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"mangoledge.example/mangoledge/internal/platform/objects"
+	"mangoledge.example/mangoledge/internal/wait"
 )
 
 // service wraps a handler of one verb of a service with counting and faults.
@@ -18,7 +19,7 @@
 			return
 		}
 		if fault, ok := s.faults.strike(service, verb, FaultSlow); ok {
-			sleepOrGone(r, time.Duration(fault.DelayMs)*time.Millisecond)
+			wait.For(r.Context(), time.Duration(fault.DelayMs)*time.Millisecond)
 		}
 		if _, ok := s.faults.strike(service, verb, FaultHang); ok {
 			<-r.Context().Done()
@@ -48,16 +49,6 @@
 	return true
 }
 
-// sleepOrGone waits for d or until the client has gone.
-func sleepOrGone(r *http.Request, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-r.Context().Done():
-	case <-timer.C:
-	}
-}
-
 // discard is a ResponseWriter whose answer is lost.
 type discard struct{ header http.Header }
 
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -6,8 +6,11 @@
 	"time"
 )
 
-// For waits for d or until ctx ends.
+// For waits for d or until ctx ends; a d of 0 or less does not wait.
 func For(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- /dev/null
+++ b/internal/wait/wait_test.go
@@ -0,0 +1,31 @@
+package wait
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestForWaitsForAllOfTheTime(t *testing.T) {
+	begun := time.Now()
+	For(t.Context(), time.Millisecond)
+	require.GreaterOrEqual(t, time.Since(begun), time.Millisecond)
+}
+
+func TestForEndsWithItsContext(t *testing.T) {
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		For(ctx, time.Duration(1<<63-1))
+	}()
+	stop()
+	<-ended
+}
+
+func TestForDoesNotWaitForNothing(t *testing.T) {
+	For(t.Context(), 0)
+	For(t.Context(), -time.Hour)
+}
