Types that shared a file have files of their own

Cause: ten files declared five to nine types each, against the habit of one type a file: config/site.go, settings/settings.go, platform/cloud/client.go, poison/gate.go and service.go, recovery/plan.go, membership/rumour.go, entry/handler.go, explain/service.go, historycheck/history.go and the stand-in cloud.

No line of a declaration changed: the sorted lines before and after are the same.

What was run: go vet of internal/...; go test -race of recovery, poison, settings, membership, entry, explain and historycheck, go test of config: passed; golangci-lint of internal/...: 0 issues. platform/cloud and standin/platform have no tests of their own.

Conclusion: a type is found by its file's name; behaviour is unchanged.

--- /dev/null
+++ b/internal/config/workspace.go
@@ -0,0 +1,14 @@
+package config
+
+import (
+	"mangoledge.example/mangoledge/internal/ident"
+)
+
+// Workspace is a customer's workspace.
+type Workspace struct {
+	Name ident.Workspace `json:"name"`
+	// Share is its weight in fair queueing.
+	Share float64 `json:"share"`
+	// MaxInFlight is the most requests it may have accepted at once on one node; 0 means no limit.
+	MaxInFlight int `json:"maxInFlight,omitempty"`
+}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -13,28 +13,9 @@
 	"mangoledge.example/mangoledge/internal/config"
 	"mangoledge.example/mangoledge/internal/dispatch"
 	"mangoledge.example/mangoledge/internal/ident"
-	"mangoledge.example/mangoledge/internal/request"
 	"mangoledge.example/mangoledge/internal/verdict"
 )
 
-// Dispatcher runs requests; dispatch.Dispatcher is one.
-type Dispatcher interface {
-	Submit(ctx context.Context, sub dispatch.Submission) (dispatch.Attachment, error)
-	Resume(ctx context.Context, res dispatch.Resumption) (dispatch.Attachment, error)
-	Fetch(ctx context.Context, id ident.RequestID, workspace ident.Workspace) (*request.Record, error)
-	Cancel(ctx context.Context, id ident.RequestID, workspace ident.Workspace) (*request.Record, error)
-}
-
-// Book tells callers which addresses to use; AddressBook is one.
-type Book interface {
-	// Addresses returns the addresses, or an error of verdict NotRun when this node knows too little.
-	Addresses() (*callerapi.AddressBook, error)
-	// Prefix makes a fresh request-ID prefix.
-	Prefix() string
-	// OwnID makes a request ID for a caller that brought none.
-	OwnID() ident.RequestID
-}
-
 // Handler implements the caller API.
 type Handler struct {
 	dispatcher Dispatcher
@@ -131,15 +112,6 @@
 	return &callerapi.RefusedStatusCode{StatusCode: statusOf(cause.Code), Response: refusal}
 }
 
-// principalKey is the context key of the caller.
-type principalKey struct{}
-
-// principalOf returns the caller that security put into ctx.
-func principalOf(ctx context.Context) auth.Principal {
-	principal, _ := ctx.Value(principalKey{}).(auth.Principal)
-	return principal
-}
-
 // security checks callers' tokens.
 type security struct {
 	tokens *auth.Tokens
--- /dev/null
+++ b/internal/platform/cloud/pool.go
@@ -0,0 +1,12 @@
+package cloud
+
+import (
+	"mangoledge.example/mangoledge/internal/ident"
+)
+
+// Pool is where a host can be started: a failure domain, a host class and a market.
+type Pool struct {
+	FailureDomain ident.FailureDomain `json:"failureDomain"`
+	HostClass     ident.HostClass     `json:"hostClass"`
+	Market        Market              `json:"market"`
+}
--- a/internal/poison/gate.go
+++ b/internal/poison/gate.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"mangoledge.example/mangoledge/internal/ident"
-	"mangoledge.example/mangoledge/internal/verdict"
 )
 
 const (
@@ -15,52 +14,6 @@
 	defaultHold = time.Minute
 )
 
-// PassID names a pass: its holder and the holder's own number.
-type PassID struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
-
-	Holder ident.IncarnationHash
-	Serial uint64
-}
-
-// Answer is what a gate says to a content.
-type Answer struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
-
-	Kind AnswerKind
-	// Crashes is how many crashes count against the content. When there are
-	// any, the run must not share its upstream with another suspect.
-	Crashes int
-	// Refusal is set when Kind is AnswerRefuse.
-	Refusal *verdict.Error
-}
-
-// AnswerKind says whether a content may run.
-type AnswerKind uint8
-
-// The answers of a gate.
-const (
-	// AnswerPass lets the content run; the pass is to be given back.
-	AnswerPass AnswerKind = iota
-	// AnswerWait means that as many runs of the content are going on as crashes are left to it.
-	AnswerWait
-	// AnswerRefuse means that the content is convicted.
-	AnswerRefuse
-)
-
-// Ending is how a run under a pass ended.
-type Ending uint8
-
-// The endings of a run.
-const (
-	// EndingOther says nothing about the content.
-	EndingOther Ending = iota
-	// EndingFinished means that the content ran to its end.
-	EndingFinished
-	// EndingCrashed means that the upstream died while it ran the content.
-	EndingCrashed
-)
-
 // Gate bounds how many runs of an unproven content go on at once, so that they
 // can't crash more upstreams than MaxCrashes in all. It is safe for concurrent use.
 type Gate struct {
--- a/internal/recovery/plan.go
+++ b/internal/recovery/plan.go
@@ -4,26 +4,6 @@
 	"time"
 )
 
-// Method is a way for a stream to go on.
-type Method string
-
-// The methods.
-const (
-	// MethodStay lets the stream end where it is.
-	MethodStay Method = "stay"
-	// MethodResume attaches again to the stream where it is.
-	MethodResume Method = "resume"
-	// MethodTransfer exports the KV cache and imports it elsewhere.
-	MethodTransfer Method = "transfer"
-	// MethodPrefill prefills prompt and generated tokens elsewhere.
-	MethodPrefill Method = "prefill"
-)
-
-// Methods returns all methods.
-func Methods() []Method {
-	return []Method{MethodStay, MethodResume, MethodTransfer, MethodPrefill}
-}
-
 // NoticeMargin is the time kept free behind a stream that stays to its end.
 const NoticeMargin = 250 * time.Millisecond
 
@@ -31,49 +11,6 @@
 // late costs its stream a pause, where a stay that does costs it a prefill too.
 const exportMargin = 100 * time.Millisecond
 
-// Stream is a stream in progress.
-type Stream struct {
-	PromptTokens int
-	// Generated is how many tokens are known.
-	Generated int
-	// Remaining is how many tokens are left to generate at most.
-	Remaining int
-	// KVBytes is the size of its KV cache.
-	KVBytes int64
-}
-
-// Source is the upstream that the stream runs at.
-type Source struct {
-	// Reachable is true when it answers.
-	Reachable bool
-	// Leaving is true when it is going away after Notice.
-	Leaving bool
-	Notice  time.Duration
-	// Assumed is true when nobody has said when it goes. Notice is then a guess
-	// that an export is tried on, but not that a stream may stay on.
-	Assumed bool
-	// PerToken is the time between tokens there.
-	PerToken time.Duration
-	// Exports is true when it can export KV cache.
-	Exports bool
-	// Ahead is how many bytes are to be exported from it before this stream's.
-	Ahead int64
-	// BytesPerSecond is the rate of exports from it.
-	BytesPerSecond float64
-}
-
-// Target is the upstream that the stream would move to.
-type Target struct {
-	// Imports is true when it can import KV cache.
-	Imports bool
-	// PrefillPerSecond is its prefill rate in tokens.
-	PrefillPerSecond float64
-	// CachedTokens is how many leading tokens it has cached.
-	CachedTokens int
-	// RoundTrip is the time of a call to it.
-	RoundTrip time.Duration
-}
-
 // Plan is how a stream goes on.
 type Plan struct {
 	Method Method
--- /dev/null
+++ b/internal/settings/log.go
@@ -0,0 +1,9 @@
+package settings
+
+// Log says what is logged and how.
+type Log struct {
+	// Level is "debug", "info", "warn" or "error". Default "info".
+	Level string `json:"level"`
+	// Format is "text" or "json". Default "text".
+	Format string `json:"format"`
+}
--- a/internal/standin/platform/cloud.go
+++ b/internal/standin/platform/cloud.go
@@ -6,69 +6,6 @@
 	"time"
 )
 
-// Market is where a host comes from.
-type Market string
-
-// The markets.
-const (
-	MarketReclaimable Market = "reclaimable"
-	MarketOnDemand    Market = "on-demand"
-)
-
-// HostState is the state of a host in the cloud's books.
-type HostState string
-
-// The states of a host.
-const (
-	HostRunning    HostState = "running"
-	HostReclaiming HostState = "reclaiming"
-	HostTerminated HostState = "terminated"
-)
-
-// Host is one host in the cloud's books.
-type Host struct {
-	ID            string    `json:"id"`
-	ClientToken   string    `json:"clientToken"`
-	FailureDomain string    `json:"failureDomain"`
-	HostClass     string    `json:"hostClass"`
-	Market        Market    `json:"market"`
-	State         HostState `json:"state"`
-	// Address is where an upstream on the host listens, or empty.
-	Address      string  `json:"address,omitempty"`
-	PricePerHour float64 `json:"pricePerHour"`
-	StartedMs    int64   `json:"startedMs"`
-	// EndedMs is 0 while the host runs.
-	EndedMs int64 `json:"endedMs,omitempty"`
-	// ReclaimAtMs is when a reclaiming host is taken.
-	ReclaimAtMs int64 `json:"reclaimAtMs,omitempty"`
-}
-
-// Notice is a reclaim notice.
-type Notice struct {
-	Sequence      uint64 `json:"sequence"`
-	Host          string `json:"host"`
-	FailureDomain string `json:"failureDomain"`
-	GivenMs       int64  `json:"givenMs"`
-	ReclaimAtMs   int64  `json:"reclaimAtMs"`
-}
-
-// Offer is a price of one host class in one failure domain and market.
-type Offer struct {
-	FailureDomain string  `json:"failureDomain"`
-	HostClass     string  `json:"hostClass"`
-	Market        Market  `json:"market"`
-	PricePerHour  float64 `json:"pricePerHour"`
-	// Available is the most hosts that can run at once; it is told to nobody but the stand-in.
-	Available int `json:"available"`
-}
-
-// BillLine is what one host cost so far.
-type BillLine struct {
-	Host  Host    `json:"host"`
-	Hours float64 `json:"hours"`
-	Cost  float64 `json:"cost"`
-}
-
 // cloud keeps hosts, prices and notices.
 type cloud struct {
 	clock func() time.Time
@@ -206,19 +143,3 @@
 		(failureDomain == "" || h.FailureDomain == failureDomain) &&
 		(hostClass == "" || h.HostClass == hostClass)
 }
-
-// Bill returns what each host cost so far.
-func (s *Server) Bill() []BillLine {
-	now := s.cloud.clock().UnixMilli()
-	hosts := s.cloud.snapshot()
-	out := make([]BillLine, 0, len(hosts))
-	for _, h := range hosts {
-		end := h.EndedMs
-		if end == 0 {
-			end = now
-		}
-		hours := (time.Duration(end-h.StartedMs) * time.Millisecond).Hours()
-		out = append(out, BillLine{Host: h, Hours: hours, Cost: hours * h.PricePerHour})
-	}
-	return out
-}
