--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -1,5 +1,3 @@
-// Package fleet holds what a node knows about the upstreams: the model
-// replicas and plain services that requests are sent to.
 package fleet
 
 import (
--- a/internal/owner/doc.go
+++ b/internal/owner/doc.go
@@ -8,6 +8,10 @@
 // second hop. Which owner to ask is chosen from a summary of a few bytes per
 // owner and pool, and from where the prefix was sent before.
 //
+// An owner lets some more requests than there are slots stand in line at an
+// upstream, so that a slot that comes free has its next request at once. Holders
+// renew reservations many in one call.
+//
 // Invariants: two owners of one upstream for a moment, or none, cost load and
 // never correctness; a reservation is counted once, however often it is asked
 // for; every reservation ends by release, expiry or the loss of its holder.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -1,13 +1,3 @@
-// Package peer carries calls between nodes: small control messages by net/rpc,
-// streams by net/http, both on one TCP listener.
-//
-// Bodies of calls are msgpack. Structs go by the names of their fields without
-// the empty ones, so that nodes of different releases understand each other;
-// those marked as_array go by position, and a call with one of another length is
-// refused.
-//
-// Invariants: every call has a deadline; a connection that went silent is
-// replaced, not waited for; nothing large goes through net/rpc.
 package peer
 
 import (
