--- a/internal/fleet/leaving.go
+++ b/internal/fleet/leaving.go
@@ -16,12 +16,6 @@
 // longest that a request may take.
 const drainTime = time.Hour
 
-// Spreader carries marks between the nodes; *membership.Cluster is one.
-type Spreader interface {
-	Publish(topic membership.Topic, key string, version uint64, payload []byte) error
-	Subscribe(topic membership.Topic, f func(membership.Rumour))
-}
-
 // Leaving holds the marks of upstreams and hosts that are leaving, however and
 // at whichever node it was learnt.
 //
@@ -46,16 +40,6 @@
 	onMark          []func(Mark)
 }
 
-// heldMark is a mark with the time at which it ends, by this node's clock.
-type heldMark struct {
-	Mark
-	until time.Time
-}
-
-func (m heldMark) inForce(now time.Time) bool {
-	return !m.Cleared && now.Before(m.until)
-}
-
 // NewLeaving returns marks that are shared by spreader; now is the clock.
 func NewLeaving(spreader Spreader, now func() time.Time) *Leaving {
 	l := &Leaving{spreader: spreader, now: now, marks: make(map[Subject]heldMark)}
--- a/internal/operator/runner.go
+++ b/internal/operator/runner.go
@@ -10,53 +10,13 @@
 
 	"mangoledge.example/mangoledge/internal/config"
 	"mangoledge.example/mangoledge/internal/explain"
-	"mangoledge.example/mangoledge/internal/fleet"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/query"
-	"mangoledge.example/mangoledge/internal/texttable"
 )
 
-// Options are what a Runner works on. A nil field makes the commands that need it unavailable.
-type Options struct {
-	Schema query.Schema
-	Tables Tables
-	// Site asks all nodes for tables that each keeps for itself; without it this node alone tells.
-	Site      *Site
-	Explainer Explainer
-	Editor    Editor
-	Orders    *Orders
-	// Upstreams are those that this node knows of.
-	Upstreams fleet.View
-	Dumper    Dumper
-	// Journal notes each change, for explain.
-	Journal *explain.Journal
-}
-
 // ErrNotAvailable is returned for commands that this node can't run.
 var ErrNotAvailable = errors.New("this node can't run that command")
 
-// Command is a command with what comes beside its text.
-type Command struct {
-	Text string
-	// Change names the change; made here when empty.
-	Change ident.Change
-	// Base is the version that a change was made from; 0 for the version in force.
-	Base uint64
-	// By is whose token it was.
-	By string
-}
-
-// Result is the answer to a command.
-type Result struct {
-	Columns []query.Column
-	Rows    []query.Row
-	// Text is the answer for a person.
-	Text string
-	// Change is empty for commands that change nothing.
-	Change   ident.Change
-	Decision Decision
-}
-
 // Runner runs commands. It is safe for concurrent use.
 type Runner struct {
 	options Options
@@ -105,39 +65,6 @@
 	return resultOf(table.Columns, query.Select(show, table, rows)), nil
 }
 
-func resultOf(columns []query.Column, rows []query.Row) *Result {
-	head := make([]string, 0, len(columns))
-	for _, column := range columns {
-		head = append(head, column.Name)
-	}
-	return &Result{
-		Columns:  columns,
-		Rows:     rows,
-		Text:     texttable.Format(head, TextOf(rows)) + rowCount(len(rows)),
-		Decision: Decision{Outcome: OutcomeNone},
-	}
-}
-
-// TextOf returns the cells of rows as text.
-func TextOf(rows []query.Row) [][]string {
-	out := make([][]string, 0, len(rows))
-	for _, row := range rows {
-		cells := make([]string, 0, len(row))
-		for _, cell := range row {
-			cells = append(cells, cell.String())
-		}
-		out = append(out, cells)
-	}
-	return out
-}
-
-func rowCount(n int) string {
-	if n == 1 {
-		return "1 row\n"
-	}
-	return fmt.Sprintf("%d rows\n", n)
-}
-
 func (r *Runner) dump() (*Result, error) {
 	if r.options.Dumper == nil {
 		return nil, ErrNotAvailable
--- a/internal/owner/directory.go
+++ b/internal/owner/directory.go
@@ -60,13 +60,6 @@
 	full time.Time
 }
 
-// Choice is the owner to ask.
-type Choice struct {
-	Owner ident.Incarnation
-	// Address is the owner's peer address.
-	Address string
-}
-
 // NewDirectory returns an empty directory of node self.
 func NewDirectory(self membership.Member, random *rand.Rand) *Directory {
 	return &Directory{random: random, self: self, pools: make(map[PoolKey]*ownerSet)}
--- a/internal/owner/ledger.go
+++ b/internal/owner/ledger.go
@@ -10,7 +10,6 @@
 	"mangoledge.example/mangoledge/internal/fleet"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/membership"
-	"mangoledge.example/mangoledge/internal/request"
 	"mangoledge.example/mangoledge/internal/routing"
 )
 
@@ -36,22 +35,6 @@
 	urls  map[ident.Upstream]string
 }
 
-// reservation is one slot that is held.
-type reservation struct {
-	id       ReservationID
-	upstream ident.Upstream
-	suspect  bool
-	// cached is how many leading tokens of the prompt the upstream had cached when it was chosen.
-	cached int
-	// waiting is true while it is in line for a slot.
-	waiting bool
-	urgency request.Urgency
-	// hold is how long it lasts from its last renewal, until when that is.
-	hold  time.Duration
-	until time.Time
-	place int
-}
-
 // NewLedger returns the ledger of node self, which chooses by policy among the
 // upstreams it owns and lets overcommit requests more than its slots wait at each.
 func NewLedger(self ident.Node, local ident.FailureDomain, policy routing.Policy, overcommit int, random *rand.Rand) *Ledger {
