One function writes the lists of upstreams for the demo and the slopes

Cause: testbed.RegisterUpstreams and slopes' whole nodes both grouped upstreams by failure domain and created an object for each.

Change: testbed.CreateLists does it for both.

Conclusion: the same objects are written by one function.

--- a/internal/slopes/node.go
+++ b/internal/slopes/node.go
@@ -16,6 +16,7 @@
 	"mangoledge.example/mangoledge/internal/platform/objects"
 	"mangoledge.example/mangoledge/internal/settings"
 	"mangoledge.example/mangoledge/internal/standin/platform"
+	"mangoledge.example/mangoledge/internal/testbed"
 )
 
 const (
@@ -109,29 +110,16 @@
 }
 
 // list writes the lists of upstreams, one object a failure domain.
-func (s *nodeSite) list(ctx context.Context, upstreams int) error {
-	lists := make(map[ident.FailureDomain]*fleet.DomainList)
-	for n := range upstreams {
+func (s *nodeSite) list(ctx context.Context, count int) error {
+	upstreams := make([]fleet.Upstream, 0, count)
+	for n := range count {
 		u := upstreamN(n)
 		u.URL = "http://127.0.0.1:1" // nothing is sent there
-		if lists[u.FailureDomain] == nil {
-			lists[u.FailureDomain] = new(fleet.DomainList)
-		}
-		lists[u.FailureDomain].Upstreams = append(lists[u.FailureDomain].Upstreams, u)
+		upstreams = append(upstreams, u)
 	}
 	client := objects.NewClient(objects.Options{BaseURL: s.server.URL, Budget: objects.NewBudget(ampleBudget, ampleBudget)})
 	defer client.Close()
-	for domain, list := range lists {
-		spec, err := json.Marshal(list)
-		if err != nil {
-			return err
-		}
-		object := objects.Object{Kind: fleet.UpstreamsKind, Metadata: objects.Metadata{Name: string(domain)}, Spec: spec}
-		if _, err := client.Create(ctx, object); err != nil {
-			return err
-		}
-	}
-	return nil
+	return testbed.CreateLists(ctx, client, upstreams)
 }
 
 func (s *nodeSite) stop() {
--- a/internal/testbed/register.go
+++ b/internal/testbed/register.go
@@ -13,14 +13,19 @@
 func (b *Bed) RegisterUpstreams(ctx context.Context) error {
 	client := objects.NewClient(objects.Options{BaseURL: b.PlatformURL()})
 	defer client.Close()
+	return CreateLists(ctx, client, b.Upstreams())
+}
+
+// CreateLists writes the lists of upstreams into store, one object a failure
+// domain. None of the domains may have a list yet.
+func CreateLists(ctx context.Context, store objects.Store, upstreams []fleet.Upstream) error {
 	lists := make(map[ident.FailureDomain]*fleet.DomainList)
-	for _, upstream := range b.Upstreams() {
-		list, ok := lists[upstream.FailureDomain]
-		if !ok {
-			list = new(fleet.DomainList)
-			lists[upstream.FailureDomain] = list
+	for i := range upstreams {
+		domain := upstreams[i].FailureDomain
+		if lists[domain] == nil {
+			lists[domain] = new(fleet.DomainList)
 		}
-		list.Upstreams = append(list.Upstreams, upstream)
+		lists[domain].Upstreams = append(lists[domain].Upstreams, upstreams[i])
 	}
 	for domain, list := range lists {
 		spec, err := json.Marshal(list)
@@ -28,7 +33,7 @@
 			return err
 		}
 		object := objects.Object{Kind: fleet.UpstreamsKind, Metadata: objects.Metadata{Name: string(domain)}, Spec: spec}
-		if _, err := client.Create(ctx, object); err != nil {
+		if _, err := store.Create(ctx, object); err != nil {
 			return err
 		}
 	}
