Hosts are listed when something may have changed

Cause: the lease holder listed all hosts of the cloud in every pass, each 2 s. At 2,200 replicas a pass moved 528 KB and took 60.5 ms of processor time.

Change: a pass plans by the newest list. Hosts are listed first after the lease was taken or a write of a ledger lost, after a mark of leaving (and once more 30 s later), while an intent waits for its host or a load, after an end or a failed step, and at an interval of 25 ms a host, 30 s at least. What a plan by an older list would change is planned anew by a list that is read then. mangoledge-slopes measures passes with a list by themselves (list_pass).

--- a/internal/capacity/act.go
+++ b/internal/capacity/act.go
@@ -26,6 +26,9 @@
 	resultRefused
 	// resultStarted means that the cloud gave its host.
 	resultStarted
+	// resultUnsettled means that the intent stands, and that only a new list of hosts
+	// shows what became of what was tried.
+	resultUnsettled
 )
 
 // act does what is due for each intent, and strikes off those that were refused;
@@ -48,7 +51,7 @@
 	return refused
 }
 
-// settle notes refusals and strikes off the intents that met one.
+// settle notes refusals and what only a new list of hosts shows, and strikes off the intents that met one.
 func (r *Reconciler) settle(l *Ledger, results []result) {
 	refused := make(map[string]bool)
 	for i, outcome := range results {
@@ -62,6 +65,8 @@
 		case resultStarted:
 			r.refusals.clear(intent.Pool)
 			r.noteStart(&intent, hostStarted, string(intent.Host))
+		case resultUnsettled:
+			r.listing.outdated = true
 		case resultKept:
 		}
 	}
@@ -86,12 +91,20 @@
 	case PhaseMoving:
 		r.move(ctx, site, i)
 	case PhaseLeaving:
-		err = r.end(ctx, i)
+		return r.leave(ctx, i)
 	}
-	if err != nil && !errors.Is(err, weights.ErrBusy) {
+	return r.resultOf(i, err)
+}
+
+// resultOf tells what became of an intent that is kept.
+func (r *Reconciler) resultOf(i *Intent, err error) result {
+	if err == nil {
+		return resultKept
+	}
+	if !errors.Is(err, weights.ErrBusy) {
 		r.options.Logger.Info("capacity step failed", "phase", i.Phase, "host", i.Host, "error", err)
 	}
-	return resultKept
+	return resultUnsettled
 }
 
 // start asks the cloud for the intent's host.
@@ -197,14 +210,22 @@
 	})
 }
 
-// end ends the host of a leaving intent when its work is done.
-func (r *Reconciler) end(ctx context.Context, i *Intent) error {
+// leave ends the host of a leaving intent when its work is done.
+func (r *Reconciler) leave(ctx context.Context, i *Intent) result {
 	if i.Host == "" {
-		return nil // the cloud never gave it, or will list it
+		return resultKept // the cloud never gave it, or will list it
 	}
 	if !r.drained(ctx, i) {
-		return nil
+		return resultKept
+	}
+	if err := r.end(ctx, i); err != nil {
+		return r.resultOf(i, err)
 	}
+	return resultUnsettled // until the cloud lists it as ended
+}
+
+// end ends the host of an intent.
+func (r *Reconciler) end(ctx context.Context, i *Intent) error {
 	if _, err := r.options.Lease.Check(); err != nil {
 		return err
 	}
--- a/internal/capacity/reconciler.go
+++ b/internal/capacity/reconciler.go
@@ -6,6 +6,9 @@
 // intent's token; so whoever holds the lease next goes on with the same hosts,
 // starts none twice and forgets none. A host without an intent is written down
 // as leaving before it is ended. Nothing is ordered without a check of the lease.
+// Hosts are listed when something may have changed, and at long intervals otherwise;
+// a plan that changes a ledger is made by a list that was read for it, and so is each
+// that lets a host load something.
 //
 // Lock order: the package has no locks; one goroutine passes, and its helpers
 // each change one intent.
@@ -71,6 +74,9 @@
 	Engines  Engines
 	Registry Publisher
 	Site     config.View
+	// Marks tell when something was learnt to be leaving, upon which the hosts are
+	// listed at once; when nil that is found at the interval.
+	Marks Marks
 	// RegionOf returns the region of a failure domain.
 	RegionOf func(ident.FailureDomain) ident.Region
 	// NewToken makes a text that was never used before, for a client token.
@@ -96,6 +102,8 @@
 	known bool
 	// fence is the fencing number that known holds under.
 	fence lease.Fence
+	// listing is the newest list of hosts.
+	listing listing
 	// waiting are the models whose roll-out was told to wait last.
 	waiting map[ident.Model]bool
 	// unordered are the models whose role was told not to be ordered last.
@@ -139,6 +147,8 @@
 			if err := r.Pass(ctx); err != nil && ctx.Err() == nil {
 				r.options.Logger.Warn("capacity pass ended early", "error", err)
 			}
+		} else {
+			r.listing = listing{} // large, and nothing to go by later
 		}
 		select {
 		case <-ctx.Done():
@@ -192,23 +202,34 @@
 	return refused, nil
 }
 
-// plan reads what there is and plans. The hosts are read before the ledgers, so
-// that a host without an intent has lost it and is not about to get it.
+// plan plans by the newest list of hosts; what that would change is planned anew by a
+// list that is read now. The hosts are read before the ledgers, so that a host
+// without an intent has lost it and is not about to get it.
 func (r *Reconciler) plan(ctx context.Context, site *config.Site) (Planned, error) {
-	hosts, err := r.options.Cloud.Hosts(ctx)
+	offers, err := r.options.Cloud.Offers(ctx)
 	if err != nil {
 		return Planned{}, err
 	}
-	offers, err := r.options.Cloud.Offers(ctx)
-	if err != nil {
+	if !r.mustList(site) {
+		plan, err := r.planWith(ctx, site, offers)
+		if err != nil || r.changesNothing(&plan) {
+			return plan, err
+		}
+	}
+	if err := r.listHosts(ctx); err != nil {
 		return Planned{}, err
 	}
+	return r.planWith(ctx, site, offers)
+}
+
+// planWith plans by the newest list of hosts.
+func (r *Reconciler) planWith(ctx context.Context, site *config.Site, offers []cloud.Offer) (Planned, error) {
 	ledgers, err := r.read(ctx)
 	if err != nil {
 		return Planned{}, err
 	}
 	return Plan(Inputs{
-		Site: site, Offers: offers, Hosts: hosts, Ledgers: ledgers,
+		Site: site, Offers: offers, Hosts: r.listing.hosts, Ledgers: ledgers,
 		Resting: r.refusals.resting(), Now: r.options.Clock(), Fence: r.fence,
 		NewToken: func() string { return TokenPrefix + r.options.NewToken() },
 	}), nil
--- a/internal/capacity/reconciler_test.go
+++ b/internal/capacity/reconciler_test.go
@@ -116,10 +116,22 @@
 	now      time.Time
 	tokens   int
 	site     config.Site
+	// noticed is the sequence number of the newest reclaim notice.
+	noticed uint64
 }
 
 func (b *bench) Current() *config.Site { return &b.site }
 
+// Changes counts the reclaim notices, each of which is a mark on a node.
+func (b *bench) Changes() uint64 {
+	heard, err := b.cloud.Notices(context.Background(), b.noticed, 0)
+	require.NoError(b.t, err)
+	for _, notice := range heard {
+		b.noticed = max(b.noticed, notice.Sequence)
+	}
+	return b.noticed
+}
+
 func newBench(t testing.TB) *bench {
 	t.Helper()
 	return newBenchOf(t, 3)
@@ -178,7 +190,7 @@
 	clock := func() time.Time { return b.now }
 	return New(Options{
 		Store: pluggedStore{b.store, p}, Lease: holding{}, Cloud: pluggedCloud{b.cloud, p},
-		Weights: weights.NewClient(calls, clock), Engines: idleEngines{}, Registry: b.registry, Site: b,
+		Weights: weights.NewClient(calls, clock), Engines: idleEngines{}, Registry: b.registry, Site: b, Marks: b,
 		RegionOf: func(ident.FailureDomain) ident.Region { return "r" },
 		NewToken: func() string { b.tokens++; return fmt.Sprintf("t%d", b.tokens) },
 		Clock:    clock, Logger: slog.New(slog.DiscardHandler),
--- a/internal/node/reconcile.go
+++ b/internal/node/reconcile.go
@@ -54,6 +54,7 @@
 			Engines:  capacity.HTTPEngines{},
 			Registry: fleet.NewPublisher(c.registry, store),
 			Site:     c.manager,
+			Marks:    c.leaving,
 			RegionOf: n.regionOf,
 			NewToken: rand.Text,
 			Logger:   n.logger,
--- a/internal/slopes/reconcile.go
+++ b/internal/slopes/reconcile.go
@@ -24,8 +24,12 @@
 )
 
 const (
-	// reconcilePasses is how many passes with nothing to do are measured.
+	// reconcilePasses is how many passes with nothing to do are measured, of each kind.
 	reconcilePasses = 5
+	// quietStep passes on the measurement's clock before a pass that lists no hosts.
+	quietStep = 2 * time.Second
+	// listStep passes on the measurement's clock before a pass that lists the hosts.
+	listStep = 10 * time.Minute
 	// maxStartPasses bounds the passes until every replica is ready.
 	maxStartPasses = 60
 	// reconcileStep passes on the measurement's clock between two passes.
@@ -180,17 +184,43 @@
 		return nil, err
 	}
 	started := now(true)
-	moved, calls := s.listener.bytes.Load(), s.platform.Counts().Total
-	pass := cost(reconcilePasses, func(int) {
-		err = firstError(err, s.reconciler.Pass(ctx))
-		s.clock = s.clock.Add(reconcileStep)
-	})
-	how := fmt.Sprintf("a pass over %d replicas that all run, one a host, the stand-in's share included", replicas)
+	listing, err := s.measure(ctx, listStep)
+	if err != nil {
+		return nil, err
+	}
+	quiet, err := s.measure(ctx, quietStep)
+	how := fmt.Sprintf("a pass over %d replicas that all run, one a host, between two lists of hosts, the stand-in's share included", replicas)
+	listHow := fmt.Sprintf("a pass over %d replicas that all run, one a host, with a list of hosts, the stand-in's share included", replicas)
 	name := func(what string) string { return fmt.Sprintf("reconciler.%s.%d", what, replicas) }
 	return []Figure{
 		{Name: name("start_cpu"), Value: (started.processor - before.processor).Seconds() * 1000 / float64(replicas), Unit: unitMilliseconds, How: "of processor time a replica, from nothing until all run, the stand-in's share included"},
-		{Name: name("pass"), Value: pass, Unit: unitMicroseconds, How: how},
-		{Name: name("pass_bytes"), Value: float64(s.listener.bytes.Load()-moved) / reconcilePasses, Unit: unitBytes, How: how + ", both directions, without TCP headers"},
-		{Name: name("pass_calls"), Value: float64(s.platform.Counts().Total-calls) / reconcilePasses, Unit: unitCount, How: how},
+		{Name: name("pass"), Value: quiet.processor, Unit: unitMicroseconds, How: how},
+		{Name: name("pass_bytes"), Value: quiet.bytes, Unit: unitBytes, How: how + ", both directions, without TCP headers"},
+		{Name: name("pass_calls"), Value: quiet.calls, Unit: unitCount, How: how},
+		{Name: name("list_pass"), Value: listing.processor, Unit: unitMicroseconds, How: listHow},
+		{Name: name("list_pass_bytes"), Value: listing.bytes, Unit: unitBytes, How: listHow + ", both directions, without TCP headers"},
+	}, err
+}
+
+// passCost is what one pass costs.
+type passCost struct {
+	// processor is in microseconds.
+	processor float64
+	bytes     float64
+	calls     float64
+}
+
+// measure makes passes, each some time after the last.
+func (s *reconcileSite) measure(ctx context.Context, step time.Duration) (passCost, error) {
+	var err error
+	moved, calls := s.listener.bytes.Load(), s.platform.Counts().Total
+	processor := cost(reconcilePasses, func(int) {
+		s.clock = s.clock.Add(step)
+		err = firstError(err, s.reconciler.Pass(ctx))
+	})
+	return passCost{
+		processor: processor,
+		bytes:     float64(s.listener.bytes.Load()-moved) / reconcilePasses,
+		calls:     float64(s.platform.Counts().Total-calls) / reconcilePasses,
 	}, err
 }
