--- a/internal/capacity/reconciler_test.go
+++ b/internal/capacity/reconciler_test.go
@@ -116,9 +116,33 @@
 	now      time.Time
 	tokens   int
 	site     config.Site
+	// inForce is the newest version of the site, and inForceText what it says.
+	inForce     *config.Site
+	inForceText string
+	// noticed is the sequence number of the newest reclaim notice.
+	noticed uint64
 }
 
-func (b *bench) Current() *config.Site { return &b.site }
+// Current returns a version that stays as it is: tests change the site in place.
+func (b *bench) Current() *config.Site {
+	if text := fmt.Sprintf("%+v", b.site); b.inForce == nil || text != b.inForceText {
+		version := b.site
+		version.Models, version.Capacity = slices.Clone(b.site.Models), slices.Clone(b.site.Capacity)
+		version.Drains = slices.Clone(b.site.Drains)
+		b.inForce, b.inForceText = &version, text
+	}
+	return b.inForce
+}
+
+// Changes counts the reclaim notices, each of which is a mark on a node.
+func (b *bench) Changes() uint64 {
+	heard, err := b.cloud.Notices(context.Background(), b.noticed, 0)
+	require.NoError(b.t, err)
+	for _, notice := range heard {
+		b.noticed = max(b.noticed, notice.Sequence)
+	}
+	return b.noticed
+}
 
 func newBench(t testing.TB) *bench {
 	t.Helper()
@@ -178,7 +202,7 @@
 	clock := func() time.Time { return b.now }
 	return New(Options{
 		Store: pluggedStore{b.store, p}, Lease: holding{}, Cloud: pluggedCloud{b.cloud, p},
-		Weights: weights.NewClient(calls, clock), Engines: idleEngines{}, Registry: b.registry, Site: b,
+		Weights: weights.NewClient(calls, clock), Engines: idleEngines{}, Registry: b.registry, Site: b, Marks: b,
 		RegionOf: func(ident.FailureDomain) ident.Region { return "r" },
 		NewToken: func() string { b.tokens++; return fmt.Sprintf("t%d", b.tokens) },
 		Clock:    clock, Logger: slog.New(slog.DiscardHandler),
