A stopped process is waited for, and a reclaim strikes the busiest engine

Cause: TestLeaseHolderStoppedBeforeAHostStart failed once on a busy machine: its late start never came. SIGSTOP takes effect when a thread of the process next runs; the test let go of the process at once, so that its call could leave before it stood still. TestTheNoticeOfThePlatformDecidesHowStreamsGoOn failed twice beside other tests: it reclaimed the first engine, whether or not streams ran there.

Change: the tests wait until the process is in the stopped state, also the one of a home between grant and dispatch. The engine that has begun the most streams is reclaimed. What is asked afterwards is as it was.

That the signal was the cause is read from the code and the log of the test, not shown by a run.

--- a/internal/faulttest/directed_test.go
+++ b/internal/faulttest/directed_test.go
@@ -174,7 +174,7 @@
 	wg.Go(func() { s.sendTo(home, hold) })
 	s.waitHeld(home, testpause.Granted)
 	at := s.fault(home.faultOf(historycheck.FaultPause))
-	home.process.signal(syscall.SIGSTOP)
+	require.NoError(t, home.process.stop())
 	second := s.sendTo(third, hold)
 	require.False(t, second.Whole)
 	require.NotEqual(t, verdict.NotRun, lastVerdict(second))
--- a/internal/faulttest/lease_test.go
+++ b/internal/faulttest/lease_test.go
@@ -177,7 +177,7 @@
 	require.Equal(s.t, first.settings.Node, before.Holder.Node(), "the node at %s holds the lease", point)
 	at := s.fault(first.faultOf(historycheck.FaultPause))
 	first.peers.setDatagrams(false) // none waits in its socket when it goes on
-	first.process.signal(syscall.SIGSTOP)
+	require.NoError(s.t, first.process.stop())
 	for _, n := range s.nodes {
 		s.release(n, point)
 	}
--- a/internal/faulttest/process_test.go
+++ b/internal/faulttest/process_test.go
@@ -1,14 +1,17 @@
 package faulttest
 
 import (
+	"fmt"
 	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 )
 
@@ -57,6 +60,32 @@
 	_ = p.cmd.Process.Signal(s)
 }
 
+// stopLimit is how long a process may take to stand still.
+const stopLimit = 30 * time.Second
+
+// stop has the process stand still until SIGCONT, and returns once it does: the
+// signal takes effect only when a thread of the process next runs.
+func (p *process) stop() error {
+	p.signal(syscall.SIGSTOP)
+	for end := time.Now().Add(stopLimit); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if p.isStopped() {
+			return nil
+		}
+	}
+	return errors.Newf("process %d does not stop", p.pid())
+}
+
+// isStopped reports whether the process is in the state T, which follows its
+// name in parentheses.
+func (p *process) isStopped() bool {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.pid()))
+	if err != nil {
+		return false
+	}
+	_, state, found := strings.Cut(string(stat), ") ")
+	return found && strings.HasPrefix(state, "T")
+}
+
 func (p *process) pid() int {
 	return p.cmd.Process.Pid
 }
--- a/internal/faulttest/recovery_test.go
+++ b/internal/faulttest/recovery_test.go
@@ -2,21 +2,25 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/internal/standin/history"
 )
 
 // TestTheNoticeOfThePlatformDecidesHowStreamsGoOn reclaims an engine under its
 // streams and asks the nodes, as an operator does, how they went on and why.
 func TestTheNoticeOfThePlatformDecidesHowStreamsGoOn(t *testing.T) {
 	s := startSite(t, siteOptions{nodes: 3, services: 1, engines: 3, seed: 12})
-	calls := s.streams(12, func() { s.reclaimUpstream(s.engines[0], 2*time.Second) })
+	calls := s.streams(12, func() { s.reclaimUpstream(s.busiestEngine(), 2*time.Second) })
 	requireWhole(t, calls)
 	told := 0
 	for _, call := range calls {
@@ -36,6 +40,17 @@
 	s.check()
 }
 
+// busiestEngine returns the engine that has begun the most streams.
+func (s *site) busiestEngine() *upstream {
+	begun := make(map[string]int)
+	for _, run := range s.history().Runs {
+		if run.Event == history.EventStart {
+			begun[run.Standin]++
+		}
+	}
+	return slices.MaxFunc(s.engines, func(a, b *upstream) int { return cmp.Compare(begun[a.name], begun[b.name]) })
+}
+
 // explainRequest asks a node to explain a request and returns the text.
 func (s *site) explainRequest(n *node, id string) string {
 	body, err := json.Marshal(map[string]string{"command": "explain request " + id})
