--- /dev/null
+++ b/internal/dispatch/fakesite_test.go
@@ -0,0 +1,293 @@
+package dispatch_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/internal/dispatch"
+	"mangoledge.example/mangoledge/internal/engine"
+	"mangoledge.example/mangoledge/internal/fleet"
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/membership"
+	"mangoledge.example/mangoledge/internal/peer"
+	"mangoledge.example/mangoledge/internal/plainservice"
+	"mangoledge.example/mangoledge/internal/recovery"
+	"mangoledge.example/mangoledge/internal/request"
+	"mangoledge.example/mangoledge/internal/retry"
+	standinengine "mangoledge.example/mangoledge/internal/standin/engine"
+	"mangoledge.example/mangoledge/internal/verdict"
+	"mangoledge.example/mangoledge/internal/witness"
+)
+
+const (
+	prompt = "write the findings"
+	// longStream is a number of tokens that takes seconds, so that no stream ends
+	// before its failure is provoked, however busy the machine is.
+	longStream = 1000
+)
+
+// fakeSite is a few nodes and engines in this process.
+type fakeSite struct {
+	t       testing.TB
+	mu      sync.Mutex
+	members []membership.Member
+	// upstreams are tried in this order.
+	upstreams []fleet.Upstream
+	leaving   map[ident.Upstream]bool
+	// paces are the times between tokens that the places were given back with.
+	paces []time.Duration
+	// admission is what the nodes that are added accept by.
+	admission dispatch.Admission
+	reclaims  map[ident.Upstream]time.Time
+	notes     []journalNote
+	recovered map[recovery.Method]recoveryCount
+}
+
+// journalNote is a decision about a request.
+type journalNote struct{ decision, reason string }
+
+// recoveryCount is how many streams went on, and the tokens computed again.
+type recoveryCount struct{ streams, tokens int }
+
+// Request implements dispatch.Journal.
+func (s *fakeSite) Request(_ ident.RequestID, decision, reason string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.notes = append(s.notes, journalNote{decision, reason})
+}
+
+// noted returns the reasons of a decision, in order.
+func (s *fakeSite) noted(decision string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for _, note := range s.notes {
+		if note.decision == decision {
+			out = append(out, note.reason)
+		}
+	}
+	return out
+}
+
+// Recovered implements dispatch.Recoveries.
+func (s *fakeSite) Recovered(method recovery.Method, recomputed int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := s.recovered[method]
+	count.streams++
+	count.tokens += recomputed
+	s.recovered[method] = count
+}
+
+// recoveredBy returns what was counted of a method.
+func (s *fakeSite) recoveredBy(method recovery.Method) recoveryCount {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.recovered[method]
+}
+
+// ReclaimAt implements dispatch.Reclaims.
+func (s *fakeSite) ReclaimAt(id ident.Upstream) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reclaims[id]
+}
+
+// reclaim tells that an upstream is taken away after notice.
+func (s *fakeSite) reclaim(id ident.Upstream, notice time.Duration) {
+	s.mu.Lock()
+	s.reclaims[id] = time.Now().Add(notice)
+	s.mu.Unlock()
+	s.MarkLeaving(id)
+}
+
+// fakeNode is one node of a fakeSite.
+type fakeNode struct {
+	site       *fakeSite
+	self       membership.Member
+	dispatcher *dispatch.Dispatcher
+	peers      *peer.Client
+	server     *http.Server
+}
+
+func newFakeSite(t testing.TB) *fakeSite {
+	return &fakeSite{
+		t: t, leaving: make(map[ident.Upstream]bool), admission: freeAdmission{},
+		reclaims: make(map[ident.Upstream]time.Time), recovered: make(map[recovery.Method]recoveryCount),
+	}
+}
+
+func (s *fakeSite) Members() []membership.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.members)
+}
+
+func (s *fakeSite) Lookup(incarnation ident.Incarnation) (membership.Member, bool) {
+	for _, m := range s.Members() {
+		if m.Incarnation == incarnation {
+			return m, true
+		}
+	}
+	return membership.Member{}, false
+}
+
+// setState says what the members know of a node.
+func (s *fakeSite) setState(incarnation ident.Incarnation, state membership.State) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.members {
+		if s.members[i].Incarnation == incarnation {
+			s.members[i].State = state
+		}
+	}
+}
+
+// nodeView is the membership as one node sees it.
+type nodeView struct {
+	*fakeSite
+	self membership.Member
+}
+
+func (v nodeView) Self() membership.Member { return v.self }
+
+type freeAdmission struct{}
+
+type freeTicket struct{}
+
+// Turn is closed from the start: nothing waits here.
+func (freeTicket) Turn() <-chan struct{} {
+	turn := make(chan struct{})
+	close(turn)
+	return turn
+}
+
+func (freeTicket) Refusal() *verdict.Error { return nil }
+func (freeTicket) LatestStart() time.Time  { return time.Now().Add(time.Hour) }
+func (freeTicket) Overdue() *verdict.Error { return nil }
+func (freeTicket) Placed()                 {}
+func (freeTicket) Release(bool)            {}
+
+func (freeAdmission) Admit(*request.Spec) (dispatch.Ticket, error) { return freeTicket{}, nil }
+
+type noGuard struct{}
+
+type freePass struct{}
+
+func (freePass) Leave(ident.Upstream, dispatch.Ending) {}
+
+func (noGuard) Check(*request.Spec) error { return nil }
+
+func (noGuard) Enter(context.Context, *request.Spec) (dispatch.Pass, error) { return freePass{}, nil }
+
+type place struct {
+	site     *fakeSite
+	upstream fleet.Upstream
+}
+
+func (s *fakeSite) notePace(perToken time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.paces = append(s.paces, perToken)
+}
+
+func (p place) Upstream() fleet.Upstream { return p.upstream }
+func (p place) CachedTokens() int        { return 0 }
+func (p place) Done(_ dispatch.Outcome, perToken time.Duration) {
+	p.site.notePace(perToken)
+}
+
+// Pick takes the first upstream that is not leaving; one to be avoided only when there is no other.
+func (s *fakeSite) Pick(_ context.Context, need *dispatch.Need) (dispatch.Placement, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var avoided *fleet.Upstream
+	for i, u := range s.upstreams {
+		switch {
+		case u.Service != need.Spec.Service || s.leaving[u.ID]:
+		case slices.Contains(need.Avoid, u.ID):
+			avoided = &s.upstreams[i]
+		default:
+			return place{site: s, upstream: u}, nil
+		}
+	}
+	if avoided != nil {
+		return place{site: s, upstream: *avoided}, nil
+	}
+	return nil, verdict.New(verdict.NotRun, verdict.CodeNoUpstream, "none").After(10 * time.Millisecond)
+}
+
+func (s *fakeSite) Leaving(id ident.Upstream) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving[id]
+}
+
+func (s *fakeSite) MarkLeaving(id ident.Upstream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving[id] = true
+}
+
+// addNode starts a node of the site.
+func (s *fakeSite) addNode(name ident.Node) *fakeNode {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(s.t, err)
+	self := membership.Member{
+		Incarnation: ident.NewIncarnation(name, time.Now()), Node: name,
+		PeerAddress: listener.Addr().String(),
+	}
+	s.mu.Lock()
+	s.members = append(s.members, self)
+	s.mu.Unlock()
+	dialer := peer.Dialer{Token: "t"}
+	peers := peer.NewClient(dialer)
+	view := nodeView{fakeSite: s, self: self}
+	tables := witness.NewService(self.Incarnation, peers)
+	budget := retry.NewBudget(1, 100)
+	d := dispatch.New(dispatch.Options{
+		Guard: noGuard{}, Budget: budget, Retries: retry.NewPolicy(budget, rand.New(rand.NewPCG(1, 1))),
+		Members: view, Witness: witness.NewClient(peers, view, tables), Router: s, Admission: s.admission,
+		Journal: s, Reclaims: s, Recoveries: s, Engines: engine.NewClient(), Services: plainservice.NewClient(),
+		Peers: peers, Dialer: dialer, Logger: discard(), MaxRunning: 64,
+	})
+	server := peer.NewServer("t")
+	require.NoError(s.t, d.Register(server))
+	require.NoError(s.t, tables.Register(server))
+	go func() { _ = server.Serve(listener, nil) }()
+	d.Start()
+	n := &fakeNode{site: s, self: self, dispatcher: d, peers: peers}
+	s.t.Cleanup(func() {
+		_ = server.Close()
+		d.Stop()
+		peers.Close()
+	})
+	n.server = nil
+	return n
+}
+
+// addEngine starts an engine and returns its server.
+func (s *fakeSite) addEngine(id ident.Upstream, interval time.Duration) *httptest.Server {
+	return s.addEngineLike(standinengine.Options{ID: string(id), Slots: 8, TokenInterval: interval, Seed: 7})
+}
+
+// addEngineLike starts an engine that behaves as options say and returns its server.
+func (s *fakeSite) addEngineLike(options standinengine.Options) *httptest.Server {
+	e, err := standinengine.New(options)
+	require.NoError(s.t, err)
+	server := httptest.NewServer(e.Handler())
+	s.t.Cleanup(func() { kill(server); server.Close(); e.Stop() })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.upstreams = append(s.upstreams, fleet.Upstream{ID: ident.Upstream(options.ID), URL: server.URL, State: fleet.StateReady})
+	return server
+}
