Each site of the process tests has a peer token of its own

A test binary that had panicked had left its three nodes running; they shared name and token with those of the new site, so that each newer incarnation superseded the other's. Seen in the process list; no fault of membership.

Change: the token is drawn for each site, so that strangers' datagrams are refused.

Conclusion: a run no longer depends on what an earlier one left behind.

--- a/internal/faulttest/node_test.go
+++ b/internal/faulttest/node_test.go
@@ -48,7 +48,7 @@
 		OperatorListen: s.freeAddress(),
 		PeerListen:     peerAddress,
 		PeerAdvertise:  n.peers.address,
-		PeerToken:      peerToken,
+		PeerToken:      s.peerToken,
 		Platform:       settings.Platform{ObjectsURL: s.platform, CloudURL: s.platform, HostListURL: s.platform, WeightsURL: s.platform},
 		Tokens: []settings.Token{
 			{Name: "caller", Role: settings.RoleCaller, Workspace: workspace, SHA256: auth.Digest(callerToken)},
--- a/internal/faulttest/site_test.go
+++ b/internal/faulttest/site_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"net/http"
 	"sync"
@@ -20,7 +21,6 @@
 const (
 	callerToken   = "caller-token"
 	operatorToken = "operator-token"
-	peerToken     = "peer-token"
 	workspace     = ident.Workspace("w")
 	model         = "m"
 	plainService  = "holds"
@@ -50,6 +50,8 @@
 	t       *testing.T
 	dir     string
 	options siteOptions
+	// peerToken keeps nodes that an earlier run left behind out of the site.
+	peerToken string
 	// platform is the base URL of the platform's stand-in.
 	platform string
 	nodes    []*node
@@ -81,7 +83,7 @@
 	t.Parallel()
 	sites <- struct{}{}
 	t.Cleanup(func() { <-sites })
-	s := &site{t: t, dir: t.TempDir(), options: options, started: time.Now()}
+	s := &site{t: t, dir: t.TempDir(), options: options, peerToken: rand.Text(), started: time.Now()}
 	t.Cleanup(s.showLogs)
 	s.startPlatform()
 	for i := range options.engines {
