The bench names a pass anew for each run, as nodes do

A trace shows it: three runs of one content died with one upstream; one of the requests asked its gate again 0.3 ms before the release of its last run came there, under the same pass ID. The gate took that for a repetition, and the release then gave back the pass of the new run, so that three more runs than counted went on. Nodes draw a new number for each run (internal/guard), so no request there could meet it.

Change: the bench counts passes for each node; the ID's comment says why it must be new for each run.

--- a/internal/bench/job.go
+++ b/internal/bench/job.go
@@ -50,6 +50,8 @@
 	attempt      *attempt
 	serial       uint64
 	passed       bool
+	// pass names the pass of the run; a run's late release must not give back the next one's.
+	pass poison.PassID
 	// accepted is true once admission has taken the job in.
 	accepted bool
 	waiting  bool
--- a/internal/bench/product.go
+++ b/internal/bench/product.go
@@ -84,6 +84,8 @@
 	gate      *poison.Gate
 	list      []fleet.Upstream
 	serial    uint64
+	// passes counts the times that this node asked a gate.
+	passes uint64
 	// reserving counts requests that ask for a slot.
 	reserving map[routing.Pool]int
 	pools     []routing.Pool
--- a/internal/bench/productattempt.go
+++ b/internal/bench/productattempt.go
@@ -143,7 +143,7 @@
 	j.passed = false
 	w := n.product.world
 	gate := n.gateOf(j)
-	id := poison.PassID{Holder: n.member.Incarnation.Hash(), Serial: uint64(j.number)}
+	id := j.pass
 	w.atNode(gate.number, n.way(gate), func() {
 		gate.gate.Release(w.clock.wall(), j.print, id, a.engine.upstream.ID, ending)
 	})
--- a/internal/bench/productreserve.go
+++ b/internal/bench/productreserve.go
@@ -139,7 +139,8 @@
 func (n *node) pass(j *job, a *attempt) {
 	w := n.product.world
 	gate := n.gateOf(j)
-	id := poison.PassID{Holder: n.member.Incarnation.Hash(), Serial: uint64(j.number)}
+	n.passes++
+	id := poison.PassID{Holder: n.member.Incarnation.Hash(), Serial: n.passes}
 	answer := gate.gate.Acquire(w.clock.wall(), j.print, id, j.deadline-w.clock.now+time.Second)
 	if answer.Kind == poison.AnswerPass && answer.Crashes > 0 && !j.features.Suspect {
 		j.features.Suspect = true
@@ -162,6 +163,7 @@
 		w.later(n.number, poisonPause, func() { n.try(j) })
 	case poison.AnswerPass:
 		j.passed = true
+		j.pass = id
 		n.settled(j)
 		n.send(j, a)
 		n.pump()
