Asking about a request ends once nobody can answer any more

Cause: GET, DELETE and resume answered witness_lost with 500 ms to come back, also when the witness was known to be gone and the home had ended or had said that it does not know the request. No later try could find out more.

A witness or home that may yet answer is asked again as before.

Conclusion: the final answer comes at once.

--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -11,6 +11,7 @@
 
 // Resume follows a request from where the caller stands. Its error is a *verdict.Error.
 func (d *Dispatcher) Resume(ctx context.Context, res Resumption) (Attachment, error) {
+	var homeAnswer error
 	if e, ok := d.table.get(res.ID); ok && !e.isReleased() {
 		return d.attachAt(e, res)
 	}
@@ -19,11 +20,12 @@
 		if err == nil || (isFinalRefusal(err) && verdict.From(err).Code != verdict.CodeUnknownRequest) {
 			return attachment, err
 		}
+		homeAnswer = err
 	}
 	if res.Forwarded {
 		return nil, errUnknown()
 	}
-	record, err := d.fetchFromWitness(ctx, res.ID, res.Workspace)
+	record, err := d.fetchFromWitness(ctx, res.ID, res.Workspace, homeAnswer)
 	if err != nil {
 		return nil, err
 	}
@@ -54,12 +56,15 @@
 		record := e.snapshot()
 		return &record, nil
 	}
+	var homeAnswer error
 	if id.Home != d.self && d.reachable(id.Home) {
-		if record, err := d.callFetch(ctx, d.addressOf(id.Home), id, workspace); err == nil {
+		record, err := d.callFetch(ctx, d.addressOf(id.Home), id, workspace)
+		if err == nil {
 			return record, nil
 		}
+		homeAnswer = err
 	}
-	record, err := d.fetchFromWitness(ctx, id, workspace)
+	record, err := d.fetchFromWitness(ctx, id, workspace, homeAnswer)
 	if err != nil || record.Phase.Final() || record.Holder == d.self || !d.reachable(record.Holder) {
 		return record, err
 	}
@@ -79,11 +84,20 @@
 		record := e.snapshot()
 		return &record, nil
 	}
+	var homeAnswer error
 	if id.Home != d.self && d.reachable(id.Home) {
-		if record, err := d.callCancel(ctx, d.addressOf(id.Home), id, workspace); err == nil {
+		record, err := d.callCancel(ctx, d.addressOf(id.Home), id, workspace)
+		if err == nil {
 			return record, nil
 		}
+		homeAnswer = err
 	}
+	return d.cancelAtWitness(ctx, id, workspace, homeAnswer)
+}
+
+// cancelAtWitness ends a request of workspace that no node which could be asked
+// runs; homeAnswer is as for notFound.
+func (d *Dispatcher) cancelAtWitness(ctx context.Context, id ident.RequestID, workspace ident.Workspace, homeAnswer error) (*request.Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
 	defer cancel()
 	reply, err := d.options.Witness.Cancel(ctx, &grant.CancelRequest{ID: id, Workspace: workspace})
@@ -91,7 +105,7 @@
 		return nil, decided
 	}
 	if err != nil {
-		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeWitnessLost, "the witness of this request can't be reached").After(resendDelay)
+		return nil, d.notFound(id, homeAnswer, err)
 	}
 	if !reply.Found {
 		return nil, errUnknown()
@@ -113,13 +127,13 @@
 	}
 }
 
-// fetchFromWitness asks the witness for a record of workspace.
-func (d *Dispatcher) fetchFromWitness(ctx context.Context, id ident.RequestID, workspace ident.Workspace) (*request.Record, error) {
+// fetchFromWitness asks the witness for a record of workspace; homeAnswer is as for notFound.
+func (d *Dispatcher) fetchFromWitness(ctx context.Context, id ident.RequestID, workspace ident.Workspace, homeAnswer error) (*request.Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
 	defer cancel()
 	reply, err := d.options.Witness.Fetch(ctx, &grant.FetchRequest{ID: id})
 	if err != nil {
-		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeWitnessLost, "neither home nor witness of this request can be reached").After(resendDelay)
+		return nil, d.notFound(id, homeAnswer, err)
 	}
 	if !reply.Found || reply.Record.Spec.Workspace != workspace {
 		return nil, errUnknown()
--- a/internal/dispatch/witnesslost.go
+++ b/internal/dispatch/witnesslost.go
@@ -19,6 +19,24 @@
 		"the witness of this ID can't be reached, so nobody can tell whether it was run; the same ID may be sent again").After(resendDelay)
 }
 
+// notFound is the answer about a request that is not held here and whose witness
+// failed with cause. homeAnswer is what its home said, nil when it was not asked.
+// Once neither can ever tell more, the request is unknown for good.
+func (d *Dispatcher) notFound(id ident.RequestID, homeAnswer, cause error) *verdict.Error {
+	if d.neverDecided(id, cause) || (isUnknown(homeAnswer) && isWitnessGone(cause)) {
+		return verdict.New(verdict.MayHaveRun, verdict.CodeUnknownRequest,
+			"the witness of this ID is gone for good and its home does not know it, so nobody can tell what became of it")
+	}
+	return verdict.New(verdict.MayHaveRun, verdict.CodeWitnessLost,
+		"neither home nor witness of this request can be reached").After(resendDelay)
+}
+
+// isUnknown reports whether err is another node's word that it does not know a request.
+func isUnknown(err error) bool {
+	var refusal *verdict.Error
+	return errors.As(err, &refusal) && refusal.Code == verdict.CodeUnknownRequest
+}
+
 // neverDecided reports whether no resend of a request that this node does not hold
 // can bring another answer: its witness is gone, and its home is this node or has ended.
 func (d *Dispatcher) neverDecided(id ident.RequestID, cause error) bool {
