A grant refused to the home, or held by one without a result, is settled at once

Cause: a home whose grant was refused ended the request for good with grant_taken and 500 ms to come back; every resend found just that end, while another node may have had the result. And a home that held the grant, but had neither the request nor its result any more, told callers for ever to come back.

Change: the home gives the request up, so that its followers are sent on and a resend finds what the witness knows. A home that is itself the holder and keeps nothing says grant_taken without a time to come back.

Conclusion: no caller of a home is sent round in a circle.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -166,6 +166,7 @@
 
 // ensureGranted gets the right to run a non-idempotent request. Without an answer
 // of the witness the request ends here, and every resend would find just that end.
+// When the witness refuses, the request is given up, so that a resend finds whose it is.
 func (d *Dispatcher) ensureGranted(ctx context.Context, e *entry) *verdict.Error {
 	if e.spec.Idempotent || e.isGranted() {
 		return nil
@@ -177,7 +178,8 @@
 		return verdict.New(verdict.MayHaveRun, verdict.CodeWitnessLost, "the witness did not grant the request in time, so it was given up")
 	}
 	if !reply.Granted {
-		return verdict.New(verdict.MayHaveRun, verdict.CodeGrantTaken, "another node was given the right to run this request").After(resendDelay)
+		d.superseded(e)
+		return verdict.New(verdict.MayHaveRun, verdict.CodeGrantTaken, "this node was not given the right to run this request")
 	}
 	e.setGranted()
 	d.note(e.spec.ID, "granted", "by "+string(e.spec.ID.Witness))
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -31,6 +31,10 @@
 			return attachment, err
 		}
 	}
+	if claim.Granted && holder == d.self {
+		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeGrantTaken,
+			"this node ran the request or began to, and its result is kept nowhere; no resend finds out more")
+	}
 	if claim.Granted {
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeGrantTaken,
 			"another node was given the right to run this request and does not answer; its result may still arrive").After(resendDelay)
