The API document tells of old prefixes and of answers that are final

Change: api/caller.yaml says that a prefix carries the time of its issue, what a caller sees when it is too old, and when retryAfterMs is missing; the pages on refusals and on one request say the same. The API code is generated anew; only comments of it differ.

--- a/api/callerapi/oas_client_gen.go
+++ b/api/callerapi/oas_client_gen.go
@@ -30,7 +30,8 @@
 	CancelRequest(ctx context.Context, params CancelRequestParams) (*RequestState, error)
 	// FetchAnswer invokes fetchAnswer operation.
 	//
-	// The answer of a finished request, or how far it has come.
+	// Refused without retryAfterMs as unknown_request when no node can tell any more, as when home and
+	// witness of the ID have both ended. The same holds of a cancel and of a stream that is resumed.
 	//
 	// GET /v1/requests/{id}
 	FetchAnswer(ctx context.Context, params FetchAnswerParams) (*RequestState, error)
@@ -191,7 +192,8 @@
 
 // FetchAnswer invokes fetchAnswer operation.
 //
-// The answer of a finished request, or how far it has come.
+// Refused without retryAfterMs as unknown_request when no node can tell any more, as when home and
+// witness of the ID have both ended. The same holds of a cancel and of a stream that is resumed.
 //
 // GET /v1/requests/{id}
 func (c *Client) FetchAnswer(ctx context.Context, params FetchAnswerParams) (*RequestState, error) {
--- a/api/callerapi/oas_handlers_gen.go
+++ b/api/callerapi/oas_handlers_gen.go
@@ -171,7 +171,8 @@
 
 // handleFetchAnswerRequest handles fetchAnswer operation.
 //
-// The answer of a finished request, or how far it has come.
+// Refused without retryAfterMs as unknown_request when no node can tell any more, as when home and
+// witness of the ID have both ended. The same holds of a cancel and of a stream that is resumed.
 //
 // GET /v1/requests/{id}
 func (s *Server) handleFetchAnswerRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
--- a/api/callerapi/oas_schemas_gen.go
+++ b/api/callerapi/oas_schemas_gen.go
@@ -69,7 +69,10 @@
 	// How long this answer may be kept, in milliseconds.
 	KeepMs int64 `json:"keepMs"`
 	// The prefix of the first address. A request ID is a prefix followed by at least 16 random characters
-	// out of a-z, 0-9. Choose the ID before the first send and use the same ID for every resend.
+	// out of a-z, 0-9. Choose the ID before the first send and use the same ID for every resend. A prefix
+	// carries the time of its issue and is meant for minutes: a request that is not idempotent and whose
+	// prefix is more than two hours old may be refused as may_have_run with the code grant_taken, also
+	// when it was never sent before.
 	RequestIdPrefix string `json:"requestIdPrefix"`
 }
 
@@ -474,7 +477,8 @@
 	Message string         `json:"message"`
 	// The field at fault.
 	Field OptString `json:"field"`
-	// When to come back.
+	// When to come back, in milliseconds. Missing when coming back is of no use, as when home and witness
+	// of the ID have both ended.
 	RetryAfterMs OptInt64 `json:"retryAfterMs"`
 	// A fresh prefix for new requests.
 	RequestIdPrefix OptString `json:"requestIdPrefix"`
@@ -751,7 +755,8 @@
 
 // Ref: #/components/schemas/Submission
 type Submission struct {
-	// Prefix from /v1/addresses and a random part. Needed when `idempotent` is false.
+	// Prefix from /v1/addresses and a random part. Needed when `idempotent` is false; take a new prefix
+	// then rather than one that is hours old.
 	ID OptString `json:"id"`
 	// Defaults to the workspace of the caller's token, and must equal it.
 	Workspace OptString `json:"workspace"`
--- a/api/callerapi/oas_server_gen.go
+++ b/api/callerapi/oas_server_gen.go
@@ -16,7 +16,8 @@
 	CancelRequest(ctx context.Context, params CancelRequestParams) (*RequestState, error)
 	// FetchAnswer implements fetchAnswer operation.
 	//
-	// The answer of a finished request, or how far it has come.
+	// Refused without retryAfterMs as unknown_request when no node can tell any more, as when home and
+	// witness of the ID have both ended. The same holds of a cancel and of a stream that is resumed.
 	//
 	// GET /v1/requests/{id}
 	FetchAnswer(ctx context.Context, params FetchAnswerParams) (*RequestState, error)
