Bench: the world, the system it measures and a node stand in files of their own

Change: code moves between files of internal/bench; no line of it differs.

Conclusion: world.go has 181 lines instead of 275, product.go 155 instead of 241.

--- a/internal/bench/product.go
+++ b/internal/bench/product.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"time"
 
 	"mangoledge.example/mangoledge/internal/admission"
@@ -10,11 +9,7 @@
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/intake"
 	"mangoledge.example/mangoledge/internal/membership"
-	"mangoledge.example/mangoledge/internal/owner"
-	"mangoledge.example/mangoledge/internal/poison"
-	"mangoledge.example/mangoledge/internal/retry"
 	"mangoledge.example/mangoledge/internal/routing"
-	"mangoledge.example/mangoledge/internal/verdict"
 )
 
 const (
@@ -67,32 +62,6 @@
 	jobs map[*admission.Ticket]*job
 }
 
-// node is one node of the product.
-type node struct {
-	product   *product
-	number    int
-	member    membership.Member
-	table     *routing.Table
-	router    *routing.Router
-	ledger    *owner.Ledger
-	directory *owner.Directory
-	admit     *admission.Controller
-	estimator *admission.Estimator
-	budget    *retry.Budget
-	retry     *retry.Policy
-	registry  *poison.Registry
-	gate      *poison.Gate
-	list      []fleet.Upstream
-	serial    uint64
-	// passes counts the times that this node asked a gate.
-	passes uint64
-	// reserving counts requests that ask for a slot.
-	reserving map[routing.Pool]int
-	pools     []routing.Pool
-	running   []*job
-	random    *rand.Rand
-}
-
 func newProduct(w *world, v variant) *product {
 	p := &product{world: w, variant: v, reservers: reservers, jobs: make(map[*admission.Ticket]*job)}
 	count := w.shape.Nodes
@@ -118,41 +87,6 @@
 	return p
 }
 
-func (p *product) newNode(i int) *node {
-	w := p.world
-	weights := routing.WeightsFor(w.shape.Latency)
-	if p.variant.weights != nil {
-		p.variant.weights(&weights)
-	}
-	source := func(stream uint64) *rand.Rand {
-		return rand.New(rand.NewPCG(w.result.Seed, stream*1000+uint64(i)))
-	}
-	n := &node{product: p, number: i, member: p.members[i], random: source(1)}
-	policy := routing.Cost{Weights: weights}
-	n.table = routing.NewTable(routing.Options{Local: n.member.FailureDomain, MaxAge: owner.MaxListAge})
-	n.router = routing.NewRouter(n.table, policy, source(2))
-	waiting := routing.DefaultOvercommit
-	if p.variant.noOvercommit {
-		waiting = 0
-	}
-	n.ledger = owner.NewLedger(n.member.Node, n.member.FailureDomain, policy, waiting, source(3))
-	n.directory = owner.NewDirectory(n.member, source(4))
-	n.estimator = admission.NewEstimator()
-	n.admit = admission.NewController(p.admissionSettings(n))
-	n.budget = retry.NewBudget(retry.DefaultShare, retry.DefaultReserve)
-	n.retry = retry.NewPolicy(n.budget, source(5))
-	n.registry = poison.NewRegistry()
-	n.gate = poison.NewGate(n.registry)
-	n.reserving = make(map[routing.Pool]int)
-	return n
-}
-
-func (p *product) admissionSettings(n *node) admission.Settings {
-	return admission.Settings{
-		OnShed: func(t *admission.Ticket, _ *verdict.Error) { n.shed(t) },
-	}
-}
-
 // nodeOf returns the node that a job arrived at.
 func (p *product) nodeOf(number int) *node {
 	return p.nodes[number%len(p.nodes)]
@@ -219,23 +153,3 @@
 		}
 	}
 }
-
-func (n *node) heard(from *node, entries []poison.Entry) {
-	now := n.product.world.clock.wall()
-	n.table.Confirm(now)
-	n.ledger.Table().Confirm(now)
-	if from != n && len(entries) > 0 {
-		n.registry.Merge(entries)
-	}
-}
-
-// learn takes in the list of upstreams and moves streams off those that leave.
-func (n *node) learn(list []fleet.Upstream) {
-	now := n.product.world.clock.wall()
-	n.list = list
-	n.table.Update(now, list)
-	n.ledger.Update(now, list, n.product.members)
-	n.directory.Update(list, n.product.members)
-	n.evacuate()
-	n.pump()
-}
--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -38,22 +38,6 @@
 	serviceName = ident.Service("plain")
 )
 
-// system is what is measured: some nodes that get jobs to upstreams.
-type system interface {
-	// arrive gives a job to a node.
-	arrive(node int, j *job)
-	// learn tells a node the list of upstreams.
-	learn(node int, list []fleet.Upstream)
-	// report tells a node an engine's load.
-	report(node int, id ident.Upstream, load routing.Load)
-	// events tells a node events of an engine's cache.
-	events(node int, id ident.Upstream, events []routing.CacheEvent)
-	// abandon drops a job whose deadline passed.
-	abandon(j *job)
-	// finish adds the system's own counts to the result.
-	finish(r *Result)
-}
-
 // world is one run: clock, engines, work and faults.
 type world struct {
 	clock    *clock
@@ -195,81 +179,3 @@
 	j.state = state
 	j.ended = w.clock.now
 }
-
-// list returns the upstreams as they are now.
-func (w *world) list() []fleet.Upstream {
-	out := make([]fleet.Upstream, 0, len(w.engines))
-	for _, e := range w.engines {
-		u := e.upstream
-		switch {
-		case !e.alive:
-			u.State = fleet.StateStarting
-		case e.leaving:
-			u.State = fleet.StateLeaving
-		}
-		out = append(out, u)
-	}
-	return out
-}
-
-// changed tells every node the new list, some time later.
-func (w *world) changed() {
-	for node := range w.shape.Nodes {
-		delay := learnMin + w.clock.jitter(learnSpread)
-		w.atNode(node, delay, func() { w.system.learn(node, w.list()) })
-	}
-}
-
-// crash kills an engine because of what it ran.
-func (w *world) crash(e *engine) {
-	w.result.Crashes++
-	e.die()
-	w.changed()
-	w.clock.after(restartTime, func() {
-		if _, reclaimed := w.reclaimAt[e.upstream.ID]; reclaimed {
-			return
-		}
-		e.start()
-		w.changed()
-	})
-}
-
-// reports sends load reports and cache events of every engine, now and then.
-func (w *world) reports() {
-	for i, e := range w.engines {
-		offset := reportEvery * time.Duration(i) / time.Duration(len(w.engines))
-		w.clock.at(offset, func() { w.reportOf(e) })
-	}
-}
-
-func (w *world) reportOf(e *engine) {
-	w.clock.after(reportEvery, func() { w.reportOf(e) })
-	if !e.alive {
-		return
-	}
-	lag := reportLag
-	if w.scenario.Has(FaultStale) {
-		lag = w.staleness()
-	}
-	load := e.load()
-	events := e.cache.takeEvents()
-	if w.clock.random.Float64() < eventGaps && !w.omniscient {
-		events = nil
-	}
-	for node := range w.shape.Nodes {
-		w.atNode(node, lag, func() {
-			w.system.report(node, e.upstream.ID, load)
-			if len(events) > 0 {
-				w.system.events(node, e.upstream.ID, events)
-			}
-		})
-	}
-}
-
-// staleness returns how late reports are: staleLag in the middle of the run.
-func (w *world) staleness() time.Duration {
-	if w.clock.now < w.shape.scale(15*time.Second) || w.clock.now > w.shape.scale(45*time.Second) {
-		return reportLag
-	}
-	return w.shape.scale(staleLag)
-}
