--- a/internal/callerclient/backoff.go
+++ b/internal/callerclient/backoff.go
@@ -1,7 +1,6 @@
 package callerclient
 
 import (
-	"context"
 	"math/rand/v2"
 	"time"
 )
@@ -19,18 +18,3 @@
 	}
 	return d/2 + time.Duration(rand.Int64N(int64(d/2)))
 }
-
-// sleep reports whether it slept for all of d.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if ctx.Err() != nil {
-		return false
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/callerclient/call.go
+++ b/internal/callerclient/call.go
@@ -10,6 +10,7 @@
 
 	"mangoledge.example/mangoledge/api/callerapi"
 	"mangoledge.example/mangoledge/internal/verdict"
+	"mangoledge.example/mangoledge/internal/wait"
 )
 
 // call is one request on its way to an outcome. It belongs to one goroutine.
@@ -185,17 +186,18 @@
 	case actionResend, actionGiveUp:
 	}
 	k.observer.Retry(k.lastAddress, end.err)
-	wait := backoff(k.result.Attempts)
+	pause := backoff(k.result.Attempts)
 	if end.refusal != nil {
-		wait = max(wait, retryAfter(end.refusal))
+		pause = max(pause, retryAfter(end.refusal))
 	}
 	if errors.Is(end.err, errMoved) {
-		wait = 0
+		pause = 0
 	}
-	if time.Until(k.deadline) < wait {
+	if time.Until(k.deadline) < pause {
 		return false
 	}
-	return sleep(ctx, wait)
+	wait.For(ctx, pause)
+	return ctx.Err() == nil
 }
 
 // takeFreshID is called only after the verdict not_run.
