One way to call a method of another node; the owner's Summary goes

Cause: five packages declared the same Caller, and the clients of owner and poison wrote the same call out. Nobody but a test called the owner's method Summary: how full an owner is comes with each reply of Reserve.

SourceOperator stays, as the mark that takes another back names it to operators, and its comment says that it is used for that alone.

Conclusion: fewer lines, the same behaviour.

--- a/internal/explain/collector.go
+++ b/internal/explain/collector.go
@@ -7,6 +7,7 @@
 
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/membership"
+	"mangoledge.example/mangoledge/internal/peer"
 )
 
 const (
@@ -16,20 +17,15 @@
 	maxAsked = 64
 )
 
-// Caller calls other nodes; *peer.Client is one.
-type Caller interface {
-	Call(ctx context.Context, address, method string, args, reply any) error
-}
-
 // Collector gathers what this node and the others remember.
 type Collector struct {
 	journal *Journal
 	members membership.View
-	caller  Caller
+	caller  peer.Caller
 }
 
 // NewCollector returns a Collector.
-func NewCollector(journal *Journal, members membership.View, caller Caller) *Collector {
+func NewCollector(journal *Journal, members membership.View, caller peer.Caller) *Collector {
 	return &Collector{journal: journal, members: members, caller: caller}
 }
 
--- a/internal/fleet/mark.go
+++ b/internal/fleet/mark.go
@@ -25,7 +25,7 @@
 	SourceHostList Source = "host list"
 	// SourceAnswer is the upstream's own answer that it is leaving.
 	SourceAnswer Source = "its own answer"
-	// SourceOperator is an operator's command.
+	// SourceOperator is an operator's command that takes a mark back; a drain is SourceDrain.
 	SourceOperator Source = "operator"
 )
 
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -17,6 +17,7 @@
 	"mangoledge.example/mangoledge/internal/dispatch"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/membership"
+	"mangoledge.example/mangoledge/internal/peer"
 	"mangoledge.example/mangoledge/internal/poison"
 	"mangoledge.example/mangoledge/internal/request"
 	"mangoledge.example/mangoledge/internal/verdict"
@@ -51,7 +52,7 @@
 var _ dispatch.Guard = (*Guard)(nil)
 
 // New returns a guard that has seen no crash.
-func New(members membership.View, gossip Gossip, calls poison.Caller, logger *slog.Logger) *Guard {
+func New(members membership.View, gossip Gossip, calls peer.Caller, logger *slog.Logger) *Guard {
 	registry := poison.NewRegistry()
 	g := &Guard{
 		members:  members,
--- a/internal/operator/orders.go
+++ b/internal/operator/orders.go
@@ -10,25 +10,21 @@
 
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/membership"
+	"mangoledge.example/mangoledge/internal/peer"
 )
 
 // orderTimeout is how long one node may take to carry an order out.
 const orderTimeout = 2 * time.Second
 
-// Caller calls other nodes; *peer.Client is one.
-type Caller interface {
-	Call(ctx context.Context, address, method string, args, reply any) error
-}
-
 // Orders carries drain and clear to every node that they concern.
 type Orders struct {
 	members membership.View
-	caller  Caller
+	caller  peer.Caller
 	service *OrderService
 }
 
 // NewOrders returns Orders that act on this node through service and on others by caller.
-func NewOrders(members membership.View, caller Caller, service *OrderService) *Orders {
+func NewOrders(members membership.View, caller peer.Caller, service *OrderService) *Orders {
 	return &Orders{members: members, caller: caller, service: service}
 }
 
--- a/internal/operator/site.go
+++ b/internal/operator/site.go
@@ -7,6 +7,7 @@
 
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/membership"
+	"mangoledge.example/mangoledge/internal/peer"
 	"mangoledge.example/mangoledge/internal/query"
 )
 
@@ -16,12 +17,12 @@
 // Site gathers the rows of a table that each node keeps for itself.
 type Site struct {
 	members membership.View
-	caller  Caller
+	caller  peer.Caller
 	own     *ShowService
 }
 
 // NewSite returns a Site that asks others by caller and this node through own.
-func NewSite(members membership.View, caller Caller, own *ShowService) *Site {
+func NewSite(members membership.View, caller peer.Caller, own *ShowService) *Site {
 	return &Site{members: members, caller: caller, own: own}
 }
 
--- a/internal/owner/messages.go
+++ b/internal/owner/messages.go
@@ -16,7 +16,6 @@
 	MethodReserve = ServiceName + ".Reserve"
 	MethodRelease = ServiceName + ".Release"
 	MethodRenew   = ServiceName + ".Renew"
-	MethodSummary = ServiceName + ".Summary"
 )
 
 // ReservationID names a reservation: its holder and the holder's own number.
@@ -108,11 +107,3 @@
 	// Unknown are those that had ended before.
 	Unknown []uint64
 }
-
-// SummaryArgs asks for an owner's summaries.
-type SummaryArgs struct{}
-
-// SummaryReply has one summary for each pool of the owner.
-type SummaryReply struct {
-	Summaries []Summary
-}
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -33,9 +33,3 @@
 	reply.Unknown = s.ledger.Renew(s.now(), args.Holder, args.Serials)
 	return nil
 }
-
-// Summary returns how full the owner's upstreams are.
-func (s *Service) Summary(_ *SummaryArgs, reply *SummaryReply) error {
-	reply.Summaries = s.ledger.Summaries(s.now())
-	return nil
-}
--- a/internal/placement/router.go
+++ b/internal/placement/router.go
@@ -14,6 +14,7 @@
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/membership"
 	"mangoledge.example/mangoledge/internal/owner"
+	"mangoledge.example/mangoledge/internal/peer"
 	"mangoledge.example/mangoledge/internal/request"
 	"mangoledge.example/mangoledge/internal/routing"
 	"mangoledge.example/mangoledge/internal/verdict"
@@ -45,7 +46,7 @@
 	Listed fleet.View
 	// Marks counts the marks of leaving that came or went.
 	Marks func() uint64
-	Calls owner.Caller
+	Calls peer.Caller
 	// Now is the clock; nil means the machine's.
 	Now    func() time.Time
 	Logger *slog.Logger
--- a/internal/witness/client.go
+++ b/internal/witness/client.go
@@ -9,6 +9,7 @@
 	"mangoledge.example/mangoledge/internal/grant"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/membership"
+	"mangoledge.example/mangoledge/internal/peer"
 	"mangoledge.example/mangoledge/internal/verdict"
 )
 
@@ -35,13 +36,13 @@
 // that the call may or may not have taken effect. Its RetryAfter is 0 when the
 // witness never answers again.
 type Client struct {
-	peers Caller
+	peers peer.Caller
 	view  membership.View
 	local *Service
 }
 
 // NewClient returns a client that finds witnesses by view and asks local without a call.
-func NewClient(peers Caller, view membership.View, local *Service) *Client {
+func NewClient(peers peer.Caller, view membership.View, local *Service) *Client {
 	return &Client{peers: peers, view: view, local: local}
 }
 
--- a/internal/witness/service.go
+++ b/internal/witness/service.go
@@ -19,16 +19,10 @@
 	forwardTimeout = 250 * time.Millisecond
 )
 
-// Caller makes calls to other nodes; peer.Client is one.
-type Caller interface {
-	// Call calls method at address. See peer.Client.Call for its errors.
-	Call(ctx context.Context, address, method string, args, reply any) error
-}
-
 // Service holds the witness tables of this node.
 type Service struct {
 	self  ident.Incarnation
-	peers Caller
+	peers peer.Caller
 
 	mu       sync.RWMutex
 	holdings map[ident.Incarnation]*holding
@@ -37,7 +31,7 @@
 }
 
 // NewService returns the service of a node with an empty table under its own incarnation.
-func NewService(self ident.Incarnation, peers Caller) *Service {
+func NewService(self ident.Incarnation, peers peer.Caller) *Service {
 	own := newHolding(self)
 	return &Service{
 		self:     self,
