One list of members that never changes, for tests and measurements

Cause: the tests of guard and placement and the slopes each had their own.

Change: internal/standin/members serves all three.

Conclusion: the doubled code is gone.

--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -17,6 +17,7 @@
 	"mangoledge.example/mangoledge/internal/membership"
 	"mangoledge.example/mangoledge/internal/poison"
 	"mangoledge.example/mangoledge/internal/request"
+	"mangoledge.example/mangoledge/internal/standin/members"
 )
 
 func TestMain(m *testing.M) {
@@ -44,7 +45,7 @@
 		})
 	}
 	for i := range s.members {
-		s.guards = append(s.guards, New(view{s, i}, s, s, slog.New(slog.NewTextHandler(io.Discard, nil))))
+		s.guards = append(s.guards, New(members.NewView(s.members, i), s, s, slog.New(slog.NewTextHandler(io.Discard, nil))))
 	}
 	return s
 }
@@ -77,24 +78,6 @@
 	return errors.Newf("no node at %s", address)
 }
 
-// view is the list of members as one node sees it.
-type view struct {
-	site *site
-	self int
-}
-
-func (v view) Self() membership.Member      { return v.site.members[v.self] }
-func (v view) Members() []membership.Member { return v.site.members }
-
-func (v view) Lookup(incarnation ident.Incarnation) (membership.Member, bool) {
-	for _, m := range v.site.members {
-		if m.Incarnation == incarnation {
-			return m, true
-		}
-	}
-	return membership.Member{}, false
-}
-
 func content() *request.Spec {
 	return &request.Spec{Model: "m", Input: "p", Deadline: time.Now().Add(patience)}
 }
--- a/internal/placement/renew_test.go
+++ b/internal/placement/renew_test.go
@@ -18,19 +18,11 @@
 	"mangoledge.example/mangoledge/internal/owner"
 	"mangoledge.example/mangoledge/internal/request"
 	"mangoledge.example/mangoledge/internal/routing"
+	"mangoledge.example/mangoledge/internal/standin/members"
 )
 
 const renewStep = owner.DefaultHold / 4
 
-// fixedMembers is a view of two nodes, the first of which is Self.
-type fixedMembers []membership.Member
-
-func (f fixedMembers) Self() membership.Member      { return f[0] }
-func (f fixedMembers) Members() []membership.Member { return f }
-func (f fixedMembers) Lookup(ident.Incarnation) (membership.Member, bool) {
-	return membership.Member{}, false
-}
-
 // fixedFleet is a list of upstreams that never changes.
 type fixedFleet []fleet.Upstream
 
@@ -68,17 +60,17 @@
 }
 
 func newRenewSite() *renewSite {
-	members := fixedMembers{
+	list := []membership.Member{
 		{Incarnation: "n1_0", Node: "n1", Region: "r", FailureDomain: "d1", PeerAddress: "n1"},
 		{Incarnation: "n2_0", Node: "n2", Region: "r", FailureDomain: "d2", PeerAddress: "n2"},
 	}
 	upstreams := fixedFleet{{ID: "u", Region: "r", FailureDomain: "d2", Models: []ident.Model{"m"}, Slots: 1, State: fleet.StateReady}}
 	s := &renewSite{now: time.Now()}
 	s.ledger = owner.NewLedger("n2", "d2", routing.LeastOutstanding{}, 0, rand.New(rand.NewPCG(1, 2)))
-	s.ledger.Update(s.now, upstreams, members)
+	s.ledger.Update(s.now, upstreams, list)
 	s.calls = &ownerCall{service: owner.NewService(s.ledger, func() time.Time { return s.now })}
 	s.router = NewRouter(Options{
-		Members: members, Fleet: upstreams, Listed: upstreams, Marks: func() uint64 { return 0 },
+		Members: members.NewView(list, 0), Fleet: upstreams, Listed: upstreams, Marks: func() uint64 { return 0 },
 		Calls: s.calls, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Policy: routing.LeastOutstanding{},
 	})
 	s.router.Update(s.now)
--- a/internal/placement/router_test.go
+++ b/internal/placement/router_test.go
@@ -19,6 +19,7 @@
 	"mangoledge.example/mangoledge/internal/owner"
 	"mangoledge.example/mangoledge/internal/request"
 	"mangoledge.example/mangoledge/internal/routing"
+	"mangoledge.example/mangoledge/internal/standin/members"
 )
 
 func TestMain(m *testing.M) {
@@ -56,7 +57,7 @@
 	}
 	for i := range s.members {
 		r := NewRouter(Options{
-			Members: pairView{s, i}, Fleet: s, Listed: s, Marks: func() uint64 { return 0 }, Calls: s, Now: now,
+			Members: members.NewView(s.members, i), Fleet: s, Listed: s, Marks: func() uint64 { return 0 }, Calls: s, Now: now,
 			Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Policy: routing.Cost{Weights: routing.WeightsFor(defaultLatencyWeight)},
 			MarkLeaving: func(ident.Upstream) {},
 			Suspect:     func(spec *request.Spec) bool { return spec.Input == "suspect" },
@@ -90,24 +91,6 @@
 	return errors.Newf("no node at %s", address)
 }
 
-// pairView is the list of members as one node sees it.
-type pairView struct {
-	pair *pair
-	self int
-}
-
-func (v pairView) Self() membership.Member      { return v.pair.members[v.self] }
-func (v pairView) Members() []membership.Member { return v.pair.members }
-
-func (v pairView) Lookup(incarnation ident.Incarnation) (membership.Member, bool) {
-	for _, m := range v.pair.members {
-		if m.Incarnation == incarnation {
-			return m, true
-		}
-	}
-	return membership.Member{}, false
-}
-
 func need(input string, deadline time.Duration) *dispatch.Need {
 	return &dispatch.Need{Spec: &request.Spec{Model: "m", Input: input, MaxTokens: 1, Deadline: time.Now().Add(deadline)}}
 }
--- a/internal/slopes/entry.go
+++ b/internal/slopes/entry.go
@@ -23,6 +23,7 @@
 	"mangoledge.example/mangoledge/internal/request"
 	"mangoledge.example/mangoledge/internal/retry"
 	standinengine "mangoledge.example/mangoledge/internal/standin/engine"
+	"mangoledge.example/mangoledge/internal/standin/members"
 	"mangoledge.example/mangoledge/internal/verdict"
 	"mangoledge.example/mangoledge/internal/witness"
 )
@@ -170,7 +171,7 @@
 	self := memberN(0, time.Now(), "127.0.0.1:1")
 	other := memberN(1, time.Now(), p.listener.Addr().String())
 	other.Incarnation = p.self
-	view := &staticView{self: self, members: []membership.Member{self, other}}
+	view := members.NewView([]membership.Member{self, other}, 0)
 	dialer := peer.Dialer{Token: "slopes"}
 	peers := peer.NewClient(dialer)
 	defer peers.Close()
--- a/internal/slopes/relay.go
+++ b/internal/slopes/relay.go
@@ -19,6 +19,7 @@
 	"mangoledge.example/mangoledge/internal/peer"
 	"mangoledge.example/mangoledge/internal/platform/objects"
 	"mangoledge.example/mangoledge/internal/relay"
+	"mangoledge.example/mangoledge/internal/standin/members"
 	"mangoledge.example/mangoledge/internal/standin/platform"
 )
 
@@ -36,27 +37,6 @@
 
 var errNotInForce = errors.New("a change was not in force everywhere in time")
 
-// staticView is a membership that never changes.
-type staticView struct {
-	self    membership.Member
-	members []membership.Member
-}
-
-// Self implements membership.View.
-func (v *staticView) Self() membership.Member { return v.self }
-
-// Members implements membership.View.
-func (v *staticView) Members() []membership.Member { return v.members }
-
-// Lookup implements membership.View.
-func (v *staticView) Lookup(incarnation ident.Incarnation) (membership.Member, bool) {
-	i := slices.IndexFunc(v.members, func(m membership.Member) bool { return m.Incarnation == incarnation })
-	if i < 0 {
-		return membership.Member{}, false
-	}
-	return v.members[i], true
-}
-
 // relayNode is one node's part in configuration.
 type relayNode struct {
 	manager  *config.Manager
@@ -88,7 +68,7 @@
 		quiet:    slog.New(slog.NewTextHandler(io.Discard, nil)),
 		accepted: make(map[uint64]time.Time), heard: make(map[uint64]int),
 	}
-	var members []membership.Member
+	var list []membership.Member
 	for n := range size {
 		inner, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // opens at once
 		if err != nil {
@@ -97,17 +77,17 @@
 		s.nodes = append(s.nodes, &relayNode{listener: &countingListener{Listener: inner}})
 		m := memberN(n, time.Now(), inner.Addr().String())
 		m.FailureDomain = ident.FailureDomain(fmt.Sprintf("domain-%02d", n%failureDomains))
-		members = append(members, m)
+		list = append(list, m)
 	}
 	for n := range s.nodes {
-		if err := s.start(ctx, s.nodes[n], &staticView{self: members[n], members: members}); err != nil {
+		if err := s.start(ctx, s.nodes[n], members.NewView(list, n)); err != nil {
 			return s, err
 		}
 	}
 	return s, nil
 }
 
-func (s *relaySite) start(ctx context.Context, n *relayNode, view *staticView) error {
+func (s *relaySite) start(ctx context.Context, n *relayNode, view *members.View) error {
 	dialer := peer.Dialer{Token: "slopes"}
 	n.store = objects.NewClient(objects.Options{BaseURL: s.store.URL, Budget: objects.NewBudget(ampleBudget, ampleBudget)})
 	n.peers = peer.NewClient(dialer)
