Nine long files stand apart by role

Cause: files of 235 to 321 lines each held several roles.

Change: code moves within settings, placement, testbed, owner, dispatch, callerclient, demo, slopes and peer; but for package and import lines the moved lines are the same.

--- /dev/null
+++ b/internal/dispatch/retry.go
@@ -0,0 +1,44 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/retry"
+	"mangoledge.example/mangoledge/internal/verdict"
+	"mangoledge.example/mangoledge/internal/wait"
+)
+
+// mayRetry reports whether the request may be sent to an upstream once more.
+func mayRetry(e *entry, failure *verdict.Error) bool {
+	if failure.Code == verdict.CodeBadInput {
+		return false
+	}
+	return e.spec.Idempotent || failure.Verdict == verdict.NotRun
+}
+
+// beforeRetry waits until the retry policy lets the request be sent again. A
+// request that moves because its upstream leaves is no retry.
+func (d *Dispatcher) beforeRetry(ctx context.Context, e *entry, attempt int, failure *verdict.Error) {
+	if failure.Code == codeMoving {
+		return
+	}
+	for ctx.Err() == nil {
+		delay, ok := d.options.Retries.Next(min(attempt, retry.DefaultMaxAttempts-1), failure.Verdict, e.spec.Idempotent, time.Now(), e.spec.Deadline)
+		if ok {
+			wait.For(ctx, delay)
+			return
+		}
+		wait.For(ctx, budgetPause)
+	}
+}
+
+// remember appends upstream and keeps the last few.
+func remember(avoid []ident.Upstream, upstream ident.Upstream) []ident.Upstream {
+	avoid = append(avoid, upstream)
+	if len(avoid) > rememberedFailures {
+		avoid = avoid[1:]
+	}
+	return avoid
+}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -5,11 +5,7 @@
 	"time"
 
 	"mangoledge.example/mangoledge/internal/engine"
-	"mangoledge.example/mangoledge/internal/grant"
-	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/request"
-	"mangoledge.example/mangoledge/internal/retry"
-	"mangoledge.example/mangoledge/internal/testpause"
 	"mangoledge.example/mangoledge/internal/verdict"
 	"mangoledge.example/mangoledge/internal/wait"
 )
@@ -140,68 +136,6 @@
 	return kept, nil
 }
 
-// mayRetry reports whether the request may be sent to an upstream once more.
-func mayRetry(e *entry, failure *verdict.Error) bool {
-	if failure.Code == verdict.CodeBadInput {
-		return false
-	}
-	return e.spec.Idempotent || failure.Verdict == verdict.NotRun
-}
-
-// beforeRetry waits until the retry policy lets the request be sent again. A
-// request that moves because its upstream leaves is no retry.
-func (d *Dispatcher) beforeRetry(ctx context.Context, e *entry, attempt int, failure *verdict.Error) {
-	if failure.Code == codeMoving {
-		return
-	}
-	for ctx.Err() == nil {
-		delay, ok := d.options.Retries.Next(min(attempt, retry.DefaultMaxAttempts-1), failure.Verdict, e.spec.Idempotent, time.Now(), e.spec.Deadline)
-		if ok {
-			wait.For(ctx, delay)
-			return
-		}
-		wait.For(ctx, budgetPause)
-	}
-}
-
-// ensureGranted gets the right to run a non-idempotent request. Without an answer
-// of the witness the request ends here, and every resend would find just that end.
-// When the witness refuses, the request is given up, so that a resend finds whose it is.
-func (d *Dispatcher) ensureGranted(ctx context.Context, e *entry) *verdict.Error {
-	if e.spec.Idempotent || e.isGranted() {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
-	defer cancel()
-	reply, err := d.options.Witness.Grant(ctx, &grant.Request{ID: e.spec.ID, Holder: d.self, Epoch: e.snapshot().Epoch})
-	if err != nil {
-		return verdict.New(verdict.MayHaveRun, verdict.CodeWitnessLost, "the witness did not grant the request in time, so it was given up")
-	}
-	if !reply.Granted {
-		d.superseded(e)
-		return verdict.New(verdict.MayHaveRun, verdict.CodeGrantTaken, "this node was not given the right to run this request")
-	}
-	e.setGranted()
-	d.note(e.spec.ID, "granted", "by "+string(e.spec.ID.Witness))
-	testpause.At(testpause.Granted)
-	return nil
-}
-
-// settleNotRun makes a failure before any dispatch true for all nodes.
-func (d *Dispatcher) settleNotRun(e *entry, failure *verdict.Error) *verdict.Error {
-	if e.wasDispatched() {
-		return verdict.New(verdict.Ran, failure.Code, "%s", failure.Message).After(failure.RetryAfter)
-	}
-	if e.spec.Idempotent || e.isGranted() {
-		return failure
-	}
-	refusal := verdict.From(d.refuse(context.Background(), &e.spec, failure))
-	if refusal.Verdict == verdict.MayHaveRun {
-		return refusal.After(0) // every resend would find this end
-	}
-	return refusal
-}
-
 // timeFailure is the failure of a request whose time is up, or that was cancelled.
 func (d *Dispatcher) timeFailure(e *entry) *verdict.Error {
 	if e.ctx.Err() != nil {
@@ -244,12 +178,3 @@
 	}
 	return failure.Error()
 }
-
-// remember appends upstream and keeps the last few.
-func remember(avoid []ident.Upstream, upstream ident.Upstream) []ident.Upstream {
-	avoid = append(avoid, upstream)
-	if len(avoid) > rememberedFailures {
-		avoid = avoid[1:]
-	}
-	return avoid
-}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -6,7 +6,6 @@
 	"net/rpc"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -49,16 +48,6 @@
 	running sync.WaitGroup
 }
 
-// link is one connection.
-type link struct {
-	rpc *rpc.Client
-	// answered counts the calls that were answered since the last look.
-	answered atomic.Int64
-	// quiet counts the looks since an answer; only the goroutine that looks touches it.
-	quiet int
-	once  sync.Once
-}
-
 // NewClient returns a client that dials by dialer.
 func NewClient(dialer Dialer) *Client {
 	return &Client{
@@ -207,29 +196,3 @@
 		c.running.Go(f)
 	}
 }
-
-// heartbeat takes l out of use when the other end does not answer.
-func (c *Client) heartbeat(address string, l *link) {
-	if !l.ping() {
-		c.retire(address, l)
-	}
-}
-
-// ping reports whether the other end answers.
-func (l *link) ping() bool {
-	call := l.rpc.Go(pingMethod, &Ping{}, &Pong{}, make(chan *rpc.Call, 1))
-	timer := time.NewTimer(heartbeatTimeout)
-	defer timer.Stop()
-	select {
-	case <-call.Done:
-		return call.Error == nil
-	case <-timer.C:
-		return false
-	}
-}
-
-func (l *link) close() {
-	l.once.Do(func() {
-		_ = l.rpc.Close()
-	})
-}
--- a/internal/placement/router.go
+++ b/internal/placement/router.go
@@ -2,20 +2,16 @@
 
 import (
 	"context"
-	"log/slog"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"mangoledge.example/mangoledge/internal/admission"
 	"mangoledge.example/mangoledge/internal/dispatch"
 	"mangoledge.example/mangoledge/internal/fleet"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/membership"
 	"mangoledge.example/mangoledge/internal/owner"
-	"mangoledge.example/mangoledge/internal/peer"
-	"mangoledge.example/mangoledge/internal/request"
 	"mangoledge.example/mangoledge/internal/routing"
 	"mangoledge.example/mangoledge/internal/verdict"
 )
@@ -37,30 +33,6 @@
 	askInLine = 20 * time.Millisecond
 )
 
-// Options are what a Router works with.
-type Options struct {
-	Members membership.View
-	// Fleet is the list of upstreams with the marks of those that leave.
-	Fleet fleet.View
-	// Listed is the same list without the marks; it gives the same slice until it changes.
-	Listed fleet.View
-	// Marks counts the marks of leaving that came or went.
-	Marks func() uint64
-	Calls peer.Caller
-	// Now is the clock; nil means the machine's.
-	Now    func() time.Time
-	Logger *slog.Logger
-	// Policy chooses among the upstreams of this node.
-	Policy routing.Policy
-	// MarkLeaving spreads the news that an upstream said it is leaving.
-	MarkLeaving func(ident.Upstream)
-	// ReclaimAt returns when the host of an upstream is taken away, by the
-	// platform's clock, or zero while nobody has said; nil means never said.
-	ReclaimAt func(fleet.Upstream) time.Time
-	// Suspect reports whether upstreams have crashed under a request's content; nil means never.
-	Suspect func(*request.Spec) bool
-}
-
 // Router places requests; it is a dispatch.Router and a dispatch.Reclaims.
 //
 // Lock order: Router.mu and places.mu are leaves.
@@ -200,102 +172,6 @@
 	return nil, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "no upstream has a free slot").After(waitForSlot)
 }
 
-// reserve asks one owner; reached is false when it did not answer.
-func (r *Router) reserve(ctx context.Context, choice owner.Choice, need *dispatch.Need, features *routing.Features) (place *placed, reached bool) {
-	args := r.reservation(need, features)
-	ctx, cancel := context.WithDeadline(ctx, need.Spec.Deadline)
-	defer cancel()
-	reply, err := r.askUntilSlot(ctx, choice, args)
-	now := r.options.Now()
-	if ctx.Err() != nil {
-		(&placed{router: r, choice: choice, id: args.ID}).Done(dispatch.OutcomeMoved, 0)
-		return nil, true
-	}
-	if err != nil {
-		// The owner may have reserved a slot all the same.
-		(&placed{router: r, choice: choice, id: args.ID}).Done(dispatch.OutcomeMoved, 0)
-		r.options.Logger.Warn("an owner did not answer", "owner", string(choice.Owner), "error", err)
-		r.directory.Refused(choice.Owner, features.Pool(), now.Add(lostFor))
-		return nil, false
-	}
-	r.directory.Heard(now, choice.Owner, reply.Summary)
-	if !reply.Granted {
-		r.noteRefusal(choice.Owner, features, now.Add(fullFor))
-		return nil, true
-	}
-	upstream, ok := r.upstream(reply.Upstream)
-	place = &placed{router: r, choice: choice, id: args.ID, upstream: upstream, cached: reply.CachedTokens}
-	r.places.add(now, place)
-	if !ok || r.Leaving(reply.Upstream) {
-		place.Done(dispatch.OutcomeMoved, 0)
-		return nil, true
-	}
-	return place, true
-}
-
-// noteRefusal has an owner that had no slot left alone until then, by requests like this one.
-func (r *Router) noteRefusal(owner ident.Incarnation, features *routing.Features, until time.Time) {
-	if features.Suspect {
-		r.directory.RefusedSuspect(owner, features.Pool(), until)
-		return
-	}
-	r.directory.Refused(owner, features.Pool(), until)
-}
-
-// askUntilSlot asks an owner until the request has a slot, is in no line or ctx ends.
-func (r *Router) askUntilSlot(ctx context.Context, choice owner.Choice, args *owner.ReserveArgs) (owner.ReserveReply, error) {
-	for {
-		reply, err := r.askOwner(ctx, choice, args)
-		if err != nil || !reply.Wait {
-			return reply, err
-		}
-		select {
-		case <-ctx.Done():
-			return reply, ctx.Err()
-		case <-time.After(askInLine):
-		}
-	}
-}
-
-func (r *Router) askOwner(ctx context.Context, choice owner.Choice, args *owner.ReserveArgs) (owner.ReserveReply, error) {
-	if choice.Owner == r.self.Incarnation {
-		return r.ledger.Reserve(r.options.Now(), args), nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
-	defer cancel()
-	return r.client.Reserve(ctx, choice.Address, args)
-}
-
-// pickAlone chooses without an owner. Two owners for a moment cost only load.
-func (r *Router) pickAlone(features *routing.Features) (dispatch.Placement, error) {
-	now := r.options.Now()
-	taken, ok := r.fallback.TakeKnown(now, features)
-	if !ok {
-		return nil, verdict.New(verdict.NotRun, verdict.CodeNoUpstream, "no upstream serves %s%s now", features.Model, features.Service).After(waitForSlot)
-	}
-	upstream, ok := r.upstream(taken.Upstream)
-	if !ok || r.Leaving(taken.Upstream) {
-		r.table.Finished(now, taken.Upstream, false, routing.Outcome{Kind: routing.OutcomeUnsent})
-		return nil, verdict.New(verdict.NotRun, verdict.CodeNoUpstream, "the chosen upstream has just left").After(waitForSlot)
-	}
-	return &alone{router: r, upstream: upstream, cached: taken.CachedTokens}, nil
-}
-
-func (r *Router) reservation(need *dispatch.Need, features *routing.Features) *owner.ReserveArgs {
-	return &owner.ReserveArgs{
-		ID:           owner.ReservationID{Holder: r.holder, Serial: r.serial.Add(1)},
-		Model:        features.Model,
-		Adapter:      features.Adapter,
-		Service:      features.Service,
-		Blocks:       features.Blocks,
-		PromptTokens: features.PromptTokens,
-		MaxTokens:    features.MaxTokens,
-		Urgency:      request.UrgencyOf(need.Spec.Deadline, time.Duration(features.MaxTokens)*admission.TypicalPace),
-		Avoid:        features.Avoid,
-		Suspect:      features.Suspect,
-	}
-}
-
 func (r *Router) upstream(id ident.Upstream) (fleet.Upstream, bool) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
--- /dev/null
+++ b/internal/settings/check_tokens.go
@@ -0,0 +1,50 @@
+package settings
+
+import (
+	"encoding/hex"
+	"fmt"
+	"strings"
+
+	"mangoledge.example/mangoledge/internal/ident"
+)
+
+func (c *checker) tokens(tokens []Token) {
+	names := make(map[string]bool)
+	digests := make(map[string]bool)
+	for i, token := range tokens {
+		path := fmt.Sprintf("tokens[%d].", i)
+		c.name(path+"name", token.Name, true)
+		if token.Name != "" && names[token.Name] {
+			c.add(path+"name", token.Name, "a name that no other token has is allowed")
+		}
+		names[token.Name] = true
+		c.role(path, token.Role, token.Workspace)
+		c.digest(path+"sha256", token.SHA256, digests)
+	}
+}
+
+func (c *checker) role(path string, role Role, workspace ident.Workspace) {
+	switch role {
+	case RoleCaller:
+		c.name(path+"workspace", string(workspace), true)
+	case RoleOperator:
+		if workspace != "" {
+			c.add(path+"workspace", workspace, "no workspace is allowed for the role operator")
+		}
+	default:
+		c.add(path+"role", role, `"caller" or "operator" is allowed`)
+	}
+}
+
+func (c *checker) digest(path, digest string, seen map[string]bool) {
+	const allowed = "64 hexadecimal digits are allowed: the SHA-256 digest of the token"
+	if raw, err := hex.DecodeString(digest); err != nil || len(raw)*2 != sha256HexLength {
+		c.faults = append(c.faults, Fault{Path: path, Allowed: allowed})
+		return
+	}
+	digest = strings.ToLower(digest)
+	if seen[digest] {
+		c.faults = append(c.faults, Fault{Path: path, Allowed: "a token that is not listed yet is allowed"})
+	}
+	seen[digest] = true
+}
--- /dev/null
+++ b/internal/testbed/node.go
@@ -0,0 +1,95 @@
+package testbed
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+
+	"mangoledge.example/mangoledge/internal/auth"
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/settings"
+	"mangoledge.example/mangoledge/internal/standin/certificate"
+	"mangoledge.example/mangoledge/internal/tlsconf"
+)
+
+// Node is one mangoledged process.
+type Node struct {
+	*Process
+	Settings settings.Settings
+}
+
+// EncryptPeers has the nodes that are started from now on talk over TLS.
+func (b *Bed) EncryptPeers() error {
+	files := &settings.PeerTLS{
+		CertFile: filepath.Join(b.Dir, "peer-cert.pem"),
+		KeyFile:  filepath.Join(b.Dir, "peer-key.pem"),
+		CAFile:   filepath.Join(b.Dir, "peer-cert.pem"),
+	}
+	b.PeerTLS = files
+	return certificate.Write(files.CertFile, files.KeyFile, 1, tlsconf.PeerName)
+}
+
+// StartNode starts a node in domain; change may alter its settings before, and
+// environment holds further variables as "NAME=value".
+func (b *Bed) StartNode(name ident.Node, domain ident.FailureDomain, change func(*settings.Settings), environment ...string) (*Node, error) {
+	s, err := b.nodeSettings(name, domain)
+	if err != nil {
+		return nil, err
+	}
+	if change != nil {
+		change(s)
+	}
+	path := filepath.Join(b.Dir, string(name)+".json")
+	data, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		return nil, err
+	}
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		return nil, err
+	}
+	p, err := b.start(string(name), "mangoledged", s.CallerListen, environment, "--settings", path)
+	if err != nil {
+		return nil, err
+	}
+	b.mu.Lock()
+	b.seeds = append(b.seeds, s.PeerListen)
+	b.mu.Unlock()
+	return &Node{Process: p, Settings: *s}, nil
+}
+
+// nodeSettings makes the settings of a node.
+func (b *Bed) nodeSettings(name ident.Node, domain ident.FailureDomain) (*settings.Settings, error) {
+	host, err := b.startHost(string(name), domain)
+	if err != nil {
+		return nil, err
+	}
+	s := &settings.Settings{
+		Node:          name,
+		Region:        "default",
+		FailureDomain: domain,
+		Host:          host,
+		PeerToken:     peerToken,
+		PeerTLS:       b.PeerTLS,
+		Seeds:         append([]string(nil), b.seeds...),
+		Log:           settings.Log{Level: "debug", Format: "text"},
+	}
+	if b.platform != nil {
+		s.Platform = settings.Platform{ObjectsURL: b.PlatformURL(), CloudURL: b.PlatformURL(), HostListURL: b.PlatformURL(), WeightsURL: b.PlatformURL()}
+	}
+	for _, address := range []*string{&s.CallerListen, &s.OperatorListen, &s.PeerListen} {
+		free, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		*address = free
+	}
+	s.CallerURL = "http://" + s.CallerListen
+	s.PeerAdvertise = s.PeerListen
+	s.Tokens = append(s.Tokens, settings.Token{Name: "operator", Role: settings.RoleOperator, SHA256: auth.Digest(OperatorToken)})
+	for _, workspace := range b.Workspaces {
+		s.Tokens = append(s.Tokens, settings.Token{
+			Name: string(workspace), Role: settings.RoleCaller, Workspace: workspace, SHA256: auth.Digest(CallerToken(workspace)),
+		})
+	}
+	return s, nil
+}
