A process of a bed starts at other addresses when one was taken

Cause: the bed behind make figures and make demo chooses a free port, closes it and has the process listen there. Somebody else may take it in between; the node then ended and the run with it, and the error named only a log that figures had deleted. A stand-in whose port was taken by another listener even counted as started, since a connection to its address was accepted.

Change: a process has started when its own output says that it listens: the node's 'started', and a line that stand-ins now write.

--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"mangoledge.example/mangoledge/internal/standin"
 )
 
 const (
@@ -88,6 +90,7 @@
 	if err != nil {
 		return errors.Wrap(err, "stand-in platform")
 	}
+	standin.Announce(listener)
 	server := &http.Server{Handler: NewServer(Options{Seed: seed}), ReadHeaderTimeout: readHeaderTimeout}
 	stop := context.AfterFunc(ctx, func() {
 		bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -3,14 +3,24 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"time"
 )
 
 // readHeaderTimeout bounds how long a client may take to send its header.
 const readHeaderTimeout = 5 * time.Second
 
+// Listening is what Announce writes before the address.
+const Listening = "listening on "
+
+// Announce writes to the standard error output that listener is open.
+func Announce(listener net.Listener) {
+	fmt.Fprintln(os.Stderr, Listening+listener.Addr().String())
+}
+
 // Serve serves handler at address until ctx ends.
 func Serve(ctx context.Context, address string, handler http.Handler) error {
 	var config net.ListenConfig
@@ -18,6 +28,7 @@
 	if err != nil {
 		return err
 	}
+	Announce(listener)
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
--- a/internal/testbed/bed.go
+++ b/internal/testbed/bed.go
@@ -3,13 +3,17 @@
 import (
 	"net/http"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"mangoledge.example/mangoledge/internal/fleet"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/settings"
+	"mangoledge.example/mangoledge/internal/standin"
 	"mangoledge.example/mangoledge/internal/standin/history"
 )
 
@@ -40,6 +44,9 @@
 	// PeerTLS is nil for nodes that talk over plain TCP.
 	PeerTLS *settings.PeerTLS
 
+	// free is asked for addresses; nil means freeAddress.
+	free func() (string, error)
+
 	mu        sync.Mutex
 	processes []*Process
 	upstreams []fleet.Upstream
@@ -48,24 +55,59 @@
 	platform  *Process
 }
 
-// start starts a program of the bed.
-func (b *Bed) start(name, program, address string, environment []string, args ...string) (*Process, error) {
-	p, err := startProcess(b.Dir, name, filepath.Join(b.Bin, program), address, environment, args)
-	if p != nil {
-		b.mu.Lock()
-		b.processes = append(b.processes, p)
-		b.mu.Unlock()
+// start starts what planned says. It asks for another plan when an address was
+// taken by somebody else before the process could listen.
+func (b *Bed) start(planned func() (*plan, error)) (*Process, error) {
+	var last error
+	for range startAttempts {
+		plan, err := planned()
+		if err != nil {
+			return nil, err
+		}
+		plan.program = filepath.Join(b.Bin, plan.program)
+		p, err := startProcess(b.Dir, plan)
+		if !errors.Is(err, errAddressTaken) {
+			b.keep(p)
+			return p, err
+		}
+		last = err
 	}
-	return p, err
+	return nil, last
 }
 
-// StartPlatform starts the platform's stand-in.
-func (b *Bed) StartPlatform() (*Process, error) {
-	address, err := freeAddress()
+// keep notes a process that Close is to end; it may be nil.
+func (b *Bed) keep(p *Process) {
+	if p == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.processes = append(b.processes, p)
+}
+
+// standin plans a start of the stand-ins' program, which listens at a free address.
+func (b *Bed) standin(name string, args ...string) (*plan, error) {
+	address, err := b.address()
 	if err != nil {
 		return nil, err
 	}
-	p, err := b.start("platform", "mangoledge-standin", address, nil, "platform", "--listen", address)
+	return &plan{
+		name: name, program: "mangoledge-standin", address: address,
+		args: append(slices.Clone(args), "--listen", address), ready: standin.Listening,
+	}, nil
+}
+
+// address returns an address that nobody listens on now.
+func (b *Bed) address() (string, error) {
+	if b.free != nil {
+		return b.free()
+	}
+	return freeAddress()
+}
+
+// StartPlatform starts the platform's stand-in.
+func (b *Bed) StartPlatform() (*Process, error) {
+	p, err := b.start(func() (*plan, error) { return b.standin("platform", "platform") })
 	b.platform = p
 	return p, err
 }
--- a/internal/testbed/node.go
+++ b/internal/testbed/node.go
@@ -29,25 +29,28 @@
 	return certificate.Write(files.CertFile, files.KeyFile, 1, tlsconf.PeerName)
 }
 
-// StartNode starts a node in domain; change may alter its settings before, and
+// nodeStarted stands in the log of a node whose listeners are all open.
+const nodeStarted = "msg=started"
+
+// StartNode starts a node in domain; change may alter its settings before, all
+// but its addresses and its log, and is called once for each attempt.
 // environment holds further variables as "NAME=value".
 func (b *Bed) StartNode(name ident.Node, domain ident.FailureDomain, change func(*settings.Settings), environment ...string) (*Node, error) {
-	s, err := b.nodeSettings(name, domain)
-	if err != nil {
-		return nil, err
-	}
-	if change != nil {
-		change(s)
-	}
-	path := filepath.Join(b.Dir, string(name)+".json")
-	data, err := json.MarshalIndent(s, "", "  ")
-	if err != nil {
-		return nil, err
-	}
-	if err := os.WriteFile(path, data, 0o600); err != nil {
-		return nil, err
-	}
-	p, err := b.start(string(name), "mangoledged", s.CallerListen, environment, "--settings", path)
+	var s *settings.Settings
+	p, err := b.start(func() (*plan, error) {
+		var err error
+		if s, err = b.nodeSettings(name, domain); err != nil {
+			return nil, err
+		}
+		if change != nil {
+			change(s)
+		}
+		path, err := b.writeSettings(s)
+		return &plan{
+			name: string(name), program: "mangoledged", address: s.CallerListen,
+			args: []string{"--settings", path}, environment: environment, ready: nodeStarted,
+		}, err
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -57,6 +60,16 @@
 	return &Node{Process: p, Settings: *s}, nil
 }
 
+// writeSettings writes the settings of a node to a file and returns its path.
+func (b *Bed) writeSettings(s *settings.Settings) (string, error) {
+	data, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(b.Dir, string(s.Node)+".json")
+	return path, os.WriteFile(path, data, 0o600)
+}
+
 // nodeSettings makes the settings of a node.
 func (b *Bed) nodeSettings(name ident.Node, domain ident.FailureDomain) (*settings.Settings, error) {
 	host, err := b.startHost(string(name), domain)
@@ -77,7 +90,7 @@
 		s.Platform = settings.Platform{ObjectsURL: b.PlatformURL(), CloudURL: b.PlatformURL(), HostListURL: b.PlatformURL(), WeightsURL: b.PlatformURL()}
 	}
 	for _, address := range []*string{&s.CallerListen, &s.OperatorListen, &s.PeerListen} {
-		free, err := freeAddress()
+		free, err := b.address()
 		if err != nil {
 			return nil, err
 		}
--- a/internal/testbed/upstream.go
+++ b/internal/testbed/upstream.go
@@ -27,11 +27,7 @@
 }
 
 func (b *Bed) startUpstream(upstream fleet.Upstream, args []string) (*Engine, error) {
-	address, err := freeAddress()
-	if err != nil {
-		return nil, err
-	}
-	upstream.URL = "http://" + address
+	var err error
 	upstream.Host, err = b.startHost(string(upstream.ID), upstream.FailureDomain)
 	if err != nil {
 		return nil, err
@@ -40,11 +36,12 @@
 	upstream.Region = "default"
 	upstream.State = fleet.StateReady
 	historyPath := filepath.Join(b.Dir, string(upstream.ID)+".history")
-	args = append(args, "--listen", address, "--id", string(upstream.ID), "--history", historyPath)
-	p, err := b.start(string(upstream.ID), "mangoledge-standin", address, nil, args...)
+	args = append(args, "--id", string(upstream.ID), "--history", historyPath)
+	p, err := b.start(func() (*plan, error) { return b.standin(string(upstream.ID), args...) })
 	if err != nil {
 		return nil, err
 	}
+	upstream.URL = "http://" + p.Address
 	b.mu.Lock()
 	b.upstreams = append(b.upstreams, upstream)
 	b.histories = append(b.histories, historyPath)
