--- a/internal/requestmetrics/dispatcher.go
+++ b/internal/requestmetrics/dispatcher.go
@@ -60,11 +60,11 @@
 }
 
 func describe() {
-	shown.Describe("requests.submitted_total", "Submissions from callers, resends included.")
+	shown.Describe("requests.submitted_total", "Submissions whose input and token are right, resends included.")
 	shown.Describe("requests.resumed_total", "Streams that callers came back to.")
 	shown.Describe("requests.answered_total", "Answers that callers followed to the end.")
 	shown.Describe("requests.moved_total", "Callers sent to another address, because this node leaves.")
-	shown.Describe("requests.refused_total", "Refusals and failures told to callers, by code and verdict.")
+	shown.Describe("requests.refused_total", "Refusals and failures of submissions and resumes told to callers, by code and verdict; not those of bad input or tokens.")
 	shown.Describe("requests.tokens_sent_total", "Tokens sent to callers.")
 	shown.Describe("requests.followed", "Requests that callers are connected for now.")
 	shown.Describe("requests.first_token_seconds", "Time from a submission to its first token.")
