--- a/internal/slopes/relay.go
+++ b/internal/slopes/relay.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"net"
 	"net/http/httptest"
-	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +18,7 @@
 	"mangoledge.example/mangoledge/internal/peer"
 	"mangoledge.example/mangoledge/internal/platform/objects"
 	"mangoledge.example/mangoledge/internal/relay"
+	"mangoledge.example/mangoledge/internal/standin/members"
 	"mangoledge.example/mangoledge/internal/standin/platform"
 )
 
@@ -36,27 +36,6 @@
 
 var errNotInForce = errors.New("a change was not in force everywhere in time")
 
-// staticView is a membership that never changes.
-type staticView struct {
-	self    membership.Member
-	members []membership.Member
-}
-
-// Self implements membership.View.
-func (v *staticView) Self() membership.Member { return v.self }
-
-// Members implements membership.View.
-func (v *staticView) Members() []membership.Member { return v.members }
-
-// Lookup implements membership.View.
-func (v *staticView) Lookup(incarnation ident.Incarnation) (membership.Member, bool) {
-	i := slices.IndexFunc(v.members, func(m membership.Member) bool { return m.Incarnation == incarnation })
-	if i < 0 {
-		return membership.Member{}, false
-	}
-	return v.members[i], true
-}
-
 // relayNode is one node's part in configuration.
 type relayNode struct {
 	manager  *config.Manager
@@ -88,7 +67,7 @@
 		quiet:    slog.New(slog.NewTextHandler(io.Discard, nil)),
 		accepted: make(map[uint64]time.Time), heard: make(map[uint64]int),
 	}
-	var members []membership.Member
+	var list []membership.Member
 	for n := range size {
 		inner, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // opens at once
 		if err != nil {
@@ -97,17 +76,17 @@
 		s.nodes = append(s.nodes, &relayNode{listener: &countingListener{Listener: inner}})
 		m := memberN(n, time.Now(), inner.Addr().String())
 		m.FailureDomain = ident.FailureDomain(fmt.Sprintf("domain-%02d", n%failureDomains))
-		members = append(members, m)
+		list = append(list, m)
 	}
 	for n := range s.nodes {
-		if err := s.start(ctx, s.nodes[n], &staticView{self: members[n], members: members}); err != nil {
+		if err := s.start(ctx, s.nodes[n], members.NewView(list, n)); err != nil {
 			return s, err
 		}
 	}
 	return s, nil
 }
 
-func (s *relaySite) start(ctx context.Context, n *relayNode, view *staticView) error {
+func (s *relaySite) start(ctx context.Context, n *relayNode, view *members.View) error {
 	dialer := peer.Dialer{Token: "slopes"}
 	n.store = objects.NewClient(objects.Options{BaseURL: s.store.URL, Budget: objects.NewBudget(ampleBudget, ampleBudget)})
 	n.peers = peer.NewClient(dialer)
@@ -205,59 +184,3 @@
 	}
 	return sum
 }
-
-// relays measures configuration at small and large sites.
-func relays(sizes []int) ([]Figure, error) {
-	var out []Figure
-	for _, size := range []int{slices.Min(sizes), slices.Max(sizes)} {
-		figures, err := relaysAt(size, min(domains, (size+1)/2))
-		out = append(out, figures...)
-		if err != nil {
-			return out, err
-		}
-	}
-	return out, nil
-}
-
-func relaysAt(size, failureDomains int) ([]Figure, error) {
-	before := now(true)
-	s, err := newRelaySite(size, failureDomains)
-	defer s.stop()
-	if err != nil {
-		return nil, err
-	}
-	version, err := s.change(0, 0)
-	if err != nil {
-		return nil, err
-	}
-	time.Sleep(relayQuietTime)
-	opened, moved := now(true), s.bytes()
-	time.Sleep(relayQuietTime)
-	quiet, quietBytes := now(false), s.bytes()
-	s.mu.Lock()
-	s.times = nil
-	s.mu.Unlock()
-	for n := range changeCount {
-		if version, err = s.change(n+1, version); err != nil {
-			return nil, err
-		}
-		time.Sleep(changeSpacing)
-	}
-	nodeSeconds := quiet.wall.Sub(opened.wall).Seconds() * float64(size)
-	how := fmt.Sprintf("%d nodes in %d failure domains", size, failureDomains)
-	slices.Sort(s.times)
-	at := func(part int) float64 { return milliseconds(s.times[len(s.times)*part/percent]) }
-	name := func(what string) string { return fmt.Sprintf("relay.%s.%d", what, size) }
-	return []Figure{
-		{Name: name("memory"), Value: signedDifference(opened, before) / float64(size), Unit: unitBytes, How: how + ", one node, the stand-in's share included"},
-		{Name: name("quiet_bytes"), Value: 2 * float64(quietBytes-moved) / nodeSeconds, Unit: unitBytesPerSecond, How: how + ", one node's mean, sent and received, heartbeats of its connections included, without TCP headers"},
-		{Name: name("quiet_cpu"), Value: (quiet.processor - opened.processor).Seconds() / nodeSeconds * percent, Unit: unitPercentOfCore, How: how + ", one node's mean, the stand-in's share included"},
-		{Name: name("in_force_p50"), Value: at(50), Unit: unitMilliseconds, How: fmt.Sprintf("%s, %d changes, from acceptance", how, changeCount)},
-		{Name: name("in_force_p99"), Value: at(99), Unit: unitMilliseconds, How: fmt.Sprintf("%s, %d changes, from acceptance", how, changeCount)},
-		{Name: name("in_force_last"), Value: milliseconds(s.times[len(s.times)-1]), Unit: unitMilliseconds, How: fmt.Sprintf("%s, %d changes, from acceptance", how, changeCount)},
-	}, nil
-}
-
-func milliseconds(d time.Duration) float64 {
-	return float64(d.Microseconds()) / 1000
-}
