Members tell their protocol, and records of later releases are read

Cause: nodes of two releases see each other as members and can't know that their messages differ. A record with one more field, which the next release needs, made the whole datagram unreadable.

Change: a member's details have a protocol number (membership.CurrentProtocol says when it is raised), shown by `show nodes` and the dump; a view marks the members that speak another than its own node (Member.Foreign, Member.Usable). Headers and records may have further fields behind the known ones. Those of a record are kept, passed on and digested as they came, so that a node of the later release hears of them through an older one and the digests of both are equal. Nested fields, more than 32 of them or more than 256 bytes are rejected.

--- a/internal/membership/cluster.go
+++ b/internal/membership/cluster.go
@@ -181,7 +181,7 @@
 	if !ch.current.complete() {
 		return
 	}
-	m := ch.current.member()
+	m := c.memberOf(ch.current)
 	if ch.isNew || ch.before != m.State {
 		c.options.Logger.Info("membership: a member's state changed",
 			slog.String("member", string(m.Incarnation)), slog.String("state", m.State.String()),
@@ -201,12 +201,19 @@
 	}
 }
 
+// memberOf returns the member as this node sees it.
+func (c *Cluster) memberOf(e *entry) Member {
+	m := e.member()
+	m.Foreign = m.Protocol != c.options.Self.Protocol
+	return m
+}
+
 // refresh makes the snapshot anew; c.mu must be held, but in New.
 func (c *Cluster) refresh() {
 	out := make([]Member, 0, len(c.core.table.entries))
 	for _, e := range c.core.table.entries {
 		if e.complete() {
-			out = append(out, e.member())
+			out = append(out, c.memberOf(e))
 		}
 	}
 	slices.SortFunc(out, func(a, b Member) int { return strings.Compare(string(a.Incarnation), string(b.Incarnation)) })
--- a/internal/membership/cluster_test.go
+++ b/internal/membership/cluster_test.go
@@ -36,9 +36,16 @@
 // startCluster starts count members on loopback; the first is the seed of the others.
 func startCluster(t *testing.T, count int) []*Cluster {
 	t.Helper()
+	return startProtocols(t, make([]Protocol, count)...)
+}
+
+// startProtocols starts a member of each of the protocols on loopback; 0 is the current one.
+func startProtocols(t *testing.T, protocols ...Protocol) []*Cluster {
+	t.Helper()
+	count := len(protocols)
 	var clusters []*Cluster
 	var seed string
-	for i := range count {
+	for i, protocol := range protocols {
 		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
 		require.NoError(t, err)
 		node := ident.Node(fmt.Sprintf("n%d", i))
@@ -48,6 +55,7 @@
 			Region:        "r1",
 			FailureDomain: ident.FailureDomain(fmt.Sprintf("d%d", i%3)),
 			PeerAddress:   conn.LocalAddr().String(),
+			Protocol:      protocol,
 		}
 		if seed == "" {
 			seed = self.PeerAddress
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -38,7 +38,7 @@
 	return "unknown"
 }
 
-// Usable reports whether the member may be given new duties.
+// Usable reports whether a member in this state may be given new duties; see also Member.Usable.
 func (s State) Usable() bool {
 	return s == StateAlive
 }
@@ -53,12 +53,22 @@
 	CallerURL string
 	// PeerAddress is host and port of the listener for other nodes (TCP) and of gossip (UDP).
 	PeerAddress string
-	State       State
+	// Protocol is what it speaks with other nodes.
+	Protocol Protocol
+	// Foreign is true when that differs from the protocol of the node whose view this is.
+	Foreign bool
+	State   State
 	// Successor took over the witness table of a member that left; empty when there is none.
 	// There is at most one, for ever.
 	Successor ident.Incarnation
 }
 
+// Usable reports whether this node may count on the member for a duty that
+// takes messages between the two.
+func (m *Member) Usable() bool {
+	return m.State.Usable() && !m.Foreign
+}
+
 // View is the list of members that a node knows.
 type View interface {
 	// Self returns this node's own member.
--- a/internal/membership/options.go
+++ b/internal/membership/options.go
@@ -12,6 +12,7 @@
 // Options say who a member is and what it works with.
 type Options struct {
 	// Self is this node's own member; its State is alive or leaving. Required.
+	// Its Protocol is CurrentProtocol by default.
 	Self Member
 	// Seeds are peer addresses of some nodes, as IP and port, to join by.
 	Seeds []string
@@ -32,6 +33,9 @@
 }
 
 func (o *Options) fillDefaults() {
+	if o.Self.Protocol == 0 {
+		o.Self.Protocol = CurrentProtocol
+	}
 	if o.Now == nil {
 		o.Now = time.Now
 	}
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -43,6 +43,8 @@
 	CallerURL     string
 	Region        ident.Region
 	FailureDomain ident.FailureDomain
+	Protocol      Protocol
+	Surplus       surplus
 }
 
 func recordOf(m Member) record {
@@ -55,6 +57,7 @@
 			CallerURL:     m.CallerURL,
 			Region:        m.Region,
 			FailureDomain: m.FailureDomain,
+			Protocol:      m.Protocol,
 		},
 	}
 }
@@ -101,7 +104,13 @@
 	if d.Region != other.Region {
 		return d.Region < other.Region
 	}
-	return d.FailureDomain < other.FailureDomain
+	if d.FailureDomain != other.FailureDomain {
+		return d.FailureDomain < other.FailureDomain
+	}
+	if d.Protocol != other.Protocol {
+		return d.Protocol < other.Protocol
+	}
+	return d.Surplus.less(other.Surplus)
 }
 
 // short returns the record without what never changes.
@@ -138,26 +147,15 @@
 		FailureDomain: r.Details.FailureDomain,
 		CallerURL:     r.Details.CallerURL,
 		PeerAddress:   r.Details.PeerAddress,
+		Protocol:      r.Details.Protocol,
 		State:         r.state(),
 		Successor:     r.Successor,
 	}
 }
 
-// hash digests all that the record says.
+// hash digests all that the record says, also what only a later release understands.
 func (r record) hash() uint64 {
-	h := xxhash.New()
-	for _, text := range []string{
-		string(r.Incarnation), string(r.Successor), r.Details.PeerAddress,
-		r.Details.CallerURL, string(r.Details.Region), string(r.Details.FailureDomain),
-	} {
-		_, _ = h.WriteString(text)
-		_, _ = h.Write([]byte{0})
-	}
-	_, _ = h.Write([]byte{
-		r.flags(), byte(r.Final),
-		byte(r.Refutation), byte(r.Refutation >> 8), byte(r.Refutation >> 16), byte(r.Refutation >> 24),
-	})
-	return h.Sum64()
+	return xxhash.Sum64(encodeRecord(r, 0))
 }
 
 // flags packs what is true or false.
--- a/internal/membership/wire.go
+++ b/internal/membership/wire.go
@@ -6,20 +6,32 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
+	"github.com/vmihailenco/msgpack/v5/msgpcode"
 
 	"mangoledge.example/mangoledge/internal/ident"
 )
 
-// The number of fields of what a datagram is made of.
+// The number of fields of what a datagram is made of. A later release may put
+// further fields behind those of a header and of a record, as texts, bytes,
+// numbers or flags; those of a record never change during one incarnation.
+// A rumour has its payload for whatever else is to be told.
 const (
 	headerFields = 7
-	recordFields = 10
+	recordFields = 11
 	rumourFields = 5
 )
 
+const (
+	// maxSurplusFields is the most fields beyond the known ones that are read.
+	maxSurplusFields = 32
+	// maxSurplusBytes is the most that those of one record may take.
+	maxSurplusBytes = 256
+)
+
 // writer appends fields in msgpack. Writing to memory does not fail.
 type writer struct {
 	encoder *msgpack.Encoder
+	buffer  *bytes.Buffer
 }
 
 func (w writer) array(fields int)   { _ = w.encoder.EncodeArrayLen(fields) }
@@ -27,6 +39,7 @@
 func (w writer) number(v uint64)    { _ = w.encoder.EncodeUint(v) }
 func (w writer) flag(value bool)    { _ = w.encoder.EncodeBool(value) }
 func (w writer) bytes(value []byte) { _ = w.encoder.EncodeBytes(value) }
+func (w writer) raw(value string)   { _, _ = w.buffer.WriteString(value) }
 
 // encode returns what write writes.
 func encode(write func(w writer)) []byte {
@@ -34,7 +47,7 @@
 	defer msgpack.PutEncoder(encoder)
 	var buffer bytes.Buffer
 	encoder.Reset(&buffer)
-	write(writer{encoder: encoder})
+	write(writer{encoder: encoder, buffer: &buffer})
 	return buffer.Bytes()
 }
 
@@ -52,20 +65,73 @@
 	}
 }
 
-// array reads the start of an array of any of the lengths and returns the length.
-func (r *reader) array(lengths ...int) int {
+// array reads the start of an array and returns its length.
+func (r *reader) array() int {
 	if r.err != nil {
 		return 0
 	}
-	got, err := r.decoder.DecodeArrayLen()
+	length, err := r.decoder.DecodeArrayLen()
 	r.fail(err)
-	for _, wanted := range lengths {
-		if got == wanted {
-			return got
-		}
+	return length
+}
+
+// beyond returns how many fields an array of length has beyond the known ones.
+func (r *reader) beyond(length, known int) int {
+	if length < known || length > known+maxSurplusFields {
+		r.fail(errors.Wrap(errBadDatagram, "number of fields"))
+	}
+	if r.err != nil {
+		return 0
+	}
+	return length - known
+}
+
+// skip passes over so many fields of a later release.
+func (r *reader) skip(fields int) {
+	for range fields {
+		r.skipOne()
 	}
-	r.fail(errors.Wrap(errBadDatagram, "number of fields"))
-	return 0
+}
+
+func (r *reader) skipOne() {
+	if r.err != nil {
+		return
+	}
+	code, err := r.decoder.PeekCode()
+	r.fail(err)
+	switch {
+	case msgpcode.IsString(code) || msgpcode.IsBin(code):
+		r.bytes()
+	case code == msgpcode.True || code == msgpcode.False:
+		r.flag()
+	default:
+		r.number(math.MaxUint64)
+	}
+}
+
+// surplus reads so many fields of a later release and keeps them as they came.
+func (r *reader) surplus(fields int) surplus {
+	if fields == 0 {
+		return surplus{}
+	}
+	start := r.position()
+	r.skip(fields)
+	length := r.position() - start
+	if length > maxSurplusBytes {
+		r.fail(errors.Wrap(errBadDatagram, "fields of a later release"))
+	}
+	if r.err != nil {
+		return surplus{}
+	}
+	encoded := make([]byte, length)
+	_, err := r.source.ReadAt(encoded, start)
+	r.fail(err)
+	return surplus{fields: fields, encoded: string(encoded)}
+}
+
+// position returns how many bytes of the datagram have been read.
+func (r *reader) position() int64 {
+	return r.source.Size() - int64(r.source.Len())
 }
 
 func (r *reader) bytes() []byte {
@@ -129,7 +195,7 @@
 }
 
 func (h *header) read(r *reader) {
-	r.array(headerFields)
+	surplus := r.beyond(r.array(), headerFields)
 	h.Kind = kind(r.number(uint64(kindSyncBack)))
 	h.From = r.incarnation()
 	h.Seq = uint32(r.number(math.MaxUint32))
@@ -137,6 +203,7 @@
 	h.Address = r.text()
 	h.Digest = r.bytes()
 	h.More = r.flag()
+	r.skip(surplus)
 }
 
 func (i *item) write(w writer) {
@@ -153,9 +220,9 @@
 }
 
 func (i *item) read(r *reader) {
-	if r.array(recordFields, rumourFields) == recordFields {
+	if length := r.array(); length != rumourFields {
 		i.Record = new(record)
-		i.LifeMs = i.Record.read(r)
+		i.LifeMs = i.Record.read(r, r.beyond(length, recordFields))
 		return
 	}
 	i.Rumour = &Rumour{
@@ -168,7 +235,7 @@
 }
 
 func (r *record) write(w writer, lifeMs uint32) {
-	w.array(recordFields)
+	w.array(recordFields + r.Details.Surplus.fields)
 	w.text(string(r.Incarnation))
 	w.number(uint64(r.Refutation))
 	w.number(uint64(r.flags()))
@@ -179,9 +246,12 @@
 	w.text(string(r.Details.Region))
 	w.text(string(r.Details.FailureDomain))
 	w.number(uint64(lifeMs))
+	w.number(uint64(r.Details.Protocol))
+	w.raw(r.Details.Surplus.encoded)
 }
 
-func (r *record) read(in *reader) (lifeMs uint32) {
+// read reads a record that has so many fields beyond the known ones.
+func (r *record) read(in *reader, surplus int) (lifeMs uint32) {
 	r.Incarnation = in.incarnation()
 	r.Refutation = uint32(in.number(math.MaxUint32))
 	flags := in.number(flagSuspected | flagDraining)
@@ -193,5 +263,8 @@
 	r.Details.CallerURL = in.text()
 	r.Details.Region = ident.Region(in.text())
 	r.Details.FailureDomain = ident.FailureDomain(in.text())
-	return uint32(in.number(math.MaxUint32))
+	lifeMs = uint32(in.number(math.MaxUint32))
+	r.Details.Protocol = Protocol(in.number(math.MaxUint32))
+	r.Details.Surplus = in.surplus(surplus)
+	return lifeMs
 }
--- a/internal/tables/node.go
+++ b/internal/tables/node.go
@@ -12,6 +12,7 @@
 	Incarnation   string `column:"incarnation" doc:"this run of its process"`
 	Region        string `column:"region" doc:"its region"`
 	FailureDomain string `column:"failureDomain" doc:"its failure domain"`
+	Protocol      int    `column:"protocol" doc:"the protocol that it speaks with other nodes; nodes of two releases may differ"`
 	State         string `column:"state" doc:"alive, suspect, leaving, dead or left"`
 	CallerURL     string `column:"callerUrl" doc:"base URL for callers"`
 	PeerAddress   string `column:"peerAddress" doc:"address for other nodes"`
@@ -25,7 +26,7 @@
 		for _, m := range view.Members() {
 			out = append(out, Node{
 				Node: string(m.Node), Incarnation: string(m.Incarnation), Region: string(m.Region),
-				FailureDomain: string(m.FailureDomain), State: m.State.String(), CallerURL: m.CallerURL,
+				FailureDomain: string(m.FailureDomain), Protocol: int(m.Protocol), State: m.State.String(), CallerURL: m.CallerURL,
 				PeerAddress: m.PeerAddress, Successor: string(m.Successor),
 			})
 		}
