Nodes of two protocols give their duties to their own

Cause: nodes of two releases whose messages differ chose each other as owners, witnesses, successors, forwarding targets, relay peers and gates in vain, so a roll had to happen within a minute.

Change: these choices take members of the node's own protocol (Member.Usable, Member.Foreign). Caller addresses name both protocols, each home with a witness of its own; the only member of a protocol is not named while others are there. A node's being cut off, the lease's candidates and operators' commands go over all members as before.

Not solved: an upstream has two owners meanwhile, and the last node of a protocol has no successor.

--- a/internal/dispatch/fakesite_test.go
+++ b/internal/dispatch/fakesite_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -117,6 +119,22 @@
 	dispatcher *dispatch.Dispatcher
 	peers      *peer.Client
 	server     *http.Server
+	// connections counts those that other nodes opened to this one.
+	connections *atomic.Int64
+}
+
+// countingListener counts the connections that it accepts.
+type countingListener struct {
+	net.Listener
+	accepted *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		l.accepted.Add(1)
+	}
+	return conn, err
 }
 
 func newFakeSite(t testing.TB) *fakeSite {
@@ -160,6 +178,20 @@
 
 func (v nodeView) Self() membership.Member { return v.self }
 
+func (v nodeView) Members() []membership.Member {
+	members := v.fakeSite.Members()
+	for i := range members {
+		members[i].Foreign = members[i].Protocol != v.self.Protocol
+	}
+	return members
+}
+
+func (v nodeView) Lookup(incarnation ident.Incarnation) (membership.Member, bool) {
+	m, known := v.fakeSite.Lookup(incarnation)
+	m.Foreign = m.Protocol != v.self.Protocol
+	return m, known
+}
+
 type freeAdmission struct{}
 
 type freeTicket struct{}
@@ -240,16 +272,22 @@
 
 // addNode starts a node of the site.
 func (s *fakeSite) addNode(name ident.Node) *fakeNode {
+	return s.addSpeaker(name, membership.CurrentProtocol)
+}
+
+// addSpeaker starts a node of the site that answers only calls of its own protocol.
+func (s *fakeSite) addSpeaker(name ident.Node, protocol membership.Protocol) *fakeNode {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(s.t, err)
 	self := membership.Member{
 		Incarnation: ident.NewIncarnation(name, time.Now()), Node: name,
-		PeerAddress: listener.Addr().String(),
+		PeerAddress: listener.Addr().String(), Protocol: protocol,
 	}
 	s.mu.Lock()
 	s.members = append(s.members, self)
 	s.mu.Unlock()
-	dialer := peer.Dialer{Token: "t"}
+	token := fmt.Sprint("protocol ", protocol)
+	dialer := peer.Dialer{Token: token}
 	peers := peer.NewClient(dialer)
 	view := nodeView{fakeSite: s, self: self}
 	tables := witness.NewService(self.Incarnation, peers)
@@ -260,12 +298,13 @@
 		Journal: s, Reclaims: s, Recoveries: s, Engines: engine.NewClient(), Services: plainservice.NewClient(),
 		Peers: peers, Dialer: dialer, Logger: discard(), MaxRunning: 64,
 	})
-	server := peer.NewServer("t")
+	server := peer.NewServer(token)
 	require.NoError(s.t, d.Register(server))
 	require.NoError(s.t, tables.Register(server))
-	go func() { _ = server.Serve(listener, nil) }()
+	connections := new(atomic.Int64)
+	go func() { _ = server.Serve(countingListener{listener, connections}, nil) }()
 	d.Start()
-	n := &fakeNode{site: s, self: self, dispatcher: d, peers: peers}
+	n := &fakeNode{site: s, self: self, dispatcher: d, peers: peers, connections: connections}
 	s.t.Cleanup(func() {
 		_ = server.Close()
 		d.Stop()
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -63,7 +63,7 @@
 		return nil, refusal
 	}
 	for _, member := range d.options.Members.Members() {
-		if member.Incarnation == d.self || member.State != membership.StateAlive {
+		if member.Incarnation == d.self || !member.Usable() {
 			continue
 		}
 		attachment, err := d.forwarder.submit(ctx, member.PeerAddress, *sub)
@@ -74,10 +74,11 @@
 	return nil, d.refuse(ctx, &sub.Spec, refusal)
 }
 
-// reachable reports whether it is worth asking the incarnation.
+// reachable reports whether it is worth asking the incarnation: one of another
+// protocol would not understand, or would misunderstand.
 func (d *Dispatcher) reachable(incarnation ident.Incarnation) bool {
 	member, ok := d.options.Members.Lookup(incarnation)
-	if !ok {
+	if !ok || member.Foreign {
 		return false
 	}
 	return member.State == membership.StateAlive || member.State == membership.StateLeaving || member.State == membership.StateSuspect
--- a/internal/entry/addressbook.go
+++ b/internal/entry/addressbook.go
@@ -37,6 +37,7 @@
 }
 
 // Addresses names usable nodes in random order, each with a prefix whose home it is.
+// Callers reach nodes of every protocol alike; the witness of a home speaks the home's.
 func (b *AddressBook) Addresses() (*callerapi.AddressBook, error) {
 	if reason, stale := b.stale(); stale {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeStale, "this node may be out of date and hands out no addresses: %s", reason).After(staleRetryAfter)
@@ -81,16 +82,15 @@
 }
 
 // usable returns the members of this region that take new work, in random
-// order; those of all regions when this one has none.
+// order; those of all regions when this one has none. Of several protocols it
+// returns no member that is the only one of its own, and so has no witness.
 func (b *AddressBook) usable() []membership.Member {
 	region := b.members.Self().Region
 	var near, far []membership.Member
-	for _, member := range b.members.Members() {
-		switch {
-		case !member.State.Usable():
-		case member.Region == region:
+	for _, member := range withPartners(b.members.Members()) {
+		if member.Region == region {
 			near = append(near, member)
-		default:
+		} else {
 			far = append(far, member)
 		}
 	}
@@ -101,13 +101,35 @@
 	return near
 }
 
-// witnessFor chooses a witness for home: in another failure domain if there is
+// withPartners returns the members that take new work without those that are the
+// only ones of their protocol; all of them when no two speak the same.
+func withPartners(members []membership.Member) []membership.Member {
+	speakers := make(map[membership.Protocol]int)
+	var all, paired []membership.Member
+	for _, member := range members {
+		if member.State.Usable() {
+			all = append(all, member)
+			speakers[member.Protocol]++
+		}
+	}
+	for _, member := range all {
+		if speakers[member.Protocol] > 1 {
+			paired = append(paired, member)
+		}
+	}
+	if len(paired) == 0 {
+		return all
+	}
+	return paired
+}
+
+// witnessFor chooses a witness of home's protocol for home: in another failure domain if there is
 // one, on another node if there is one, home itself otherwise. A home has only a
 // few witnesses, so that its reports of progress go out in few batches.
 func (b *AddressBook) witnessFor(home membership.Member, usable []membership.Member) ident.Incarnation {
 	var others, apart []membership.Member
 	for _, member := range usable {
-		if member.Incarnation == home.Incarnation {
+		if member.Incarnation == home.Incarnation || member.Protocol != home.Protocol {
 			continue
 		}
 		others = append(others, member)
--- a/internal/lease/candidate.go
+++ b/internal/lease/candidate.go
@@ -14,7 +14,7 @@
 const maxCandidates = 3
 
 // CandidateOf returns an Options.Candidate by which only a few nodes, chosen by
-// rendezvous hash over the usable members, spend calls on the lease of a duty.
+// rendezvous hash over the live members of all protocols, spend calls on the lease of a duty.
 func CandidateOf(view membership.View, name string) func() bool {
 	return func() bool {
 		return slices.Contains(candidates(view.Members(), name), view.Self().Incarnation)
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -89,7 +89,7 @@
 // when no member could take them. A successor that has acknowledged the offer is
 // the only one for ever: it is asked again until ctx ends.
 func (n *Node) handOver(ctx context.Context) ident.Incarnation {
-	for _, candidate := range n.successors() {
+	for _, candidate := range successors(n.members.Members(), n.self, n.settings.FailureDomain) {
 		err := n.tryHandOver(ctx, candidate)
 		if err == nil {
 			if err := n.members.SetSuccessor(candidate.Incarnation); err != nil {
@@ -118,14 +118,14 @@
 	return err
 }
 
-// successors returns the members that may take the witness tables, those of
-// other failure domains first.
-func (n *Node) successors() []membership.Member {
+// successors returns the members that may take the witness tables of self, those of
+// other failure domains than its own first.
+func successors(members []membership.Member, self ident.Incarnation, own ident.FailureDomain) []membership.Member {
 	var near, far []membership.Member
-	for _, member := range n.members.Members() {
+	for _, member := range members {
 		switch {
-		case member.Incarnation == n.self || !member.State.Usable():
-		case member.FailureDomain == n.settings.FailureDomain:
+		case member.Incarnation == self || !member.Usable():
+		case member.FailureDomain == own:
 			near = append(near, member)
 		default:
 			far = append(far, member)
--- a/internal/owner/owners.go
+++ b/internal/owner/owners.go
@@ -30,7 +30,7 @@
 		regions: make(map[ident.Region][]candidate),
 	}
 	for _, m := range members {
-		if !m.State.Usable() {
+		if !m.Usable() {
 			continue
 		}
 		c := candidate{member: m, hash: xxhash.Sum64String(string(m.Node))}
--- a/internal/poison/fingerprint.go
+++ b/internal/poison/fingerprint.go
@@ -42,7 +42,7 @@
 	binary.LittleEndian.PutUint64(buf[:], uint64(f))
 	for i := range members {
 		m := &members[i]
-		if !m.State.Usable() || !fits(m) {
+		if !m.Usable() || !fits(m) {
 			continue
 		}
 		var digest xxhash.Digest
--- a/internal/poison/registry_test.go
+++ b/internal/poison/registry_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/membership"
 	"mangoledge.example/mangoledge/internal/verdict"
 )
 
@@ -137,3 +138,12 @@
 	require.Equal(t, AnswerWait, gate.Acquire(start, 1, PassID{Serial: 4}, time.Second).Kind)
 	require.Equal(t, AnswerPass, gate.Acquire(start.Add(2*time.Second), 1, PassID{Serial: 4}, time.Second).Kind)
 }
+
+func TestTheCoordinatorSpeaksTheProtocolOfTheNodeThatAsks(t *testing.T) {
+	members := []membership.Member{{Node: "n1"}, {Node: "n2", Foreign: true}, {Node: "n3"}, {Node: "n4", Foreign: true}}
+	for f := range Fingerprint(64) {
+		chosen, found := Coordinator(f, "", members)
+		require.True(t, found)
+		require.False(t, chosen.Foreign)
+	}
+}
--- a/internal/relay/hint.go
+++ b/internal/relay/hint.go
@@ -125,7 +125,7 @@
 	var out, distant []membership.Member
 	for _, m := range members {
 		switch {
-		case !m.State.Usable():
+		case !m.Usable():
 		case m.FailureDomain == self.FailureDomain && !watching[m.Incarnation]:
 			out = append(out, m)
 		case m.FailureDomain != self.FailureDomain:
--- a/internal/relay/pull.go
+++ b/internal/relay/pull.go
@@ -143,7 +143,7 @@
 	self := r.options.View.Self()
 	var others []membership.Member
 	for _, m := range r.options.View.Members() {
-		if m.Incarnation != self.Incarnation && m.State.Usable() {
+		if m.Incarnation != self.Incarnation && m.Usable() {
 			others = append(others, m)
 		}
 	}
--- a/internal/relay/watchers.go
+++ b/internal/relay/watchers.go
@@ -20,7 +20,7 @@
 func watchersOf(members []membership.Member, domain ident.FailureDomain) []membership.Member {
 	var out []membership.Member
 	for _, m := range members {
-		if m.FailureDomain == domain && m.State.Usable() {
+		if m.FailureDomain == domain && m.Usable() {
 			out = append(out, m)
 		}
 	}
--- a/internal/witness/client.go
+++ b/internal/witness/client.go
@@ -27,6 +27,8 @@
 	errGone = errors.New("it is gone, and no member has its table")
 	// errNotKnown is the cause when a member that may hold a table is not known here.
 	errNotKnown = errors.New("no such member is known here")
+	// errForeign is the cause when the member that holds a table speaks another protocol than this node.
+	errForeign = errors.New("it is of another release, and this node can't ask it")
 )
 
 // Client asks witnesses, wherever their tables are now.
@@ -81,7 +83,8 @@
 }
 
 // place returns the member that holds the table of witness now. Its error is
-// errGone when there is none and never will be.
+// errGone when there is none and never will be, and errForeign when the one that
+// holds it can't be asked from here.
 func (c *Client) place(witness ident.Incarnation) (membership.Member, error) {
 	at := witness
 	for range maxSuccessors {
@@ -96,6 +99,9 @@
 		if member.State == membership.StateDead || member.State == membership.StateLeft {
 			return membership.Member{}, errGone
 		}
+		if member.Foreign {
+			return membership.Member{}, errForeign
+		}
 		return member, nil
 	}
 	return membership.Member{}, errNotKnown
