Two processes of one node name: the log names the other, and pauses grow

Cause: each of two live processes with one name took a newer incarnation as soon as the other had, and so had the other declared dead, for ever. The log told only that the incarnation was declared dead by others.

Change: who tells an incarnation that it is dead also tells who has its name now. The log names that incarnation, both peer addresses and the settings to compare. Signals end the wait.

--- a/cmd/mangoledged/main.go
+++ b/cmd/mangoledged/main.go
@@ -51,8 +51,9 @@
 	runtime.GOMAXPROCS(min(runtime.GOMAXPROCS(0), loaded.Limits.MaxProcessors))
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	var rivalry node.Rivalry
 	for {
-		again, err := runOnce(loaded, signals)
+		again, err := runOnce(loaded, signals, &rivalry)
 		if err != nil || !again {
 			return err
 		}
@@ -61,7 +62,7 @@
 
 // runOnce runs one incarnation; again is true when it was declared dead and
 // the process goes on as a new one.
-func runOnce(loaded *settings.Settings, signals <-chan os.Signal) (again bool, err error) {
+func runOnce(loaded *settings.Settings, signals <-chan os.Signal, rivalry *node.Rivalry) (again bool, err error) {
 	n, err := node.New(loaded, os.Stderr)
 	if err != nil {
 		return false, err
@@ -74,7 +75,7 @@
 		return false, err
 	case <-n.DeclaredDead():
 		n.Abandon()
-		return true, nil
+		return wait(n.PauseAfterDeath(rivalry), signals), nil
 	case notice := <-n.Reclaims():
 		n.Reclaim(notice)
 		return false, nil
@@ -88,6 +89,18 @@
 	return false, nil
 }
 
+// wait waits for pause and reports whether no signal came meanwhile.
+func wait(pause time.Duration, signals <-chan os.Signal) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-signals:
+		return false
+	}
+}
+
 func fail(err error) {
 	fmt.Fprintln(os.Stderr, "mangoledged:", err)
 	os.Exit(1)
--- a/internal/membership/cluster.go
+++ b/internal/membership/cluster.go
@@ -164,8 +164,7 @@
 	c.core.arrived = nil
 	if c.core.selfDead {
 		c.deadOnce.Do(func() {
-			c.options.Logger.Error("membership: this incarnation was declared dead by the other nodes",
-				slog.String("incarnation", string(c.core.self)))
+			c.reportDeath()
 			close(c.dead)
 		})
 	}
@@ -177,6 +176,22 @@
 	return packets
 }
 
+// reportDeath logs why this incarnation ends; c.mu must be held.
+func (c *Cluster) reportDeath() {
+	own := slog.String("incarnation", string(c.core.self))
+	rival, found := c.core.successorInName(c.core.self)
+	if !found {
+		c.options.Logger.Error("membership: this incarnation was declared dead by the other nodes", own)
+		return
+	}
+	c.options.Logger.Error("membership: a newer process with this node's name has joined, so this incarnation is dead; "+
+		"a name is for one process: end one of the two, or give it another `node` in its host's settings", own,
+		slog.String("peer_address", c.options.Self.PeerAddress),
+		slog.String("other_incarnation", string(rival.Incarnation)),
+		slog.String("other_peer_address", rival.Details.PeerAddress),
+		slog.String("settings", "node, peerAdvertise, peerListen"))
+}
+
 func (c *Cluster) announce(ch change) {
 	if !ch.current.complete() {
 		return
--- a/internal/membership/clusterview.go
+++ b/internal/membership/clusterview.go
@@ -48,6 +48,19 @@
 	return c.dead
 }
 
+// Rival returns the live member that has this node's name and a newer
+// incarnation. It is found once this incarnation was declared dead for it, unless
+// the news of its death came without.
+func (c *Cluster) Rival() (Member, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e, found := c.core.successorInName(c.core.self)
+	if !found {
+		return Member{}, false
+	}
+	return c.memberOf(e), true
+}
+
 // NextIncarnation makes an incarnation of this node that is newer than all that are known of it.
 func (c *Cluster) NextIncarnation() ident.Incarnation {
 	c.mu.Lock()
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -246,6 +246,17 @@
 	return !e.Suspected
 }
 
+// successorInName returns the newer incarnation of the same node that has not
+// ended, if one is known with its details.
+func (c *core) successorInName(old ident.Incarnation) (*entry, bool) {
+	newest, known := c.newestOf(old.Node())
+	if !known || newest == old {
+		return nil, false
+	}
+	e := c.table.entries[newest]
+	return e, e.Final == finalNone && e.complete()
+}
+
 // newestOf returns the newest incarnation known of node.
 func (c *core) newestOf(node ident.Node) (ident.Incarnation, bool) {
 	newest, ok := c.table.newest[node]
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -33,8 +33,8 @@
 	c.act(now, address, d)
 }
 
-// answerEnded tells a member that has been declared dead so, and believes
-// nothing that it says of others. What it says of this member is believed only
+// answerEnded tells a member that has been declared dead so, and who runs under its
+// node's name now, and believes nothing that it says of others. What it says of this member is believed only
 // after this member declared others dead from the lesser part of its region.
 func (c *core) answerEnded(now time.Time, address string, sender *entry, d *datagram) {
 	for _, next := range d.items {
@@ -50,8 +50,13 @@
 		return
 	}
 	data := c.newsHead()
+	if next, ok := c.successorInName(d.From); ok {
+		data = append(data, encodeRecord(next.record, next.remaining(now))...)
+	}
 	data = append(data, encodeRecord(sender.short(), sender.remaining(now))...)
-	c.emit(address, data)
+	if len(data) <= maxDatagramBytes {
+		c.emit(address, data)
+	}
 }
 
 func (c *core) learnItem(now time.Time, next item) {
--- a/internal/node/commands_test.go
+++ b/internal/node/commands_test.go
@@ -60,10 +60,10 @@
 }
 
 // startPlainNode starts a node over a store and returns its settings.
-func startPlainNode(t *testing.T, storeURL string) (*settings.Settings, *Node) {
+func startPlainNode(t *testing.T, storeURL string, seeds ...string) (*settings.Settings, *Node) {
 	t.Helper()
 	s := &settings.Settings{
-		Node: "n1", Region: "default", FailureDomain: "a", Host: "h1",
+		Node: "n1", Region: "default", FailureDomain: "a", Host: "h1", Seeds: seeds,
 		CallerListen: freeAddress(t), OperatorListen: freeAddress(t), PeerListen: freeAddress(t), PeerToken: "secret",
 		Platform: settings.Platform{ObjectsURL: storeURL},
 		Tokens:   []settings.Token{{Name: "desk", Role: settings.RoleOperator, SHA256: auth.Digest("o")}},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -47,6 +47,8 @@
 	logger   *slog.Logger
 	metrics  metrics.Registry
 	self     ident.Incarnation
+	// born is when this incarnation was made.
+	born time.Time
 
 	peers      *peer.Client
 	peerServer *peer.Server
@@ -75,12 +77,14 @@
 
 // New makes a node from settings, which logs to logs; Start makes it take part.
 func New(s *settings.Settings, logs io.Writer) (*Node, error) {
-	self := ident.NewIncarnation(s.Node, time.Now())
+	born := time.Now()
+	self := ident.NewIncarnation(s.Node, born)
 	n := &Node{
 		settings: s,
 		logger:   logging.New(logs, s.Log, s.Node, self),
 		metrics:  metrics.NewRegistry(),
 		self:     self,
+		born:     born,
 		failures: make(chan error, 8),
 		drain:    make(chan struct{}, 1),
 		reclaim:  make(chan time.Duration, 1),
