Fuzzing and the bound on memory cover datagrams of a later release

Cause: the samples held no record with further fields.

Change: one more sample, with a text, a flag, a number and bytes behind the record.

--- a/internal/membership/codec_test.go
+++ b/internal/membership/codec_test.go
@@ -62,6 +62,7 @@
 	for _, body := range sampleBodies() {
 		f.Add(body)
 	}
+	f.Add(laterBody())
 	f.Add([]byte{})
 	f.Fuzz(func(t *testing.T, body []byte) {
 		d, err := decode(body)
@@ -84,7 +85,7 @@
 // TestDecodeAllocatesNoMoreThanTheDatagramHolds claims lengths of gigabytes in every place.
 func TestDecodeAllocatesNoMoreThanTheDatagramHolds(t *testing.T) {
 	const manyRuns, mostPerRun = 20, 64 << 10
-	for _, body := range sampleBodies() {
+	for _, body := range append(sampleBodies(), laterBody()) {
 		for place := range len(body) - 5 {
 			for _, code := range []byte{0xc6, 0xc9, 0xdb, 0xdd, 0xdf} { // bin, ext, str, array, map of 32 bits
 				claim := slices.Clone(body)
--- a/internal/membership/protocol_test.go
+++ b/internal/membership/protocol_test.go
@@ -27,6 +27,12 @@
 	})
 }
 
+// laterBody returns the body of a datagram of a later release.
+func laterBody() []byte {
+	own := laterMember()
+	return append(encode((&header{From: own.Incarnation}).write), later(own, "zone", true, 7, []byte("rack"))...)
+}
+
 func TestARecordOfALaterReleaseIsReadAndPassedOnWhole(t *testing.T) {
 	n := newNetwork(t, 1)
 	n.addMany(3, "r1")
