A release's first node of a region is named to no caller

Cause: members were paired by protocol over the whole site, but witnesses are chosen in the home's region. A node that was the only one of its protocol there was named with itself as witness.

Change: members are paired within the region that is named.

Conclusion: the witness of a named home is another node whenever its region has two nodes of one protocol.

--- a/internal/entry/addressbook.go
+++ b/internal/entry/addressbook.go
@@ -87,38 +87,38 @@
 func (b *AddressBook) usable() []membership.Member {
 	region := b.members.Self().Region
 	var near, far []membership.Member
-	for _, member := range withPartners(b.members.Members()) {
-		if member.Region == region {
+	for _, member := range b.members.Members() {
+		switch {
+		case !member.State.Usable():
+		case member.Region == region:
 			near = append(near, member)
-		} else {
+		default:
 			far = append(far, member)
 		}
 	}
 	if len(near) == 0 {
 		near = far
 	}
+	near = withPartners(near)
 	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
 	return near
 }
 
-// withPartners returns the members that take new work without those that are the
-// only ones of their protocol; all of them when no two speak the same.
+// withPartners returns members without those that are the only ones of their
+// protocol; all of them when no two speak the same.
 func withPartners(members []membership.Member) []membership.Member {
 	speakers := make(map[membership.Protocol]int)
-	var all, paired []membership.Member
 	for _, member := range members {
-		if member.State.Usable() {
-			all = append(all, member)
-			speakers[member.Protocol]++
-		}
+		speakers[member.Protocol]++
 	}
-	for _, member := range all {
+	var paired []membership.Member
+	for _, member := range members {
 		if speakers[member.Protocol] > 1 {
 			paired = append(paired, member)
 		}
 	}
 	if len(paired) == 0 {
-		return all
+		return members
 	}
 	return paired
 }
--- a/internal/entry/addressbook_test.go
+++ b/internal/entry/addressbook_test.go
@@ -70,6 +70,14 @@
 	require.Equal(t, map[membership.Protocol]int{1: 2 * asked, 2: 2 * asked}, protocolsOf(t, newMixedSite(1, 2, 1, 2)))
 }
 
+func TestTheFirstNodeOfAReleaseInItsRegion(t *testing.T) {
+	site := newMixedSite(2, 1, 1, 2)
+	site[3].Region = "elsewhere"
+	named := protocolsOf(t, site)
+	require.Zero(t, named[2], "witnesses are of its own region")
+	require.NotZero(t, named[1])
+}
+
 func TestTheFirstNodeOfARelease(t *testing.T) {
 	named := protocolsOf(t, newMixedSite(2, 1, 1, 1))
 	require.Zero(t, named[2], "it has no witness, and callers have other addresses")
