--- a/internal/membership/cluster.go
+++ b/internal/membership/cluster.go
@@ -164,8 +164,7 @@
 	c.core.arrived = nil
 	if c.core.selfDead {
 		c.deadOnce.Do(func() {
-			c.options.Logger.Error("membership: this incarnation was declared dead by the other nodes",
-				slog.String("incarnation", string(c.core.self)))
+			c.reportDeath()
 			close(c.dead)
 		})
 	}
@@ -177,11 +176,27 @@
 	return packets
 }
 
+// reportDeath logs why this incarnation ends; c.mu must be held.
+func (c *Cluster) reportDeath() {
+	own := slog.String("incarnation", string(c.core.self))
+	rival, found := c.core.successorInName(c.core.self)
+	if !found {
+		c.options.Logger.Error("membership: this incarnation was declared dead by the other nodes", own)
+		return
+	}
+	c.options.Logger.Error("membership: a newer process with this node's name has joined, so this incarnation is dead; "+
+		"a name is for one process: end one of the two, or give it another `node` in its host's settings", own,
+		slog.String("peer_address", c.options.Self.PeerAddress),
+		slog.String("other_incarnation", string(rival.Incarnation)),
+		slog.String("other_peer_address", rival.Details.PeerAddress),
+		slog.String("settings", "node, peerAdvertise, peerListen"))
+}
+
 func (c *Cluster) announce(ch change) {
 	if !ch.current.complete() {
 		return
 	}
-	m := ch.current.member()
+	m := c.memberOf(ch.current)
 	if ch.isNew || ch.before != m.State {
 		c.options.Logger.Info("membership: a member's state changed",
 			slog.String("member", string(m.Incarnation)), slog.String("state", m.State.String()),
@@ -201,12 +216,19 @@
 	}
 }
 
+// memberOf returns the member as this node sees it.
+func (c *Cluster) memberOf(e *entry) Member {
+	m := e.member()
+	m.Foreign = m.Protocol != c.options.Self.Protocol
+	return m
+}
+
 // refresh makes the snapshot anew; c.mu must be held, but in New.
 func (c *Cluster) refresh() {
 	out := make([]Member, 0, len(c.core.table.entries))
 	for _, e := range c.core.table.entries {
 		if e.complete() {
-			out = append(out, e.member())
+			out = append(out, c.memberOf(e))
 		}
 	}
 	slices.SortFunc(out, func(a, b Member) int { return strings.Compare(string(a.Incarnation), string(b.Incarnation)) })
