A grant that is read after a pause of the process is given back

Change: an answer that grants is looked at with the list's freshness again; when the list is not current, the slot is given back and the request waits until the node has heard from others.

A pause between this look and the send remains; the upstream's own refusal covers it.

--- a/internal/bench/productreserve.go
+++ b/internal/bench/productreserve.go
@@ -98,6 +98,12 @@
 		n.pump()
 		return
 	}
+	if !n.table.Current(now) {
+		// This node was paused since it asked; the upstream may have left meanwhile.
+		n.giveBack(to, args.ID, true)
+		n.hold(j)
+		return
+	}
 	if reply.Wait && !n.product.variant.engineQueue {
 		n.settled(j)
 		if n.late(j) {
--- a/internal/placement/pause_test.go
+++ b/internal/placement/pause_test.go
@@ -14,6 +14,8 @@
 	"mangoledge.example/mangoledge/internal/fleet"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/membership"
+	"mangoledge.example/mangoledge/internal/owner"
+	"mangoledge.example/mangoledge/internal/peer"
 	"mangoledge.example/mangoledge/internal/request"
 	"mangoledge.example/mangoledge/internal/routing"
 	"mangoledge.example/mangoledge/internal/verdict"
@@ -59,15 +61,20 @@
 	s.upstreams = []fleet.Upstream{{
 		ID: "u", FailureDomain: domain, Models: []ident.Model{"m"}, Slots: 4, State: fleet.StateReady,
 	}}
-	r := NewRouter(Options{
-		Members: s, Fleet: s, Listed: s, Marks: s.Marks, Calls: s, Now: s.clock,
-		Logger: slog.New(slog.DiscardHandler), Policy: routing.LeastOutstanding{},
-		MarkLeaving: func(ident.Upstream) {},
-	})
+	r := NewRouter(s.options(s))
 	r.Update(s.now)
 	return s, r
 }
 
+// options are those of a router that calls other nodes by calls.
+func (s *site) options(calls peer.Caller) Options {
+	return Options{
+		Members: s, Fleet: s, Listed: s, Marks: s.Marks, Calls: calls, Now: s.clock,
+		Logger: slog.New(slog.DiscardHandler), Policy: routing.LeastOutstanding{},
+		MarkLeaving: func(ident.Upstream) {},
+	}
+}
+
 func (s *site) pick(r *Router) error {
 	need := &dispatch.Need{Spec: &request.Spec{Model: "m", MaxTokens: 10, Deadline: time.Now().Add(time.Hour)}}
 	place, err := r.Pick(context.Background(), need)
@@ -136,3 +143,37 @@
 	require.Equal(t, verdict.NotRun, refusal.Verdict)
 	require.Positive(t, refusal.RetryAfter, "it may be asked again")
 }
+
+// pausing is a site whose owner grants at once, but whose answer is read only
+// after this process was paused for a while.
+type pausing struct {
+	*site
+	pause time.Duration
+	// released has an element for each slot that was given back.
+	released chan struct{}
+}
+
+func (p *pausing) Call(_ context.Context, _, _ string, _, reply any) error {
+	switch r := reply.(type) {
+	case *owner.ReserveReply:
+		*r = owner.ReserveReply{Granted: true, Upstream: "u"}
+		p.now = p.now.Add(p.pause)
+	case *owner.ReleaseReply:
+		p.released <- struct{}{}
+	}
+	return nil
+}
+
+// A grant that is read after a pause is given back: the upstream may have left
+// meanwhile.
+func TestAGrantThatIsReadAfterAPauseIsNotUsed(t *testing.T) {
+	s, _ := newSite(false)
+	p := &pausing{site: s, released: make(chan struct{}, 1)}
+	r := NewRouter(s.options(p))
+	r.Update(s.now)
+	require.NoError(t, s.pick(r), "without a pause")
+	<-p.released
+	p.pause = 5 * time.Second
+	requireRefused(t, s.pick(r), "after a pause")
+	<-p.released
+}
--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -35,6 +35,11 @@
 		r.noteRefusal(choice.Owner, features, now.Add(fullFor))
 		return nil, true
 	}
+	if !r.table.Current(now) {
+		// This process was paused since it asked; the upstream may have left meanwhile.
+		(&placed{router: r, choice: choice, id: args.ID}).Done(dispatch.OutcomeMoved, 0)
+		return nil, false
+	}
 	upstream, ok := r.upstream(reply.Upstream)
 	place = &placed{router: r, choice: choice, id: args.ID, upstream: upstream, cached: reply.CachedTokens}
 	r.places.add(now, place)
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -66,6 +66,14 @@
 	t.fresh.confirm(now)
 }
 
+// Current reports whether the list is young enough to choose from. It is not
+// right after a pause of this process.
+func (t *Table) Current(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.fresh.current(now)
+}
+
 func (t *Table) put(now time.Time, u *fleet.Upstream) {
 	r, ok := t.replicas[u.ID]
 	if !ok {
