Requests that look for a slot in vain are no capacity

A node took its throughput from the requests in flight, by Little's law, and counted those that had their turn and were still looking for a slot.

Change: a ticket tells when it has its slot. Until then it is no capacity once one has been looking for 100 ms, and what those that look will take goes before a new request.

--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -99,7 +99,7 @@
 	if l.queued < c.settings.MaxQueued {
 		return nil
 	}
-	refusal := verdict.New(verdict.NotRun, verdict.CodeOverloaded, "%d requests are waiting", l.queued).After(l.comeBack())
+	refusal := verdict.New(verdict.NotRun, verdict.CodeOverloaded, "%d requests are waiting", l.queued).After(l.comeBack(t.since))
 	victim := l.longest()
 	worst := victim.worst()
 	own := (t.flow.cost + t.Request.Cost.Seconds()) / t.flow.share
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -76,9 +76,7 @@
 		}
 		f.remove(t)
 		l.charge(f, t.Request.Cost)
-		l.inFlight++
-		f.inFlight++
-		t.state = stateRunning
+		f.ask(now, t)
 		c.counters.Dispatched++
 		close(t.settled)
 		return t
@@ -95,6 +93,20 @@
 	}
 }
 
+// Placed says that a ticket that was handed out by Next has a slot. Until then
+// it counts as waiting.
+func (c *Controller) Placed(now time.Time, t *Ticket) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t.state != stateAsking {
+		return
+	}
+	t.flow.lane.observe(now)
+	t.flow.stopAsking(t)
+	t.flow.lane.inFlight++
+	t.state = stateRunning
+}
+
 // Release ends a ticket that was handed out by Next, or withdraws a waiting one.
 func (c *Controller) Release(now time.Time, t *Ticket) {
 	c.mu.Lock()
@@ -103,10 +115,12 @@
 	case stateWaiting:
 		t.flow.remove(t)
 		close(t.settled)
+	case stateAsking:
+		t.flow.lane.observe(now)
+		t.flow.stopAsking(t)
 	case stateRunning:
 		t.flow.lane.observe(now)
 		t.flow.lane.inFlight--
-		t.flow.inFlight--
 	case stateEnded:
 		return
 	}
--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -19,9 +19,9 @@
 	cost float64
 	// finish is the virtual time at which the last request handed out ends.
 	finish float64
-	// inFlight counts requests handed out and not released.
-	inFlight int
-	share    float64
+	// askingCost is the sum of the cost of those that look for a slot, in seconds.
+	askingCost float64
+	share      float64
 	// arrivals is the accepted work, by kind.
 	arrivals []*arrivals
 }
--- a/internal/admission/forecast.go
+++ b/internal/admission/forecast.go
@@ -19,6 +19,8 @@
 type outlook struct {
 	// speed is how many seconds of cost its workspace gets in a second.
 	speed float64
+	// looking is how many seconds pass between its turn and its slot.
+	looking float64
 	// streams overtake it, the one that stops first in front.
 	streams []stream
 }
@@ -43,7 +45,7 @@
 	if o.speed <= rate {
 		return maxWait.Seconds()
 	}
-	return min(passed+ahead/(o.speed-rate), maxWait.Seconds())
+	return min(passed+ahead/(o.speed-rate)+o.looking, maxWait.Seconds())
 }
 
 // outlook returns what is expected at now for a request of f that is queued lead
@@ -59,7 +61,7 @@
 	}
 	slices.SortFunc(streams, func(a, b stream) int { return cmp.Compare(a.until, b.until) })
 	l.streams = streams
-	return outlook{speed: l.speed(now, f), streams: streams}
+	return outlook{speed: l.speed(now, f), looking: l.looking(now), streams: streams}
 }
 
 // lasts returns for how long the lane is expected to be short of capacity, in
@@ -86,13 +88,13 @@
 		if other == f {
 			continue
 		}
-		demand := other.rate(now) + other.cost/arrivalMemory.Seconds()
+		demand := other.rate(now) + (other.cost+other.askingCost)/arrivalMemory.Seconds()
 		claims = append(claims, claim{demand: demand, share: other.share})
 		shares += other.share
 	}
 	l.claims = claims
 	slices.SortFunc(claims, func(a, b claim) int { return cmp.Compare(a.demand/a.share, b.demand/b.share) })
-	left := l.throughput()
+	left := l.throughput(now)
 	for _, c := range claims {
 		if c.demand*shares >= left*c.share {
 			break
--- a/internal/admission/forecast_test.go
+++ b/internal/admission/forecast_test.go
@@ -35,6 +35,7 @@
 	_, refusal := c.Admit(now, ask("w", 0, 1, time.Second, time.Hour))
 	require.Nil(t, refusal)
 	running, _ := c.Next(now, model)
+	c.Placed(now, running)
 	_, refusal = c.Admit(now, ask("w", 0, 1, time.Second, time.Hour))
 	require.Nil(t, refusal)
 	for range 60 {
@@ -49,6 +50,7 @@
 		}
 		c.Release(now, running)
 		running, _ = c.Next(now, model)
+		c.Placed(now, running)
 	}
 	return c, now
 }
@@ -78,13 +80,13 @@
 func TestSpeedIsTheShareThatOthersLeave(t *testing.T) {
 	alone, now := backlog(t, false)
 	l := alone.lane(model)
-	require.InDelta(t, l.throughput(), l.speed(now, l.byName["w"]), 1e-9)
+	require.InDelta(t, l.throughput(now), l.speed(now, l.byName["w"]), 1e-9)
 
 	beside, now := backlog(t, true)
 	l = beside.lane(model)
-	require.InDelta(t, l.throughput()/2, l.speed(now, l.byName["w"]), 1e-9, "the other asks for more than its half")
+	require.InDelta(t, l.throughput(now)/2, l.speed(now, l.byName["w"]), 1e-9, "the other asks for more than its half")
 
 	l.byName["other"].arrivals[0].rate = 0
 	l.byName["other"].cost = 1
-	require.InDelta(t, l.throughput()-0.1, l.speed(now, l.byName["w"]), 1e-9, "the other asks for a tenth")
+	require.InDelta(t, l.throughput(now)-0.1, l.speed(now, l.byName["w"]), 1e-9, "the other asks for a tenth")
 }
--- a/internal/admission/lane.go
+++ b/internal/admission/lane.go
@@ -28,8 +28,10 @@
 	virtual float64
 	queued  int
 	cost    float64
-	// inFlight counts requests handed out and not released.
+	// inFlight counts requests that have a slot.
 	inFlight int
+	// asking are the requests that look for a slot, the one that began first in front.
+	asking []*Ticket
 	// mean is the mean number in flight, as of measured.
 	mean     float64
 	measured time.Time
@@ -96,15 +98,20 @@
 }
 
 // throughput returns how many seconds of slot time this node gets in a second.
-// By Little's law that is the mean number in flight.
-func (l *lane) throughput() float64 {
-	return max(l.mean, float64(l.inFlight), 1)
+// By Little's law that is the mean number in flight. Those that look for a slot
+// count while there is no sign that they look in vain.
+func (l *lane) throughput(now time.Time) float64 {
+	inFlight := l.inFlight
+	if !l.short(now) {
+		inFlight += len(l.asking)
+	}
+	return max(l.mean, float64(inFlight), 1)
 }
 
 // comeBack returns when a caller that was refused may try again: when what is
 // waiting now has been served.
-func (l *lane) comeBack() time.Duration {
-	return clampRetry(time.Duration(l.cost / l.throughput() * float64(time.Second)))
+func (l *lane) comeBack(now time.Time) time.Duration {
+	return clampRetry(time.Duration(l.cost / l.throughput(now) * float64(time.Second)))
 }
 
 // next returns the flow that is to be served next, or nil.
--- a/internal/admission/shed.go
+++ b/internal/admission/shed.go
@@ -44,7 +44,7 @@
 		return nil
 	}
 	return verdict.New(verdict.NotRun, verdict.CodeDeadlineUnlikely, "waited until its deadline could no longer be met").
-		After(t.flow.lane.comeBack())
+		After(t.flow.lane.comeBack(now))
 }
 
 // LatestStart is when a ticket has to have a slot to be likely to meet its deadline.
--- a/internal/admission/ticket.go
+++ b/internal/admission/ticket.go
@@ -11,6 +11,8 @@
 
 const (
 	stateWaiting state = iota
+	// stateAsking has had its turn and looks for a slot.
+	stateAsking
 	stateRunning
 	stateEnded
 )
@@ -19,12 +21,14 @@
 type Ticket struct {
 	Request Request
 
-	flow    *flow
-	state   state
-	place   int
-	key     int64
-	serial  uint64
-	since   time.Time
+	flow   *flow
+	state  state
+	place  int
+	key    int64
+	serial uint64
+	since  time.Time
+	// asks is since when it has been looking for a slot.
+	asks    time.Time
 	settled chan struct{}
 	refusal *verdict.Error
 }
--- a/internal/bench/productattempt.go
+++ b/internal/bench/productattempt.go
@@ -15,6 +15,7 @@
 	w := n.product.world
 	j.attempts++
 	j.attempt = a
+	n.admit.Placed(w.clock.wall(), j.ticket)
 	a.ended = func(a *attempt, how ending) {
 		w.atNode(n.number, hop, func() { n.ended(a, how) })
 	}
--- a/internal/intake/ticket.go
+++ b/internal/intake/ticket.go
@@ -51,6 +51,7 @@
 	}
 	t.mu.Unlock()
 	if first {
+		t.intake.controller.Placed(time.Now(), t.admitted)
 		t.intake.stopAsking(t.pool)
 	}
 }
