A drifting estimate displaces nothing

Cause: a request displaced waiting ones that were worth less per second of a slot, by however little.

Change: a request displaces accepted ones only when it is worth half as much again. TestADriftingEstimateDisplacesNothing was seen to fail with the factor 1.

--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -68,7 +68,7 @@
 	}
 	for view.wait(ahead) > left {
 		worst := f.worst()
-		if worst == nil || !worst.lessWorth(t) {
+		if worst == nil || !t.displaces(worst) {
 			return nil
 		}
 		ahead -= worst.Request.Cost.Seconds()
@@ -87,7 +87,7 @@
 		}
 		cost := other.Request.Cost.Seconds()
 		ahead += cost
-		if other.lessWorth(t) {
+		if t.displaces(other) {
 			lesser += cost
 		}
 	}
--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -10,6 +10,10 @@
 // agingStep is how long a request has to wait to be as urgent as a new one of the next priority.
 const agingStep = 1500 * time.Millisecond
 
+// displacingFactor is how much more worth per second of a slot a request has to
+// have than one that was accepted before to displace it.
+const displacingFactor = 1.5
+
 // flow is what one workspace has waiting in one lane.
 type flow struct {
 	workspace ident.Workspace
@@ -100,3 +104,8 @@
 	}
 	return t.serial > other.serial
 }
+
+// displaces reports whether t is worth the breach of other's acceptance.
+func (t *Ticket) displaces(other *Ticket) bool {
+	return t.Request.density() > displacingFactor*other.Request.density()
+}
