Only what goes before a request is displaced for it

Cause: the request that was worth the least of all waiting ones was shed, also when it was queued behind the new one and its going gained the new one nothing.

Change: only those that go before are shed. TestOnlyWhatGoesBeforeIsDisplaced was seen to fail without it.

--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -67,7 +67,7 @@
 			"about %v of waiting before the request leave too little time until its deadline", wait.Round(time.Millisecond)).After(clampRetry(wait))
 	}
 	for view.wait(ahead) > left {
-		worst := f.worst()
+		worst := f.worstAhead(f.lane.key(now, &t.Request))
 		if worst == nil || !t.displaces(worst) {
 			return nil
 		}
--- a/internal/admission/displace_test.go
+++ b/internal/admission/displace_test.go
@@ -37,3 +37,13 @@
 	require.NotEmpty(t, *shed, "what is worth twice as much still displaces")
 }
 
+// Only what goes before a request is shed for it: the rest does not delay it.
+func TestOnlyWhatGoesBeforeIsDisplaced(t *testing.T) {
+	c, shed := crowd(t)
+	behind, refusal := c.Admit(start, ask("w", 0, 0.1, time.Second, time.Hour))
+	require.Nil(t, refusal)
+	_, refusal = c.Admit(later, ask("w", 5, 2, time.Second, later.Add(4*time.Second).Sub(start)))
+	require.Nil(t, refusal)
+	require.NotEmpty(t, *shed)
+	require.NotContains(t, *shed, behind)
+}
--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -93,6 +93,18 @@
 	return worst
 }
 
+// worstAhead returns the one of those that go before a request queued at key that
+// is worth the least for its cost, or nil.
+func (f *flow) worstAhead(key int64) *Ticket {
+	var worst *Ticket
+	for _, t := range f.waiting {
+		if t.key <= key && (worst == nil || t.lessWorth(worst)) {
+			worst = t
+		}
+	}
+	return worst
+}
+
 // lessWorth reports whether t is shed before other.
 func (t *Ticket) lessWorth(other *Ticket) bool {
 	a, b := t.Request.density(), other.Request.density()
