What would be given up soon gets a place where others wait

Those refused after acceptance had their turn in time and then looked for a slot for 5 to 9 s, where the others looked for 1 to 1.5 s: a freed slot went to whoever asked next.

Change: a request that is given up in less than 2 s says so to the owner, which lets half as many more wait at an upstream for such requests.

--- a/internal/bench/productreserve.go
+++ b/internal/bench/productreserve.go
@@ -62,10 +62,19 @@
 		Model: f.Model, Service: f.Service, Blocks: blocks,
 		PromptTokens: f.PromptTokens, MaxTokens: f.MaxTokens, Urgency: n.urgency(j),
 		Avoid: f.Avoid, Suspect: f.Suspect,
-		Hold: j.deadline - n.product.world.clock.now + time.Second,
+		Pressing: n.pressing(j),
+		Hold:     j.deadline - n.product.world.clock.now + time.Second,
 	}
 }
 
+// pressing reports whether a job that was not sent is given up soon.
+func (n *node) pressing(j *job) bool {
+	if j.sent > 0 {
+		return false
+	}
+	return owner.Pressing(n.product.world.clock.wall(), n.admit.LatestStart(j.ticket))
+}
+
 // urgency is the priority of a job where it waits behind its slot's others.
 func (n *node) urgency(j *job) request.Urgency {
 	needs := time.Duration(j.kind.output) * admission.TypicalPace
--- a/internal/dispatch/fakesite_test.go
+++ b/internal/dispatch/fakesite_test.go
@@ -45,6 +45,8 @@
 	leaving   map[ident.Upstream]bool
 	// paces are the times between tokens that the places were given back with.
 	paces []time.Duration
+	// latestStarts are those of the needs that asked for an upstream.
+	latestStarts []time.Time
 	// admission is what the nodes that are added accept by.
 	admission dispatch.Admission
 	reclaims  map[ident.Upstream]time.Time
@@ -210,6 +212,7 @@
 func (s *fakeSite) Pick(_ context.Context, need *dispatch.Need) (dispatch.Placement, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.latestStarts = append(s.latestStarts, need.LatestStart)
 	var avoided *fleet.Upstream
 	for i, u := range s.upstreams {
 		switch {
--- a/internal/dispatch/need.go
+++ b/internal/dispatch/need.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/request"
 	"mangoledge.example/mangoledge/internal/routing"
@@ -17,4 +19,7 @@
 	Avoid []ident.Upstream
 	// Attempt counts the upstreams tried before.
 	Attempt int
+	// LatestStart is when the request must have its place or is given up; zero
+	// once it was sent to an upstream.
+	LatestStart time.Time
 }
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -110,8 +110,10 @@
 // findPlace gets a pass for the content and a place at an upstream. A request
 // that was sent to none yet looks for one until its latest start at most.
 func (d *Dispatcher) findPlace(ctx context.Context, e *entry, need *Need) (Placement, Pass, *verdict.Error) {
+	need.LatestStart = time.Time{}
 	if !e.wasDispatched() {
-		bounded, cancel := context.WithDeadline(ctx, e.ticket.LatestStart())
+		need.LatestStart = e.ticket.LatestStart()
+		bounded, cancel := context.WithDeadline(ctx, need.LatestStart)
 		defer cancel()
 		ctx = bounded
 	}
--- a/internal/owner/messages.go
+++ b/internal/owner/messages.go
@@ -48,6 +48,8 @@
 	// Hold is how long the reservation lasts without a release or a renewal;
 	// DefaultHold when it is 0.
 	Hold time.Duration
+	// Pressing is true when the request must have a place soon or is given up.
+	Pressing bool
 }
 
 // Features returns what the choice depends on.
@@ -55,7 +57,7 @@
 	return routing.Features{
 		Model: a.Model, Adapter: a.Adapter, Service: a.Service, Blocks: a.Blocks,
 		PromptTokens: a.PromptTokens, MaxTokens: a.MaxTokens,
-		Avoid: a.Avoid, Suspect: a.Suspect,
+		Avoid: a.Avoid, Suspect: a.Suspect, Pressing: a.Pressing,
 	}
 }
 
--- a/internal/placement/router.go
+++ b/internal/placement/router.go
@@ -177,6 +177,7 @@
 func (r *Router) Pick(ctx context.Context, need *dispatch.Need) (dispatch.Placement, error) {
 	features := featuresOf(need)
 	features.Suspect = r.options.Suspect != nil && r.options.Suspect(need.Spec)
+	features.Pressing = owner.Pressing(r.options.Now(), need.LatestStart)
 	for range maxOwners {
 		choice, ok := r.directory.Choose(r.options.Now(), &features)
 		if !ok {
@@ -292,6 +293,7 @@
 		Urgency:      request.UrgencyOf(need.Spec.Deadline, time.Duration(features.MaxTokens)*admission.TypicalPace),
 		Avoid:        features.Avoid,
 		Suspect:      features.Suspect,
+		Pressing:     features.Pressing,
 	}
 }
 
--- a/internal/routing/features.go
+++ b/internal/routing/features.go
@@ -22,6 +22,8 @@
 	// Suspect is true when the content was running at an upstream that crashed.
 	// Two suspects never share an upstream.
 	Suspect bool
+	// Pressing is true when the request must have a place soon or is given up.
+	Pressing bool
 }
 
 // Pool returns the name of the group of upstreams that can serve the request.
--- a/internal/routing/replica.go
+++ b/internal/routing/replica.go
@@ -19,6 +19,8 @@
 	// adoptTime is how long an exact table also trusts reports on a replica that is new to it,
 	// since its former owner's counts are lost.
 	adoptTime = 3 * time.Second
+	// pressingPart is how many requests that are pressing may wait beyond the others, as a part of these.
+	pressingPart = 0.5
 	// paceGain is the weight of a new sample in the mean time per token.
 	paceGain = 0.2
 )
@@ -127,6 +129,14 @@
 	return float64(options.Overcommit) * r.speed
 }
 
+// reserved is how many more may wait when one that is pressing asks.
+func (r *Replica) reserved(options *Options, f *Features) float64 {
+	if !f.Pressing {
+		return 0
+	}
+	return r.overcommit(options) * pressingPart
+}
+
 // sample adds a measured time between tokens.
 func (r *Replica) sample(perToken time.Duration, options *Options) {
 	if perToken <= 0 {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -149,10 +149,10 @@
 	if !t.options.Exact {
 		return true
 	}
-	if !c.fresh {
+	if !c.fresh && !f.Pressing {
 		return c.inFlight < c.limit
 	}
-	return float64(t.load(now, c)) < c.room(now)+c.overcommit(&t.options)
+	return float64(t.load(now, c)) < c.room(now)+c.overcommit(&t.options)+c.reserved(&t.options, f)
 }
 
 func hasAdapter(r *Replica, adapter ident.Adapter) bool {
