--- a/internal/admission/shed.go
+++ b/internal/admission/shed.go
@@ -1,8 +1,6 @@
 package admission
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"mangoledge.example/mangoledge/internal/verdict"
@@ -29,33 +27,9 @@
 			c.drop(t, refusal)
 		}
 	}
-	c.forego(now, f)
 	clear(c.scratch)
 }
 
-// forego sheds what is foretold to miss its latest start, once slots are short.
-func (c *Controller) forego(now time.Time, f *flow) {
-	if !f.lane.short(now) {
-		return
-	}
-	c.scratch = append(c.scratch[:0], f.waiting...)
-	slices.SortFunc(c.scratch, func(a, b *Ticket) int {
-		return cmp.Or(cmp.Compare(a.key, b.key), cmp.Compare(a.serial, b.serial))
-	})
-	ahead := 0.0
-	for _, t := range c.scratch {
-		waited := now.Sub(t.since).Seconds()
-		view := f.lane.outlook(now, f, f.lane.lead(&t.Request)+waited)
-		expected := view.wait(ahead)
-		if expected > 2*c.LatestStart(t).Sub(now).Seconds() {
-			c.drop(t, verdict.New(verdict.NotRun, verdict.CodeDeadlineUnlikely, "its turn will come too late").
-				After(clampRetry(time.Duration(expected*float64(time.Second)))))
-			continue
-		}
-		ahead += t.Request.Cost.Seconds()
-	}
-}
-
 // Overdue returns the refusal of a ticket that is unlikely to meet its deadline
 // when it gets a slot at now, or nil. It is for tickets that wait or look for a
 // slot; one that was sent to an upstream is not overdue before its deadline.
