Who looks for a slot goes before those that have to start later only

Cause: all that look for a slot were taken to go before a new request. Engines and the owner's line order by the latest start, so one with less time goes before them.

Change: only those with an earlier latest start go before it.

--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -57,6 +57,8 @@
 	}
 	ahead, lesser := c.ahead(f, t)
 	view := l.outlook(now, f, l.lead(&t.Request))
+	t.latest = c.LatestStart(t)
+	view.looking = l.looking(now, t.latest)
 	expected := view.wait(ahead)
 	if expected <= left {
 		return nil
--- a/internal/admission/asking.go
+++ b/internal/admission/asking.go
@@ -32,15 +32,18 @@
 	return len(l.asking) > 0 && now.Sub(l.asking[0].asks) > askingTime
 }
 
-// looking returns for how long a request that has its turn looks for a slot, in
-// seconds: those that look for one now go before it.
-func (l *lane) looking(now time.Time) float64 {
+// looking returns for how long a request with that latest start looks for a slot
+// once it has its turn, in seconds: those that look for one now and have to start
+// earlier go before it.
+func (l *lane) looking(now, latestStart time.Time) float64 {
 	if !l.short(now) {
 		return 0
 	}
 	cost := 0.0
 	for _, t := range l.asking {
-		cost += t.Request.Cost.Seconds()
+		if !t.latest.After(latestStart) {
+			cost += t.Request.Cost.Seconds()
+		}
 	}
 	return cost / l.throughput(now)
 }
--- a/internal/admission/forecast.go
+++ b/internal/admission/forecast.go
@@ -61,7 +61,7 @@
 	}
 	slices.SortFunc(streams, func(a, b stream) int { return cmp.Compare(a.until, b.until) })
 	l.streams = streams
-	return outlook{speed: l.speed(now, f), looking: l.looking(now), streams: streams}
+	return outlook{speed: l.speed(now, f), streams: streams}
 }
 
 // lasts returns for how long the lane is expected to be short of capacity, in
--- a/internal/admission/ticket.go
+++ b/internal/admission/ticket.go
@@ -28,7 +28,9 @@
 	serial uint64
 	since  time.Time
 	// asks is since when it has been looking for a slot.
-	asks    time.Time
+	asks time.Time
+	// latest is when it has to have its slot to be likely to meet its deadline.
+	latest  time.Time
 	settled chan struct{}
 	refusal *verdict.Error
 }
