--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -57,6 +57,8 @@
 	}
 	ahead, lesser := c.ahead(f, t)
 	view := l.outlook(now, f, l.lead(&t.Request))
+	t.latest = c.LatestStart(t)
+	view.looking = l.looking(now, t.latest)
 	expected := view.wait(ahead)
 	if expected <= left {
 		return nil
@@ -67,8 +69,8 @@
 			"about %v of waiting before the request leave too little time until its deadline", wait.Round(time.Millisecond)).After(clampRetry(wait))
 	}
 	for view.wait(ahead) > left {
-		worst := f.worst()
-		if worst == nil || !worst.lessWorth(t) {
+		worst := f.worstAhead(f.lane.key(now, &t.Request))
+		if worst == nil || !t.displaces(worst) {
 			return nil
 		}
 		ahead -= worst.Request.Cost.Seconds()
@@ -87,7 +89,7 @@
 		}
 		cost := other.Request.Cost.Seconds()
 		ahead += cost
-		if other.lessWorth(t) {
+		if t.displaces(other) {
 			lesser += cost
 		}
 	}
@@ -99,7 +101,7 @@
 	if l.queued < c.settings.MaxQueued {
 		return nil
 	}
-	refusal := verdict.New(verdict.NotRun, verdict.CodeOverloaded, "%d requests are waiting", l.queued).After(l.comeBack())
+	refusal := verdict.New(verdict.NotRun, verdict.CodeOverloaded, "%d requests are waiting", l.queued).After(l.comeBack(t.since))
 	victim := l.longest()
 	worst := victim.worst()
 	own := (t.flow.cost + t.Request.Cost.Seconds()) / t.flow.share
--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -10,6 +10,10 @@
 // agingStep is how long a request has to wait to be as urgent as a new one of the next priority.
 const agingStep = 1500 * time.Millisecond
 
+// displacingFactor is how much more worth per second of a slot a request has to
+// have than one that was accepted before to displace it.
+const displacingFactor = 1.5
+
 // flow is what one workspace has waiting in one lane.
 type flow struct {
 	workspace ident.Workspace
@@ -19,9 +23,9 @@
 	cost float64
 	// finish is the virtual time at which the last request handed out ends.
 	finish float64
-	// inFlight counts requests handed out and not released.
-	inFlight int
-	share    float64
+	// askingCost is the sum of the cost of those that look for a slot, in seconds.
+	askingCost float64
+	share      float64
 	// arrivals is the accepted work, by kind.
 	arrivals []*arrivals
 }
@@ -89,6 +93,18 @@
 	return worst
 }
 
+// worstAhead returns the one of those that go before a request queued at key that
+// is worth the least for its cost, or nil.
+func (f *flow) worstAhead(key int64) *Ticket {
+	var worst *Ticket
+	for _, t := range f.waiting {
+		if t.key <= key && (worst == nil || t.lessWorth(worst)) {
+			worst = t
+		}
+	}
+	return worst
+}
+
 // lessWorth reports whether t is shed before other.
 func (t *Ticket) lessWorth(other *Ticket) bool {
 	a, b := t.Request.density(), other.Request.density()
@@ -100,3 +116,8 @@
 	}
 	return t.serial > other.serial
 }
+
+// displaces reports whether t is worth the breach of other's acceptance.
+func (t *Ticket) displaces(other *Ticket) bool {
+	return t.Request.density() > displacingFactor*other.Request.density()
+}
--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -95,5 +95,6 @@
 		Urgency:      request.UrgencyOf(need.Spec.Deadline, time.Duration(features.MaxTokens)*admission.TypicalPace),
 		Avoid:        features.Avoid,
 		Suspect:      features.Suspect,
+		Pressing:     features.Pressing,
 	}
 }
