The host list is read by all nodes in turn

Cause: each of 57 watchers at 460 nodes read the whole list, 642 KB at 5,500 hosts, every 2 s: 321 KB/s at each, 29 times its budget for control of 11 KB/s. The list has no answer of what changed, and its stand-in sends no gzip though the client asks for it. And a watcher that waited for the list asked for no reclaim notices meanwhile.

Change: every 300 ms one node reads, chosen by rendezvous hash over the usable members and the number of the turn; the two turns of a round go to two failure domains. Nothing is agreed or told, clocks need not agree, a dead, frozen or hanging reader holds up no other, and the cloud's notices are waited for apart from it.

All nodes know 1.0 s after the list shows a host leaving, and 1.6 s while a failure domain is dead and nobody has noticed; worked out with 0.7 s of gossip at 460.

Conclusion: within the budget. What only the list tells is known 3.6 s after the notice in the worst case at the last of 460 nodes, 2 s of which are the list's own lag: 0.6 s over, until a dead failure domain is noticed. Below one node for 28 hosts it is over in bytes again.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -10,7 +10,9 @@
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/operator"
 	"mangoledge.example/mangoledge/internal/peer"
+	"mangoledge.example/mangoledge/internal/platform/hostlist"
 	"mangoledge.example/mangoledge/internal/platform/objects"
+	"mangoledge.example/mangoledge/internal/platform/rest"
 	"mangoledge.example/mangoledge/internal/relay"
 )
 
@@ -27,6 +29,8 @@
 	leaving     *fleet.Leaving
 	view        *fleet.LeavingView
 	notices     *notices
+	// hostList is nil on a node whose settings name no host list.
+	hostList *fleet.HostListWatch
 	// capacity is nil on a node whose settings name no cloud.
 	capacity *reconciling
 	running  sync.WaitGroup
@@ -50,10 +54,21 @@
 	operator.RecordMarks(n.journal, c.leaving, c.registry)
 	c.view = fleet.NewLeavingView(c.registry, c.leaving)
 	c.notices = newNotices(n, c.leaving)
+	c.hostList = newHostListWatch(n, c.leaving)
 	c.capacity = newReconciling(n, c)
 	return c
 }
 
+// newHostListWatch returns nil when the settings name no host list.
+func newHostListWatch(n *Node, leaving *fleet.Leaving) *fleet.HostListWatch {
+	platform := n.settings.Platform
+	if platform.HostListURL == "" {
+		return nil
+	}
+	client := rest.NewClient(rest.Options{BaseURL: platform.HostListURL, Token: platform.Token})
+	return fleet.NewHostListWatch(hostlist.NewClient(client), n.members, leaving, time.Now, n.logger)
+}
+
 // stale tells whether this node may have missed a configuration, and why.
 func (c *control) stale() (string, bool) {
 	return c.manager.Stale(time.Now())
@@ -88,6 +103,9 @@
 		}
 	})
 	c.run(func() { c.notices.watch(ctx) })
+	if c.hostList != nil {
+		c.run(func() { c.hostList.Run(ctx) })
+	}
 	if c.capacity != nil {
 		c.run(func() { c.capacity.run(ctx) })
 	}
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -6,7 +6,6 @@
 
 	"mangoledge.example/mangoledge/internal/fleet"
 	"mangoledge.example/mangoledge/internal/platform/cloud"
-	"mangoledge.example/mangoledge/internal/platform/hostlist"
 	"mangoledge.example/mangoledge/internal/platform/rest"
 	"mangoledge.example/mangoledge/internal/wait"
 )
@@ -16,19 +15,15 @@
 	noticeWait = time.Second
 	// noticePause is the time between two calls after one failed.
 	noticePause = 500 * time.Millisecond
-	// hostListInterval is the time between two looks at the host list.
-	hostListInterval = 2 * time.Second
 )
 
-// notices learns which hosts are leaving: from the cloud's reclaim notices and
-// from the host list. Marks are spread to all nodes by whoever learns first.
+// notices learns from the cloud's reclaim notices which hosts are leaving. Marks
+// are spread to all nodes by whoever learns first.
 type notices struct {
 	node    *Node
 	leaving *fleet.Leaving
 	cloud   *cloud.Client
-	hosts   *hostlist.Client
 	last    uint64
-	listed  time.Time
 	// own yields when this node's host was marked.
 	own chan struct{}
 }
@@ -40,9 +35,6 @@
 	if platform.CloudURL != "" {
 		out.cloud = cloud.NewClient(rest.NewClient(rest.Options{BaseURL: platform.CloudURL, Token: platform.Token}))
 	}
-	if platform.HostListURL != "" {
-		out.hosts = hostlist.NewClient(rest.NewClient(rest.Options{BaseURL: platform.HostListURL, Token: platform.Token}))
-	}
 	return out
 }
 
@@ -55,7 +47,6 @@
 			w.waitForOwnMark(ctx)
 			continue
 		}
-		w.readHostList(ctx)
 		if !w.readNotices(ctx, noticeWait) {
 			wait.For(ctx, noticePause)
 		}
@@ -111,23 +102,3 @@
 		w.node.logger.Warn("a reclaim notice could not be told to other nodes", "host", string(notice.Host), "error", err)
 	}
 }
-
-// readHostList marks the hosts that the host list shows as leaving.
-func (w *notices) readHostList(ctx context.Context) {
-	if w.hosts == nil || time.Since(w.listed) < hostListInterval {
-		return
-	}
-	w.listed = time.Now()
-	list, err := w.hosts.List(ctx)
-	if err != nil {
-		return
-	}
-	for _, host := range list.Hosts {
-		if !host.Leaving {
-			continue
-		}
-		if err := w.leaving.MarkHost(host.Host, time.Now(), fleet.SourceHostList); err != nil {
-			w.node.logger.Warn("a leaving host could not be told to other nodes", "host", string(host.Host), "error", err)
-		}
-	}
-}
--- a/internal/slopes/lists.go
+++ b/internal/slopes/lists.go
@@ -53,7 +53,7 @@
 		}
 		out = append(out, figures...)
 	}
-	return out, nil
+	return append(out, hostListTurns()...), nil
 }
 
 // listOf measures one list.
--- /dev/null
+++ b/internal/slopes/turns.go
@@ -0,0 +1,39 @@
+package slopes
+
+import (
+	"fmt"
+	"time"
+
+	"mangoledge.example/mangoledge/internal/fleet"
+	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/membership"
+)
+
+const (
+	// turnHours is for how long the turns to read the host list are counted.
+	turnHours = 1
+	// firstTurn is where the count begins, so that every run counts the same turns.
+	firstTurn fleet.Turn = 1 << 32
+)
+
+// hostListTurns counts how often the nodes of the large site read the host list.
+func hostListTurns() []Figure {
+	var members []membership.Member
+	for n := range siteMembers {
+		members = append(members, memberN(n, time.UnixMilli(0), ""))
+	}
+	span := turnHours * time.Hour
+	turns := fleet.Turn(span / fleet.HostListTurn)
+	reads := make(map[ident.Incarnation]int)
+	most := 0
+	for turn := range turns {
+		reader, _ := fleet.HostListReader(members, firstTurn+turn)
+		reads[reader.Incarnation]++
+		most = max(most, reads[reader.Incarnation])
+	}
+	how := fmt.Sprintf("%d members in %d failure domains, %d hour of turns", siteMembers, domains, turnHours)
+	return []Figure{
+		{Name: "lists.hosts_reads", Value: float64(turns) / span.Seconds() / siteMembers, Unit: unitPerSecond, How: "a node, " + how},
+		{Name: "lists.hosts_reads_most", Value: float64(most) / span.Seconds(), Unit: unitPerSecond, How: "the node that reads most often, " + how},
+	}
+}
