At a large site the reconciler asks for the hosts concerned, not for all

A load that waited for the weight store meant a list every 2 s.

Change: from 200 hosts on the holder asks for at most 8 by themselves, by sending their starts again, which return the host as it is. It asks after a mark, once more 30 s later, before a load, and after an end or what failed. A plan made so may change what was asked for and add no more than that lost; anything else is planned by a new list.

Tests: the crash at every call, lost answers, a late start and a wave run both ways. No test was eased; plan takes one argument more, and the fake of marks lists them.

A host that vanishes without a word is found within 275 s as before, but no longer by chance at the next event's lists.

--- a/internal/capacity/act.go
+++ b/internal/capacity/act.go
@@ -26,8 +26,8 @@
 	resultRefused
 	// resultStarted means that the cloud gave its host.
 	resultStarted
-	// resultUnsettled means that the intent stands, and that only a new list of hosts
-	// shows what became of what was tried.
+	// resultUnsettled means that the intent stands, and that only the cloud shows what
+	// became of what was tried.
 	resultUnsettled
 )
 
@@ -51,7 +51,7 @@
 	return refused
 }
 
-// settle notes refusals and what only a new list of hosts shows, and strikes off the intents that met one.
+// settle notes refusals and what only the cloud shows, and strikes off the intents that met one.
 func (r *Reconciler) settle(l *Ledger, results []result) {
 	refused := make(map[string]bool)
 	for i, outcome := range results {
@@ -66,7 +66,7 @@
 			r.refusals.clear(intent.Pool)
 			r.noteStart(&intent, hostStarted, string(intent.Host))
 		case resultUnsettled:
-			r.listing.outdated = true
+			r.listing.unsettled[intent.Token] = true
 		case resultKept:
 		}
 	}
--- a/internal/capacity/listing.go
+++ b/internal/capacity/listing.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mangoledge.example/mangoledge/internal/config"
+	"mangoledge.example/mangoledge/internal/fleet"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/platform/cloud"
 )
@@ -18,24 +19,39 @@
 	listIntervalPerHost = 25 * time.Millisecond
 )
 
-// Marks counts the changes of what is known to be leaving; *fleet.Leaving is one.
+// Marks tells what is known to be leaving; *fleet.Leaving is one.
 type Marks interface {
-	// Changes only grows.
+	// Changes counts the changes of Marks; it only grows.
 	Changes() uint64
+	// Marks returns the marks in force.
+	Marks() []fleet.Mark
 }
 
-// listing is the newest list of hosts, with what was known when it was asked for.
+// listing is the newest list of hosts, with what was known when it was asked for, and
+// what was learnt of single hosts since.
 type listing struct {
 	hosts []cloud.Host
 	// at is when it was read, the zero time when there is none.
 	at time.Time
-	// marks is what Marks counted just before.
+	// marks is what Marks counted just before, and seen when each was made.
 	marks uint64
+	seen  map[fleet.Subject]time.Time
 	// afterMark is true when a mark led to it: the platform may show that one later.
 	afterMark bool
-	// outdated is true when the cloud or an engine was asked for something since
-	// whose outcome the list does not show.
-	outdated bool
+	// unsettled are the tokens of the intents for which the cloud or an engine was asked
+	// for something since whose outcome the list does not show.
+	unsettled map[string]bool
+	// again is when the hosts of marked intents are asked for once more, by token.
+	again map[string]time.Time
+}
+
+// noteMarks notes the marks that were looked at.
+func (l *listing) noteMarks(what *concern) {
+	l.marks = what.changes
+	l.seen = make(map[fleet.Subject]time.Time, len(what.marks))
+	for _, m := range what.marks {
+		l.seen[m.Subject] = m.At
+	}
 }
 
 // interval is how long the list is good for when nothing happens.
@@ -54,30 +70,24 @@
 	return r.options.Marks.Changes()
 }
 
-// mustList reports whether the hosts have to be listed before the next plan.
-func (r *Reconciler) mustList(site *config.Site) bool {
-	last := &r.listing
-	return !r.known || last.at.IsZero() || last.outdated || last.marks != r.marks() ||
-		r.options.Clock().Sub(last.at) >= last.interval() || r.anyWaits(site)
-}
-
-// listHosts lists the hosts anew.
-func (r *Reconciler) listHosts(ctx context.Context) error {
-	marks := r.marks()
+// listHosts lists the hosts anew, after what was looked at.
+func (r *Reconciler) listHosts(ctx context.Context, what *concern) error {
 	hosts, err := r.options.Cloud.Hosts(ctx)
 	if err != nil {
 		return err
 	}
-	r.listing = listing{hosts: hosts, at: r.options.Clock(), marks: marks, afterMark: marks != r.listing.marks}
+	afterMark := what.changes != r.listing.marks
+	r.listing = listing{
+		hosts: hosts, at: r.options.Clock(), afterMark: afterMark,
+		unsettled: make(map[string]bool), again: make(map[string]time.Time),
+	}
+	r.listing.noteMarks(what)
 	return nil
 }
 
 // anyWaits reports whether an intent waits for its host, or for an order to its engine.
 func (r *Reconciler) anyWaits(site *config.Site) bool {
-	adapters := make(map[ident.Model][]ident.Adapter, len(site.Models))
-	for _, model := range site.Models {
-		adapters[model.Name] = model.Adapters
-	}
+	adapters := adaptersOf(site)
 	for _, l := range r.ledgers {
 		for k := range l.Intents {
 			if l.Intents[k].waits(adapters[l.Intents[k].Model]) {
@@ -88,6 +98,15 @@
 	return false
 }
 
+// adaptersOf returns the adapters that are declared for each model.
+func adaptersOf(site *config.Site) map[ident.Model][]ident.Adapter {
+	out := make(map[ident.Model][]ident.Adapter, len(site.Models))
+	for _, model := range site.Models {
+		out[model.Name] = model.Adapters
+	}
+	return out
+}
+
 // waits reports whether the intent waits for its host, or for an order to load its
 // model or an adapter. One that drains does not: whether its work is done is asked of
 // its engine, and its end outdates the list.
--- a/internal/capacity/listing_test.go
+++ b/internal/capacity/listing_test.go
@@ -20,6 +20,8 @@
 type countingCloud struct {
 	cloud.API
 	lists int
+	// asked counts the starts and questions.
+	asked atomic.Int64
 	// refuseLists lets no list be read.
 	refuseLists bool
 	// loseStarts and loseEnds are how many answers are still lost.
@@ -35,6 +37,7 @@
 }
 
 func (c *countingCloud) Start(ctx context.Context, start cloud.Start) (cloud.Host, error) {
+	c.asked.Add(1)
 	host, err := c.API.Start(ctx, start)
 	if c.loseStarts.Add(-1) >= 0 {
 		return cloud.Host{}, errNoAnswer
@@ -59,8 +62,14 @@
 
 // settled is a site whose four replicas run, of which nothing is waited for.
 func settled(t *testing.T) (*bench, *Reconciler, *countingCloud) {
+	t.Helper()
+	return settledWith(t, false)
+}
+
+func settledWith(t *testing.T, asks bool) (*bench, *Reconciler, *countingCloud) {
 	t.Helper()
 	b := newBench(t)
+	b.asks = asks
 	r := b.process(&plug{})
 	c := counted(b, r)
 	b.passes(r, 8, b.withinBudget)
@@ -68,6 +77,7 @@
 	b.now = b.now.Add(minListInterval)
 	require.NoError(t, r.Pass(t.Context()))
 	c.lists = 0
+	c.asked.Store(0)
 	return b, r, c
 }
 
@@ -186,7 +196,12 @@
 }
 
 func TestLostAnswersStartNoHostTwiceAndForgetNone(t *testing.T) {
+	listingAndAsking(t, lostAnswers)
+}
+
+func lostAnswers(t *testing.T, asks bool) {
 	b := newBench(t)
+	b.asks = asks
 	r := b.process(&plug{})
 	c := counted(b, r)
 	c.loseStarts.Store(6)
--- a/internal/capacity/publish.go
+++ b/internal/capacity/publish.go
@@ -51,6 +51,12 @@
 	return ident.Upstream(upstreamPrefix + string(host))
 }
 
+// hostOf returns the host of an upstream that this package lists.
+func hostOf(upstream ident.Upstream) (ident.Host, bool) {
+	host, ok := strings.CutPrefix(string(upstream), upstreamPrefix)
+	return ident.Host(host), ok
+}
+
 // sameListing compares what a ledger decides about an upstream.
 func sameListing(a, b fleet.Upstream) bool {
 	return a.ID == b.ID && a.URL == b.URL && a.State == b.State &&
--- a/internal/capacity/quiet.go
+++ b/internal/capacity/quiet.go
@@ -20,7 +20,7 @@
 
 // noteQuiet notes that a round had nothing to do, unless something is under way.
 func (r *Reconciler) noteQuiet(site *config.Site, offers []cloud.Offer) {
-	if r.listing.outdated || len(r.refusals.resting()) > 0 || !r.allReady() {
+	if len(r.listing.unsettled) > 0 || len(r.refusals.resting()) > 0 || !r.allReady() {
 		return
 	}
 	r.quiet = &quiet{site: site, offers: offers, upstreams: r.options.Registry.Upstreams(), listedAt: r.listing.at}
--- a/internal/capacity/reconciler.go
+++ b/internal/capacity/reconciler.go
@@ -6,9 +6,11 @@
 // intent's token; so whoever holds the lease next goes on with the same hosts,
 // starts none twice and forgets none. A host without an intent is written down
 // as leaving before it is ended. Nothing is ordered without a check of the lease.
-// Hosts are listed when something may have changed, and at long intervals otherwise;
-// a plan that changes a ledger is made by a list that was read for it, and so is each
-// that lets a host load something.
+// What may have changed is learnt before the next plan: of a few hosts at a large site by
+// asking for each, otherwise by listing all, which is done at long intervals besides. A
+// plan that changes a ledger is made by a list that was read for it, or changes no more than
+// what was learnt of the hosts that were asked for and replaces no more than they lost.
+// A host is asked for just before it is let load something.
 //
 // Lock order: the package has no locks; one goroutine passes, and its helpers
 // each change one intent.
@@ -104,6 +106,8 @@
 	fence lease.Fence
 	// listing is the newest list of hosts.
 	listing listing
+	// askFrom is minHostsToAsk but in tests.
+	askFrom int
 	// quiet is what the last round was made from, if it had nothing to do.
 	quiet *quiet
 	// waiting are the models whose roll-out was told to wait last.
@@ -125,6 +129,7 @@
 		refusals: newRefusals(options.Clock),
 		ledgers:  make(map[ident.FailureDomain]*Ledger),
 		waiting:  make(map[ident.Model]bool),
+		askFrom:  minHostsToAsk,
 	}
 }
 
@@ -190,11 +195,12 @@
 	if err != nil {
 		return false, err
 	}
-	if !r.mustList(site) && r.stillQuiet(site, offers) {
+	what := r.concerns(site)
+	if what.none() && r.stillQuiet(site, offers) {
 		return false, nil
 	}
 	r.quiet = nil
-	plan, err := r.plan(ctx, site, offers)
+	plan, err := r.plan(ctx, site, offers, &what)
 	if err != nil {
 		return false, err
 	}
@@ -222,17 +228,19 @@
 	return refused, nil
 }
 
-// plan plans by the newest list of hosts; what that would change is planned anew by a
-// list that is read now. The hosts are read before the ledgers, so that a host
+// plan plans by what was learnt of the cloud just now. What goes beyond it is planned
+// anew by a list that is read now. The hosts are read before the ledgers, so that a host
 // without an intent has lost it and is not about to get it.
-func (r *Reconciler) plan(ctx context.Context, site *config.Site, offers []cloud.Offer) (Planned, error) {
-	if !r.mustList(site) {
-		plan, err := r.planWith(ctx, site, offers)
-		if err != nil || r.changesNothing(&plan) {
-			return plan, err
-		}
+func (r *Reconciler) plan(ctx context.Context, site *config.Site, offers []cloud.Offer, what *concern) (Planned, error) {
+	listed, err := r.learn(ctx, what)
+	if err != nil {
+		return Planned{}, err
+	}
+	plan, err := r.planWith(ctx, site, offers)
+	if err != nil || listed || r.changesNothing(&plan) || r.follows(&plan, what.intents) {
+		return plan, err
 	}
-	if err := r.listHosts(ctx); err != nil {
+	if err := r.listHosts(ctx, what); err != nil {
 		return Planned{}, err
 	}
 	return r.planWith(ctx, site, offers)
@@ -332,12 +340,3 @@
 		r.ledgers[l.FailureDomain] = l
 	}
 }
-
-// sameIntents reports whether two ledgers say the same.
-func sameIntents(a, b *Ledger) bool {
-	return slices.EqualFunc(a.Intents, b.Intents, func(x, y Intent) bool {
-		return x.Token == y.Token && x.Pool == y.Pool && x.Model == y.Model && x.Version == y.Version &&
-			x.Phase == y.Phase && x.Host == y.Host && x.Address == y.Address &&
-			x.Next == y.Next && x.Fence == y.Fence && x.Role == y.Role && x.OrderedRole == y.OrderedRole && slices.Equal(x.Loaded, y.Loaded) && x.LeavingSinceMs == y.LeavingSinceMs && x.PricePerHour == y.PricePerHour
-	})
-}
--- a/internal/capacity/reconciler_test.go
+++ b/internal/capacity/reconciler_test.go
@@ -121,6 +121,10 @@
 	inForceText string
 	// noticed is the sequence number of the newest reclaim notice.
 	noticed uint64
+	// marked are marks besides those of the notices; noticed grows by hand with each.
+	marked []fleet.Mark
+	// asks lets holders ask for single hosts at this small site too.
+	asks bool
 }
 
 // Current returns a version that stays as it is: tests change the site in place.
@@ -144,6 +148,18 @@
 	return b.noticed
 }
 
+// Marks returns a mark for each reclaim notice.
+func (b *bench) Marks() []fleet.Mark {
+	heard, err := b.cloud.Notices(context.Background(), 0, 0)
+	require.NoError(b.t, err)
+	out := make([]fleet.Mark, 0, len(heard))
+	for _, notice := range heard {
+		at := time.UnixMilli(notice.ReclaimAtMs)
+		out = append(out, fleet.Mark{Subject: fleet.Subject{Host: notice.Host}, At: at, Source: fleet.SourceNotice, ReclaimAt: at})
+	}
+	return append(out, b.marked...)
+}
+
 func newBench(t testing.TB) *bench {
 	t.Helper()
 	return newBenchOf(t, 3)
@@ -200,13 +216,17 @@
 	calls := rest.NewClient(rest.Options{BaseURL: b.url, CallsPerSecond: 1e6})
 	b.t.Cleanup(calls.Close)
 	clock := func() time.Time { return b.now }
-	return New(Options{
+	r := New(Options{
 		Store: pluggedStore{b.store, p}, Lease: holding{}, Cloud: pluggedCloud{b.cloud, p},
 		Weights: weights.NewClient(calls, clock), Engines: idleEngines{}, Registry: b.registry, Site: b, Marks: b,
 		RegionOf: func(ident.FailureDomain) ident.Region { return "r" },
 		NewToken: func() string { b.tokens++; return fmt.Sprintf("t%d", b.tokens) },
 		Clock:    clock, Logger: slog.New(slog.DiscardHandler),
 	})
+	if b.asks {
+		r.askFrom = 0
+	}
+	return r
 }
 
 // passes lets a holder pass n times, each some time after the last.
@@ -256,10 +276,22 @@
 	}
 }
 
+// listingAndAsking runs a test at a site that lists all hosts, and at one that asks for single ones.
+func listingAndAsking(t *testing.T, test func(*testing.T, bool)) {
+	t.Helper()
+	t.Run("listing", func(t *testing.T) { test(t, false) })
+	t.Run("asking", func(t *testing.T) { test(t, true) })
+}
+
 func TestHolderThatEndsAnywhereStartsNoHostTwiceAndForgetsNone(t *testing.T) {
+	listingAndAsking(t, holderEndsAnywhere)
+}
+
+func holderEndsAnywhere(t *testing.T, asks bool) {
 	for _, after := range []bool{false, true} {
 		for at := 1; ; at++ {
 			b := newBench(t)
+			b.asks = asks
 			first := &plug{left: at, after: after}
 			b.passes(b.process(first), 6, b.withinBudget)
 			b.site.Models[0].Replicas = 2 // and two hosts are to be ended
@@ -276,7 +308,12 @@
 }
 
 func TestLateStartOfAPausedHolderIsEnded(t *testing.T) {
+	listingAndAsking(t, lateStartOfAPausedHolderIsEnded)
+}
+
+func lateStartOfAPausedHolderIsEnded(t *testing.T, asks bool) {
 	b := newBench(t)
+	b.asks = asks
 	r := b.process(&plug{})
 	b.passes(r, 3, b.withinBudget)
 	pool := cloud.Pool{FailureDomain: "d1", HostClass: "small", Market: cloud.MarketReclaimable}
@@ -297,7 +334,12 @@
 }
 
 func TestReclaimWaveWithRefusedStartsGoesToOtherDomainsAndMarkets(t *testing.T) {
+	listingAndAsking(t, reclaimWaveWithRefusedStartsGoesToOtherDomainsAndMarkets)
+}
+
+func reclaimWaveWithRefusedStartsGoesToOtherDomainsAndMarkets(t *testing.T, asks bool) {
 	b := newBench(t)
+	b.asks = asks
 	b.site.Models = append(b.site.Models, config.Model{Name: "m2", Version: "v1", Replicas: 4, Priority: 1})
 	r := b.process(&plug{})
 	b.passes(r, 6, b.withinBudget) // two loads begin in a pass
--- a/internal/capacity/roles_test.go
+++ b/internal/capacity/roles_test.go
@@ -32,7 +32,8 @@
 	b.site.Models[0].Role = "prefill"
 	offers, err := b.cloud.Offers(t.Context())
 	require.NoError(t, err)
-	plan, err := r.plan(t.Context(), &b.site, offers)
+	what := r.concerns(&b.site)
+	plan, err := r.plan(t.Context(), &b.site, offers, &what)
 	require.NoError(t, err)
 	asked := 0
 	for _, l := range plan.Ledgers {
--- a/internal/slopes/reconcile.go
+++ b/internal/slopes/reconcile.go
@@ -15,6 +15,7 @@
 	"mangoledge.example/mangoledge/internal/fleet"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/lease"
+	"mangoledge.example/mangoledge/internal/membership"
 	"mangoledge.example/mangoledge/internal/platform/cloud"
 	"mangoledge.example/mangoledge/internal/platform/objects"
 	"mangoledge.example/mangoledge/internal/platform/rest"
@@ -30,6 +31,11 @@
 	quietStep = 2 * time.Second
 	// listStep passes on the measurement's clock before a pass that lists the hosts.
 	listStep = 10 * time.Minute
+	// eventPasses is how many passes, each quietStep after the last, follow the notice of one
+	// host: until it is ended and looked at once more, and before the interval's list.
+	eventPasses = 25
+	// eventNotice is how long before its end that host gets its notice.
+	eventNotice = time.Minute
 	// maxStartPasses bounds the passes until every replica is ready.
 	maxStartPasses = 60
 	// reconcileStep passes on the measurement's clock between two passes.
@@ -38,7 +44,17 @@
 	reconcileLimit = 2 * time.Minute
 )
 
-var errNotReady = errors.New("the replicas did not get ready")
+var (
+	errNotReady = errors.New("the replicas did not get ready")
+	errNoHost   = errors.New("no host had its notice")
+	errNotEnded = errors.New("the host that had its notice was not ended")
+)
+
+// nobody is a spreader without other nodes.
+type nobody struct{}
+
+func (nobody) Publish(membership.Topic, string, uint64, []byte) error { return nil }
+func (nobody) Subscribe(membership.Topic, func(membership.Rumour))    {}
 
 // alwaysHeld is a lease that this process holds.
 type alwaysHeld struct{}
@@ -69,6 +85,7 @@
 	listener   *countingListener
 	server     *http.Server
 	registry   *fleet.Registry
+	leaving    *fleet.Leaving
 	reconciler *capacity.Reconciler
 	clock      time.Time
 	site       config.Site
@@ -94,10 +111,11 @@
 	s.closers = append(s.closers, store.Close, calls.Close)
 	logger := slog.New(slog.DiscardHandler)
 	s.registry = fleet.NewRegistry(store, relay.New(relay.Options{Store: store}), logger)
+	s.leaving = fleet.NewLeaving(nobody{}, func() time.Time { return s.clock })
 	tokens := 0
 	s.reconciler = capacity.New(capacity.Options{
 		Store: store, Lease: alwaysHeld{}, Cloud: cloud.NewClient(calls),
-		Weights: freeWeights{}, Engines: willingEngines{}, Registry: s.registry, Site: s,
+		Weights: freeWeights{}, Engines: willingEngines{}, Registry: s.registry, Site: s, Marks: s.leaving,
 		RegionOf: func(ident.FailureDomain) ident.Region { return "region-0" },
 		NewToken: func() string { tokens++; return fmt.Sprintf("%026d", tokens) },
 		Clock:    func() time.Time { return s.clock }, Logger: logger,
@@ -107,7 +125,7 @@
 
 // declare makes a site whose failure domains have room for all replicas.
 func (s *reconcileSite) declare(replicas int) {
-	each := replicas/domains + 1
+	each := replicas/domains + 2
 	s.site = config.Site{}
 	for n := range siteModels {
 		share := replicas / siteModels
@@ -189,6 +207,10 @@
 		return nil, err
 	}
 	quiet, err := s.measure(ctx, quietStep)
+	if err != nil {
+		return nil, err
+	}
+	event, err := s.loseHost(ctx)
 	how := fmt.Sprintf("a pass over %d replicas that all run, one a host, between two lists of hosts, the stand-in's share included", replicas)
 	listHow := fmt.Sprintf("a pass over %d replicas that all run, one a host, with a list of hosts, the stand-in's share included", replicas)
 	name := func(what string) string { return fmt.Sprintf("reconciler.%s.%d", what, replicas) }
@@ -199,6 +221,7 @@
 		{Name: name("pass_calls"), Value: quiet.calls, Unit: unitCount, How: how},
 		{Name: name("list_pass"), Value: listing.processor, Unit: unitMicroseconds, How: listHow},
 		{Name: name("list_pass_bytes"), Value: listing.bytes, Unit: unitBytes, How: listHow + ", both directions, without TCP headers"},
+		{Name: name("event_bytes"), Value: event, Unit: unitBytes, How: fmt.Sprintf("one of %d hosts gets its notice, is replaced and ended, all passes of %v together, both directions, without TCP headers", replicas, eventPasses*quietStep)},
 	}, err
 }
 
@@ -224,3 +247,29 @@
 		calls:     float64(s.platform.Counts().Total-calls) / reconcilePasses,
 	}, err
 }
+
+// loseHost lets one host have its notice and returns the bytes until it is replaced and ended.
+func (s *reconcileSite) loseHost(ctx context.Context) (bytes float64, err error) {
+	s.clock = s.clock.Add(listStep)
+	if err := s.reconciler.Pass(ctx); err != nil {
+		return 0, err
+	}
+	host := s.registry.Upstreams()[0].Host
+	moved := s.listener.bytes.Load()
+	if s.platform.Reclaim(string(host), "", "", eventNotice) != 1 {
+		return 0, errNoHost
+	}
+	if err := s.leaving.MarkReclaim(host, s.clock, s.clock.Add(eventNotice)); err != nil {
+		return 0, err
+	}
+	for range eventPasses {
+		s.clock = s.clock.Add(quietStep)
+		err = firstError(err, s.reconciler.Pass(ctx))
+	}
+	for _, u := range s.registry.Upstreams() {
+		if u.Host == host {
+			err = firstError(err, errNotEnded)
+		}
+	}
+	return float64(s.listener.bytes.Load() - moved), err
+}
--- a/internal/slopes/run_test.go
+++ b/internal/slopes/run_test.go
@@ -20,7 +20,7 @@
 		require.NotEmpty(t, f.Unit, f.Name)
 		require.NotEmpty(t, f.How, f.Name)
 	}
-	require.Equal(t, map[string]int{"witness": 7, "entry": 3, "observe": 3, "lists": 11, "reconciler": 12}, parts)
+	require.Equal(t, map[string]int{"witness": 7, "entry": 3, "observe": 3, "lists": 11, "reconciler": 14}, parts)
 }
 
 func TestWaitForGivesUp(t *testing.T) {
