A host that the host list misses is looked for at once

Cause: a host that vanished without a word was taken for running until the next list of the cloud, 275 s at most at 11,000 hosts. Lists that other events led to found many sooner, by chance; at a large site those are no longer read.

Change: when the holder of the lease reads the platform's host list by its turn, it looks for the hosts of intents that are not on it, once until the list shows them again. The host list lags and may be wrong, so the cloud's word alone changes anything.

It costs no read; each missing host costs one question, or a list at a small site.

--- a/internal/capacity/ask.go
+++ b/internal/capacity/ask.go
@@ -33,6 +33,9 @@
 	// marks are the marks that were looked at, of which there were changes before.
 	marks   []fleet.Mark
 	changes uint64
+	// seen is the newest host list, and missing the hosts that it does not show.
+	seen    *seenHosts
+	missing map[ident.Host]bool
 }
 
 // none reports whether nothing has to be learnt.
@@ -41,7 +44,7 @@
 // concerns returns what has to be learnt before the next plan.
 func (r *Reconciler) concerns(site *config.Site) concern {
 	last := &r.listing
-	out := concern{changes: r.marks()}
+	out := concern{changes: r.marks(), seen: r.seen.Load()}
 	if r.options.Marks != nil {
 		out.marks = r.options.Marks.Marks()
 	}
@@ -49,8 +52,9 @@
 		out.all = true
 		return out
 	}
+	out.missing = r.missingHosts(out.seen)
 	if len(last.hosts) < r.askFrom {
-		out.all = len(last.unsettled) > 0 || last.marks != out.changes || r.anyWaits(site)
+		out.all = len(last.unsettled) > 0 || len(out.missing) > 0 || last.marks != out.changes || r.anyWaits(site)
 		return out
 	}
 	r.collect(site, &out)
@@ -67,7 +71,7 @@
 			i := &l.Intents[k]
 			due, again := r.listing.again[i.Token]
 			waits := i.waits(adapters[i.Model]) && i.Phase != PhaseStarting // which the start asks for
-			if !waits && !r.listing.unsettled[i.Token] && !marked[i.Host] && (!again || now.Before(due)) {
+			if !waits && !r.listing.unsettled[i.Token] && !marked[i.Host] && !out.missing[i.Host] && (!again || now.Before(due)) {
 				continue
 			}
 			out.all = out.all || i.Host == ""
@@ -97,6 +101,14 @@
 
 // learn learns what has to be learnt. It reports whether all hosts were listed.
 func (r *Reconciler) learn(ctx context.Context, what *concern) (listed bool, err error) {
+	if listed, err = r.listOrAsk(ctx, what); err == nil {
+		r.noteLookedFor(what)
+	}
+	return listed, err
+}
+
+// listOrAsk is learn but for the note of what was looked for.
+func (r *Reconciler) listOrAsk(ctx context.Context, what *concern) (listed bool, err error) {
 	if what.all {
 		return true, r.listHosts(ctx, what)
 	}
--- a/internal/capacity/reconciler.go
+++ b/internal/capacity/reconciler.go
@@ -13,7 +13,7 @@
 // A host is asked for just before it is let load something.
 //
 // Lock order: the package has no locks; one goroutine passes, and its helpers
-// each change one intent.
+// each change one intent. Only NoteListed and Rollouts may be called beside it.
 package capacity
 
 import (
@@ -108,6 +108,11 @@
 	listing listing
 	// askFrom is minHostsToAsk but in tests.
 	askFrom int
+	// seen is the newest host list; lookedAt is the one whose missing hosts were looked for.
+	seen     atomic.Pointer[seenHosts]
+	lookedAt *seenHosts
+	// lookedFor are the hosts that were looked for since a host list last showed them.
+	lookedFor map[ident.Host]bool
 	// quiet is what the last round was made from, if it had nothing to do.
 	quiet *quiet
 	// waiting are the models whose roll-out was told to wait last.
@@ -125,11 +130,12 @@
 		options.Logger = slog.Default()
 	}
 	return &Reconciler{
-		options:  options,
-		refusals: newRefusals(options.Clock),
-		ledgers:  make(map[ident.FailureDomain]*Ledger),
-		waiting:  make(map[ident.Model]bool),
-		askFrom:  minHostsToAsk,
+		options:   options,
+		refusals:  newRefusals(options.Clock),
+		ledgers:   make(map[ident.FailureDomain]*Ledger),
+		waiting:   make(map[ident.Model]bool),
+		askFrom:   minHostsToAsk,
+		lookedFor: make(map[ident.Host]bool),
 	}
 }
 
--- a/internal/fleet/hostlistwatch.go
+++ b/internal/fleet/hostlistwatch.go
@@ -29,6 +29,7 @@
 	leaving *Leaving
 	now     func() time.Time
 	logger  *slog.Logger
+	onList  func(hostlist.List)
 }
 
 // NewHostListWatch returns a watch of the list hosts that marks in leaving; view and the
@@ -37,6 +38,12 @@
 	return &HostListWatch{hosts: hosts, view: view, leaving: leaving, now: now, logger: logger}
 }
 
+// OnList has f called with each list that this node reads, possibly several at a time.
+// It comes before Run.
+func (w *HostListWatch) OnList(f func(hostlist.List)) {
+	w.onList = f
+}
+
 // Run reads whenever it is this node's turn until ctx ends.
 func (w *HostListWatch) Run(ctx context.Context) {
 	var reads errgroup.Group
@@ -67,6 +74,9 @@
 	if err != nil {
 		return
 	}
+	if w.onList != nil {
+		w.onList(list)
+	}
 	for _, host := range list.Hosts {
 		if !host.Leaving {
 			continue
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -56,6 +56,9 @@
 	c.notices = newNotices(n, c.leaving)
 	c.hostList = newHostListWatch(n, c.leaving)
 	c.capacity = newReconciling(n, c)
+	if c.capacity != nil && c.hostList != nil {
+		c.hostList.OnList(c.capacity.reconciler.NoteListed)
+	}
 	return c
 }
 
