A list of upstreams is edited as held, and read only when that is old

Cause: each change of the list of a failure domain read it first, 146 KB at 580 upstreams, though the node has it by the relay and writes conditionally. That is a sixth of what the reconciler moves for a host that is replaced.

Change: the first try edits the version that the node holds. Whatever does not come of it, and an edit that would change nothing, goes on as before, by a read.

Test: no read while the list is known, one when another wrote meanwhile or the edit would change nothing; the test of lost answers and racing writers holds.

Smaller objects than a failure domain's are what is left to do.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -95,6 +95,9 @@
 
 // setBy is Set by another client of the store.
 func (r *Registry) setBy(ctx context.Context, store objects.Store, domain ident.FailureDomain, edit func([]Upstream) []Upstream) error {
+	if r.trySetHeld(ctx, store, domain, edit) {
+		return nil
+	}
 	var err error
 	for range maxSetTries {
 		if err = r.trySet(ctx, store, domain, edit); err == nil || !worthAnotherTry(err) {
@@ -132,16 +135,38 @@
 		r.relay.Offer(current)
 		return nil
 	}
-	spec, err := json.Marshal(DomainList{Upstreams: edited})
+	return r.write(ctx, store, domain, current.Metadata.ResourceVersion, edited)
+}
+
+// trySetHeld edits the version that this node holds, which is not read anew. It reports
+// whether that was written. What failed may have been on an old version, or may have
+// been written after all, and an edit may change nothing because the version is old: all
+// that is for trySet.
+func (r *Registry) trySetHeld(ctx context.Context, store objects.Store, domain ident.FailureDomain, edit func([]Upstream) []Upstream) bool {
+	r.mu.Lock()
+	held := r.domains[domain]
+	r.mu.Unlock()
+	if held.version == 0 {
+		return false
+	}
+	edited := edit(held.upstreams)
+	if slices.EqualFunc(edited, held.upstreams, sameUpstream) {
+		return false
+	}
+	return r.write(ctx, store, domain, held.version, edited) == nil
+}
+
+// write replaces a version of the list of a failure domain; 0 is that there is none.
+func (r *Registry) write(ctx context.Context, store objects.Store, domain ident.FailureDomain, version objects.Version, upstreams []Upstream) error {
+	spec, err := json.Marshal(DomainList{Upstreams: upstreams})
 	if err != nil {
 		return err
 	}
-	next := objects.Object{Kind: UpstreamsKind, Metadata: objects.Metadata{Name: string(domain)}, Spec: spec}
+	next := objects.Object{Kind: UpstreamsKind, Metadata: objects.Metadata{Name: string(domain), ResourceVersion: version}, Spec: spec}
 	var stored objects.Object
-	if missing {
+	if version == 0 {
 		stored, err = store.Create(ctx, next)
 	} else {
-		next.Metadata.ResourceVersion = current.Metadata.ResourceVersion
 		stored, err = store.Update(ctx, next)
 	}
 	if err != nil {
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"net/http/httptest"
 	"testing"
 
@@ -51,3 +52,46 @@
 	mine.apply(objects.Object{Kind: UpstreamsKind, Metadata: objects.Metadata{Name: "d1", ResourceVersion: 1}, Spec: []byte(`{}`)})
 	require.Len(t, mine.Upstreams(), 4, "an older list came back")
 }
+
+// readCounter counts the reads of an object store.
+type readCounter struct {
+	objects.Store
+	reads int
+}
+
+func (s *readCounter) Get(ctx context.Context, kind objects.Kind, name string) (objects.Object, error) {
+	s.reads++
+	return s.Store.Get(ctx, kind, name)
+}
+
+func TestRegistryReadsAListOnlyWhenItsOwnIsOldOrUnknown(t *testing.T) {
+	stand := platform.NewServer(platform.Options{Seed: 1})
+	server := httptest.NewServer(stand)
+	defer server.Close()
+	client := objects.NewClient(objects.Options{BaseURL: server.URL, Budget: objects.NewBudget(1e6, 100)})
+	defer client.Close()
+	store := &readCounter{Store: client}
+	mine := NewRegistry(store, relay.New(relay.Options{Store: store}), nil)
+	theirs := NewRegistry(client, relay.New(relay.Options{Store: client}), nil)
+	list := func(ids ...ident.Upstream) func([]Upstream) []Upstream {
+		return func([]Upstream) []Upstream {
+			var out []Upstream
+			for _, id := range ids {
+				out = append(out, Upstream{ID: id})
+			}
+			return out
+		}
+	}
+	require.NoError(t, mine.Set(t.Context(), "d1", list("u1")))
+	require.Equal(t, 1, store.reads, "nothing was known")
+	require.NoError(t, mine.Set(t.Context(), "d1", list("u1", "u2")))
+	require.Equal(t, 1, store.reads, "its own list was read again")
+	require.NoError(t, theirs.Set(t.Context(), "d1", list("u3")))
+	require.NoError(t, mine.Set(t.Context(), "d1", list("u1", "u2")))
+	require.Equal(t, 2, store.reads, "an edit that changes nothing has to know the newest")
+	require.Len(t, mine.Upstreams(), 2)
+	require.NoError(t, theirs.Set(t.Context(), "d1", list("u3")))
+	require.NoError(t, mine.Set(t.Context(), "d1", list("u4")))
+	require.Equal(t, 3, store.reads, "its own list was old")
+	require.Equal(t, ident.Upstream("u4"), mine.Upstreams()[0].ID)
+}
