--- a/internal/slopes/peercalls.go
+++ b/internal/slopes/peercalls.go
@@ -1,8 +1,11 @@
 package slopes
 
 import (
+	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"mangoledge.example/mangoledge/internal/grant"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/owner"
@@ -38,19 +41,58 @@
 	}
 }
 
+const (
+	// firstSerial is the number of the first reservation: a node that is up for an hour has made more.
+	firstSerial = 1 << 17
+	// pace is the time between two tokens that a release tells.
+	pace = 35 * time.Millisecond
+	// settleLooks and settleLook are how often and at which interval a list is confirmed
+	// until an owner that was left alone chooses from it again.
+	settleLooks = 20
+	settleLook  = 100 * time.Millisecond
+)
+
+var errNotGranted = errors.New("a reservation was refused, whose answer is shorter")
+
+// settle confirms the list of an owner until it grants reservations.
+func settle(ledger *owner.Ledger) {
+	for range settleLooks {
+		ledger.Table().Confirm(time.Now())
+		time.Sleep(settleLook)
+	}
+}
+
 // ownerCalls measures a slot's reservation and its release.
 func ownerCalls(caller *measuredCaller, home ident.Incarnation, specs []*request.Spec) []Figure {
-	return []Figure{
+	ledger := caller.server.ledger
+	settle(ledger)
+	idOf := func(n int) owner.ReservationID {
+		return owner.ReservationID{Holder: home.Hash(), Serial: firstSerial + uint64(n)} //nolint:gosec // a count
+	}
+	argsOf := func(n int) *owner.ReserveArgs {
+		return &owner.ReserveArgs{
+			ID: idOf(n), Model: "model-0", Blocks: routing.Blocks(nil, "model-0", "", specs[n].Input),
+			PromptTokens: promptBytes / tokenBytes, MaxTokens: answerTokens,
+			Urgency: request.UrgencyOf(specs[n].Deadline, answerTokens*pace),
+		}
+	}
+	ended := routing.Outcome{PerToken: pace}
+	replies := make([]owner.ReserveReply, peerCallCount)
+	figures := []Figure{
 		caller.measure("reserve", owner.MethodReserve, func(n int) (args, reply any) {
-			id := owner.ReservationID{Holder: home.Hash(), Serial: uint64(n)}
-			blocks := routing.Blocks(nil, "model-0", "", specs[n].Input)
-			caller.server.ledger.Table().Confirm(time.Now())
-			return &owner.ReserveArgs{ID: id, Model: "model-0", Blocks: blocks, PromptTokens: promptBytes / tokenBytes, MaxTokens: answerTokens}, new(owner.ReserveReply)
+			ledger.Table().Confirm(time.Now())
+			ledger.Release(time.Now(), idOf(n-1), ended) // so that there is a slot for each
+			return argsOf(n), &replies[n]
 		}),
 		caller.measure("release", owner.MethodRelease, func(n int) (args, reply any) {
-			return &owner.ReleaseArgs{ID: owner.ReservationID{Holder: home.Hash(), Serial: uint64(n)}}, new(owner.ReleaseReply)
+			ledger.Reserve(time.Now(), argsOf(n))
+			return &owner.ReleaseArgs{ID: idOf(n), Outcome: ended}, new(owner.ReleaseReply)
 		}),
 	}
+	if slices.ContainsFunc(replies, func(r owner.ReserveReply) bool { return !r.Granted }) {
+		caller.err = firstError(caller.err, errNotGranted)
+	}
+	return figures
 }
 
 // gateCalls measures a pass for a content and its return.
