Seeded schedules have faults of the store, operators, crashes and a domain's reclaim

Cause: the schedules of the process tests had faults of links, nodes, single engines and callers. An outage of the object store, an answer that is lost after the write took effect, an operator's change, an upstream that crashes without a word and a whole failure domain reclaimed at once were tested alone and never met another fault.

Nodes are asked for their versions throughout, and the history tells what the store has at the end: CheckConfig finds a change that was accepted and is not there, and one that was said not to be made and is. A fault of the store excuses no request. A version that was seen stands for the time of the question, since the answer may be late.

--- a/internal/faulttest/break_test.go
+++ b/internal/faulttest/break_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 
@@ -84,3 +85,61 @@
 	}
 	s.over(at)
 }
+
+// domainNotice is the least notice that a whole failure domain gets.
+const domainNotice = 2 * time.Second
+
+// upstreams returns all engines and services.
+func (s *site) upstreams() []*upstream {
+	return append(append([]*upstream{}, s.engines...), s.services...)
+}
+
+// reclaimOnce reclaims an upstream that is still there.
+func (s *site) reclaimOnce(u *upstream, notice time.Duration) {
+	u.broken.Lock()
+	defer u.broken.Unlock()
+	if !u.link.ended.Load() {
+		s.reclaimUpstream(u, notice)
+	}
+}
+
+// crashUpstream ends an upstream without a word and starts it again after d.
+func (s *site) crashUpstream(u *upstream, d time.Duration) {
+	u.broken.Lock()
+	defer u.broken.Unlock()
+	if u.link.ended.Load() {
+		return
+	}
+	at := s.fault(u.faultOf(historycheck.FaultKill))
+	u.process.kill()
+	s.over(at)
+	time.Sleep(d)
+	u.role.Engine.Seed += seedStep // its tokens are of another generation
+	u.process = s.startRole(u.name, u.role)
+}
+
+// replaceDomain reclaims every host of a failure domain at once, and then starts
+// its nodes on other hosts.
+func (s *site) replaceDomain(domain string, notice time.Duration) {
+	var wg sync.WaitGroup
+	for _, u := range s.upstreams() {
+		if u.domain == domain {
+			wg.Go(func() { s.reclaimOnce(u, notice) })
+		}
+	}
+	for _, n := range s.nodes {
+		if string(n.settings.FailureDomain) == domain {
+			wg.Go(func() { s.replaceNode(n, notice) })
+		}
+	}
+	wg.Wait()
+}
+
+// replaceNode reclaims the host of a node and starts the node on another.
+func (s *site) replaceNode(n *node, notice time.Duration) {
+	n.broken.Lock()
+	defer n.broken.Unlock()
+	s.reclaimNode(n, notice)
+	n.settings.Host = s.newHost(n.name+" anew", domainName(n.number))
+	s.startNode(n)
+}
--- a/internal/faulttest/control_test.go
+++ b/internal/faulttest/control_test.go
@@ -53,17 +53,19 @@
 	return last
 }
 
-// seen asks every node which version is in force, and notes it.
+// seen asks every node which version is in force, and notes it. The answer may be
+// late, so that it stands for the time of the question.
 func (s *site) seen(h *historycheck.History) {
 	for _, n := range s.nodes {
 		var out struct {
 			Self struct{ Incarnation ident.Incarnation }
 			Site *config.Site
 		}
+		asked := time.Now()
 		if !s.readDump(n, &out) || out.Site == nil {
 			continue
 		}
-		h.Seen = append(h.Seen, historycheck.Seen{Incarnation: out.Self.Incarnation, Version: out.Site.Version, At: time.Now()})
+		h.Seen = append(h.Seen, historycheck.Seen{Incarnation: out.Self.Incarnation, Version: out.Site.Version, At: asked})
 	}
 }
 
--- a/internal/faulttest/directed_test.go
+++ b/internal/faulttest/directed_test.go
@@ -300,7 +300,7 @@
 // reclaimDomain reclaims every host of a failure domain at once.
 func (s *site) reclaimDomain(domain string, notice time.Duration) {
 	var wg sync.WaitGroup
-	for _, u := range append(append([]*upstream{}, s.engines...), s.services...) {
+	for _, u := range s.upstreams() {
 		if u.domain == domain {
 			wg.Go(func() { s.reclaimUpstream(u, notice) })
 		}
--- a/internal/faulttest/history_test.go
+++ b/internal/faulttest/history_test.go
@@ -13,7 +13,7 @@
 // history returns what callers and stand-ins wrote so far.
 func (s *site) history() *historycheck.History {
 	var paths []string
-	for _, u := range append(append([]*upstream{}, s.engines...), s.services...) {
+	for _, u := range s.upstreams() {
 		if path := u.role.Engine.HistoryPath; path != "" {
 			if _, err := os.Stat(path); err == nil {
 				paths = append(paths, path)
@@ -24,7 +24,10 @@
 	require.NoError(s.t, err)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return &historycheck.History{Calls: s.calls, Runs: runs, Faults: s.faults}
+	return &historycheck.History{
+		Calls: s.calls, Runs: runs, Faults: s.faults,
+		Changes: s.changes, NotMade: s.notMade, Seen: s.versions, Stored: s.stored,
+	}
 }
 
 // check fails the test for each violation of the history.
--- a/internal/faulttest/node_test.go
+++ b/internal/faulttest/node_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"sync"
 
 	"github.com/stretchr/testify/require"
 
@@ -26,6 +27,10 @@
 	process  *process
 	callers  *link
 	peers    *link
+	// number is its place among the nodes of the site.
+	number int
+	// broken is held while a fault of a schedule strikes the process.
+	broken sync.Mutex
 }
 
 // newNode makes a node with its links; it is not started yet.
@@ -34,6 +39,7 @@
 	callerAddress, peerAddress := s.freeAddress(), s.freeAddress()
 	n := &node{
 		name:    name,
+		number:  i,
 		file:    filepath.Join(s.dir, name+".json"),
 		callers: newLink(s.t, name+" callers", callerAddress, false),
 		peers:   newLink(s.t, name+" peers", peerAddress, true),
--- a/internal/faulttest/platform_test.go
+++ b/internal/faulttest/platform_test.go
@@ -20,9 +20,12 @@
 	s.offerHosts()
 }
 
-// shortClient makes small calls of the harness itself.
+// shortClient makes small calls of the harness itself that are made again when they fail.
 var shortClient = &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
+// patientClient makes those that are made once, also on a machine that is slow.
+var patientClient = &http.Client{Timeout: readyTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+
 // reclaimOrder is the body of the platform's POST /control/reclaim.
 type reclaimOrder struct {
 	Host     string `json:"host"`
@@ -63,7 +66,7 @@
 	require.NoError(s.t, err)
 	req, err := http.NewRequestWithContext(s.t.Context(), method, s.platform+path, bytes.NewReader(data))
 	require.NoError(s.t, err)
-	resp, err := shortClient.Do(req)
+	resp, err := patientClient.Do(req)
 	require.NoError(s.t, err)
 	defer func() { _ = resp.Body.Close() }()
 	require.Less(s.t, resp.StatusCode, http.StatusBadRequest, path)
--- a/internal/faulttest/recovery_test.go
+++ b/internal/faulttest/recovery_test.go
@@ -75,7 +75,7 @@
 
 // read returns the answer to a request of the harness, which must be a good one.
 func (s *site) read(req *http.Request) []byte {
-	resp, err := shortClient.Do(req)
+	resp, err := patientClient.Do(req)
 	require.NoError(s.t, err)
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(resp.Body)
--- a/internal/faulttest/seeds_test.go
+++ b/internal/faulttest/seeds_test.go
@@ -15,10 +15,6 @@
 	seedsVariable = "MANGOLEDGE_SEEDS"
 	// fixedSeeds is how many seeds every test run has.
 	fixedSeeds = 3
-	// scheduleTime is how long faults are made in one run.
-	scheduleTime = 12 * time.Second
-	// faultCount is how many faults one run has.
-	faultCount = 8
 	// callerCount is how many callers send at once.
 	callerCount = 6
 )
@@ -47,10 +43,12 @@
 	for i, c := range callers {
 		calls.Go(func() { s.callUntil(stop, c, i) })
 	}
+	calls.Go(func() { s.watchUntil(stop) })
 	s.runSchedule(schedule(seed), callers)
 	s.mendAll()
 	close(stop)
 	calls.Wait()
+	s.readStored()
 	s.summarise()
 	s.check()
 }
@@ -87,55 +85,12 @@
 			lost++
 		}
 	}
-	s.t.Logf("seed %d: %d calls, %d whole, %d refused, %d without an answer, %d come back to, %d faults", s.options.seed, len(h.Calls), whole, refused, lost, returned, len(h.Faults))
-}
-
-// step is one fault of a schedule.
-type step struct {
-	at     time.Duration
-	kind   stepKind
-	target int
-	// long is how long it lasts.
-	long time.Duration
-}
-
-// stepKind is a kind of fault as schedules choose it.
-type stepKind int
-
-const (
-	stepDelay stepKind = iota
-	stepCut
-	stepSilence
-	stepDrip
-	stepKill
-	stepPause
-	stepStop
-	stepReclaimEngine
-	stepKillCaller
-	stepKinds
-)
-
-// schedule makes the faults of a seed; several may fall together.
-func schedule(seed uint64) []step {
-	random := rand.New(rand.NewPCG(seed, seed))
-	out := make([]step, faultCount)
-	for i := range out {
-		out[i] = step{
-			at:     time.Duration(random.Int64N(int64(scheduleTime))),
-			kind:   stepKind(random.IntN(int(stepKinds))),
-			target: random.IntN(1 << 16),
-			long:   500*time.Millisecond + time.Duration(random.Int64N(int64(4*time.Second))),
-		}
-		if i > 0 && random.IntN(3) == 0 {
-			out[i].at = out[i-1].at // together
-		}
-	}
-	return out
+	s.t.Logf("seed %d: %d calls, %d whole, %d refused, %d without an answer, %d come back to, %d faults, %d changes accepted and %d not made",
+		s.options.seed, len(h.Calls), whole, refused, lost, returned, len(h.Faults), len(h.Changes), len(h.NotMade))
 }
 
 // runSchedule makes the faults at their times and waits for the last.
 func (s *site) runSchedule(steps []step, callers []*caller) {
-	locks := make([]sync.Mutex, len(s.nodes))
 	callerLocks := make([]sync.Mutex, len(callers))
 	var wg sync.WaitGroup
 	for _, st := range steps {
@@ -148,25 +103,31 @@
 				breakCaller(st, callers[i])
 				return
 			}
-			s.runStep(st, locks)
+			s.runStep(st)
 		})
 	}
 	wg.Wait()
 }
 
-func (s *site) runStep(st step, locks []sync.Mutex) {
-	i := st.target % len(s.nodes)
-	n := s.nodes[i]
+func (s *site) runStep(st step) {
 	switch st.kind {
 	case stepDelay, stepCut, stepSilence, stepDrip:
 		s.breakLink(st)
 	case stepKill, stepPause, stepStop:
-		// One node has one such fault at a time, so that it can be started again.
-		locks[i].Lock()
-		defer locks[i].Unlock()
-		s.breakNode(st, n)
+		s.breakNode(st, s.nodes[st.target%len(s.nodes)])
 	case stepReclaimEngine:
-		s.reclaimUpstream(s.engines[st.target%(len(s.engines)/2)], st.long)
+		s.reclaimOnce(s.engines[st.target%(len(s.engines)/2)], st.long)
+	case stepCrashUpstream:
+		all := s.upstreams()
+		s.crashUpstream(all[st.target%len(all)], st.long)
+	case stepReclaimDomain:
+		s.replaceDomain(domainName(st.target), st.long+domainNotice)
+	case stepStoreOutage:
+		s.storeOutage(st.long)
+	case stepLostAnswer:
+		s.loseAnswers(st)
+	case stepChange:
+		s.operate(st)
 	case stepKillCaller, stepKinds:
 	}
 }
@@ -178,7 +139,10 @@
 	c.restart()
 }
 
+// breakNode has one such fault at a time at one node, so that it can be started again.
 func (s *site) breakNode(st step, n *node) {
+	n.broken.Lock()
+	defer n.broken.Unlock()
 	switch st.kind {
 	case stepKill:
 		s.killNode(n)
@@ -188,7 +152,7 @@
 	case stepStop:
 		s.stopNode(n)
 		n.process.kill()
-	case stepDelay, stepCut, stepSilence, stepDrip, stepReclaimEngine, stepKillCaller, stepKinds:
+	default:
 		return
 	}
 	time.Sleep(st.long)
@@ -201,7 +165,7 @@
 	for _, n := range s.nodes {
 		out = append(out, n.callers, n.peers)
 	}
-	for _, u := range append(append([]*upstream{}, s.engines...), s.services...) {
+	for _, u := range s.upstreams() {
 		out = append(out, u.link)
 	}
 	return out
@@ -221,7 +185,7 @@
 		err = l.silence()
 	case stepDrip:
 		err = l.drip(1)
-	case stepKill, stepPause, stepStop, stepReclaimEngine, stepKillCaller, stepKinds:
+	default:
 	}
 	if err != nil {
 		// Another fault is at work on this link already.
--- a/internal/faulttest/site_test.go
+++ b/internal/faulttest/site_test.go
@@ -62,6 +62,12 @@
 	mu     sync.Mutex
 	faults []historycheck.Fault
 	calls  []historycheck.Call
+	// changes and notMade are what operators were told, and versions what nodes had in force.
+	changes  []historycheck.Change
+	notMade  []ident.Change
+	versions []historycheck.Seen
+	// stored is what the store had at the end, nil before.
+	stored *historycheck.Stored
 	// callers is how many callers were started.
 	callers int
 
--- a/internal/faulttest/upstream_test.go
+++ b/internal/faulttest/upstream_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"sync"
 
 	"github.com/stretchr/testify/require"
 
@@ -25,8 +26,13 @@
 	role    role
 	process *process
 	link    *link
+	// broken is held while a fault of a schedule strikes the process.
+	broken sync.Mutex
 }
 
+// seedStep is added to an engine's seed when it is started again; there are fewer engines.
+const seedStep = 1000
+
 func (s *site) startRole(name string, r role) *process {
 	s.t.Helper()
 	text, err := json.Marshal(r)
@@ -102,7 +108,7 @@
 func (s *site) order(u *upstream, faults any) {
 	data, err := json.Marshal(faults)
 	require.NoError(s.t, err)
-	resp, err := shortClient.Post("http://"+u.address+"/faults", "application/json", bytes.NewReader(data))
+	resp, err := patientClient.Post("http://"+u.address+"/faults", "application/json", bytes.NewReader(data))
 	if err == nil {
 		_ = resp.Body.Close()
 	}
--- a/internal/historycheck/check_test.go
+++ b/internal/historycheck/check_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/standin/chain"
 	"mangoledge.example/mangoledge/internal/standin/history"
 	"mangoledge.example/mangoledge/internal/verdict"
@@ -53,6 +54,8 @@
 			{Kind: FaultStop, Target: "n1", Address: "n1", At: at(2), Till: at(3)},
 		},
 		Changes: []Change{{ID: "x", Version: 5, At: at(1)}},
+		NotMade: []ident.Change{"y"},
+		Stored:  &Stored{Changes: []ident.Change{"first", "x"}},
 		Seen:    []Seen{{Incarnation: "n1_1", Version: 4, At: at(2)}, {Incarnation: "n1_1", Version: 5, At: at(4)}},
 	}
 }
@@ -90,6 +93,8 @@
 		{"configuration goes back", PropertyConfig, func(h *History) {
 			h.Seen = append(h.Seen, Seen{Incarnation: "n1_1", Version: 4, At: at(4.5)})
 		}},
+		{"accepted change is not in the store", PropertyConfig, func(h *History) { h.Stored.Changes = h.Stored.Changes[:1] }},
+		{"change told not to be made is in the store", PropertyConfig, func(h *History) { h.NotMade[0] = "x" }},
 		{"configuration not in force in time", PropertyConfig, func(h *History) { h.Seen[0].At = at(5.1) }},
 	}
 	for _, p := range planted {
--- a/internal/historycheck/config.go
+++ b/internal/historycheck/config.go
@@ -10,9 +10,11 @@
 const ConfigLimit = 4 * time.Second
 
 // CheckConfig checks that no incarnation was seen with an older version after
-// a newer one, and that each saw an accepted version within ConfigLimit.
+// a newer one, that each saw an accepted version within ConfigLimit, and that
+// the store has what operators were told it has.
 func CheckConfig(h *History) []Violation {
 	r := report{property: PropertyConfig}
+	checkStored(&r, h)
 	latest := make(map[ident.Incarnation]Seen)
 	for _, seen := range h.Seen {
 		before, ok := latest[seen.Incarnation]
--- a/internal/historycheck/excuse.go
+++ b/internal/historycheck/excuse.go
@@ -50,7 +50,7 @@
 	}
 	for i := range h.Faults {
 		f := &h.Faults[i]
-		if !f.Kind.announced() && f.felt(c.Deadline, c.Deadline) {
+		if f.Kind.excuses() && f.felt(c.Deadline, c.Deadline) {
 			return true
 		}
 	}
@@ -63,7 +63,7 @@
 	starts := startsOf(h, c)
 	for i := range h.Faults {
 		f := &h.Faults[i]
-		if f.Kind.announced() || !f.felt(c.Started, c.Finished) {
+		if !f.Kind.excuses() || !f.felt(c.Started, c.Finished) {
 			continue
 		}
 		if f.Node != "" && (anyNode || nodes[f.Node]) {
--- a/internal/historycheck/excuse_test.go
+++ b/internal/historycheck/excuse_test.go
@@ -32,6 +32,7 @@
 		"witness paused":      {Kind: FaultPause, Node: "n2", Address: "a2"},
 		"home's link cut":     {Kind: FaultLink, Node: "n1"},
 		"upstream's link cut": {Kind: FaultLink, Upstream: "s1"},
+		"upstream crashed":    {Kind: FaultKill, Upstream: "s1"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := lostHold(fault)
@@ -48,6 +49,9 @@
 		"another node killed":               lostHold(Fault{Kind: FaultKill, Node: "n3", Address: "a3"}),
 		"link of the home's callers cut":    lostHold(Fault{Kind: FaultLink, Address: "a1"}),
 		"another upstream's link cut":       lostHold(Fault{Kind: FaultLink, Upstream: "s2"}),
+		"another upstream crashed":          lostHold(Fault{Kind: FaultKill, Upstream: "s2"}),
+		"outage of the object store":        lostHold(Fault{Kind: FaultStore, Target: "objects"}),
+		"deadline during a store's outage":  planted(Fault{Kind: FaultStore}, func(h *History) { h.Calls[0].Deadline = at(6) }),
 		"announced reclaim of the home":     lostHold(Fault{Kind: FaultReclaim, Node: "n1", Address: "a1"}),
 		"planned stop of the home":          lostHold(Fault{Kind: FaultStop, Node: "n1", Address: "a1"}),
 		"said to have run, and no answer":   planted(homeKilled, func(h *History) { h.Calls[0].Verdict = verdict.Ran }),
@@ -103,6 +107,7 @@
 	}{
 		{"another node killed", Fault{Kind: FaultKill, Node: "n3", Address: "n3"}, 1},
 		{"its link to other nodes cut", Fault{Kind: FaultLink, Node: "n1"}, 1},
+		{"the object store is out", Fault{Kind: FaultStore, Target: "objects"}, 1},
 		{"its link to callers cut", Fault{Kind: FaultLink, Address: "n1"}, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/historycheck/fault.go
+++ b/internal/historycheck/fault.go
@@ -21,6 +21,8 @@
 	FaultPause FaultKind = "pause"
 	// FaultLink cuts, delays or silences a link.
 	FaultLink FaultKind = "link"
+	// FaultStore is an outage or a lost answer of the object store.
+	FaultStore FaultKind = "store"
 )
 
 // announced reports whether the system is told before the fault takes effect.
@@ -28,6 +30,12 @@
 	return k == FaultReclaim || k == FaultStop
 }
 
+// excuses reports whether the fault may cost a request its answer. Requests do
+// without the object store, so that its faults excuse none.
+func (k FaultKind) excuses() bool {
+	return !k.announced() && k != FaultStore
+}
+
 // Fault is something that was done to a process or a link.
 type Fault struct {
 	Kind FaultKind
--- a/internal/historycheck/history.go
+++ b/internal/historycheck/history.go
@@ -1,6 +1,7 @@
 package historycheck
 
 import (
+	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/standin/history"
 )
 
@@ -14,6 +15,10 @@
 	Faults []Fault
 	// Changes are the configuration changes that were answered as accepted.
 	Changes []Change
+	// NotMade are the changes that were answered as refused or in conflict.
+	NotMade []ident.Change
 	// Seen are versions of the configuration that nodes were seen to have in force.
 	Seen []Seen
+	// Stored is what the object store had at the end; nil when it was not read.
+	Stored *Stored
 }
--- a/internal/historycheck/plannedstop.go
+++ b/internal/historycheck/plannedstop.go
@@ -36,7 +36,7 @@
 func lossExcused(h *History, loss *Loss) bool {
 	for i := range h.Faults {
 		f := &h.Faults[i]
-		if !f.Kind.announced() && f.Address == loss.Address && f.felt(loss.At, loss.At) {
+		if f.Kind.excuses() && f.Address == loss.Address && f.felt(loss.At, loss.At) {
 			return true
 		}
 	}
