A stream whose home and witness are both killed goes on behind its caller's tokens

The caller had the request and its tokens all the while, and a node that is sent an idempotent request runs it without its witness. Only a caller that had not been told "accepted" yet did send it.

A time to come back is named until both are known to be gone. callerclient, resuming without the request itself, comes back at that time. A non-idempotent request that is sent again is answered as at any other send.

TestHomeAndWitnessKilledTogether, TestStreamWhoseHomeAndWitnessAreLostIsSentAgain and TestResumeNeedsTheRequestOnlyWhenProgressIsLost failed before.

--- a/internal/callerclient/call.go
+++ b/internal/callerclient/call.go
@@ -167,10 +167,13 @@
 		return actionResend
 	}
 	next := afterRefusal(end.refusal, k.resuming || len(k.result.Tokens) > 0)
-	if next == actionResubmit && k.sub.Kind == "" {
-		return actionGiveUp
+	if next != actionResubmit || k.sub.Kind != "" {
+		return next
 	}
-	return next
+	if retryAfter(end.refusal) > 0 {
+		return actionResend
+	}
+	return actionGiveUp
 }
 
 // prepare readies the next attempt and waits for its time; it reports false when the deadline comes first.
--- a/internal/callerclient/send_test.go
+++ b/internal/callerclient/send_test.go
@@ -144,4 +144,10 @@
 	result = site.client().Resume(t.Context(), in, nil)
 	require.Equal(t, OutcomeRefused, result.Outcome)
 	require.Equal(t, []string{"a"}, result.Tokens)
+
+	site = newFakeSite(t,
+		refuse(http.StatusNotFound, "may_have_run", "unknown_request", 1),
+		events(accepted("g"), token(1, "b"), done(2)))
+	result = site.client().Resume(t.Context(), in, nil)
+	require.Equal(t, "ab", result.Output, "it was told when to come back")
 }
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -23,7 +23,11 @@
 	if res.Forwarded {
 		return nil, errUnknown()
 	}
-	record, err := d.fetchFromWitness(ctx, res.ID, res.Workspace)
+	reply, err := d.askWitness(ctx, res.ID)
+	if err != nil {
+		return nil, d.errProgressUnknown(res.ID, err)
+	}
+	record, err := recordOf(reply, res.Workspace)
 	if err != nil {
 		return nil, err
 	}
@@ -115,18 +119,41 @@
 
 // fetchFromWitness asks the witness for a record of workspace.
 func (d *Dispatcher) fetchFromWitness(ctx context.Context, id ident.RequestID, workspace ident.Workspace) (*request.Record, error) {
-	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
-	defer cancel()
-	reply, err := d.options.Witness.Fetch(ctx, &grant.FetchRequest{ID: id})
+	reply, err := d.askWitness(ctx, id)
 	if err != nil {
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeWitnessLost, "neither home nor witness of this request can be reached").After(resendDelay)
 	}
+	return recordOf(reply, workspace)
+}
+
+func (d *Dispatcher) askWitness(ctx context.Context, id ident.RequestID) (*grant.FetchReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
+	defer cancel()
+	reply, err := d.options.Witness.Fetch(ctx, &grant.FetchRequest{ID: id})
+	return &reply, err
+}
+
+// recordOf returns the record that a witness has of a request of workspace.
+func recordOf(reply *grant.FetchReply, workspace ident.Workspace) (*request.Record, error) {
 	if !reply.Found || reply.Record.Spec.Workspace != workspace {
 		return nil, errUnknown()
 	}
 	return &reply.Record, nil
 }
 
+// errProgressUnknown is the answer when nobody who knows the request can be
+// reached. Its caller has the request and its tokens, and sends them again: an
+// idempotent request then goes on behind them. The answer names a time to come
+// back for as long as home or witness may still tell.
+func (d *Dispatcher) errProgressUnknown(id ident.RequestID, cause error) *verdict.Error {
+	refusal := verdict.New(verdict.MayHaveRun, verdict.CodeUnknownRequest,
+		"neither home nor witness of this request can be reached; send it again under its ID, with the tokens received")
+	if d.neverDecided(id, cause) {
+		return refusal
+	}
+	return refusal.After(resendDelay)
+}
+
 func errUnknown() *verdict.Error {
 	return verdict.New(verdict.MayHaveRun, verdict.CodeUnknownRequest, "no such request is known; it may have expired")
 }
--- a/internal/faulttest/directed_test.go
+++ b/internal/faulttest/directed_test.go
@@ -114,6 +114,25 @@
 	s.check()
 }
 
+// TestHomeAndWitnessKilledTogether leaves nobody who knows a stream but its caller.
+func TestHomeAndWitnessKilledTogether(t *testing.T) {
+	s := startSite(t, siteOptions{nodes: 4, services: 1, engines: 3, seed: 24})
+	home, witness := s.nodes[0], s.nodes[1]
+	stream := longStream("home and witness killed")
+	stream.ID = callerapi.NewOptString(s.newID(home, witness))
+	var killed sync.Once
+	call := s.send(s.newCaller(), stream, func(offset int) {
+		if offset == 100 {
+			killed.Do(func() {
+				s.killNode(home)
+				s.killNode(witness)
+			})
+		}
+	})
+	require.True(t, call.Whole, "%+v", call.Refusals)
+	s.check()
+}
+
 func TestWitnessKilledIsNeverNotRunAfterARun(t *testing.T) {
 	s := startSite(t, siteOptions{nodes: 4, services: 3, engines: 3, seed: 3})
 	home, witness, third := s.nodes[0], s.nodes[1], s.nodes[2]
