--- a/internal/dispatch/witnesslost.go
+++ b/internal/dispatch/witnesslost.go
@@ -23,7 +23,7 @@
 // failed with cause. homeAnswer is what its home said, nil when it was not asked.
 // Once neither can ever tell more, the request is unknown for good.
 func (d *Dispatcher) notFound(id ident.RequestID, homeAnswer, cause error) *verdict.Error {
-	if d.neverDecided(id, cause) || (isUnknown(homeAnswer) && isWitnessGone(cause)) {
+	if d.neverKnown(id, homeAnswer, cause) {
 		return verdict.New(verdict.MayHaveRun, verdict.CodeUnknownRequest,
 			"the witness of this ID is gone for good and its home does not know it, so nobody can tell what became of it")
 	}
@@ -31,6 +31,12 @@
 		"neither home nor witness of this request can be reached").After(resendDelay)
 }
 
+// neverKnown reports whether neither home nor witness can ever tell more about a
+// request; homeAnswer and cause are as for notFound.
+func (d *Dispatcher) neverKnown(id ident.RequestID, homeAnswer, cause error) bool {
+	return d.neverDecided(id, cause) || (isUnknown(homeAnswer) && isWitnessGone(cause))
+}
+
 // isUnknown reports whether err is another node's word that it does not know a request.
 func isUnknown(err error) bool {
 	var refusal *verdict.Error
