A late answer is not written to a reply that its caller has back

Callers throw the reply away after an error, so that nothing wrong was used, but the memory was written to by two.

Change: the client decodes into a value of its own and hands it over once the call is done.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"net/rpc"
+	"reflect"
 	"slices"
 	"sync"
 	"time"
@@ -61,15 +62,21 @@
 // Call calls method ("Service.Method") at address. The context must have a deadline.
 // An error from the remote method is a *verdict.Error; any other error means
 // that the call may or may not have taken effect, unless IsNotSent says so.
+// reply points to what the answer goes to; after an error nothing writes to it,
+// also when the answer comes late.
 func (c *Client) Call(ctx context.Context, address, method string, args, reply any) error {
 	l, err := c.link(ctx, address)
 	if err != nil {
 		return err
 	}
-	call := l.rpc.Go(method, args, reply, make(chan *rpc.Call, 1))
+	answer := reflect.New(reflect.TypeOf(reply).Elem())
+	call := l.rpc.Go(method, args, answer.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 		l.answered.Add(1)
+		if call.Error == nil {
+			reflect.ValueOf(reply).Elem().Set(answer.Elem())
+		}
 		if errors.Is(call.Error, rpc.ErrShutdown) {
 			c.retire(address, l)
 		}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -108,3 +108,31 @@
 	require.Error(t, err)
 	require.True(t, IsNotSent(err))
 }
+
+// The caller of a call that was given up has its reply to itself, also when the
+// answer comes just then or later.
+func TestALateAnswerIsNotWrittenToTheReply(t *testing.T) {
+	const calls = 300
+	address := startServer(t, "secret")
+	client := NewClient(Dialer{Token: "secret"})
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	replies := make([]EchoArgs, calls)
+	failed := make([]bool, calls)
+	for i := range calls {
+		given, giveUp := context.WithCancel(ctx)
+		if i%2 == 0 {
+			giveUp()
+		}
+		go giveUp()
+		failed[i] = client.Call(given, address, "Echo.Echo", &EchoArgs{Text: "late"}, &replies[i]) != nil
+		replies[i].Text += "!"
+	}
+	client.Close()
+	for i := range calls {
+		if failed[i] {
+			require.Equal(t, "!", replies[i].Text)
+		}
+	}
+	require.Contains(t, failed, true)
+}
