One piece of code where two said the same

Cause: a read of the change found a loop over the waiting requests beside its twin with a bound, a place made three times only to be given back, and the verdict of a refusal read from the API's word in the caller's client and again in the process tests.

Change: flow.worst asks worstAhead without a bound; reserve makes its place once; callerclient.VerdictOf serves both. Behaviour and checks stay as they were.

--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"time"
 
 	"mangoledge.example/mangoledge/internal/ident"
@@ -84,13 +85,7 @@
 
 // worst returns the waiting ticket that is worth the least for its cost, or nil.
 func (f *flow) worst() *Ticket {
-	var worst *Ticket
-	for _, t := range f.waiting {
-		if worst == nil || t.lessWorth(worst) {
-			worst = t
-		}
-	}
-	return worst
+	return f.worstAhead(math.MaxInt64)
 }
 
 // worstAhead returns the one of those that go before a request queued at key that
--- a/internal/callerclient/call.go
+++ b/internal/callerclient/call.go
@@ -173,7 +173,7 @@
 		out.Verdict = verdict.Ran
 		out.Accepted = true
 	case end.refusal != nil:
-		out.Verdict = verdictOf(end.refusal.Verdict)
+		out.Verdict = VerdictOf(end.refusal.Verdict)
 	case !k.mayHaveLeft:
 		out.Verdict = verdict.NotRun
 	default:
--- a/internal/callerclient/decision.go
+++ b/internal/callerclient/decision.go
@@ -67,7 +67,9 @@
 	return time.Duration(refusal.RetryAfterMs.Or(0)) * time.Millisecond
 }
 
-func verdictOf(v callerapi.RefusalVerdict) verdict.Verdict {
+// VerdictOf returns the verdict that a refusal of the API names; one that is not
+// known counts as may_have_run.
+func VerdictOf(v callerapi.RefusalVerdict) verdict.Verdict {
 	switch v {
 	case callerapi.RefusalVerdictNotRun:
 		return verdict.NotRun
--- a/internal/faulttest/callerprocess_test.go
+++ b/internal/faulttest/callerprocess_test.go
@@ -161,7 +161,7 @@
 		return lost
 	}
 	r.Refused(sub.ID.Or(""), refusal)
-	return &journalEntry{Verdict: verdictOf(refusal.Verdict), Outcome: "refused: " + refusal.Message}
+	return &journalEntry{Verdict: callerclient.VerdictOf(refusal.Verdict), Outcome: "refused: " + refusal.Message}
 }
 
 func (p *callerProcess) open(ctx context.Context, order *callerOrder) (*http.Response, error) {
@@ -224,16 +224,5 @@
 
 // Refused is told each refusal.
 func (r *recorder) Refused(id string, refusal callerapi.Refusal) {
-	r.write(&journalEntry{Event: eventRefused, ID: id, Verdict: verdictOf(refusal.Verdict)})
-}
-
-func verdictOf(text callerapi.RefusalVerdict) verdict.Verdict {
-	switch text {
-	case callerapi.RefusalVerdictNotRun:
-		return verdict.NotRun
-	case callerapi.RefusalVerdictRan:
-		return verdict.Ran
-	case callerapi.RefusalVerdictMayHaveRun:
-	}
-	return verdict.MayHaveRun
+	r.write(&journalEntry{Event: eventRefused, ID: id, Verdict: callerclient.VerdictOf(refusal.Verdict)})
 }
--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -15,17 +15,18 @@
 // reserve asks one owner; reached is false when it did not answer.
 func (r *Router) reserve(ctx context.Context, choice owner.Choice, need *dispatch.Need, features *routing.Features) (place *placed, reached bool) {
 	args := r.reservation(need, features)
+	place = &placed{router: r, choice: choice, id: args.ID}
 	ctx, cancel := context.WithDeadline(ctx, need.Spec.Deadline)
 	defer cancel()
 	reply, err := r.askUntilSlot(ctx, choice, args)
 	now := r.options.Now()
 	if ctx.Err() != nil {
-		(&placed{router: r, choice: choice, id: args.ID}).Done(dispatch.OutcomeMoved, 0)
+		place.Done(dispatch.OutcomeMoved, 0)
 		return nil, true
 	}
 	if err != nil {
 		// The owner may have reserved a slot all the same.
-		(&placed{router: r, choice: choice, id: args.ID}).Done(dispatch.OutcomeMoved, 0)
+		place.Done(dispatch.OutcomeMoved, 0)
 		r.options.Logger.Warn("an owner did not answer", "owner", string(choice.Owner), "error", err)
 		r.directory.Refused(choice.Owner, features.Pool(), now.Add(lostFor))
 		return nil, false
@@ -37,11 +38,12 @@
 	}
 	if !r.table.Current(now) {
 		// This process was paused since it asked; the upstream may have left meanwhile.
-		(&placed{router: r, choice: choice, id: args.ID}).Done(dispatch.OutcomeMoved, 0)
+		place.Done(dispatch.OutcomeMoved, 0)
 		return nil, false
 	}
 	upstream, ok := r.upstream(reply.Upstream)
-	place = &placed{router: r, choice: choice, id: args.ID, upstream: upstream, cached: reply.CachedTokens}
+	place.upstream = upstream
+	place.cached = reply.CachedTokens
 	r.places.add(now, place)
 	if !ok || r.Leaving(reply.Upstream) {
 		place.Done(dispatch.OutcomeMoved, 0)
