--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -43,8 +43,9 @@
 	got.requireWhole(t, 40)
 }
 
-func TestStreamMovesWhenItsEngineDies(t *testing.T) {
-	site := newFakeSite(t)
+// followPastADeath reads a long stream whose engine is killed, and resumes it until it ends.
+func followPastADeath(t *testing.T, site *fakeSite) received {
+	t.Helper()
 	home, wit := site.addNode("home"), site.addNode("wit")
 	first := site.addEngine("e1", 5*time.Millisecond)
 	site.addEngine("e2", time.Millisecond)
@@ -59,6 +60,11 @@
 	})
 	require.NoError(t, err)
 	got.follow(t, b, 0)
+	return got
+}
+
+func TestStreamMovesWhenItsEngineDies(t *testing.T) {
+	got := followPastADeath(t, newFakeSite(t))
 	got.requireWhole(t, longStream)
 	require.Equal(t, 1, got.last.Moves)
 }
--- a/internal/faulttest/break_test.go
+++ b/internal/faulttest/break_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"sync"
 	"syscall"
 	"time"
 
@@ -121,18 +120,9 @@
 // replaceDomain reclaims every host of a failure domain at once, and then starts
 // its nodes on other hosts.
 func (s *site) replaceDomain(domain string, notice time.Duration) {
-	var wg sync.WaitGroup
-	for _, u := range s.upstreams() {
-		if u.domain == domain {
-			wg.Go(func() { s.reclaimOnce(u, notice) })
-		}
-	}
-	for _, n := range s.nodes {
-		if string(n.settings.FailureDomain) == domain {
-			wg.Go(func() { s.replaceNode(n, notice) })
-		}
-	}
-	wg.Wait()
+	s.inDomain(domain,
+		func(u *upstream) { s.reclaimOnce(u, notice) },
+		func(n *node) { s.replaceNode(n, notice) })
 }
 
 // replaceNode reclaims the host of a node and starts the node on another.
--- a/internal/faulttest/control_test.go
+++ b/internal/faulttest/control_test.go
@@ -71,20 +71,27 @@
 	}
 }
 
+// storedDocument returns the configuration as the store has it.
+func (s *site) storedDocument(ctx context.Context, store *objects.Client) (objects.Object, config.Document) {
+	object, err := store.Get(ctx, config.SiteKind, config.SiteName)
+	require.NoError(s.t, err)
+	var document config.Document
+	require.NoError(s.t, json.Unmarshal(object.Spec, &document))
+	return object, document
+}
+
 // edit changes the configuration as an operator's program does, and returns the
 // change and the version once the store has accepted it.
 func (s *site) edit(store *objects.Client, edit func(*config.Site)) (ident.Change, uint64) {
 	ctx, cancel := context.WithTimeout(s.t.Context(), readyTimeout)
 	defer cancel()
-	object, err := store.Get(ctx, config.SiteKind, config.SiteName)
-	require.NoError(s.t, err)
-	var document config.Document
-	require.NoError(s.t, json.Unmarshal(object.Spec, &document))
+	object, document := s.storedDocument(ctx, store)
 	edit(&document.Site)
 	change := ident.Change(fmt.Sprint("change-", len(document.Recent)))
 	document.Recent = append(document.Recent, config.ChangeRecord{Change: change, Base: uint64(object.Metadata.ResourceVersion)})
-	object.Spec, err = json.Marshal(document)
+	spec, err := json.Marshal(document)
 	require.NoError(s.t, err)
+	object.Spec = spec
 	stored, err := store.Update(ctx, object)
 	require.NoError(s.t, err)
 	return change, uint64(stored.Metadata.ResourceVersion)
--- a/internal/faulttest/directed_test.go
+++ b/internal/faulttest/directed_test.go
@@ -93,18 +93,13 @@
 	stream.ID = callerapi.NewOptString(s.newID(home, witness))
 	hold := s.holdOf("dock 1", home, witness)
 	var wg sync.WaitGroup
-	var killed sync.Once
 	var streamed, first historycheck.Call
 	wg.Go(func() {
-		streamed = s.send(s.newCaller(), stream, func(offset int) {
-			if offset == 100 {
-				killed.Do(func() {
-					wg.Go(func() { first = s.sendTo(home, hold) })
-					time.Sleep(serviceDelay / 2)
-					s.killNode(home)
-				})
-			}
-		})
+		streamed = s.send(s.newCaller(), stream, atToken(100, func() {
+			wg.Go(func() { first = s.sendTo(home, hold) })
+			time.Sleep(serviceDelay / 2)
+			s.killNode(home)
+		}))
 	})
 	wg.Wait()
 	second := s.sendTo(third, hold)
@@ -120,15 +115,10 @@
 	home, witness := s.nodes[0], s.nodes[1]
 	stream := longStream("home and witness killed")
 	stream.ID = callerapi.NewOptString(s.newID(home, witness))
-	var killed sync.Once
-	call := s.send(s.newCaller(), stream, func(offset int) {
-		if offset == 100 {
-			killed.Do(func() {
-				s.killNode(home)
-				s.killNode(witness)
-			})
-		}
-	})
+	call := s.send(s.newCaller(), stream, atToken(100, func() {
+		s.killNode(home)
+		s.killNode(witness)
+	}))
 	require.True(t, call.Whole, "%+v", call.Refusals)
 	s.check()
 }
@@ -141,12 +131,7 @@
 	stream := longStream("witness killed")
 	stream.ID = callerapi.NewOptString(s.newID(home, witness))
 	late := s.holdOf("dock 2", home, witness)
-	var killed sync.Once
-	streamed := s.send(s.newCaller(), stream, func(offset int) {
-		if offset == 100 {
-			killed.Do(func() { s.killNode(witness) })
-		}
-	})
+	streamed := s.send(s.newCaller(), stream, atToken(100, func() { s.killNode(witness) }))
 	require.True(t, streamed.Whole)
 	again := s.sendTo(third, before)
 	require.NotEqual(t, verdict.NotRun, lastVerdict(again))
@@ -232,18 +217,13 @@
 
 func TestSilentEngineConnectionIsReplaced(t *testing.T) {
 	s := startSite(t, siteOptions{nodes: 3, services: 1, engines: 3, seed: 6})
-	var once sync.Once
-	call := s.send(s.newCaller(), longStream("silent engine"), func(offset int) {
-		if offset == 100 {
-			once.Do(func() {
-				for _, u := range s.engines {
-					at := s.fault(u.link.fault)
-					s.order(u, engine.Faults{Silent: true})
-					s.over(at)
-				}
-			})
+	call := s.send(s.newCaller(), longStream("silent engine"), atToken(100, func() {
+		for _, u := range s.engines {
+			at := s.fault(u.link.fault)
+			s.order(u, engine.Faults{Silent: true})
+			s.over(at)
 		}
-	})
+	}))
 	require.True(t, call.Whole)
 	s.check()
 }
@@ -253,20 +233,25 @@
 	home, witness := s.nodes[0], s.nodes[1]
 	stream := longStream("silent home")
 	stream.ID = callerapi.NewOptString(s.newID(home, witness))
-	var once sync.Once
-	call := s.send(s.newCaller(), stream, func(offset int) {
-		if offset == 100 {
-			once.Do(func() {
-				s.fault(home.faultOf(historycheck.FaultLink))
-				require.NoError(t, home.callers.silence())
-				require.NoError(t, home.peers.silence())
-			})
-		}
-	})
+	call := s.send(s.newCaller(), stream, atToken(100, func() {
+		s.fault(home.faultOf(historycheck.FaultLink))
+		require.NoError(t, home.callers.silence())
+		require.NoError(t, home.peers.silence())
+	}))
 	require.True(t, call.Whole)
 	s.check()
 }
 
+// atToken returns what calls act when a stream's token at offset comes for the first time.
+func atToken(offset int, act func()) func(int) {
+	var once sync.Once
+	return func(at int) {
+		if at == offset {
+			once.Do(act)
+		}
+	}
+}
+
 // streams runs count streams at once, calls act once all have tokens, and returns the calls.
 func (s *site) streams(count int, act func()) []historycheck.Call {
 	out := make([]historycheck.Call, count)
@@ -318,15 +303,22 @@
 
 // reclaimDomain reclaims every host of a failure domain at once.
 func (s *site) reclaimDomain(domain string, notice time.Duration) {
+	s.inDomain(domain,
+		func(u *upstream) { s.reclaimUpstream(u, notice) },
+		func(n *node) { s.reclaimNode(n, notice) })
+}
+
+// inDomain acts on all upstreams and nodes of a failure domain at once, and waits.
+func (s *site) inDomain(domain string, onUpstream func(*upstream), onNode func(*node)) {
 	var wg sync.WaitGroup
 	for _, u := range s.upstreams() {
 		if u.domain == domain {
-			wg.Go(func() { s.reclaimUpstream(u, notice) })
+			wg.Go(func() { onUpstream(u) })
 		}
 	}
 	for _, n := range s.nodes {
 		if string(n.settings.FailureDomain) == domain {
-			wg.Go(func() { s.reclaimNode(n, notice) })
+			wg.Go(func() { onNode(n) })
 		}
 	}
 	wg.Wait()
--- a/internal/faulttest/operator_test.go
+++ b/internal/faulttest/operator_test.go
@@ -11,7 +11,6 @@
 	"github.com/stretchr/testify/require"
 
 	"mangoledge.example/mangoledge/api/operatorapi"
-	"mangoledge.example/mangoledge/internal/config"
 	"mangoledge.example/mangoledge/internal/historycheck"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/platform/objects"
@@ -103,10 +102,7 @@
 	defer store.Close()
 	ctx, cancel := context.WithTimeout(s.t.Context(), readyTimeout)
 	defer cancel()
-	object, err := store.Get(ctx, config.SiteKind, config.SiteName)
-	require.NoError(s.t, err)
-	var document config.Document
-	require.NoError(s.t, json.Unmarshal(object.Spec, &document))
+	_, document := s.storedDocument(ctx, store)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stored = &historycheck.Stored{}
