Nodes keep their table in order; loads are added up at most each 40 ms

Cause: each message of a peer copied and sorted the whole table twice and added up all loads: at 63 nodes 124 messages a second. A profile of 63 nodes in one process put 61% of the time into Table.Alive. Ruled out: decoding (3%), quota ledger (6%). Change: the table holds shared entries in order and Alive copies pointers; loads are added up at most each 40 ms and by housekeeping; silent quota peers are looked for four times a second.

--- a/internal/gateway/peers/table.go
+++ b/internal/gateway/peers/table.go
@@ -27,15 +27,16 @@
 	now func() time.Time
 
 	mu sync.Mutex
-	// latest is the last message of the newest process of each node.
-	latest map[string]*Peer
+	// latest is the last message of the newest process of each node, ordered by the
+	// nodes' names. A Peer is not changed once it is in here, so it may be handed out.
+	latest []*Peer
 	// ended holds the last messages of processes that others replaced.
 	ended []*Peer
 }
 
 // NewTable returns an empty table.
 func NewTable(now func() time.Time) *Table {
-	return &Table{now: now, latest: make(map[string]*Peer)}
+	return &Table{now: now}
 }
 
 // Hear takes over a message and reports whether it is news.
@@ -43,10 +44,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	known := t.latest[m.Node]
+	at, found := slices.BinarySearchFunc(t.latest, m.Node, func(p *Peer, node string) int { return cmp.Compare(p.Node, node) })
 	next := &Peer{Message: *m, Heard: now}
+	if !found {
+		t.latest = slices.Insert(t.latest, at, next)
+		return true
+	}
+	known := t.latest[at]
 	switch {
-	case known == nil:
 	case known.Incarnation == m.Incarnation && m.Sequence <= known.Sequence:
 		return false
 	case known.Incarnation > m.Incarnation && now.Sub(known.Heard) <= aliveFor:
@@ -56,23 +61,23 @@
 	case known.Incarnation != m.Incarnation:
 		t.ended = append(t.ended, known)
 	}
-	t.latest[m.Node] = next
+	t.latest[at] = next
 	return true
 }
 
-// Alive returns the nodes that were heard lately, ordered by name.
-func (t *Table) Alive() []Peer {
+// Alive returns the nodes that were heard lately, ordered by name. They are shared:
+// the caller does not change them.
+func (t *Table) Alive() []*Peer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
 	limit := max(aliveFor, aliveIntervals*Interval(len(t.latest)))
-	var out []Peer
+	out := make([]*Peer, 0, len(t.latest))
 	for _, p := range t.latest {
 		if now.Sub(p.Heard) <= limit {
-			out = append(out, *p)
+			out = append(out, p)
 		}
 	}
-	slices.SortFunc(out, func(a, b Peer) int { return cmp.Compare(a.Node, b.Node) })
 	return out
 }
 
@@ -80,17 +85,10 @@
 func (t *Table) Since(p *Peer) time.Duration { return t.now().Sub(p.Heard) }
 
 // All returns the last word of every process, dead ones included.
-func (t *Table) All() []Peer {
+func (t *Table) All() []*Peer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := make([]Peer, 0, len(t.latest)+len(t.ended))
-	for _, p := range t.latest {
-		out = append(out, *p)
-	}
-	for _, p := range t.ended {
-		out = append(out, *p)
-	}
-	return out
+	return slices.Concat(t.latest, t.ended)
 }
 
 // Forget drops what was heard too long ago.
@@ -98,10 +96,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	for name, p := range t.latest {
-		if now.Sub(p.Heard) > keepFor {
-			delete(t.latest, name)
-		}
-	}
-	t.ended = slices.DeleteFunc(t.ended, func(p *Peer) bool { return now.Sub(p.Heard) > keepFor })
+	old := func(p *Peer) bool { return now.Sub(p.Heard) > keepFor }
+	t.latest = slices.DeleteFunc(t.latest, old)
+	t.ended = slices.DeleteFunc(t.ended, old)
 }
--- a/internal/gateway/quota/ledger.go
+++ b/internal/gateway/quota/ledger.go
@@ -14,6 +14,8 @@
 	// node slows its own spending, before it reserves the other's share: two messages
 	// may be lost.
 	lateExchangesTenths = 25
+	// forgetInterval is how often silent nodes are looked for that can be forgotten.
+	forgetInterval = 250 * time.Millisecond
 	// forgetAfter is after how long a silent node's share goes back to the others.
 	forgetAfter = 30 * time.Second
 	// forgetAllAfter is the same for a node that hears nobody: it cannot tell
@@ -40,6 +42,8 @@
 	mu       sync.Mutex
 	accounts map[string]*account
 	peers    map[string]*peer
+	// forgotten is when silent nodes were looked for last.
+	forgotten time.Time
 	// restored is the checkpoint that accounts begin with; nil until there is one.
 	restored *restored
 }
@@ -216,6 +220,10 @@
 
 // forget gives the shares of nodes back that are silent for long.
 func (l *Ledger) forget(now time.Time) {
+	if now.Sub(l.forgotten) < forgetInterval {
+		return
+	}
+	l.forgotten = now
 	limit := forgetAllAfter
 	for _, p := range l.peers {
 		if !p.missing {
--- a/internal/gateway/server/gateway.go
+++ b/internal/gateway/server/gateway.go
@@ -60,6 +60,9 @@
 	watching atomic.Bool
 	follower *follower
 
+	// loadsSummed is when the open work of the other nodes was added up; of the receiver alone.
+	loadsSummed time.Time
+
 	// checkpointed is when this node last wrote what was spent.
 	checkpointed time.Time
 
--- a/internal/gateway/server/housekeeping.go
+++ b/internal/gateway/server/housekeeping.go
@@ -20,6 +20,7 @@
 		g.balancer.Keep(view.All)
 		g.poison.seen(view.All)
 		g.table.Forget()
+		g.takeLoads()
 		if config := g.configuration.Current(); config != nil {
 			if n := g.idle.closeOlder(config.Limits.IdleTimeout); n > 0 {
 				g.logger.Info("idle client connections closed", "count", n, "limit", config.Limits.IdleTimeout)
--- a/internal/gateway/server/messages.go
+++ b/internal/gateway/server/messages.go
@@ -52,11 +52,24 @@
 	g.follower.heard(m)
 	g.quota.Hear(m.Node, m.Incarnation, m.Spent)
 	g.poison.hear(m.Crashed)
-	g.balancer.SetOthers(sumLoads(g.table.Alive()))
-	g.budgets.setNodes(len(g.table.Alive()) + 1)
+	if now := time.Now(); now.Sub(g.loadsSummed) >= minSumInterval {
+		g.loadsSummed = now
+		g.takeLoads()
+	}
+}
+
+// minSumInterval is the shortest time between two sums of what the nodes have sent:
+// adding up 63 nodes takes 0.1 ms, and each tells of itself every half second.
+const minSumInterval = 40 * time.Millisecond
+
+// takeLoads hands on what the live nodes have open.
+func (g *Gateway) takeLoads() {
+	alive := g.table.Alive()
+	g.balancer.SetOthers(sumLoads(alive))
+	g.budgets.setNodes(len(alive) + 1)
 }
 
-func sumLoads(alive []peers.Peer) map[uint32]balance.Outstanding {
+func sumLoads(alive []*peers.Peer) map[uint32]balance.Outstanding {
 	out := make(map[uint32]balance.Outstanding)
 	for _, p := range alive {
 		for _, load := range p.Loads {
--- a/internal/gateway/server/relay.go
+++ b/internal/gateway/server/relay.go
@@ -126,8 +126,8 @@
 		if p.Control == "" || !p.Watching {
 			continue
 		}
-		if best == nil || g.better(&p, best) {
-			best = &p
+		if best == nil || g.better(p, best) {
+			best = p
 		}
 	}
 	if best == nil || (g.watching.Load() && g.upstreams.Age() < relayAfter) {
