A configuration goes to other nodes compressed, from nodes with fast links; a soak of the platform's daemons

A follower answered 404 for an added route 3.6 s after it was acknowledged. Ruled out: the store (acknowledged in 1.4 s, watchers had it) and processor time. Change: /v1/config hands on the configuration compressed, once a version;

--- /dev/null
+++ b/internal/faulttest/gatewaycheck_test.go
@@ -0,0 +1,170 @@
+package faulttest
+
+import (
+	"net/http"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+)
+
+const (
+	// quotaWindow, quotaOverage and quotaSlack are the bounds of a workspace's quota in
+	// the settings and the configuration of the stand-ins.
+	quotaWindow  = 8 * time.Second
+	quotaRate    = 100_000
+	quotaBurst   = 100_000
+	quotaOverage = 0.1
+	quotaSlack   = 72_000
+)
+
+// check judges what callers received and what replicas and the cloud saw.
+func (s *gatewaySite) check() {
+	s.t.Helper()
+	runs := s.runs()
+	sent := make(map[string]*gatewayAttempt)
+	counts := make(map[string]int)
+	for _, a := range s.attempts {
+		sent[a.id] = a
+		s.checkAttempt(a, runs[a.id])
+		counts[a.outcome()]++
+	}
+	for id, of := range runs {
+		if sent[id] == nil {
+			s.t.Errorf("a replica ran %s, which nobody sent: %+v", id, of)
+		}
+	}
+	s.checkQuota(runs, sent)
+	s.checkUsage()
+	s.checkOrders()
+	s.t.Logf("%d attempts: %v; %d usage reports, %d orders", len(s.attempts), counts, len(s.cloud.Reports()), len(s.cloud.Orders()))
+}
+
+// outcome names how the attempt ended, for the summary.
+func (a *gatewayAttempt) outcome() string {
+	switch {
+	case !a.ended:
+		return "not ended"
+	case a.whole():
+		return "whole"
+	case a.err != nil && a.status == 0:
+		return "no answer"
+	case a.err != nil:
+		return "broken off"
+	}
+	return http.StatusText(a.status)
+}
+
+func (s *gatewaySite) checkAttempt(a *gatewayAttempt, runs []replicaRun) {
+	s.t.Helper()
+	if most, known := gatewayKinds[a.route]; known && len(runs) > most {
+		s.t.Errorf("%s on %s ran %d times, %d allowed\n%s", a.id, a.route, len(runs), most, s.logs(a.id))
+	}
+	if a.promised() && len(runs) > 0 {
+		s.t.Errorf("%s on %s was answered %d and ran\n%s", a.id, a.route, a.status, s.logs(a.id))
+	}
+	for _, run := range runs {
+		if a.body != "" && run.Body != a.body {
+			s.t.Errorf("%s ran with another body: %q", a.id, run.Body)
+		}
+		if a.route != "/open/" && run.Header.Get("X-Mangoledge-Tenant") != "w1" {
+			s.t.Errorf("%s ran for workspace %q", a.id, run.Header.Get("X-Mangoledge-Tenant"))
+		}
+	}
+	if a.route == "/open/" || a.status/100 != 2 {
+		return
+	}
+	s.checkSuccess(a, runs)
+}
+
+// checkSuccess checks that a success is the answer of a replica that ran the request.
+func (s *gatewaySite) checkSuccess(a *gatewayAttempt, runs []replicaRun) {
+	s.t.Helper()
+	ran := slices.IndexFunc(runs, func(r replicaRun) bool { return a.signed == "sig-"+r.slot+"-"+a.id || a.signed == "sig" })
+	if a.echoed != a.id || ran < 0 {
+		s.t.Errorf("%s got the answer of %q with signature %q\n%s", a.id, a.echoed, a.signed, s.logs(a.id))
+		return
+	}
+	if strings.HasPrefix(a.route, "/stream/") || strings.HasPrefix(a.route, "/resume/") {
+		if err := checkEvents(a.answer, a.whole()); err != nil && a.signed != "sig" {
+			s.t.Errorf("%s: %v\n%s", a.id, err, s.logs(a.id))
+		}
+		return
+	}
+	if a.whole() && a.answer != "ok" && a.answer != "answer of "+runs[ran].slot+"\n" {
+		s.t.Errorf("%s got %q of %s\n%s", a.id, a.answer, runs[ran].slot, s.logs(a.id))
+	}
+}
+
+// checkQuota checks that no window holds more of the workspace's tokens than allowed.
+func (s *gatewaySite) checkQuota(runs map[string][]replicaRun, sent map[string]*gatewayAttempt) {
+	s.t.Helper()
+	type spending struct {
+		at     time.Time
+		tokens int
+	}
+	var all []spending
+	for id, of := range runs {
+		if a := sent[id]; a != nil && a.tokens() > 0 {
+			all = append(all, spending{of[0].At, a.tokens()})
+		}
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].at.Before(all[j].at) })
+	allowed := int((quotaRate*quotaWindow.Seconds()+quotaBurst)*(1+quotaOverage) + quotaSlack)
+	sum, worst, first := 0, 0, 0
+	for _, x := range all {
+		sum += x.tokens
+		for x.at.Sub(all[first].at) >= quotaWindow {
+			sum -= all[first].tokens
+			first++
+		}
+		worst = max(worst, sum)
+	}
+	if worst > allowed {
+		s.t.Errorf("a window holds %d tokens of the workspace, %d allowed", worst, allowed)
+	}
+	s.t.Logf("the fullest window holds %d tokens of %d", worst, allowed)
+}
+
+// checkUsage checks that each window was reported with one set of counts, and that
+// no fence was used by two holders.
+func (s *gatewaySite) checkUsage() {
+	s.t.Helper()
+	counts := make(map[int64]map[string]int64)
+	holders := make(map[uint64]string)
+	for _, report := range s.cloud.Reports() {
+		if before, known := counts[report.WindowID]; known && !equalCounts(before, report.Counts) {
+			s.t.Errorf("window %d was reported as %v and as %v", report.WindowID, before, report.Counts)
+		}
+		counts[report.WindowID] = report.Counts
+		s.checkFence(holders, report.Fence, report.Holder)
+	}
+}
+
+func (s *gatewaySite) checkOrders() {
+	s.t.Helper()
+	holders := make(map[uint64]string)
+	for _, order := range s.cloud.Orders() {
+		s.checkFence(holders, order.Fence, order.Holder)
+	}
+}
+
+func (s *gatewaySite) checkFence(holders map[uint64]string, fence uint64, holder string) {
+	s.t.Helper()
+	if before, known := holders[fence]; known && before != holder {
+		s.t.Errorf("fence %d was used by %s and by %s", fence, before, holder)
+	}
+	holders[fence] = holder
+}
+
+func equalCounts(a, b map[string]int64) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for name, n := range a {
+		if b[name] != n {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/faulttest/gatewaysite_test.go
@@ -0,0 +1,272 @@
+package faulttest
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/platform/platformtest"
+)
+
+const (
+	// gatewayNodes is how many daemons a site has, over gatewayDomains failure domains.
+	gatewayNodes   = 4
+	gatewayDomains = 2
+	// gatewayReplicas is how many replicas each of the two services has.
+	gatewayReplicas = 3
+	// gatewayGrace is how long a daemon may take to stop, in seconds.
+	gatewayGrace = 6.0
+	// gatewayReadyLimit bounds the wait for a node that starts.
+	gatewayReadyLimit = 20 * time.Second
+)
+
+// gatewaySite is a platform of stand-ins, with daemons as processes before it. Each
+// daemon has its own way to the store, and each replica and each daemon's front door
+// stands behind a link that can be broken.
+type gatewaySite struct {
+	t     *testing.T
+	store *platformtest.Store
+	cloud *platformtest.Cloud
+	nodes []*gatewayNode
+	slots []*replicaSlot
+	dir   string
+
+	mu       sync.Mutex
+	version  int
+	attempts []*gatewayAttempt
+}
+
+// gatewayNode is one daemon, over all its processes.
+type gatewayNode struct {
+	settings platformtest.NodeSettings
+	file     string
+	door     *platformtest.Door
+	front    *link
+
+	// broken is held while one fault is at work on the process.
+	broken  sync.Mutex
+	process *process
+}
+
+// replicaSlot is one ID of a replica, over all its starts.
+type replicaSlot struct {
+	id      string
+	service string
+
+	// broken is held while one fault is at work on the replica.
+	broken sync.Mutex
+	mu     sync.Mutex
+	starts []*platformtest.Replica
+	links  []*link
+}
+
+func startGatewaySite(t *testing.T) *gatewaySite {
+	t.Helper()
+	s := &gatewaySite{t: t, store: platformtest.NewStore(t), cloud: platformtest.NewCloud(t), dir: t.TempDir()}
+	for i := range 2 * gatewayReplicas {
+		service := "plain"
+		if i >= gatewayReplicas {
+			service = "engine"
+		}
+		slot := &replicaSlot{id: fmt.Sprintf("i-%s-%d", service, i), service: service}
+		s.slots = append(s.slots, slot)
+		s.startReplica(slot)
+	}
+	s.changeConfig("")
+	for i := range gatewayNodes {
+		s.nodes = append(s.nodes, s.newNode(i+1))
+	}
+	for _, n := range s.nodes {
+		s.launch(n, true)
+	}
+	s.awaitService()
+	return s
+}
+
+// newNode prepares a daemon's settings, its way to the store and its front link.
+func (s *gatewaySite) newNode(number int) *gatewayNode {
+	first, err := freeAddress()
+	require.NoError(s.t, err)
+	_, port, err := net.SplitHostPort(first)
+	require.NoError(s.t, err)
+	// The ports of all nodes are the same; their IPs differ, and differ from those of
+	// other test processes by the port block.
+	ip := fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()%100, len(port)+int(port[len(port)-1]), number)
+	n := &gatewayNode{door: s.store.NewDoor(s.t)}
+	n.settings = platformtest.NodeSettings{
+		Name: fmt.Sprintf("node-%d", number), Zone: string(rune('a' + number%gatewayDomains)), IP: ip,
+		GraceS: gatewayGrace, Store: n.door.Address(), Cloud: s.cloud.Address(),
+	}
+	n.file = filepath.Join(s.dir, n.settings.Name+".toml")
+	n.front = newLink(s.t, n.settings.Name, n.address(platformtest.FrontPort), false)
+	return n
+}
+
+func (n *gatewayNode) address(port int) string {
+	return net.JoinHostPort(n.settings.IP, fmt.Sprint(port))
+}
+
+// launch starts a process of the node.
+func (s *gatewaySite) launch(n *gatewayNode, first bool) {
+	n.settings.FirstStart = first
+	require.NoError(s.t, os.WriteFile(n.file, n.settings.File(), 0o600))
+	n.process = startProcess(s.t, s.dir, n.settings.Name, daemon(s.t), nil, "--platform", "--settings", n.file)
+}
+
+// awaitService waits until every node serves a request that needs no key.
+func (s *gatewaySite) awaitService() {
+	s.t.Helper()
+	for _, n := range s.nodes {
+		require.Eventually(s.t, func() bool { return s.status(n, platformtest.FrontPort, "/open/ready") == http.StatusOK },
+			gatewayReadyLimit, 50*time.Millisecond, "%s does not serve", n.settings.Name)
+	}
+}
+
+// status returns the status of a call that passes no link, or 0.
+func (s *gatewaySite) status(n *gatewayNode, port int, target string) int {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.address(port)+target, nil)
+	if err != nil {
+		return 0
+	}
+	req.Host = "site.example"
+	a := s.newAttempt(n, "/open/")
+	req.Header.Set("X-Mangoledge-Attempt-Id", a.id)
+	req.Header.Set("X-Mangoledge-Deadline-Ms", "1500")
+	response, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, _ = io.Copy(io.Discard, response.Body)
+	a.end(response.StatusCode, "", nil)
+	return response.StatusCode
+}
+
+// startReplica starts the replica anew under its ID, at a new address, and registers it.
+func (s *gatewaySite) startReplica(slot *replicaSlot) {
+	replica := platformtest.NewReplica(s.t, slot.id)
+	replica.Events = streamEvents
+	l := newLink(s.t, slot.id, replica.Server.Listener.Addr().String(), false)
+	slot.mu.Lock()
+	slot.starts = append(slot.starts, replica)
+	slot.links = append(slot.links, l)
+	slot.mu.Unlock()
+	s.register(slot, "ready")
+}
+
+// register writes the entry of the replica's newest start.
+func (s *gatewaySite) register(slot *replicaSlot, state string) {
+	replica, l := slot.newest()
+	slot.mu.Lock()
+	born := 1_700_000_000_000 + len(slot.starts)
+	slot.mu.Unlock()
+	s.store.Put("servers", slot.id, replica.Entry(slot.service, func(e map[string]any) {
+		e["addr"], e["state"], e["born"], e["slots"] = l.address, state, born, 16
+	}))
+}
+
+func (slot *replicaSlot) newest() (*platformtest.Replica, *link) {
+	slot.mu.Lock()
+	defer slot.mu.Unlock()
+	return slot.starts[len(slot.starts)-1], slot.links[len(slot.links)-1]
+}
+
+// changeConfig writes the next version, with a route that tells it; extra names a
+// further route.
+func (s *gatewaySite) changeConfig(extra string) int {
+	s.mu.Lock()
+	s.version++
+	version := s.version
+	s.mu.Unlock()
+	config := platformtest.DefaultConfig(version)
+	if extra != "" {
+		config["routes"] = append(config["routes"].([]any), map[string]any{
+			"name": extra, "host": "site.example", "path_prefix": "/" + extra + "/", "route_kind": "idempotent", "timeout_ms": 2000,
+			"target_latency_ms": 300, "priority": 1, "service": "plain", "max_attempts": 2, "public": true,
+		})
+	}
+	s.store.Put("config", "main", config)
+	return version
+}
+
+// versionAt returns the version that is in force at a node, or 0.
+func (s *gatewaySite) versionAt(n *gatewayNode) int {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.address(platformtest.ControlPort)+"/v1/state", nil)
+	if err != nil {
+		return 0
+	}
+	response, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	var state struct {
+		ConfigVersion int `json:"configVersion"`
+	}
+	if json.NewDecoder(response.Body).Decode(&state) != nil {
+		return 0
+	}
+	return state.ConfigVersion
+}
+
+// stop ends a process by plan and reports whether it ended in its grace.
+func (n *gatewayNode) stop() bool {
+	n.process.signal(syscall.SIGTERM)
+	return n.process.ended(time.Duration(gatewayGrace * float64(time.Second)))
+}
+
+// runs returns what all starts of all replicas ran, by attempt.
+func (s *gatewaySite) runs() map[string][]replicaRun {
+	out := make(map[string][]replicaRun)
+	for _, slot := range s.slots {
+		slot.mu.Lock()
+		starts := slot.starts
+		slot.mu.Unlock()
+		for _, replica := range starts {
+			for _, run := range replica.Runs() {
+				out[run.AttemptID] = append(out[run.AttemptID], replicaRun{Run: run, slot: slot.id, from: replica})
+			}
+		}
+	}
+	return out
+}
+
+// replicaRun is a run with the replica that ran it.
+type replicaRun struct {
+	platformtest.Run
+	slot string
+	from *platformtest.Replica
+}
+
+// logs returns the end of what the daemons wrote that names an attempt.
+func (s *gatewaySite) logs(attempt string) string {
+	var out strings.Builder
+	for _, n := range s.nodes {
+		data, err := os.ReadFile(filepath.Join(s.dir, n.settings.Name+".log"))
+		if err != nil {
+			return err.Error()
+		}
+		for _, line := range strings.Split(string(data), "\n") {
+			if strings.Contains(line, `"`+attempt+`"`) {
+				out.WriteString(line + "\n")
+			}
+		}
+	}
+	return out.String()
+}
--- /dev/null
+++ b/internal/faulttest/gatewaysoak_test.go
@@ -0,0 +1,405 @@
+package faulttest
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/platform/platformtest"
+)
+
+const (
+	// soakTime is how long faults are made in one run, and soakFaults how many.
+	soakTime   = 10 * time.Second
+	soakFaults = 16
+	// soakCallers is how many callers send at once.
+	soakCallers = 8
+	// firstSeedVariable is the first seed to run, so that fresh ones can be chosen.
+	firstSeedVariable = "MANGOLEDGE_FIRST_SEED"
+	// settleTime is how long nothing is broken before the promises with a time bound are
+	// checked: the users' rules hold for nodes undisturbed for 3 s, and a replica's
+	// entry may be missing for 2 s.
+	settleTime = 5 * time.Second
+	// configBound and drainBound are the bounds of the settings; checks of the test add
+	// what a busy machine takes to ask all nodes.
+	configBound = 2 * time.Second
+	drainBound  = 2 * time.Second
+	askMargin   = time.Second
+)
+
+// soakKind is a kind of fault of the soak.
+type soakKind int
+
+const (
+	soakKill soakKind = iota
+	soakKillAll
+	soakPause
+	soakStop
+	soakReload
+	soakStoreSilent
+	soakStoreBusy
+	soakStoreReset
+	soakStoreLosesAnswers
+	soakCompact
+	soakDoorSilent
+	soakDoorReset
+	soakDelay
+	soakCut
+	soakSilence
+	soakDrip
+	soakReplicaMisbehaves
+	soakReplicaLeaves
+	soakReplicaRestarts
+	soakEntryMissing
+	soakEntryMalformed
+	soakConfig
+	soakKinds
+)
+
+// soakStep is one fault of the soak.
+type soakStep struct {
+	at     time.Duration
+	kind   soakKind
+	target int
+	long   time.Duration
+}
+
+// soakSchedule makes the faults of a seed; several fall together or overlap.
+func soakSchedule(seed uint64) []soakStep {
+	random := rand.New(rand.NewPCG(seed, ^seed))
+	out := make([]soakStep, soakFaults)
+	for i := range out {
+		out[i] = soakStep{
+			at:     time.Duration(random.Int64N(int64(soakTime))),
+			kind:   soakKind(random.IntN(int(soakKinds))),
+			target: random.IntN(1 << 16),
+			long:   300*time.Millisecond + time.Duration(random.Int64N(int64(4*time.Second))),
+		}
+		if i > 0 && random.IntN(3) == 0 {
+			out[i].at = out[i-1].at
+		}
+	}
+	return out
+}
+
+// regressions are the seeds that failed once, with their cause.
+var regressions = map[uint64]string{}
+
+// TestGatewaySoak runs daemons on the stand-ins of the users' platform under the
+// faults of a seed, and judges what callers, replicas and the cloud saw.
+func TestGatewaySoak(t *testing.T) {
+	first, seeds := soakNumber(t, firstSeedVariable, 1), soakNumber(t, seedsVariable, fixedSeeds)
+	all := make(map[uint64]bool)
+	for seed := first; seed < first+seeds; seed++ {
+		all[seed] = true
+	}
+	for seed := range regressions {
+		all[seed] = true
+	}
+	for seed := range all {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { soakSeed(t, seed) })
+	}
+}
+
+// soakNumber returns the number that a variable holds, or what applies without it.
+func soakNumber(t *testing.T, variable string, without uint64) uint64 {
+	t.Helper()
+	text := os.Getenv(variable)
+	if text == "" {
+		return without
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	require.NoError(t, err, variable)
+	return n
+}
+
+func soakSeed(t *testing.T, seed uint64) {
+	s := startGatewaySite(t)
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	for i := range soakCallers {
+		callers.Go(func() { s.newCaller(seed, uint64(i)).run(stop) })
+	}
+	s.soak(soakSchedule(seed))
+	s.mend()
+	time.Sleep(settleTime)
+	s.checkCalm()
+	close(stop)
+	callers.Wait()
+	s.check()
+	s.keepLogs(seed)
+}
+
+// soak makes the faults at their times and waits for the last.
+func (s *gatewaySite) soak(steps []soakStep) {
+	var all sync.WaitGroup
+	for _, st := range steps {
+		all.Go(func() {
+			time.Sleep(st.at)
+			s.soakStep(st)
+		})
+	}
+	all.Wait()
+}
+
+func (s *gatewaySite) soakStep(st soakStep) {
+	node, slot := s.nodes[st.target%len(s.nodes)], s.slots[st.target%len(s.slots)]
+	switch st.kind {
+	case soakKill, soakPause, soakStop, soakReload:
+		s.breakProcess(st, node)
+	case soakKillAll:
+		s.killAll(st.long)
+	case soakStoreSilent, soakStoreBusy, soakStoreReset, soakStoreLosesAnswers:
+		s.breakStore(st)
+	case soakCompact:
+		s.store.Compact()
+	case soakDoorSilent, soakDoorReset:
+		s.breakDoor(st, node)
+	case soakDelay, soakCut, soakSilence, soakDrip:
+		s.breakGatewayLink(st)
+	case soakReplicaMisbehaves, soakReplicaLeaves, soakReplicaRestarts, soakEntryMissing, soakEntryMalformed:
+		s.breakReplica(st, slot)
+	case soakConfig:
+		s.changeConfig("")
+	case soakKinds:
+	}
+}
+
+// breakProcess has one such fault at a time at one node.
+func (s *gatewaySite) breakProcess(st soakStep, n *gatewayNode) {
+	n.broken.Lock()
+	defer n.broken.Unlock()
+	switch st.kind {
+	case soakReload:
+		n.process.signal(syscall.SIGHUP)
+		return
+	case soakPause:
+		if err := n.process.stop(); err != nil {
+			s.t.Error(err)
+		}
+		time.Sleep(st.long)
+		n.process.signal(syscall.SIGCONT)
+		return
+	case soakStop:
+		if !n.stop() {
+			s.t.Errorf("%s did not end in its grace", n.settings.Name)
+		}
+	default:
+	}
+	n.process.kill()
+	time.Sleep(st.long / 4)
+	s.launch(n, false)
+}
+
+// killAll kills all processes at the same moment.
+func (s *gatewaySite) killAll(pause time.Duration) {
+	for _, n := range s.nodes {
+		n.broken.Lock()
+		defer n.broken.Unlock()
+	}
+	for _, n := range s.nodes {
+		n.process.signal(syscall.SIGKILL)
+	}
+	time.Sleep(pause / 4)
+	for _, n := range s.nodes {
+		n.process.kill()
+		s.launch(n, false)
+	}
+}
+
+func (s *gatewaySite) breakStore(st soakStep) {
+	modes := map[soakKind]platformtest.StoreMode{
+		soakStoreSilent: platformtest.StoreSilent, soakStoreBusy: platformtest.StoreBusy,
+		soakStoreReset: platformtest.StoreReset, soakStoreLosesAnswers: platformtest.StoreLosesAnswers,
+	}
+	s.store.SetMode(modes[st.kind])
+	time.Sleep(st.long)
+	s.store.SetMode(platformtest.StoreSound)
+}
+
+func (s *gatewaySite) breakDoor(st soakStep, n *gatewayNode) {
+	mode := platformtest.StoreSilent
+	if st.kind == soakDoorReset {
+		mode = platformtest.StoreReset
+	}
+	n.door.SetMode(mode)
+	time.Sleep(st.long)
+	n.door.SetMode(platformtest.StoreSound)
+}
+
+// gatewayLinks returns the links of all front doors and of the replicas' newest starts.
+func (s *gatewaySite) gatewayLinks() []*link {
+	var out []*link
+	for _, n := range s.nodes {
+		out = append(out, n.front)
+	}
+	for _, slot := range s.slots {
+		_, l := slot.newest()
+		out = append(out, l)
+	}
+	return out
+}
+
+func (s *gatewaySite) breakGatewayLink(st soakStep) {
+	all := s.gatewayLinks()
+	l := all[st.target%len(all)]
+	var err error
+	switch st.kind {
+	case soakDelay:
+		err = l.delay(100 * time.Millisecond)
+	case soakCut:
+		l.cut()
+	case soakSilence:
+		err = l.silence()
+	case soakDrip:
+		err = l.drip(1)
+	default:
+	}
+	if err != nil {
+		return // another fault is at work on this link already
+	}
+	time.Sleep(st.long)
+	if err := l.mend(); err != nil {
+		s.t.Errorf("%s: %v", l.name, err)
+	}
+}
+
+// badBehaviours are what a replica does to some of its requests.
+var badBehaviours = []platformtest.Behaviour{
+	platformtest.Fails, platformtest.Sheds, platformtest.LosesAnswer, platformtest.Hangs,
+	platformtest.Truncates, platformtest.Mislabels, platformtest.AnswersTwice, platformtest.Unsigned,
+}
+
+func (s *gatewaySite) breakReplica(st soakStep, slot *replicaSlot) {
+	slot.broken.Lock()
+	defer slot.broken.Unlock()
+	switch st.kind {
+	case soakReplicaMisbehaves:
+		replica, _ := slot.newest()
+		bad := badBehaviours[st.target%len(badBehaviours)]
+		replica.Behave(bad, platformtest.Answers, bad, bad, platformtest.Answers)
+	case soakReplicaLeaves:
+		s.register(slot, "draining")
+		time.Sleep(st.long)
+		s.register(slot, "ready")
+	case soakReplicaRestarts:
+		_, l := slot.newest()
+		l.end()
+		time.Sleep(st.long)
+		s.startReplica(slot)
+	case soakEntryMissing:
+		s.store.Remove("servers", slot.id)
+		time.Sleep(st.long)
+		s.register(slot, "ready")
+	default:
+		s.store.Put("servers", slot.id, map[string]any{"service": 3, "addr": slot.id, "state": "asleep"})
+		time.Sleep(st.long)
+		s.register(slot, "ready")
+	}
+}
+
+// mend ends every fault.
+func (s *gatewaySite) mend() {
+	s.store.SetMode(platformtest.StoreSound)
+	for _, n := range s.nodes {
+		n.door.SetMode(platformtest.StoreSound)
+	}
+	for _, l := range s.gatewayLinks() {
+		if err := l.mend(); err != nil {
+			s.t.Errorf("%s: %v", l.name, err)
+		}
+	}
+	for _, slot := range s.slots {
+		replica, _ := slot.newest()
+		replica.Behave(platformtest.Answers)
+	}
+}
+
+// checkCalm checks the promises with a time bound, while nothing is broken but callers
+// go on: all nodes serve, a change is in force, a replica that leaves gets nothing, a
+// planned stop cuts off nothing.
+func (s *gatewaySite) checkCalm() {
+	s.t.Helper()
+	s.awaitService()
+	version := s.changeConfig("added")
+	time.Sleep(configBound)
+	for _, n := range s.nodes {
+		if at := s.versionAt(n); at != version {
+			s.t.Errorf("%s has version %d, not %d, after the bound", n.settings.Name, at, version)
+		}
+		if status := s.status(n, platformtest.FrontPort, "/added/x"); status != http.StatusOK {
+			s.t.Errorf("%s answers %d on the added route", n.settings.Name, status)
+		}
+	}
+	s.checkLeaving(s.slots[0])
+	s.checkLeaving(s.slots[gatewayReplicas])
+	s.checkPlannedStop(s.nodes[0])
+}
+
+// checkLeaving checks that a replica that leaves gets no request once its bound is over.
+func (s *gatewaySite) checkLeaving(slot *replicaSlot) {
+	s.t.Helper()
+	s.register(slot, "draining")
+	told := time.Now()
+	time.Sleep(drainBound + askMargin)
+	replica, _ := slot.newest()
+	for _, run := range replica.Runs() {
+		if run.At.After(told.Add(drainBound)) {
+			s.t.Errorf("%s ran %s %v after it began to leave", slot.id, run.AttemptID, run.At.Sub(told))
+		}
+	}
+	s.register(slot, "ready")
+}
+
+// checkPlannedStop checks that a node that stops answers what was sent to it.
+func (s *gatewaySite) checkPlannedStop(n *gatewayNode) {
+	s.t.Helper()
+	caller := s.newCaller(0, 0)
+	var open sync.WaitGroup
+	for _, route := range []string{"/once/", "/again/", "/resume/", "/again/"} {
+		open.Go(func() {
+			if a := caller.send(n, route); a.err != nil {
+				s.t.Errorf("%s on %s was cut off by a planned stop: %v\n%s", a.id, route, a.err, s.logs(a.id))
+			}
+		})
+	}
+	time.Sleep(20 * time.Millisecond)
+	if !n.stop() {
+		s.t.Errorf("%s did not end in its grace", n.settings.Name)
+	}
+	open.Wait()
+	n.process.kill()
+	s.launch(n, false)
+}
+
+// keepLogs copies the daemons' logs of a run that failed, when a place is named.
+func (s *gatewaySite) keepLogs(seed uint64) {
+	to := os.Getenv(logsVariable)
+	if !s.t.Failed() || to == "" {
+		return
+	}
+	if err := os.CopyFS(fmt.Sprintf("%s/%d-%d", to, seed, time.Now().Unix()), os.DirFS(s.dir)); err != nil {
+		s.t.Logf("logs not kept: %v", err)
+	}
+}
+
+// logsVariable names a folder that keeps the logs of runs that failed.
+const logsVariable = "MANGOLEDGE_SOAK_LOGS"
+
+func TestFixedSeedsOfTheSoakHaveManyKindsOfFault(t *testing.T) {
+	seen := make(map[soakKind]bool)
+	for seed := range uint64(fixedSeeds) {
+		for _, st := range soakSchedule(seed + 1) {
+			seen[st.kind] = true
+		}
+	}
+	require.GreaterOrEqual(t, len(seen), int(soakKinds)*3/4)
+}
--- a/internal/gateway/catalog/config.go
+++ b/internal/gateway/catalog/config.go
@@ -1,12 +1,17 @@
 package catalog
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
+	"io"
 	"log/slog"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"mangoledge.example/mangoledge/internal/gateway/site"
 )
 
@@ -20,6 +25,8 @@
 
 	mu   sync.Mutex
 	spec json.RawMessage
+	// compressed is spec as other nodes get it; nil until one asks.
+	compressed []byte
 	// confirmed is when the configuration was last known to be current, in unix nanoseconds.
 	confirmed atomic.Int64
 	current   atomic.Pointer[site.Config]
@@ -55,18 +62,42 @@
 	if c.Current() != nil && config.Version <= before {
 		return false
 	}
-	c.spec = spec
+	c.spec, c.compressed = spec, nil
 	c.current.Store(config)
 	c.logger.Info("configuration in force", "version", config.Version, "before", before, "origin", origin,
 		"routes", len(config.Routes), "workspaces", len(config.Workspaces))
 	return true
 }
 
-// Spec returns the configuration in force as it was stored, for other nodes.
-func (c *Configuration) Spec() json.RawMessage {
+// Compressed returns the configuration in force as it was stored, compressed for
+// other nodes, or nil while there is none. The result is shared: the caller does not
+// change it.
+func (c *Configuration) Compressed() ([]byte, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.spec
+	if c.compressed != nil || c.spec == nil {
+		return c.compressed, nil
+	}
+	var out bytes.Buffer
+	writer := gzip.NewWriter(&out)
+	if _, err := writer.Write(c.spec); err != nil {
+		return nil, errors.Wrap(err, "configuration")
+	}
+	if err := writer.Close(); err != nil {
+		return nil, errors.Wrap(err, "configuration")
+	}
+	c.compressed = out.Bytes()
+	return c.compressed, nil
+}
+
+// Decompress returns the configuration that another node compressed, of at most limit bytes.
+func Decompress(r io.Reader, limit int64) (json.RawMessage, error) {
+	reader, err := gzip.NewReader(r)
+	if err != nil {
+		return nil, errors.Wrap(err, "configuration")
+	}
+	spec, err := io.ReadAll(io.LimitReader(reader, limit))
+	return spec, errors.Wrap(err, "configuration")
 }
 
 // Confirm notes that the configuration in force was current at a time.
--- a/internal/gateway/peers/message.go
+++ b/internal/gateway/peers/message.go
@@ -34,6 +34,9 @@
 	// Address is where the node takes messages.
 	Address string `msgpack:"e"`
 	Domain  string `msgpack:"d"`
+	// LinkMbps is the speed of the node's link; nodes with the fastest follow the store
+	// for the others.
+	LinkMbps float64 `msgpack:"b"`
 	// ConfigVersion is the version in force at the node.
 	ConfigVersion int64 `msgpack:"v"`
 	// Watching nodes follow the platform's store themselves; Changes counts what changed
--- a/internal/gateway/server/follow.go
+++ b/internal/gateway/server/follow.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -65,18 +66,19 @@
 
 // mustWatch reports whether this node has to follow the store itself.
 func (g *Gateway) mustWatch() bool {
-	own := g.settings.Node
-	all, near := []string{own}, []string{own}
+	own := watchCandidate{g.settings.Node, g.settings.LinkMbps}
+	var all, near []watchCandidate
 	domains := map[string]bool{g.settings.FailureDomain: true}
 	heard := false
 	for _, p := range g.table.Alive() {
 		if p.Leaving {
 			continue
 		}
-		all = append(all, p.Node)
+		other := watchCandidate{p.Node, p.LinkMbps}
+		all = append(all, other)
 		domains[p.Domain] = true
 		if p.Domain == g.settings.FailureDomain {
-			near = append(near, p.Node)
+			near = append(near, other)
 		}
 		if p.Watching && p.StoreAgeMs < relayAfter.Milliseconds() {
 			heard = true
@@ -90,8 +92,32 @@
 	case g.leaving.Load():
 		return false
 	}
-	return rendezvous.InFirst(watchRole, own, near, watchersPerDomain) ||
-		(len(domains) < minWatchers && rendezvous.InFirst(watchRole, own, all, minWatchers))
+	return own.isAmong(near, watchersPerDomain) || (len(domains) < minWatchers && own.isAmong(all, minWatchers))
+}
+
+// watchCandidate is a node that may follow the store for others. It hands on to them
+// what it hears, so a fast link comes first.
+type watchCandidate struct {
+	node     string
+	linkMbps float64
+}
+
+// isAmong reports whether the candidate comes among the first n of itself and others.
+func (c watchCandidate) isAmong(others []watchCandidate, n int) bool {
+	for _, other := range others {
+		if other.before(c) {
+			n--
+		}
+	}
+	return n > 0
+}
+
+func (c watchCandidate) before(other watchCandidate) bool {
+	return cmp.Or(
+		cmp.Compare(other.linkMbps, c.linkMbps),
+		cmp.Compare(rendezvous.Score(watchRole, other.node), rendezvous.Score(watchRole, c.node)),
+		cmp.Compare(c.node, other.node),
+	) < 0
 }
 
 // firstRegistered reports whether this node comes first among the registered ones;
--- a/internal/gateway/server/listen.go
+++ b/internal/gateway/server/listen.go
@@ -42,6 +42,7 @@
 	mux.HandleFunc("GET "+platform.ResolvePath, g.serveResolve)
 	control := http.NewServeMux()
 	control.HandleFunc("GET "+snapshotPath, g.serveSnapshot)
+	control.HandleFunc("GET "+configPath, g.serveConfig)
 	control.HandleFunc("GET "+statePath, g.serveState)
 	observed := http.NewServeMux()
 	observed.Handle("GET /metrics", projectmetrics.Handler(g.registry))
--- a/internal/gateway/server/messages.go
+++ b/internal/gateway/server/messages.go
@@ -23,6 +23,7 @@
 		Front:         g.settings.Listen.Front,
 		Control:       g.settings.Listen.Control,
 		Domain:        g.settings.FailureDomain,
+		LinkMbps:      g.settings.LinkMbps,
 		Address:       g.address,
 		ConfigVersion: g.configuration.Version(),
 		Watching:      g.watching.Load(),
--- a/internal/gateway/server/nodes_test.go
+++ b/internal/gateway/server/nodes_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strings"
 	"testing"
@@ -250,3 +252,26 @@
 		require.Equal(t, "node-1", o.Holder)
 	}
 }
+
+func TestAConfigurationOfManyRoutesIsHandedOnSmall(t *testing.T) {
+	s := newTestSite(t)
+	s.configure(1, func(c map[string]any) {
+		routes := c["routes"].([]any)
+		for i := range 2000 {
+			route := maps.Clone(routes[0].(map[string]any))
+			route["name"], route["path_prefix"] = fmt.Sprint("more-", i), fmt.Sprintf("/more-%d/", i)
+			routes = append(routes, route)
+		}
+		c["routes"] = routes
+	})
+	n := s.start(1, "a", nil)
+	require.Eventually(t, func() bool { return s.versionAt(n) == 1 }, patience, 20*time.Millisecond)
+	// 64 nodes behind links of 10 Mbit/s get it within the second that is left of its bound.
+	const most = 10 << 20 / 8 / 64 * 3
+	status, body := s.get(n, platformtest.ControlPort, "/v1/config")
+	require.Equal(t, http.StatusOK, status)
+	require.Less(t, len(body), most)
+	require.Greater(t, len(s.store.Get("config", "main")), 10*len(body))
+	_, snapshot := s.get(n, platformtest.ControlPort, "/v1/snapshot")
+	require.Less(t, len(snapshot), most)
+}
--- a/internal/gateway/server/relay.go
+++ b/internal/gateway/server/relay.go
@@ -15,10 +15,12 @@
 	"mangoledge.example/mangoledge/internal/gateway/catalog"
 	"mangoledge.example/mangoledge/internal/gateway/httpconn"
 	"mangoledge.example/mangoledge/internal/gateway/peers"
+	"mangoledge.example/mangoledge/platform"
 )
 
 const (
 	snapshotPath = "/v1/snapshot"
+	configPath   = "/v1/config"
 	statePath    = "/v1/state"
 	// relayInterval is how often a node looks whether others know more, beside when they say so.
 	relayInterval = 250 * time.Millisecond
@@ -34,8 +36,6 @@
 
 // snapshot is what a node tells another that follows it.
 type snapshot struct {
-	// Config is the configuration in force, when it is later than the one asked with.
-	Config json.RawMessage `json:"config,omitempty"`
 	// StoreAgeMs is how long ago the node heard the store, in milliseconds.
 	StoreAgeMs int64                   `json:"storeAgeMs"`
 	Upstreams  catalog.Update          `json:"upstreams"`
@@ -44,18 +44,32 @@
 
 func (g *Gateway) serveSnapshot(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
-	version, _ := strconv.ParseInt(q.Get("config"), 10, 64)   // 0 asks for any
 	since, _ := strconv.ParseUint(q.Get("upstreams"), 10, 64) // 0 asks for all
 	out := snapshot{StoreAgeMs: g.upstreams.Age().Milliseconds(), Upstreams: g.upstreams.UpdateSince(since)}
-	if g.configuration.Version() > version {
-		out.Config = g.configuration.Spec()
-	}
 	if q.Has("nodes") {
 		out.Nodes = g.nodes.Known()
 	}
 	g.writeJSON(w, out)
 }
 
+// serveConfig hands on the configuration in force. It may hold thousands of routes and
+// goes to all nodes at once, some behind links of 10 Mbit/s: so it is compressed, once.
+func (g *Gateway) serveConfig(w http.ResponseWriter, _ *http.Request) {
+	data, err := g.configuration.Compressed()
+	switch {
+	case err != nil:
+		g.logger.Error("configuration not handed on", "error", err)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	case data == nil:
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/gzip")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	_, _ = w.Write(data) // a node that is gone asks again
+}
+
 // follower is what this node knows of the node that it follows. It is safe for concurrent use.
 type follower struct {
 	mu sync.Mutex
@@ -162,15 +176,16 @@
 		g.confirmElsewhere(time.Duration(p.StoreAgeMs)*time.Millisecond + g.table.Since(p))
 		return
 	}
-	q := url.Values{}
-	q.Set("config", strconv.FormatInt(g.configuration.Version(), 10))
-	q.Set("upstreams", strconv.FormatUint(since, 10))
+	if p.ConfigVersion > g.configuration.Version() {
+		g.takeConfig(ctx, p.Control, p.Node)
+	}
+	q := url.Values{"upstreams": []string{strconv.FormatUint(since, 10)}}
 	s, err := g.fetchSnapshot(ctx, p.Control, q)
 	if err != nil {
 		g.logger.Warn("no answer of the node that is followed", "followed", p.Node, "error", err)
 		return
 	}
-	g.takeSnapshot(s, p.Node)
+	g.takeSnapshot(s)
 	g.follower.took(p.Incarnation, s.Upstreams.Sequence)
 }
 
@@ -190,35 +205,72 @@
 		return
 	}
 	g.nodes.Learn(s.Nodes)
-	g.takeSnapshot(s, address)
+	g.takeConfig(ctx, address, address)
+	g.takeSnapshot(s)
+}
+
+// takeConfig takes the configuration over from another node, or from the store when
+// that node does not give it.
+func (g *Gateway) takeConfig(ctx context.Context, address, origin string) {
+	spec, err := g.fetchConfig(ctx, address)
+	if err == nil {
+		g.configuration.Offer(spec, origin)
+		return
+	}
+	g.logger.Warn("no configuration from a node", "origin", origin, "error", err)
+	object, err := g.store.Get(ctx, platform.KindConfig, platform.ConfigName)
+	if err != nil {
+		g.logger.Warn("no configuration from the store", "error", err)
+		return
+	}
+	g.configuration.Offer(object.Spec, "store")
+}
+
+func (g *Gateway) fetchConfig(ctx context.Context, address string) (json.RawMessage, error) {
+	var spec json.RawMessage
+	err := g.ask(ctx, address, configPath, func(body io.Reader) (err error) {
+		spec, err = catalog.Decompress(body, maxSnapshotBytes)
+		return err
+	})
+	return spec, err
 }
 
 func (g *Gateway) fetchSnapshot(ctx context.Context, address string, q url.Values) (*snapshot, error) {
+	var s snapshot
+	err := g.ask(ctx, address, snapshotPath+"?"+q.Encode(), func(body io.Reader) error {
+		return errors.Wrap(json.NewDecoder(io.LimitReader(body, maxSnapshotBytes)).Decode(&s), "snapshot")
+	})
+	return &s, err
+}
+
+// ask calls another node and has the body of its answer read.
+func (g *Gateway) ask(ctx context.Context, address, target string, read func(io.Reader) error) error {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	response, err := g.pool.Do(ctx, address, &httpconn.Request{
-		Method: http.MethodGet, Target: snapshotPath + "?" + q.Encode(), Host: address, Header: http.Header{}, MaxIdle: time.Second,
+		Method: http.MethodGet, Target: target, Host: address, Header: http.Header{}, MaxIdle: time.Second,
 	})
 	if err != nil {
-		return nil, err
+		return err
 	}
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxSnapshotBytes))
-	if err != nil {
+	if response.Status != http.StatusOK {
 		response.Abort()
-		return nil, err
+		return errors.Newf("status %d", response.Status)
 	}
-	response.Finish()
-	var s snapshot
-	if err := json.Unmarshal(data, &s); err != nil {
-		return nil, errors.Wrap(err, "snapshot")
+	if err := read(response.Body); err != nil {
+		response.Abort()
+		return err
 	}
-	return &s, nil
+	// What is left of the body is read, so that the connection can be used again.
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		response.Abort()
+		return err
+	}
+	response.Finish()
+	return nil
 }
 
-func (g *Gateway) takeSnapshot(s *snapshot, origin string) {
-	if len(s.Config) > 0 {
-		g.configuration.Offer(s.Config, origin)
-	}
+func (g *Gateway) takeSnapshot(s *snapshot) {
 	before := g.upstreams.View()
 	g.upstreams.Apply(&s.Upstreams)
 	g.notices.compare(before, g.upstreams.View())
--- a/internal/gateway/site/settings.go
+++ b/internal/gateway/site/settings.go
@@ -23,7 +23,8 @@
 	Cloud  CloudSettings
 	// MemoryMB is the memory limit of the process; 0 for none.
 	MemoryMB int
-	MaxFiles int
+	// LinkMbps is the speed of the host's link; 0 when it is not told.
+	LinkMbps float64
 	// UpstreamHeartbeat is how often an upstream renews its entry.
 	UpstreamHeartbeat time.Duration
 }
