A settings file that changes without a signal is read again; fields that nothing uses go

Change: the file's time and size are looked at each second, as there is no inotify on the platform. Settings that were decoded and used by nothing are not decoded any more. The operator's header time-out was tried with the connection states of net/http and reverted: a connection becomes active only once its head was read whole, so the hook cannot time it. The listener keeps its fixed 15 s. Measured: TestProcessesServeStopByPlanAndOutliveEachOther with a changed file.

--- /dev/null
+++ b/cmd/mangoledged/filechanges_test.go
@@ -0,0 +1,27 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestAFileThatIsWrittenOrReplacedHasChangedOnce(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.toml")
+	require.NoError(t, os.WriteFile(path, []byte("a = 1"), 0o600))
+	f := newFileChanges(path)
+	require.False(t, f.changed())
+
+	require.NoError(t, os.WriteFile(path, []byte("a = 12"), 0o600))
+	require.True(t, f.changed())
+	require.False(t, f.changed())
+
+	require.NoError(t, os.Remove(path))
+	require.False(t, f.changed(), "it is being replaced")
+	require.NoError(t, os.WriteFile(path, []byte("a = 13"), 0o600))
+	require.NoError(t, os.Chtimes(path, time.Time{}, time.Now().Add(time.Hour)))
+	require.True(t, f.changed())
+}
--- a/cmd/mangoledged/gateway.go
+++ b/cmd/mangoledged/gateway.go
@@ -25,6 +25,8 @@
 	// collectAt lets the heap grow to this many percent over what lives: a small heap
 	// is collected often, and memory is dearer than processor time.
 	collectAt = 60
+	// settingsInterval is how often the settings file is looked at: it may change without a signal.
+	settingsInterval = time.Second
 )
 
 // runGateway runs a gateway until it is told to stop.
@@ -72,14 +74,22 @@
 	if err := gateway.Start(ctx); err != nil {
 		return err
 	}
+	changes := newFileChanges(path)
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
 	for {
-		received := <-signals
-		if received == syscall.SIGHUP {
+		select {
+		case <-ticker.C:
+			if changes.changed() {
+				reload(gateway, path, logger)
+			}
+		case received := <-signals:
+			if received != syscall.SIGHUP {
+				gateway.Stop()
+				return nil
+			}
 			reload(gateway, path, logger)
-			continue
 		}
-		gateway.Stop()
-		return nil
 	}
 }
 
--- a/cmd/mangoledged/process_test.go
+++ b/cmd/mangoledged/process_test.go
@@ -8,6 +8,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -33,12 +35,32 @@
 
 // daemon is one gateway as a process of its own.
 type daemon struct {
-	t       *testing.T
-	ip      string
-	file    string
-	command *exec.Cmd
-	output  bytes.Buffer
-	ended   chan error
+	t    *testing.T
+	ip   string
+	file string
+	// settings are what the file says at first.
+	settings platformtest.NodeSettings
+	command  *exec.Cmd
+	output   lockedBuffer
+	ended    chan error
+}
+
+// lockedBuffer is written by the process's copier while the test reads it.
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
 }
 
 func startDaemon(t *testing.T, store *platformtest.Store, cloud *platformtest.Cloud, n int) *daemon {
@@ -48,6 +70,7 @@
 		Name: fmt.Sprintf("node-%d", n), Zone: "a", IP: d.ip, FirstStart: true, GraceS: 6,
 		Store: store.Address(), Cloud: cloud.Address(),
 	}
+	d.settings = settings
 	d.file = filepath.Join(t.TempDir(), "settings.toml")
 	require.NoError(t, os.WriteFile(d.file, settings.File(), 0o600))
 	d.command = exec.Command(os.Args[0], "--platform", "--settings", d.file)
@@ -91,6 +114,10 @@
 	require.NoError(t, one.command.Process.Signal(syscall.SIGHUP))
 	require.True(t, one.serves(), "settings that cannot be read change nothing")
 
+	require.NoError(t, os.WriteFile(two.file, append(two.settings.File(), "\nanother = 1"...), 0o600))
+	require.Eventually(t, func() bool { return strings.Contains(two.output.String(), "settings reloaded") },
+		patience, 50*time.Millisecond, "a file that changes without a signal is read again")
+
 	require.NoError(t, one.command.Process.Signal(syscall.SIGTERM))
 	require.Eventually(t, func() bool { return one.get(platformtest.ReadyPort, "/api/readyz") == http.StatusServiceUnavailable }, patience, 10*time.Millisecond)
 	require.True(t, one.serves(), "clients that do not know yet are served")
--- a/internal/gateway/site/settings.go
+++ b/internal/gateway/site/settings.go
@@ -8,9 +8,8 @@
 	FailureDomain string
 	Region        string
 	IP            string
-	// Serves tells the roles of the process towards the outside.
-	ServesClients   bool
-	ServesDirectory bool
+	// ServesClients is true for a process that takes clients' requests.
+	ServesClients bool
 	// FirstStart is true only when the whole system starts for the first time.
 	FirstStart bool
 	Listen     Listen
@@ -25,8 +24,6 @@
 	MemoryMB int
 	// LinkMbps is the speed of the host's link; 0 when it is not told.
 	LinkMbps float64
-	// UpstreamHeartbeat is how often an upstream renews its entry.
-	UpstreamHeartbeat time.Duration
 }
 
 // Listen holds the addresses of the process; an empty one is not served.
@@ -42,8 +39,6 @@
 type Bounds struct {
 	// ConfigInForce is the time within which a configuration must be in force.
 	ConfigInForce time.Duration
-	// Drain is for how long a draining upstream surely serves on.
-	Drain time.Duration
 	// Grace is the time between the request to stop and the kill.
 	Grace time.Duration
 	// RetryShare and RetryReserve bound repeats of a service within RetryWindow.
@@ -55,19 +50,15 @@
 	QuotaSlack  float64
 	// Lease is how long a duty stays with its holder without a renewal.
 	Lease time.Duration
-	// UsageWindow is the length of one window of the usage report; UsageLate is how long after its end it is due.
+	// UsageWindow is the length of one window of the usage report.
 	UsageWindow time.Duration
-	UsageLate   time.Duration
 	// MaxDirectoryTTL is the longest time that a directory answer is kept.
 	MaxDirectoryTTL time.Duration
-	// AddressReuse is after how long the address of an ended upstream may name another.
-	AddressReuse time.Duration
 }
 
 // StoreSettings say how the platform's store is reached.
 type StoreSettings struct {
-	Address    string
-	ValueBytes int
+	Address string
 }
 
 // CloudSettings say how the platform's cloud API is reached.
@@ -76,6 +67,4 @@
 	// ReportsUsage and Scales tell which duties the deployment has.
 	ReportsUsage bool
 	Scales       bool
-	// CallsPerSecond bounds the duty calls of all nodes together.
-	CallsPerSecond float64
 }
