mangoledge logs tells the story of one request from daemons' logs; a process reads the store once at its start

A process that starts left the store to the watchers for 0.8 s and answered 503 meanwhile. Change: package story and the command 'logs' (files, no node needed) show a request's lines and what its nodes believed around them. A starting process reads configuration and upstreams once by itself.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -90,6 +90,7 @@
 	a.kingpin.Flag("output", "Form of the output: table or json.").Short('o').Default(outputTable).EnumVar(&a.output, outputTable, outputJSON)
 	a.callerCommands()
 	a.operatorCommands()
+	a.logsCommand()
 	a.versionCommand()
 	return a
 }
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -8,6 +8,8 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -238,3 +240,17 @@
 	a := newApp([]string{"--completion-bash", "show", "nodes", "where", ""}, Streams{})
 	require.Contains(t, a.hints(tables.Schema()), "incarnation")
 }
+
+func TestLogsTellTheStoryOfARequestWithoutANode(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "n1.log")
+	line := `{"time":"2026-01-01T00:00:02Z","msg":"refused","node":"n1","request":"r-1","status":429,"reason":"quota"}`
+	require.NoError(t, os.WriteFile(path, []byte(line+"\n"), 0o600))
+	code, out, _ := run(t, "", "logs", "r-1", path)
+	require.Equal(t, int(ExitOK), code)
+	require.Contains(t, out, "refused  reason=quota  request=r-1  status=429")
+	code, _, errs := run(t, "", "logs", "r-2", path)
+	require.Equal(t, int(ExitNoAnswer), code)
+	require.Contains(t, errs, "r-2: no log names the request")
+	code, _, _ = run(t, "", "logs", "r-1", path+".gone")
+	require.Equal(t, int(ExitUsage), code)
+}
--- /dev/null
+++ b/internal/cli/logs.go
@@ -0,0 +1,52 @@
+package cli
+
+import (
+	"context"
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"mangoledge.example/mangoledge/internal/gateway/story"
+)
+
+// logsCommand needs no node: it reads files.
+func (a *app) logsCommand() {
+	var request string
+	var files []string
+	command := a.command("logs", "Tell what happened to a request from daemons' logs, of any number of hosts.", func(context.Context) (ExitCode, error) {
+		lines, err := story.Of(request, logFiles(files))
+		switch {
+		case errors.Is(err, story.ErrUnknown):
+			return ExitNoAnswer, err
+		case err != nil:
+			return ExitUsage, err
+		case a.json():
+			return ExitOK, a.printJSON(lines)
+		}
+		return ExitOK, story.Write(a.streams.Out, lines)
+	})
+	command.Arg("request", "The client's ID of the request.").Required().StringVar(&request)
+	command.Arg("file", "Logs, one JSON object a line; a prefix before it is passed over.").Required().ExistingFilesVar(&files)
+}
+
+// logFiles reads files one after the other.
+func logFiles(paths []string) story.Logs {
+	return func(read func(io.Reader) error) error {
+		for _, path := range paths {
+			if err := readFile(path, read); err != nil {
+				return errors.Wrap(err, path)
+			}
+		}
+		return nil
+	}
+}
+
+func readFile(path string, read func(io.Reader) error) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = file.Close() }() // nothing was written
+	return read(file)
+}
--- a/internal/gateway/server/follow.go
+++ b/internal/gateway/server/follow.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"mangoledge.example/mangoledge/internal/platform/objects"
 	"mangoledge.example/mangoledge/internal/rendezvous"
 	"mangoledge.example/mangoledge/internal/wait"
@@ -143,6 +145,23 @@
 // watchRole is the key by which the watchers are chosen.
 const watchRole = "watch"
 
+// readOnce reads the configuration and the upstreams once, so that a process that
+// starts serves before it hears the nodes that follow the store.
+func (g *Gateway) readOnce(ctx context.Context) {
+	object, err := g.store.Get(ctx, platform.KindConfig, platform.ConfigName)
+	if err == nil {
+		g.offerConfig(object)
+		g.configuration.Confirm(time.Now())
+	}
+	list, err2 := g.store.List(ctx, platform.KindUpstreams)
+	if err2 == nil {
+		g.changeUpstreams(func() { g.upstreams.Replace(list) })
+	}
+	if err = errors.CombineErrors(err, err2); err != nil {
+		g.logger.Warn("store not read at the start", "error", err)
+	}
+}
+
 // follow follows the configuration and the upstreams in the store until ctx ends.
 func (g *Gateway) follow(ctx context.Context) {
 	configs := &objects.Follower{
--- a/internal/gateway/server/gateway.go
+++ b/internal/gateway/server/gateway.go
@@ -192,6 +192,7 @@
 	if err := g.listen(ctx); err != nil {
 		return err
 	}
+	go g.readOnce(ctx)
 	go g.restoreQuota(ctx)
 	go g.nodes.Run(ctx)
 	go g.watchWhileNeeded(ctx)
