A node whose registration gets no answer lists the others all the same

All nodes were killed at once while the store did writes and lost their answers; none could register for 2 s, so none listed the others, and each handed out the whole quota as if it were alone. Ruled out: the checkpoint (restored with an age of 0.7 s at all four). Change: a node lists also when its registration fails, and takes a record that stands as it wants it for written.

--- a/internal/faulttest/gatewaysoak_test.go
+++ b/internal/faulttest/gatewaysoak_test.go
@@ -93,8 +93,9 @@
 
 // regressions are the seeds that failed once, with their cause.
 var regressions = map[uint64]string{
-	1:  "a SIGHUP right after a start ended the process before it took signals",
-	13: "an empty list of another node that had not listed yet removed all upstreams",
+	1:   "a SIGHUP right after a start ended the process before it took signals",
+	302: "nodes whose registration got no answer listed no others, and each handed out the whole quota",
+	13:  "an empty list of another node that had not listed yet removed all upstreams",
 }
 
 // TestGatewaySoak runs daemons on the stand-ins of the users' platform under the
--- a/internal/gateway/peers/registry.go
+++ b/internal/gateway/peers/registry.go
@@ -103,7 +103,9 @@
 func (r *Registry) step(ctx context.Context, registered *bool) error {
 	if !*registered {
 		if err := r.register(ctx); err != nil {
-			return err
+			// The others are listed all the same: a node that knows nobody would hand out
+			// the whole of every quota. It lists again once it has registered.
+			return errors.CombineErrors(err, r.list(ctx))
 		}
 		*registered = true
 		r.logger.Info("node registered", "address", r.own.Address)
@@ -156,12 +158,20 @@
 		return err
 	case err != nil:
 		return err
+	case r.isOwn(current):
+		return nil // a write before this one was done, and its answer lost
 	}
 	object.Metadata.ResourceVersion = current.Metadata.ResourceVersion
 	_, err = r.store.Update(ctx, object)
 	return err
 }
 
+// isOwn reports whether an object holds this process's record.
+func (r *Registry) isOwn(object objects.Object) bool {
+	var record Record
+	return json.Unmarshal(object.Spec, &record) == nil && record == r.own
+}
+
 func (r *Registry) put(object objects.Object) {
 	var record Record
 	if err := json.Unmarshal(object.Spec, &record); err != nil || record.Address == "" {
--- a/internal/gateway/peers/registry_test.go
+++ b/internal/gateway/peers/registry_test.go
@@ -18,7 +18,9 @@
 	mu      sync.Mutex
 	records map[string]objects.Object
 	down    bool
-	calls   []string
+	// losesAnswers makes writes be done without an answer.
+	losesAnswers bool
+	calls        []string
 }
 
 func (s *sharedStore) note(call string) error {
@@ -53,6 +55,9 @@
 		return object, err
 	}
 	s.records[object.Metadata.Name] = object
+	if s.losesAnswers {
+		return object, &objects.Error{Kind: objects.KindUnknown, Call: "write"}
+	}
 	return object, nil
 }
 
@@ -116,3 +121,17 @@
 	require.NoError(t, r.step(context.Background(), &registered))
 	require.Len(t, r.Others(), 1)
 }
+
+// A node that cannot register must still know the others: else it takes itself for the
+// only one, as do all others that start while the store loses the answers of writes.
+func TestANodeWhoseRegistrationHasNoAnswerKnowsTheOthers(t *testing.T) {
+	store := &sharedStore{records: make(map[string]objects.Object), losesAnswers: true}
+	registered := false
+	one, two := newTestRegistry(store, "one"), newTestRegistry(store, "two")
+	require.Error(t, one.step(t.Context(), &registered))
+	require.Error(t, two.step(t.Context(), &registered))
+	require.Contains(t, two.Others(), "one")
+	require.NoError(t, one.step(t.Context(), &registered), "what it wrote stands there")
+	require.True(t, registered)
+	require.Contains(t, one.Others(), "two")
+}
