--- a/internal/faulttest/gatewaysite_test.go
+++ b/internal/faulttest/gatewaysite_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -42,6 +43,8 @@
 	nodes []*gatewayNode
 	slots []*replicaSlot
 	dir   string
+	// number counts the sites of this process.
+	number int64
 
 	mu       sync.Mutex
 	version  int
@@ -72,9 +75,14 @@
 	links  []*link
 }
 
+// gatewaySites counts the sites of this process.
+var gatewaySites atomic.Int64
+
 func startGatewaySite(t *testing.T) *gatewaySite {
 	t.Helper()
-	s := &gatewaySite{t: t, store: platformtest.NewStore(t), cloud: platformtest.NewCloud(t), dir: t.TempDir()}
+	s := &gatewaySite{
+		t: t, store: platformtest.NewStore(t), cloud: platformtest.NewCloud(t), dir: t.TempDir(), number: gatewaySites.Add(1),
+	}
 	for i := range 2 * gatewayReplicas {
 		service := "plain"
 		if i >= gatewayReplicas {
@@ -97,13 +105,9 @@
 
 // newNode prepares a daemon's settings, its way to the store and its front link.
 func (s *gatewaySite) newNode(number int) *gatewayNode {
-	first, err := freeAddress()
-	require.NoError(s.t, err)
-	_, port, err := net.SplitHostPort(first)
-	require.NoError(s.t, err)
-	// The ports of all nodes are the same; their IPs differ, and differ from those of
-	// other test processes by the port block.
-	ip := fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()%100, len(port)+int(port[len(port)-1]), number)
+	// The ports of all nodes are the same, so their IPs differ: within a site by their
+	// number, from those of other sites by the count of sites and the process.
+	ip := fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()%100, s.number%250, number)
 	n := &gatewayNode{door: s.store.NewDoor(s.t)}
 	n.settings = platformtest.NodeSettings{
 		Name: fmt.Sprintf("node-%d", number), Zone: string(rune('a' + number%gatewayDomains)), IP: ip,
