Repeats and crashes of contents are told in logs and metrics

Now: 'repeat decided' with cause, balance and nodes; 'crash counted' with content, count, evidence and how late it was noticed; 'crash not confirmed'; a counter of repeats by service, cause and outcome; gauges of suspected and convicted contents. No decision changed; the tests of internal/gateway, internal/poison and internal/retry pass as before.

--- a/internal/gateway/exchange/deps.go
+++ b/internal/gateway/exchange/deps.go
@@ -57,8 +57,17 @@
 type Budgets interface {
 	// Attempt counts a first send to a service.
 	Attempt(service string)
-	// Take takes one further send; it is false when none is left.
-	Take(service string) bool
+	// Take takes one further send, if one is left.
+	Take(service string) Grant
+}
+
+// Grant is the answer to a wish to send once more, with what decided it.
+type Grant struct {
+	Allowed bool
+	// Left is how many further sends are left after this one.
+	Left float64
+	// Nodes is over how many nodes the reserve is divided.
+	Nodes int
 }
 
 // Poison knows the contents that crash upstreams.
--- a/internal/gateway/exchange/metrics.go
+++ b/internal/gateway/exchange/metrics.go
@@ -45,6 +45,14 @@
 	m.count("gateway.refused", labels...)
 }
 
+// Repeat counts a wish to send a request once more.
+func (m *Metrics) Repeat(e *exchange, cause repeatCause, allowed bool) {
+	m.count("gateway.repeats",
+		projectmetrics.Label{Name: "service", Value: e.service.Name},
+		projectmetrics.Label{Name: "cause", Value: string(cause)},
+		projectmetrics.Label{Name: "allowed", Value: strconv.FormatBool(allowed)})
+}
+
 // Answered counts an answer of an upstream that was passed on whole.
 func (m *Metrics) Answered(e *exchange, status int) {
 	m.count("gateway.answered", append(e.labels(), projectmetrics.Label{Name: "status", Value: strconv.Itoa(status)})...)
--- a/internal/gateway/exchange/run.go
+++ b/internal/gateway/exchange/run.go
@@ -66,12 +66,12 @@
 				return
 			}
 		case stepRejected:
-			if !e.mayRepeat(ctx) {
+			if !e.mayRepeat(ctx, repeatRejected) {
 				e.giveUp(client, e.finalRefusal(refuseBusy(busyRetry)))
 				return
 			}
 		case stepFailed:
-			if !e.route.Repeatable() || !e.mayRepeat(ctx) {
+			if !e.route.Repeatable() || !e.mayRepeat(ctx, repeatLost) {
 				e.giveUp(client, e.finalRefusal(failedUpstream))
 				return
 			}
@@ -90,15 +90,34 @@
 	return failedUpstream
 }
 
+// repeatCause is why a request is to be sent once more, as logs and metrics spell it.
+type repeatCause string
+
+const (
+	repeatRejected repeatCause = "rejected"
+	repeatLost     repeatCause = "answer_lost"
+	repeatFailed   repeatCause = "upstream_failed"
+	repeatSilent   repeatCause = "upstream_silent"
+)
+
 // mayRepeat reports whether the request may be sent to one more upstream.
-func (e *exchange) mayRepeat(ctx context.Context) bool {
+func (e *exchange) mayRepeat(ctx context.Context, cause repeatCause) bool {
 	if ctx.Err() != nil || e.sends >= min(e.route.MaxAttempts, maxSends) {
 		return false
 	}
 	if e.granted.Swap(false) {
 		return true
 	}
-	return e.options.Budgets.Take(e.service.Name)
+	return e.takeRepeat(cause)
+}
+
+// takeRepeat takes one further send out of the service's budget.
+func (e *exchange) takeRepeat(cause repeatCause) bool {
+	grant := e.options.Budgets.Take(e.service.Name)
+	e.options.Metrics.Repeat(e, cause, grant.Allowed)
+	e.log("repeat decided", "allowed", grant.Allowed, "cause", cause, "service", e.service.Name,
+		"left", grant.Left, "nodes", grant.Nodes)
+	return grant.Allowed
 }
 
 // pick chooses an upstream, or says why there is none.
--- a/internal/gateway/exchange/send.go
+++ b/internal/gateway/exchange/send.go
@@ -69,7 +69,7 @@
 // is no reason to end an answer.
 func (a *attempt) stalled(tried int, cancel context.CancelCauseFunc) {
 	others := len(a.options.Upstreams.View().ByService[a.service.Name]) - tried
-	if others <= 0 || !a.options.Budgets.Take(a.service.Name) {
+	if others <= 0 || !a.takeRepeat(repeatSilent) {
 		return
 	}
 	a.granted.Store(true)
@@ -219,7 +219,7 @@
 func (a *attempt) upstreamFailure(ctx context.Context, response *httpconn.Response, body []byte) step {
 	a.ticket.End(a.outcome(ctx, balance.Failed))
 	a.log("upstream failed", "upstream", a.ticket.Upstream.ID, "status", response.Status)
-	if !a.client.begun && a.route.Repeatable() && a.mayRepeat(ctx) {
+	if !a.client.begun && a.route.Repeatable() && a.mayRepeat(ctx, repeatFailed) {
 		return stepRepeat
 	}
 	if a.client.begun || a.options.Wire.PromisesNotRun(response.Status) {
--- a/internal/gateway/server/budgets.go
+++ b/internal/gateway/server/budgets.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"mangoledge.example/mangoledge/internal/gateway/exchange"
 	"mangoledge.example/mangoledge/internal/gateway/site"
 	"mangoledge.example/mangoledge/internal/retry"
 )
@@ -61,5 +62,16 @@
 // Attempt counts a first send to a service.
 func (b *budgets) Attempt(service string) { b.of(service).Attempt() }
 
-// Take takes one further send.
-func (b *budgets) Take(service string) bool { return b.of(service).Take() }
+// Take takes one further send, if one is left.
+func (b *budgets) Take(service string) exchange.Grant {
+	budget := b.of(service)
+	allowed := budget.Take()
+	return exchange.Grant{Allowed: allowed, Left: budget.Left(), Nodes: b.sharers()}
+}
+
+// sharers returns over how many nodes the reserve is divided.
+func (b *budgets) sharers() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.nodes
+}
--- a/internal/gateway/server/contentguard.go
+++ b/internal/gateway/server/contentguard.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"log/slog"
 	"slices"
 	"strconv"
 	"strings"
@@ -21,6 +22,7 @@
 type contentGuard struct {
 	now      func() time.Time
 	registry *poison.Registry
+	logger   *slog.Logger
 
 	mu sync.Mutex
 	// lost holds answers that were lost and whose upstream may have crashed.
@@ -34,8 +36,8 @@
 	born     time.Time
 }
 
-func newContentGuard(now func() time.Time) *contentGuard {
-	return &contentGuard{now: now, registry: poison.NewRegistry()}
+func newContentGuard(now func() time.Time, logger *slog.Logger) *contentGuard {
+	return &contentGuard{now: now, registry: poison.NewRegistry(), logger: logger}
 }
 
 // contentOf names a request by what the client sent, whatever its attempt ID.
@@ -54,12 +56,18 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	g.lost = slices.DeleteFunc(g.lost, func(l lostAnswer) bool { return now.Sub(l.at) > crashWindow })
+	g.lost = slices.DeleteFunc(g.lost, func(l lostAnswer) bool {
+		if now.Sub(l.at) <= crashWindow {
+			return false
+		}
+		g.logger.Info("crash not confirmed", "content", l.content.String(), "upstream", l.upstream, "waited", now.Sub(l.at))
+		return true
+	})
 	g.lost = append(g.lost, lostAnswer{at: now, content: contentOf(r), upstream: upstream.ID, born: upstream.Born})
 }
 
 // Unreachable takes the answers that an upstream lost just before for a crash.
-func (g *contentGuard) Unreachable(upstream site.Upstream) { g.died(upstream.ID) }
+func (g *contentGuard) Unreachable(upstream site.Upstream) { g.died(upstream.ID, "unreachable") }
 
 // seen takes over the upstreams as the catalog has them: one that is gone or started
 // again had crashed, unless it was leaving.
@@ -74,11 +82,13 @@
 	}
 	g.mu.Unlock()
 	for _, id := range dead {
-		g.died(id)
+		g.died(id, "entry_gone_or_renewed")
 	}
 }
 
-func (g *contentGuard) died(upstream string) {
+// died counts a crash against each content whose answer the upstream lost; evidence
+// is how its death showed.
+func (g *contentGuard) died(upstream, evidence string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
@@ -88,7 +98,9 @@
 		}
 		// An upstream that started again under its ID is another one that can crash.
 		incarnation := ident.Upstream(upstream + "@" + strconv.FormatInt(l.born.UnixMilli(), 36))
-		g.registry.Crashed(l.at, l.content, incarnation, false)
+		count := g.registry.Crashed(l.at, l.content, incarnation, false)
+		g.logger.Info("crash counted", "content", l.content.String(), "crashes", count, "upstream", incarnation,
+			"evidence", evidence, "noticed_after", now.Sub(l.at))
 		return true
 	})
 }
@@ -103,6 +115,28 @@
 // maxToldEntries bounds the contents that a message to other nodes tells of.
 const maxToldEntries = 16
 
+// convicted counts the contents that are refused.
+func (g *contentGuard) convicted() int64 {
+	n := int64(0)
+	for _, e := range g.registry.Snapshot() {
+		if e.Convicted() {
+			n++
+		}
+	}
+	return n
+}
+
+// suspected counts the contents that crashed upstreams and are not cleared.
+func (g *contentGuard) suspected() int64 {
+	n := int64(0)
+	for _, e := range g.registry.Snapshot() {
+		if e.Count() > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // crashed returns the suspected contents for other nodes, the worst first.
 func (g *contentGuard) crashed() []poison.Entry {
 	entries := g.registry.Snapshot()
--- a/internal/gateway/server/gateway.go
+++ b/internal/gateway/server/gateway.go
@@ -106,7 +106,7 @@
 	g.quota = quota.New(clock.Boot, peers.Interval, settings.Bounds.QuotaWindow, settings.FirstStart)
 	g.counter = usage.NewCounter(settings.Bounds.UsageWindow)
 	g.budgets = newBudgets(settings.Bounds)
-	g.poison = newContentGuard(time.Now)
+	g.poison = newContentGuard(time.Now, g.logger)
 	g.demand = newDemandMeter(time.Now)
 	g.seeds.Store(&settings.Seeds)
 	g.Gauge("gateway.connections_made", g.pool.Dialed)
@@ -115,6 +115,8 @@
 	g.Gauge("gateway.config_version", g.configuration.Version)
 	g.Gauge("gateway.config_age_ms", func() int64 { return g.configuration.Age(time.Now()).Milliseconds() })
 	g.Gauge("gateway.store_age_ms", func() int64 { return g.upstreams.Age().Milliseconds() })
+	g.Gauge("gateway.contents_suspected", g.poison.suspected)
+	g.Gauge("gateway.contents_convicted", g.poison.convicted)
 	g.Gauge("gateway.nodes_alive", func() int64 { return int64(len(g.table.Alive())) })
 	return g, g.join()
 }
--- a/internal/poison/fingerprint.go
+++ b/internal/poison/fingerprint.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -12,6 +13,9 @@
 // Fingerprint names a content: what is run and on which input, whoever sends it.
 type Fingerprint uint64
 
+// String returns the fingerprint as logs spell it.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
+
 // Of returns the fingerprint of a request's content.
 func Of(model ident.Model, adapter ident.Adapter, service ident.Service, input string) Fingerprint {
 	var digest xxhash.Digest
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -49,6 +49,13 @@
 	return true
 }
 
+// Left returns how many retries are left; a part of one cannot be taken.
+func (b *Budget) Left() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tokens
+}
+
 // Usage is what a budget was used for; its figures only grow.
 type Usage struct {
 	First   uint64
