--- a/internal/faulttest/gatewaycall_test.go
+++ b/internal/faulttest/gatewaycall_test.go
@@ -104,8 +104,16 @@
 // by itself only over a connection that broke before it was written; the ID stays the
 // same then, so a second run of it would be seen.
 func (c *gatewayCaller) send(n *gatewayNode, route string) *gatewayAttempt {
+	return c.sendBody(n, route, "")
+}
+
+// sendBody sends a body of its own, or one that names the attempt.
+func (c *gatewayCaller) sendBody(n *gatewayNode, route, body string) *gatewayAttempt {
 	a := c.site.newAttempt(n, route)
-	a.body = "body of " + a.id
+	a.body = body
+	if body == "" {
+		a.body = "body of " + a.id
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), soakDeadline+soakPatience)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.front.address+route+"x", io.NopCloser(strings.NewReader(a.body)))
@@ -129,10 +137,10 @@
 		return a
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
+	answer, err := io.ReadAll(response.Body)
 	a.echoed = response.Header.Get("X-Mangoledge-Attempt-Id")
 	a.signed = response.Header.Get("X-Mangoledge-Server-Signature")
-	a.end(response.StatusCode, string(body), err)
+	a.end(response.StatusCode, string(answer), err)
 	return a
 }
 
--- a/internal/faulttest/gatewaysite_test.go
+++ b/internal/faulttest/gatewaysite_test.go
@@ -49,6 +49,12 @@
 	mu       sync.Mutex
 	version  int
 	attempts []*gatewayAttempt
+	// disturbed holds when nodes were not in touch.
+	disturbed []disturbance
+	// restarts is how replicas that a fatal content ended come back.
+	restarts func(slot *replicaSlot) replicaReturn
+	// ended is true once no replica is to come back any more.
+	ended bool
 }
 
 // gatewayNode is one daemon, over all its processes.
@@ -79,13 +85,19 @@
 var gatewaySites atomic.Int64
 
 func startGatewaySite(t *testing.T) *gatewaySite {
+	t.Helper()
+	return startGatewaySiteOf(t, gatewayNodes, gatewayReplicas)
+}
+
+// startGatewaySiteOf starts a site with so many nodes, and replicas of each service.
+func startGatewaySiteOf(t *testing.T, nodes, replicas int) *gatewaySite {
 	t.Helper()
 	s := &gatewaySite{
 		t: t, store: platformtest.NewStore(t), cloud: platformtest.NewCloud(t), dir: t.TempDir(), number: gatewaySites.Add(1),
 	}
-	for i := range 2 * gatewayReplicas {
+	for i := range 2 * replicas {
 		service := "plain"
-		if i >= gatewayReplicas {
+		if i >= replicas {
 			service = "engine"
 		}
 		slot := &replicaSlot{id: fmt.Sprintf("i-%s-%d", service, i), service: service}
@@ -93,7 +105,7 @@
 		s.startReplica(slot)
 	}
 	s.changeConfig("")
-	for i := range gatewayNodes {
+	for i := range nodes {
 		s.nodes = append(s.nodes, s.newNode(i+1))
 	}
 	for _, n := range s.nodes {
@@ -177,6 +189,8 @@
 func (s *gatewaySite) startReplica(slot *replicaSlot) {
 	replica := platformtest.NewReplica(s.t, slot.id)
 	replica.Events = streamEvents
+	replica.Fatal = fatalBody
+	replica.Ended = func() { s.replicaEnded(slot, replica) }
 	l := newLink(s.t, slot.id, replica.Server.Listener.Addr().String(), false)
 	slot.mu.Lock()
 	slot.starts = append(slot.starts, replica)
--- /dev/null
+++ b/internal/gateway/server/budgets_test.go
@@ -0,0 +1,136 @@
+package server
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/internal/gateway/site"
+)
+
+// budgetSite is nodes whose requests all fail, and whose processes are restarted.
+type budgetSite struct {
+	bounds site.Bounds
+	clock  *guardClock
+	nodes  []*budgets
+	// first and repeats hold when requests came and when they were sent once more.
+	first, repeats []time.Time
+}
+
+func newBudgetSite(nodes int, reserve float64) *budgetSite {
+	s := &budgetSite{
+		bounds: site.Bounds{RetryShare: 0.2, RetryReserve: reserve, RetryWindow: 10 * time.Second},
+		clock:  &guardClock{time.Unix(1000, 0)},
+	}
+	for range nodes {
+		s.nodes = append(s.nodes, nil)
+		s.start(len(s.nodes) - 1)
+	}
+	return s
+}
+
+// start starts a process of a node anew; it knows the others only after hearing.
+func (s *budgetSite) start(node int) { s.nodes[node] = newBudgets(s.bounds) }
+
+// hear tells all nodes how many there are.
+func (s *budgetSite) hear() {
+	for _, b := range s.nodes {
+		b.setNodes(len(s.nodes))
+	}
+}
+
+// fail has a node get one request that fails wherever it is sent.
+func (s *budgetSite) fail(node int) {
+	s.nodes[node].Attempt("service")
+	s.first = append(s.first, s.clock.at)
+	if s.nodes[node].Take("service").Allowed {
+		s.repeats = append(s.repeats, s.clock.at)
+	}
+}
+
+// excess returns by how much the fullest window exceeds what the users' rule allows
+// for it; requests of the window, of the one before and of that half a window before count.
+func (s *budgetSite) excess() float64 {
+	window := s.bounds.RetryWindow
+	count := func(of []time.Time, from time.Time) float64 {
+		n := 0.0
+		for _, at := range of {
+			if !at.Before(from) && at.Before(from.Add(window)) {
+				n++
+			}
+		}
+		return n
+	}
+	worst := -s.bounds.RetryReserve
+	for _, from := range s.repeats {
+		requests := max(count(s.first, from), count(s.first, from.Add(-window/2)), count(s.first, from.Add(-window)))
+		worst = max(worst, count(s.repeats, from)-s.bounds.RetryShare*requests-s.bounds.RetryReserve)
+	}
+	return worst
+}
+
+func TestRestartsInSeriesDoNotRenewTheReserveOfRepeats(t *testing.T) {
+	s := newBudgetSite(6, 52)
+	s.hear()
+	for range 24 {
+		for node := range s.nodes {
+			s.start(node)
+		}
+		s.hear()
+		for range 4 {
+			for node := range s.nodes {
+				s.fail(node)
+			}
+			s.clock.at = s.clock.at.Add(125 * time.Millisecond)
+		}
+	}
+	require.LessOrEqual(t, s.excess(), 0.0)
+}
+
+func TestNodesThatStartAtOnceDoNotEachTakeTheReserveOfFew(t *testing.T) {
+	s := newBudgetSite(74, 188)
+	for range 3 {
+		for node := range s.nodes {
+			s.start(node)
+		}
+		for range 10 {
+			for node := range s.nodes {
+				s.fail(node)
+			}
+			s.clock.at = s.clock.at.Add(50 * time.Millisecond)
+		}
+		s.hear()
+		s.clock.at = s.clock.at.Add(2 * time.Second)
+	}
+	require.LessOrEqual(t, s.excess(), 0.0)
+}
+
+func TestNoSeriesOfRestartsExceedsTheBudgetOfAWindow(t *testing.T) {
+	parameters := gopter.DefaultTestParameters()
+	parameters.Rng.Seed(16)
+	parameters.MinSuccessfulTests = 60
+	properties := gopter.NewProperties(parameters)
+	properties.Property("restarts of any nodes at any time", prop.ForAll(func(seed uint64, nodes, restarts, calls int) bool {
+		random := rand.New(rand.NewPCG(seed, 2))
+		s := newBudgetSite(nodes, 52)
+		for range 300 {
+			if random.IntN(4) == 0 {
+				s.hear()
+			}
+			for range random.IntN(restarts + 1) {
+				s.start(random.IntN(nodes))
+			}
+			for range random.IntN(calls + 1) {
+				s.fail(random.IntN(nodes))
+			}
+			s.clock.at = s.clock.at.Add(100 * time.Millisecond)
+		}
+		return s.excess() <= 0
+	}, gen.UInt64(), gen.IntRange(2, 40), gen.IntRange(0, 6), gen.IntRange(1, 12)))
+	properties.TestingRun(t)
+}
--- /dev/null
+++ b/internal/gateway/server/contentguard_test.go
@@ -0,0 +1,102 @@
+package server
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/internal/gateway/site"
+)
+
+// guardClock is a clock that tests move.
+type guardClock struct{ at time.Time }
+
+func (c *guardClock) now() time.Time { return c.at }
+
+func newTestGuard(c *guardClock) *contentGuard {
+	return newContentGuard(c.now, slog.New(slog.DiscardHandler))
+}
+
+func fatalRequest(body string) *site.Request {
+	return &site.Request{Method: "POST", Host: "site.example", Target: "/again/x", Key: "key", Body: []byte(body)}
+}
+
+func upstreams(n int) map[string]site.Upstream {
+	out := make(map[string]site.Upstream)
+	for i := range n {
+		id := fmt.Sprintf("i-%d", i)
+		out[id] = site.Upstream{ID: id, Service: "plain", Born: time.Unix(100, 0)}
+	}
+	return out
+}
+
+func TestACrashThatShowsAfterItsEntryLapsesCounts(t *testing.T) {
+	for _, lapse := range []time.Duration{time.Second, 3600 * time.Millisecond, 6 * time.Second, 15 * time.Second} {
+		clock := &guardClock{time.Unix(1000, 0)}
+		g, all := newTestGuard(clock), upstreams(3)
+		for id, u := range all {
+			g.seen(all)
+			g.AnswerLost(fatalRequest("fatal"), u)
+			clock.at = clock.at.Add(lapse)
+			delete(all, id)
+			g.seen(all)
+		}
+		require.True(t, g.Convicted(fatalRequest("fatal")), "entries lapse after %s", lapse)
+	}
+}
+
+func TestACrashThatShowsWhenTheUpstreamStartsAnewCounts(t *testing.T) {
+	clock := &guardClock{time.Unix(1000, 0)}
+	g, all := newTestGuard(clock), upstreams(1)
+	for crash := range 3 {
+		u := all["i-0"]
+		g.AnswerLost(fatalRequest("fatal"), u)
+		clock.at = clock.at.Add(5 * time.Second)
+		u.Born = u.Born.Add(time.Duration(crash+1) * time.Second)
+		all["i-0"] = u
+		g.seen(all)
+	}
+	require.True(t, g.Convicted(fatalRequest("fatal")))
+}
+
+func TestCrashesThatNodesSawOneEachAddUpBehindManySuspects(t *testing.T) {
+	for content := range 10 {
+		fatal := fatalRequest(fmt.Sprint("fatal ", content))
+		nodes := nodesWithACrashEach(6, fatal)
+		for range 40 {
+			for _, from := range nodes {
+				for _, to := range nodes {
+					if from != to {
+						to.hear(from.crashed())
+					}
+				}
+			}
+		}
+		for i, g := range nodes {
+			require.True(t, g.Convicted(fatal), "content %d at node %d", content, i)
+			require.False(t, g.Convicted(fatalRequest("in flight beside it 7 at 0")))
+		}
+	}
+}
+
+// nodesWithACrashEach returns nodes that saw one upstream each die under a content,
+// with forty others in flight there.
+func nodesWithACrashEach(n int, fatal *site.Request) []*contentGuard {
+	clock := &guardClock{time.Unix(1000, 0)}
+	all := upstreams(n)
+	var out []*contentGuard
+	for i := range n {
+		g, u := newTestGuard(clock), all[fmt.Sprintf("i-%d", i)]
+		g.seen(all)
+		for other := range 40 {
+			g.AnswerLost(fatalRequest(fmt.Sprintf("in flight beside it %d at %d", other, i)), u)
+		}
+		g.AnswerLost(fatal, u)
+		g.Unreachable(u)
+		out = append(out, g)
+	}
+	return out
+}
