A crash of an upstream counts whenever it shows, and is looked for

What callers see: a content that ends each replica that runs it is sent on for as long as it comes (BUDGET, contents that crash).

Cause: a lost answer became a crash only if its node found the upstream unreachable, gone or renewed within 3 s. The platform removes an entry after three heartbeats, 3.6 s and more; whether another request dials the dead upstream meanwhile is chance, as an upstream that failed is avoided; and behind a proxy a dead upstream takes connections. The window was a guess about other systems' times.

Now a lost answer stays open until it is known what became of the upstream: dead when it is gone or renewed, takes no connection or closes each new one; sound when a connection made before answers a request sent after; neither when it was leaving. The node looks at once, over a connection that it then keeps for requests. An answer that was lost as the caller left or its time ended counts alike, and a dial that its caller ended is no evidence any more.

Why it works: no guessed time stands between a death and its count; 30 s only bound the memory.

--- a/internal/gateway/exchange/deps.go
+++ b/internal/gateway/exchange/deps.go
@@ -74,8 +74,11 @@
 type Poison interface {
 	// Convicted reports whether the content must not be sent again.
 	Convicted(r *site.Request) bool
-	// AnswerLost notes that the connection to an upstream broke while it ran the content.
+	// AnswerLost notes that a request was sent to an upstream and got no whole answer.
 	AnswerLost(r *site.Request, upstream site.Upstream)
+	// Alive notes that an upstream answered a request sent at a time, over a connection
+	// made at another.
+	Alive(upstream site.Upstream, connected, sent time.Time)
 	// Unreachable notes that an upstream took no connection.
 	Unreachable(upstream site.Upstream)
 	// Succeeded notes that the content ran to its end.
--- a/internal/gateway/exchange/send.go
+++ b/internal/gateway/exchange/send.go
@@ -40,8 +40,9 @@
 	*exchange
 	client *clientWriter
 	ticket *balance.Ticket
-	// sent is when the request was sent, by the time of day.
-	sent time.Time
+	// sent is when the request was sent, by the time of day, and begun the same by the
+	// clock of this process.
+	sent, begun time.Time
 	// stall ends the attempt when it fires; nil when silence is no reason to end it.
 	stall *time.Timer
 }
@@ -51,7 +52,7 @@
 	e.tried[ticket.Upstream.ID] = true
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	a := &attempt{exchange: e, client: client, ticket: ticket, sent: e.options.WallClock()}
+	a := &attempt{exchange: e, client: client, ticket: ticket, sent: e.options.WallClock(), begun: time.Now()}
 	if e.route.Repeatable() && e.sends+1 < min(e.route.MaxAttempts, maxSends) {
 		tried := len(e.tried)
 		a.stall = time.AfterFunc(a.stallTimeout(), func() { a.stalled(tried, cancel) })
@@ -62,6 +63,7 @@
 		return a.failedToSend(ctx, err)
 	}
 	e.sends++
+	e.options.Poison.Alive(ticket.Upstream, response.ConnectedAt(), a.begun)
 	return a.receive(ctx, response)
 }
 
@@ -109,7 +111,9 @@
 func (a *attempt) failedToSend(ctx context.Context, err error) step {
 	if httpconn.VerdictOf(err) == verdict.NotRun {
 		a.ticket.End(a.outcome(ctx, balance.Unreachable))
-		a.options.Poison.Unreachable(a.ticket.Upstream)
+		if ctx.Err() == nil {
+			a.options.Poison.Unreachable(a.ticket.Upstream)
+		}
 		a.log("upstream not reached", "upstream", a.ticket.Upstream.ID, "error", err)
 		return a.unless(ctx, stepUnreached)
 	}
@@ -125,9 +129,7 @@
 		err = errStalled // what the closed connection says is the consequence
 	}
 	a.log("answer lost", "upstream", a.ticket.Upstream.ID, "error", err, "last_event", a.lastEvent)
-	if !ended(ctx) {
-		a.options.Poison.AnswerLost(a.request, a.ticket.Upstream)
-	}
+	a.options.Poison.AnswerLost(a.request, a.ticket.Upstream)
 	return a.unless(ctx, stepFailed)
 }
 
--- a/internal/gateway/httpconn/conn.go
+++ b/internal/gateway/httpconn/conn.go
@@ -29,6 +29,8 @@
 	address string
 	net     *net.TCPConn
 	reader  *bufio.Reader
+	// made is when the connection was made.
+	made time.Time
 	// idleSince is when the last answer ended; zero for a new connection.
 	idleSince time.Time
 	// idleLimit is for how long the peer keeps the connection; 0 when it did not say.
@@ -45,7 +47,7 @@
 			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
 		})
 	}
-	return &conn{address: address, net: c, reader: bufio.NewReaderSize(c, readBufferBytes)}
+	return &conn{address: address, net: c, reader: bufio.NewReaderSize(c, readBufferBytes), made: time.Now()}
 }
 
 // usable reports whether an idle connection can carry another request.
--- a/internal/gateway/httpconn/errors.go
+++ b/internal/gateway/httpconn/errors.go
@@ -8,11 +8,14 @@
 	"mangoledge.example/mangoledge/internal/verdict"
 )
 
+// StageDial is the stage of an Error when no connection was made.
+const StageDial = "dial"
+
 // Error is a failed exchange.
 type Error struct {
 	// Sent is true when bytes of the request may have left, so that it may have run.
 	Sent bool
-	// Stage is what was done when it failed: dial, write, read.
+	// Stage is what was done when it failed: StageDial, write, read, idle.
 	Stage string
 	Cause error
 }
--- a/internal/gateway/httpconn/pool.go
+++ b/internal/gateway/httpconn/pool.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"mangoledge.example/mangoledge/internal/wait"
 )
 
 const (
@@ -19,6 +21,9 @@
 	idleSharePercent = 70
 	// dialTimeout bounds the set-up of a connection; peers are at most a few milliseconds away.
 	dialTimeout = 800 * time.Millisecond
+	// probeTime is within what time a proxy whose upstream is dead closes a connection
+	// that it took, and an upstream one that it has no room for.
+	probeTime = 50 * time.Millisecond
 	// maxInformational is how many 1xx answers are read before the final one.
 	maxInformational = 5
 )
@@ -50,7 +55,7 @@
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*Response, error) {
 	c, err := p.take(ctx, address, r.MaxIdle)
 	if err != nil {
-		return nil, &Error{Stage: "dial", Cause: err}
+		return nil, &Error{Stage: StageDial, Cause: err}
 	}
 	out := &Response{pool: p, conn: c, written: make(chan error, 1)}
 	out.stop = context.AfterFunc(ctx, c.close)
@@ -86,6 +91,27 @@
 		}
 		c.close()
 	}
+	return p.dial(ctx, address)
+}
+
+// Probe makes a connection, waits for a moment whether the peer closes it, and keeps it
+// for later requests. An Error tells at which stage it failed.
+func (p *Pool) Probe(ctx context.Context, address string) error {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return &Error{Stage: StageDial, Cause: err}
+	}
+	wait.For(ctx, probeTime)
+	if !c.quiet() {
+		c.close()
+		return &Error{Stage: "idle", Cause: errors.New("the peer closed a new connection")}
+	}
+	p.put(c)
+	return nil
+}
+
+// dial makes a connection.
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	nc, err := p.dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, err
--- a/internal/gateway/httpconn/response.go
+++ b/internal/gateway/httpconn/response.go
@@ -69,6 +69,9 @@
 	return errors.New("no final answer")
 }
 
+// ConnectedAt is when the connection was made that the answer came over.
+func (r *Response) ConnectedAt() time.Time { return r.conn.made }
+
 // Finish ends a response whose body was read to its end and keeps the connection
 // when it is clean.
 func (r *Response) Finish() {
--- a/internal/gateway/server/contentguard.go
+++ b/internal/gateway/server/contentguard.go
@@ -13,20 +13,30 @@
 	"mangoledge.example/mangoledge/internal/poison"
 )
 
-// crashWindow is within what time after an answer was lost the upstream must turn
-// out to be dead for the content to be suspected: a lost answer alone is no crash.
-const crashWindow = 3 * time.Second
+const (
+	// suspectTime is for how long a lost answer is open to be taken for a crash. Entries
+	// lapse after three heartbeats, and are seen to only once the store is heard again.
+	suspectTime = 30 * time.Second
+	// maxLostAnswers bounds the lost answers that are open.
+	maxLostAnswers = 4096
+)
 
 // contentGuard keeps contents that crash upstreams from being sent again, on this
-// node and by what other nodes tell. It is safe for concurrent use.
+// node and by what other nodes tell. A lost answer alone is no crash: it becomes one
+// when its upstream turns out to be dead, and none when the upstream turns out to have
+// lived on or was leaving. It is safe for concurrent use.
 type contentGuard struct {
 	now      func() time.Time
 	registry *poison.Registry
 	logger   *slog.Logger
+	// check has an upstream that lost an answer looked at; it does not wait. Nil for nothing.
+	check func(site.Upstream)
 
 	mu sync.Mutex
-	// lost holds answers that were lost and whose upstream may have crashed.
+	// lost holds the answers that were lost and whose upstream may have crashed, the oldest first.
 	lost []lostAnswer
+	// draining holds the upstreams that are about to leave.
+	draining map[string]bool
 }
 
 type lostAnswer struct {
@@ -36,8 +46,14 @@
 	born     time.Time
 }
 
+// incarnation names the start of the upstream: one that started again under its ID is
+// another one that can crash.
+func (l *lostAnswer) incarnation() ident.Upstream {
+	return ident.Upstream(l.upstream + "@" + strconv.FormatInt(l.born.UnixMilli(), 36))
+}
+
 func newContentGuard(now func() time.Time, logger *slog.Logger) *contentGuard {
-	return &contentGuard{now: now, registry: poison.NewRegistry(), logger: logger}
+	return &contentGuard{now: now, registry: poison.NewRegistry(), logger: logger, draining: make(map[string]bool)}
 }
 
 // contentOf names a request by what the client sent, whatever its attempt ID.
@@ -51,39 +67,84 @@
 	return g.registry.Check(contentOf(r)) != nil
 }
 
-// AnswerLost notes that the connection to an upstream broke while it ran the content.
+// AnswerLost notes that the content was sent to an upstream and got no whole answer.
 func (g *contentGuard) AnswerLost(r *site.Request, upstream site.Upstream) {
+	if g.note(lostAnswer{at: g.now(), content: contentOf(r), upstream: upstream.ID, born: upstream.Born}) && g.check != nil {
+		g.check(upstream)
+	}
+}
+
+// note opens a lost answer; it is false for an upstream that is about to leave.
+func (g *contentGuard) note(l lostAnswer) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.draining[l.upstream] {
+		return false
+	}
+	g.lost = append(g.lost, l)
+	if len(g.lost) > maxLostAnswers {
+		g.lost = slices.Delete(g.lost, 0, len(g.lost)-maxLostAnswers)
+	}
+	return true
+}
+
+// Alive clears the answers that an upstream lost after a connection was made and before
+// a request was sent over it that it answered: its process lived on.
+func (g *contentGuard) Alive(upstream site.Upstream, connected, sent time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := g.now()
 	g.lost = slices.DeleteFunc(g.lost, func(l lostAnswer) bool {
-		if now.Sub(l.at) <= crashWindow {
-			return false
-		}
-		g.logger.Info("crash not confirmed", "content", l.content.String(), "upstream", l.upstream, "waited", now.Sub(l.at))
-		return true
+		return l.upstream == upstream.ID && l.at.After(connected) && l.at.Before(sent)
 	})
-	g.lost = append(g.lost, lostAnswer{at: now, content: contentOf(r), upstream: upstream.ID, born: upstream.Born})
 }
 
-// Unreachable takes the answers that an upstream lost just before for a crash.
+// Unreachable takes the answers that an upstream lost for a crash.
 func (g *contentGuard) Unreachable(upstream site.Upstream) { g.died(upstream.ID, "unreachable") }
 
 // seen takes over the upstreams as the catalog has them: one that is gone or started
 // again had crashed, unless it was leaving.
 func (g *contentGuard) seen(all map[string]site.Upstream) {
+	for _, id := range g.compare(all) {
+		g.died(id, "entry_gone_or_renewed")
+	}
+}
+
+// compare drops the lost answers that are too old or of upstreams that leave, and
+// returns the upstreams of the others that are gone or started again.
+func (g *contentGuard) compare(all map[string]site.Upstream) (dead []string) {
 	g.mu.Lock()
-	var dead []string
-	for _, l := range g.lost {
-		u, there := all[l.upstream]
-		if !there || !u.Born.Equal(l.born) {
-			dead = append(dead, l.upstream)
+	defer g.mu.Unlock()
+	for id, u := range all {
+		if u.Draining {
+			g.draining[id] = true
+		} else {
+			delete(g.draining, id)
 		}
 	}
-	g.mu.Unlock()
-	for _, id := range dead {
-		g.died(id, "entry_gone_or_renewed")
+	now := g.now()
+	g.lost = slices.DeleteFunc(g.lost, func(l lostAnswer) bool {
+		if g.draining[l.upstream] {
+			return true
+		}
+		if now.Sub(l.at) > suspectTime {
+			g.logger.Info("crash not confirmed", "content", l.content.String(), "upstream", l.upstream, "waited", now.Sub(l.at))
+			return true
+		}
+		if u, there := all[l.upstream]; !there || !u.Born.Equal(l.born) {
+			dead = append(dead, l.upstream)
+		}
+		return false
+	})
+	for id := range g.draining {
+		if _, there := all[id]; !there && !g.hasLost(id) {
+			delete(g.draining, id)
+		}
 	}
+	return dead
+}
+
+func (g *contentGuard) hasLost(upstream string) bool {
+	return slices.ContainsFunc(g.lost, func(l lostAnswer) bool { return l.upstream == upstream })
 }
 
 // died counts a crash against each content whose answer the upstream lost; evidence
@@ -93,13 +154,11 @@
 	defer g.mu.Unlock()
 	now := g.now()
 	g.lost = slices.DeleteFunc(g.lost, func(l lostAnswer) bool {
-		if l.upstream != upstream || now.Sub(l.at) > crashWindow {
+		if l.upstream != upstream {
 			return false
 		}
-		// An upstream that started again under its ID is another one that can crash.
-		incarnation := ident.Upstream(upstream + "@" + strconv.FormatInt(l.born.UnixMilli(), 36))
-		count := g.registry.Crashed(l.at, l.content, incarnation, false)
-		g.logger.Info("crash counted", "content", l.content.String(), "crashes", count, "upstream", incarnation,
+		count := g.registry.Crashed(l.at, l.content, l.incarnation(), false)
+		g.logger.Info("crash counted", "content", l.content.String(), "crashes", count, "upstream", l.incarnation(),
 			"evidence", evidence, "noticed_after", now.Sub(l.at))
 		return true
 	})
--- a/internal/gateway/server/contentguard_test.go
+++ b/internal/gateway/server/contentguard_test.go
@@ -62,6 +62,50 @@
 	require.True(t, g.Convicted(fatalRequest("fatal")))
 }
 
+func TestAnUpstreamThatLivedOnConvictsNothingWhenItEndsLater(t *testing.T) {
+	clock := &guardClock{time.Unix(1000, 0)}
+	g, all := newTestGuard(clock), upstreams(3)
+	for id, u := range all {
+		connected := clock.at
+		clock.at = clock.at.Add(time.Second)
+		g.AnswerLost(fatalRequest("innocent"), u)
+		clock.at = clock.at.Add(time.Second)
+		g.Alive(u, connected, clock.at)
+		clock.at = clock.at.Add(time.Second)
+		delete(all, id)
+		g.seen(all)
+	}
+	require.False(t, g.registry.Suspect(contentOf(fatalRequest("innocent"))))
+}
+
+func TestAnAnswerOfAnUpstreamThatMayHaveStartedAnewClearsNothing(t *testing.T) {
+	clock := &guardClock{time.Unix(1000, 0)}
+	g, all := newTestGuard(clock), upstreams(1)
+	u := all["i-0"]
+	g.AnswerLost(fatalRequest("fatal"), u)
+	clock.at = clock.at.Add(time.Second)
+	g.Alive(u, clock.at, clock.at) // over a connection made after the answer was lost
+	u.Born = u.Born.Add(time.Second)
+	g.seen(map[string]site.Upstream{"i-0": u})
+	require.Equal(t, 1, g.registry.Crashes(contentOf(fatalRequest("fatal"))))
+}
+
+func TestUpstreamsThatLeaveConvictNothing(t *testing.T) {
+	clock := &guardClock{time.Unix(1000, 0)}
+	g, all := newTestGuard(clock), upstreams(4)
+	for id, u := range all {
+		before := u
+		u.Draining = true
+		all[id] = u
+		g.seen(all)
+		g.AnswerLost(fatalRequest("innocent"), before)
+		delete(all, id)
+		g.Unreachable(before)
+		g.seen(all)
+	}
+	require.False(t, g.registry.Suspect(contentOf(fatalRequest("innocent"))))
+}
+
 func TestCrashesThatNodesSawOneEachAddUpBehindManySuspects(t *testing.T) {
 	for content := range 10 {
 		fatal := fatalRequest(fmt.Sprint("fatal ", content))
--- /dev/null
+++ b/internal/gateway/server/deathcheck_test.go
@@ -0,0 +1,53 @@
+package server
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/internal/gateway/httpconn"
+	"mangoledge.example/mangoledge/internal/gateway/site"
+)
+
+// listenAndTreat opens a port whose connections are treated by do.
+func listenAndTreat(t *testing.T, do func(net.Conn)) site.Upstream {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			do(c)
+		}
+	}()
+	return site.Upstream{ID: "i-1", Address: netip.MustParseAddrPort(listener.Addr().String())}
+}
+
+func TestAnUpstreamBehindAProxyThatOutlivesItIsFoundDead(t *testing.T) {
+	u := listenAndTreat(t, func(c net.Conn) { _ = c.Close() })
+	dead := make(chan site.Upstream, 1)
+	newDeathCheck(httpconn.NewPool().Probe, func(u site.Upstream) { dead <- u }, slog.New(slog.DiscardHandler)).start(t.Context(), u)
+	select {
+	case <-dead:
+	case <-time.After(10 * time.Second):
+		t.Fatal("not found dead")
+	}
+}
+
+func TestAnUpstreamThatKeepsAConnectionIsNotFoundDead(t *testing.T) {
+	var held atomic.Int64
+	u := listenAndTreat(t, func(net.Conn) { held.Add(1) })
+	check := newDeathCheck(httpconn.NewPool().Probe, func(site.Upstream) { t.Error("found dead") }, slog.New(slog.DiscardHandler))
+	check.run(context.Background(), u)
+	require.Equal(t, int64(1), held.Load(), "one look is enough")
+}
--- a/internal/gateway/server/gateway.go
+++ b/internal/gateway/server/gateway.go
@@ -191,6 +191,8 @@
 // Start opens the listeners and begins to follow the platform. ctx ends all of it.
 func (g *Gateway) Start(ctx context.Context) error {
 	g.logger.Info("starting", "failure_domain", g.settings.FailureDomain, "first_start", g.settings.FirstStart)
+	check := newDeathCheck(g.pool.Probe, g.poison.Unreachable, g.logger)
+	g.poison.check = func(u site.Upstream) { check.start(ctx, u) }
 	if err := g.listen(ctx); err != nil {
 		return err
 	}
