Crashes of contents outlive all processes

Cause: the counts of crashes were kept by processes only, which told each other; a site whose processes all end forgets them. What all nodes must remember belongs in the platform's store.

Ruled out: that live nodes do not tell those that start (one node restarted alone hears it by message).

Now the checkpoint that the holder of the duties writes each half second holds them beside the quota: no further call, 14 KB at most. A process merges it at its start, tries until it can, and writes none before: it would wipe out what it does not know. What is left: crashes of the last half second to a second before all are killed.

--- a/internal/faulttest/gatewayfatal_test.go
+++ b/internal/faulttest/gatewayfatal_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/platform/platformtest"
 )
 
 const (
@@ -23,6 +25,8 @@
 	mostFatalAfter = 3
 	// contactTime is how long a node must be undisturbed for bounds of time to hold.
 	contactTime = 3 * time.Second
+	// storeAway is longer than a node that starts tries to restore its quota.
+	storeAway = 5 * time.Second
 	// entryLapse is after how long the platform removes the entry of a silent replica.
 	entryLapse = 3600 * time.Millisecond
 )
@@ -192,9 +196,16 @@
 	go s.sendFatal(stop, "/again/")
 	require.Eventually(t, func() bool { return s.refusedEverywhere("/again/") }, 2*gatewayReadyLimit, 100*time.Millisecond)
 	convicted := len(s.fatalRuns())
-	for range 4 {
+	for round := range 4 {
 		time.Sleep(contactTime)
+		if round%2 == 1 {
+			s.store.SetMode(platformtest.StoreBusy)
+		}
 		s.killAll(0)
+		if round%2 == 1 {
+			time.Sleep(storeAway)
+			s.store.SetMode(platformtest.StoreSound)
+		}
 		s.awaitService()
 		time.Sleep(contactTime)
 		require.Eventually(t, func() bool { return s.refusedEverywhere("/again/") }, gatewayReadyLimit, 100*time.Millisecond)
--- a/internal/gateway/server/quotastore.go
+++ b/internal/gateway/server/checkpoint.go
@@ -11,6 +11,7 @@
 	"mangoledge.example/mangoledge/internal/gateway/peers"
 	"mangoledge.example/mangoledge/internal/gateway/quota"
 	"mangoledge.example/mangoledge/internal/platform/objects"
+	"mangoledge.example/mangoledge/internal/poison"
 	"mangoledge.example/mangoledge/internal/wait"
 )
 
@@ -18,7 +19,7 @@
 	// kindQuota and quotaName name the object that outlives all processes.
 	kindQuota = objects.Kind("mangoledge-quota")
 	quotaName = "spent"
-	// checkpointInterval is how often the holder of the duties writes what was spent.
+	// checkpointInterval is how often the holder of the duties writes a checkpoint.
 	checkpointInterval = 500 * time.Millisecond
 	// lastCheckpoint is how old the last checkpoint can be when its writer dies.
 	lastCheckpoint = checkpointInterval + dutyInterval
@@ -26,17 +27,28 @@
 	hearTime = 3 * peers.BaseInterval
 	// restoreRetry is the pause after a checkpoint that could not be read.
 	restoreRetry = 200 * time.Millisecond
-	// restoreTries bounds the tries: later the checkpoint tells little.
-	restoreTries = 20
+	// quotaRestoreTime is until when after the start a checkpoint says something of the quota.
+	quotaRestoreTime = 4 * time.Second
+	// lastingRepeated and lastingOthers bound the contents that a checkpoint holds: those
+	// that crashed more than one upstream, and the others; 128 take 14 KB.
+	lastingRepeated = 64
+	lastingOthers   = 64
 )
 
-// writeCheckpoint writes what was spent within the last window, when it is due.
+// checkpoint is what outlives all processes of the site.
+type checkpoint struct {
+	quota.Checkpoint
+	// Crashes are the contents that crashed upstreams.
+	Crashes []poison.Entry `json:"crashes,omitempty"`
+}
+
+// writeCheckpoint writes what must outlive all processes, when it is due.
 func (g *Gateway) writeCheckpoint(ctx context.Context) error {
-	if !g.holdsDuty() || time.Since(g.checkpointed) < checkpointInterval {
+	if !g.restored.Load() || !g.holdsDuty() || time.Since(g.checkpointed) < checkpointInterval {
 		return nil
 	}
 	g.checkpointed = time.Now()
-	spec, err := json.Marshal(g.quota.Checkpoint(time.Now()))
+	spec, err := json.Marshal(checkpoint{Checkpoint: g.quota.Checkpoint(time.Now()), Crashes: g.poison.sample(lastingRepeated, lastingOthers)})
 	if err != nil {
 		return errors.Wrap(err, "checkpoint")
 	}
@@ -50,17 +62,29 @@
 	return err
 }
 
-// restoreQuota begins with the checkpoint of the processes before this one. Once the
-// live nodes are heard and all of them started after it, nobody spent for longer than
-// until the next checkpoint would have been written.
-func (g *Gateway) restoreQuota(ctx context.Context) {
-	if g.settings.FirstStart {
+// restore begins with the checkpoint of the processes before this one, once it can be
+// read. Until then this process writes none: it would wipe out what it does not know.
+func (g *Gateway) restore(ctx context.Context) {
+	began := time.Now()
+	c, found := g.readCheckpoint(ctx)
+	if ctx.Err() != nil {
 		return
 	}
-	c, ok := g.readCheckpoint(ctx)
-	if !ok {
+	g.poison.hear(c.Crashes)
+	g.restored.Store(true)
+	if !found {
 		return
 	}
+	g.logger.Info("crashes of contents restored", "contents", len(c.Crashes), "took", time.Since(began))
+	if time.Since(began) < quotaRestoreTime {
+		g.restoreQuota(ctx, c.Checkpoint)
+	}
+}
+
+// restoreQuota begins with what a checkpoint says was spent. Once the live nodes are
+// heard and all of them started after it, nobody spent for longer than until the next
+// checkpoint would have been written.
+func (g *Gateway) restoreQuota(ctx context.Context, c quota.Checkpoint) {
 	age := time.Since(c.At)
 	g.quota.Restore(c, age, age)
 	g.logger.Info("quota restored", "age", age)
@@ -83,21 +107,23 @@
 	return len(alive) > 0
 }
 
-// readCheckpoint reads the checkpoint; ok is false when there is none to be had.
-func (g *Gateway) readCheckpoint(ctx context.Context) (c quota.Checkpoint, ok bool) {
-	for range restoreTries {
+// readCheckpoint reads the checkpoint; found is false when there is none, which is so
+// when the whole system starts for the first time.
+func (g *Gateway) readCheckpoint(ctx context.Context) (c checkpoint, found bool) {
+	for !g.settings.FirstStart && ctx.Err() == nil {
 		object, err := g.store.Get(ctx, kindQuota, quotaName)
 		if err == nil {
 			err = json.Unmarshal(object.Spec, &c)
+			if err != nil {
+				g.logger.Error("checkpoint ignored", "error", err)
+			}
+			return c, err == nil
 		}
-		if err == nil {
-			return c, true
-		}
-		g.logger.Warn("quota not restored", "error", err)
+		g.logger.Warn("checkpoint not read", "error", err)
 		if objects.KindOf(err) == objects.KindNotFound {
-			return c, false
+			break
 		}
 		wait.For(ctx, restoreRetry)
 	}
-	return c, false
+	return checkpoint{}, false
 }
--- a/internal/gateway/server/contentguard.go
+++ b/internal/gateway/server/contentguard.go
@@ -206,10 +206,13 @@
 
 // crashed returns contents for other nodes: those that crashed several upstreams, and
 // others by chance, so that each is told in time however many there are.
-func (g *contentGuard) crashed() []poison.Entry {
+func (g *contentGuard) crashed() []poison.Entry { return g.sample(toldRepeated, toldOthers) }
+
+// sample returns so many of the contents that crashed several upstreams, and of the others.
+func (g *contentGuard) sample(repeated, others int) []poison.Entry {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.registry.Sample(toldRepeated, toldOthers, g.random)
+	return g.registry.Sample(repeated, others, g.random)
 }
 
 // hear takes over what another node knows.
--- a/internal/gateway/server/gateway.go
+++ b/internal/gateway/server/gateway.go
@@ -66,6 +66,8 @@
 	// loadsSummed is when the open work of the other nodes was added up; of the receiver alone.
 	loadsSummed time.Time
 
+	// restored is true once the checkpoint of earlier processes was read, or there is none.
+	restored atomic.Bool
 	// checkpointed is when this node last wrote what was spent.
 	checkpointed time.Time
 
@@ -198,7 +200,7 @@
 		return err
 	}
 	go g.readOnce(ctx)
-	go g.restoreQuota(ctx)
+	go g.restore(ctx)
 	go g.nodes.Run(ctx)
 	go g.watchWhileNeeded(ctx)
 	go g.relay(ctx)
