Starting anew renews no reserve of repeats

What callers see: with failing replicas and processes that are restarted in series, a service gets more repeats in a window than its budget allows (BUDGET, arrivals beyond the first).

Cause: a limit of all nodes was kept in each process with an allowance that every start renewed. A process began with its part of the reserve saved, and took an eighth for its part until it heard the others: 74 nodes that start at once had 74 eighths.

Ruled out, by reading each path: a send without a grant; a grant that is spent twice.

Now a process begins with nothing, unless the whole system starts for the first time, and earns its part of the reserve once a window beside its share of first sends. Its part is nothing until it knows how many nodes share. Why it works: what all processes of a node earn within a window is one window's part, however many they are; saved and earned are 0.4 of the reserve each. For callers: the first repeats after a start come later, more are allowed in the long run (0.4 of the reserve each window, before only shares of requests).

--- a/internal/gateway/server/budgets.go
+++ b/internal/gateway/server/budgets.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"mangoledge.example/mangoledge/internal/gateway/exchange"
 	"mangoledge.example/mangoledge/internal/gateway/site"
@@ -12,39 +13,52 @@
 	// budgetPart is the part of the allowance that is used: what nodes spend at the
 	// edge of a window must not add up to more.
 	budgetPart = 0.7
-	// reservePart is the same for the reserve: a process that starts anew has its own again.
+	// reservePart is the part of the reserve that is saved up at most, and again the
+	// part that is earned within a window: one window may hold both.
 	reservePart = 0.4
-	// leastNodes is how many nodes share the reserve before others were heard.
-	leastNodes = 8
 )
 
-// budgets holds the retry budget of each service. It is safe for concurrent use.
+// budgets holds the retry budget of each service, this node's part of what all nodes may
+// do together. It is safe for concurrent use.
 type budgets struct {
 	bounds site.Bounds
+	// sharers returns over how many nodes the reserve is divided; 0 while that is not known.
+	sharers func() int
+	// full is true when no process of the site was before this one: then the reserve is saved.
+	full bool
+	now  func() time.Time
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// nodes is the most that sharers returned.
 	nodes int
 	all   map[string]*retry.Budget
 }
 
-func newBudgets(bounds site.Bounds) *budgets {
-	return &budgets{bounds: bounds, nodes: leastNodes, all: make(map[string]*retry.Budget)}
+func newBudgets(bounds site.Bounds, sharers func() int, full bool, now func() time.Time) *budgets {
+	return &budgets{bounds: bounds, sharers: sharers, full: full, now: now, all: make(map[string]*retry.Budget)}
 }
 
-// setNodes notes how many nodes share the reserve; the most that were ever seen count.
-func (b *budgets) setNodes(n int) {
+// divide divides the reserve anew and returns over how many nodes; the most that were
+// ever seen count.
+func (b *budgets) divide() int {
+	n := b.sharers()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if n <= b.nodes {
-		return
+		return b.nodes
 	}
 	b.nodes = n
 	for _, budget := range b.all {
 		budget.SetReserve(b.reserve())
 	}
+	return n
 }
 
+// reserve is this node's part; none while it does not know how many others have one.
 func (b *budgets) reserve() float64 {
+	if b.nodes == 0 {
+		return 0
+	}
 	return reservePart * b.bounds.RetryReserve / float64(b.nodes)
 }
 
@@ -52,7 +66,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.all[service] == nil {
-		budget := retry.NewBudget(budgetPart*b.bounds.RetryShare, int(b.reserve()))
+		budget := retry.NewShared(budgetPart*b.bounds.RetryShare, b.bounds.RetryWindow, b.full, b.now)
 		budget.SetReserve(b.reserve())
 		b.all[service] = budget
 	}
@@ -64,14 +78,7 @@
 
 // Take takes one further send, if one is left.
 func (b *budgets) Take(service string) exchange.Grant {
-	budget := b.of(service)
+	nodes, budget := b.divide(), b.of(service)
 	allowed := budget.Take()
-	return exchange.Grant{Allowed: allowed, Left: budget.Left(), Nodes: b.sharers()}
-}
-
-// sharers returns over how many nodes the reserve is divided.
-func (b *budgets) sharers() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.nodes
+	return exchange.Grant{Allowed: allowed, Left: budget.Left(), Nodes: nodes}
 }
--- a/internal/gateway/server/budgets_test.go
+++ b/internal/gateway/server/budgets_test.go
@@ -18,6 +18,8 @@
 	bounds site.Bounds
 	clock  *guardClock
 	nodes  []*budgets
+	// heard is how many nodes the process of each knows of.
+	heard []int
 	// first and repeats hold when requests came and when they were sent once more.
 	first, repeats []time.Time
 }
@@ -28,19 +30,23 @@
 		clock:  &guardClock{time.Unix(1000, 0)},
 	}
 	for range nodes {
-		s.nodes = append(s.nodes, nil)
-		s.start(len(s.nodes) - 1)
+		s.nodes, s.heard = append(s.nodes, nil), append(s.heard, 0)
+		s.start(len(s.nodes)-1, true)
 	}
 	return s
 }
 
 // start starts a process of a node anew; it knows the others only after hearing.
-func (s *budgetSite) start(node int) { s.nodes[node] = newBudgets(s.bounds) }
+func (s *budgetSite) start(node int, first bool) {
+	s.heard[node] = 0
+	s.nodes[node] = newBudgets(s.bounds, func() int { return s.heard[node] }, first, s.clock.now)
+}
 
 // hear tells all nodes how many there are.
 func (s *budgetSite) hear() {
-	for _, b := range s.nodes {
-		b.setNodes(len(s.nodes))
+	for node, b := range s.nodes {
+		s.heard[node] = len(s.nodes)
+		b.divide()
 	}
 }
 
@@ -79,7 +85,7 @@
 	s.hear()
 	for range 24 {
 		for node := range s.nodes {
-			s.start(node)
+			s.start(node, false)
 		}
 		s.hear()
 		for range 4 {
@@ -96,7 +102,7 @@
 	s := newBudgetSite(74, 188)
 	for range 3 {
 		for node := range s.nodes {
-			s.start(node)
+			s.start(node, false)
 		}
 		for range 10 {
 			for node := range s.nodes {
@@ -123,7 +129,7 @@
 				s.hear()
 			}
 			for range random.IntN(restarts + 1) {
-				s.start(random.IntN(nodes))
+				s.start(random.IntN(nodes), false)
 			}
 			for range random.IntN(calls + 1) {
 				s.fail(random.IntN(nodes))
--- a/internal/gateway/server/messages.go
+++ b/internal/gateway/server/messages.go
@@ -102,7 +102,16 @@
 func (g *Gateway) takeLoads() {
 	alive := g.table.Alive()
 	g.balancer.SetOthers(sumLoads(alive))
-	g.budgets.setNodes(len(alive) + 1)
+	g.budgets.divide()
+}
+
+// sharers returns how many nodes share what all may do together. It is not known, and 0,
+// until the registered nodes were listed or this process had a window's time to hear them.
+func (g *Gateway) sharers() int {
+	if !g.nodes.Listed() && time.Since(g.started) <= g.settings.Bounds.RetryWindow {
+		return 0
+	}
+	return max(len(g.table.Alive())+1, len(g.nodes.Known()))
 }
 
 func sumLoads(alive []*peers.Peer) map[uint32]balance.Outstanding {
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -1,14 +1,23 @@
 package retry
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
-// Budget bounds retries to a share of the first attempts. It is safe for concurrent use.
+// Budget bounds retries to a share of the first attempts and a reserve. It is safe for
+// concurrent use.
 type Budget struct {
-	share   float64
-	reserve float64
+	share float64
+	// window is in what time the reserve is earned; 0 for one that is saved from the start.
+	window time.Duration
+	now    func() time.Time
 
 	mu      sync.Mutex
+	full    bool
+	reserve float64
 	tokens  float64
+	earned  time.Time
 	first   uint64
 	retries uint64
 	refused uint64
@@ -20,14 +29,37 @@
 	return &Budget{share: share, reserve: float64(reserve), tokens: float64(reserve)}
 }
 
+// NewShared returns one of many budgets that bound what processes on many nodes do
+// together, however often each starts anew: it begins with nothing saved, has no reserve
+// until SetReserve, and earns that once in each window beside its share. full is
+// for processes before which there were none: the first reserve is saved then.
+func NewShared(share float64, window time.Duration, full bool, now func() time.Time) *Budget {
+	return &Budget{share: share, window: window, full: full, now: now, earned: now()}
+}
+
 // SetReserve changes how many retries can be saved up; those saved beyond it are lost.
 func (b *Budget) SetReserve(reserve float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.earn()
+	if b.full && reserve > 0 {
+		b.full, b.tokens = false, reserve
+	}
 	b.reserve = reserve
 	b.tokens = min(b.tokens, reserve)
 }
 
+// earn adds what the time since the last call earned.
+func (b *Budget) earn() {
+	if b.window <= 0 {
+		return
+	}
+	now := b.now()
+	elapsed := max(0, now.Sub(b.earned))
+	b.earned = now
+	b.tokens = min(b.tokens+b.reserve*elapsed.Seconds()/b.window.Seconds(), b.reserve)
+}
+
 // Attempt counts a first attempt.
 func (b *Budget) Attempt() {
 	b.mu.Lock()
@@ -40,6 +72,7 @@
 func (b *Budget) Take() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.earn()
 	if b.tokens < 1 {
 		b.refused++
 		return false
@@ -53,6 +86,7 @@
 func (b *Budget) Left() float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.earn()
 	return b.tokens
 }
 
--- a/internal/retry/policy_test.go
+++ b/internal/retry/policy_test.go
@@ -78,3 +78,30 @@
 	))
 	properties.TestingRun(t)
 }
+
+func TestASharedBudgetBeginsWithNothingAndEarnsItsReserveOnceAWindow(t *testing.T) {
+	now := time.Unix(1000, 0)
+	budget := NewShared(0, 10*time.Second, false, func() time.Time { return now })
+	take := func() (n int) {
+		for budget.Take() {
+			n++
+		}
+		return n
+	}
+	now = now.Add(time.Hour)
+	if n := take(); n != 0 {
+		t.Fatalf("%d retries before a reserve is known", n)
+	}
+	budget.SetReserve(4)
+	if n := take(); n != 0 {
+		t.Fatalf("%d retries at the start", n)
+	}
+	now = now.Add(5 * time.Second)
+	if n := take(); n != 2 {
+		t.Fatalf("%d retries after half a window", n)
+	}
+	now = now.Add(time.Hour)
+	if n := take(); n != 4 {
+		t.Fatalf("%d retries were saved up", n)
+	}
+}
