Nodes whose part of the reserve is less than one repeat share it all the same

What callers see: at a site with more nodes than 0.4 times the reserve of repeats, no idempotent request ever gets a second send, whatever the traffic.

Cause: a node saves up its part of the reserve at most, and spends whole repeats only; at 460 nodes and a reserve of 188 its part is 0.16.

Now a budget that can never save a whole repeat bets what it has: over all nodes that allows as many as there are tokens. The bound of a window holds in the same test, and over half of what the share alone allows is used.

--- a/internal/gateway/server/budgets.go
+++ b/internal/gateway/server/budgets.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -27,6 +28,7 @@
 	// full is true when no process of the site was before this one: then the reserve is saved.
 	full bool
 	now  func() time.Time
+	seed func() uint64
 
 	mu sync.Mutex
 	// nodes is the most that sharers returned.
@@ -34,8 +36,8 @@
 	all   map[string]*retry.Budget
 }
 
-func newBudgets(bounds site.Bounds, sharers func() int, full bool, now func() time.Time) *budgets {
-	return &budgets{bounds: bounds, sharers: sharers, full: full, now: now, all: make(map[string]*retry.Budget)}
+func newBudgets(bounds site.Bounds, sharers func() int, full bool, now func() time.Time, seed func() uint64) *budgets {
+	return &budgets{bounds: bounds, sharers: sharers, full: full, now: now, seed: seed, all: make(map[string]*retry.Budget)}
 }
 
 // divide divides the reserve anew and returns over how many nodes; the most that were
@@ -66,7 +68,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.all[service] == nil {
-		budget := retry.NewShared(budgetPart*b.bounds.RetryShare, b.bounds.RetryWindow, b.full, b.now)
+		random := rand.New(rand.NewPCG(b.seed(), b.seed()))
+		budget := retry.NewShared(budgetPart*b.bounds.RetryShare, b.bounds.RetryWindow, b.full, b.now, random)
 		budget.SetReserve(b.reserve())
 		b.all[service] = budget
 	}
--- a/internal/gateway/server/budgets_test.go
+++ b/internal/gateway/server/budgets_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 type budgetSite struct {
 	bounds site.Bounds
 	clock  *guardClock
+	random *rand.Rand
 	nodes  []*budgets
 	// heard is how many nodes the process of each knows of.
 	heard []int
@@ -28,6 +30,7 @@
 	s := &budgetSite{
 		bounds: site.Bounds{RetryShare: 0.2, RetryReserve: reserve, RetryWindow: 10 * time.Second},
 		clock:  &guardClock{time.Unix(1000, 0)},
+		random: rand.New(rand.NewPCG(16, 3)),
 	}
 	for range nodes {
 		s.nodes, s.heard = append(s.nodes, nil), append(s.heard, 0)
@@ -39,7 +42,7 @@
 // start starts a process of a node anew; it knows the others only after hearing.
 func (s *budgetSite) start(node int, first bool) {
 	s.heard[node] = 0
-	s.nodes[node] = newBudgets(s.bounds, func() int { return s.heard[node] }, first, s.clock.now)
+	s.nodes[node] = newBudgets(s.bounds, func() int { return s.heard[node] }, first, s.clock.now, s.random.Uint64)
 }
 
 // hear tells all nodes how many there are.
@@ -64,13 +67,9 @@
 func (s *budgetSite) excess() float64 {
 	window := s.bounds.RetryWindow
 	count := func(of []time.Time, from time.Time) float64 {
-		n := 0.0
-		for _, at := range of {
-			if !at.Before(from) && at.Before(from.Add(window)) {
-				n++
-			}
-		}
-		return n
+		first, _ := slices.BinarySearchFunc(of, from, time.Time.Compare)
+		next, _ := slices.BinarySearchFunc(of, from.Add(window), time.Time.Compare)
+		return float64(next - first)
 	}
 	worst := -s.bounds.RetryReserve
 	for _, from := range s.repeats {
@@ -140,3 +139,19 @@
 	}, gen.UInt64(), gen.IntRange(2, 40), gen.IntRange(0, 6), gen.IntRange(1, 12)))
 	properties.TestingRun(t)
 }
+
+func TestNodesWhosePartOfTheReserveIsLessThanOneRepeatAllTheSame(t *testing.T) {
+	s := newBudgetSite(460, 188)
+	s.hear()
+	for range 200 {
+		for node := range s.nodes {
+			if node%4 == 0 {
+				s.fail(node)
+			}
+		}
+		s.clock.at = s.clock.at.Add(200 * time.Millisecond)
+	}
+	require.LessOrEqual(t, s.excess(), 0.0)
+	share := budgetPart * s.bounds.RetryShare * float64(len(s.first))
+	require.Greater(t, float64(len(s.repeats)), share/2)
+}
--- a/internal/gateway/server/gateway.go
+++ b/internal/gateway/server/gateway.go
@@ -108,7 +108,7 @@
 	g.balancer = balance.New(settings.FailureDomain, time.Now)
 	g.quota = quota.New(clock.Boot, peers.Interval, settings.Bounds.QuotaWindow, settings.FirstStart)
 	g.counter = usage.NewCounter(settings.Bounds.UsageWindow)
-	g.budgets = newBudgets(settings.Bounds, g.sharers, settings.FirstStart, clock.Boot)
+	g.budgets = newBudgets(settings.Bounds, g.sharers, settings.FirstStart, clock.Boot, rand.Uint64)
 	g.poison = newContentGuard(time.Now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), g.logger)
 	g.demand = newDemandMeter(time.Now)
 	g.seeds.Store(&settings.Seeds)
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -14,6 +15,7 @@
 	now    func() time.Time
 
 	mu      sync.Mutex
+	random  *rand.Rand
 	full    bool
 	reserve float64
 	tokens  float64
@@ -33,8 +35,8 @@
 // together, however often each starts anew: it begins with nothing saved, has no reserve
 // until SetReserve, and earns that once in each window beside its share. full is
 // for processes before which there were none: the first reserve is saved then.
-func NewShared(share float64, window time.Duration, full bool, now func() time.Time) *Budget {
-	return &Budget{share: share, window: window, full: full, now: now, earned: now()}
+func NewShared(share float64, window time.Duration, full bool, now func() time.Time, random *rand.Rand) *Budget {
+	return &Budget{share: share, window: window, full: full, now: now, random: random, earned: now()}
 }
 
 // SetReserve changes how many retries can be saved up; those saved beyond it are lost.
@@ -73,15 +75,29 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.earn()
-	if b.tokens < 1 {
+	if !b.draw() {
 		b.refused++
 		return false
 	}
-	b.tokens--
 	b.retries++
 	return true
 }
 
+// draw takes one token. A shared budget that can never save a whole one bets what it has:
+// over all nodes that allows as many retries as there are tokens.
+func (b *Budget) draw() bool {
+	if b.window > 0 && b.reserve < 1 {
+		won := b.random.Float64() < b.tokens
+		b.tokens = 0
+		return won
+	}
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
 // Left returns how many retries are left; a part of one cannot be taken.
 func (b *Budget) Left() float64 {
 	b.mu.Lock()
