--- a/internal/faulttest/gatewaycall_test.go
+++ b/internal/faulttest/gatewaycall_test.go
@@ -43,6 +43,7 @@
 	route string
 	node  string
 	body  string
+	sent  time.Time
 
 	mu sync.Mutex
 	// ended is false while the caller waits.
@@ -56,7 +57,7 @@
 }
 
 func (s *gatewaySite) newAttempt(n *gatewayNode, route string) *gatewayAttempt {
-	a := &gatewayAttempt{id: fmt.Sprintf("attempt-%d", attemptNumber.Add(1)), route: route, node: n.settings.Name}
+	a := &gatewayAttempt{id: fmt.Sprintf("attempt-%d", attemptNumber.Add(1)), route: route, node: n.settings.Name, sent: time.Now()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.attempts = append(s.attempts, a)
--- a/internal/faulttest/gatewayfatal_test.go
+++ b/internal/faulttest/gatewayfatal_test.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -98,12 +99,14 @@
 // sendFatal sends the fatal content to the nodes in turn until stop is closed.
 func (s *gatewaySite) sendFatal(stop <-chan struct{}, route string) {
 	caller := s.newCaller(0, 0)
+	var sending sync.WaitGroup
+	defer sending.Wait()
 	for i := 0; ; i++ {
 		select {
 		case <-stop:
 			return
 		case <-time.After(fatalPause):
-			go caller.sendBody(s.nodes[i%len(s.nodes)], route, fatalBody)
+			sending.Go(func() { caller.sendBody(s.nodes[i%len(s.nodes)], route, fatalBody) })
 		}
 	}
 }
@@ -178,13 +181,9 @@
 				defer s.mu.Unlock()
 				return replicaReturn{after: 2*time.Second + time.Duration(random.Int64N(int64(4*time.Second))), linkStays: random.IntN(2) == 0}
 			}
-			stop := make(chan struct{})
-			go s.sendFatal(stop, "/again/")
-			time.Sleep(fatalTime)
-			close(stop)
+			s.sendFatalFor(fatalTime)
 			require.Eventually(t, func() bool { return s.refusedEverywhere("/again/") }, gatewayReadyLimit, 100*time.Millisecond)
 			s.end()
-			s.checkFatal()
 			s.check()
 		})
 	}
@@ -193,7 +192,8 @@
 func TestAContentThatEndsItsReplicasStaysRefusedWhenAllNodesStartAnew(t *testing.T) {
 	s := startGatewaySiteOf(t, gatewayNodes, 8)
 	stop := make(chan struct{})
-	go s.sendFatal(stop, "/again/")
+	var sending sync.WaitGroup
+	sending.Go(func() { s.sendFatal(stop, "/again/") })
 	require.Eventually(t, func() bool { return s.refusedEverywhere("/again/") }, 2*gatewayReadyLimit, 100*time.Millisecond)
 	convicted := len(s.fatalRuns())
 	for round := range 4 {
@@ -211,6 +211,7 @@
 		require.Eventually(t, func() bool { return s.refusedEverywhere("/again/") }, gatewayReadyLimit, 100*time.Millisecond)
 	}
 	close(stop)
+	sending.Wait()
 	s.end()
 	again := len(s.fatalRuns()) - convicted
 	t.Logf("%d replicas ended until the content was refused, %d after that", convicted, again)
--- a/internal/faulttest/gatewayfaults_test.go
+++ b/internal/faulttest/gatewayfaults_test.go
@@ -1,6 +1,7 @@
 package faulttest
 
 import (
+	"sync"
 	"syscall"
 	"time"
 
@@ -11,10 +12,16 @@
 func (s *gatewaySite) breakProcess(st soakStep, n *gatewayNode) {
 	n.broken.Lock()
 	defer n.broken.Unlock()
-	switch st.kind {
-	case soakReload:
+	if st.kind == soakReload {
 		n.process.signal(syscall.SIGHUP)
 		return
+	}
+	s.disturb(n, func() { s.breakRunning(st, n) })
+}
+
+// breakRunning pauses, stops or kills a process.
+func (s *gatewaySite) breakRunning(st soakStep, n *gatewayNode) {
+	switch st.kind {
 	case soakPause:
 		if err := n.process.stop(); err != nil {
 			s.t.Error(err)
@@ -39,14 +46,60 @@
 		n.broken.Lock()
 		defer n.broken.Unlock()
 	}
-	for _, n := range s.nodes {
-		n.process.signal(syscall.SIGKILL)
+	s.disturb(nil, func() {
+		for _, n := range s.nodes {
+			n.process.signal(syscall.SIGKILL)
+		}
+		time.Sleep(pause / 4)
+		for _, n := range s.nodes {
+			n.process.kill()
+			s.launch(n, false)
+		}
+	})
+}
+
+// killSeries kills all processes at once, again and again.
+func (s *gatewaySite) killSeries(st soakStep) {
+	pause := 300*time.Millisecond + time.Duration(st.target%1500)*time.Millisecond
+	for end := time.Now().Add(st.long); time.Now().Before(end); time.Sleep(pause) {
+		s.killAll(0)
 	}
-	time.Sleep(pause / 4)
-	for _, n := range s.nodes {
-		n.process.kill()
-		s.launch(n, false)
+}
+
+// stopSeries stops the nodes in turn by plan, reloading and stopping the next meanwhile.
+func (s *gatewaySite) stopSeries(st soakStep) {
+	var all sync.WaitGroup
+	pause := st.long / time.Duration(len(s.nodes))
+	for i := range s.nodes {
+		all.Go(func() { s.breakProcess(soakStep{kind: soakStop}, s.nodes[i]) })
+		time.Sleep(pause / 2)
+		s.breakProcess(soakStep{kind: soakReload}, s.nodes[(i+1)%len(s.nodes)])
+		time.Sleep(pause / 2)
+	}
+	all.Wait()
+}
+
+// failReplicas makes all replicas of a service fail, shed or lose seven of ten requests.
+func (s *gatewaySite) failReplicas(st soakStep) {
+	bad := []platformtest.Behaviour{platformtest.Fails, platformtest.Sheds, platformtest.LosesAnswer}[st.target%3]
+	first := st.target / 3 % 2 * s.replicas
+	for end := time.Now().Add(st.long); time.Now().Before(end); time.Sleep(st.long / 20) {
+		for _, slot := range s.slots[first : first+s.replicas] {
+			replica, _ := slot.newest()
+			replica.Behave(bad, platformtest.Answers, bad, bad, bad, platformtest.Answers, bad, bad, bad, platformtest.Answers)
+		}
 	}
+	for _, slot := range s.slots[first : first+s.replicas] {
+		replica, _ := slot.newest()
+		replica.Behave(platformtest.Answers)
+	}
+}
+
+// sendFatalFor sends the fatal content for a time.
+func (s *gatewaySite) sendFatalFor(long time.Duration) {
+	stop := make(chan struct{})
+	time.AfterFunc(long, func() { close(stop) })
+	s.sendFatal(stop, "/again/")
 }
 
 func (s *gatewaySite) breakStore(st soakStep) {
@@ -54,9 +107,11 @@
 		soakStoreSilent: platformtest.StoreSilent, soakStoreBusy: platformtest.StoreBusy,
 		soakStoreReset: platformtest.StoreReset, soakStoreLosesAnswers: platformtest.StoreLosesAnswers,
 	}
-	s.store.SetMode(modes[st.kind])
-	time.Sleep(st.long)
-	s.store.SetMode(platformtest.StoreSound)
+	s.disturb(nil, func() {
+		s.store.SetMode(modes[st.kind])
+		time.Sleep(st.long)
+		s.store.SetMode(platformtest.StoreSound)
+	})
 }
 
 func (s *gatewaySite) breakDoor(st soakStep, n *gatewayNode) {
@@ -64,9 +119,11 @@
 	if st.kind == soakDoorReset {
 		mode = platformtest.StoreReset
 	}
-	n.door.SetMode(mode)
-	time.Sleep(st.long)
-	n.door.SetMode(platformtest.StoreSound)
+	s.disturb(n, func() {
+		n.door.SetMode(mode)
+		time.Sleep(st.long)
+		n.door.SetMode(platformtest.StoreSound)
+	})
 }
 
 // gatewayLinks returns the links of all front doors and of the replicas' newest starts.
--- a/internal/faulttest/gatewaysite_test.go
+++ b/internal/faulttest/gatewaysite_test.go
@@ -43,6 +43,8 @@
 	nodes []*gatewayNode
 	slots []*replicaSlot
 	dir   string
+	// replicas is how many replicas each service has.
+	replicas int
 	// number counts the sites of this process.
 	number int64
 
@@ -93,7 +95,7 @@
 func startGatewaySiteOf(t *testing.T, nodes, replicas int) *gatewaySite {
 	t.Helper()
 	s := &gatewaySite{
-		t: t, store: platformtest.NewStore(t), cloud: platformtest.NewCloud(t), dir: t.TempDir(), number: gatewaySites.Add(1),
+		t: t, store: platformtest.NewStore(t), cloud: platformtest.NewCloud(t), dir: t.TempDir(), replicas: replicas, number: gatewaySites.Add(1),
 	}
 	for i := range 2 * replicas {
 		service := "plain"
--- a/internal/faulttest/gatewaysoak_test.go
+++ b/internal/faulttest/gatewaysoak_test.go
@@ -24,6 +24,8 @@
 	soakCallers = 8
 	// firstSeedVariable is the first seed to run, so that fresh ones can be chosen.
 	firstSeedVariable = "MANGOLEDGE_FIRST_SEED"
+	// nodesVariable is how many nodes each site has.
+	nodesVariable = "MANGOLEDGE_SOAK_NODES"
 	// settleTime is how long nothing is broken before the promises with a time bound are
 	// checked: the users' rules hold for nodes undisturbed for 3 s, and a replica's
 	// entry may be missing for 2 s.
@@ -64,6 +66,19 @@
 	soakKinds
 )
 
+// Kinds that seeds have beside their first faults; those before keep their numbers, so
+// that a seed goes on meaning the same.
+const (
+	soakKillSeries = soakKinds + 1 + iota
+	soakStopSeries
+	soakFailingReplicas
+	soakFatal
+	soakFurtherKinds
+)
+
+// soakFurther is how many faults of the further kinds a run has.
+const soakFurther = 4
+
 // soakStep is one fault of the soak.
 type soakStep struct {
 	at     time.Duration
@@ -87,6 +102,24 @@
 			out[i].at = out[i-1].at
 		}
 	}
+	return append(out, soakFurtherSteps(seed)...)
+}
+
+// soakFurtherSteps makes the faults of a seed that last long and come in series.
+func soakFurtherSteps(seed uint64) []soakStep {
+	if _, known := regressions[seed]; known {
+		return nil // it failed before these kinds were there
+	}
+	random := rand.New(rand.NewPCG(seed, seed+1))
+	out := make([]soakStep, soakFurther)
+	for i := range out {
+		out[i] = soakStep{
+			at:     time.Duration(random.Int64N(int64(soakTime) / 2)),
+			kind:   soakKillSeries + soakKind(random.IntN(int(soakFurtherKinds-soakKillSeries))),
+			target: random.IntN(1 << 16),
+			long:   2*time.Second + time.Duration(random.Int64N(int64(6*time.Second))),
+		}
+	}
 	return out
 }
 
@@ -129,11 +162,11 @@
 }
 
 func soakSeed(t *testing.T, seed uint64) {
-	s := startGatewaySite(t)
+	s := startGatewaySiteOf(t, int(soakNumber(t, nodesVariable, gatewayNodes)), gatewayReplicas)
 	t.Cleanup(func() { s.keepLogs(seed) })
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
-	for i := range soakCallers {
+	for i := range max(soakCallers, len(s.nodes)) {
 		callers.Go(func() { s.newCaller(seed, uint64(i)).run(stop) })
 	}
 	s.soak(soakSchedule(seed))
@@ -142,6 +175,7 @@
 	s.checkCalm()
 	close(stop)
 	callers.Wait()
+	s.end()
 	s.check()
 }
 
@@ -176,7 +210,15 @@
 		s.breakReplica(st, slot)
 	case soakConfig:
 		s.changeConfig("")
-	case soakKinds:
+	case soakKillSeries:
+		s.killSeries(st)
+	case soakStopSeries:
+		s.stopSeries(st)
+	case soakFailingReplicas:
+		s.failReplicas(st)
+	case soakFatal:
+		s.sendFatalFor(st.long)
+	case soakKinds, soakFurtherKinds:
 	}
 }
 
@@ -196,7 +238,7 @@
 		}
 	}
 	s.checkLeaving(s.slots[0])
-	s.checkLeaving(s.slots[gatewayReplicas])
+	s.checkLeaving(s.slots[s.replicas])
 	s.checkPlannedStop(s.nodes[0])
 }
 
