Time left is told as of the writing of a request

What callers would see: upstreams that are handed more time than is left (BUDGET).

Cause, by reading: the header was made before the connection, whose set-up may take 0.8 s, and told the time that was left before it. On this kernel a set-up takes a round trip, or over 0.8 s after a lost packet and then counts as failed; other networks may lie between.

Now the pool has the header finished once a connection is there.

--- a/internal/gateway/exchange/deps.go
+++ b/internal/gateway/exchange/deps.go
@@ -28,8 +28,6 @@
 type Send struct {
 	Upstream  site.Upstream
 	Workspace string
-	// Left is how long the upstream may work.
-	Left time.Duration
 	// ResumeAfter is the last event that the client has, or empty.
 	ResumeAfter string
 	// Urgency is 0 for the first to be admitted, to 9.
@@ -40,6 +38,8 @@
 type Wire interface {
 	DecodeRequest(r *http.Request, received time.Time) *site.Request
 	UpstreamHeader(r *site.Request, s *Send) http.Header
+	// SetLeft tells the upstream how long it may work.
+	SetLeft(h http.Header, left time.Duration)
 	DecodeAnswer(status int, h http.Header) AnswerMeta
 	// PromisesNotRun reports whether a status says that the request never runs.
 	PromisesNotRun(status int) bool
--- a/internal/gateway/exchange/send.go
+++ b/internal/gateway/exchange/send.go
@@ -98,12 +98,12 @@
 		Header: e.options.Wire.UpstreamHeader(e.request, &Send{
 			Upstream:    ticket.Upstream,
 			Workspace:   e.workspaceName(),
-			Left:        time.Until(e.deadline),
 			ResumeAfter: e.lastEvent,
 			Urgency:     e.urgency(),
 		}),
 		Body:    e.request.Body,
 		MaxIdle: idle,
+		Prepare: func(h http.Header) { e.options.Wire.SetLeft(h, time.Until(e.deadline)) },
 	}
 }
 
--- a/internal/gateway/httpconn/pool.go
+++ b/internal/gateway/httpconn/pool.go
@@ -59,6 +59,9 @@
 	}
 	out := &Response{pool: p, conn: c, written: make(chan error, 1)}
 	out.stop = context.AfterFunc(ctx, c.close)
+	if r.Prepare != nil {
+		r.Prepare(r.Header)
+	}
 	if err := out.write(r); err != nil {
 		out.Abort()
 		return nil, &Error{Sent: true, Stage: "write", Cause: causeOf(ctx, err)}
--- a/internal/gateway/httpconn/request.go
+++ b/internal/gateway/httpconn/request.go
@@ -18,6 +18,9 @@
 	// MaxIdle is the longest time that the connection used may have been idle; 0
 	// takes a new connection.
 	MaxIdle time.Duration
+	// Prepare, unless nil, sets headers that depend on when the request is written. It is
+	// called once a connection is there.
+	Prepare func(http.Header)
 }
 
 // encode returns the head of the request and, when it is short, its body behind it.
