--- a/internal/faulttest/gatewayfatal_test.go
+++ b/internal/faulttest/gatewayfatal_test.go
@@ -39,6 +39,17 @@
 	linkStays bool
 }
 
+// drawnReturns has replicas come back after 1 to 6 s, some behind a proxy that stays.
+func drawnReturns(seed uint64) func() replicaReturn {
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(seed, 16))
+	return func() replicaReturn {
+		mu.Lock()
+		defer mu.Unlock()
+		return replicaReturn{after: time.Second + time.Duration(random.Int64N(int64(5*time.Second))), linkStays: random.IntN(2) == 0}
+	}
+}
+
 // disturbance is a time in which a node was not in touch; of all nodes when node is nil.
 type disturbance struct {
 	node     *gatewayNode
@@ -69,10 +80,7 @@
 	if newest, _ := slot.newest(); replica != newest {
 		return
 	}
-	back := replicaReturn{after: time.Second}
-	if s.restarts != nil {
-		back = s.restarts(slot)
-	}
+	back := s.restarts()
 	if _, l := slot.newest(); !back.linkStays {
 		l.end()
 	}
@@ -167,19 +175,14 @@
 		"after 5 s":                   {after: 5 * time.Second},
 		"after 2 s behind a proxy":    {after: 2 * time.Second, linkStays: true},
 		"after 5 s behind a proxy":    {after: 5 * time.Second, linkStays: true},
-		"after 2 to 6 s, some behind": {},
+		"after 1 to 6 s, some behind": {},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel() // a site waits for most of its time
 			s := startGatewaySiteOf(t, gatewayNodes, 8)
-			random := rand.New(rand.NewPCG(16, 16))
-			s.restarts = func(*replicaSlot) replicaReturn {
-				if back.after > 0 {
-					return back
-				}
-				s.mu.Lock()
-				defer s.mu.Unlock()
-				return replicaReturn{after: 2*time.Second + time.Duration(random.Int64N(int64(4*time.Second))), linkStays: random.IntN(2) == 0}
+			s.restarts = drawnReturns(16)
+			if back.after > 0 {
+				s.restarts = func() replicaReturn { return back }
 			}
 			s.sendFatalFor(fatalTime)
 			require.Eventually(t, func() bool { return s.refusedEverywhere("/again/") }, gatewayReadyLimit, 100*time.Millisecond)
--- a/internal/faulttest/gatewaysite_test.go
+++ b/internal/faulttest/gatewaysite_test.go
@@ -54,7 +54,7 @@
 	// disturbed holds when nodes were not in touch.
 	disturbed []disturbance
 	// restarts is how replicas that a fatal content ended come back.
-	restarts func(slot *replicaSlot) replicaReturn
+	restarts func() replicaReturn
 	// ended is true once no replica is to come back any more.
 	ended bool
 }
@@ -96,6 +96,7 @@
 	t.Helper()
 	s := &gatewaySite{
 		t: t, store: platformtest.NewStore(t), cloud: platformtest.NewCloud(t), dir: t.TempDir(), replicas: replicas, number: gatewaySites.Add(1),
+		restarts: drawnReturns(uint64(gatewaySites.Load())),
 	}
 	for i := range 2 * replicas {
 		service := "plain"
