A life between a checkpoint and a start takes its part of the quota

A process that starts takes the time since the last checkpoint for spent, but for half a second only if all nodes started after it: then nobody spent. It looked at the processes that live now, and not at those that lived and died in between, before any of them held the duties and wrote a checkpoint.

Now each process knows which of its node was registered before it, tells it, and takes the short time only if every node went from a process that started before the checkpoint to the one that lives. A restored quota is used once the process is registered, so that those after it see it.

--- a/internal/gateway/peers/message.go
+++ b/internal/gateway/peers/message.go
@@ -26,6 +26,8 @@
 	Incarnation string `msgpack:"i"`
 	// Sequence grows with each message of an incarnation.
 	Sequence uint64 `msgpack:"s"`
+	// Previous is the incarnation of the node before this one; empty while it is not known.
+	Previous string `msgpack:"p,omitempty"`
 	// Ready nodes take requests; leaving ones are about to end.
 	Ready   bool   `msgpack:"r"`
 	Leaving bool   `msgpack:"l"`
--- a/internal/gateway/peers/registry.go
+++ b/internal/gateway/peers/registry.go
@@ -46,11 +46,16 @@
 	records map[string]Record
 	// listed is true once this node registered and listed the others.
 	listed bool
+	// previous is the incarnation that was registered before this one, noPrevious when
+	// there was none, and empty until the store said so.
+	previous string
+	// registered is closed once the own record stands in the store.
+	registered chan struct{}
 }
 
 // NewRegistry returns a registry that will register node as own.
 func NewRegistry(store objects.Store, node string, own Record, logger *slog.Logger) *Registry {
-	return &Registry{store: store, node: node, own: own, logger: logger, records: make(map[string]Record)}
+	return &Registry{store: store, node: node, own: own, logger: logger, records: make(map[string]Record), registered: make(chan struct{})}
 }
 
 // Others returns the records of the other nodes by name.
@@ -108,6 +113,7 @@
 			return errors.CombineErrors(err, r.list(ctx))
 		}
 		*registered = true
+		close(r.registered)
 		r.logger.Info("node registered", "address", r.own.Address)
 	}
 	return r.list(ctx)
@@ -154,6 +160,7 @@
 	current, err := r.store.Get(ctx, KindNodes, r.node)
 	switch {
 	case objects.KindOf(err) == objects.KindNotFound && err != nil:
+		r.notePrevious(noPrevious)
 		_, err = r.store.Create(ctx, object)
 		return err
 	case err != nil:
@@ -161,11 +168,41 @@
 	case r.isOwn(current):
 		return nil // a write before this one was done, and its answer lost
 	}
+	r.notePrevious(incarnationOf(current))
 	object.Metadata.ResourceVersion = current.Metadata.ResourceVersion
 	_, err = r.store.Update(ctx, object)
 	return err
 }
 
+// noPrevious is the incarnation before the first of a node; it precedes all others.
+const noPrevious = "0"
+
+// incarnationOf returns the incarnation of a record, or "" for one that cannot be read.
+func incarnationOf(object objects.Object) string {
+	var record Record
+	if json.Unmarshal(object.Spec, &record) != nil {
+		return ""
+	}
+	return record.Incarnation
+}
+
+func (r *Registry) notePrevious(incarnation string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.previous = incarnation
+}
+
+// Previous returns the incarnation of this node that was registered before this one; it
+// is empty while that is not known.
+func (r *Registry) Previous() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.previous
+}
+
+// Registered is closed once other processes can find the record of this one.
+func (r *Registry) Registered() <-chan struct{} { return r.registered }
+
 // isOwn reports whether an object holds this process's record.
 func (r *Registry) isOwn(object objects.Object) bool {
 	var record Record
--- a/internal/gateway/peers/registry_test.go
+++ b/internal/gateway/peers/registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"strconv"
 	"sync"
 	"testing"
 
@@ -135,3 +136,16 @@
 	require.True(t, registered)
 	require.Contains(t, one.Others(), "two")
 }
+
+func TestANodeKnowsWhichProcessOfItWasRegisteredBefore(t *testing.T) {
+	store := &sharedStore{records: make(map[string]objects.Object), losesAnswers: true}
+	for i, previous := range []string{"0", "1", "2"} {
+		own := Record{Incarnation: strconv.Itoa(i + 1), Address: "a:1"}
+		r, registered := NewRegistry(store, "a", own, slog.New(slog.DiscardHandler)), false
+		require.Empty(t, r.Previous())
+		require.Error(t, r.step(t.Context(), &registered), "the answer is lost")
+		require.NoError(t, r.step(t.Context(), &registered))
+		require.Equal(t, previous, r.Previous())
+		<-r.Registered()
+	}
+}
--- a/internal/gateway/server/checkpoint.go
+++ b/internal/gateway/server/checkpoint.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"time"
 
@@ -76,7 +77,7 @@
 		return
 	}
 	g.logger.Info("crashes of contents restored", "contents", len(c.Crashes), "took", time.Since(began))
-	if time.Since(began) < quotaRestoreTime {
+	if g.registeredBy(ctx, began.Add(quotaRestoreTime)) {
 		g.restoreQuota(ctx, c.Checkpoint)
 	}
 }
@@ -89,22 +90,57 @@
 	g.quota.Restore(c, age, age)
 	g.logger.Info("quota restored", "age", age)
 	wait.For(ctx, hearTime)
-	if age > lastCheckpoint && g.allStartedAfter(c.At) {
+	if age > lastCheckpoint && g.noneLivedSince(c.At) {
 		g.quota.Restore(c, time.Since(c.At), lastCheckpoint)
 		g.logger.Info("no node lived on after the quota was written down", "age", age)
 	}
 }
 
-// allStartedAfter reports whether all live nodes, and there are some, started after a time.
-func (g *Gateway) allStartedAfter(at time.Time) bool {
+// registeredBy waits until this process is registered and reports whether it was by a
+// time: one that spends must be seen by those after it.
+func (g *Gateway) registeredBy(ctx context.Context, last time.Time) bool {
+	ctx, cancel := context.WithDeadline(ctx, last)
+	defer cancel()
+	select {
+	case <-g.nodes.Registered():
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// noneLivedSince reports whether no process lived between a time and the start of those
+// that live now: of each node, the process before is known and started before that time,
+// and those that are not heard started before it as well.
+func (g *Gateway) noneLivedSince(at time.Time) bool {
 	alive := g.table.Alive()
+	records := g.nodes.Others()
+	own := lifetimes{g.incarnation, g.nodes.Previous()}
+	all := []lifetimes{own}
 	for _, p := range alive {
-		started, err := strconv.ParseInt(p.Incarnation, 16, 64)
-		if err != nil || time.Unix(0, started).Before(at) {
+		all = append(all, lifetimes{p.Incarnation, p.Previous})
+		delete(records, p.Node)
+	}
+	for _, record := range records {
+		if !startedBefore(record.Incarnation, at) {
 			return false
 		}
 	}
-	return len(alive) > 0
+	return len(alive) > 0 && !slices.ContainsFunc(all, func(l lifetimes) bool { return !l.span(at) })
+}
+
+// lifetimes are the incarnations of the process of a node that lives and of the one before.
+type lifetimes struct{ current, previous string }
+
+// span reports whether a time lies after the start of the one and before that of the other.
+func (l lifetimes) span(at time.Time) bool {
+	return startedBefore(l.previous, at) && !startedBefore(l.current, at)
+}
+
+// startedBefore reports whether an incarnation is known to have started before a time.
+func startedBefore(incarnation string, at time.Time) bool {
+	started, err := strconv.ParseInt(incarnation, 16, 64)
+	return err == nil && time.Unix(0, started).Before(at)
 }
 
 // readCheckpoint reads the checkpoint; found is false when there is none, which is so
--- a/internal/gateway/server/messages.go
+++ b/internal/gateway/server/messages.go
@@ -17,6 +17,7 @@
 	m := &peers.Message{
 		Node:          g.settings.Node,
 		Incarnation:   g.incarnation,
+		Previous:      g.nodes.Previous(),
 		Sequence:      g.sequence.Add(1),
 		Ready:         g.ready(),
 		Leaving:       g.leaving.Load(),
