The time in which no checkpoint could be written counts against the quota

What callers see: a workspace gets a third more than its quota when all processes end after the store was away, or while the duties have no holder (QUOTA).

Cause, of the same class: a process that starts after all others ended took them to have spent for 0.8 s after the last checkpoint, as the next one was due then. While the store is away none is written, however long they live on.

Now the time from then to the start of the first process that lives counts as well, at the rate that pacing gives out at most: nobody spent after that. It includes the time in which nothing ran, which costs a workspace that is near its quota some of it after a long power cut.

--- a/internal/faulttest/gatewayquota_test.go
+++ b/internal/faulttest/gatewayquota_test.go
@@ -4,29 +4,58 @@
 	"sync"
 	"testing"
 	"time"
+
+	"mangoledge.example/mangoledge/platform/platformtest"
 )
 
-// TestKillsInSeriesDoNotRenewTheQuota kills all nodes again before any of them can write
-// down what was spent.
+// hungryCallers ask for far more than their workspace's quota.
+const hungryCallers = 2 * soakCallers
+
+// withHungryCallers runs faults while callers ask for more than their quota, and checks
+// what they got.
+func withHungryCallers(t *testing.T, faults func(*gatewaySite)) {
+	t.Helper()
+	s := startGatewaySite(t)
+	t.Cleanup(func() { s.keepLogs(0) })
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	for i := range hungryCallers {
+		callers.Go(func() { s.newCaller(16, uint64(i)).run(stop) })
+	}
+	time.Sleep(quotaWindow)
+	faults(s)
+	close(stop)
+	callers.Wait()
+	s.end()
+	s.check()
+}
+
 func TestKillsInSeriesDoNotRenewTheQuota(t *testing.T) {
 	for name, pause := range map[string]time.Duration{"each 0.9 s": 900 * time.Millisecond, "each 1.3 s": 1300 * time.Millisecond, "each 2 s": 2 * time.Second} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel() // a site waits for most of its time
-			s := startGatewaySite(t)
-			t.Cleanup(func() { s.keepLogs(uint64(pause.Milliseconds())) })
-			stop := make(chan struct{})
-			var callers sync.WaitGroup
-			for i := range 2 * soakCallers {
-				callers.Go(func() { s.newCaller(16, uint64(i)).run(stop) })
-			}
-			time.Sleep(quotaWindow / 2)
-			for end := time.Now().Add(2 * quotaWindow); time.Now().Before(end); time.Sleep(pause) {
-				s.killAll(0)
-			}
-			close(stop)
-			callers.Wait()
-			s.end()
-			s.check()
+			withHungryCallers(t, func(s *gatewaySite) {
+				for end := time.Now().Add(2 * quotaWindow); time.Now().Before(end); time.Sleep(pause) {
+					s.killAll(0)
+				}
+			})
+		})
+	}
+}
+
+func TestAKillOfAllAfterTheStoreWasAwayDoesNotRenewTheQuota(t *testing.T) {
+	for name, away := range map[string]time.Duration{"3 s": 3 * time.Second, "8 s": quotaWindow} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel() // a site waits for most of its time
+			withHungryCallers(t, func(s *gatewaySite) {
+				for range 2 {
+					s.store.SetMode(platformtest.StoreBusy)
+					time.Sleep(away)
+					s.store.SetMode(platformtest.StoreSound)
+					s.killAll(0)
+					time.Sleep(contactTime)
+				}
+			})
 		})
 	}
 }
--- a/internal/gateway/quota/checkpoint.go
+++ b/internal/gateway/quota/checkpoint.go
@@ -29,9 +29,8 @@
 const gapFactor = 3.5
 
 // Restore replaces what this process assumed about the time before its start by a
-// checkpoint of some age. unknown is for how long after the checkpoint others may
-// have spent unheard: all its age, or less when none of them lived on.
-func (l *Ledger) Restore(c Checkpoint, age, unknown time.Duration) {
+// checkpoint of some age.
+func (l *Ledger) Restore(c Checkpoint, age time.Duration, unknown Unknown) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
@@ -43,11 +42,24 @@
 	}
 }
 
+// Unknown is the time after a checkpoint in which others may have spent unheard.
+type Unknown struct {
+	// Any is time in which a workspace may have begun to ask for too much.
+	Any time.Duration
+	// Paced is further time, in which it got what pacing gives out at most.
+	Paced time.Duration
+}
+
+// units is what a workspace with a rate is taken to have spent.
+func (u Unknown) units(rate float64, window time.Duration) float64 {
+	return rate * (gapFactor*min(u.Any, window).Seconds() + evenFactor*min(u.Paced, window).Seconds())
+}
+
 // restored is a checkpoint by the clock of this process.
 type restored struct {
 	checkpoint Checkpoint
 	at         time.Time
-	unknown    time.Duration
+	unknown    Unknown
 }
 
 // history returns what was spent in each part of the last window, the latest first.
@@ -65,10 +77,10 @@
 	return out
 }
 
-// restore sets the window to what a checkpoint taken at a time says, to gapFactor
-// times the rate for the time since, as far as that was left to spend, and to what
-// this process counted itself.
-func (a *account) restore(history []float64, taken time.Time, unknown time.Duration, now time.Time, nodes int) {
+// restore sets the window to what a checkpoint taken at a time says, to what may have
+// been spent unheard since, as far as that was left to spend, and to what this process
+// counted itself.
+func (a *account) restore(history []float64, taken time.Time, unknown Unknown, now time.Time, nodes int) {
 	a.slots = [windowSlots + 1]slot{}
 	part := a.window / windowSlots
 	for back, units := range history {
@@ -76,8 +88,7 @@
 			a.slot(at).units += units
 		}
 	}
-	gap := min(unknown, a.window)
-	assumed := gapFactor * a.limit.Rate * gap.Seconds()
+	assumed := unknown.units(a.limit.Rate, a.window)
 	a.slot(now).units += min(assumed, max(0, a.bound()-a.recent(now)))
 	a.slot(now).units += a.counted
 	a.paced = min(a.limit.Burst, savedShare*max(0, a.room(now, 0))) / float64(nodes)
--- a/internal/gateway/quota/directed_test.go
+++ b/internal/gateway/quota/directed_test.go
@@ -30,7 +30,7 @@
 		case dead:
 			dead, s.cut[2] = false, false
 			s.restart(2)
-			s.ledgers[2].Restore(checkpoint, s.time.Sub(taken), s.time.Sub(taken))
+			s.ledgers[2].Restore(checkpoint, s.time.Sub(taken), Unknown{Any: s.time.Sub(taken)})
 		}
 		demand := usual
 		if at >= 1500*time.Millisecond {
--- a/internal/gateway/quota/ledger_test.go
+++ b/internal/gateway/quota/ledger_test.go
@@ -147,7 +147,7 @@
 		require.False(t, s.ledgers[i].Take("w", testLimit, testUnits).Allowed, "all may have been spent")
 	}
 	for i := range s.ledgers {
-		s.ledgers[i].Restore(checkpoint, time.Second, 600*time.Millisecond)
+		s.ledgers[i].Restore(checkpoint, time.Second, Unknown{Any: 600 * time.Millisecond})
 	}
 	s.step()
 	require.Positive(t, s.ask(1, testUnits))
@@ -180,7 +180,7 @@
 
 func (f *faultyNodes) restore(i int) {
 	f.restart(i)
-	f.ledgers[i].Restore(f.checkpoint, f.time.Sub(f.taken), f.time.Sub(f.taken))
+	f.ledgers[i].Restore(f.checkpoint, f.time.Sub(f.taken), Unknown{Any: f.time.Sub(f.taken)})
 }
 
 // cutSome cuts up to a third of the nodes off from all others, or heals them.
--- a/internal/gateway/server/checkpoint.go
+++ b/internal/gateway/server/checkpoint.go
@@ -83,17 +83,30 @@
 }
 
 // restoreQuota begins with what a checkpoint says was spent. Once the live nodes are
-// heard and all of them started after it, nobody spent for longer than until the next
-// checkpoint would have been written.
+// heard and none lived between it and them, nobody spent after the first of them started;
+// before, until the next checkpoint was due, or longer if none could be written.
 func (g *Gateway) restoreQuota(ctx context.Context, c quota.Checkpoint) {
 	age := time.Since(c.At)
-	g.quota.Restore(c, age, age)
+	g.quota.Restore(c, age, quota.Unknown{Any: age})
 	g.logger.Info("quota restored", "age", age)
 	wait.For(ctx, hearTime)
-	if age > lastCheckpoint && g.noneLivedSince(c.At) {
-		g.quota.Restore(c, time.Since(c.At), lastCheckpoint)
-		g.logger.Info("no node lived on after the quota was written down", "age", age)
+	if age <= lastCheckpoint || !g.noneLivedSince(c.At) {
+		return
 	}
+	unknown := quota.Unknown{Any: lastCheckpoint, Paced: max(0, g.firstStart().Sub(c.At)-lastCheckpoint)}
+	g.quota.Restore(c, time.Since(c.At), unknown)
+	g.logger.Info("no node lived on after the quota was written down", "age", age, "paced", unknown.Paced)
+}
+
+// firstStart returns when the first of the processes that live started.
+func (g *Gateway) firstStart() time.Time {
+	first := g.started
+	for _, p := range g.table.Alive() {
+		if at, err := startOf(p.Incarnation); err == nil && at.Before(first) {
+			first = at
+		}
+	}
+	return first
 }
 
 // registeredBy waits until this process is registered and reports whether it was by a
@@ -139,8 +152,14 @@
 
 // startedBefore reports whether an incarnation is known to have started before a time.
 func startedBefore(incarnation string, at time.Time) bool {
+	started, err := startOf(incarnation)
+	return err == nil && started.Before(at)
+}
+
+// startOf returns when an incarnation started, by its host's time of day.
+func startOf(incarnation string) (time.Time, error) {
 	started, err := strconv.ParseInt(incarnation, 16, 64)
-	return err == nil && time.Unix(0, started).Before(at)
+	return time.Unix(0, started), err
 }
 
 // readCheckpoint reads the checkpoint; found is false when there is none, which is so
