--- a/internal/gateway/peers/registry.go
+++ b/internal/gateway/peers/registry.go
@@ -44,8 +44,8 @@
 
 	mu      sync.Mutex
 	records map[string]Record
-	// listed is true once this node registered and listed the others.
-	listed bool
+	// listed holds the incarnations as the store listed them last; nil before.
+	listed map[string]string
 	// previous is the incarnation that was registered before this one, noPrevious when
 	// there was none, and empty until the store said so.
 	previous string
@@ -125,11 +125,13 @@
 	if err != nil {
 		return err
 	}
+	listed := make(map[string]string, len(list.Items))
 	for _, object := range list.Items {
 		r.put(object)
+		listed[object.Metadata.Name] = incarnationOf(object)
 	}
 	r.mu.Lock()
-	r.listed = true
+	r.listed = listed
 	r.mu.Unlock()
 	return nil
 }
@@ -138,7 +140,25 @@
 func (r *Registry) Listed() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.listed
+	return r.listed != nil
+}
+
+// PreviousOf returns the incarnation before the one that lives of another node, which may
+// have told it; it is empty when that is not known.
+func (r *Registry) PreviousOf(node, living, told string) string {
+	if told != "" {
+		return told
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	stored, found := r.listed[node]
+	switch {
+	case r.listed == nil || stored == living:
+		return ""
+	case !found:
+		return noPrevious
+	}
+	return stored
 }
 
 // Hear takes over where a node said that it is reached.
--- a/internal/gateway/peers/registry_test.go
+++ b/internal/gateway/peers/registry_test.go
@@ -149,3 +149,17 @@
 		<-r.Registered()
 	}
 }
+
+func TestWhatLivedBeforeANodeThatCannotRegisterIsKnownFromTheStore(t *testing.T) {
+	store := &sharedStore{records: make(map[string]objects.Object)}
+	registered := false
+	require.NoError(t, NewRegistry(store, "turned-away", Record{Incarnation: "1", Address: "t:1"}, slog.New(slog.DiscardHandler)).step(t.Context(), &registered))
+	r := newTestRegistry(store, "a")
+	require.Empty(t, r.PreviousOf("turned-away", "2", ""), "nothing was listed")
+	registered = false
+	require.NoError(t, r.step(t.Context(), &registered))
+	require.Equal(t, "1", r.PreviousOf("turned-away", "2", ""))
+	require.Equal(t, "3", r.PreviousOf("turned-away", "4", "3"))
+	require.Empty(t, r.PreviousOf("turned-away", "1", ""), "the record is its own")
+	require.Equal(t, noPrevious, r.PreviousOf("new", "1", ""))
+}
--- a/internal/gateway/server/checkpoint.go
+++ b/internal/gateway/server/checkpoint.go
@@ -131,7 +131,7 @@
 	own := lifetimes{g.incarnation, g.nodes.Previous()}
 	all := []lifetimes{own}
 	for _, p := range alive {
-		all = append(all, lifetimes{p.Incarnation, p.Previous})
+		all = append(all, lifetimes{p.Incarnation, g.nodes.PreviousOf(p.Node, p.Incarnation, p.Previous)})
 		delete(records, p.Node)
 	}
 	for _, record := range records {
