--- a/internal/faulttest/gatewayquota_test.go
+++ b/internal/faulttest/gatewayquota_test.go
@@ -11,15 +11,15 @@
 // hungryCallers ask for far more than their workspace's quota.
 const hungryCallers = 2 * soakCallers
 
-// withHungryCallers runs faults while callers ask for more than their quota, and checks
-// what they got.
-func withHungryCallers(t *testing.T, faults func(*gatewaySite)) {
+// withHungryCallers runs faults on a site while so many callers ask for more than their
+// quota, and checks what they got.
+func withHungryCallers(t *testing.T, nodes, number int, faults func(*gatewaySite)) {
 	t.Helper()
-	s := startGatewaySite(t)
+	s := startGatewaySiteOf(t, nodes, gatewayReplicas)
 	t.Cleanup(func() { s.keepLogs(0) })
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
-	for i := range hungryCallers {
+	for i := range number {
 		callers.Go(func() { s.newCaller(16, uint64(i)).run(stop) })
 	}
 	time.Sleep(quotaWindow)
@@ -34,7 +34,7 @@
 	for name, pause := range map[string]time.Duration{"each 0.9 s": 900 * time.Millisecond, "each 1.3 s": 1300 * time.Millisecond, "each 2 s": 2 * time.Second} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel() // a site waits for most of its time
-			withHungryCallers(t, func(s *gatewaySite) {
+			withHungryCallers(t, gatewayNodes, hungryCallers, func(s *gatewaySite) {
 				for end := time.Now().Add(2 * quotaWindow); time.Now().Before(end); time.Sleep(pause) {
 					s.killAll(0)
 				}
@@ -47,7 +47,7 @@
 	for name, away := range map[string]time.Duration{"3 s": 3 * time.Second, "8 s": quotaWindow} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel() // a site waits for most of its time
-			withHungryCallers(t, func(s *gatewaySite) {
+			withHungryCallers(t, gatewayNodes, hungryCallers, func(s *gatewaySite) {
 				for range 2 {
 					s.store.SetMode(platformtest.StoreBusy)
 					time.Sleep(away)
@@ -59,3 +59,11 @@
 		})
 	}
 }
+
+func TestAWorkspaceThatBeginsToAskForManyTimesItsQuotaIsHeldToIt(t *testing.T) {
+	for name, c := range map[string]struct{ nodes, callers int }{"6 nodes": {6, 120}, "40 nodes": {40, 40}} {
+		t.Run(name, func(t *testing.T) {
+			withHungryCallers(t, c.nodes, c.callers, func(*gatewaySite) {})
+		})
+	}
+}
