--- a/internal/gateway/server/checkpoint.go
+++ b/internal/gateway/server/checkpoint.go
@@ -30,10 +30,6 @@
 	restoreRetry = 200 * time.Millisecond
 	// quotaRestoreTime is until when after the start a checkpoint says something of the quota.
 	quotaRestoreTime = 4 * time.Second
-	// lastingRepeated and lastingOthers bound the contents that a checkpoint holds: those
-	// that crashed more than one upstream, and the others; 128 take 14 KB.
-	lastingRepeated = 64
-	lastingOthers   = 64
 )
 
 // checkpoint is what outlives all processes of the site.
@@ -49,7 +45,7 @@
 		return nil
 	}
 	g.checkpointed = time.Now()
-	spec, err := json.Marshal(checkpoint{Checkpoint: g.quota.Checkpoint(time.Now()), Crashes: g.poison.sample(lastingRepeated, lastingOthers)})
+	spec, err := json.Marshal(checkpoint{Checkpoint: g.quota.Checkpoint(time.Now()), Crashes: g.poison.lasting()})
 	if err != nil {
 		return errors.Wrap(err, "checkpoint")
 	}
--- a/internal/gateway/server/contentguard.go
+++ b/internal/gateway/server/contentguard.go
@@ -180,6 +180,12 @@
 const (
 	toldRepeated = 8
 	toldOthers   = 8
+	// toldTime is for how long after its crash a content of the others is told: each node
+	// hears it many times meanwhile, and the checkpoint holds it after.
+	toldTime = time.Minute
+	// lastingRepeated and lastingOthers are the same for a checkpoint; 128 take 14 KB.
+	lastingRepeated = 64
+	lastingOthers   = 64
 )
 
 // convicted counts the contents that are refused.
@@ -206,13 +212,19 @@
 
 // crashed returns contents for other nodes: those that crashed several upstreams, and
 // others by chance, so that each is told in time however many there are.
-func (g *contentGuard) crashed() []poison.Entry { return g.sample(toldRepeated, toldOthers) }
+func (g *contentGuard) crashed() []poison.Entry {
+	return g.sample(toldRepeated, toldOthers, g.now().Add(-toldTime))
+}
+
+// lasting returns contents for processes that start when all others have ended.
+func (g *contentGuard) lasting() []poison.Entry {
+	return g.sample(lastingRepeated, lastingOthers, time.Time{})
+}
 
-// sample returns so many of the contents that crashed several upstreams, and of the others.
-func (g *contentGuard) sample(repeated, others int) []poison.Entry {
+func (g *contentGuard) sample(repeated, others int, since time.Time) []poison.Entry {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.registry.Sample(repeated, others, g.random)
+	return g.registry.Sample(repeated, others, since, g.random)
 }
 
 // hear takes over what another node knows.
--- a/internal/poison/registry.go
+++ b/internal/poison/registry.go
@@ -132,8 +132,9 @@
 }
 
 // Sample returns entries for gossip: so many of the contents that crashed more than one
-// upstream, and so many of the others, each chosen by chance.
-func (r *Registry) Sample(repeated, others int, random *rand.Rand) []Entry {
+// upstream, and so many of the others of which something was heard since a time, each
+// chosen by chance.
+func (r *Registry) Sample(repeated, others int, since time.Time, random *rand.Rand) []Entry {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	first, second := reservoir{size: repeated}, reservoir{size: others}
@@ -142,7 +143,9 @@
 			first.offer(e, random)
 			continue
 		}
-		second.offer(e, random)
+		if e.newest() >= since.Unix() {
+			second.offer(e, random)
+		}
 	}
 	out := make([]Entry, 0, len(first.kept)+len(second.kept))
 	for _, e := range append(first.kept, second.kept...) {
--- a/internal/poison/registry_test.go
+++ b/internal/poison/registry_test.go
@@ -157,7 +157,7 @@
 	random := rand.New(rand.NewPCG(3, 3))
 	seen := make(map[Fingerprint]bool)
 	for range 200 {
-		sample := r.Sample(4, 16, random)
+		sample := r.Sample(4, 16, start.Add(-time.Minute), random)
 		require.Len(t, sample, 17)
 		require.Equal(t, Fingerprint(7), sample[0].Fingerprint, "the one that crashed two is always told")
 		for _, e := range sample {
@@ -165,4 +165,5 @@
 		}
 	}
 	require.Len(t, seen, 300)
+	require.Len(t, r.Sample(4, 16, start.Add(time.Minute), random), 1, "of the others nothing new was heard")
 }
