The soak changes the configuration while nodes are stopped in series

A planned stop, a reload of the next node and a change of the configuration overlap, as operators' rolls do.

--- a/internal/faulttest/gatewayfaults_test.go
+++ b/internal/faulttest/gatewayfaults_test.go
@@ -66,13 +66,15 @@
 	}
 }
 
-// stopSeries stops the nodes in turn by plan, reloading and stopping the next meanwhile.
+// stopSeries stops the nodes in turn by plan, while the next one reloads and the
+// configuration changes.
 func (s *gatewaySite) stopSeries(st soakStep) {
 	var all sync.WaitGroup
 	pause := st.long / time.Duration(len(s.nodes))
 	for i := range s.nodes {
 		all.Go(func() { s.breakProcess(soakStep{kind: soakStop}, s.nodes[i]) })
 		time.Sleep(pause / 2)
+		s.changeConfig("")
 		s.breakProcess(soakStep{kind: soakReload}, s.nodes[(i+1)%len(s.nodes)])
 		time.Sleep(pause / 2)
 	}
--- a/internal/gateway/server/checkpoint.go
+++ b/internal/gateway/server/checkpoint.go
@@ -50,7 +50,7 @@
 		return errors.Wrap(err, "checkpoint")
 	}
 	// Without a version the write replaces whatever is there; an older one that
-	// overtakes a newer one only makes a restart more careful.
+	// overtakes a newer one stands until the next is due.
 	object := objects.Object{Kind: kindQuota, Metadata: objects.Metadata{Name: quotaName}, Spec: spec}
 	_, err = g.store.Update(ctx, object)
 	if objects.KindOf(err) == objects.KindNotFound {
