--- a/internal/faulttest/gatewaybudget_test.go
+++ b/internal/faulttest/gatewaybudget_test.go
@@ -14,7 +14,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel() // a site waits for most of its time
 			const requestPause = 40 * time.Millisecond
-			s := startGatewaySiteOf(t, 6, gatewayReplicas)
+			s := startGatewaySite(t, 6, gatewayReplicas)
 			bad := platformtest.Fails
 			for _, slot := range s.slots {
 				replica, _ := slot.newest()
--- a/internal/faulttest/gatewayfatal_test.go
+++ b/internal/faulttest/gatewayfatal_test.go
@@ -179,7 +179,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel() // a site waits for most of its time
-			s := startGatewaySiteOf(t, gatewayNodes, 8)
+			s := startGatewaySite(t, gatewayNodes, 8)
 			s.restarts = drawnReturns(16)
 			if back.after > 0 {
 				s.restarts = func() replicaReturn { return back }
@@ -193,7 +193,7 @@
 }
 
 func TestAContentThatEndsItsReplicasStaysRefusedWhenAllNodesStartAnew(t *testing.T) {
-	s := startGatewaySiteOf(t, gatewayNodes, 8)
+	s := startGatewaySite(t, gatewayNodes, 8)
 	stop := make(chan struct{})
 	var sending sync.WaitGroup
 	sending.Go(func() { s.sendFatal(stop, "/again/") })
--- a/internal/faulttest/gatewayquota_test.go
+++ b/internal/faulttest/gatewayquota_test.go
@@ -15,7 +15,7 @@
 // quota, and checks what they got.
 func withHungryCallers(t *testing.T, nodes, number int, faults func(*gatewaySite)) {
 	t.Helper()
-	s := startGatewaySiteOf(t, nodes, gatewayReplicas)
+	s := startGatewaySite(t, nodes, gatewayReplicas)
 	t.Cleanup(func() { s.keepLogs(0) })
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
--- a/internal/faulttest/gatewaysite_test.go
+++ b/internal/faulttest/gatewaysite_test.go
@@ -86,13 +86,8 @@
 // gatewaySites counts the sites of this process.
 var gatewaySites atomic.Int64
 
-func startGatewaySite(t *testing.T) *gatewaySite {
-	t.Helper()
-	return startGatewaySiteOf(t, gatewayNodes, gatewayReplicas)
-}
-
-// startGatewaySiteOf starts a site with so many nodes, and replicas of each service.
-func startGatewaySiteOf(t *testing.T, nodes, replicas int) *gatewaySite {
+// startGatewaySite starts a site with so many nodes, and replicas of each service.
+func startGatewaySite(t *testing.T, nodes, replicas int) *gatewaySite {
 	t.Helper()
 	s := &gatewaySite{
 		t: t, store: platformtest.NewStore(t), cloud: platformtest.NewCloud(t), dir: t.TempDir(), replicas: replicas, number: gatewaySites.Add(1),
--- a/internal/faulttest/gatewaysoak_test.go
+++ b/internal/faulttest/gatewaysoak_test.go
@@ -162,7 +162,7 @@
 }
 
 func soakSeed(t *testing.T, seed uint64) {
-	s := startGatewaySiteOf(t, int(soakNumber(t, nodesVariable, gatewayNodes)), gatewayReplicas)
+	s := startGatewaySite(t, int(soakNumber(t, nodesVariable, gatewayNodes)), gatewayReplicas)
 	s.restarts = drawnReturns(seed)
 	t.Cleanup(func() { s.keepLogs(seed) })
 	stop := make(chan struct{})
--- a/internal/gateway/server/contentguard.go
+++ b/internal/gateway/server/contentguard.go
@@ -4,7 +4,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -20,6 +19,16 @@
 	suspectTime = 30 * time.Second
 	// maxLostAnswers bounds the lost answers that are open.
 	maxLostAnswers = 4096
+	// toldRepeated and toldOthers bound the contents that a message to other nodes tells of:
+	// those that crashed more than one upstream, and the others. An entry takes 85 bytes.
+	toldRepeated = 8
+	toldOthers   = 8
+	// toldTime is for how long after its crash a content of the others is told: each node
+	// hears it many times meanwhile, and the checkpoint holds it after.
+	toldTime = time.Minute
+	// lastingRepeated and lastingOthers are the same for a checkpoint; 128 take 14 KB.
+	lastingRepeated = 64
+	lastingOthers   = 64
 )
 
 // contentGuard keeps contents that crash upstreams from being sent again, on this
@@ -41,19 +50,6 @@
 	draining map[string]bool
 }
 
-type lostAnswer struct {
-	at       time.Time
-	content  poison.Fingerprint
-	upstream string
-	born     time.Time
-}
-
-// incarnation names the start of the upstream: one that started again under its ID is
-// another one that can crash.
-func (l *lostAnswer) incarnation() ident.Upstream {
-	return ident.Upstream(l.upstream + "@" + strconv.FormatInt(l.born.UnixMilli(), 36))
-}
-
 func newContentGuard(now func() time.Time, random *rand.Rand, logger *slog.Logger) *contentGuard {
 	return &contentGuard{
 		now: now, registry: poison.NewRegistry(), logger: logger, random: random, draining: make(map[string]bool),
@@ -175,35 +171,18 @@
 	}
 }
 
-// toldRepeated and toldOthers bound the contents that a message to other nodes tells of:
-// those that crashed more than one upstream, and the others. An entry takes 85 bytes.
-const (
-	toldRepeated = 8
-	toldOthers   = 8
-	// toldTime is for how long after its crash a content of the others is told: each node
-	// hears it many times meanwhile, and the checkpoint holds it after.
-	toldTime = time.Minute
-	// lastingRepeated and lastingOthers are the same for a checkpoint; 128 take 14 KB.
-	lastingRepeated = 64
-	lastingOthers   = 64
-)
-
 // convicted counts the contents that are refused.
-func (g *contentGuard) convicted() int64 {
-	n := int64(0)
-	for _, e := range g.registry.Snapshot() {
-		if e.Convicted() {
-			n++
-		}
-	}
-	return n
-}
+func (g *contentGuard) convicted() int64 { return g.count((*poison.Entry).Convicted) }
 
 // suspected counts the contents that crashed upstreams and are not cleared.
 func (g *contentGuard) suspected() int64 {
+	return g.count(func(e *poison.Entry) bool { return e.Count() > 0 })
+}
+
+func (g *contentGuard) count(is func(*poison.Entry) bool) int64 {
 	n := int64(0)
 	for _, e := range g.registry.Snapshot() {
-		if e.Count() > 0 {
+		if is(&e) {
 			n++
 		}
 	}
