--- a/internal/faulttest/gatewayfatal_test.go
+++ b/internal/faulttest/gatewayfatal_test.go
@@ -193,6 +193,7 @@
 }
 
 func TestAContentThatEndsItsReplicasStaysRefusedWhenAllNodesStartAnew(t *testing.T) {
+	t.Parallel() // a site waits for most of its time
 	s := startGatewaySite(t, gatewayNodes, 8)
 	stop := make(chan struct{})
 	var sending sync.WaitGroup
