--- a/internal/faulttest/gatewaybudget_test.go
+++ b/internal/faulttest/gatewaybudget_test.go
@@ -7,8 +7,6 @@
 	"mangoledge.example/mangoledge/platform/platformtest"
 )
 
-// TestRestartsInSeriesStayWithinTheBudgetOfRepeats kills all nodes again and again while
-// a few requests a second come for replicas that fail nearly all of them.
 func TestRestartsInSeriesStayWithinTheBudgetOfRepeats(t *testing.T) {
 	for name, pause := range map[string]time.Duration{"each 0.6 s": 600 * time.Millisecond, "each 1 s": time.Second} {
 		t.Run(name, func(t *testing.T) {
