Records are decoded once, and nodes counted without copying their table

A list decoded each record twice, and a registration in two places; the reserve of repeats was divided with each sum of loads, up to 25 times a second, for which the table of live nodes was read a second time and all records were copied twice just to be counted.

Now one function decodes a record, the registry counts, and housekeeping divides each 250 ms, as each grant still does. Decisions and their inputs are the same.

--- a/internal/gateway/peers/registry.go
+++ b/internal/gateway/peers/registry.go
@@ -26,6 +26,9 @@
 	listPerNode  = 2 * time.Second
 )
 
+// noPrevious is the incarnation before the first of a node; it precedes all others.
+const noPrevious = "0"
+
 // Record is where a node is reached.
 type Record struct {
 	Incarnation string `json:"incarnation"`
@@ -78,6 +81,16 @@
 	return out
 }
 
+// Count returns how many nodes are known, this one included.
+func (r *Registry) Count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, own := r.records[r.node]; own {
+		return len(r.records)
+	}
+	return len(r.records) + 1
+}
+
 // Learn takes over records that another node told, without replacing known ones.
 func (r *Registry) Learn(records map[string]Record) {
 	r.mu.Lock()
@@ -127,8 +140,9 @@
 	}
 	listed := make(map[string]string, len(list.Items))
 	for _, object := range list.Items {
-		r.put(object)
-		listed[object.Metadata.Name] = incarnationOf(object)
+		record, err := decodeRecord(object)
+		listed[object.Metadata.Name] = record.Incarnation
+		r.put(object.Metadata.Name, record, err)
 	}
 	r.mu.Lock()
 	r.listed = listed
@@ -185,25 +199,24 @@
 		return err
 	case err != nil:
 		return err
-	case r.isOwn(current):
+	}
+	registered, err := decodeRecord(current)
+	if err == nil && registered == r.own {
 		return nil // a write before this one was done, and its answer lost
 	}
-	r.notePrevious(incarnationOf(current))
+	r.notePrevious(registered.Incarnation)
 	object.Metadata.ResourceVersion = current.Metadata.ResourceVersion
 	_, err = r.store.Update(ctx, object)
 	return err
 }
 
-// noPrevious is the incarnation before the first of a node; it precedes all others.
-const noPrevious = "0"
-
-// incarnationOf returns the incarnation of a record, or "" for one that cannot be read.
-func incarnationOf(object objects.Object) string {
+// decodeRecord returns the record that an object holds, an empty one with an error.
+func decodeRecord(object objects.Object) (Record, error) {
 	var record Record
-	if json.Unmarshal(object.Spec, &record) != nil {
-		return ""
+	if err := json.Unmarshal(object.Spec, &record); err != nil {
+		return Record{}, err
 	}
-	return record.Incarnation
+	return record, nil
 }
 
 func (r *Registry) notePrevious(incarnation string) {
@@ -223,17 +236,11 @@
 // Registered is closed once other processes can find the record of this one.
 func (r *Registry) Registered() <-chan struct{} { return r.registered }
 
-// isOwn reports whether an object holds this process's record.
-func (r *Registry) isOwn(object objects.Object) bool {
-	var record Record
-	return json.Unmarshal(object.Spec, &record) == nil && record == r.own
-}
-
-func (r *Registry) put(object objects.Object) {
-	var record Record
-	if err := json.Unmarshal(object.Spec, &record); err != nil || record.Address == "" {
-		r.logger.Warn("node record ignored", "name", object.Metadata.Name, "error", err)
+// put takes over the record of a node as the store has it; err is why it cannot be read.
+func (r *Registry) put(node string, record Record, err error) {
+	if err != nil || record.Address == "" {
+		r.logger.Warn("node record ignored", "name", node, "error", err)
 		return
 	}
-	r.Hear(object.Metadata.Name, record)
+	r.Hear(node, record)
 }
--- a/internal/gateway/server/housekeeping.go
+++ b/internal/gateway/server/housekeeping.go
@@ -21,6 +21,7 @@
 		g.poison.seen(view.All)
 		g.table.Forget()
 		g.takeLoads()
+		g.budgets.divide()
 		if config := g.configuration.Current(); config != nil {
 			if n := g.idle.closeOlder(config.Limits.IdleTimeout); n > 0 {
 				g.logger.Info("idle client connections closed", "count", n, "limit", config.Limits.IdleTimeout)
--- a/internal/gateway/server/messages.go
+++ b/internal/gateway/server/messages.go
@@ -101,9 +101,7 @@
 
 // takeLoads hands on what the live nodes have open.
 func (g *Gateway) takeLoads() {
-	alive := g.table.Alive()
-	g.balancer.SetOthers(sumLoads(alive))
-	g.budgets.divide()
+	g.balancer.SetOthers(sumLoads(g.table.Alive()))
 }
 
 // sharers returns how many nodes share what all may do together. It is not known, and 0,
@@ -112,7 +110,7 @@
 	if !g.nodes.Listed() && time.Since(g.started) <= g.settings.Bounds.RetryWindow {
 		return 0
 	}
-	return max(len(g.table.Alive())+1, len(g.nodes.Known()))
+	return max(len(g.table.Alive())+1, g.nodes.Count())
 }
 
 func sumLoads(alive []*peers.Peer) map[uint32]balance.Outstanding {
