The guard keeps no draining upstreams that it forgets at once; lives are judged one by one

An upstream was kept as draining after its entry went while an answer of it was open, but such answers had just been dropped, so that it never was; the set is now that of the last look. Whether a process lived between a checkpoint and a start was judged through a list built for it. No decision changes; the tests of internal/gateway/server pass as they are.

--- a/internal/gateway/server/checkpoint.go
+++ b/internal/gateway/server/checkpoint.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"strconv"
 	"time"
 
@@ -123,19 +122,23 @@
 // and those that are not heard started before it as well.
 func (g *Gateway) noneLivedSince(at time.Time) bool {
 	alive := g.table.Alive()
-	records := g.nodes.Others()
-	own := lifetimes{g.incarnation, g.nodes.Previous()}
-	all := []lifetimes{own}
+	if own := (lifetimes{g.incarnation, g.nodes.Previous()}); len(alive) == 0 || !own.span(at) {
+		return false
+	}
+	unheard := g.nodes.Others()
 	for _, p := range alive {
-		all = append(all, lifetimes{p.Incarnation, g.nodes.PreviousOf(p.Node, p.Incarnation, p.Previous)})
-		delete(records, p.Node)
+		delete(unheard, p.Node)
+		l := lifetimes{p.Incarnation, g.nodes.PreviousOf(p.Node, p.Incarnation, p.Previous)}
+		if !l.span(at) {
+			return false
+		}
 	}
-	for _, record := range records {
+	for _, record := range unheard {
 		if !startedBefore(record.Incarnation, at) {
 			return false
 		}
 	}
-	return len(alive) > 0 && !slices.ContainsFunc(all, func(l lifetimes) bool { return !l.span(at) })
+	return true
 }
 
 // lifetimes are the incarnations of the process of a node that lives and of the one before.
--- a/internal/gateway/server/contentguard.go
+++ b/internal/gateway/server/contentguard.go
@@ -46,14 +46,12 @@
 	random *rand.Rand
 	// lost holds the answers that were lost and whose upstream may have crashed, the oldest first.
 	lost []lostAnswer
-	// draining holds the upstreams that are about to leave.
+	// draining holds the upstreams that are about to leave, as they were seen last.
 	draining map[string]bool
 }
 
 func newContentGuard(now func() time.Time, random *rand.Rand, logger *slog.Logger) *contentGuard {
-	return &contentGuard{
-		now: now, registry: poison.NewRegistry(), logger: logger, random: random, draining: make(map[string]bool),
-	}
+	return &contentGuard{now: now, registry: poison.NewRegistry(), logger: logger, random: random}
 }
 
 // contentOf names a request by what the client sent, whatever its attempt ID.
@@ -114,11 +112,10 @@
 func (g *contentGuard) compare(all map[string]site.Upstream) (dead []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.draining = make(map[string]bool)
 	for id, u := range all {
 		if u.Draining {
 			g.draining[id] = true
-		} else {
-			delete(g.draining, id)
 		}
 	}
 	now := g.now()
@@ -135,18 +132,9 @@
 		}
 		return false
 	})
-	for id := range g.draining {
-		if _, there := all[id]; !there && !g.hasLost(id) {
-			delete(g.draining, id)
-		}
-	}
 	return dead
 }
 
-func (g *contentGuard) hasLost(upstream string) bool {
-	return slices.ContainsFunc(g.lost, func(l lostAnswer) bool { return l.upstream == upstream })
-}
-
 // died counts a crash against each content whose answer the upstream lost; evidence
 // is how its death showed.
 func (g *contentGuard) died(upstream, evidence string) {
