One checker of repeats in a window serves the tests of parts and of processes

The users' rule on repeats was worked out twice, in the tests of the budgets and in the soak; kills in series, requests to the nodes in turn, the replicas' behaviour and the walk over all starts of replicas stood two to four times.

Bounds, seeds and assertions are the same.

--- a/internal/faulttest/gatewaybudget_test.go
+++ b/internal/faulttest/gatewaybudget_test.go
@@ -1,6 +1,7 @@
 package faulttest
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -13,30 +14,17 @@
 			t.Parallel() // a site waits for most of its time
 			const requestPause = 40 * time.Millisecond
 			s := startGatewaySite(t, 6, gatewayReplicas)
-			bad := platformtest.Fails
-			for _, slot := range s.slots {
-				replica, _ := slot.newest()
-				replica.Behave(bad)
-			}
-			stop, sent := make(chan struct{}), make(chan struct{})
-			go func() {
-				defer close(sent)
-				caller := s.newCaller(16, 1) // no workspace, whose quota would hold repeats back
-				for i := 0; ; i++ {
-					select {
-					case <-stop:
-						return
-					case <-time.After(requestPause):
-						go caller.send(s.nodes[i%len(s.nodes)], "/open/")
-					}
-				}
-			}()
-			for end := time.Now().Add(2 * repeatWindow); time.Now().Before(end); time.Sleep(pause) {
-				s.killAll(0)
-			}
+			behave(s.slots, platformtest.Fails)
+			stop := make(chan struct{})
+			var sending sync.WaitGroup
+			caller := s.newCaller(16, 1)
+			// A route without a workspace, whose quota would hold repeats back.
+			sending.Go(func() {
+				s.sendInTurn(stop, requestPause, func(n *gatewayNode) { caller.send(n, "/open/") })
+			})
+			s.killSeries(2*repeatBound.Window, pause)
 			close(stop)
-			<-sent
-			time.Sleep(soakDeadline + soakPatience)
+			sending.Wait()
 			s.end()
 			s.check()
 		})
--- a/internal/faulttest/gatewaycheck_test.go
+++ b/internal/faulttest/gatewaycheck_test.go
@@ -18,7 +18,8 @@
 	quotaSlack   = 72_000
 )
 
-// check judges what callers received and what replicas and the cloud saw.
+// check judges what callers received and what replicas and the cloud saw: also the quota,
+// repeats in a window, the time left that replicas are handed, and fatal contents.
 func (s *gatewaySite) check() {
 	s.t.Helper()
 	runs := s.runs()
--- a/internal/faulttest/gatewayfatal_test.go
+++ b/internal/faulttest/gatewayfatal_test.go
@@ -74,7 +74,7 @@
 
 // replicaEnded lets the entry of a replica lapse that a fatal content ended, and
 // starts it anew under its ID.
-func (s *gatewaySite) replicaEnded(slot *replicaSlot, replica any) {
+func (s *gatewaySite) replicaEnded(slot *replicaSlot, replica *platformtest.Replica) {
 	slot.broken.Lock()
 	defer slot.broken.Unlock()
 	if newest, _ := slot.newest(); replica != newest {
@@ -107,16 +107,7 @@
 // sendFatal sends the fatal content to the nodes in turn until stop is closed.
 func (s *gatewaySite) sendFatal(stop <-chan struct{}, route string) {
 	caller := s.newCaller(0, 0)
-	var sending sync.WaitGroup
-	defer sending.Wait()
-	for i := 0; ; i++ {
-		select {
-		case <-stop:
-			return
-		case <-time.After(fatalPause):
-			sending.Go(func() { caller.sendBody(s.nodes[i%len(s.nodes)], route, fatalBody) })
-		}
-	}
+	s.sendInTurn(stop, fatalPause, func(n *gatewayNode) { caller.sendBody(n, route, fatalBody) })
 }
 
 // fatalRuns returns when replicas began to run the fatal content, and for which attempt.
--- a/internal/faulttest/gatewayfaults_test.go
+++ b/internal/faulttest/gatewayfaults_test.go
@@ -59,9 +59,8 @@
 }
 
 // killSeries kills all processes at once, again and again.
-func (s *gatewaySite) killSeries(st soakStep) {
-	pause := 300*time.Millisecond + time.Duration(st.target%1500)*time.Millisecond
-	for end := time.Now().Add(st.long); time.Now().Before(end); time.Sleep(pause) {
+func (s *gatewaySite) killSeries(long, pause time.Duration) {
+	for end := time.Now().Add(long); time.Now().Before(end); time.Sleep(pause) {
 		s.killAll(0)
 	}
 }
@@ -85,16 +84,11 @@
 func (s *gatewaySite) failReplicas(st soakStep) {
 	bad := []platformtest.Behaviour{platformtest.Fails, platformtest.Sheds, platformtest.LosesAnswer}[st.target%3]
 	first := st.target / 3 % 2 * s.replicas
+	service := s.slots[first : first+s.replicas]
 	for end := time.Now().Add(st.long); time.Now().Before(end); time.Sleep(st.long / 20) {
-		for _, slot := range s.slots[first : first+s.replicas] {
-			replica, _ := slot.newest()
-			replica.Behave(bad, platformtest.Answers, bad, bad, bad, platformtest.Answers, bad, bad, bad, platformtest.Answers)
-		}
-	}
-	for _, slot := range s.slots[first : first+s.replicas] {
-		replica, _ := slot.newest()
-		replica.Behave(platformtest.Answers)
+		behave(service, bad, platformtest.Answers, bad, bad, bad, platformtest.Answers, bad, bad, bad, platformtest.Answers)
 	}
+	behave(service, platformtest.Answers)
 }
 
 // sendFatalFor sends the fatal content for a time.
@@ -210,8 +204,5 @@
 			s.t.Errorf("%s: %v", l.name, err)
 		}
 	}
-	for _, slot := range s.slots {
-		replica, _ := slot.newest()
-		replica.Behave(platformtest.Answers)
-	}
+	behave(s.slots, platformtest.Answers)
 }
--- a/internal/faulttest/gatewayquota_test.go
+++ b/internal/faulttest/gatewayquota_test.go
@@ -35,9 +35,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel() // a site waits for most of its time
 			withHungryCallers(t, gatewayNodes, hungryCallers, func(s *gatewaySite) {
-				for end := time.Now().Add(2 * quotaWindow); time.Now().Before(end); time.Sleep(pause) {
-					s.killAll(0)
-				}
+				s.killSeries(2*quotaWindow, pause)
 			})
 		})
 	}
--- a/internal/faulttest/gatewayrepeats_test.go
+++ b/internal/faulttest/gatewayrepeats_test.go
@@ -5,15 +5,11 @@
 	"strconv"
 	"time"
 
+	"mangoledge.example/mangoledge/internal/historycheck"
 	"mangoledge.example/mangoledge/platform/platformtest"
 )
 
 const (
-	// repeatWindow, repeatShare and repeatReserve are the bounds of repeats in the
-	// settings of the stand-ins.
-	repeatWindow  = 10 * time.Second
-	repeatShare   = 0.2
-	repeatReserve = 52
 	// leftSlack is by how much more than is left a replica may be handed, and lateAfter
 	// after what time a further send of a request counts as late.
 	leftSlack = 500 * time.Millisecond
@@ -22,6 +18,9 @@
 	mostOverLeft = 20
 )
 
+// repeatBound is the bound of repeats in the settings of the stand-ins.
+var repeatBound = historycheck.RepeatBound{Window: 10 * time.Second, Share: 0.2, Reserve: 52}
+
 // serviceOf names the service of a route in the configuration of the stand-ins.
 func serviceOf(route string) string {
 	if route == "/stream/" || route == "/resume/" {
@@ -34,10 +33,7 @@
 func (s *gatewaySite) arrivals() map[string][]platformtest.Arrival {
 	out := make(map[string][]platformtest.Arrival)
 	for _, slot := range s.slots {
-		slot.mu.Lock()
-		starts := slot.starts
-		slot.mu.Unlock()
-		for _, replica := range starts {
+		for _, replica := range slot.allStarts() {
 			for _, arrival := range replica.Arrivals() {
 				out[arrival.AttemptID] = append(out[arrival.AttemptID], arrival)
 			}
@@ -103,27 +99,12 @@
 	return arrival.At.Add(time.Duration(ms) * time.Millisecond), err == nil
 }
 
-// checkWindows checks every window that begins with a repeat. The requests that count
-// are those of the window, of the one before, or of the one half a window before.
+// checkWindows checks every window that begins with a repeat.
 func (s *gatewaySite) checkWindows(service string, first, repeats []time.Time) {
 	s.t.Helper()
-	slices.SortFunc(first, time.Time.Compare)
-	slices.SortFunc(repeats, time.Time.Compare)
-	within := func(of []time.Time, from time.Time) float64 {
-		begin, _ := slices.BinarySearchFunc(of, from, time.Time.Compare)
-		end, _ := slices.BinarySearchFunc(of, from.Add(repeatWindow), time.Time.Compare)
-		return float64(end - begin)
-	}
-	worst, bound := 0.0, 0.0
-	for _, from := range repeats {
-		requests := max(within(first, from), within(first, from.Add(-repeatWindow/2)), within(first, from.Add(-repeatWindow)))
-		allowed, n := repeatShare*requests+repeatReserve, within(repeats, from)
-		if bound == 0 || n/allowed > worst/bound {
-			worst, bound = n, allowed
-		}
-	}
-	if worst > bound {
-		s.t.Errorf("a window holds %.0f repeats of %s, %.0f allowed", worst, service, bound)
+	held, allowed := repeatBound.Nearest(first, repeats)
+	if held > allowed {
+		s.t.Errorf("a window holds %.0f repeats of %s, %.0f allowed", held, service, allowed)
 	}
-	s.t.Logf("the window of %s nearest to its bound holds %.0f repeats of %.0f", service, worst, bound)
+	s.t.Logf("the window of %s nearest to its bound holds %.0f repeats of %.0f", service, held, allowed)
 }
--- a/internal/faulttest/gatewaysite_test.go
+++ b/internal/faulttest/gatewaysite_test.go
@@ -214,6 +214,36 @@
 	return slot.starts[len(slot.starts)-1], slot.links[len(slot.links)-1]
 }
 
+// allStarts returns the replica of each start.
+func (slot *replicaSlot) allStarts() []*platformtest.Replica {
+	slot.mu.Lock()
+	defer slot.mu.Unlock()
+	return slot.starts
+}
+
+// behave sets how replicas treat their next requests.
+func behave(slots []*replicaSlot, next ...platformtest.Behaviour) {
+	for _, slot := range slots {
+		replica, _ := slot.newest()
+		replica.Behave(next...)
+	}
+}
+
+// sendInTurn calls send for each node in turn after each pause, beside each other, until
+// stop is closed, and waits for the last to return.
+func (s *gatewaySite) sendInTurn(stop <-chan struct{}, pause time.Duration, send func(*gatewayNode)) {
+	var sending sync.WaitGroup
+	defer sending.Wait()
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(pause):
+			sending.Go(func() { send(s.nodes[i%len(s.nodes)]) })
+		}
+	}
+}
+
 // changeConfig writes the next version, with a route that tells it; extra names a
 // further route.
 func (s *gatewaySite) changeConfig(extra string) int {
@@ -264,10 +294,7 @@
 func (s *gatewaySite) runs() map[string][]replicaRun {
 	out := make(map[string][]replicaRun)
 	for _, slot := range s.slots {
-		slot.mu.Lock()
-		starts := slot.starts
-		slot.mu.Unlock()
-		for _, replica := range starts {
+		for _, replica := range slot.allStarts() {
 			for _, run := range replica.Runs() {
 				out[run.AttemptID] = append(out[run.AttemptID], replicaRun{Run: run, slot: slot.id, from: replica})
 			}
--- a/internal/faulttest/gatewaysoak_test.go
+++ b/internal/faulttest/gatewaysoak_test.go
@@ -217,7 +217,7 @@
 	case soakConfig:
 		s.changeConfig("")
 	case soakKillSeries:
-		s.killSeries(st)
+		s.killSeries(st.long, 300*time.Millisecond+time.Duration(st.target%1500)*time.Millisecond)
 	case soakStopSeries:
 		s.stopSeries(st)
 	case soakFailingReplicas:
--- a/internal/gateway/server/budgets_test.go
+++ b/internal/gateway/server/budgets_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -12,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"mangoledge.example/mangoledge/internal/gateway/site"
+	"mangoledge.example/mangoledge/internal/historycheck"
 )
 
 // budgetSite is nodes whose requests all fail, and whose processes are restarted.
@@ -62,21 +62,11 @@
 	}
 }
 
-// excess returns by how much the fullest window exceeds what the users' rule allows
-// for it; requests of the window, of the one before and of that half a window before count.
-func (s *budgetSite) excess() float64 {
-	window := s.bounds.RetryWindow
-	count := func(of []time.Time, from time.Time) float64 {
-		first, _ := slices.BinarySearchFunc(of, from, time.Time.Compare)
-		next, _ := slices.BinarySearchFunc(of, from.Add(window), time.Time.Compare)
-		return float64(next - first)
-	}
-	worst := -s.bounds.RetryReserve
-	for _, from := range s.repeats {
-		requests := max(count(s.first, from), count(s.first, from.Add(-window/2)), count(s.first, from.Add(-window)))
-		worst = max(worst, count(s.repeats, from)-s.bounds.RetryShare*requests-s.bounds.RetryReserve)
-	}
-	return worst
+// nearest returns how many repeats the window nearest to the bound of the users' rule
+// holds, and how many are allowed there.
+func (s *budgetSite) nearest() (held, allowed float64) {
+	bound := historycheck.RepeatBound{Window: s.bounds.RetryWindow, Share: s.bounds.RetryShare, Reserve: s.bounds.RetryReserve}
+	return bound.Nearest(s.first, s.repeats)
 }
 
 func TestRestartsInSeriesDoNotRenewTheReserveOfRepeats(t *testing.T) {
@@ -94,7 +84,8 @@
 			s.clock.at = s.clock.at.Add(125 * time.Millisecond)
 		}
 	}
-	require.LessOrEqual(t, s.excess(), 0.0)
+	held, allowed := s.nearest()
+	require.LessOrEqual(t, held, allowed)
 }
 
 func TestNodesThatStartAtOnceDoNotEachTakeTheReserveOfFew(t *testing.T) {
@@ -112,7 +103,8 @@
 		s.hear()
 		s.clock.at = s.clock.at.Add(2 * time.Second)
 	}
-	require.LessOrEqual(t, s.excess(), 0.0)
+	held, allowed := s.nearest()
+	require.LessOrEqual(t, held, allowed)
 }
 
 func TestNoSeriesOfRestartsExceedsTheBudgetOfAWindow(t *testing.T) {
@@ -135,7 +127,8 @@
 			}
 			s.clock.at = s.clock.at.Add(100 * time.Millisecond)
 		}
-		return s.excess() <= 0
+		held, allowed := s.nearest()
+		return held <= allowed
 	}, gen.UInt64(), gen.IntRange(2, 40), gen.IntRange(0, 6), gen.IntRange(1, 12)))
 	properties.TestingRun(t)
 }
@@ -151,7 +144,8 @@
 		}
 		s.clock.at = s.clock.at.Add(200 * time.Millisecond)
 	}
-	require.LessOrEqual(t, s.excess(), 0.0)
+	held, allowed := s.nearest()
+	require.LessOrEqual(t, held, allowed)
 	share := budgetPart * s.bounds.RetryShare * float64(len(s.first))
 	require.Greater(t, float64(len(s.repeats)), share/2)
 }
