Tests that need a repeat wait until the node knows who shares the reserve

Cause: since a node grants no repeat until it knows over how many nodes the reserve is divided, that is until it has listed them. The test waited for the configuration only, and the two are read beside each other. What the node does is intended: repeats before the count is known were the fault of the incident.

The state and a gauge now say over how many nodes the reserve is divided, 0 for not known, and the two tests that need a repeat at once wait for that.

--- a/internal/gateway/server/gateway.go
+++ b/internal/gateway/server/gateway.go
@@ -120,6 +120,7 @@
 	g.Gauge("gateway.store_age_ms", func() int64 { return g.upstreams.Age().Milliseconds() })
 	g.Gauge("gateway.contents_suspected", g.poison.suspected)
 	g.Gauge("gateway.contents_convicted", g.poison.convicted)
+	g.Gauge("gateway.nodes_sharing_repeats", func() int64 { return int64(g.sharers()) })
 	g.Gauge("gateway.nodes_alive", func() int64 { return int64(len(g.table.Alive())) })
 	return g, g.join()
 }
--- a/internal/gateway/server/harness_test.go
+++ b/internal/gateway/server/harness_test.go
@@ -170,6 +170,14 @@
 	}
 }
 
+// readyToRepeat waits until a node serves and knows how many nodes share the reserve of
+// repeats: before that it grants none.
+func (s *testSite) readyToRepeat(n *testNode) {
+	s.t.Helper()
+	s.ready(n)
+	require.Eventually(s.t, func() bool { return s.stateOf(n).NodesSharingRepeats > 0 }, patience, 20*time.Millisecond)
+}
+
 // get calls one of the listeners that are not for clients' requests.
 func (s *testSite) get(n *testNode, port int, target string) (status int, body string) {
 	s.t.Helper()
--- a/internal/gateway/server/housekeeping.go
+++ b/internal/gateway/server/housekeeping.go
@@ -43,6 +43,7 @@
 	StoreAgeMs    int64            `json:"storeAgeMs"`
 	Upstreams     map[string]int   `json:"upstreamsByService"`
 	Nodes         []string         `json:"nodesAlive"`
+	Sharers       int              `json:"nodesSharingRepeats"`
 	Holder        string           `json:"dutyHolder"`
 	Spent         map[string]int64 `json:"quotaSpent"`
 }
@@ -57,6 +58,7 @@
 		ConfigVersion: g.configuration.Version(),
 		ConfigAgeMs:   g.configuration.Age(time.Now()).Milliseconds(),
 		StoreAgeMs:    g.upstreams.Age().Milliseconds(),
+		Sharers:       g.sharers(),
 		Upstreams:     make(map[string]int),
 		Holder:        string(g.duty.Seen().Holder),
 		Spent:         make(map[string]int64),
--- a/internal/gateway/server/nodes_test.go
+++ b/internal/gateway/server/nodes_test.go
@@ -26,18 +26,24 @@
 	return out.Addrs
 }
 
-// versionAt returns the version of the configuration that is in force at a node.
-func (s *testSite) versionAt(n *testNode) int64 {
+// nodeState is what a node says of itself.
+type nodeState struct {
+	ConfigVersion       int64 `json:"configVersion"`
+	NodesSharingRepeats int   `json:"nodesSharingRepeats"`
+}
+
+// stateOf asks a node for its state; it is empty when there is no answer.
+func (s *testSite) stateOf(n *testNode) (out nodeState) {
 	_, body := s.get(n, platformtest.ControlPort, "/v1/state")
-	var out struct {
-		ConfigVersion int64 `json:"configVersion"`
-	}
 	if json.Unmarshal([]byte(body), &out) != nil {
-		return 0
+		return nodeState{}
 	}
-	return out.ConfigVersion
+	return out
 }
 
+// versionAt returns the version of the configuration that is in force at a node.
+func (s *testSite) versionAt(n *testNode) int64 { return s.stateOf(n).ConfigVersion }
+
 func TestANodeThatStopsLeavesTheDirectoryAndCutsNothingOff(t *testing.T) {
 	s := newTestSite(t)
 	s.replica("i-p", "plain")
--- a/internal/gateway/server/requests_test.go
+++ b/internal/gateway/server/requests_test.go
@@ -120,7 +120,7 @@
 			bad, good := s.replica("i-1", "plain"), s.replica("i-2", "plain")
 			s.configure(1, nil)
 			n := s.start(1, "a", nil)
-			s.ready(n)
+			s.readyToRepeat(n)
 			bad.Behave(behaviour)
 			for range 10 {
 				got := s.send(n, request{method: http.MethodGet, path: "/again/x"})
@@ -186,7 +186,7 @@
 	one, two := s.replica("i-1", "engine"), s.replica("i-2", "engine")
 	s.configure(1, nil)
 	n := s.start(1, "a", nil)
-	s.ready(n)
+	s.readyToRepeat(n)
 	one.Behave(platformtest.Truncates)
 	for range 4 {
 		got := s.send(n, request{path: "/resume/x", body: "prompt"})
