What left the window does not count when a workspace first comes to a restarted node

Callers of a workspace whose first request at a restarted node came late were told 429 for up to a window, though the workspace was within its quota.

Cause: an account begins with its first request, with the checkpoint that the process read at its start. All that others were heard to spend since that start was added as if it were spent now, and so was what may have been spent unheard before it.

What was before the process and what came since are now two histories; a checkpoint replaces the first only, at the times that it speaks of, and the second forgets by itself.

--- a/internal/gateway/quota/account.go
+++ b/internal/gateway/quota/account.go
@@ -42,13 +42,12 @@
 	window time.Duration
 	// begun is false while only others were heard to spend, and no limit is known.
 	begun bool
-	// slots hold what was spent in each part of the last window, by the number of the part.
-	slots [windowSlots + 1]slot
+	// before is what was spent or may have been before this process knew of it, since what
+	// was after that.
+	before, since history
 	// paced is what pacing may give out now; it is negative while requests wait.
 	paced float64
 	at    time.Time
-	// counted is what was added since this process started.
-	counted float64
 	// spent is all that this process spent, which others add to their accounts.
 	spent float64
 	// othersRate is what the others spend together, in units a second, smoothed over
@@ -58,11 +57,6 @@
 	othersSum  float64
 }
 
-type slot struct {
-	number int64
-	units  float64
-}
-
 // beginEmpty begins an account of a window before which nothing was spent.
 func (a *account) beginEmpty(nodes int) {
 	a.paced = savedShare * a.bound() / float64(nodes)
@@ -71,34 +65,16 @@
 // beginFull begins an account of which all was spent before, evenly.
 func (a *account) beginFull(now time.Time) {
 	for back := range int64(windowSlots) {
-		s := a.slot(now.Add(-time.Duration(back) * a.window / windowSlots))
-		s.units += a.bound() / windowSlots
+		a.before.add(now.Add(-time.Duration(back)*a.window/windowSlots), a.window, a.bound()/windowSlots)
 	}
 }
 
 // bound is what may be spent within a window.
 func (a *account) bound() float64 { return a.limit.Rate*a.window.Seconds() + a.limit.Burst }
 
-// slot returns the part of the window that holds a time, emptied when it held an older one.
-func (a *account) slot(at time.Time) *slot {
-	number := at.UnixNano() * windowSlots / int64(a.window)
-	s := &a.slots[number%int64(len(a.slots))]
-	if s.number != number {
-		*s = slot{number: number}
-	}
-	return s
-}
-
 // recent is what was spent within the last window.
 func (a *account) recent(now time.Time) float64 {
-	oldest := now.UnixNano()*windowSlots/int64(a.window) - windowSlots
-	sum := 0.0
-	for _, s := range a.slots {
-		if s.number >= oldest {
-			sum += s.units
-		}
-	}
-	return sum
+	return a.before.sum(now, a.window, 0) + a.since.sum(now, a.window, 0)
 }
 
 // spend notes that this process spent units.
@@ -109,8 +85,7 @@
 
 // note counts units as spent, by whomever.
 func (a *account) note(now time.Time, units float64) {
-	a.slot(now).units += units
-	a.counted += units
+	a.since.add(now, a.window, units)
 }
 
 // pace takes units off what pacing gives out.
--- a/internal/gateway/quota/checkpoint.go
+++ b/internal/gateway/quota/checkpoint.go
@@ -34,10 +34,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
-	l.restored = &restored{checkpoint: c, at: now.Add(-max(age, 0)), unknown: unknown}
+	l.restored = &restored{checkpoint: c, at: now.Add(-max(age, 0)), unknown: unknown, read: now}
 	for name, a := range l.accounts {
 		if a.begun {
-			a.restore(c.Spent[name], l.restored.at, unknown, now, len(l.peers)+1)
+			a.restore(name, l.restored, now, len(l.peers)+1)
 		}
 	}
 }
@@ -60,6 +60,8 @@
 	checkpoint Checkpoint
 	at         time.Time
 	unknown    Unknown
+	// read is when the process took it over.
+	read time.Time
 }
 
 // history returns what was spent in each part of the last window, the latest first.
@@ -67,29 +69,24 @@
 	out := make([]float64, 0, windowSlots)
 	for back := range int64(windowSlots) {
 		at := now.Add(-time.Duration(back) * a.window / windowSlots)
-		number := at.UnixNano() * windowSlots / int64(a.window)
-		units := 0.0
-		if s := a.slots[number%int64(len(a.slots))]; s.number == number {
-			units = s.units
-		}
-		out = append(out, units)
+		out = append(out, a.before.at(at, a.window)+a.since.at(at, a.window))
 	}
 	return out
 }
 
-// restore sets the window to what a checkpoint taken at a time says, to what may have
-// been spent unheard since, as far as that was left to spend, and to what this process
-// counted itself.
-func (a *account) restore(history []float64, taken time.Time, unknown Unknown, now time.Time, nodes int) {
-	a.slots = [windowSlots + 1]slot{}
-	part := a.window / windowSlots
-	for back, units := range history {
-		if at := taken.Add(-time.Duration(back) * part); at.After(now.Add(-a.window)) {
-			a.slot(at).units += units
+// restore replaces what was assumed of the time before this process by what a checkpoint
+// says, and by what may have been spent unheard since, as far as that was left to spend.
+func (a *account) restore(workspace string, r *restored, now time.Time, nodes int) {
+	a.before = history{}
+	oldest := now.Add(-a.window)
+	for back, units := range r.checkpoint.Spent[workspace] {
+		if at := r.at.Add(-time.Duration(back) * a.window / windowSlots); at.After(oldest) {
+			a.before.add(at, a.window, units)
 		}
 	}
-	assumed := unknown.units(a.limit.Rate, a.window)
-	a.slot(now).units += min(assumed, max(0, a.bound()-a.recent(now)))
-	a.slot(now).units += a.counted
+	if r.read.After(oldest) {
+		left := max(0, a.bound()-a.before.sum(now, a.window, 0))
+		a.before.add(r.read, a.window, min(r.unknown.units(a.limit.Rate, a.window), left))
+	}
 	a.paced = min(a.limit.Burst, savedShare*max(0, a.room(now, 0))) / float64(nodes)
 }
--- a/internal/gateway/quota/ledger.go
+++ b/internal/gateway/quota/ledger.go
@@ -195,7 +195,7 @@
 	case l.empty:
 		a.beginEmpty(nodes)
 	case l.restored != nil:
-		a.restore(l.restored.checkpoint.Spent[workspace], l.restored.at, l.restored.unknown, now, nodes)
+		a.restore(workspace, l.restored, now, nodes)
 	default:
 		a.beginFull(now)
 	}
