--- a/internal/gateway/peers/registry.go
+++ b/internal/gateway/peers/registry.go
@@ -52,13 +52,14 @@
 	// previous is the incarnation that was registered before this one, noPrevious when
 	// there was none, and empty until the store said so.
 	previous string
-	// registered is closed once the own record stands in the store.
-	registered chan struct{}
+	// joined is closed, by join, once the own record stands in the store and the others are listed.
+	joined chan struct{}
+	join   sync.Once
 }
 
 // NewRegistry returns a registry that will register node as own.
 func NewRegistry(store objects.Store, node string, own Record, logger *slog.Logger) *Registry {
-	return &Registry{store: store, node: node, own: own, logger: logger, records: make(map[string]Record), registered: make(chan struct{})}
+	return &Registry{store: store, node: node, own: own, logger: logger, records: make(map[string]Record), joined: make(chan struct{})}
 }
 
 // Others returns the records of the other nodes by name.
@@ -126,10 +127,13 @@
 			return errors.CombineErrors(err, r.list(ctx))
 		}
 		*registered = true
-		close(r.registered)
 		r.logger.Info("node registered", "address", r.own.Address)
 	}
-	return r.list(ctx)
+	if err := r.list(ctx); err != nil {
+		return err
+	}
+	r.join.Do(func() { close(r.joined) })
+	return nil
 }
 
 // list takes over all records of the store.
@@ -150,7 +154,7 @@
 	return nil
 }
 
-// Listed reports whether this node registered and listed the others.
+// Listed reports whether this node listed the others, registered itself or not.
 func (r *Registry) Listed() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -233,8 +237,9 @@
 	return r.previous
 }
 
-// Registered is closed once other processes can find the record of this one.
-func (r *Registry) Registered() <-chan struct{} { return r.registered }
+// Joined is closed once other processes can find the record of this one, and this one
+// knows theirs.
+func (r *Registry) Joined() <-chan struct{} { return r.joined }
 
 // put takes over the record of a node as the store has it; err is why it cannot be read.
 func (r *Registry) put(node string, record Record, err error) {
--- a/internal/gateway/peers/registry_test.go
+++ b/internal/gateway/peers/registry_test.go
@@ -146,7 +146,7 @@
 		require.Error(t, r.step(t.Context(), &registered), "the answer is lost")
 		require.NoError(t, r.step(t.Context(), &registered))
 		require.Equal(t, previous, r.Previous())
-		<-r.Registered()
+		<-r.Joined()
 	}
 }
 
--- a/internal/gateway/quota/account.go
+++ b/internal/gateway/quota/account.go
@@ -6,17 +6,17 @@
 	// windowSlots is into how many parts a window is divided; the account holds one
 	// part more than the window, so it forgets late rather than early.
 	windowSlots = 16
-	// paceTime is in what time pacing gives out the room that is left in a window.
-	paceTime = time.Second
-	// savedShare is the part of the room that all nodes together save up: they may
-	// spend it before they hear each other.
+	// savedShare is the part of the room that all nodes together save up; the rest is
+	// given out while a message is on its way, so that both together are the room.
 	savedShare = 0.5
+	// equalShare is the part of the room that is divided evenly; the rest goes to nodes
+	// by what they spent, as clients are not spread evenly.
+	equalShare = 0.5
 	// calmShare is the part of a window's bound up to which a workspace is only paced
 	// by the room: one that keeps to its quota is seldom above it.
 	calmShare = 0.75
-	// ownFactor is how many times its equal share a node may give out in a calm window:
-	// clients are not spread evenly.
-	ownFactor = 4
+	// waitTime is in what time the room is taken to come free for one that is to come back.
+	waitTime = time.Second
 	// evenFactor is how many times the mean rate of a full window pacing gives out
 	// above calmShare, so that a workspace that asks for too much does not spend its
 	// window at the beginning.
@@ -43,8 +43,11 @@
 	// begun is false while only others were heard to spend, and no limit is known.
 	begun bool
 	// before is what was spent or may have been before this process knew of it, since what
-	// was after that.
-	before, since history
+	// was after that: own is what this process spent, heard what others said that they
+	// spent, and the rest is reserved for others.
+	before, since, own, heard history
+	// expired is the number of the last part that had left the window when the account was brought to now.
+	expired int64
 	// paced is what pacing may give out now; it is negative while requests wait.
 	paced float64
 	at    time.Time
@@ -57,11 +60,6 @@
 	othersSum  float64
 }
 
-// beginEmpty begins an account of a window before which nothing was spent.
-func (a *account) beginEmpty(nodes int) {
-	a.paced = savedShare * a.bound() / float64(nodes)
-}
-
 // beginFull begins an account of which all was spent before, evenly.
 func (a *account) beginFull(now time.Time) {
 	for back := range int64(windowSlots) {
@@ -79,45 +77,46 @@
 
 // spend notes that this process spent units.
 func (a *account) spend(now time.Time, units float64) {
-	a.note(now, units)
-	a.pace(units)
-}
-
-// note counts units as spent, by whomever.
-func (a *account) note(now time.Time, units float64) {
 	a.since.add(now, a.window, units)
-}
-
-// pace takes units off what pacing gives out.
-func (a *account) pace(units float64) {
+	a.own.add(now, a.window, units)
 	a.paced = max(a.paced-units, -maxDebtShare*a.bound())
 }
 
-// calm reports whether so little of the window is spent that a node paces by its own
-// spending alone; above that all nodes pace by the spending of all.
+// calm reports whether so little of the window is spent that only the room paces a node.
 func (a *account) calm(now time.Time) bool { return a.recent(now) <= calmShare*a.bound() }
 
+// part is this node's part of what all may give out. What it spent counts only once the
+// others have heard of it, within horizon: so the parts of all never add up to more than one.
+func (a *account) part(now time.Time, horizon time.Duration, nodes int) float64 {
+	equal := 1 / float64(nodes)
+	own, heard := max(0, a.own.sum(now, a.window, horizon)), max(0, a.heard.sum(now, a.window, 0))
+	if own+heard <= 0 {
+		return equal
+	}
+	return equalShare*equal + (1-equalShare)*own/(own+heard)
+}
+
 // room is what is left in the window, less what the others may have spent unheard.
 func (a *account) room(now time.Time, lag time.Duration) float64 {
 	return a.bound() - a.recent(now) - a.unseen(lag)
 }
 
-// fill adds what pacing gives out for the time since the last call, of which a node
-// that hears few others takes its share only. Each of the nodes saves up its part of
-// the room at most, as all may spend it at once.
-func (a *account) fill(now time.Time, lag time.Duration, share float64, nodes int) {
+// fill adds what pacing gives out for the time since the last call. All nodes together
+// save up a part of the room, and give out the rest within the time after which they have
+// heard of it: they cannot spend more than the room, whoever begins when. share is less
+// than 1 while few others are heard.
+func (a *account) fill(now time.Time, r reach, share float64) {
 	elapsed := now.Sub(a.at)
 	if elapsed <= 0 {
 		return
 	}
 	a.at = now
-	room := max(0, a.room(now, lag))
-	rate, most := room/paceTime.Seconds(), savedShare*room/float64(nodes)
-	if a.calm(now) {
-		rate *= min(1, ownFactor/float64(nodes))
-	} else {
-		rate = min(rate, evenFactor*a.bound()/a.window.Seconds())
-		most = min(most, a.limit.Burst/float64(nodes))
+	room, part := max(0, a.room(now, r.lag)), a.part(now, r.horizon, r.nodes)
+	rate, most := (1-savedShare)*room*part/r.lag.Seconds(), savedShare*room*part
+	if !a.calm(now) {
+		even := evenFactor * a.bound() / a.window.Seconds()
+		rate = min(rate, max(part*even, even-a.othersRate))
+		most = min(most, a.limit.Burst*part)
 	}
 	a.paced += share * min(rate*elapsed.Seconds(), room)
 	a.paced = min(a.paced, most)
@@ -128,17 +127,23 @@
 	return min(a.paced, a.room(now, lag))
 }
 
+// free returns what left the window since the last call.
+func (a *account) free(now time.Time) float64 {
+	last := slotNumber(now, a.window) - windowSlots - 1
+	units := a.before.between(a.expired+1, last) + a.since.between(a.expired+1, last)
+	a.expired = last
+	return units
+}
+
 // unseen is what the others may have spent since they were heard, lag ago.
 func (a *account) unseen(lag time.Duration) float64 {
 	return a.othersRate * lag.Seconds()
 }
 
-// noteOthers notes what others spent.
-func (a *account) noteOthers(now time.Time, units float64) {
-	a.note(now, units)
-	if !a.calm(now) {
-		a.pace(units)
-	}
+// noteOthers notes what others spent, and what of it was not reserved for them before.
+func (a *account) noteOthers(now time.Time, spent, units float64) {
+	a.since.add(now, a.window, units)
+	a.heard.add(now, a.window, spent)
 	a.othersSum += units
 	elapsed := now.Sub(a.othersAt)
 	if elapsed < rateWindow {
@@ -151,7 +156,7 @@
 
 // wait returns how long it takes at least until units can be spent.
 func (a *account) wait(units float64, now time.Time, lag time.Duration) time.Duration {
-	rate := max(a.room(now, lag), minRoomShare*a.bound()) / paceTime.Seconds()
+	rate := max(a.room(now, lag), minRoomShare*a.bound()) / waitTime.Seconds()
 	if rate <= 0 {
 		return maxWait
 	}
--- /dev/null
+++ b/internal/gateway/quota/begin_test.go
@@ -0,0 +1,122 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// beginTick is the step of time in which nodes that tell of themselves in turn are played.
+	beginTick = 20 * time.Millisecond
+	// beginDelay is how long a message is on its way.
+	beginDelay = beginTick
+)
+
+// turnNodes are nodes that tell of themselves one after the other and not at once.
+type turnNodes struct {
+	*nodes
+	tick int
+	// late holds messages on their way, by the tick at which they arrive.
+	late map[int][]func()
+}
+
+func newTurnNodes(n int) *turnNodes {
+	return &turnNodes{nodes: newNodes(n), late: make(map[int][]func())}
+}
+
+// step lets a tick go by, at which some nodes tell of themselves.
+func (s *turnNodes) step() {
+	s.tick++
+	s.time = s.time.Add(beginTick)
+	for _, arrive := range s.late[s.tick] {
+		arrive()
+	}
+	delete(s.late, s.tick)
+	turns := int(s.interval(len(s.ledgers)) / beginTick)
+	for i, from := range s.ledgers {
+		if s.tick%turns != i*turns/len(s.ledgers) {
+			continue
+		}
+		spent, born := from.Spent(), string(rune('0'+s.born[i]))
+		arrival := s.tick + int(beginDelay/beginTick)
+		s.late[arrival] = append(s.late[arrival], func() {
+			for j, to := range s.ledgers {
+				if j != i {
+					to.Hear(s.names[i], born, spent)
+				}
+			}
+		})
+	}
+}
+
+// take asks for units at a node and reports whether it got them.
+func (s *turnNodes) take(node int, units float64) bool {
+	if !s.ledgers[node].Take("w", testLimit, units).Allowed {
+		return false
+	}
+	s.spent = append(s.spent, spending{s.time, units})
+	return true
+}
+
+// takeAll asks at all nodes for many times the quota.
+func (s *turnNodes) takeAll(units float64) {
+	for i := range s.ledgers {
+		for range 3 {
+			s.take(i, units)
+		}
+	}
+}
+
+func TestAWorkspaceThatBeginsAtAllNodesAtOnceIsHeldToItsQuota(t *testing.T) {
+	const units = 1500
+	for n, calms := range map[int][]time.Duration{
+		2: {0, 3 * time.Second}, 6: {0, 3 * time.Second, testWindow}, 40: {0, 3 * time.Second, testWindow}, 74: {0},
+	} {
+		for _, calm := range calms {
+			t.Run(fmt.Sprintf("%d nodes, calm for %s", n, calm), func(t *testing.T) {
+				t.Parallel()
+				s := newTurnNodes(n)
+				owed := 0.0
+				for i := 0; i < int(calm/beginTick); i++ {
+					for owed += testLimit.Rate * beginTick.Seconds() * 5 / 9; owed > 0; owed -= units {
+						require.True(t, s.take((i*7)%n, units), "usual use is refused")
+					}
+					s.step()
+				}
+				for range int(2 * testWindow / beginTick) {
+					s.takeAll(units)
+					s.step()
+				}
+				t.Logf("the fullest window holds %.2f of what is allowed", s.worst()/allowedWithin())
+				require.LessOrEqual(t, s.worst(), allowedWithin())
+			})
+		}
+	}
+}
+
+// TestAWorkspaceAtFewOfManyNodesGetsItsQuota asks for one and a half times the quota.
+func TestAWorkspaceAtFewOfManyNodesGetsItsQuota(t *testing.T) {
+	const units = 1500
+	for _, c := range []struct{ nodes, used int }{{6, 1}, {6, 6}, {74, 1}, {74, 37}} {
+		t.Run(fmt.Sprintf("%d of %d nodes", c.used, c.nodes), func(t *testing.T) {
+			t.Parallel()
+			s := newTurnNodes(c.nodes)
+			owed, served := 0.0, 0.0
+			for step := range int(3 * testWindow / beginTick) {
+				for owed += 1.5 * testLimit.Rate * beginTick.Seconds(); owed > 0; owed -= units {
+					if s.take((step*7+int(owed))%c.used, units) && step >= int(2*testWindow/beginTick) {
+						served += units
+					}
+				}
+				s.step()
+			}
+			share := served / (testLimit.Rate * testWindow.Seconds())
+			t.Logf("%.2f of the rate is served", share)
+			require.GreaterOrEqual(t, share, 0.75)
+			require.LessOrEqual(t, s.worst(), allowedWithin())
+		})
+	}
+}
--- a/internal/gateway/quota/checkpoint.go
+++ b/internal/gateway/quota/checkpoint.go
@@ -28,6 +28,17 @@
 // served more than its rate until its window is full.
 const gapFactor = 3.5
 
+// Begin lets a process spend before which there were none, once it knows the others that
+// start beside it.
+func (l *Ledger) Begin() { l.Restore(Checkpoint{}, 0, Unknown{}) }
+
+// Begun reports whether it is known what was spent before the start of this process.
+func (l *Ledger) Begun() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.restored != nil
+}
+
 // Restore replaces what this process assumed about the time before its start by a
 // checkpoint of some age.
 func (l *Ledger) Restore(c Checkpoint, age time.Duration, unknown Unknown) {
@@ -88,5 +99,8 @@
 		left := max(0, a.bound()-a.before.sum(now, a.window, 0))
 		a.before.add(r.read, a.window, min(r.unknown.units(a.limit.Rate, a.window), left))
 	}
-	a.paced = min(a.limit.Burst, savedShare*max(0, a.room(now, 0))) / float64(nodes)
+	a.paced = savedShare * max(0, a.room(now, 0)) / float64(nodes)
+	if r.unknown != (Unknown{}) {
+		a.paced = min(a.paced, a.limit.Burst/float64(nodes)) // each start in a series gives it out again
+	}
 }
--- a/internal/gateway/quota/ledger.go
+++ b/internal/gateway/quota/ledger.go
@@ -42,6 +42,8 @@
 	mu       sync.Mutex
 	accounts map[string]*account
 	peers    map[string]*peer
+	// advanced is when the accounts were brought to now last.
+	advanced time.Time
 	// forgotten is when silent nodes were looked for last.
 	forgotten time.Time
 	// restored is the checkpoint that accounts begin with; nil until there is one.
@@ -56,19 +58,18 @@
 	everHeard bool
 	// missing is true while the node is not heard and its share is reserved.
 	missing bool
-	// missingAt is when the share was reserved last.
-	missingAt time.Time
 	// assumed is what was reserved for it since it was heard, by workspace.
 	assumed map[string]float64
 	spent   map[string]float64
 }
 
 // New returns a ledger that counts within window. empty says that the whole system
-// starts for the first time, so that nothing was spent before.
+// starts for the first time, so that nothing was spent before. Nothing can be spent until
+// Begin or Restore, or a window after the start.
 func New(now func() time.Time, interval func(nodes int) time.Duration, window time.Duration, empty bool) *Ledger {
 	return &Ledger{
 		now: now, interval: interval, window: window, empty: empty,
-		accounts: make(map[string]*account), peers: make(map[string]*peer),
+		accounts: make(map[string]*account), peers: make(map[string]*peer), advanced: now(),
 	}
 }
 
@@ -134,7 +135,7 @@
 	defer l.mu.Unlock()
 	if l.peers[node] == nil {
 		now := l.now()
-		l.peers[node] = &peer{heard: now, missing: true, missingAt: now, assumed: make(map[string]float64), spent: make(map[string]float64)}
+		l.peers[node] = &peer{heard: now, missing: true, assumed: make(map[string]float64), spent: make(map[string]float64)}
 	}
 }
 
@@ -147,8 +148,10 @@
 	p := l.peers[node]
 	switch {
 	case p == nil || !p.everHeard:
-		// What it spent before this process knew it is in no bucket of this process.
-		p = &peer{spent: spent}
+		p = &peer{spent: make(map[string]float64)}
+		if !l.empty {
+			p.spent = spent // what it spent before this process knew it, the checkpoint tells
+		}
 		l.peers[node] = p
 	case p.incarnation != incarnation:
 		// The new process begins at 0; what was reserved for the one before it stays spent.
@@ -156,8 +159,8 @@
 	}
 	p.incarnation, p.heard, p.everHeard, p.missing = incarnation, now, true, false
 	for name, units := range spent {
-		spent := beyond(units-p.spent[name], p.assumed[name])
-		l.open(name, now).noteOthers(now, spent)
+		spent := units - p.spent[name]
+		l.open(name, now).noteOthers(now, spent, beyond(spent, p.assumed[name]))
 	}
 	p.spent = spent
 	p.assumed = make(map[string]float64)
@@ -191,13 +194,16 @@
 	}
 	a.begun = true
 	nodes := len(l.peers) + 1
-	switch {
-	case l.empty:
-		a.beginEmpty(nodes)
-	case l.restored != nil:
-		a.restore(workspace, l.restored, now, nodes)
-	default:
+	if l.restored == nil {
 		a.beginFull(now)
+		return a
+	}
+	a.restore(workspace, l.restored, now, nodes)
+	room := max(0, a.room(now, 0))
+	for _, p := range l.peers {
+		if p.missing && p.everHeard {
+			p.assume(workspace, a, now, room/float64(nodes))
+		}
 	}
 	return a
 }
@@ -205,19 +211,31 @@
 // advance brings all accounts to now and reserves the shares of silent nodes.
 func (l *Ledger) advance(now time.Time) {
 	l.forget(now)
-	lag, nodes, heard := l.lag(now), len(l.peers)+1, l.heardLately(now)+1
+	r, heard := l.reach(now), l.heardLately(now)+1
 	for _, a := range l.accounts {
-		a.fill(now, lag, float64(heard)/float64(nodes), nodes)
+		a.fill(now, r, float64(heard)/float64(r.nodes))
 	}
-	rooms := make(map[string]float64, len(l.accounts))
+	shares := make(map[string]share, len(l.accounts))
 	for name, a := range l.accounts {
-		rooms[name] = max(0, a.room(now, 0))
+		shares[name] = share{
+			room:  max(0, a.room(now, 0)) / float64(r.nodes),
+			freed: a.free(now) / float64(r.nodes),
+			due:   a.bound() * now.Sub(l.advanced).Seconds() / l.window.Seconds() / float64(r.nodes),
+		}
 	}
+	l.advanced = now
 	for _, p := range l.peers {
-		l.reserve(p, now, rooms)
+		l.reserve(p, now, shares)
 	}
 }
 
+// share is the equal part of each node in one workspace.
+type share struct {
+	// room is of what is left in the window; freed is of what left it, and due of what
+	// the quota gave, since the accounts were last brought to now.
+	room, freed, due float64
+}
+
 // forget gives the shares of nodes back that are silent for long.
 func (l *Ledger) forget(now time.Time) {
 	if now.Sub(l.forgotten) < forgetInterval {
@@ -237,31 +255,29 @@
 	}
 }
 
-// reserve counts the share of a node that is not heard as spent: once of the rooms
-// that there were, then of what comes in.
-func (l *Ledger) reserve(p *peer, now time.Time, rooms map[string]float64) {
+// reserve counts the share of a node that is not heard as spent: once of the room that
+// there was, then of what comes free. A node that was never heard may have ended long
+// ago: it counts with what the quota gives in the meantime.
+func (l *Ledger) reserve(p *peer, now time.Time, shares map[string]share) {
 	if !p.missing && now.Sub(p.heard) <= max(silence, silentExchanges*l.interval(len(l.peers))) {
 		return
 	}
-	nodes := float64(len(l.peers) + 1)
-	if !p.missing {
-		p.missing, p.missingAt = true, now
-		for name, a := range l.accounts {
-			unheard := a.othersRate / float64(len(l.peers)) * now.Sub(p.heard).Seconds()
-			p.assume(name, a, now, unheard+rooms[name]/nodes)
-		}
-		return
-	}
-	elapsed := now.Sub(p.missingAt).Seconds()
-	p.missingAt = now
 	for name, a := range l.accounts {
-		p.assume(name, a, now, a.bound()/l.window.Seconds()*elapsed/nodes)
+		units := shares[name].freed
+		switch {
+		case !p.everHeard:
+			units = shares[name].due
+		case !p.missing:
+			units += shares[name].room + a.othersRate/float64(len(l.peers))*now.Sub(p.heard).Seconds()
+		}
+		p.assume(name, a, now, units)
 	}
+	p.missing = true
 }
 
 // assume counts units of one workspace as spent by the node.
 func (p *peer) assume(name string, a *account, now time.Time, units float64) {
-	a.note(now, units)
+	a.since.add(now, a.window, units)
 	p.assumed[name] += units
 }
 
@@ -281,6 +297,21 @@
 	return sum / time.Duration(len(l.peers))
 }
 
+// reach is how far what one node spends is from being known by all.
+type reach struct {
+	// nodes is how many nodes spend.
+	nodes int
+	// lag is how long ago the others were heard, on average.
+	lag time.Duration
+	// horizon is after what time all have heard what one spent.
+	horizon time.Duration
+}
+
+func (l *Ledger) reach(now time.Time) reach {
+	lag := max(l.lag(now), l.interval(len(l.peers)))
+	return reach{nodes: len(l.peers) + 1, lag: lag, horizon: lag + l.interval(len(l.peers))}
+}
+
 // heardLately returns how many nodes were heard within a few exchanges.
 func (l *Ledger) heardLately(now time.Time) int {
 	n, interval := 0, l.interval(len(l.peers))
--- a/internal/gateway/quota/ledger_test.go
+++ b/internal/gateway/quota/ledger_test.go
@@ -45,6 +45,9 @@
 		s.cut = append(s.cut, false)
 	}
 	s.exchange()
+	for _, l := range s.ledgers {
+		l.Begin()
+	}
 	return s
 }
 
--- a/internal/gateway/server/checkpoint.go
+++ b/internal/gateway/server/checkpoint.go
@@ -68,13 +68,22 @@
 	}
 	g.poison.hear(c.Crashes)
 	g.restored.Store(true)
-	if !found {
+	if !found && !g.settings.FirstStart {
 		return
 	}
 	g.logger.Info("crashes of contents restored", "contents", len(c.Crashes), "took", time.Since(began))
-	if g.registeredBy(ctx, began.Add(quotaRestoreTime)) {
-		g.restoreQuota(ctx, c.Checkpoint)
+	if !g.joinedBy(ctx, began.Add(quotaRestoreTime)) {
+		return
+	}
+	for node := range g.nodes.Others() {
+		g.quota.Know(node)
+	}
+	if g.settings.FirstStart {
+		wait.For(ctx, hearTime) // others start beside this one
+		g.quota.Begin()
+		return
 	}
+	g.restoreQuota(ctx, c.Checkpoint)
 }
 
 // restoreQuota begins with what a checkpoint says was spent. Once the live nodes are
@@ -104,13 +113,14 @@
 	return first
 }
 
-// registeredBy waits until this process is registered and reports whether it was by a
-// time: one that spends must be seen by those after it.
-func (g *Gateway) registeredBy(ctx context.Context, last time.Time) bool {
+// joinedBy waits until this process is registered and has listed the others, and reports
+// whether it had by a time: one that spends must be seen by those after it, and know with
+// how many it shares.
+func (g *Gateway) joinedBy(ctx context.Context, last time.Time) bool {
 	ctx, cancel := context.WithDeadline(ctx, last)
 	defer cancel()
 	select {
-	case <-g.nodes.Registered():
+	case <-g.nodes.Joined():
 		return true
 	case <-ctx.Done():
 		return false
--- a/internal/gateway/server/harness_test.go
+++ b/internal/gateway/server/harness_test.go
@@ -51,6 +51,7 @@
 type testNode struct {
 	*server.Gateway
 	ip    string
+	first bool
 	close context.CancelFunc
 }
 
@@ -76,7 +77,7 @@
 	require.NoError(s.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	require.NoError(s.t, gateway.Start(ctx))
-	node := &testNode{Gateway: gateway, ip: file.IP, close: func() { cancel(); gateway.Close() }}
+	node := &testNode{Gateway: gateway, ip: file.IP, first: file.FirstStart, close: func() { cancel(); gateway.Close() }}
 	s.t.Cleanup(node.close)
 	return node
 }
@@ -160,12 +161,14 @@
 	return s.client.Do(req)
 }
 
-// ready waits until a node answers a request of the open route.
+// ready waits until a node answers a request of the open route and, when it starts for the
+// first time, until workspaces may spend.
 func (s *testSite) ready(nodes ...*testNode) {
 	s.t.Helper()
 	for _, n := range nodes {
 		require.Eventually(s.t, func() bool {
-			return s.send(n, request{method: http.MethodGet, path: "/open/ready"}).status == http.StatusOK
+			return s.send(n, request{method: http.MethodGet, path: "/open/ready"}).status == http.StatusOK &&
+				(!n.first || s.stateOf(n).QuotaBegun)
 		}, patience, 20*time.Millisecond)
 	}
 }
--- a/internal/gateway/server/housekeeping.go
+++ b/internal/gateway/server/housekeeping.go
@@ -45,6 +45,7 @@
 	Nodes         []string         `json:"nodesAlive"`
 	Sharers       int              `json:"nodesSharingRepeats"`
 	Holder        string           `json:"dutyHolder"`
+	QuotaBegun    bool             `json:"quotaBegun"`
 	Spent         map[string]int64 `json:"quotaSpent"`
 }
 
@@ -61,6 +62,7 @@
 		Sharers:       g.sharers(),
 		Upstreams:     make(map[string]int),
 		Holder:        string(g.duty.Seen().Holder),
+		QuotaBegun:    g.quota.Begun(),
 		Spent:         make(map[string]int64),
 	}
 	for service, list := range g.upstreams.View().ByService {
--- a/internal/gateway/server/nodes_test.go
+++ b/internal/gateway/server/nodes_test.go
@@ -30,6 +30,7 @@
 type nodeState struct {
 	ConfigVersion       int64 `json:"configVersion"`
 	NodesSharingRepeats int   `json:"nodesSharingRepeats"`
+	QuotaBegun          bool  `json:"quotaBegun"`
 }
 
 // stateOf asks a node for its state; it is empty when there is no answer.
@@ -105,7 +106,7 @@
 	s.store.Put("servers", "i-old", taken.Entry("plain", nil))
 	s.configure(1, nil)
 	n := s.start(1, "a", nil)
-	require.Eventually(t, func() bool { return s.versionAt(n) == 1 }, patience, 20*time.Millisecond)
+	require.Eventually(t, func() bool { return s.versionAt(n) == 1 && s.stateOf(n).QuotaBegun }, patience, 20*time.Millisecond)
 	got := s.send(n, request{path: "/once/x", body: "b"})
 	require.Equal(t, http.StatusServiceUnavailable, got.status)
 	require.Empty(t, taken.Runs())
--- a/internal/gateway/server/requests_test.go
+++ b/internal/gateway/server/requests_test.go
@@ -253,7 +253,7 @@
 		}
 	})
 	n := s.start(1, "a", nil)
-	require.Eventually(t, func() bool { return s.versionAt(n) == 1 }, patience, 20*time.Millisecond)
+	require.Eventually(t, func() bool { return s.versionAt(n) == 1 && s.stateOf(n).QuotaBegun }, patience, 20*time.Millisecond)
 	got := s.send(n, request{path: "/resume/x", body: "prompt", deadline: 6 * time.Second})
 	require.NoError(t, got.err)
 	require.Equal(t, http.StatusOK, got.status)
