Nodes give out together no more of a quota than is left, whoever begins when

Below three quarters of the window each node gave out up to four times its equal share of the room in a second, and each saved half a share beside that: while a message is on its way, n nodes could spend (4 x 0.2 + 0.5) of the room at 200 ms, more at longer intervals. And at a first start each divided by the nodes that it had listed so far: the first by one, the second by two.

Now what all save up is half of the room, and the other half is given out within the time after which all have heard of it: it cannot exceed the room. First processes spend once they have registered, listed and heard each other, and count all that others spent before they were heard; started anew ones list before they restore.

--- a/internal/gateway/quota/doc.go
+++ b/internal/gateway/quota/doc.go
@@ -7,13 +7,14 @@
 // and a workspace that asks for too much is served evenly and not in turns of
 // everything and nothing.
 //
-// Invariants: while nodes hear each other, no window holds more than its bound and
-// what all spend between two exchanges; a node that is not heard is taken to spend
-// its equal share, and takes no others' share itself, so nodes that are cut off
-// from each other do not hand out the same units twice; a process that starts anew
-// takes the window before it as fully spent until it has a checkpoint, and the time
-// since the checkpoint then, unless the whole system starts for the first time. The
-// package does no I/O and gets its clock handed in.
+// Invariants: what nodes that hear each other save up, and give out while a message is on
+// its way, adds up to what is left of the window, so no window holds more than its bound
+// and one request of each node, whenever a workspace begins at however many nodes; a
+// node that is not heard is taken to spend its equal share, and takes no others' share
+// itself, so nodes that are cut off from each other do not hand out the same units twice;
+// a process that starts anew takes the window before it as fully spent until it has a
+// checkpoint, and the time since the checkpoint then; the first processes of all spend
+// once they know each other. The package does no I/O and gets its clock handed in.
 //
 // Lock order: Ledger.mu is a leaf.
 package quota
