A process passes on what it restored of workspaces that nobody asked it for yet

Callers of such a workspace would get more than its quota after two kills of all nodes: the second generation starts from a checkpoint that lacks them.

Cause: an account begins with the first request, and a checkpoint holds accounts only. The holder of the duties that has restored a checkpoint writes the next one without the workspaces that have not come to it. Found by a test of kills of all nodes right after a workspace begins; with real processes the holder is asked for each workspace within milliseconds at small sites, within seconds at large ones.

What a checkpoint says is taken into the accounts when it is read.

--- a/internal/gateway/quota/checkpoint.go
+++ b/internal/gateway/quota/checkpoint.go
@@ -46,6 +46,10 @@
 	defer l.mu.Unlock()
 	now := l.now()
 	l.restored = &restored{checkpoint: c, at: now.Add(-max(age, 0)), unknown: unknown, read: now}
+	for name, spent := range c.Spent {
+		// Checkpoints of this process hold it before the first request asks for it.
+		l.open(name, now).remember(spent, l.restored.at, now)
+	}
 	for name, a := range l.accounts {
 		if a.begun {
 			a.restore(name, l.restored, now, len(l.peers)+1)
@@ -85,17 +89,22 @@
 	return out
 }
 
-// restore replaces what was assumed of the time before this process by what a checkpoint
-// says, and by what may have been spent unheard since, as far as that was left to spend.
-func (a *account) restore(workspace string, r *restored, now time.Time, nodes int) {
+// remember replaces what was assumed of the time before this process by what a checkpoint
+// says of it.
+func (a *account) remember(spent []float64, taken, now time.Time) {
 	a.before = history{}
-	oldest := now.Add(-a.window)
-	for back, units := range r.checkpoint.Spent[workspace] {
-		if at := r.at.Add(-time.Duration(back) * a.window / windowSlots); at.After(oldest) {
+	for back, units := range spent {
+		if at := taken.Add(-time.Duration(back) * a.window / windowSlots); at.After(now.Add(-a.window)) {
 			a.before.add(at, a.window, units)
 		}
 	}
-	if r.read.After(oldest) {
+}
+
+// restore begins with a checkpoint and with what may have been spent unheard since, as far
+// as that was left to spend.
+func (a *account) restore(workspace string, r *restored, now time.Time, nodes int) {
+	a.remember(r.checkpoint.Spent[workspace], r.at, now)
+	if r.read.After(now.Add(-a.window)) {
 		left := max(0, a.bound()-a.before.sum(now, a.window, 0))
 		a.before.add(r.read, a.window, min(r.unknown.units(a.limit.Rate, a.window), left))
 	}
