What a process spent before it was first heard counts

After a kill of all nodes callers of a workspace got more than its quota from the second generation: each node takes the first total that it hears of another as what was spent before its own time, and counts from there.

Cause: that total belongs to the checkpoint only if the other process is older than the checkpoint. Processes that start together spend before their first message arrives, up to a part of the burst each and for up to an interval at the rate, and nobody else counts it.

A ledger is told when the other process started. Its first total counts if that is after the checkpoint, or if nothing was before this process; it waits until the checkpoint is read.

--- a/internal/gateway/quota/begin_test.go
+++ b/internal/gateway/quota/begin_test.go
@@ -40,12 +40,12 @@
 		if s.tick%turns != i*turns/len(s.ledgers) {
 			continue
 		}
-		spent, born := from.Spent(), string(rune('0'+s.born[i]))
+		spent, born, started := from.Spent(), string(rune('0'+s.born[i])), s.started[i]
 		arrival := s.tick + int(beginDelay/beginTick)
 		s.late[arrival] = append(s.late[arrival], func() {
 			for j, to := range s.ledgers {
 				if j != i {
-					to.Hear(s.names[i], born, spent)
+					to.Hear(s.names[i], born, started, spent)
 				}
 			}
 		})
--- a/internal/gateway/quota/checkpoint.go
+++ b/internal/gateway/quota/checkpoint.go
@@ -46,6 +46,9 @@
 	defer l.mu.Unlock()
 	now := l.now()
 	l.restored = &restored{checkpoint: c, at: now.Add(-max(age, 0)), unknown: unknown, read: now}
+	for _, p := range l.peers {
+		l.settle(p, now)
+	}
 	for name, spent := range c.Spent {
 		// Checkpoints of this process hold it before the first request asks for it.
 		l.open(name, now).remember(spent, l.restored.at, now)
--- a/internal/gateway/quota/ledger.go
+++ b/internal/gateway/quota/ledger.go
@@ -58,6 +58,10 @@
 	everHeard bool
 	// missing is true while the node is not heard and its share is reserved.
 	missing bool
+	// started is when its process started, and unsettled what that had spent when it was
+	// first heard, while it is open whether that counts.
+	started   time.Time
+	unsettled map[string]float64
 	// assumed is what was reserved for it since it was heard, by workspace.
 	assumed map[string]float64
 	spent   map[string]float64
@@ -139,8 +143,9 @@
 	}
 }
 
-// Hear takes over what another node spent so far.
-func (l *Ledger) Hear(node, incarnation string, spent map[string]float64) {
+// Hear takes over what another node's process spent since it started, by the clock of
+// this ledger; a zero time says that the start is not known.
+func (l *Ledger) Hear(node, incarnation string, started time.Time, spent map[string]float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
@@ -148,11 +153,9 @@
 	p := l.peers[node]
 	switch {
 	case p == nil || !p.everHeard:
-		p = &peer{spent: make(map[string]float64)}
-		if !l.empty {
-			p.spent = spent // what it spent before this process knew it, the checkpoint tells
-		}
+		p = &peer{started: started, unsettled: spent, spent: spent}
 		l.peers[node] = p
+		l.settle(p, now)
 	case p.incarnation != incarnation:
 		// The new process begins at 0; what was reserved for the one before it stays spent.
 		p.spent, p.assumed = make(map[string]float64), nil
@@ -166,6 +169,20 @@
 	p.assumed = make(map[string]float64)
 }
 
+// settle counts what a node's process had spent when it was first heard, if it started
+// after what this process begins with: else the checkpoint holds it.
+func (l *Ledger) settle(p *peer, now time.Time) {
+	if l.restored == nil {
+		return
+	}
+	if l.empty || p.started.After(l.restored.at) {
+		for name, units := range p.unsettled {
+			l.open(name, now).noteOthers(now, units, units)
+		}
+	}
+	p.unsettled = nil
+}
+
 // beyond returns what was spent beyond what was reserved. Less than that gives
 // nothing back: what was reserved lies in older parts of the window and leaves it by itself.
 func beyond(spent, assumed float64) float64 {
--- a/internal/gateway/quota/ledger_test.go
+++ b/internal/gateway/quota/ledger_test.go
@@ -26,6 +26,7 @@
 	ledgers []*Ledger
 	names   []string
 	born    []int
+	started []time.Time
 	cut     []bool
 	// spent holds what all nodes spent, by time.
 	spent []spending
@@ -42,6 +43,7 @@
 		s.names = append(s.names, string(rune('a'+i)))
 		s.ledgers = append(s.ledgers, s.start(true))
 		s.born = append(s.born, 0)
+		s.started = append(s.started, s.time)
 		s.cut = append(s.cut, false)
 	}
 	s.exchange()
@@ -63,6 +65,7 @@
 func (s *nodes) restart(i int) {
 	s.ledgers[i] = s.start(false)
 	s.born[i]++
+	s.started[i] = s.time
 	for j, name := range s.names {
 		if j != i {
 			s.ledgers[i].Know(name)
@@ -74,7 +77,7 @@
 	for i, from := range s.ledgers {
 		for j, to := range s.ledgers {
 			if i != j && !s.cut[i] && !s.cut[j] {
-				to.Hear(s.names[i], string(rune('0'+s.born[i])), from.Spent())
+				to.Hear(s.names[i], string(rune('0'+s.born[i])), s.started[i], from.Spent())
 			}
 		}
 	}
--- a/internal/gateway/server/messages.go
+++ b/internal/gateway/server/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mangoledge.example/mangoledge/internal/gateway/balance"
+	"mangoledge.example/mangoledge/internal/gateway/clock"
 	"mangoledge.example/mangoledge/internal/gateway/peers"
 	"mangoledge.example/mangoledge/internal/rendezvous"
 )
@@ -86,7 +87,7 @@
 	g.nodes.Hear(m.Node, peers.Record{Incarnation: m.Incarnation, Address: m.Address, Control: m.Control})
 	g.follower.heard(m)
 	if m.Spent != nil {
-		g.quota.Hear(m.Node, m.Incarnation, m.Spent)
+		g.quota.Hear(m.Node, m.Incarnation, g.sinceBoot(m.Incarnation), m.Spent)
 	}
 	g.poison.hear(m.Crashed)
 	if now := time.Now(); now.Sub(g.loadsSummed) >= minSumInterval {
@@ -95,6 +96,16 @@
 	}
 }
 
+// sinceBoot returns when an incarnation started, by the clock of the quota; it is zero when
+// that is not known.
+func (g *Gateway) sinceBoot(incarnation string) time.Time {
+	started, err := startOf(incarnation)
+	if err != nil {
+		return time.Time{}
+	}
+	return clock.Boot().Add(-time.Since(started))
+}
+
 // minSumInterval is the shortest time between two sums of what the nodes have sent:
 // adding up 63 nodes takes 0.1 ms, and each tells of itself every half second.
 const minSumInterval = 40 * time.Millisecond
