A workspace is given no more between two checkpoints than the next process takes as spent

Cause: processes that start after all were killed take 3.5 times the rate as spent since the last checkpoint, but nothing held the nodes to that: a workspace that began was given half of its window at once (4.5 s of its rate) and the rest within half a second.

What is assumed and what is given out now follow one figure: all nodes together give out at most 3.5 times the rate and save up a fifth of a window, a process that starts begins with half a share of the burst, and as much is assumed to be spent beside the rate. A checkpoint holds the quotas too, so that a process passes on what it assumed for workspaces that it was not asked for. A node saves up an equal share at least, which lets usual use come to any node.

--- a/internal/gateway/quota/account.go
+++ b/internal/gateway/quota/account.go
@@ -9,6 +9,8 @@
 	// savedShare is the part of the room that all nodes together save up; the rest is
 	// given out while a message is on its way, so that both together are the room.
 	savedShare = 0.5
+	// mostSavedShare bounds, as a part of a window's bound, what all nodes save up.
+	mostSavedShare = 0.21
 	// equalShare is the part of the room that is divided evenly; the rest goes to nodes
 	// by what they spent, as clients are not spread evenly.
 	equalShare = 0.5
@@ -31,9 +33,9 @@
 // Limit is the quota of a workspace.
 type Limit struct {
 	// Rate is in units a second; 0 or less means no limit.
-	Rate float64
+	Rate float64 `json:"rate"`
 	// Burst is what may be spent beyond the rate within a window, in units.
-	Burst float64
+	Burst float64 `json:"burst"`
 }
 
 // account is what is spent of one workspace.
@@ -112,7 +114,8 @@
 	}
 	a.at = now
 	room, part := max(0, a.room(now, r.lag)), a.part(now, r.horizon, r.nodes)
-	rate, most := (1-savedShare)*room*part/r.lag.Seconds(), savedShare*room*part
+	rate := min((1-savedShare)*room/r.lag.Seconds(), gapFactor*a.limit.Rate) * part
+	most := min(savedShare*room, mostSavedShare*a.bound()) * max(part, 1/float64(r.nodes))
 	if !a.calm(now) {
 		even := evenFactor * a.bound() / a.window.Seconds()
 		rate = min(rate, max(part*even, even-a.othersRate))
--- a/internal/gateway/quota/begin_test.go
+++ b/internal/gateway/quota/begin_test.go
@@ -120,3 +120,42 @@
 		})
 	}
 }
+
+// killAll restarts all nodes from a checkpoint.
+func (s *turnNodes) killAll(c Checkpoint, taken time.Time) {
+	s.late = make(map[int][]func())
+	for i := range s.ledgers {
+		s.restart(i)
+		age := s.time.Sub(taken)
+		s.ledgers[i].Restore(c, age, Unknown{Any: age})
+	}
+}
+
+func TestAKillOfAllRightAfterAWorkspaceBeginsDoesNotRenewItsQuota(t *testing.T) {
+	const units = 1500
+	for _, n := range []int{2, 6, 16} {
+		for _, after := range []time.Duration{200 * time.Millisecond, 500 * time.Millisecond, 800 * time.Millisecond, 1300 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%d nodes, after %s", n, after), func(t *testing.T) {
+				t.Parallel()
+				s := newTurnNodes(n)
+				for range int(time.Second / beginTick) {
+					s.step()
+				}
+				checkpoint, taken := s.ledgers[0].Checkpoint(s.time), s.time
+				for range 2 { // the holder of the duties dies with the others, so no other is written
+					for range int(after / beginTick) {
+						s.takeAll(units)
+						s.step()
+					}
+					s.killAll(checkpoint, taken)
+				}
+				for range int(testWindow / beginTick) {
+					s.takeAll(units)
+					s.step()
+				}
+				t.Logf("the fullest window holds %.2f of what is allowed", s.worst()/allowedWithin())
+				require.LessOrEqual(t, s.worst(), allowedWithin())
+			})
+		}
+	}
+}
--- a/internal/gateway/quota/checkpoint.go
+++ b/internal/gateway/quota/checkpoint.go
@@ -8,6 +8,8 @@
 	At time.Time `json:"at"`
 	// Spent lists, by workspace, what was spent in each part of the window, the latest first.
 	Spent map[string][]float64 `json:"spent"`
+	// Limits are the quotas of the workspaces that the writer was asked for.
+	Limits map[string]Limit `json:"limits,omitempty"`
 }
 
 // Checkpoint returns what was spent within the last window; at is the time of day.
@@ -16,17 +18,24 @@
 	defer l.mu.Unlock()
 	now := l.now()
 	l.advance(now)
-	out := Checkpoint{At: at, Spent: make(map[string][]float64, len(l.accounts))}
+	out := Checkpoint{At: at, Spent: make(map[string][]float64, len(l.accounts)), Limits: make(map[string]Limit, len(l.accounts))}
 	for name, a := range l.accounts {
 		out.Spent[name] = a.history(now)
+		if a.begun {
+			out.Limits[name] = a.limit
+		}
 	}
 	return out
 }
 
-// gapFactor is how many times its rate a workspace is taken to have spent between a
-// checkpoint and the start of a process: one that begins to ask for too much is
-// served more than its rate until its window is full.
-const gapFactor = 3.5
+const (
+	// gapFactor is how many times its rate a workspace is given at most, by all nodes
+	// together, and is taken to have spent between a checkpoint and the start of a process.
+	gapFactor = 3.5
+	// gapBurstShare is the part of its burst that a workspace is taken to have spent then
+	// beside that, and that a process that starts gives out at once.
+	gapBurstShare = 0.5
+)
 
 // Begin lets a process spend before which there were none, once it knows the others that
 // start beside it.
@@ -49,15 +58,19 @@
 	for _, p := range l.peers {
 		l.settle(p, now)
 	}
-	for name, spent := range c.Spent {
-		// Checkpoints of this process hold it before the first request asks for it.
-		l.open(name, now).remember(spent, l.restored.at, now)
-	}
 	for name, a := range l.accounts {
 		if a.begun {
 			a.restore(name, l.restored, now, len(l.peers)+1)
 		}
 	}
+	// Checkpoints of this process hold what it restored before the first request asks for it.
+	for name, spent := range c.Spent {
+		if limit, known := c.Limits[name]; known {
+			l.account(name, limit, now)
+		} else {
+			l.open(name, now).remember(spent, l.restored.at, now)
+		}
+	}
 }
 
 // Unknown is the time after a checkpoint in which others may have spent unheard.
@@ -68,9 +81,12 @@
 	Paced time.Duration
 }
 
-// units is what a workspace with a rate is taken to have spent.
-func (u Unknown) units(rate float64, window time.Duration) float64 {
-	return rate * (gapFactor*min(u.Any, window).Seconds() + evenFactor*min(u.Paced, window).Seconds())
+// units is what a workspace is taken to have spent.
+func (u Unknown) units(limit Limit, window time.Duration) float64 {
+	if u == (Unknown{}) {
+		return 0
+	}
+	return gapBurstShare*limit.Burst + limit.Rate*(gapFactor*min(u.Any, window).Seconds()+evenFactor*min(u.Paced, window).Seconds())
 }
 
 // restored is a checkpoint by the clock of this process.
@@ -109,10 +125,10 @@
 	a.remember(r.checkpoint.Spent[workspace], r.at, now)
 	if r.read.After(now.Add(-a.window)) {
 		left := max(0, a.bound()-a.before.sum(now, a.window, 0))
-		a.before.add(r.read, a.window, min(r.unknown.units(a.limit.Rate, a.window), left))
+		a.before.add(r.read, a.window, min(r.unknown.units(a.limit, a.window), left))
 	}
 	a.paced = savedShare * max(0, a.room(now, 0)) / float64(nodes)
 	if r.unknown != (Unknown{}) {
-		a.paced = min(a.paced, a.limit.Burst/float64(nodes)) // each start in a series gives it out again
+		a.paced = min(a.paced, gapBurstShare*a.limit.Burst/float64(nodes)) // each start in a series gives it out again
 	}
 }
