Settings that still say first start renew neither repeats nor quota

Seen: daemons on the stand-ins whose settings file is found unchanged by each restart, as where nobody rewrites it, with first_start true: six nodes killed each 0.6 s sent 239 repeats in a window of 101, and four killed each 1.3 s gave a workspace 1,907,850 tokens in a window of 1,062,000.

The store knows better: a process is the first only if the settings say so and the registry had no record of its node. A checkpoint that is there is read in any case. The reserve is saved up when it is first divided, as only then that is known; the ledger needs no word about it any more. Callers of the soak use 16 nodes at most, for sites of many.

--- a/internal/faulttest/gatewaycall_test.go
+++ b/internal/faulttest/gatewaycall_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -25,6 +26,9 @@
 	soakPatience = 1500 * time.Millisecond
 	// refusedPause is how long a caller that was refused leaves the site alone.
 	refusedPause = 50 * time.Millisecond
+	// callerNodes bounds the nodes that a caller uses: connections of all callers to all
+	// nodes of a large site would not fit one process.
+	callerNodes = 16
 	// promptTokens and outputTokens are what a stream says it needs. All callers
 	// together ask for more than the workspace's quota, so that it is in play.
 	promptTokens = 2800
@@ -72,7 +76,9 @@
 
 // gatewayCaller sends one request after the other, over connections that it keeps.
 type gatewayCaller struct {
-	site   *gatewaySite
+	site *gatewaySite
+	// nodes are those it sends to.
+	nodes  []*gatewayNode
 	client *http.Client
 	random *rand.Rand
 }
@@ -80,7 +86,12 @@
 func (s *gatewaySite) newCaller(seed, number uint64) *gatewayCaller {
 	transport := &http.Transport{MaxIdleConnsPerHost: 4, DisableCompression: true}
 	s.t.Cleanup(transport.CloseIdleConnections)
-	return &gatewayCaller{site: s, client: &http.Client{Transport: transport}, random: rand.New(rand.NewPCG(seed, number))}
+	nodes := s.nodes
+	if len(nodes) > callerNodes {
+		first := int(number) * callerNodes % len(nodes)
+		nodes = slices.Concat(nodes, nodes)[first : first+callerNodes]
+	}
+	return &gatewayCaller{site: s, nodes: nodes, client: &http.Client{Transport: transport}, random: rand.New(rand.NewPCG(seed, number))}
 }
 
 // run sends until stop is closed.
@@ -92,7 +103,7 @@
 			return
 		default:
 		}
-		node := c.site.nodes[c.random.IntN(len(c.site.nodes))]
+		node := c.nodes[c.random.IntN(len(c.nodes))]
 		pause := time.Duration(c.random.IntN(20)) * time.Millisecond
 		if a := c.send(node, routes[c.random.IntN(len(routes))]); a.promised() {
 			pause += refusedPause
--- a/internal/faulttest/gatewaysite_test.go
+++ b/internal/faulttest/gatewaysite_test.go
@@ -55,6 +55,8 @@
 	disturbed []disturbance
 	// restarts is how replicas that a fatal content ended come back.
 	restarts func() replicaReturn
+	// firstStays is true when the settings of every start say that it is the first of all.
+	firstStays bool
 	// ended is true once no replica is to come back any more.
 	ended bool
 }
@@ -137,7 +139,7 @@
 func (s *gatewaySite) launch(n *gatewayNode, first bool) {
 	log := filepath.Join(s.dir, n.settings.Name+".log")
 	before := fileSize(log)
-	n.settings.FirstStart = first
+	n.settings.FirstStart = first || s.firstStays
 	require.NoError(s.t, os.WriteFile(n.file, n.settings.File(), 0o600))
 	n.process = startProcess(s.t, s.dir, n.settings.Name, daemon(s.t), nil, "--platform", "--settings", n.file)
 	require.Eventually(s.t, func() bool { return fileSize(log) > before }, gatewayReadyLimit, time.Millisecond)
--- a/internal/gateway/peers/registry.go
+++ b/internal/gateway/peers/registry.go
@@ -237,6 +237,9 @@
 	return r.previous
 }
 
+// First reports whether this node has registered and no process of it had before.
+func (r *Registry) First() bool { return r.Previous() == noPrevious }
+
 // Joined is closed once other processes can find the record of this one, and this one
 // knows theirs.
 func (r *Registry) Joined() <-chan struct{} { return r.joined }
--- a/internal/gateway/quota/checkpoint.go
+++ b/internal/gateway/quota/checkpoint.go
@@ -39,7 +39,11 @@
 
 // Begin lets a process spend before which there were none, once it knows the others that
 // start beside it.
-func (l *Ledger) Begin() { l.Restore(Checkpoint{}, 0, Unknown{}) }
+func (l *Ledger) Begin() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.begin(&restored{})
+}
 
 // Begun reports whether it is known what was spent before the start of this process.
 func (l *Ledger) Begun() bool {
@@ -54,7 +58,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
-	l.restored = &restored{checkpoint: c, at: now.Add(-max(age, 0)), unknown: unknown, read: now}
+	l.begin(&restored{checkpoint: c, at: now.Add(-max(age, 0)), unknown: unknown, read: now})
+}
+
+// begin lets accounts begin with what is known of the time before this process.
+func (l *Ledger) begin(r *restored) {
+	now := l.now()
+	l.restored = r
 	for _, p := range l.peers {
 		l.settle(p, now)
 	}
@@ -64,8 +74,8 @@
 		}
 	}
 	// Checkpoints of this process hold what it restored before the first request asks for it.
-	for name, spent := range c.Spent {
-		if limit, known := c.Limits[name]; known {
+	for name, spent := range r.checkpoint.Spent {
+		if limit, known := r.checkpoint.Limits[name]; known {
 			l.account(name, limit, now)
 		} else {
 			l.open(name, now).remember(spent, l.restored.at, now)
--- a/internal/gateway/quota/ledger.go
+++ b/internal/gateway/quota/ledger.go
@@ -36,8 +36,6 @@
 	interval func(nodes int) time.Duration
 	// window is the span within which a quota is counted.
 	window time.Duration
-	// empty is true when nothing was spent before this process started.
-	empty bool
 
 	mu       sync.Mutex
 	accounts map[string]*account
@@ -67,12 +65,11 @@
 	spent   map[string]float64
 }
 
-// New returns a ledger that counts within window. empty says that the whole system
-// starts for the first time, so that nothing was spent before. Nothing can be spent until
-// Begin or Restore, or a window after the start.
-func New(now func() time.Time, interval func(nodes int) time.Duration, window time.Duration, empty bool) *Ledger {
+// New returns a ledger that counts within window. Nothing can be spent until Begin or
+// Restore, or a window after the start.
+func New(now func() time.Time, interval func(nodes int) time.Duration, window time.Duration) *Ledger {
 	return &Ledger{
-		now: now, interval: interval, window: window, empty: empty,
+		now: now, interval: interval, window: window,
 		accounts: make(map[string]*account), peers: make(map[string]*peer), advanced: now(),
 	}
 }
@@ -175,7 +172,7 @@
 	if l.restored == nil {
 		return
 	}
-	if l.empty || p.started.After(l.restored.at) {
+	if p.started.After(l.restored.at) {
 		for name, units := range p.unsettled {
 			l.open(name, now).noteOthers(now, units, units)
 		}
--- a/internal/gateway/quota/ledger_test.go
+++ b/internal/gateway/quota/ledger_test.go
@@ -41,7 +41,7 @@
 	s := &nodes{time: time.Unix(100_000, 0)}
 	for i := range n {
 		s.names = append(s.names, string(rune('a'+i)))
-		s.ledgers = append(s.ledgers, s.start(true))
+		s.ledgers = append(s.ledgers, s.start())
 		s.born = append(s.born, 0)
 		s.started = append(s.started, s.time)
 		s.cut = append(s.cut, false)
@@ -53,8 +53,8 @@
 	return s
 }
 
-func (s *nodes) start(first bool) *Ledger {
-	return New(func() time.Time { return s.time }, s.interval, testWindow, first)
+func (s *nodes) start() *Ledger {
+	return New(func() time.Time { return s.time }, s.interval, testWindow)
 }
 
 // interval is that of the exchange between nodes: longer at large sites.
@@ -63,7 +63,7 @@
 }
 
 func (s *nodes) restart(i int) {
-	s.ledgers[i] = s.start(false)
+	s.ledgers[i] = s.start()
 	s.born[i]++
 	s.started[i] = s.time
 	for j, name := range s.names {
--- a/internal/gateway/server/budgets.go
+++ b/internal/gateway/server/budgets.go
@@ -25,8 +25,9 @@
 	bounds site.Bounds
 	// sharers returns over how many nodes the reserve is divided; 0 while that is not known.
 	sharers func() int
-	// full is true when no process of the site was before this one: then the reserve is saved.
-	full bool
+	// full reports, once sharers is known, whether no process of the site was before this
+	// one: then the reserve is saved.
+	full func() bool
 	now  func() time.Time
 	seed func() uint64
 
@@ -36,7 +37,7 @@
 	all   map[string]*retry.Budget
 }
 
-func newBudgets(bounds site.Bounds, sharers func() int, full bool, now func() time.Time, seed func() uint64) *budgets {
+func newBudgets(bounds site.Bounds, sharers func() int, full func() bool, now func() time.Time, seed func() uint64) *budgets {
 	return &budgets{bounds: bounds, sharers: sharers, full: full, now: now, seed: seed, all: make(map[string]*retry.Budget)}
 }
 
@@ -49,9 +50,13 @@
 	if n <= b.nodes {
 		return b.nodes
 	}
+	first := b.nodes == 0
 	b.nodes = n
 	for _, budget := range b.all {
 		budget.SetReserve(b.reserve())
+		if first && b.full() {
+			budget.Fill()
+		}
 	}
 	return n
 }
@@ -69,8 +74,11 @@
 	defer b.mu.Unlock()
 	if b.all[service] == nil {
 		random := rand.New(rand.NewPCG(b.seed(), b.seed()))
-		budget := retry.NewShared(budgetPart*b.bounds.RetryShare, b.bounds.RetryWindow, b.full, b.now, random)
+		budget := retry.NewShared(budgetPart*b.bounds.RetryShare, b.bounds.RetryWindow, b.now, random)
 		budget.SetReserve(b.reserve())
+		if b.nodes > 0 && b.full() {
+			budget.Fill()
+		}
 		b.all[service] = budget
 	}
 	return b.all[service]
--- a/internal/gateway/server/budgets_test.go
+++ b/internal/gateway/server/budgets_test.go
@@ -42,7 +42,7 @@
 // start starts a process of a node anew; it knows the others only after hearing.
 func (s *budgetSite) start(node int, first bool) {
 	s.heard[node] = 0
-	s.nodes[node] = newBudgets(s.bounds, func() int { return s.heard[node] }, first, s.clock.now, s.random.Uint64)
+	s.nodes[node] = newBudgets(s.bounds, func() int { return s.heard[node] }, func() bool { return first }, s.clock.now, s.random.Uint64)
 }
 
 // hear tells all nodes how many there are.
--- a/internal/gateway/server/checkpoint.go
+++ b/internal/gateway/server/checkpoint.go
@@ -68,22 +68,23 @@
 	}
 	g.poison.hear(c.Crashes)
 	g.restored.Store(true)
-	if !found && !g.settings.FirstStart {
-		return
+	if found {
+		g.logger.Info("crashes of contents restored", "contents", len(c.Crashes), "took", time.Since(began))
 	}
-	g.logger.Info("crashes of contents restored", "contents", len(c.Crashes), "took", time.Since(began))
 	if !g.joinedBy(ctx, began.Add(quotaRestoreTime)) {
 		return
 	}
 	for node := range g.nodes.Others() {
 		g.quota.Know(node)
 	}
-	if g.settings.FirstStart {
+	switch {
+	case found:
+		g.restoreQuota(ctx, c.Checkpoint)
+	case g.first():
 		wait.For(ctx, hearTime) // others start beside this one
 		g.quota.Begin()
-		return
+		g.logger.Info("quota begun")
 	}
-	g.restoreQuota(ctx, c.Checkpoint)
 }
 
 // restoreQuota begins with what a checkpoint says was spent. Once the live nodes are
@@ -171,10 +172,14 @@
 	return time.Unix(0, started), err
 }
 
-// readCheckpoint reads the checkpoint; found is false when there is none, which is so
-// when the whole system starts for the first time.
+// first reports whether no process was before this one: the settings say that the whole
+// system starts for the first time, and the store knows of no earlier process of this
+// node. Settings that a restart finds unchanged would renew whatever bounds all nodes.
+func (g *Gateway) first() bool { return g.settings.FirstStart && g.nodes.First() }
+
+// readCheckpoint reads the checkpoint; found is false when there is none.
 func (g *Gateway) readCheckpoint(ctx context.Context) (c checkpoint, found bool) {
-	for !g.settings.FirstStart && ctx.Err() == nil {
+	for ctx.Err() == nil {
 		object, err := g.store.Get(ctx, kindQuota, quotaName)
 		if err == nil {
 			err = json.Unmarshal(object.Spec, &c)
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -16,7 +16,6 @@
 
 	mu      sync.Mutex
 	random  *rand.Rand
-	full    bool
 	reserve float64
 	tokens  float64
 	earned  time.Time
@@ -33,10 +32,16 @@
 
 // NewShared returns one of many budgets that bound what processes on many nodes do
 // together, however often each starts anew: it begins with nothing saved, has no reserve
-// until SetReserve, and earns that once in each window beside its share. full is
-// for processes before which there were none: the first reserve is saved then.
-func NewShared(share float64, window time.Duration, full bool, now func() time.Time, random *rand.Rand) *Budget {
-	return &Budget{share: share, window: window, full: full, now: now, random: random, earned: now()}
+// until SetReserve, and earns that once in each window beside its share.
+func NewShared(share float64, window time.Duration, now func() time.Time, random *rand.Rand) *Budget {
+	return &Budget{share: share, window: window, now: now, random: random, earned: now()}
+}
+
+// Fill saves the whole reserve: for processes before which there were none.
+func (b *Budget) Fill() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = b.reserve
 }
 
 // SetReserve changes how many retries can be saved up; those saved beyond it are lost.
@@ -44,9 +49,6 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.earn()
-	if b.full && reserve > 0 {
-		b.full, b.tokens = false, reserve
-	}
 	b.reserve = reserve
 	b.tokens = min(b.tokens, reserve)
 }
--- a/internal/retry/policy_test.go
+++ b/internal/retry/policy_test.go
@@ -81,7 +81,7 @@
 
 func TestASharedBudgetBeginsWithNothingAndEarnsItsReserveOnceAWindow(t *testing.T) {
 	now := time.Unix(1000, 0)
-	budget := NewShared(0, 10*time.Second, false, func() time.Time { return now }, rand.New(rand.NewPCG(1, 1)))
+	budget := NewShared(0, 10*time.Second, func() time.Time { return now }, rand.New(rand.NewPCG(1, 1)))
 	take := func() (n int) {
 		for budget.Take() {
 			n++
