Orders at a first start follow the store's word as well

A process that finds a settings file which still says first start gave orders before it had measured any work, and could give back upstreams that earlier processes ordered for a reason. The scaler asks the same function now. No reader of the setting is left beside it and the log line at the start.

--- a/internal/gateway/scaling/scaler.go
+++ b/internal/gateway/scaling/scaler.go
@@ -55,9 +55,9 @@
 	Send   Send
 	Now    func() time.Time
 	Logger *slog.Logger
-	// FirstStart is true when the whole system starts for the first time. Else nothing
+	// FirstStart reports whether the whole system starts for the first time. Else nothing
 	// is ordered before work was measured: what stands was ordered for a reason.
-	FirstStart bool
+	FirstStart func() bool
 
 	// found is the upstreams of each service that ran before work was measured.
 	found    map[string]*foundUpstreams
@@ -85,7 +85,7 @@
 	}
 	now := s.Now()
 	found := s.noteFound(service.Name, in.Domains, now)
-	if !in.Measured && (!s.FirstStart || !found.settled(now)) {
+	if !in.Measured && (!s.FirstStart() || !found.settled(now)) {
 		return
 	}
 	in.Found = found.most
--- a/internal/gateway/server/duties.go
+++ b/internal/gateway/server/duties.go
@@ -94,7 +94,7 @@
 }
 
 func (g *Gateway) newScaler() *scaling.Scaler {
-	return &scaling.Scaler{Holder: g.duty, Send: g.sendOrder, Now: clock.Boot, Logger: g.logger, FirstStart: g.settings.FirstStart}
+	return &scaling.Scaler{Holder: g.duty, Send: g.sendOrder, Now: clock.Boot, Logger: g.logger, FirstStart: g.first}
 }
 
 func (g *Gateway) sendOrder(ctx context.Context, fence lease.Fence, service string, order scaling.Order) scaling.Result {
