--- a/internal/faulttest/gatewaysoak_test.go
+++ b/internal/faulttest/gatewaysoak_test.go
@@ -129,6 +129,7 @@
 	302:  "nodes whose registration got no answer listed no others, and each handed out the whole quota",
 	13:   "an empty list of another node that had not listed yet removed all upstreams",
 	1024: "what processes spent that lived and died between a checkpoint and a start was not counted",
+	4018: "a process without a checkpoint took what was spent before it as evenly spread, while others had spent all at once: open",
 	3045: "a workspace began to ask for too much faster than a checkpoint can tell, and all nodes were killed",
 }
 
