--- a/internal/gateway/server/doc.go
+++ b/internal/gateway/server/doc.go
@@ -7,6 +7,6 @@
 // ends within its grace; a process that starts hands out nothing that those before it
 // may have handed out, and forgets nothing that all nodes must know.
 //
-// Lock order: contentGuard.mu before the lock of its registry, budgets.mu before that of
-// a budget; deathCheck.mu is a leaf.
+// Lock order: contentGuard.mu before the lock of its registry, budgets.mu before those of
+// a budget and of the nodes' registry; deathCheck.mu is a leaf.
 package server
