A node heard again after it was forgotten counts with all it ever spent: test, listed red

Callers of a workspace would be refused within its quota, for up to a window, at nodes that hear a node again which was silent for 30 s. No quota is exceeded by it.

Cause: counts what a process had spent when it is first heard, if it started after the checkpoint. A node that was forgotten is taken for one that is first heard, and its total since its start counts as spent now.

--- a/internal/gateway/quota/ledger_test.go
+++ b/internal/gateway/quota/ledger_test.go
@@ -285,3 +285,24 @@
 	t.Logf("%d of %d refused", refused, asked)
 	require.LessOrEqual(t, refused, asked/100, "of %d", asked)
 }
+
+func TestANodeThatIsHeardAgainAfterItWasForgottenDoesNotCountWithAllItEverSpent(t *testing.T) {
+	s := newNodes(3)
+	usual := func() {
+		for _, l := range s.ledgers { // three fifths of the quota
+			l.Take("w", testLimit, testLimit.Rate*testInterval.Seconds()/5)
+		}
+		s.step()
+	}
+	for range int(2 * testWindow / testInterval) {
+		usual()
+	}
+	s.cut[2] = true
+	for range int((forgetAfter + time.Second) / testInterval) {
+		usual()
+	}
+	s.cut[2] = false
+	s.exchange()
+	a := s.ledgers[0].accounts["w"]
+	require.LessOrEqual(t, a.recent(s.time), a.bound())
+}
