--- a/internal/gateway/quota/history.go
+++ b/internal/gateway/quota/history.go
@@ -10,7 +10,7 @@
 	units  float64
 }
 
-// number returns the part of a window that holds a time.
+// slotNumber returns the part of a window that holds a time.
 func slotNumber(at time.Time, window time.Duration) int64 {
 	return at.UnixNano() * windowSlots / int64(window)
 }
--- a/internal/gateway/server/requests_test.go
+++ b/internal/gateway/server/requests_test.go
@@ -180,7 +180,10 @@
 	require.Len(t, engine.Runs(), 1)
 }
 
-func TestAStreamThatMayBeResumedGoesOnElsewhereWithoutAGap(t *testing.T) {
+// resumeElsewhere has streams broken off behind their first event, checks that they go on
+// at an upstream of a behaviour without a gap, and returns that upstream.
+func resumeElsewhere(t *testing.T, second platformtest.Behaviour) *platformtest.Replica {
+	t.Helper()
 	s := newTestSite(t)
 	s.replica("i-p", "plain")
 	one, two := s.replica("i-1", "engine"), s.replica("i-2", "engine")
@@ -188,29 +191,23 @@
 	n := s.start(1, "a", nil)
 	s.readyToRepeat(n)
 	one.Behave(platformtest.Truncates)
+	two.Behave(second)
 	for range 4 {
 		got := s.send(n, request{path: "/resume/x", body: "prompt"})
 		require.NoError(t, got.err)
 		require.Equal(t, "id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\nid: 3\ndata: token 3\n\n", got.body)
 	}
+	return two
+}
+
+func TestAStreamThatMayBeResumedGoesOnElsewhereWithoutAGap(t *testing.T) {
+	two := resumeElsewhere(t, platformtest.Answers)
 	require.NotEmpty(t, two.Runs())
 	require.Equal(t, "1", two.Runs()[0].Header.Get("Last-Event-Id"))
 }
 
 func TestAStreamGoesOnWithoutAGapAtAnUpstreamThatAnswersTwice(t *testing.T) {
-	s := newTestSite(t)
-	s.replica("i-p", "plain")
-	one, two := s.replica("i-1", "engine"), s.replica("i-2", "engine")
-	s.configure(1, nil)
-	n := s.start(1, "a", nil)
-	s.readyToRepeat(n)
-	one.Behave(platformtest.Truncates)
-	two.Behave(platformtest.AnswersTwice)
-	for range 4 {
-		got := s.send(n, request{path: "/resume/x", body: "prompt"})
-		require.NoError(t, got.err)
-		require.Equal(t, "id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\nid: 3\ndata: token 3\n\n", got.body)
-	}
+	resumeElsewhere(t, platformtest.AnswersTwice)
 }
 
 func TestAClientThatLeavesFreesItsUpstream(t *testing.T) {
