What acquits a content, and what it is refused as, is told in logs

A log line says which status cleared a content and how many crashes it had; lost answers and refused requests name their content, which is worked out once for a request. No decision changes.

--- a/internal/gateway/exchange/deps.go
+++ b/internal/gateway/exchange/deps.go
@@ -10,6 +10,7 @@
 	"mangoledge.example/mangoledge/internal/gateway/httpconn"
 	"mangoledge.example/mangoledge/internal/gateway/quota"
 	"mangoledge.example/mangoledge/internal/gateway/site"
+	"mangoledge.example/mangoledge/internal/poison"
 )
 
 // AnswerMeta is what an upstream's answer says of itself.
@@ -73,16 +74,16 @@
 // Poison knows the contents that crash upstreams.
 type Poison interface {
 	// Convicted reports whether the content must not be sent again.
-	Convicted(r *site.Request) bool
-	// AnswerLost notes that a request was sent to an upstream and got no whole answer.
-	AnswerLost(r *site.Request, upstream site.Upstream)
+	Convicted(content poison.Fingerprint) bool
+	// AnswerLost notes that a content was sent to an upstream and got no whole answer.
+	AnswerLost(content poison.Fingerprint, upstream site.Upstream)
 	// Alive notes that an upstream answered a request sent at a time, over a connection
 	// made at another.
 	Alive(upstream site.Upstream, connected, sent time.Time)
 	// Unreachable notes that an upstream took no connection.
 	Unreachable(upstream site.Upstream)
-	// Succeeded notes that the content ran to its end.
-	Succeeded(r *site.Request)
+	// Succeeded notes that an upstream answered the content whole, with a status below 500.
+	Succeeded(content poison.Fingerprint, status int)
 }
 
 // Demand measures the work that arrives for a service.
--- a/internal/gateway/exchange/handler.go
+++ b/internal/gateway/exchange/handler.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"mangoledge.example/mangoledge/internal/gateway/site"
+	"mangoledge.example/mangoledge/internal/poison"
 )
 
 const (
@@ -38,7 +39,9 @@
 	route     *site.Route
 	workspace *site.Workspace
 	service   site.Service
-	deadline  time.Time
+	// content names what the client sent, whatever its attempt ID.
+	content  poison.Fingerprint
+	deadline time.Time
 	// charged is what was taken off the workspace's quota and may be given back.
 	charged float64
 	// mayHaveRun is true once an upstream may have begun to run the request.
@@ -102,7 +105,9 @@
 	if refused := e.readBody(w, r); refused != nil {
 		return refused
 	}
-	if e.options.Poison.Convicted(e.request) {
+	e.content = contentOf(e.request)
+	if e.options.Poison.Convicted(e.content) {
+		e.log("content is refused", "content", e.content.String())
 		return refusePoison
 	}
 	return e.charge()
--- a/internal/gateway/exchange/send.go
+++ b/internal/gateway/exchange/send.go
@@ -128,8 +128,8 @@
 	if errors.Is(context.Cause(ctx), errStalled) {
 		err = errStalled // what the closed connection says is the consequence
 	}
-	a.log("answer lost", "upstream", a.ticket.Upstream.ID, "error", err, "last_event", a.lastEvent)
-	a.options.Poison.AnswerLost(a.request, a.ticket.Upstream)
+	a.log("answer lost", "upstream", a.ticket.Upstream.ID, "error", err, "last_event", a.lastEvent, "content", a.content.String())
+	a.options.Poison.AnswerLost(a.content, a.ticket.Upstream)
 	return a.unless(ctx, stepFailed)
 }
 
@@ -212,7 +212,7 @@
 		return a.upstreamFailure(ctx, response, body)
 	}
 	a.ticket.End(balance.Answered)
-	a.options.Poison.Succeeded(a.request)
+	a.options.Poison.Succeeded(a.content, response.Status)
 	a.passOn(response, body)
 	return stepDone
 }
--- a/internal/gateway/server/contentguard.go
+++ b/internal/gateway/server/contentguard.go
@@ -4,12 +4,10 @@
 	"log/slog"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
 	"mangoledge.example/mangoledge/internal/gateway/site"
-	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/poison"
 )
 
@@ -54,20 +52,14 @@
 	return &contentGuard{now: now, registry: poison.NewRegistry(), logger: logger, random: random}
 }
 
-// contentOf names a request by what the client sent, whatever its attempt ID.
-func contentOf(r *site.Request) poison.Fingerprint {
-	input := strings.Join([]string{r.Key, r.Method, r.Target, string(r.Body)}, "\n")
-	return poison.Of(ident.Model(r.Model), "", ident.Service(r.Host), input)
-}
-
 // Convicted reports whether the content must not be sent again.
-func (g *contentGuard) Convicted(r *site.Request) bool {
-	return g.registry.Check(contentOf(r)) != nil
+func (g *contentGuard) Convicted(content poison.Fingerprint) bool {
+	return g.registry.Check(content) != nil
 }
 
 // AnswerLost notes that the content was sent to an upstream and got no whole answer.
-func (g *contentGuard) AnswerLost(r *site.Request, upstream site.Upstream) {
-	if g.note(lostAnswer{at: g.now(), content: contentOf(r), upstream: upstream.ID, born: upstream.Born}) && g.check != nil {
+func (g *contentGuard) AnswerLost(content poison.Fingerprint, upstream site.Upstream) {
+	if g.note(lostAnswer{at: g.now(), content: content, upstream: upstream.ID, born: upstream.Born}) && g.check != nil {
 		g.check(upstream)
 	}
 }
@@ -153,9 +145,10 @@
 }
 
 // Succeeded notes that the content ran to its end.
-func (g *contentGuard) Succeeded(r *site.Request) {
-	if content := contentOf(r); g.registry.Suspect(content) {
+func (g *contentGuard) Succeeded(content poison.Fingerprint, status int) {
+	if crashes := g.registry.Crashes(content); crashes > 0 {
 		g.registry.Succeeded(g.now(), content)
+		g.logger.Info("content cleared", "content", content.String(), "crashes", crashes, "status", status)
 	}
 }
 
--- a/internal/gateway/server/contentguard_test.go
+++ b/internal/gateway/server/contentguard_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"mangoledge.example/mangoledge/internal/gateway/site"
+	"mangoledge.example/mangoledge/internal/poison"
 )
 
 // guardClock is a clock that tests move.
@@ -21,9 +22,7 @@
 	return newContentGuard(c.now, rand.New(rand.NewPCG(16, 1)), slog.New(slog.DiscardHandler))
 }
 
-func fatalRequest(body string) *site.Request {
-	return &site.Request{Method: "POST", Host: "site.example", Target: "/again/x", Key: "key", Body: []byte(body)}
-}
+func contentNamed(name string) poison.Fingerprint { return poison.Of("", "", "plain", name) }
 
 func upstreams(n int) map[string]site.Upstream {
 	out := make(map[string]site.Upstream)
@@ -40,12 +39,12 @@
 		g, all := newTestGuard(clock), upstreams(3)
 		for id, u := range all {
 			g.seen(all)
-			g.AnswerLost(fatalRequest("fatal"), u)
+			g.AnswerLost(contentNamed("fatal"), u)
 			clock.at = clock.at.Add(lapse)
 			delete(all, id)
 			g.seen(all)
 		}
-		require.True(t, g.Convicted(fatalRequest("fatal")), "entries lapse after %s", lapse)
+		require.True(t, g.Convicted(contentNamed("fatal")), "entries lapse after %s", lapse)
 	}
 }
 
@@ -54,13 +53,13 @@
 	g, all := newTestGuard(clock), upstreams(1)
 	for crash := range 3 {
 		u := all["i-0"]
-		g.AnswerLost(fatalRequest("fatal"), u)
+		g.AnswerLost(contentNamed("fatal"), u)
 		clock.at = clock.at.Add(5 * time.Second)
 		u.Born = u.Born.Add(time.Duration(crash+1) * time.Second)
 		all["i-0"] = u
 		g.seen(all)
 	}
-	require.True(t, g.Convicted(fatalRequest("fatal")))
+	require.True(t, g.Convicted(contentNamed("fatal")))
 }
 
 func TestAnUpstreamThatLivedOnConvictsNothingWhenItEndsLater(t *testing.T) {
@@ -69,26 +68,26 @@
 	for id, u := range all {
 		connected := clock.at
 		clock.at = clock.at.Add(time.Second)
-		g.AnswerLost(fatalRequest("innocent"), u)
+		g.AnswerLost(contentNamed("innocent"), u)
 		clock.at = clock.at.Add(time.Second)
 		g.Alive(u, connected, clock.at)
 		clock.at = clock.at.Add(time.Second)
 		delete(all, id)
 		g.seen(all)
 	}
-	require.False(t, g.registry.Suspect(contentOf(fatalRequest("innocent"))))
+	require.False(t, g.registry.Suspect(contentNamed("innocent")))
 }
 
 func TestAnAnswerOfAnUpstreamThatMayHaveStartedAnewClearsNothing(t *testing.T) {
 	clock := &guardClock{time.Unix(1000, 0)}
 	g, all := newTestGuard(clock), upstreams(1)
 	u := all["i-0"]
-	g.AnswerLost(fatalRequest("fatal"), u)
+	g.AnswerLost(contentNamed("fatal"), u)
 	clock.at = clock.at.Add(time.Second)
 	g.Alive(u, clock.at, clock.at) // over a connection made after the answer was lost
 	u.Born = u.Born.Add(time.Second)
 	g.seen(map[string]site.Upstream{"i-0": u})
-	require.Equal(t, 1, g.registry.Crashes(contentOf(fatalRequest("fatal"))))
+	require.Equal(t, 1, g.registry.Crashes(contentNamed("fatal")))
 }
 
 func TestUpstreamsThatLeaveConvictNothing(t *testing.T) {
@@ -99,17 +98,17 @@
 		u.Draining = true
 		all[id] = u
 		g.seen(all)
-		g.AnswerLost(fatalRequest("innocent"), before)
+		g.AnswerLost(contentNamed("innocent"), before)
 		delete(all, id)
 		g.Unreachable(before)
 		g.seen(all)
 	}
-	require.False(t, g.registry.Suspect(contentOf(fatalRequest("innocent"))))
+	require.False(t, g.registry.Suspect(contentNamed("innocent")))
 }
 
 func TestCrashesThatNodesSawOneEachAddUpBehindManySuspects(t *testing.T) {
 	for content := range 10 {
-		fatal := fatalRequest(fmt.Sprint("fatal ", content))
+		fatal := contentNamed(fmt.Sprint("fatal ", content))
 		nodes := nodesWithACrashEach(6, fatal)
 		for range 40 {
 			for _, from := range nodes {
@@ -122,14 +121,14 @@
 		}
 		for i, g := range nodes {
 			require.True(t, g.Convicted(fatal), "content %d at node %d", content, i)
-			require.False(t, g.Convicted(fatalRequest("in flight beside it 7 at 0")))
+			require.False(t, g.Convicted(contentNamed("in flight beside it 7 at 0")))
 		}
 	}
 }
 
 // nodesWithACrashEach returns nodes that saw one upstream each die under a content,
 // with forty others in flight there.
-func nodesWithACrashEach(n int, fatal *site.Request) []*contentGuard {
+func nodesWithACrashEach(n int, fatal poison.Fingerprint) []*contentGuard {
 	clock := &guardClock{time.Unix(1000, 0)}
 	all := upstreams(n)
 	var out []*contentGuard
@@ -137,7 +136,7 @@
 		g, u := newTestGuard(clock), all[fmt.Sprintf("i-%d", i)]
 		g.seen(all)
 		for other := range 40 {
-			g.AnswerLost(fatalRequest(fmt.Sprintf("in flight beside it %d at %d", other, i)), u)
+			g.AnswerLost(contentNamed(fmt.Sprintf("in flight beside it %d at %d", other, i)), u)
 		}
 		g.AnswerLost(fatal, u)
 		g.Unreachable(u)
