--- a/internal/faulttest/gatewaysite_test.go
+++ b/internal/faulttest/gatewaysite_test.go
@@ -55,6 +55,8 @@
 	disturbed []disturbance
 	// restarts is how replicas that a fatal content ended come back.
 	restarts func() replicaReturn
+	// spare returns the status with which replicas answer the fatal content, or 0 when it ends them.
+	spare func() int
 	// firstStays is true when the settings of every start say that it is the first of all.
 	firstStays bool
 	// ended is true once no replica is to come back any more.
@@ -93,7 +95,7 @@
 	t.Helper()
 	s := &gatewaySite{
 		t: t, store: platformtest.NewStore(t), cloud: platformtest.NewCloud(t), dir: t.TempDir(), replicas: replicas, number: gatewaySites.Add(1),
-		restarts: drawnReturns(uint64(gatewaySites.Load())),
+		restarts: drawnReturns(uint64(gatewaySites.Load())), spare: func() int { return 0 },
 	}
 	for i := range 2 * replicas {
 		service := "plain"
@@ -190,6 +192,7 @@
 	replica := platformtest.NewReplica(s.t, slot.id)
 	replica.Events = streamEvents
 	replica.Fatal = fatalBody
+	replica.Spare = func() int { return s.spare() }
 	replica.Ended = func() { s.replicaEnded(slot, replica) }
 	l := newLink(s.t, slot.id, replica.Server.Listener.Addr().String(), false)
 	slot.mu.Lock()
--- /dev/null
+++ b/internal/gateway/exchange/content_test.go
@@ -0,0 +1,15 @@
+package exchange
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/internal/gateway/site"
+)
+
+func TestPagesOfOnePathAreContentsOfTheirOwn(t *testing.T) {
+	one := &site.Request{Method: "GET", Host: "h", Target: "/list/x?page=1", Path: "/list/x"}
+	two := &site.Request{Method: "GET", Host: "h", Target: "/list/x?page=2", Path: "/list/x"}
+	require.NotEqual(t, contentOf(one), contentOf(two))
+}
--- a/internal/gateway/server/contentguard_test.go
+++ b/internal/gateway/server/contentguard_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"net/http"
 	"testing"
 	"time"
 
@@ -144,3 +145,37 @@
 	}
 	return out
 }
+
+func TestAnAnswerThatSaysNothingOfTheContentAcquitsNothing(t *testing.T) {
+	for _, status := range []int{http.StatusBadRequest, http.StatusTooManyRequests, http.StatusNotFound, http.StatusFound} {
+		g := newTestGuard(&guardClock{time.Unix(1000, 0)})
+		crashUnder(g, "fatal", 2)
+		g.Succeeded(contentNamed("fatal"), status)
+		require.Equal(t, 2, g.registry.Crashes(contentNamed("fatal")), "status %d", status)
+	}
+}
+
+func TestASuccessAmongCrashesAcquitsNothing(t *testing.T) {
+	g := newTestGuard(&guardClock{time.Unix(1000, 0)})
+	for crash := range 3 {
+		g.Succeeded(contentNamed("fatal"), http.StatusOK)
+		crashUnderOne(g, "fatal", crash)
+		g.Succeeded(contentNamed("fatal"), http.StatusOK)
+	}
+	require.True(t, g.Convicted(contentNamed("fatal")))
+	g.Succeeded(contentNamed("fatal"), http.StatusOK) // of a run that began before
+	require.True(t, g.Convicted(contentNamed("fatal")))
+}
+
+func crashUnder(g *contentGuard, name string, upstreams int) {
+	for n := range upstreams {
+		crashUnderOne(g, name, n)
+	}
+}
+
+// crashUnderOne has an upstream end under a content.
+func crashUnderOne(g *contentGuard, name string, number int) {
+	u := site.Upstream{ID: fmt.Sprint("i-", number), Born: time.Unix(100, 0)}
+	g.AnswerLost(contentNamed(name), u)
+	g.Unreachable(u)
+}
--- a/internal/gateway/server/nodes_test.go
+++ b/internal/gateway/server/nodes_test.go
@@ -31,6 +31,8 @@
 	ConfigVersion       int64 `json:"configVersion"`
 	NodesSharingRepeats int   `json:"nodesSharingRepeats"`
 	QuotaBegun          bool  `json:"quotaBegun"`
+	// Upstreams counts those that take work, by service.
+	Upstreams map[string]int `json:"upstreamsByService"`
 }
 
 // stateOf asks a node for its state; it is empty when there is no answer.
--- a/internal/poison/registry_test.go
+++ b/internal/poison/registry_test.go
@@ -167,3 +167,16 @@
 	require.Len(t, seen, 300)
 	require.Len(t, r.Sample(4, 16, start.Add(time.Minute), random), 1, "of the others nothing new was heard")
 }
+
+func TestSuspectsInAnyNumberPushNoConvictionOut(t *testing.T) {
+	r := NewRegistry()
+	now := time.Unix(10_000, 0)
+	convicted := Of("", "", "", "convicted")
+	for _, upstream := range []ident.Upstream{"a", "b", "c"} {
+		r.Crashed(now, convicted, upstream, false)
+	}
+	for n := range 2 * maxEntries {
+		r.Crashed(now.Add(time.Minute), Of("", "", "", fmt.Sprint("in flight ", n)), "d", false)
+	}
+	require.NotNil(t, r.Check(convicted))
+}
