Two holders of a stream that cannot reach each other no longer replace each other's for ever

Callers saw: a stream that was sent again while the node before it still ran it ended at its deadline with "the deadline passed before an upstream could run the request", and the engine was sent 203,764 starts in 20 s. Cause: both holders start the stream under one ID at the engine, which ends the one before. The holder whose stream was ended so (1) cancelled it, by an ID that was the other's stream by then, and (2) started it again at once, as a move is no retry. Where a round takes less than the time of a token nobody gets on. Change: a stream that its engine ended is not cancelled, and a third move in a row that brings no token waits as a retry does.

--- a/internal/dispatch/reading.go
+++ b/internal/dispatch/reading.go
@@ -28,6 +28,9 @@
 	pace       pace
 	// prefill is what the first token waits for.
 	prefill prefill
+	// endedThere is true once the engine ended the stream itself. A stream of the same ID
+	// that is there then belongs to another holder.
+	endedThere bool
 	// departure is nil until the upstream is seen to be leaving.
 	departure *departure
 }
@@ -98,6 +101,7 @@
 			return verdict.From(err)
 		}
 		if chunk.Done {
+			r.endedThere = true
 			return r.d.streamEnd(r.e, r.generation, chunk)
 		}
 		r.e.addToken(r.generation, chunk.Offset, chunk.Text)
@@ -159,7 +163,9 @@
 	if r.mayLeave() && r.leaving().exportEnded() {
 		return
 	}
-	r.cancelStream()
+	if !r.endedThere {
+		r.cancelStream()
+	}
 }
 
 // cancelStream stops a stream that goes on elsewhere without its cache, and does
--- a/internal/dispatch/retry.go
+++ b/internal/dispatch/retry.go
@@ -18,10 +18,15 @@
 	return e.spec.Idempotent || failure.Verdict == verdict.NotRun
 }
 
+// maxIdleMoves is how many moves in a row may bring no token and still be no retries. Two
+// holders of one stream that cannot reach each other replace each other's at the engine;
+// the pauses of retries let one of them get on.
+const maxIdleMoves = 2
+
 // beforeRetry waits until the retry policy lets the request be sent again. A
 // request that moves because its upstream leaves is no retry.
-func (d *Dispatcher) beforeRetry(ctx context.Context, e *entry, attempt int, failure *verdict.Error) {
-	if failure.Code == codeMoving {
+func (d *Dispatcher) beforeRetry(ctx context.Context, e *entry, attempt, idleMoves int, failure *verdict.Error) {
+	if failure.Code == codeMoving && idleMoves <= maxIdleMoves {
 		return
 	}
 	for ctx.Err() == nil {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -60,6 +60,7 @@
 		return failure
 	}
 	need := Need{Spec: &e.spec}
+	idleMoves := 0
 	for {
 		if ctx.Err() != nil || e.isReleased() {
 			return d.timeFailure(e)
@@ -89,9 +90,14 @@
 		if !mayRetry(e, failure) {
 			return failure
 		}
+		if failure.Code != codeMoving || len(e.snapshot().Tokens) > need.Tokens {
+			idleMoves = 0
+		} else {
+			idleMoves++
+		}
 		need.Attempt++
 		need.Avoid = remember(need.Avoid, placement.Upstream().ID)
-		d.beforeRetry(ctx, e, need.Attempt, failure)
+		d.beforeRetry(ctx, e, need.Attempt, idleMoves, failure)
 	}
 }
 
