One good answer among crashes no longer acquits a content

What callers saw: a request under which upstreams end was sent on without end, where some of its upstreams answered it. Cause: every answer below 500, also a 400 or 429 of an upstream that never looked at the content, made all crashes before it count no more, on all nodes; so did a run that began before the conviction. None outweighs anything once the content is convicted. So that an innocent one is not refused for good, a conviction ends after 45 min without a crash, twice as long with each further one; the next crash convicts at once. The registry is the product's own too, where a finished run cleared a content in the same way.

--- a/internal/gateway/exchange/deps.go
+++ b/internal/gateway/exchange/deps.go
@@ -82,8 +82,8 @@
 	Alive(upstream site.Upstream, connected, sent time.Time)
 	// Unreachable notes that an upstream took no connection.
 	Unreachable(upstream site.Upstream)
-	// Succeeded notes that an upstream answered the content whole, with a status below 500.
-	Succeeded(content poison.Fingerprint, status int)
+	// Succeeded notes that the content ran to its end and was answered with a success.
+	Succeeded(content poison.Fingerprint)
 }
 
 // Demand measures the work that arrives for a service.
--- a/internal/gateway/exchange/send.go
+++ b/internal/gateway/exchange/send.go
@@ -212,7 +212,9 @@
 		return a.upstreamFailure(ctx, response, body)
 	}
 	a.ticket.End(balance.Answered)
-	a.options.Poison.Succeeded(a.content, response.Status)
+	if response.Status/100 == 2 {
+		a.options.Poison.Succeeded(a.content)
+	}
 	a.passOn(response, body)
 	return stepDone
 }
--- a/internal/gateway/exchange/stream.go
+++ b/internal/gateway/exchange/stream.go
@@ -72,7 +72,7 @@
 		a.firstEvent(response)
 	}
 	a.ticket.End(balance.Answered)
-	a.options.Poison.Succeeded(a.content, response.Status)
+	a.options.Poison.Succeeded(a.content)
 	a.options.Metrics.Answered(a.exchange, response.Status)
 	a.log("answered", "upstream", a.ticket.Upstream.ID, "status", response.Status, "sends", a.sends, "last_event", a.lastEvent)
 	return stepDone
--- a/internal/gateway/server/contentguard.go
+++ b/internal/gateway/server/contentguard.go
@@ -145,10 +145,17 @@
 }
 
 // Succeeded notes that the content ran to its end.
-func (g *contentGuard) Succeeded(content poison.Fingerprint, status int) {
-	if crashes := g.registry.Crashes(content); crashes > 0 {
-		g.registry.Succeeded(g.now(), content)
-		g.logger.Info("content cleared", "content", content.String(), "crashes", crashes, "status", status)
+func (g *contentGuard) Succeeded(content poison.Fingerprint) {
+	before := g.registry.Crashes(content)
+	if left := g.registry.Succeeded(g.now(), content); left < before {
+		g.logger.Info("crash outweighed by successes", "content", content.String(), "crashes", left)
+	}
+}
+
+// parole lets contents run again that were refused for long.
+func (g *contentGuard) parole() {
+	for _, content := range g.registry.Parole(g.now()) {
+		g.logger.Info("content may run again", "content", content.String())
 	}
 }
 
--- a/internal/gateway/server/contentguard_test.go
+++ b/internal/gateway/server/contentguard_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
-	"net/http"
 	"testing"
 	"time"
 
@@ -146,24 +145,15 @@
 	return out
 }
 
-func TestAnAnswerThatSaysNothingOfTheContentAcquitsNothing(t *testing.T) {
-	for _, status := range []int{http.StatusBadRequest, http.StatusTooManyRequests, http.StatusNotFound, http.StatusFound} {
-		g := newTestGuard(&guardClock{time.Unix(1000, 0)})
-		crashUnder(g, "fatal", 2)
-		g.Succeeded(contentNamed("fatal"), status)
-		require.Equal(t, 2, g.registry.Crashes(contentNamed("fatal")), "status %d", status)
-	}
-}
-
 func TestASuccessAmongCrashesAcquitsNothing(t *testing.T) {
 	g := newTestGuard(&guardClock{time.Unix(1000, 0)})
 	for crash := range 3 {
-		g.Succeeded(contentNamed("fatal"), http.StatusOK)
+		g.Succeeded(contentNamed("fatal"))
 		crashUnderOne(g, "fatal", crash)
-		g.Succeeded(contentNamed("fatal"), http.StatusOK)
+		g.Succeeded(contentNamed("fatal"))
 	}
 	require.True(t, g.Convicted(contentNamed("fatal")))
-	g.Succeeded(contentNamed("fatal"), http.StatusOK) // of a run that began before
+	g.Succeeded(contentNamed("fatal")) // of a run that began before
 	require.True(t, g.Convicted(contentNamed("fatal")))
 }
 
--- a/internal/gateway/server/fatalcontent_test.go
+++ b/internal/gateway/server/fatalcontent_test.go
@@ -1,6 +1,7 @@
 package server_test
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -72,10 +73,11 @@
 func TestAFatalContentIsKnownUnderAnotherKeyQueryAndModel(t *testing.T) {
 	s := newTestSite(t)
 	var replicas []*platformtest.Replica
-	for _, id := range []string{"i-1", "i-2", "i-3", "i-4", "i-5", "i-6", "i-7", "i-8"} {
-		r := s.replica(id, "plain")
+	for n := range 8 {
+		r := platformtest.NewReplica(t, fmt.Sprint("i-", n))
 		r.Fatal = fatal
 		replicas = append(replicas, r)
+		s.store.Put("servers", r.ID, r.Entry("plain", nil))
 	}
 	s.configure(1, func(c map[string]any) {
 		w := c["tenants"].([]any)[0].(map[string]any)
@@ -99,3 +101,31 @@
 	require.LessOrEqual(t, runsOf(replicas...), 3)
 	require.Equal(t, http.StatusOK, s.send(n, request{path: "/once/y", body: fatal + " elsewhere"}).status)
 }
+
+func TestAnAnswerThatSaysNothingOfTheContentAcquitsNothing(t *testing.T) {
+	for _, status := range []int{http.StatusBadRequest, http.StatusTooManyRequests, http.StatusNotFound, http.StatusFound} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			s := newTestSite(t)
+			var ran atomic.Int64
+			var replicas []*platformtest.Replica
+			for n := range 8 {
+				r := platformtest.NewReplica(t, fmt.Sprint("i-", n))
+				r.Fatal = fatal
+				r.Spare = func() int {
+					if ran.Add(1) == 3 {
+						return status
+					}
+					return 0
+				}
+				replicas = append(replicas, r)
+				s.store.Put("servers", r.ID, r.Entry("plain", nil))
+			}
+			s.configure(1, nil)
+			n := s.start(1, "a", nil)
+			s.ready(n)
+			once := request{path: "/once/x", body: fatal}
+			require.Eventually(t, func() bool { return s.refused(n, once, replicas...) }, patience, 300*time.Millisecond)
+			require.LessOrEqual(t, runsOf(replicas...), 4)
+		})
+	}
+}
--- a/internal/gateway/server/housekeeping.go
+++ b/internal/gateway/server/housekeeping.go
@@ -19,6 +19,7 @@
 		g.upstreams.Expire()
 		g.balancer.Keep(view.All)
 		g.poison.seen(view.All)
+		g.poison.parole()
 		g.table.Forget()
 		g.takeLoads()
 		g.budgets.divide()
--- a/internal/poison/doc.go
+++ b/internal/poison/doc.go
@@ -7,7 +7,9 @@
 // whose Gate lets a content that never finished run at most as often at once as
 // crashes are left to it; that bounds the crashes of one content in all. An
 // upstream that died of a reclaim convicts nobody, and content that finishes is
-// cleared.
+// cleared once it did so often enough: one good answer among crashes acquits nothing.
+// A convicted content is let out after a time that grows with its crashes, or by an
+// operator.
 //
 // Invariants: merging is commutative, associative and idempotent; a cleared
 // crash never comes back by merging; a convicted content is refused with NotRun.
--- a/internal/poison/entry.go
+++ b/internal/poison/entry.go
@@ -17,6 +17,10 @@
 	keptCrashes = 16
 	// crashGrain is the time within which crashes of one upstream count as one.
 	crashGrain = 10 * time.Second
+	// firstSentence is for how long a content is refused after its third crash, and
+	// maxDoublings how often that doubles with further ones: up to a day.
+	firstSentence = 45 * time.Minute
+	maxDoublings  = 5
 )
 
 // Crash is one crash of an upstream under a content. Its JSON is part of gossip.
@@ -39,7 +43,7 @@
 // Entry is what is known of one content.
 type Entry struct {
 	Fingerprint Fingerprint `json:"fingerprint"`
-	// Crashes are ordered by ID.
+	// Crashes are ordered by time, the newest first.
 	Crashes []Crash `json:"crashes,omitempty"`
 	// ClearedAt makes crashes up to then count no more; in seconds since 1970.
 	ClearedAt int64 `json:"clearedAt,omitempty"`
@@ -89,10 +93,32 @@
 	e.Crashes = append(e.Crashes, c)
 }
 
-// trim drops cleared crashes and keeps the first few in order.
+// has reports whether a crash is known.
+func (e *Entry) has(id uint64) bool {
+	return slices.ContainsFunc(e.Crashes, func(c Crash) bool { return c.ID == id })
+}
+
+// absolveOldest takes back the oldest crash that counts.
+func (e *Entry) absolveOldest() {
+	for i := len(e.Crashes) - 1; i >= 0; i-- {
+		if !e.Crashes[i].Absolved {
+			e.Crashes[i].Absolved = true
+			return
+		}
+	}
+}
+
+// sentence returns for how long a convicted content is refused after its newest crash.
+func (e *Entry) sentence() time.Duration {
+	return firstSentence << min(max(0, len(e.Crashes)-MaxCrashes), maxDoublings)
+}
+
+// trim drops cleared crashes and keeps the newest.
 func (e *Entry) trim() {
 	e.Crashes = slices.DeleteFunc(e.Crashes, func(c Crash) bool { return c.At <= e.ClearedAt })
-	slices.SortFunc(e.Crashes, func(a, b Crash) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(e.Crashes, func(a, b Crash) int {
+		return cmp.Or(cmp.Compare(b.At, a.At), cmp.Compare(a.ID, b.ID))
+	})
 	if len(e.Crashes) > keptCrashes {
 		e.Crashes = e.Crashes[:keptCrashes]
 	}
--- a/internal/poison/registry.go
+++ b/internal/poison/registry.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/verdict"
 )
@@ -22,11 +24,17 @@
 type Registry struct {
 	mu      sync.Mutex
 	entries map[Fingerprint]*Entry
+	// records holds how contents ran on this node, whether upstreams died under them or not.
+	records *simplelru.LRU[Fingerprint, *record]
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{entries: make(map[Fingerprint]*Entry)}
+	records, err := simplelru.NewLRU[Fingerprint, *record](maxRecords, nil)
+	if err != nil {
+		panic(err) // the size is a constant above 0
+	}
+	return &Registry{entries: make(map[Fingerprint]*Entry), records: records}
 }
 
 // Check refuses a convicted content; the request was not run.
@@ -42,7 +50,8 @@
 }
 
 // Crashed notes that upstream died while it ran the content and returns how
-// many crashes count against it. A death by reclaim counts against nobody.
+// many crashes count against it. A death by reclaim counts against nobody, and one that
+// runs to their end outweigh does not count.
 func (r *Registry) Crashed(now time.Time, f Fingerprint, upstream ident.Upstream, reclaimed bool) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -56,7 +65,11 @@
 	if !ok {
 		e = r.remember(f)
 	}
-	e.add(newCrash(now, upstream))
+	crash := newCrash(now, upstream)
+	if known, ok := r.records.Peek(f); ok && !e.has(crash.ID) {
+		crash.Absolved = known.outweighs(now)
+	}
+	e.add(crash)
 	e.trim()
 	return e.Count()
 }
@@ -98,9 +111,30 @@
 	return e.Count()
 }
 
-// Succeeded notes that the content finished, which clears it.
-func (r *Registry) Succeeded(now time.Time, f Fingerprint) {
-	r.Clear(now, f)
+// Succeeded notes that the content finished and returns how many crashes still count
+// against it. One run says little of a content that ends some of what runs it: so many as
+// tell it from an innocent one take back a crash, the oldest first. Nothing takes one back
+// of a convicted content, whose last runs began before.
+func (r *Registry) Succeeded(now time.Time, f Fingerprint) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.entries[f]
+	if e != nil && e.Convicted() {
+		return e.Count()
+	}
+	known, ok := r.records.Get(f)
+	if !ok {
+		known = &record{}
+		r.records.Add(f, known)
+	}
+	known.finished = min(known.finished+1, runsPerDeath)
+	if e == nil {
+		return 0
+	}
+	if e.Count() > 0 && known.use(now) {
+		e.absolveOldest()
+	}
+	return e.Count()
 }
 
 // Clear makes the crashes of a content until now count no more; it is false
@@ -117,6 +151,23 @@
 	return true
 }
 
+// Parole lets contents run again under which no upstream died for long. Their next crash
+// convicts them again, each time for longer.
+func (r *Registry) Parole(now time.Time) (released []Fingerprint) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for f, e := range r.entries {
+		if !e.Convicted() || now.Unix() < e.newest()+int64(e.sentence().Seconds()) {
+			continue
+		}
+		for e.Convicted() {
+			e.absolveOldest()
+		}
+		released = append(released, f)
+	}
+	return released
+}
+
 // Snapshot returns all entries in the order of their fingerprints, for gossip and operators.
 func (r *Registry) Snapshot() []Entry {
 	r.mu.Lock()
@@ -184,21 +235,21 @@
 // remember makes an entry; when there are too many, the one heard of longest ago goes.
 func (r *Registry) remember(f Fingerprint) *Entry {
 	if len(r.entries) >= maxEntries {
-		r.forgetOldest()
+		r.forgetLeast()
 	}
 	e := &Entry{Fingerprint: f}
 	r.entries[f] = e
 	return e
 }
 
-func (r *Registry) forgetOldest() {
-	var oldest *Entry
+func (r *Registry) forgetLeast() {
+	var least *Entry
 	for _, e := range r.entries {
-		if oldest == nil || older(e, oldest) {
-			oldest = e
+		if least == nil || older(e, least) {
+			least = e
 		}
 	}
-	delete(r.entries, oldest.Fingerprint)
+	delete(r.entries, least.Fingerprint)
 }
 
 func older(a, b *Entry) bool {
--- a/internal/poison/registry_test.go
+++ b/internal/poison/registry_test.go
@@ -180,3 +180,74 @@
 	}
 	require.NotNil(t, r.Check(convicted))
 }
+
+func TestRunsThatFinishOutweighACrash(t *testing.T) {
+	r := NewRegistry()
+	r.Crashed(start, 1, "a", false)
+	for run := range runsPerDeath - 1 {
+		require.Equal(t, 1, r.Succeeded(start, 1), "after %d runs", run)
+	}
+	require.Zero(t, r.Succeeded(start, 1))
+}
+
+func TestUpstreamsThatEndTogetherConvictNoPopularContent(t *testing.T) {
+	r := NewRegistry()
+	at := start
+	for range 4 {
+		for range runsPerDeath {
+			r.Succeeded(at, 1)
+		}
+		at = at.Add(time.Minute)
+		for n := range 6 {
+			require.Zero(t, r.Crashed(at.Add(time.Duration(n)*100*time.Millisecond), 1, ident.Upstream(fmt.Sprint(at, n)), false))
+		}
+	}
+}
+
+func TestAPopularContentThatBeginsToEndUpstreamsIsConvicted(t *testing.T) {
+	r := NewRegistry()
+	for range 10 * runsPerDeath {
+		r.Succeeded(start, 1)
+	}
+	for n := range 4 {
+		r.Crashed(start.Add(time.Duration(n+1)*2*time.Second), 1, ident.Upstream(fmt.Sprint(n)), false)
+	}
+	require.NotNil(t, r.Check(1))
+}
+
+// A content that ends a share of what runs it is convicted, whatever the share above one in runsPerDeath.
+func TestAContentThatEndsAShareOfItsUpstreamsIsConvicted(t *testing.T) {
+	for _, share := range []int{1, 2, 3, 5, 10} {
+		for seed := range uint64(50) {
+			random := rand.New(rand.NewPCG(seed, 19))
+			r := NewRegistry()
+			at := start
+			for run := 0; r.Check(1) == nil; run++ {
+				require.Less(t, run, 100*share, "share 1 in %d, seed %d", share, seed)
+				at = at.Add(5 * time.Second)
+				if random.IntN(share) == 0 {
+					r.Crashed(at, 1, ident.Upstream(fmt.Sprint(run)), false)
+					continue
+				}
+				r.Succeeded(at, 1)
+			}
+		}
+	}
+}
+
+func TestAConvictionLastsLongerWithEachCrash(t *testing.T) {
+	r := NewRegistry()
+	at := start
+	for n := range MaxCrashes {
+		r.Crashed(at, 1, ident.Upstream(fmt.Sprint(n)), false)
+	}
+	for n := range keptCrashes + 4 {
+		wait := firstSentence << min(n, maxDoublings)
+		require.Empty(t, r.Parole(at.Add(wait-2*crashGrain)), "crash %d", n)
+		at = at.Add(wait + crashGrain)
+		require.Equal(t, []Fingerprint{1}, r.Parole(at))
+		require.Nil(t, r.Check(1))
+		r.Crashed(at, 1, ident.Upstream(fmt.Sprint("again ", n)), false)
+		require.NotNil(t, r.Check(1), "the next crash convicts it again")
+	}
+}
