A full registry of contents forgets those with the fewest crashes first

Cause: with 4,096 contents remembered, the one heard of longest ago went. Of a convicted one nothing is heard, as it is not run, while each crash under load adds all that was in flight. Evidence: TestSuspectsInAnyNumberPushNoConvictionOut failed on the code before. Change: contents are forgotten by crashes first, then by age.

--- a/internal/poison/registry.go
+++ b/internal/poison/registry.go
@@ -232,7 +232,8 @@
 	}
 }
 
-// remember makes an entry; when there are too many, the one heard of longest ago goes.
+// remember makes an entry; when there are too many, one with the fewest crashes goes, of
+// these the one heard of longest ago.
 func (r *Registry) remember(f Fingerprint) *Entry {
 	if len(r.entries) >= maxEntries {
 		r.forgetLeast()
@@ -245,16 +246,18 @@
 func (r *Registry) forgetLeast() {
 	var least *Entry
 	for _, e := range r.entries {
-		if least == nil || older(e, least) {
+		if least == nil || matters(least, e) {
 			least = e
 		}
 	}
 	delete(r.entries, least.Fingerprint)
 }
 
-func older(a, b *Entry) bool {
-	if a.newest() != b.newest() {
-		return a.newest() < b.newest()
-	}
-	return a.Fingerprint < b.Fingerprint
+// matters reports whether b is to be forgotten before a.
+func matters(a, b *Entry) bool {
+	return cmp.Or(
+		cmp.Compare(min(b.Count(), MaxCrashes), min(a.Count(), MaxCrashes)),
+		cmp.Compare(b.newest(), a.newest()),
+		cmp.Compare(b.Fingerprint, a.Fingerprint),
+	) < 0
 }
