A content is its caller, path and body, whatever key, query and model come with it

What callers saw: the same body under another key of the workspace, another query or another model ended three more upstreams each (test: 8 ended, 3 allowed). Cause: key, query and model were parts of a content's name. The rule of the platform names caller, path and body. Change: the caller is the workspace; the query counts only where there is no body, so that pages of a list stay contents of their own.

--- a/internal/gateway/exchange/content.go
+++ b/internal/gateway/exchange/content.go
@@ -8,8 +8,14 @@
 	"mangoledge.example/mangoledge/internal/poison"
 )
 
-// contentOf names a request by what the client sent, whatever its attempt ID.
-func contentOf(r *site.Request) poison.Fingerprint {
-	input := strings.Join([]string{r.Key, r.Method, r.Target, string(r.Body)}, "\n")
-	return poison.Of(ident.Model(r.Model), "", ident.Service(r.Host), input)
+// contentOf names what a request has an upstream run: caller, path and body. The caller is
+// the workspace, as a key may be replaced; the query counts where there is no body, as it
+// is what is asked for then.
+func contentOf(r *site.Request, workspace string) poison.Fingerprint {
+	operation := r.Path
+	if len(r.Body) == 0 {
+		operation = r.Target
+	}
+	input := strings.Join([]string{workspace, r.Method, operation, string(r.Body)}, "\n")
+	return poison.Of("", "", ident.Service(r.Host), input)
 }
--- a/internal/gateway/exchange/content_test.go
+++ b/internal/gateway/exchange/content_test.go
@@ -11,5 +11,5 @@
 func TestPagesOfOnePathAreContentsOfTheirOwn(t *testing.T) {
 	one := &site.Request{Method: "GET", Host: "h", Target: "/list/x?page=1", Path: "/list/x"}
 	two := &site.Request{Method: "GET", Host: "h", Target: "/list/x?page=2", Path: "/list/x"}
-	require.NotEqual(t, contentOf(one), contentOf(two))
+	require.NotEqual(t, contentOf(one, "w"), contentOf(two, "w"))
 }
--- a/internal/gateway/exchange/handler.go
+++ b/internal/gateway/exchange/handler.go
@@ -105,7 +105,7 @@
 	if refused := e.readBody(w, r); refused != nil {
 		return refused
 	}
-	e.content = contentOf(e.request)
+	e.content = contentOf(e.request, e.workspaceName())
 	if e.options.Poison.Convicted(e.content) {
 		e.log("content is refused", "content", e.content.String())
 		return refusePoison
