A request is held back once its content is convicted, also while it waits or is to be repeated

What callers saw: a stream was resumed at one more upstream after its content had been convicted (the test saw it go on there). Cause: the verdict was read once, on arrival. Change: it is read before each choice of an upstream, before a silent upstream is given up, and again when the request is written, as making a connection can take 0.8 s; the connection then serves the next request. Ruled out: waiting alone, which ends after 150 ms.

--- a/internal/gateway/exchange/handler.go
+++ b/internal/gateway/exchange/handler.go
@@ -81,7 +81,7 @@
 func (e *exchange) refuse(w http.ResponseWriter, refused *refusal) {
 	e.refund()
 	e.options.Metrics.Refused(e, refused)
-	e.log("refused", "status", refused.status, "reason", refused.reason, "retry_after", refused.retryAfter, "sends", e.sends)
+	e.log("refused", "status", refused.status, "reason", refused.reason, "retry_after", refused.retryAfter, "sends", e.sends, "content", e.content.String())
 	refused.write(w, e)
 }
 
@@ -107,7 +107,6 @@
 	}
 	e.content = contentOf(e.request, e.workspaceName())
 	if e.options.Poison.Convicted(e.content) {
-		e.log("content is refused", "content", e.content.String())
 		return refusePoison
 	}
 	return e.charge()
--- a/internal/gateway/exchange/run.go
+++ b/internal/gateway/exchange/run.go
@@ -35,6 +35,8 @@
 const (
 	// stepDone means that the client has its answer, or is gone.
 	stepDone step = iota
+	// stepHeldBack means that nothing was sent, as the request was not to be any more.
+	stepHeldBack
 	// stepUnreached means that nothing was sent.
 	stepUnreached
 	// stepRejected means that the upstream stated that it did not run the request.
@@ -58,7 +60,7 @@
 		switch e.send(ctx, client, ticket) {
 		case stepDone:
 			return
-		case stepRepeat:
+		case stepRepeat, stepHeldBack:
 		case stepUnreached:
 			dials++
 			if dials >= maxDials {
@@ -146,6 +148,9 @@
 		if ctx.Err() != nil {
 			return nil, e.timeRefusal(ctx)
 		}
+		if e.options.Poison.Convicted(e.content) {
+			return nil, e.finalRefusal(refusePoison)
+		}
 		view := e.options.Upstreams.View()
 		ticket, pause := e.options.Balancer.Pick(e.request, e.choice(view))
 		if ticket != nil {
--- a/internal/gateway/exchange/send.go
+++ b/internal/gateway/exchange/send.go
@@ -32,8 +32,12 @@
 	plainStallShare = 0.6
 )
 
-// errStalled is the cause of giving up an upstream that is silent for too long.
-var errStalled = errors.New("the upstream is silent")
+var (
+	// errStalled is the cause of giving up an upstream that is silent for too long.
+	errStalled = errors.New("the upstream is silent")
+	// errConvicted holds back a request whose content was convicted since it was admitted.
+	errConvicted = errors.New("the content crashes upstreams")
+)
 
 // attempt is one send to an upstream.
 type attempt struct {
@@ -71,7 +75,7 @@
 // is no reason to end an answer.
 func (a *attempt) stalled(tried int, cancel context.CancelCauseFunc) {
 	others := len(a.options.Upstreams.View().ByService[a.service.Name]) - tried
-	if others <= 0 || !a.takeRepeat(repeatSilent) {
+	if others <= 0 || a.mayBeSent() != nil || !a.takeRepeat(repeatSilent) {
 		return
 	}
 	a.granted.Store(true)
@@ -103,12 +107,30 @@
 		}),
 		Body:    e.request.Body,
 		MaxIdle: idle,
-		Prepare: func(h http.Header) { e.options.Wire.SetLeft(h, time.Until(e.deadline)) },
+		Prepare: func(h http.Header) error {
+			e.options.Wire.SetLeft(h, time.Until(e.deadline))
+			return e.mayBeSent()
+		},
 	}
 }
 
+// mayBeSent says why the request must not be written any more: what was true when its
+// upstream was chosen may have changed while a connection was made.
+func (e *exchange) mayBeSent() error {
+	if e.options.Poison.Convicted(e.content) {
+		return errConvicted
+	}
+	return nil
+}
+
 // failedToSend ends an attempt that got no head of an answer.
 func (a *attempt) failedToSend(ctx context.Context, err error) step {
+	var failed *httpconn.Error
+	if errors.As(err, &failed) && failed.Stage == httpconn.StagePrepare {
+		a.ticket.End(balance.Abandoned)
+		a.log("request held back", "upstream", a.ticket.Upstream.ID, "error", err)
+		return a.unless(ctx, stepHeldBack)
+	}
 	if httpconn.VerdictOf(err) == verdict.NotRun {
 		a.ticket.End(a.outcome(ctx, balance.Unreachable))
 		if ctx.Err() == nil {
--- a/internal/gateway/httpconn/errors.go
+++ b/internal/gateway/httpconn/errors.go
@@ -8,14 +8,18 @@
 	"mangoledge.example/mangoledge/internal/verdict"
 )
 
-// StageDial is the stage of an Error when no connection was made.
-const StageDial = "dial"
+const (
+	// StageDial is the stage of an Error when no connection was made.
+	StageDial = "dial"
+	// StagePrepare is the stage when the request was held back once a connection was there.
+	StagePrepare = "prepare"
+)
 
 // Error is a failed exchange.
 type Error struct {
 	// Sent is true when bytes of the request may have left, so that it may have run.
 	Sent bool
-	// Stage is what was done when it failed: StageDial, write, read, idle.
+	// Stage is what was done when it failed: StageDial, StagePrepare, write, read, idle.
 	Stage string
 	Cause error
 }
--- a/internal/gateway/httpconn/pool.go
+++ b/internal/gateway/httpconn/pool.go
@@ -57,11 +57,12 @@
 	if err != nil {
 		return nil, &Error{Stage: StageDial, Cause: err}
 	}
+	if err := r.prepare(); err != nil {
+		p.putBack(c)
+		return nil, &Error{Stage: StagePrepare, Cause: err}
+	}
 	out := &Response{pool: p, conn: c, written: make(chan error, 1)}
 	out.stop = context.AfterFunc(ctx, c.close)
-	if r.Prepare != nil {
-		r.Prepare(r.Header)
-	}
 	if err := out.write(r); err != nil {
 		out.Abort()
 		return nil, &Error{Sent: true, Stage: "write", Cause: causeOf(ctx, err)}
@@ -141,8 +142,21 @@
 	return c
 }
 
+// put keeps a connection whose peer was heard just now.
 func (p *Pool) put(c *conn) {
 	c.idleSince = time.Now()
+	p.keep(c)
+}
+
+// putBack keeps a connection that was taken and not used: its peer has counted on.
+func (p *Pool) putBack(c *conn) {
+	if c.idleSince.IsZero() {
+		c.idleSince = c.made
+	}
+	p.keep(c)
+}
+
+func (p *Pool) keep(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle[c.address] = append(p.idle[c.address], c)
--- a/internal/gateway/httpconn/request.go
+++ b/internal/gateway/httpconn/request.go
@@ -18,9 +18,16 @@
 	// MaxIdle is the longest time that the connection used may have been idle; 0
 	// takes a new connection.
 	MaxIdle time.Duration
-	// Prepare, unless nil, sets headers that depend on when the request is written. It is
-	// called once a connection is there.
-	Prepare func(http.Header)
+	// Prepare, unless nil, sets headers that depend on when the request is written, or says
+	// why it must not be written any more. It is called once a connection is there.
+	Prepare func(http.Header) error
+}
+
+func (r *Request) prepare() error {
+	if r.Prepare == nil {
+		return nil
+	}
+	return r.Prepare(r.Header)
 }
 
 // encode returns the head of the request and, when it is short, its body behind it.
