A status that promises that nothing ran is not passed on from an upstream that ran the request

What callers saw: 429 for a request that had run, once where it may not be repeated. Cause: only statuses from 500 on were looked at before an upstream's answer was passed on as it came. Seen by the test of contents that end some of their replicas, whose others answer 429. Change: an answer whose status promises "not run" and that does not say that it was not run is a failure of the upstream, as a 503 was already. The case of the stand-in that throttles got 429 before, 502 after.

--- a/internal/gateway/exchange/send.go
+++ b/internal/gateway/exchange/send.go
@@ -230,7 +230,7 @@
 	response.Finish()
 	a.countBegun(a.sent)
 	a.ticket.Begun()
-	if response.Status >= http.StatusInternalServerError {
+	if response.Status >= http.StatusInternalServerError || a.options.Wire.PromisesNotRun(response.Status) {
 		return a.upstreamFailure(ctx, response, body)
 	}
 	a.ticket.End(balance.Answered)
@@ -241,7 +241,8 @@
 	return stepDone
 }
 
-// upstreamFailure handles a failure that the upstream answered with after it ran the request.
+// upstreamFailure handles a failure that the upstream answered with after it ran the
+// request; a status that promises the opposite is not passed on.
 func (a *attempt) upstreamFailure(ctx context.Context, response *httpconn.Response, body []byte) step {
 	a.ticket.End(a.outcome(ctx, balance.Failed))
 	a.log("upstream failed", "upstream", a.ticket.Upstream.ID, "status", response.Status)
--- a/internal/gateway/server/requests_test.go
+++ b/internal/gateway/server/requests_test.go
@@ -88,6 +88,7 @@
 		"unsigned":       {platformtest.Unsigned, http.StatusBadGateway, 1},
 		"silent":         {platformtest.Hangs, http.StatusGatewayTimeout, 1},
 		"answered twice": {platformtest.AnswersTwice, http.StatusOK, 1},
+		"throttled":      {platformtest.Throttles, http.StatusBadGateway, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newTestSite(t)
