--- a/internal/gateway/server/harness_test.go
+++ b/internal/gateway/server/harness_test.go
@@ -128,6 +128,25 @@
 	return answer{status: response.StatusCode, header: response.Header, body: string(body), err: err}
 }
 
+// counted is what a client got, with the length of the body alone.
+type counted struct {
+	status int
+	bytes  int64
+	err    error
+}
+
+// sendCounting sends a request and counts the answer without keeping it.
+func (s *testSite) sendCounting(n *testNode, r request) counted {
+	s.t.Helper()
+	response, err := s.open(n, r)
+	if err != nil {
+		return counted{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	size, err := io.Copy(io.Discard, response.Body)
+	return counted{response.StatusCode, size, err}
+}
+
 // open sends a request and returns once the head of the answer is there.
 func (s *testSite) open(n *testNode, r request) (*http.Response, error) {
 	s.t.Helper()
