Answers without end neither fill a node nor look complete

What callers saw: of an answer of 17 MiB the first 16 MiB as a whole answer, and so of a body without end; requests that waited for the rest of a rejection. What nodes saw: 50 status lines without end at once took 1,270 MB of heap, headers 555 MB. Cause: a bound on what is read was taken for the end of it (io.LimitReader), or there was none (heads). Change: the heads of an answer have 32 KB in all; an answer is read whole up to 32 KB, and passed on as it comes beyond that, up to 16 MiB, after which it is broken off; an event has 64 KB (1 MiB before); what is left of a rejection is read only if it is short and there, else its connection goes. bounded.ReadAll says when there is more. Tried and sound as they were: chunk extensions, trailers, single interim answers.

--- a/internal/gateway/exchange/events.go
+++ b/internal/gateway/exchange/events.go
@@ -11,8 +11,8 @@
 const (
 	// eventBufferBytes holds a few events; they are some tens of bytes long.
 	eventBufferBytes = 4 << 10
-	// maxEventBytes bounds one event.
-	maxEventBytes = 1 << 20
+	// maxEventBytes bounds one event, which holds a few tokens.
+	maxEventBytes = 64 << 10
 )
 
 // errEventTooLong ends a stream whose event does not end.
--- a/internal/gateway/exchange/send.go
+++ b/internal/gateway/exchange/send.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -21,8 +20,11 @@
 	// onceIdle is the same for a request that cannot: a connection that was used a
 	// moment ago is the least likely to be dead.
 	onceIdle = 4 * time.Second
-	// maxWholeAnswer bounds an answer that is read whole before it is passed on.
-	maxWholeAnswer = 16 << 20
+	// wholeBytes is up to which length an answer is read whole before it is passed on, so that
+	// a broken one can be asked for again; a longer one is passed on as it comes.
+	wholeBytes = 32 << 10
+	// maxAnswerBytes bounds an answer.
+	maxAnswerBytes = 16 << 20
 	// minStreamStall is the shortest silence after which a stream that may be resumed goes elsewhere.
 	minStreamStall = 800 * time.Millisecond
 	// stallFactor is how many times the expected time an upstream may take until then.
@@ -206,11 +208,7 @@
 
 // rejected ends an attempt that the upstream states it did not run.
 func (a *attempt) rejected(ctx context.Context, response *httpconn.Response, meta AnswerMeta) step {
-	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxWholeAnswer)); err != nil {
-		response.Abort()
-	} else {
-		response.Finish()
-	}
+	response.Discard()
 	outcome := balance.Rejected
 	if meta.WrongUpstream {
 		outcome = balance.Unreachable
@@ -220,52 +218,86 @@
 	return a.unless(ctx, stepRejected)
 }
 
-// whole reads an answer to its end and passes it on.
+// whole reads an answer and passes it on.
 func (a *attempt) whole(ctx context.Context, response *httpconn.Response) step {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxWholeAnswer))
-	if err != nil {
+	body := &answerBody{reader: response.Body, length: response.ContentLength}
+	if err := body.readFirst(); err != nil {
 		response.Abort()
 		return a.lost(ctx, err)
 	}
-	response.Finish()
+	if body.complete {
+		response.Finish()
+	}
 	a.countBegun(a.sent)
 	a.ticket.Begun()
 	if response.Status >= http.StatusInternalServerError || a.options.Wire.PromisesNotRun(response.Status) {
 		return a.upstreamFailure(ctx, response, body)
 	}
-	a.ticket.End(balance.Answered)
-	if response.Status/100 == 2 {
-		a.options.Poison.Succeeded(a.content)
-	}
-	a.passOn(response, body)
-	return stepDone
+	return a.passOn(ctx, response, body, balance.Answered)
 }
 
 // upstreamFailure handles a failure that the upstream answered with after it ran the
 // request; a status that promises the opposite is not passed on.
-func (a *attempt) upstreamFailure(ctx context.Context, response *httpconn.Response, body []byte) step {
-	a.ticket.End(a.outcome(ctx, balance.Failed))
+func (a *attempt) upstreamFailure(ctx context.Context, response *httpconn.Response, body *answerBody) step {
 	a.log("upstream failed", "upstream", a.ticket.Upstream.ID, "status", response.Status)
-	if !a.client.begun && a.route.Repeatable() && a.mayRepeat(ctx, repeatFailed) {
-		return stepRepeat
+	outcome := a.outcome(ctx, balance.Failed)
+	repeat := !a.client.begun && a.route.Repeatable() && a.mayRepeat(ctx, repeatFailed)
+	if !repeat && !a.client.begun && !a.options.Wire.PromisesNotRun(response.Status) {
+		return a.passOn(ctx, response, body, outcome)
 	}
-	if a.client.begun || a.options.Wire.PromisesNotRun(response.Status) {
-		a.giveUp(a.client, failedUpstream)
-		return stepDone
+	if !body.complete {
+		response.Abort()
+	}
+	a.ticket.End(outcome)
+	if repeat {
+		return stepRepeat
 	}
-	a.passOn(response, body)
+	a.giveUp(a.client, failedUpstream)
 	return stepDone
 }
 
-// passOn gives the client the upstream's answer as it is.
-func (a *attempt) passOn(response *httpconn.Response, body []byte) {
+// passOn gives the client the upstream's answer as it is, and ends the ticket with outcome.
+func (a *attempt) passOn(ctx context.Context, response *httpconn.Response, body *answerBody, outcome balance.Outcome) step {
+	if !body.complete && a.stall != nil && !a.stall.Stop() {
+		response.Abort()
+		return a.lost(ctx, errStalled) // it was given up for another upstream meanwhile
+	}
 	header := a.client.w.Header()
 	a.options.Wire.CopyAnswerHeader(header, response.Header)
-	header.Set("Content-Length", strconv.Itoa(len(body)))
+	if length, known := body.total(); known {
+		header.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
 	a.client.begin(response.Status)
-	_ = a.client.write(body) // a client that is gone needs no answer
+	err := a.client.write(body.first)
+	if !body.complete {
+		if err == nil {
+			err = body.passRest(a.client)
+		}
+		if err != nil {
+			response.Abort()
+			return a.brokenOff(ctx, err)
+		}
+		response.Finish()
+	}
+	// A client that is gone after a whole answer needs nothing more.
+	a.ticket.End(outcome)
+	if response.Status/100 == 2 {
+		a.options.Poison.Succeeded(a.content)
+	}
 	a.options.Metrics.Answered(a.exchange, response.Status)
-	a.log("answered", "upstream", a.ticket.Upstream.ID, "status", response.Status, "sends", a.sends, "bytes", len(body))
+	a.log("answered", "upstream", a.ticket.Upstream.ID, "status", response.Status, "sends", a.sends, "bytes", body.size)
+	return stepDone
+}
+
+// brokenOff ends an answer of which the client has a part.
+func (a *attempt) brokenOff(ctx context.Context, err error) step {
+	if errors.Is(err, errClientTakesNoMore) {
+		return a.clientLost(ctx)
+	}
+	if a.lost(ctx, err) != stepDone {
+		a.giveUp(a.client, failedUpstream)
+	}
+	return stepDone
 }
 
 // countBegun counts the request once for the usage report.
--- a/internal/gateway/httpconn/conn.go
+++ b/internal/gateway/httpconn/conn.go
@@ -8,6 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"mangoledge.example/mangoledge/internal/bounded"
 )
 
 const (
@@ -28,7 +30,9 @@
 type conn struct {
 	address string
 	net     *net.TCPConn
-	reader  *bufio.Reader
+	// reader buffers what source lets through.
+	reader *bufio.Reader
+	source *bounded.Reader
 	// made is when the connection was made.
 	made time.Time
 	// idleSince is when the last answer ended; zero for a new connection.
@@ -47,7 +51,8 @@
 			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
 		})
 	}
-	return &conn{address: address, net: c, reader: bufio.NewReaderSize(c, readBufferBytes), made: time.Now()}
+	source := bounded.NewReader(c)
+	return &conn{address: address, net: c, source: source, reader: bufio.NewReaderSize(source, readBufferBytes), made: time.Now()}
 }
 
 // usable reports whether an idle connection can carry another request.
--- a/internal/gateway/httpconn/response.go
+++ b/internal/gateway/httpconn/response.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"mangoledge.example/mangoledge/internal/bounded"
 )
 
 // Response is an answer whose body is still to be read. Exactly one of Finish and
@@ -51,6 +53,8 @@
 
 func (r *Response) readHead(req *Request) error {
 	asked := &http.Request{Method: req.Method}
+	r.conn.source.Allow(maxHeadBytes)
+	defer r.conn.source.Allow(-1)
 	for range maxInformational {
 		message, err := http.ReadResponse(r.conn.reader, asked) //nolint:bodyclose // Finish and Abort end the connection
 		if err != nil {
@@ -69,6 +73,19 @@
 	return errors.New("no final answer")
 }
 
+// Discard ends a response whose body does not matter. Its connection is kept only if the
+// rest of the body is short and comes at once.
+func (r *Response) Discard() {
+	// A connection that takes no deadline is closed below.
+	_ = r.conn.net.SetReadDeadline(time.Now().Add(discardTime))
+	_, err := bounded.ReadAll(r.Body, discardBytes)
+	if err != nil || r.conn.net.SetReadDeadline(time.Time{}) != nil {
+		r.Abort()
+		return
+	}
+	r.Finish()
+}
+
 // ConnectedAt is when the connection was made that the answer came over.
 func (r *Response) ConnectedAt() time.Time { return r.conn.made }
 
--- a/internal/gateway/server/endless_test.go
+++ b/internal/gateway/server/endless_test.go
@@ -1,6 +1,7 @@
 package server_test
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -95,6 +96,7 @@
 		}
 		all.Wait()
 	})
+	t.Logf("%d KB of heap", peak>>10)
 	require.Less(t, peak, endlessMemory, "bytes of heap")
 	require.Eventually(t, func() bool { return replica.Closed() >= replica.Arrived() }, patience, 20*time.Millisecond, "connections are closed")
 }
@@ -144,15 +146,20 @@
 
 func TestARejectionWhoseBodyDoesNotEndHoldsNoRequestUp(t *testing.T) {
 	s := newTestSite(t)
-	for _, id := range []string{"i-1", "i-2", "i-3"} {
-		raw := platformtest.NewRawReplica(t, id, func(conn net.Conn, attempt string) {
-			_, _ = fmt.Fprint(conn, platformtest.SignedHead("503 Service Unavailable", attempt)+"X-Mangoledge-Not-Executed: 1\r\nContent-Length: 100000\r\n\r\nx")
-		})
-		s.store.Put("servers", id, raw.Entry("plain"))
-	}
-	s.configure(1, nil)
+	raw := platformtest.NewRawReplica(t, "i-1", func(conn net.Conn, attempt string) {
+		_, _ = fmt.Fprint(conn, platformtest.SignedHead("503 Service Unavailable", attempt)+"X-Mangoledge-Not-Executed: 1\r\nContent-Length: 100000\r\n\r\nx")
+	})
+	s.store.Put("servers", "i-1", raw.Entry("plain"))
+	s.configure(1, func(c map[string]any) {
+		for _, route := range c["routes"].([]any) {
+			route.(map[string]any)["timeout_ms"] = 60_000
+		}
+	})
 	n := s.start(1, "a", nil)
-	require.Eventually(t, func() bool { return s.stateOf(n).Upstreams["plain"] == 3 && s.stateOf(n).QuotaBegun }, patience, 20*time.Millisecond)
-	got := s.send(n, request{path: "/again/x", body: "b", deadline: 5 * time.Second})
-	require.Equal(t, http.StatusServiceUnavailable, got.status, "and no time-out")
+	require.Eventually(t, func() bool { return s.stateOf(n).Upstreams["plain"] == 1 && s.stateOf(n).QuotaBegun }, patience, 20*time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	got := s.send(n, request{path: "/once/x", body: "b", deadline: time.Minute, ctx: ctx})
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
 }
