--- a/internal/bounded/read.go
+++ b/internal/bounded/read.go
@@ -7,6 +7,10 @@
 	"github.com/cockroachdb/errors"
 )
 
+// HeadBytes is the longest head of an answer that is taken from anyone; those that the
+// protocols know have less than 1 KB.
+const HeadBytes = 32 << 10
+
 // ErrTooLong is returned for what is longer than its bound.
 var ErrTooLong = errors.New("longer than its bound")
 
--- a/internal/callerclient/http.go
+++ b/internal/callerclient/http.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"mangoledge.example/mangoledge/api/callerapi"
+	"mangoledge.example/mangoledge/internal/bounded"
 )
 
 // maxAnswerBytes bounds an answer that is read whole.
@@ -65,7 +66,7 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	data, err := bounded.ReadAll(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return err
 	}
@@ -73,7 +74,7 @@
 }
 
 func readRefusal(resp *http.Response) error {
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	data, err := bounded.ReadAll(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return err
 	}
--- a/internal/callerclient/options.go
+++ b/internal/callerclient/options.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"mangoledge.example/mangoledge/internal/bounded"
 )
 
 const (
@@ -48,10 +50,11 @@
 func NewTransport(tlsConfig *tls.Config) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		TLSClientConfig:     tlsConfig,
-		TLSHandshakeTimeout: dialTimeout,
-		IdleConnTimeout:     idleConnTimeout,
-		MaxIdleConnsPerHost: maxIdlePerHost,
+		DialContext:            dialer.DialContext,
+		TLSClientConfig:        tlsConfig,
+		TLSHandshakeTimeout:    dialTimeout,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxIdleConnsPerHost:    maxIdlePerHost,
+		MaxResponseHeaderBytes: bounded.HeadBytes,
 	}
 }
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"mangoledge.example/mangoledge/internal/bounded"
 	"mangoledge.example/mangoledge/internal/verdict"
 )
 
@@ -56,6 +57,8 @@
 		MaxIdleConnsPerHost: maxIdlePerEngine,
 		IdleConnTimeout:     idleConnLife,
 		DisableCompression:  true,
+		// An engine in trouble may send a head that does not end.
+		MaxResponseHeaderBytes: bounded.HeadBytes,
 	}
 }
 
--- a/internal/gateway/httpconn/pool.go
+++ b/internal/gateway/httpconn/pool.go
@@ -24,9 +24,6 @@
 	// probeTime is within what time a proxy whose upstream is dead closes a connection
 	// that it took, and an upstream one that it has no room for.
 	probeTime = 50 * time.Millisecond
-	// maxHeadBytes bounds the heads of an answer, interim ones included; replicas send less
-	// than 1 KB.
-	maxHeadBytes = 32 << 10
 	// discardBytes and discardTime bound the rest of a body that is read so that its
 	// connection can be used again: more costs more than a new connection.
 	discardBytes = 4 << 10
--- a/internal/gateway/peers/message.go
+++ b/internal/gateway/peers/message.go
@@ -1,6 +1,8 @@
 package peers
 
 import (
+	"bytes"
+
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -105,6 +107,11 @@
 
 // decodeMessage reads a datagram.
 func decodeMessage(data []byte) (*Message, error) {
+	// The decoder makes room for as many entries as a map or list claims to hold; going
+	// through them first tells whether they are there.
+	if err := msgpack.NewDecoder(bytes.NewReader(data)).Skip(); err != nil {
+		return nil, errors.Wrap(err, "message")
+	}
 	var m Message
 	if err := msgpack.Unmarshal(data, &m); err != nil {
 		return nil, errors.Wrap(err, "message")
--- a/internal/gateway/server/relay.go
+++ b/internal/gateway/server/relay.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"mangoledge.example/mangoledge/internal/bounded"
 	"mangoledge.example/mangoledge/internal/gateway/catalog"
 	"mangoledge.example/mangoledge/internal/gateway/httpconn"
 	"mangoledge.example/mangoledge/internal/gateway/peers"
@@ -250,7 +251,7 @@
 func (g *Gateway) fetchConfig(ctx context.Context, address string) (json.RawMessage, error) {
 	var spec json.RawMessage
 	err := g.ask(ctx, address, configPath, func(body io.Reader) (err error) {
-		spec, err = io.ReadAll(io.LimitReader(body, maxSnapshotBytes))
+		spec, err = bounded.ReadAll(body, maxSnapshotBytes)
 		return err
 	})
 	return spec, err
@@ -282,12 +283,7 @@
 		response.Abort()
 		return err
 	}
-	// What is left of the body is read, so that the connection can be used again.
-	if _, err := io.Copy(io.Discard, response.Body); err != nil {
-		response.Abort()
-		return err
-	}
-	response.Finish()
+	response.Discard()
 	return nil
 }
 
--- a/internal/peer/dialer.go
+++ b/internal/peer/dialer.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"mangoledge.example/mangoledge/internal/bounded"
 )
 
 // dialTimeout is how long a connection to another node may take to come up.
@@ -60,7 +62,10 @@
 	if err := req.Write(conn); err != nil {
 		return err
 	}
-	resp, err := http.ReadResponse(bufio.NewReaderSize(conn, 1), req)
+	head := bounded.NewReader(conn)
+	head.Allow(bounded.HeadBytes)
+	// A buffer of one byte leaves what is behind the head to net/rpc.
+	resp, err := http.ReadResponse(bufio.NewReaderSize(head, 1), req)
 	if err != nil {
 		return err
 	}
--- a/internal/plainservice/client.go
+++ b/internal/plainservice/client.go
@@ -6,13 +6,13 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strings"
 	"time"
 
+	"mangoledge.example/mangoledge/internal/bounded"
 	"mangoledge.example/mangoledge/internal/verdict"
 )
 
@@ -34,7 +34,7 @@
 // none is lost on one that was silently forgotten on its way.
 func NewClient() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second}
-	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
+	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: bounded.HeadBytes}
 	return &Client{http: &http.Client{Transport: transport}}
 }
 
@@ -61,7 +61,7 @@
 		return "", verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "the call to the service broke: %v", err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	reply, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	reply, err := bounded.ReadAll(resp.Body, maxReplyBytes)
 	if err != nil {
 		return "", verdict.New(verdict.Ran, verdict.CodeUpstreamFailed, "the service's reply broke: %v", err)
 	}
--- a/internal/platform/objects/client.go
+++ b/internal/platform/objects/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -11,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"mangoledge.example/mangoledge/internal/bounded"
 	"mangoledge.example/mangoledge/internal/platform/rest"
 )
 
@@ -163,7 +163,7 @@
 		return call.failed(sent, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	data, err := bounded.ReadAll(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return call.failed(true, err)
 	}
--- a/internal/platform/rest/client.go
+++ b/internal/platform/rest/client.go
@@ -7,13 +7,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
+
+	"mangoledge.example/mangoledge/internal/bounded"
 )
 
 const (
@@ -128,7 +129,7 @@
 		return failure
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	data, err := bounded.ReadAll(resp.Body, maxAnswerBytes)
 	if err != nil {
 		failure.Cause = err
 		return failure
--- a/internal/platform/rest/sender.go
+++ b/internal/platform/rest/sender.go
@@ -7,6 +7,8 @@
 	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
+
+	"mangoledge.example/mangoledge/internal/bounded"
 )
 
 // Sender sends requests with JSON bodies to one service.
@@ -22,7 +24,7 @@
 	return &Sender{
 		baseURL:   strings.TrimSuffix(baseURL, "/"),
 		token:     token,
-		transport: &http.Transport{MaxIdleConnsPerHost: idleConnections},
+		transport: &http.Transport{MaxIdleConnsPerHost: idleConnections, MaxResponseHeaderBytes: bounded.HeadBytes},
 	}
 }
 
--- a/internal/sse/reader.go
+++ b/internal/sse/reader.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"bytes"
 	"io"
+
+	"mangoledge.example/mangoledge/internal/bounded"
 )
 
-// maxLineBytes is the longest line that is read, in bytes.
-const maxLineBytes = 4 << 20
+// maxEventBytes is the longest event that is read, and the longest line of one, in bytes.
+const maxEventBytes = 4 << 20
 
 // Reader reads events.
 type Reader struct {
@@ -17,7 +19,7 @@
 // NewReader returns a Reader of r.
 func NewReader(r io.Reader) *Reader {
 	scanner := bufio.NewScanner(r)
-	scanner.Buffer(make([]byte, 0, 4096), maxLineBytes)
+	scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
 	return &Reader{scanner: scanner}
 }
 
@@ -41,6 +43,9 @@
 			if out.Data != nil {
 				out.Data = append(out.Data, '\n')
 			}
+			if len(out.Data)+len(part) > maxEventBytes {
+				return Event{}, bounded.ErrTooLong
+			}
 			out.Data = append(out.Data, part...)
 			if out.Data == nil {
 				out.Data = []byte{}
--- a/internal/sse/sse_test.go
+++ b/internal/sse/sse_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/internal/bounded"
 )
 
 func TestRoundTrip(t *testing.T) {
@@ -34,3 +36,24 @@
 	_, err := reader.Next()
 	require.ErrorIs(t, err, io.EOF)
 }
+
+func TestAnEventThatDoesNotEndIsNotKeptForEver(t *testing.T) {
+	r := NewReader(io.LimitReader(endlessLines{}, 64*maxEventBytes))
+	_, err := r.Next()
+	require.ErrorIs(t, err, bounded.ErrTooLong)
+}
+
+// endlessLines is a stream of data lines without an empty one.
+type endlessLines struct{}
+
+func (endlessLines) Read(p []byte) (int, error) {
+	const line = "data: x\n"
+	n := 0
+	for n+len(line) <= len(p) {
+		n += copy(p[n:], line)
+	}
+	if n == 0 {
+		n = copy(p, line)
+	}
+	return n, nil
+}
