Upstreams that say in an answer that they leave, or want quiet, are left alone by the node that was told

Change: platform/ decodes both; the balancer keeps them by incarnation, also while the entry is gone; each send asks again when it is written; a service all of whose upstreams want quiet is refused at once with the time that fits, spread over half as long again; looks at upstreams that lost an answer wait; orders for capacity do not count one that leaves, or is quiet for longer than one takes to start.

--- a/internal/faulttest/gatewaycheck_test.go
+++ b/internal/faulttest/gatewaycheck_test.go
@@ -38,6 +38,7 @@
 	s.checkQuota(runs, sent)
 	s.checkRepeats(sent)
 	s.checkFatal()
+	s.checkNotices(sent)
 	s.checkUsage()
 	s.checkOrders()
 	s.t.Logf("%d attempts: %v; %d usage reports, %d orders", len(s.attempts), counts, len(s.cloud.Reports()), len(s.cloud.Orders()))
--- a/internal/faulttest/gatewayfatal_test.go
+++ b/internal/faulttest/gatewayfatal_test.go
@@ -54,15 +54,22 @@
 type disturbance struct {
 	node     *gatewayNode
 	from, to time.Time
+	// process is true when the process was restarted or stood still.
+	process bool
 }
 
 // disturb notes that a node, or nil for all, is disturbed while do runs.
-func (s *gatewaySite) disturb(n *gatewayNode, do func()) {
+func (s *gatewaySite) disturb(n *gatewayNode, do func()) { s.noteDisturbance(n, false, do) }
+
+// disturbProcess is disturb for restarts and pauses.
+func (s *gatewaySite) disturbProcess(n *gatewayNode, do func()) { s.noteDisturbance(n, true, do) }
+
+func (s *gatewaySite) noteDisturbance(n *gatewayNode, process bool, do func()) {
 	from := time.Now()
 	do()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.disturbed = append(s.disturbed, disturbance{n, from, time.Now()})
+	s.disturbed = append(s.disturbed, disturbance{n, from, time.Now(), process})
 }
 
 // inTouch reports whether a node was undisturbed for contactTime before a moment.
--- a/internal/faulttest/gatewayfaults_test.go
+++ b/internal/faulttest/gatewayfaults_test.go
@@ -16,7 +16,7 @@
 		n.process.signal(syscall.SIGHUP)
 		return
 	}
-	s.disturb(n, func() { s.breakRunning(st, n) })
+	s.disturbProcess(n, func() { s.breakRunning(st, n) })
 }
 
 // breakRunning pauses, stops or kills a process.
@@ -46,7 +46,7 @@
 		n.broken.Lock()
 		defer n.broken.Unlock()
 	}
-	s.disturb(nil, func() {
+	s.disturbProcess(nil, func() {
 		for _, n := range s.nodes {
 			n.process.signal(syscall.SIGKILL)
 		}
@@ -153,10 +153,14 @@
 	if err != nil {
 		return // another fault is at work on this link already
 	}
+	from := time.Now()
 	time.Sleep(st.long)
 	if err := l.mend(); err != nil {
 		s.t.Errorf("%s: %v", l.name, err)
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.linkTroubles = append(s.linkTroubles, linkTrouble{l, from, time.Now()})
 }
 
 // badBehaviours are what a replica does to some of its requests.
--- a/internal/faulttest/gatewaysite_test.go
+++ b/internal/faulttest/gatewaysite_test.go
@@ -53,6 +53,8 @@
 	attempts []*gatewayAttempt
 	// disturbed holds when nodes were not in touch.
 	disturbed []disturbance
+	// linkTroubles holds when links were broken.
+	linkTroubles []linkTrouble
 	// restarts is how replicas that a fatal content ended come back.
 	restarts func() replicaReturn
 	// spare returns the status with which replicas answer the fatal content, or 0 when it ends them.
--- a/internal/faulttest/gatewaysoak_test.go
+++ b/internal/faulttest/gatewaysoak_test.go
@@ -76,6 +76,20 @@
 	soakFurtherKinds
 )
 
+// Kinds that came after the further ones; seeds from firstWithNotices on have them.
+const (
+	soakLeavesByAnswer = soakFurtherKinds + 1 + iota
+	soakWantsQuiet
+	soakNoticeKinds
+)
+
+const (
+	// soakNotices is how many faults of the kinds above a run has.
+	soakNotices = 4
+	// firstWithNotices is the first seed by hand that has them; the fixed seeds of CI have them too.
+	firstWithNotices = 6000
+)
+
 // soakFurther is how many faults of the further kinds a run has.
 const soakFurther = 4
 
@@ -102,7 +116,25 @@
 			out[i].at = out[i-1].at
 		}
 	}
-	return append(out, soakFurtherSteps(seed)...)
+	return slices.Concat(out, soakFurtherSteps(seed), soakNoticeSteps(seed))
+}
+
+// soakNoticeSteps makes the faults in which replicas ask something of nodes in their answers.
+func soakNoticeSteps(seed uint64) []soakStep {
+	if regressions[seed] != "" || (seed > fixedSeeds && seed < firstWithNotices) {
+		return nil
+	}
+	random := rand.New(rand.NewPCG(seed, seed+2))
+	out := make([]soakStep, soakNotices)
+	for i := range out {
+		out[i] = soakStep{
+			at:     time.Duration(random.Int64N(int64(soakTime))),
+			kind:   soakLeavesByAnswer + soakKind(random.IntN(int(soakNoticeKinds-soakLeavesByAnswer))),
+			target: random.IntN(1 << 16),
+			long:   2*time.Second + time.Duration(random.Int64N(int64(3*time.Second))),
+		}
+	}
+	return out
 }
 
 // soakFurtherSteps makes the faults of a seed that last long and come in series.
@@ -170,6 +202,9 @@
 func soakSeed(t *testing.T, seed uint64) {
 	s := startGatewaySite(t, int(soakNumber(t, nodesVariable, gatewayNodes)), gatewayReplicas)
 	s.restarts = drawnReturns(seed)
+	if seed >= firstWithNotices {
+		s.spare = spareEach(int64(2+seed%3), []int{http.StatusOK, http.StatusBadRequest}[seed%2])
+	}
 	t.Cleanup(func() { s.keepLogs(seed) })
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
@@ -225,7 +260,11 @@
 		s.failReplicas(st)
 	case soakFatal:
 		s.sendFatalFor(st.long)
-	case soakKinds, soakFurtherKinds:
+	case soakLeavesByAnswer:
+		s.leaveByAnswer(slot, st.long)
+	case soakWantsQuiet:
+		s.wantQuiet(st)
+	case soakKinds, soakFurtherKinds, soakNoticeKinds:
 	}
 }
 
@@ -304,8 +343,10 @@
 		s.t.Errorf("%s did not end in its grace", n.settings.Name)
 	}
 	open.Wait()
-	n.process.kill()
-	s.launch(n, false)
+	s.disturbProcess(n, func() {
+		n.process.kill()
+		s.launch(n, false)
+	})
 }
 
 // keepLogs copies the daemons' logs of a run that failed, when a place is named.
--- a/internal/gateway/balance/balancer.go
+++ b/internal/gateway/balance/balancer.go
@@ -49,11 +49,13 @@
 	mu     sync.Mutex
 	states map[string]*state
 	others map[uint32]Outstanding
+	// closures holds the upstreams that asked in an answer to be left alone, by ID.
+	closures map[string]*closed
 }
 
 // New returns a balancer of a node in domain.
 func New(domain string, now func() time.Time) *Balancer {
-	return &Balancer{domain: domain, now: now, states: make(map[string]*state)}
+	return &Balancer{domain: domain, now: now, states: make(map[string]*state), closures: make(map[string]*closed)}
 }
 
 // Choice is what a request may be sent to.
@@ -70,15 +72,19 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	home := b.homeOf(r, c.Candidates)
+	home := b.homeOf(r, c.Candidates, now)
 	var best *state
 	var bestCost, pause time.Duration
 	for _, u := range c.Candidates {
 		if c.Tried[u.ID] {
 			continue
 		}
+		closure, left := b.closedAt(u, now)
+		if closure == Leaving {
+			continue
+		}
 		s := b.state(u, now)
-		if left := s.avoidUntil.Sub(now); left > 0 {
+		if left = max(left, s.avoidUntil.Sub(now)); left > 0 {
 			if pause == 0 || left < pause {
 				pause = left
 			}
@@ -96,13 +102,16 @@
 }
 
 // homeOf returns the upstream at which requests with the same prompt part meet.
-func (b *Balancer) homeOf(r *site.Request, candidates []site.Upstream) string {
+func (b *Balancer) homeOf(r *site.Request, candidates []site.Upstream, now time.Time) string {
 	key := r.PrefixKey()
 	if key == "" {
 		return ""
 	}
 	best, bestScore := "", uint64(0)
 	for _, u := range candidates {
+		if closure, _ := b.closedAt(u, now); closure != Open {
+			continue
+		}
 		if score := rendezvous.Score(key, u.ID); best == "" || score > bestScore {
 			best, bestScore = u.ID, score
 		}
--- /dev/null
+++ b/internal/gateway/balance/closure_test.go
@@ -0,0 +1,101 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/internal/gateway/site"
+)
+
+func listed(c []site.Upstream) map[string]site.Upstream {
+	out := make(map[string]site.Upstream)
+	for _, u := range c {
+		out[u.ID] = u
+	}
+	return out
+}
+
+func TestALeavingUpstreamGetsNothingUntilItStartsAnew(t *testing.T) {
+	b, c := newTestBalancer(), upstreams(2)
+	require.True(t, b.Leave(c[0]))
+	require.False(t, b.Leave(c[0]), "it is told once")
+	b.Reopen(nil) // its entry lapses
+	b.Keep(nil)
+	b.time = b.time.Add(absentTime / 2)
+	require.Empty(t, b.Reopen(listed(c)))
+	moved := c[0]
+	moved.Address = upstreams(5)[4].Address
+	for _, u := range []site.Upstream{c[0], moved} {
+		for range 20 {
+			require.Equal(t, c[1].ID, b.pick(t, prompt("s", 10), []site.Upstream{u, c[1]}).Upstream.ID)
+		}
+	}
+	c[0].Born = c[0].Born.Add(time.Second)
+	require.Len(t, b.Reopen(listed(c)), 1)
+	ticket, _ := b.Pick(prompt("s", 10), &Choice{Service: testEngine, Candidates: c[:1]})
+	require.NotNil(t, ticket)
+}
+
+func TestAQuietUpstreamGetsNothingUntilItsTimeIsOver(t *testing.T) {
+	b, c := newTestBalancer(), upstreams(1)
+	require.True(t, b.LeaveAlone(c[0], 2*time.Second))
+	require.False(t, b.LeaveAlone(c[0], time.Second), "a shorter wish takes nothing back")
+	for range 2 {
+		ticket, pause := b.Pick(prompt("s", 10), &Choice{Service: testEngine, Candidates: c})
+		require.Nil(t, ticket)
+		require.Equal(t, 2*time.Second-b.time.Sub(time.Unix(1000, 0)), pause)
+		b.time = b.time.Add(time.Second)
+	}
+	require.NotNil(t, b.pick(t, prompt("s", 10), c))
+	require.Len(t, b.Reopen(listed(c)), 1)
+}
+
+func TestAServiceOpensWithTheFirstOfItsUpstreams(t *testing.T) {
+	b, c := newTestBalancer(), upstreams(3)
+	b.Leave(c[0])
+	b.LeaveAlone(c[1], 3*time.Second)
+	b.LeaveAlone(c[2], 2*time.Second)
+	opens, any := b.OpensIn(c)
+	require.True(t, any)
+	require.Equal(t, 2*time.Second, opens)
+	_, any = b.OpensIn(c[:1])
+	require.False(t, any)
+}
+
+// Whatever upstreams say and however time goes on, none is chosen while it is closed.
+func TestNoClosedUpstreamIsEverChosen(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(20)
+	properties := gopter.NewProperties(parameters)
+	properties.Property("closed", prop.ForAll(func(events []int) bool {
+		b, c := newTestBalancer(), upstreams(4)
+		for _, e := range events {
+			u := c[e%4]
+			switch e / 4 % 5 {
+			case 0:
+				b.Leave(u)
+			case 1:
+				b.LeaveAlone(u, time.Duration(e%7)*time.Second)
+			case 2:
+				b.time = b.time.Add(time.Duration(e%3) * time.Second)
+			case 3:
+				c[e%4].Born = u.Born.Add(time.Second)
+				b.Reopen(listed(c))
+			}
+			ticket, _ := b.Pick(prompt("s", 10), &Choice{Service: testEngine, Candidates: c})
+			if ticket == nil {
+				continue
+			}
+			if why, _ := b.Closed(ticket.Upstream); why != Open {
+				return false
+			}
+			ticket.End(Answered)
+		}
+		return true
+	}, gen.SliceOfN(40, gen.IntRange(0, 9999))))
+	properties.TestingRun(t)
+}
--- a/internal/gateway/balance/doc.go
+++ b/internal/gateway/balance/doc.go
@@ -7,8 +7,9 @@
 // share a part meet at one upstream without the nodes agreeing on it; a long line
 // there sends a request elsewhere.
 //
-// Invariants: an upstream that is not in the list handed in is never chosen; every
-// ticket ends exactly once. The package does no I/O and gets its clock handed in.
+// Invariants: an upstream that is not in the list handed in is never chosen, nor one
+// that said in an answer that it leaves, or that it wants to be left alone for a time
+// that is not over; every ticket ends exactly once. The package does no I/O and gets its clock handed in.
 //
 // Lock order: Balancer.mu is a leaf.
 package balance
--- a/internal/gateway/exchange/deps.go
+++ b/internal/gateway/exchange/deps.go
@@ -23,6 +23,12 @@
 	NotRun bool
 	// WrongUpstream is true when another upstream has the address.
 	WrongUpstream bool
+	// Leaving is true when the upstream says that it ends and wants nothing new.
+	Leaving bool
+	// Quiet is for how long the upstream wants nothing from this node; 0 for no such wish.
+	Quiet time.Duration
+	// Unclear is what the upstream said of that time when it could not be read as it stands.
+	Unclear string
 }
 
 // Send is what the gateway adds to one send of a request.
@@ -111,6 +117,8 @@
 	// ConfigFresh is the age up to which a configuration is taken to be current; a
 	// request that an older one does not know is told to come back.
 	ConfigFresh time.Duration
+	// Random returns a number from 0 up to 1, to spread what would come at once.
+	Random func() float64
 	// WallClock is the time of day, for the windows of the usage report.
 	WallClock func() time.Time
 }
--- a/internal/gateway/exchange/metrics.go
+++ b/internal/gateway/exchange/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"mangoledge.example/mangoledge/internal/gateway/balance"
 	projectmetrics "mangoledge.example/mangoledge/internal/metrics"
 )
 
@@ -53,6 +54,13 @@
 		projectmetrics.Label{Name: "allowed", Value: strconv.FormatBool(allowed)})
 }
 
+// Closed counts an upstream that asked to be left alone.
+func (m *Metrics) Closed(e *exchange, why balance.Closure) {
+	m.count("gateway.upstreams_taken_out",
+		projectmetrics.Label{Name: "service", Value: e.service.Name},
+		projectmetrics.Label{Name: "why", Value: why.String()})
+}
+
 // Answered counts an answer of an upstream that was passed on whole.
 func (m *Metrics) Answered(e *exchange, status int) {
 	m.count("gateway.answered", append(e.labels(), projectmetrics.Label{Name: "status", Value: strconv.Itoa(status)})...)
--- a/internal/gateway/exchange/refusal.go
+++ b/internal/gateway/exchange/refusal.go
@@ -42,6 +42,10 @@
 	return &refusal{status: http.StatusServiceUnavailable, reason: "overloaded", retryAfter: after}
 }
 
+func refuseQuiet(after time.Duration) *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: "upstreams_want_quiet", retryAfter: after}
+}
+
 // write answers the client.
 func (r *refusal) write(w http.ResponseWriter, e *exchange) {
 	header := w.Header()
--- a/internal/gateway/exchange/run.go
+++ b/internal/gateway/exchange/run.go
@@ -68,6 +68,10 @@
 				return
 			}
 		case stepRejected:
+			if refused := e.refuseClosed(); refused != nil {
+				e.giveUp(client, e.finalRefusal(refused))
+				return
+			}
 			if !e.mayRepeat(ctx, repeatRejected) {
 				e.giveUp(client, e.finalRefusal(refuseBusy(busyRetry)))
 				return
@@ -159,6 +163,9 @@
 		if len(view.ByService[e.service.Name]) == 0 {
 			return nil, e.finalRefusal(refuseNoUpstream(noUpstreamRetry))
 		}
+		if refused := e.refuseClosed(); refused != nil {
+			return nil, e.finalRefusal(refused)
+		}
 		held += pause
 		if pause == 0 || held > maxHold || held > time.Until(e.deadline)/4 {
 			e.options.Demand.Arrived(e.service.Name, e.request.PromptTokens, e.request.MaxOutputTokens)
@@ -168,6 +175,23 @@
 	}
 }
 
+// refuseClosed returns what to answer when all upstreams of the service asked to be left
+// alone for longer than a request is held, or nil. Callers come back spread over half as
+// long again, so that the first to open is not met by all of them.
+func (e *exchange) refuseClosed() *refusal {
+	list := e.options.Upstreams.View().ByService[e.service.Name]
+	wait, any := e.options.Balancer.OpensIn(list)
+	switch {
+	case len(list) == 0:
+		return nil
+	case !any:
+		return refuseNoUpstream(noUpstreamRetry)
+	case wait <= maxHold:
+		return nil
+	}
+	return refuseQuiet(wait + time.Duration(e.options.Random()*float64(wait)/2))
+}
+
 func (e *exchange) choice(view *catalog.View) *balance.Choice {
 	return &balance.Choice{Service: e.service, Candidates: view.ByService[e.service.Name], Tried: e.tried}
 }
--- a/internal/gateway/exchange/send.go
+++ b/internal/gateway/exchange/send.go
@@ -77,7 +77,7 @@
 // is no reason to end an answer.
 func (a *attempt) stalled(tried int, cancel context.CancelCauseFunc) {
 	others := len(a.options.Upstreams.View().ByService[a.service.Name]) - tried
-	if others <= 0 || a.mayBeSent() != nil || !a.takeRepeat(repeatSilent) {
+	if others <= 0 || a.options.Poison.Convicted(a.content) || !a.takeRepeat(repeatSilent) {
 		return
 	}
 	a.granted.Store(true)
@@ -111,25 +111,53 @@
 		MaxIdle: idle,
 		Prepare: func(h http.Header) error {
 			e.options.Wire.SetLeft(h, time.Until(e.deadline))
-			return e.mayBeSent()
+			return e.mayBeSent(ticket.Upstream)
 		},
 	}
 }
 
 // mayBeSent says why the request must not be written any more: what was true when its
 // upstream was chosen may have changed while a connection was made.
-func (e *exchange) mayBeSent() error {
+func (e *exchange) mayBeSent(to site.Upstream) error {
 	if e.options.Poison.Convicted(e.content) {
 		return errConvicted
 	}
+	if why, left := e.options.Balancer.Closed(to); why != balance.Open {
+		return errors.Newf("the upstream is %s, for %s yet", why, left)
+	}
 	return nil
 }
 
+// heed notes what the upstream asks of this node in an answer.
+func (a *attempt) heed(response *httpconn.Response, meta AnswerMeta) {
+	u := a.ticket.Upstream
+	if meta.Unclear != "" {
+		a.log("time of quiet is unclear", "upstream", u.ID, "said", meta.Unclear, "taken_as", meta.Quiet)
+	}
+	if meta.Leaving {
+		response.CloseAfter()
+		if a.options.Balancer.Leave(u) {
+			a.options.Pool.CloseIdle(u.Address.String())
+			a.closed(balance.Leaving, 0, response.Status)
+		}
+	}
+	if meta.Quiet > 0 && a.options.Balancer.LeaveAlone(u, meta.Quiet) {
+		a.closed(balance.Quiet, meta.Quiet, response.Status)
+	}
+}
+
+// closed tells that the upstream gets nothing from this node any more, or for a time.
+func (a *attempt) closed(why balance.Closure, d time.Duration, status int) {
+	a.options.Metrics.Closed(a.exchange, why)
+	a.log("upstream taken out", "upstream", a.ticket.Upstream.ID, "born", a.ticket.Upstream.Born, "why", why.String(), "for", d, "status", status)
+}
+
 // failedToSend ends an attempt that got no head of an answer.
 func (a *attempt) failedToSend(ctx context.Context, err error) step {
 	var failed *httpconn.Error
 	if errors.As(err, &failed) && failed.Stage == httpconn.StagePrepare {
 		a.ticket.End(balance.Abandoned)
+		delete(a.tried, a.ticket.Upstream.ID)
 		a.log("request held back", "upstream", a.ticket.Upstream.ID, "error", err)
 		return a.unless(ctx, stepHeldBack)
 	}
@@ -192,6 +220,7 @@
 		response.Abort()
 		return a.lost(ctx, errors.Newf("the answer belongs to request %q", meta.AttemptID))
 	}
+	a.heed(response, meta)
 	switch {
 	case meta.NotRun && a.options.Wire.PromisesNotRun(response.Status):
 		return a.rejected(ctx, response, meta)
--- a/internal/gateway/httpconn/pool.go
+++ b/internal/gateway/httpconn/pool.go
@@ -166,6 +166,16 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
+// CloseIdle closes the idle connections to an address.
+func (p *Pool) CloseIdle(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[address] {
+		c.close()
+	}
+	delete(p.idle, address)
+}
+
 // Sweep closes connections that were idle for too long.
 func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
--- a/internal/gateway/httpconn/response.go
+++ b/internal/gateway/httpconn/response.go
@@ -27,6 +27,8 @@
 	conn    *conn
 	message *http.Response
 	stop    func() bool
+	// closeAfter is true when the connection is not to be used again.
+	closeAfter bool
 	// written receives the outcome of writing a long body.
 	written chan error
 	// writing is true while a long body is written beside the reading.
@@ -86,13 +88,16 @@
 	r.Finish()
 }
 
+// CloseAfter has the connection closed once the answer is read.
+func (r *Response) CloseAfter() { r.closeAfter = true }
+
 // ConnectedAt is when the connection was made that the answer came over.
 func (r *Response) ConnectedAt() time.Time { return r.conn.made }
 
 // Finish ends a response whose body was read to its end and keeps the connection
 // when it is clean.
 func (r *Response) Finish() {
-	if !r.stop() || r.message.Close || !r.wholeRequestWritten() || r.conn.reader.Buffered() > 0 {
+	if !r.stop() || r.message.Close || r.closeAfter || !r.wholeRequestWritten() || r.conn.reader.Buffered() > 0 {
 		r.conn.close()
 		return
 	}
--- /dev/null
+++ b/internal/gateway/server/closed_test.go
@@ -0,0 +1,142 @@
+package server_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/platform/platformtest"
+)
+
+// leavingHead is the head of an answer of a replica that leaves.
+func leavingHead(status, attempt string) string {
+	return platformtest.SignedHead(status, attempt) + "Server-Leaving: 1\r\n"
+}
+
+func TestAnUpstreamThatSaysInAnyAnswerThatItLeavesGetsNothingMore(t *testing.T) {
+	const event = "id: 1\ndata: a\n\n"
+	for name, c := range map[string]struct {
+		path   string
+		answer func(conn net.Conn, attempt string)
+	}{
+		"success": {"/once/x", func(conn net.Conn, a string) {
+			_, _ = io.WriteString(conn, leavingHead("200 OK", a)+"Content-Length: 1\r\n\r\nx")
+		}},
+		"failure": {"/once/x", func(conn net.Conn, a string) {
+			_, _ = io.WriteString(conn, leavingHead("500 Internal Server Error", a)+"Content-Length: 1\r\n\r\nx")
+		}},
+		"rejection": {"/once/x", func(conn net.Conn, a string) {
+			_, _ = io.WriteString(conn, leavingHead("503 Service Unavailable", a)+"X-Mangoledge-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		}},
+		"wrong upstream": {"/once/x", func(conn net.Conn, a string) {
+			_, _ = io.WriteString(conn, leavingHead("421 Misdirected Request", a)+"Content-Length: 0\r\n\r\n")
+		}},
+		"body that breaks off": {"/once/x", func(conn net.Conn, a string) {
+			_, _ = io.WriteString(conn, leavingHead("200 OK", a)+"Content-Length: 9\r\n\r\nx")
+			_ = conn.Close()
+		}},
+		"head of a stream": {"/stream/x", func(conn net.Conn, a string) {
+			_, _ = io.WriteString(conn, leavingHead("200 OK", a)+"Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"+event)
+			_ = conn.Close()
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestSite(t)
+			service := "plain"
+			if c.path == "/stream/x" {
+				service = "engine"
+			}
+			leaving := platformtest.NewRawReplica(t, "i-1", c.answer)
+			s.store.Put("servers", "i-1", leaving.Entry(service))
+			s.configure(1, nil)
+			n := s.start(1, "a", nil)
+			require.Eventually(t, func() bool { return s.stateOf(n).Upstreams[service] == 1 && s.stateOf(n).QuotaBegun }, patience, 20*time.Millisecond)
+			s.send(n, request{path: c.path, body: "first"})
+			for range 3 {
+				got := s.send(n, request{path: c.path, body: "b"})
+				require.Equal(t, http.StatusServiceUnavailable, got.status)
+				require.NotEmpty(t, got.header.Get("Retry-After"))
+			}
+			require.EqualValues(t, 1, leaving.Arrived())
+			require.Eventually(t, func() bool { return leaving.Closed() == 1 }, patience, 10*time.Millisecond, "its connections are let go")
+			renewed := leaving.Entry(service)
+			renewed["born"] = 1_700_000_000_001
+			s.store.Put("servers", "i-1", renewed)
+			require.Eventually(t, func() bool {
+				s.send(n, request{path: c.path, body: "b"})
+				return leaving.Arrived() > 1
+			}, patience, 50*time.Millisecond, "a new start gets work")
+		})
+	}
+}
+
+func TestAStreamOfAnUpstreamThatSaysThatItLeavesGoesOnToItsEnd(t *testing.T) {
+	s, n, engine := newEngineSite(t, 20, 20*time.Millisecond)
+	engine.Leave()
+	got := s.send(n, request{path: "/stream/x", body: "prompt"})
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusOK, got.status)
+	require.Contains(t, got.body, "id: 20\n")
+	require.Equal(t, http.StatusServiceUnavailable, s.send(n, request{path: "/stream/x", body: "prompt"}).status)
+}
+
+func TestCallersAreToldWhenAQuietServiceTakesWorkAgain(t *testing.T) {
+	s := newTestSite(t)
+	one, two := s.replica("i-1", "plain"), s.replica("i-2", "plain")
+	s.configure(1, nil)
+	n := s.start(1, "a", nil)
+	s.ready(n)
+	const quiet = 3 * time.Second
+	one.WantQuiet(quiet)
+	two.WantQuiet(quiet)
+	asked := time.Now()
+	told := make(map[string]bool)
+	require.Eventually(t, func() bool {
+		got := s.send(n, request{path: "/once/x", body: "b"})
+		return got.body == "upstreams_want_quiet\n"
+	}, patience, 10*time.Millisecond)
+	for range 5 {
+		got := s.send(n, request{path: "/once/x", body: "b"})
+		require.Equal(t, http.StatusServiceUnavailable, got.status)
+		after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		require.NoError(t, err)
+		require.GreaterOrEqual(t, time.Duration(after*float64(time.Second)), quiet-time.Since(asked))
+		told[got.header.Get("Retry-After")] = true
+	}
+	require.Greater(t, len(told), 1, "callers come back spread")
+	require.LessOrEqual(t, len(one.Notices()), 1)
+	require.LessOrEqual(t, len(two.Notices()), 1)
+	require.Eventually(t, func() bool { return s.send(n, request{path: "/once/x", body: "b"}).status == http.StatusOK }, patience, 50*time.Millisecond)
+}
+
+func TestNothingFollowsTheRequestsThatAnUpstreamAnsweredWithAWishForQuiet(t *testing.T) {
+	s := newTestSite(t)
+	quiet := make(chan struct{})
+	replica := platformtest.NewRawReplica(t, "i-1", func(conn net.Conn, attempt string) {
+		<-quiet
+		_, _ = fmt.Fprint(conn, platformtest.SignedHead("503 Service Unavailable", attempt)+"X-Mangoledge-Not-Executed: 1\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n")
+	})
+	s.store.Put("servers", "i-1", replica.Entry("plain"))
+	s.configure(1, nil)
+	n := s.start(1, "a", nil)
+	require.Eventually(t, func() bool { return s.stateOf(n).Upstreams["plain"] == 1 && s.stateOf(n).QuotaBegun }, patience, 20*time.Millisecond)
+	answers := make(chan answer, 10)
+	for range 5 {
+		go func() { answers <- s.send(n, request{path: "/once/x", body: "b"}) }()
+	}
+	require.Eventually(t, func() bool { return replica.Arrived() == 5 }, patience, 5*time.Millisecond)
+	close(quiet)
+	for range 5 {
+		require.Equal(t, http.StatusServiceUnavailable, (<-answers).status)
+	}
+	for range 5 {
+		require.Equal(t, http.StatusServiceUnavailable, s.send(n, request{path: "/once/x", body: "b"}).status)
+	}
+	require.EqualValues(t, 5, replica.Arrived())
+}
--- a/internal/gateway/server/deathcheck.go
+++ b/internal/gateway/server/deathcheck.go
@@ -24,6 +24,9 @@
 	probe  func(ctx context.Context, address string) error
 	dead   func(site.Upstream)
 	logger *slog.Logger
+	// open reports whether an upstream may be looked at: one that asked to be left alone may
+	// turn connections away, and is not dead for it. Nil for any.
+	open func(site.Upstream) bool
 
 	mu sync.Mutex
 	// running holds the upstreams that are being looked at.
@@ -54,6 +57,9 @@
 	var err error
 	for _, pause := range deathProbes {
 		wait.For(ctx, pause)
+		if d.open != nil && !d.open(u) {
+			return
+		}
 		err = d.probe(ctx, u.Address.String())
 		if ctx.Err() != nil || err == nil {
 			return
--- a/internal/gateway/server/duties.go
+++ b/internal/gateway/server/duties.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"mangoledge.example/mangoledge/internal/gateway/balance"
 	"mangoledge.example/mangoledge/internal/gateway/catalog"
 	"mangoledge.example/mangoledge/internal/gateway/clock"
 	"mangoledge.example/mangoledge/internal/gateway/scaling"
@@ -173,16 +174,18 @@
 	var out []scaling.Domain
 	for name := range service.Scaling.DomainPrices {
 		d := scaling.Domain{Name: name, Dry: g.notices.since(service.Name, name) < dryAfterNotice}
-		countDomain(&d, view, service.Name)
+		g.countDomain(&d, view, service)
 		out = append(out, d)
 	}
 	return out
 }
 
-func countDomain(d *scaling.Domain, view *catalog.View, service string) {
-	for _, u := range view.ByService[service] {
+// countDomain counts the upstreams that take work, or will sooner than one that starts.
+func (g *Gateway) countDomain(d *scaling.Domain, view *catalog.View, service site.Service) {
+	for _, u := range view.ByService[service.Name] {
+		why, left := g.balancer.Closed(u)
 		switch {
-		case u.FailureDomain != d.Name:
+		case u.FailureDomain != d.Name || why == balance.Leaving || left > service.Scaling.Boot:
 		case u.Reclaimable:
 			d.Reclaimable++
 		default:
--- a/internal/gateway/server/gateway.go
+++ b/internal/gateway/server/gateway.go
@@ -120,6 +120,8 @@
 	g.Gauge("gateway.store_age_ms", func() int64 { return g.upstreams.Age().Milliseconds() })
 	g.Gauge("gateway.contents_suspected", g.poison.suspected)
 	g.Gauge("gateway.contents_convicted", g.poison.convicted)
+	g.Gauge("gateway.upstreams_leaving", func() int64 { return int64(g.balancer.CountClosed(balance.Leaving)) })
+	g.Gauge("gateway.upstreams_quiet", func() int64 { return int64(g.balancer.CountClosed(balance.Quiet)) })
 	g.Gauge("gateway.nodes_sharing_repeats", func() int64 { return int64(g.sharers()) })
 	g.Gauge("gateway.nodes_alive", func() int64 { return int64(len(g.table.Alive())) })
 	return g, g.join()
@@ -179,6 +181,7 @@
 		Logger:        g.logger,
 		Leaving:       g.leaving.Load,
 		ConfigFresh:   g.settings.Bounds.ConfigInForce,
+		Random:        rand.Float64,
 		WallClock:     time.Now,
 	}))
 }
@@ -196,6 +199,10 @@
 func (g *Gateway) Start(ctx context.Context) error {
 	g.logger.Info("starting", "failure_domain", g.settings.FailureDomain, "first_start", g.settings.FirstStart)
 	check := newDeathCheck(g.pool.Probe, g.poison.Unreachable, g.logger)
+	check.open = func(u site.Upstream) bool {
+		why, _ := g.balancer.Closed(u)
+		return why == balance.Open
+	}
 	g.poison.check = func(u site.Upstream) { check.start(ctx, u) }
 	if err := g.listen(ctx); err != nil {
 		return err
--- a/internal/gateway/server/housekeeping.go
+++ b/internal/gateway/server/housekeeping.go
@@ -18,6 +18,9 @@
 		g.pool.Sweep(now)
 		g.upstreams.Expire()
 		g.balancer.Keep(view.All)
+		for _, u := range g.balancer.Reopen(view.All) {
+			g.logger.Info("upstream no longer taken out", "upstream", u.ID, "born", u.Born)
+		}
 		g.poison.seen(view.All)
 		g.poison.parole()
 		g.table.Forget()
