A node that is heard again after it was forgotten counts with what it can have spent lately

What callers saw: 429 for up to a window, for a workspace far below its quota, once a node was heard again that had been silent for 30 s. Change: what it had spent when it was heard last is kept for an hour; of what it spent since counts what falls into a window if it did so evenly, at least an equal part of the quota.

--- a/internal/gateway/quota/account.go
+++ b/internal/gateway/quota/account.go
@@ -143,6 +143,16 @@
 	return a.othersRate * lag.Seconds()
 }
 
+// lately returns what a node spent within the last window of what it spent while it was
+// silent: as much as it may have if it did so evenly, or an equal part of the quota.
+func (a *account) lately(units float64, silent time.Duration, nodes int) float64 {
+	if silent <= a.window || units <= 0 {
+		return units
+	}
+	evenly := units * a.window.Seconds() / silent.Seconds()
+	return min(units, max(evenly, a.bound()/float64(nodes)))
+}
+
 // noteOthers notes what others spent, and what of it was not reserved for them before.
 func (a *account) noteOthers(now time.Time, spent, units float64) {
 	a.since.add(now, a.window, units)
--- a/internal/gateway/quota/ledger.go
+++ b/internal/gateway/quota/ledger.go
@@ -21,6 +21,8 @@
 	// forgetAllAfter is the same for a node that hears nobody: it cannot tell
 	// whether the others are gone or it is cut off, and the others forget it first.
 	forgetAllAfter = 60 * time.Second
+	// forgetGoneAfter is for how long it is remembered what such a node had spent.
+	forgetGoneAfter = time.Hour
 	// rateWindow and rateWeight smooth the rate at which others spend.
 	rateWindow = 400 * time.Millisecond
 	rateWeight = 0.5
@@ -40,6 +42,9 @@
 	mu       sync.Mutex
 	accounts map[string]*account
 	peers    map[string]*peer
+	// gone holds nodes that were silent for so long that their share went back, with what
+	// they had spent when they were heard last.
+	gone map[string]*peer
 	// advanced is when the accounts were brought to now last.
 	advanced time.Time
 	// forgotten is when silent nodes were looked for last.
@@ -70,7 +75,7 @@
 func New(now func() time.Time, interval func(nodes int) time.Duration, window time.Duration) *Ledger {
 	return &Ledger{
 		now: now, interval: interval, window: window,
-		accounts: make(map[string]*account), peers: make(map[string]*peer), advanced: now(),
+		accounts: make(map[string]*account), peers: make(map[string]*peer), gone: make(map[string]*peer), advanced: now(),
 	}
 }
 
@@ -148,6 +153,13 @@
 	now := l.now()
 	l.advance(now)
 	p := l.peers[node]
+	silent := time.Duration(0)
+	if known := l.gone[node]; known != nil && (p == nil || !p.everHeard) && known.incarnation == incarnation {
+		p, silent = known, now.Sub(known.heard)
+		p.assumed = nil
+		l.peers[node] = p
+	}
+	delete(l.gone, node)
 	switch {
 	case p == nil || !p.everHeard:
 		p = &peer{started: started, unsettled: spent, spent: spent}
@@ -159,8 +171,9 @@
 	}
 	p.incarnation, p.heard, p.everHeard, p.missing = incarnation, now, true, false
 	for name, units := range spent {
-		spent := units - p.spent[name]
-		l.open(name, now).noteOthers(now, spent, beyond(spent, p.assumed[name]))
+		a := l.open(name, now)
+		spent := a.lately(units-p.spent[name], silent, len(l.peers)+1)
+		a.noteOthers(now, spent, beyond(spent, p.assumed[name]))
 	}
 	p.spent = spent
 	p.assumed = make(map[string]float64)
@@ -265,6 +278,14 @@
 	for name, p := range l.peers {
 		if now.Sub(p.heard) > limit {
 			delete(l.peers, name)
+			if p.everHeard {
+				l.gone[name] = p
+			}
+		}
+	}
+	for name, p := range l.gone {
+		if now.Sub(p.heard) > forgetGoneAfter {
+			delete(l.gone, name)
 		}
 	}
 }
