The first checkpoint is created, so that a lost answer does not keep it from being written

Cause, from its logs: the first write was an update, whose "not found" says to create; while the store lost answers nobody heard that, and a node that restarted had no checkpoint. Change: whoever does not know of a checkpoint creates it, and updates it from then on.

--- a/internal/gateway/server/checkpoint.go
+++ b/internal/gateway/server/checkpoint.go
@@ -50,12 +50,7 @@
 	}
 	// Without a version the write replaces whatever is there; an older one that
 	// overtakes a newer one stands until the next is due.
-	object := objects.Object{Kind: kindQuota, Metadata: objects.Metadata{Name: quotaName}, Spec: spec}
-	_, err = g.store.Update(ctx, object)
-	if objects.KindOf(err) == objects.KindNotFound {
-		_, err = g.store.Create(ctx, object)
-	}
-	return err
+	return g.checkpoints.write(ctx, objects.Object{Kind: kindQuota, Metadata: objects.Metadata{Name: quotaName}, Spec: spec})
 }
 
 // restore begins with the checkpoint of the processes before this one, once it can be
--- a/internal/gateway/server/gateway.go
+++ b/internal/gateway/server/gateway.go
@@ -68,6 +68,8 @@
 
 	// restored is true once the checkpoint of earlier processes was read, or there is none.
 	restored atomic.Bool
+	// checkpoints writes what was spent.
+	checkpoints *checkpointWriter
 	// checkpointed is when this node last wrote what was spent.
 	checkpointed time.Time
 
@@ -102,6 +104,7 @@
 	}
 	g.store = platform.NewStore(settings.Store.Address, g.pool, g.logger)
 	g.store.Called = g.countStoreCall
+	g.checkpoints = &checkpointWriter{store: g.store}
 	g.cloud = platform.NewCloud(settings.Cloud.Address, settings.Node, g.pool)
 	g.configuration = catalog.NewConfiguration(platform.DecodeConfig, g.logger)
 	g.upstreams = catalog.NewUpstreams(platform.DecodeUpstream, g.logger, time.Now)
