Test sites claim their loopback network

Two test processes could draw the same addresses from their process IDs modulo 200; a claim of each network rules that out.

--- a/internal/faulttest/gatewaysite_test.go
+++ b/internal/faulttest/gatewaysite_test.go
@@ -45,8 +45,8 @@
 	dir   string
 	// replicas is how many replicas each service has.
 	replicas int
-	// number counts the sites of this process.
-	number int64
+	// network is the begin of the nodes' addresses.
+	network string
 
 	mu       sync.Mutex
 	version  int
@@ -96,8 +96,8 @@
 func startGatewaySite(t *testing.T, nodes, replicas int) *gatewaySite {
 	t.Helper()
 	s := &gatewaySite{
-		t: t, store: platformtest.NewStore(t), cloud: platformtest.NewCloud(t), dir: t.TempDir(), replicas: replicas, number: gatewaySites.Add(1),
-		restarts: drawnReturns(uint64(gatewaySites.Load())), spare: func() int { return 0 },
+		t: t, store: platformtest.NewStore(t), cloud: platformtest.NewCloud(t), dir: t.TempDir(), replicas: replicas, network: platformtest.ClaimNetwork(t),
+		restarts: drawnReturns(uint64(gatewaySites.Add(1))), spare: func() int { return 0 },
 	}
 	for i := range 2 * replicas {
 		service := "plain"
@@ -121,9 +121,7 @@
 
 // newNode prepares a daemon's settings, its way to the store and its front link.
 func (s *gatewaySite) newNode(number int) *gatewayNode {
-	// The ports of all nodes are the same, so their IPs differ: within a site by their
-	// number, from those of other sites by the count of sites and the process.
-	ip := fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()%100, s.number%250, number)
+	ip := fmt.Sprintf("%s.%d", s.network, number)
 	n := &gatewayNode{door: s.store.NewDoor(s.t)}
 	n.settings = platformtest.NodeSettings{
 		Name: fmt.Sprintf("node-%d", number), Zone: string(rune('a' + number%gatewayDomains)), IP: ip,
--- a/internal/gateway/server/harness_test.go
+++ b/internal/gateway/server/harness_test.go
@@ -33,16 +33,13 @@
 	attempts atomic.Int64
 }
 
-// sites counts the sites of this process, so that each has addresses of its own.
-var sites atomic.Int64
-
 func newTestSite(t testing.TB) *testSite {
 	t.Helper()
 	transport := &http.Transport{MaxIdleConnsPerHost: 10}
 	t.Cleanup(transport.CloseIdleConnections)
 	return &testSite{
 		t: t, store: platformtest.NewStore(t), cloud: platformtest.NewCloud(t),
-		net:    fmt.Sprintf("127.%d.%d", 10+os.Getpid()%200, sites.Add(1)),
+		net:    platformtest.ClaimNetwork(t),
 		client: &http.Client{Transport: transport},
 	}
 }
