A silent upstream is not given up while all others asked to be left alone

What callers saw (test): 502 for a request whose upstream was slow, while the only other one wanted quiet. Cause: the others were counted by their entries. Change: those that are closed for this node do not count.

--- a/internal/gateway/balance/closure.go
+++ b/internal/gateway/balance/closure.go
@@ -131,6 +131,19 @@
 	return first, found
 }
 
+// CountOpen counts the upstreams that take work now.
+func (b *Balancer) CountOpen(candidates []site.Upstream) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n, now := 0, b.now()
+	for _, u := range candidates {
+		if closure, _ := b.closedAt(u, now); closure == Open {
+			n++
+		}
+	}
+	return n
+}
+
 // CountClosed counts the upstreams that are closed for a reason.
 func (b *Balancer) CountClosed(reason Closure) int {
 	b.mu.Lock()
--- a/internal/gateway/exchange/send.go
+++ b/internal/gateway/exchange/send.go
@@ -76,7 +76,7 @@
 // stalled gives a silent upstream up once another may get the request: its silence alone
 // is no reason to end an answer.
 func (a *attempt) stalled(tried int, cancel context.CancelCauseFunc) {
-	others := len(a.options.Upstreams.View().ByService[a.service.Name]) - tried
+	others := a.options.Balancer.CountOpen(a.options.Upstreams.View().ByService[a.service.Name]) - tried
 	if others <= 0 || a.options.Poison.Convicted(a.content) || !a.takeRepeat(repeatSilent) {
 		return
 	}
--- a/internal/gateway/server/closed_test.go
+++ b/internal/gateway/server/closed_test.go
@@ -140,3 +140,25 @@
 	}
 	require.EqualValues(t, 5, replica.Arrived())
 }
+
+func TestASilentUpstreamIsNotGivenUpForOneThatWantsQuiet(t *testing.T) {
+	s := newTestSite(t)
+	quiet := s.replica("i-2", "plain")
+	s.configure(1, func(c map[string]any) {
+		for _, route := range c["routes"].([]any) {
+			route.(map[string]any)["timeout_ms"] = 20_000
+		}
+	})
+	n := s.start(1, "a", nil)
+	s.readyToRepeat(n)
+	quiet.WantQuiet(time.Minute)
+	again := request{method: http.MethodGet, path: "/again/x", deadline: 20 * time.Second}
+	require.Eventually(t, func() bool { s.send(n, again); return len(quiet.Notices()) > 0 }, patience, 10*time.Millisecond)
+	slow := s.replica("i-1", "plain")
+	require.Eventually(t, func() bool { return s.send(n, again).status == http.StatusOK }, patience, 20*time.Millisecond)
+	const pause = 600 * time.Millisecond // over twice the time after which a silent upstream is given up
+	slow.AnswerAfter(pause)
+	got := s.send(n, again)
+	require.Equal(t, http.StatusOK, got.status)
+	require.Equal(t, "answer of i-1\n", got.body)
+}
--- a/internal/gateway/server/contentguard_test.go
+++ b/internal/gateway/server/contentguard_test.go
@@ -149,7 +149,7 @@
 	g := newTestGuard(&guardClock{time.Unix(1000, 0)})
 	for crash := range 3 {
 		g.Succeeded(contentNamed("fatal"))
-		crashUnderOne(g, "fatal", crash)
+		crashUnder(g, "fatal", crash)
 		g.Succeeded(contentNamed("fatal"))
 	}
 	require.True(t, g.Convicted(contentNamed("fatal")))
@@ -157,14 +157,8 @@
 	require.True(t, g.Convicted(contentNamed("fatal")))
 }
 
-func crashUnder(g *contentGuard, name string, upstreams int) {
-	for n := range upstreams {
-		crashUnderOne(g, name, n)
-	}
-}
-
-// crashUnderOne has an upstream end under a content.
-func crashUnderOne(g *contentGuard, name string, number int) {
+// crashUnder has an upstream end under a content.
+func crashUnder(g *contentGuard, name string, number int) {
 	u := site.Upstream{ID: fmt.Sprint("i-", number), Born: time.Unix(100, 0)}
 	g.AnswerLost(contentNamed(name), u)
 	g.Unreachable(u)
