--- a/internal/gateway/balance/closure_test.go
+++ b/internal/gateway/balance/closure_test.go
@@ -60,11 +60,11 @@
 	b.Leave(c[0])
 	b.LeaveAlone(c[1], 3*time.Second)
 	b.LeaveAlone(c[2], 2*time.Second)
-	opens, any := b.OpensIn(c)
-	require.True(t, any)
+	opens, found := b.OpensIn(c)
+	require.True(t, found)
 	require.Equal(t, 2*time.Second, opens)
-	_, any = b.OpensIn(c[:1])
-	require.False(t, any)
+	_, found = b.OpensIn(c[:1])
+	require.False(t, found)
 }
 
 // Whatever upstreams say and however time goes on, none is chosen while it is closed.
--- a/internal/gateway/exchange/run.go
+++ b/internal/gateway/exchange/run.go
@@ -180,16 +180,16 @@
 // long again, so that the first to open is not met by all of them.
 func (e *exchange) refuseClosed() *refusal {
 	list := e.options.Upstreams.View().ByService[e.service.Name]
-	wait, any := e.options.Balancer.OpensIn(list)
+	opens, found := e.options.Balancer.OpensIn(list)
 	switch {
 	case len(list) == 0:
 		return nil
-	case !any:
+	case !found:
 		return refuseNoUpstream(noUpstreamRetry)
-	case wait <= maxHold:
+	case opens <= maxHold:
 		return nil
 	}
-	return refuseQuiet(wait + time.Duration(e.options.Random()*float64(wait)/2))
+	return refuseQuiet(opens + time.Duration(e.options.Random()*float64(opens)/2))
 }
 
 func (e *exchange) choice(view *catalog.View) *balance.Choice {
--- a/internal/poison/registry.go
+++ b/internal/poison/registry.go
@@ -246,15 +246,15 @@
 func (r *Registry) forgetLeast() {
 	var least *Entry
 	for _, e := range r.entries {
-		if least == nil || matters(least, e) {
+		if least == nil || outranks(least, e) {
 			least = e
 		}
 	}
 	delete(r.entries, least.Fingerprint)
 }
 
-// matters reports whether b is to be forgotten before a.
-func matters(a, b *Entry) bool {
+// outranks reports whether b is to be forgotten before a.
+func outranks(a, b *Entry) bool {
 	return cmp.Or(
 		cmp.Compare(min(b.Count(), MaxCrashes), min(a.Count(), MaxCrashes)),
 		cmp.Compare(b.newest(), a.newest()),
