--- /dev/null
+++ b/internal/gateway/server/duties_test.go
@@ -0,0 +1,30 @@
+package server
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/internal/gateway/balance"
+	"mangoledge.example/mangoledge/internal/gateway/catalog"
+	"mangoledge.example/mangoledge/internal/gateway/scaling"
+	"mangoledge.example/mangoledge/internal/gateway/site"
+)
+
+func TestOrdersCountNoUpstreamThatLeavesOrIsQuietForLongerThanOneTakesToStart(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := &Gateway{balancer: balance.New("a", func() time.Time { return now })}
+	var list []site.Upstream
+	for _, u := range upstreams(4) {
+		u.FailureDomain = "a"
+		list = append(list, u)
+	}
+	g.balancer.Leave(list[0])
+	g.balancer.LeaveAlone(list[1], 6*time.Second)
+	g.balancer.LeaveAlone(list[2], 4*time.Second)
+	d := scaling.Domain{Name: "a"}
+	service := site.Service{Name: "plain", Scaling: &site.Scaling{Boot: 5 * time.Second}}
+	g.countDomain(&d, &catalog.View{ByService: map[string][]site.Upstream{"plain": list}}, service)
+	require.Equal(t, 2, d.OnDemand)
+}
