The test that ends replicas together uses the soak's restart of a replica

Found in the last read: it ended the link, waited and started the replica anew by itself, as the soak's own fault does, and without the lock that keeps two faults off one replica.

--- a/internal/faulttest/gatewayspared_test.go
+++ b/internal/faulttest/gatewayspared_test.go
@@ -87,12 +87,7 @@
 func (s *gatewaySite) endReplicas(slots []*replicaSlot) {
 	var all sync.WaitGroup
 	for _, slot := range slots {
-		all.Go(func() {
-			_, l := slot.newest()
-			l.end()
-			time.Sleep(time.Second)
-			s.startReplica(slot)
-		})
+		all.Go(func() { s.breakReplica(soakStep{kind: soakReplicaRestarts, long: time.Second}, slot) })
 	}
 	all.Wait()
 }
