gateway: leader tasks wait out the previous holder where the platform does not check fences

Cause: fencing_enforced was not read. At a platform that accepts calls with any fencing number, a new leader called at once, while calls of the previous one could still arrive, and a host could act before and after another one within the duration of a lease.

Change: the setting is decoded as CloudSettings.ChecksFencing; where it is false or missing, usage reports and scaling orders ask lease.CheckUnfenced.

--- a/internal/faulttest/gatewaycheck_test.go
+++ b/internal/faulttest/gatewaycheck_test.go
@@ -6,6 +6,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"mangoledge.example/mangoledge/internal/historycheck"
 )
 
 const (
@@ -43,6 +45,7 @@
 	s.checkNotices(sent)
 	s.checkUsage()
 	s.checkOrders()
+	s.checkHandovers()
 	s.t.Logf("%d attempts: %v; %d usage reports, %d orders", len(s.attempts), counts, len(s.cloud.Reports()), len(s.cloud.Orders()))
 }
 
@@ -159,6 +162,21 @@
 	}
 }
 
+// checkHandovers checks the calls to a cloud that does not compare fencing numbers.
+func (s *gatewaySite) checkHandovers() {
+	s.t.Helper()
+	if s.cloud.ChecksFencing() {
+		return
+	}
+	var calls []historycheck.LeaderCall
+	for _, c := range s.cloud.Calls() {
+		calls = append(calls, historycheck.LeaderCall{At: c.At, Subject: c.Subject, Host: c.Holder, Fence: c.Fence})
+	}
+	for _, violation := range historycheck.CheckHandovers(calls, leaseDuration) {
+		s.t.Error(violation)
+	}
+}
+
 // checkFence records in holders who used a fence and reports an error if another holder did before.
 func (s *gatewaySite) checkFence(holders map[uint64]string, fence uint64, holder string) {
 	s.t.Helper()
--- a/internal/faulttest/gatewaysite_test.go
+++ b/internal/faulttest/gatewaysite_test.go
@@ -95,9 +95,15 @@
 
 // startGatewaySite starts a site with the given number of nodes, and of replicas of each service.
 func startGatewaySite(t *testing.T, nodes, replicas int) *gatewaySite {
+	t.Helper()
+	return startGatewaySiteWithCloud(t, platformtest.NewCloud(t), nodes, replicas)
+}
+
+// startGatewaySiteWithCloud starts a site that uses the given cloud API.
+func startGatewaySiteWithCloud(t *testing.T, cloud *platformtest.Cloud, nodes, replicas int) *gatewaySite {
 	t.Helper()
 	s := &gatewaySite{
-		t: t, store: platformtest.NewStore(t), cloud: platformtest.NewCloud(t), dir: t.TempDir(), replicasPerService: replicas, network: platformtest.ClaimNetwork(t),
+		t: t, store: platformtest.NewStore(t), cloud: cloud, dir: t.TempDir(), replicasPerService: replicas, network: platformtest.ClaimNetwork(t),
 		nextRestart: randomRestarts(uint64(siteCounter.Add(1))), crashStatus: func() int { return 0 },
 	}
 	for i := range 2 * replicas {
@@ -127,6 +133,7 @@
 	n.settings = platformtest.NodeSettings{
 		Name: fmt.Sprintf("node-%d", number), Zone: string(rune('a' + number%gatewayDomains)), IP: ip,
 		GraceS: gatewayGraceS, Store: n.storeEndpoint.Address(), Cloud: s.cloud.Address(),
+		FencingEnforced: s.cloud.ChecksFencing(),
 	}
 	n.settingsFile = filepath.Join(s.dir, n.settings.Name+".toml")
 	n.frontLink = newLink(s.t, n.settings.Name, n.address(platformtest.FrontPort), false)
--- a/internal/faulttest/gatewaysoak_test.go
+++ b/internal/faulttest/gatewaysoak_test.go
@@ -208,7 +208,11 @@
 
 // runSoakSeed runs a site with callers under the faults of a seed and checks it.
 func runSoakSeed(t *testing.T, seed uint64) {
-	s := startGatewaySite(t, int(numberFromEnv(t, nodesEnvVar, gatewayNodes)), gatewayReplicas)
+	cloud := platformtest.NewCloud(t)
+	if seed%2 == 1 {
+		cloud.IgnoreFencing()
+	}
+	s := startGatewaySiteWithCloud(t, cloud, int(numberFromEnv(t, nodesEnvVar, gatewayNodes)), gatewayReplicas)
 	s.nextRestart = randomRestarts(seed)
 	if seed >= firstSeedWithNotices {
 		s.crashStatus = respondToEveryNthRun(int64(2+seed%3), []int{http.StatusOK, http.StatusBadRequest}[seed%2])
--- a/internal/gateway/httpconn/pool.go
+++ b/internal/gateway/httpconn/pool.go
@@ -67,6 +67,12 @@
 		p.releaseUnused(c)
 		return nil, &Error{Stage: StagePrepare, Cause: err}
 	}
+	if r.ResetOnClose {
+		if err := c.tcp.SetLinger(0); err != nil {
+			c.close()
+			return nil, &Error{Stage: StagePrepare, Cause: err}
+		}
+	}
 	out := &Response{pool: p, conn: c, bodyWritten: make(chan error, 1)}
 	out.stopContext = context.AfterFunc(ctx, c.close)
 	if err := out.write(r); err != nil {
--- a/internal/gateway/httpconn/request.go
+++ b/internal/gateway/httpconn/request.go
@@ -18,6 +18,9 @@
 	// MaxIdle is the longest time that a reused connection may have been idle; 0 always
 	// establishes a new connection.
 	MaxIdle time.Duration
+	// ResetOnClose discards what the peer has not received yet when the connection is closed.
+	// Otherwise it may still arrive, seconds later after a partition.
+	ResetOnClose bool
 	// Prepare, if not nil, is called once a connection is available. It sets headers that
 	// depend on the time of sending, or returns an error if the request must not be sent any
 	// more.
--- a/internal/gateway/server/gateway.go
+++ b/internal/gateway/server/gateway.go
@@ -152,6 +152,7 @@
 	g.exchange.DetailPerNode = g.detailPerNode
 	g.exchange.OnMessage = g.handleMessage
 	g.leaderLease = newLeaderLease(g)
+	g.cloud.MayOrder = g.mayOrder
 	g.usageReporter = g.newReporter()
 	g.scaler = g.newScaler()
 	return nil
--- a/internal/gateway/server/leadertasks.go
+++ b/internal/gateway/server/leadertasks.go
@@ -41,9 +41,36 @@
 		Candidate: g.isLeaseCandidate,
 		Clock:     clock.Boot,
 		Logger:    g.logger,
+		// Apply to clouds that do not check fencing numbers.
+		OrderTimeout: platform.CloudTimeout,
+		HandoverWait: g.settings.Bounds.Lease,
 	})
 }
 
+// orderHolder checks whether this node may send calls to the cloud API, and returns its fence.
+type orderHolder interface {
+	Check() (lease.Fence, error)
+}
+
+// cloudHolder returns the check for this site's cloud API. Where that does not compare fencing
+// numbers, it also waits until calls of the previous holder cannot arrive any more.
+func (g *Gateway) cloudHolder() orderHolder {
+	if g.settings.Cloud.ChecksFencing {
+		return g.leaderLease
+	}
+	return lease.Unfenced{Lease: g.leaderLease}
+}
+
+// mayOrder returns an error unless this node may still send calls to the cloud API with a fence
+// that it was given before.
+func (g *Gateway) mayOrder(fence lease.Fence) error {
+	now, err := g.cloudHolder().Check()
+	if err == nil && now != fence {
+		return errors.Wrapf(lease.ErrNotHeld, "with fencing number %d; it is %d now", fence, now)
+	}
+	return err
+}
+
 // isLeader reports whether this node holds the leader lease.
 func (g *Gateway) isLeader() bool {
 	_, err := g.leaderLease.Check()
@@ -73,7 +100,7 @@
 func (g *Gateway) newReporter() *usage.Reporter {
 	return &usage.Reporter{
 		Store:        g.store,
-		Holder:       g.leaderLease,
+		Holder:       g.cloudHolder(),
 		Send:         g.cloud.ReportUsage,
 		Sum:          g.sumUsage,
 		WindowLength: g.settings.Bounds.UsageWindow,
@@ -98,7 +125,7 @@
 
 // newScaler returns the scaler of the services.
 func (g *Gateway) newScaler() *scaling.Scaler {
-	return &scaling.Scaler{Holder: g.leaderLease, Send: g.sendScalingOrder, Now: clock.Boot, Logger: g.logger, FirstStart: g.isFirstStart}
+	return &scaling.Scaler{Holder: g.cloudHolder(), Send: g.sendScalingOrder, Now: clock.Boot, Logger: g.logger, FirstStart: g.isFirstStart}
 }
 
 // sendScalingOrder sends a scaling order to the platform's cloud.
--- a/internal/gateway/server/nodes_test.go
+++ b/internal/gateway/server/nodes_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"mangoledge.example/mangoledge/internal/lease"
 	"mangoledge.example/mangoledge/platform/platformtest"
 )
 
@@ -232,6 +233,28 @@
 	}
 }
 
+func TestNewLeaderWaitsForCallsOfPreviousOneWithoutFencing(t *testing.T) {
+	const leaseDuration = time.Second // in the settings of a node
+	s := newTestSite(t)
+	s.cloud.IgnoreFencing()
+	s.addReplica("i-1", "plain")
+	s.putConfig(1, nil)
+	record := lease.Record{Holder: "node-9@1", Fence: 7, TTLMs: time.Hour.Milliseconds()}
+	s.store.Put(string(lease.Kind), "gateway-duties", record)
+	n := s.startNode(1, "a", nil)
+	s.waitReady(n)
+	require.Equal(t, http.StatusOK, s.send(n, request{path: "/once/x", body: "b"}).status)
+	time.Sleep(4 * leaseDuration) // a usage report is due by now
+	require.Empty(t, s.cloud.Calls())
+	released := time.Now()
+	record.Holder = ""
+	s.store.Put(string(lease.Kind), "gateway-duties", record)
+	require.Eventually(t, func() bool { return len(s.cloud.Calls()) > 0 }, waitTimeout, 20*time.Millisecond)
+	first := s.cloud.Calls()[0]
+	require.Greater(t, first.Fence, uint64(7))
+	require.GreaterOrEqual(t, first.At.Sub(released), leaseDuration)
+}
+
 func TestScalingFallsBackToOnDemandUpstreams(t *testing.T) {
 	s := newTestSite(t)
 	s.addReplica("i-p", "plain")
--- a/internal/gateway/site/settings.go
+++ b/internal/gateway/site/settings.go
@@ -67,4 +67,6 @@
 	// ReportsUsage and ScalesServices enable the usage report and the scaling of services.
 	ReportsUsage   bool
 	ScalesServices bool
+	// ChecksFencing is true where the cloud API refuses calls with an outdated fencing number.
+	ChecksFencing bool
 }
--- a/internal/lease/compete.go
+++ b/internal/lease/compete.go
@@ -69,8 +69,11 @@
 		next.Fence = fence
 	}
 	var wait time.Duration
-	if lapsed {
-		wait = OrderTimeout
+	switch {
+	case lapsed:
+		wait = l.options.OrderTimeout
+	case base != 0:
+		wait = l.options.HandoverWait
 	}
 	return l.writeRecord(ctx, base, next, wait)
 }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -35,8 +35,7 @@
 	renewalsPerTTL = 4
 	// clockMarginDivisor divides the TTL to give the margin for clock drift.
 	clockMarginDivisor = 8
-	// OrderTimeout is the timeout of an order to an upstream, and thus how long after its
-	// check an order of the previous holder may still be in progress.
+	// OrderTimeout is the default of Options.OrderTimeout.
 	OrderTimeout = 5 * time.Second
 )
 
@@ -55,6 +54,14 @@
 	Holder ident.Incarnation
 	// TTL is how long the lease is valid after a renewal; 0 means DefaultTTL.
 	TTL time.Duration
+	// OrderTimeout is the timeout of an order to an upstream, and thus how long after its check
+	// an order of a holder whose lease expired may still be in progress; 0 means the constant
+	// OrderTimeout.
+	OrderTimeout time.Duration
+	// HandoverWait is how long after taking over a released lease CheckUnfenced does not
+	// succeed. With the TTL or more, no node sends orders both before and after those of another
+	// one within a TTL.
+	HandoverWait time.Duration
 	// Candidate reports whether this node should acquire the lease when it is free; nil means
 	// always. A holder that is no longer a candidate keeps the lease.
 	Candidate func() bool
@@ -87,6 +94,9 @@
 	if options.TTL == 0 {
 		options.TTL = DefaultTTL
 	}
+	if options.OrderTimeout == 0 {
+		options.OrderTimeout = OrderTimeout
+	}
 	if options.Clock == nil {
 		options.Clock = time.Now
 	}
@@ -111,7 +121,8 @@
 }
 
 // CheckUnfenced is like Check, for orders to upstreams that ignore fencing numbers. It returns
-// ErrPreviousOrdersPending while orders of the previous holder may still be in progress.
+// ErrPreviousOrdersPending while orders of the previous holder may still be in progress, and
+// during Options.HandoverWait.
 func (l *Lease) CheckUnfenced() (Fence, error) {
 	fence, err := l.Check()
 	if err != nil {
@@ -125,6 +136,12 @@
 	return fence, nil
 }
 
+// Unfenced is a lease whose Check is CheckUnfenced.
+type Unfenced struct{ *Lease }
+
+// Check is CheckUnfenced.
+func (u Unfenced) Check() (Fence, error) { return u.CheckUnfenced() }
+
 // LastRecord returns the lease record that this node saw last, without reading the store.
 func (l *Lease) LastRecord() Record {
 	l.mu.Lock()
