peers: messages reach other failure domains through relays there

Change: at sites of more than 16 nodes a node sends to its own domain, and to one relay in each other domain, which forwards what it collects for 100 ms in one datagram to the nodes of its domain. Three relays of a domain, by rendezvous hash, take turns, so a dead one costs every third message until it is noticed. Nodes not heard from, those of an older build, the recipients of usage counts, and urgent messages are still reached directly. The quota counts with the longer way (PropagationInterval). Nobody is a relay by name.

In the simulation messages across domains are (domains - 1) a node and round at 30, 100 and 200 nodes, and with a third of the nodes dead at once and 1% loss no live one is taken for dead.

--- a/internal/gateway/peers/message.go
+++ b/internal/gateway/peers/message.go
@@ -53,6 +53,10 @@
 	HoldsDutyLease bool `msgpack:"k"`
 	// StoreAgeMs is the time since the node last heard from the store, in milliseconds.
 	StoreAgeMs int64 `msgpack:"a"`
+	// Forwards is true at nodes that forward messages within their failure domain, and accept
+	// forwarded ones. Forward asks the receiver to do so.
+	Forwards bool `msgpack:"y,omitempty"`
+	Forward  bool `msgpack:"z,omitempty"`
 	// Spent is the total spent by each workspace at the node so far, in quota units.
 	Spent map[string]float64 `msgpack:"q"`
 	// Loads is the node's outstanding work at each upstream.
--- a/internal/gateway/peers/messenger.go
+++ b/internal/gateway/peers/messenger.go
@@ -8,6 +8,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -26,8 +28,16 @@
 	maxDatagramBytes = 60 << 10
 )
 
-// Interval returns the interval at which a node sends its state to each other node, at a site
-// of the given size.
+// PropagationInterval returns the longest time between a change at a node and the arrival of the
+// message that reports it, at a site of the given size, as long as no message is lost.
+func PropagationInterval(nodes int) time.Duration {
+	if nodes <= maxDirectNodes {
+		return Interval(nodes)
+	}
+	return Interval(nodes) + 2*forwardDelay // collecting, and sending in batches
+}
+
+// Interval returns the interval at which a node sends its state, at a site of the given size.
 func Interval(nodes int) time.Duration {
 	return max(BaseInterval, time.Duration(nodes)*intervalPerNode)
 }
@@ -38,13 +48,21 @@
 	registry *Registry
 	// Compose returns the next message, at the given level of detail.
 	Compose func(DetailLevel) *Message
-	// DetailPerNode is called once per round; the function it returns selects the detail level
-	// of the regular message to each node.
-	DetailPerNode func() func(node string) DetailLevel
+	// PlanRound is called once per round, with its number; the function it returns says how the
+	// regular message reaches each node.
+	PlanRound func(round uint64) func(node string) Delivery
+	// Has reports whether a message need not be decoded, as it or a newer one was received.
+	Has func(node, incarnation string, sequence uint64) bool
+	// ForwardTargets returns the addresses to which messages of other failure domains are
+	// forwarded.
+	ForwardTargets func() []string
 	// OnMessage is called with each message, from one goroutine.
 	OnMessage func(*Message)
 	logger    *slog.Logger
 	sendNow   chan struct{}
+	forwarder *forwarder
+	// round counts the rounds of messages.
+	round uint64
 }
 
 // Listen opens the UDP socket for messages at address.
@@ -72,6 +90,8 @@
 func (e *Messenger) Run(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { _ = e.conn.Close() })
 	defer stop()
+	e.forwarder = newForwarder(e.ForwardTargets, e.sendTo, e.logger)
+	go e.forwarder.run(ctx)
 	go e.receive(ctx)
 	for ctx.Err() == nil {
 		e.sendRound(ctx)
@@ -84,14 +104,15 @@
 func (e *Messenger) sendRound(ctx context.Context) {
 	others := e.registry.Others()
 	names := slices.Sorted(maps.Keys(others))
-	detailFor := e.DetailPerNode()
+	deliver := e.PlanRound(e.round)
+	e.round++
 	batches := max(1, (len(names)+batchNodes-1)/batchNodes)
 	pause := max(minInterval, Interval(len(names))/time.Duration(batches))
 	for i := range batches {
 		batch := names[i*batchNodes : min((i+1)*batchNodes, len(names))]
-		e.send(others, batch, detailFor)
+		e.send(others, batch, deliver)
 		if e.waitForUrgent(ctx, pause) {
-			e.send(others, names, func(string) DetailLevel { return Brief })
+			e.send(others, names, func(string) Delivery { return Delivery{Detail: Brief} })
 		}
 	}
 }
@@ -111,29 +132,39 @@
 	return false
 }
 
-// send sends a message to each of names. Datagrams are not retransmitted: the next message
-// replaces a lost one.
-func (e *Messenger) send(others map[string]Record, names []string, detailFor func(string) DetailLevel) {
-	encoded := make(map[DetailLevel][]byte)
+// send sends a message to each of names that receives it directly. Datagrams are not retransmitted:
+// the next message replaces a lost one.
+func (e *Messenger) send(others map[string]Record, names []string, deliver func(string) Delivery) {
+	encoded := make(map[Delivery][]byte)
 	for _, name := range names {
-		address, err := netip.ParseAddrPort(others[name].Address)
-		if err != nil {
-			e.logger.Warn("node record has no valid address", "name", name, "error", err)
+		delivery := deliver(name)
+		if delivery.Skip {
 			continue
 		}
-		detail := detailFor(name)
-		if encoded[detail] == nil {
-			data, err := e.Compose(detail).encode()
+		if encoded[delivery] == nil {
+			m := e.Compose(delivery.Detail)
+			m.Forward = delivery.Forward
+			data, err := m.encode()
 			if err != nil {
 				e.logger.Error("could not encode peer message", "error", err)
 				return
 			}
-			encoded[detail] = data
+			encoded[delivery] = data
 		}
-		_, _ = e.conn.WriteToUDPAddrPort(encoded[detail], address) // the next message replaces a lost one
+		e.sendTo(encoded[delivery], others[name].Address)
 	}
 }
 
+// sendTo sends a datagram.
+func (e *Messenger) sendTo(data []byte, address string) {
+	to, err := netip.ParseAddrPort(address)
+	if err != nil {
+		e.logger.Warn("node record has no valid address", "address", address, "error", err)
+		return
+	}
+	_, _ = e.conn.WriteToUDPAddrPort(data, to) // the next message replaces a lost one
+}
+
 // receive reads messages until ctx ends.
 func (e *Messenger) receive(ctx context.Context) {
 	buffer := make([]byte, maxDatagramBytes)
@@ -145,11 +176,45 @@
 			}
 			continue
 		}
-		m, err := decodeMessage(buffer[:n])
-		if err != nil {
+		if err := e.handle(buffer[:n]); err != nil {
 			e.logger.Warn("ignoring invalid peer message", "from", from.String(), "error", err)
+		}
+	}
+}
+
+// handle handles a datagram, and queues the message in it for forwarding if it asks for that.
+func (e *Messenger) handle(data []byte) error {
+	if isBundle(data) {
+		return e.handleBundle(data)
+	}
+	m, err := decodeMessage(data)
+	if err != nil {
+		return err
+	}
+	if m.Forward {
+		e.forwarder.add(m, data)
+	}
+	e.OnMessage(m)
+	return nil
+}
+
+// handleBundle handles the messages of a bundle that are new. They are not forwarded again.
+func (e *Messenger) handleBundle(data []byte) error {
+	b, err := decodeBundle(data)
+	if err != nil {
+		return err
+	}
+	var invalid error
+	for _, f := range b {
+		if e.Has(f.Node, f.Incarnation, f.Sequence) {
+			continue
+		}
+		m, err := decodeMessage(f.Data)
+		if err != nil {
+			invalid = errors.CombineErrors(invalid, err)
 			continue
 		}
 		e.OnMessage(m)
 	}
+	return invalid
 }
--- a/internal/gateway/peers/table.go
+++ b/internal/gateway/peers/table.go
@@ -45,7 +45,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	at, found := slices.BinarySearchFunc(t.newest, m.Node, func(p *Peer, node string) int { return cmp.Compare(p.Node, node) })
+	at, found := t.find(m.Node)
 	next := &Peer{Message: *m, HeardAt: now}
 	if !found {
 		t.newest = slices.Insert(t.newest, at, next)
@@ -69,13 +69,26 @@
 	return true
 }
 
+// Has reports whether a message, or a newer one of the same process, was stored.
+func (t *Table) Has(node, incarnation string, sequence uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at, found := t.find(node)
+	return found && t.newest[at].Incarnation == incarnation && t.newest[at].Sequence >= sequence
+}
+
+// find returns the position of a node in newest, or where it belongs. It is called with mu held.
+func (t *Table) find(node string) (at int, found bool) {
+	return slices.BinarySearchFunc(t.newest, node, func(p *Peer, node string) int { return cmp.Compare(p.Node, node) })
+}
+
 // Alive returns the nodes heard from recently, sorted by name. The peers are shared: callers
 // must not modify them.
 func (t *Table) Alive() []*Peer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	limit := max(minAliveTimeout, aliveIntervals*Interval(len(t.newest)))
+	limit := max(minAliveTimeout, aliveIntervals*PropagationInterval(len(t.newest)))
 	out := make([]*Peer, 0, len(t.newest))
 	for _, p := range t.newest {
 		if now.Sub(p.HeardAt) <= limit {
--- a/internal/gateway/server/gateway.go
+++ b/internal/gateway/server/gateway.go
@@ -112,7 +112,7 @@
 	g.configuration = catalog.NewConfiguration(platform.DecodeConfig, g.logger)
 	g.upstreams = catalog.NewUpstreams(platform.DecodeUpstream, g.logger, time.Now)
 	g.balancer = balance.New(settings.FailureDomain, time.Now)
-	g.quota = quota.New(clock.Boot, peers.Interval, settings.Bounds.QuotaWindow)
+	g.quota = quota.New(clock.Boot, peers.PropagationInterval, settings.Bounds.QuotaWindow)
 	g.usageCounter = usage.NewCounter(settings.Bounds.UsageWindow)
 	g.retryBudgets = newRetryBudgets(settings.Bounds, g.sharingNodes, g.isFirstStart, clock.Boot, rand.Uint64)
 	g.contentGuard = newContentGuard(time.Now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), g.logger)
@@ -149,7 +149,9 @@
 		return err
 	}
 	g.exchange.Compose = g.composeMessage
-	g.exchange.DetailPerNode = g.detailPerNode
+	g.exchange.PlanRound = g.planRound
+	g.exchange.Has = g.peerTable.Has
+	g.exchange.ForwardTargets = g.forwardTargets
 	g.exchange.OnMessage = g.handleMessage
 	g.leaderLease = newLeaderLease(g)
 	g.cloud.MayOrder = g.mayOrder
--- a/internal/gateway/server/messages.go
+++ b/internal/gateway/server/messages.go
@@ -9,9 +9,9 @@
 	"mangoledge.example/mangoledge/internal/rendezvous"
 )
 
-// usageRecipients is how many nodes receive the counts of the usage report in addition to the
+// usageRecipientCount is how many nodes receive the counts of the usage report in addition to the
 // leader: those that may succeed it, and one more in case nodes disagree on them.
-const usageRecipients = maxLeaseCandidates + 1
+const usageRecipientCount = maxLeaseCandidates + 1
 
 // composeMessage returns the next message to the other nodes.
 func (g *Gateway) composeMessage(detail peers.DetailLevel) *peers.Message {
@@ -32,6 +32,7 @@
 		UpstreamChanges:     g.upstreams.Sequence(),
 		HoldsDutyLease:      g.isLeader(),
 		StoreAgeMs:          g.upstreams.Age().Milliseconds(),
+		Forwards:            true,
 	}
 	if detail == peers.Brief {
 		return m
@@ -46,30 +47,50 @@
 	return m
 }
 
-// detailPerNode returns a function that says how much detail each node receives: only the leader
-// and the nodes that may succeed it receive the counts of the usage report. It also makes all
-// registered nodes known to the quota ledger.
-func (g *Gateway) detailPerNode() func(node string) peers.DetailLevel {
+// planRound returns a function that says how the message of a round reaches each node. It also
+// makes all registered nodes known to the quota ledger.
+func (g *Gateway) planRound(round uint64) func(node string) peers.Delivery {
 	for name := range g.nodeRegistry.Others() {
 		g.quota.AddPeer(name)
 	}
-	receivesUsage := make(map[string]bool)
+	alive := g.peerTable.Alive()
+	routes := peers.PlanRoutes(g.settings.Node, g.settings.FailureDomain, alive, round)
+	receivesUsage := g.usageRecipients(alive)
+	return func(node string) peers.Delivery {
+		if receivesUsage[node] {
+			return routes.To(node, peers.Full)
+		}
+		return routes.To(node, peers.Standard)
+	}
+}
+
+// usageRecipients returns the nodes that receive the counts of the usage report: only the leader
+// and those that may succeed it.
+func (g *Gateway) usageRecipients(alive []*peers.Peer) map[string]bool {
+	out := make(map[string]bool)
 	candidates := []string{g.settings.Node}
-	for _, p := range g.peerTable.Alive() {
-		receivesUsage[p.Node] = p.HoldsDutyLease
+	for _, p := range alive {
+		out[p.Node] = p.HoldsDutyLease
 		if !p.Leaving {
 			candidates = append(candidates, p.Node)
 		}
 	}
-	for _, name := range rendezvous.TopN(leaderLeaseName, candidates, usageRecipients) {
-		receivesUsage[name] = true
+	for _, name := range rendezvous.TopN(leaderLeaseName, candidates, usageRecipientCount) {
+		out[name] = true
 	}
-	return func(node string) peers.DetailLevel {
-		if receivesUsage[node] {
-			return peers.Full
+	return out
+}
+
+// forwardTargets returns the addresses of the live nodes of this failure domain that accept
+// forwarded messages.
+func (g *Gateway) forwardTargets() []string {
+	var out []string
+	for _, p := range g.peerTable.Alive() {
+		if p.Forwards && p.FailureDomain == g.settings.FailureDomain {
+			out = append(out, p.Address)
 		}
-		return peers.Standard
 	}
+	return out
 }
 
 // ownLoads returns the outstanding load that this node has sent to each upstream.
