quota: processes without a checkpoint assume that all was spent just before they started

Change: if the store has no checkpoint, or none that can be decoded, and processes ran before, all of the window counts as spent at the start. A store that cannot be reached is as before.

--- a/internal/gateway/quota/checkpoint.go
+++ b/internal/gateway/quota/checkpoint.go
@@ -47,6 +47,13 @@
 	l.initialize(&startState{})
 }
 
+// StartAfterUnknownSpending starts without a checkpoint at a deployment that ran before. Everything
+// may have been spent just now, by processes that have ended, so nothing is available until a
+// window has passed.
+func (l *Ledger) StartAfterUnknownSpending() {
+	l.Restore(Checkpoint{}, 0, Gap{AtMaxRate: l.window})
+}
+
 // Started reports whether StartWithoutCheckpoint or Restore was called, so that earlier spending
 // is known.
 func (l *Ledger) Started() bool {
--- a/internal/gateway/quota/ledger_test.go
+++ b/internal/gateway/quota/ledger_test.go
@@ -162,6 +162,28 @@
 	require.Positive(t, s.ask(1, testUnits))
 }
 
+// All processes end right after a workspace spent what it could, before a checkpoint was written.
+func TestProcessesWithoutACheckpointDoNotSpendWhatTheirPredecessorsDid(t *testing.T) {
+	for _, ranFor := range []int{1, 5, 10, 20, 30} {
+		s := newNodes(4)
+		for range ranFor {
+			s.ask(40, testUnits)
+			s.step()
+		}
+		for i := range s.ledgers {
+			s.restart(i)
+			s.ledgers[i].StartAfterUnknownSpending()
+		}
+		before := len(s.spent)
+		for range int(2 * testWindow / testInterval) {
+			s.ask(40, testUnits)
+			s.step()
+		}
+		require.LessOrEqual(t, s.worst(), allowedWithin(), "after %d steps", ranFor)
+		require.Greater(t, len(s.spent), before, "served again after a window")
+	}
+}
+
 // The faults are partitions of up to a third of the nodes, restarts of one node and restarts of
 // all nodes, each kind on its own, while a workspace asks for three or four times its quota from
 // the start.
--- a/internal/gateway/server/checkpoint.go
+++ b/internal/gateway/server/checkpoint.go
@@ -81,6 +81,9 @@
 		wait.For(ctx, peerDiscoveryTime) // other processes may be starting at the same time
 		g.quota.StartWithoutCheckpoint()
 		g.logger.Info("quota accounting started")
+	default:
+		g.quota.StartAfterUnknownSpending()
+		g.logger.Warn("no checkpoint of earlier processes; quotas are refused until a window has passed")
 	}
 }
 
