Soak: a proxy whose library hangs is replaced, and every call of it has a time limit

Adding a fault and starting the proxy had no time limit, so the run ended without a verdict; resetting had one, and the run ended with its error.

--- a/internal/faulttest/link_test.go
+++ b/internal/faulttest/link_test.go
@@ -24,22 +24,24 @@
 	name string
 	// fault is the fault recorded in the history when the link is broken.
 	fault   historycheck.Fault
-	proxy   *toxiproxy.Proxy
 	address string
+	target  string
 	relay   *relay
 	// removed is true once cutForGood was called.
 	removed atomic.Bool
-	// stuck is true once a call of the proxy library did not return within proxyCallTimeout.
-	stuck atomic.Bool
+
+	mu sync.Mutex
+	// proxy is replaced once a call of the proxy library did not return within proxyCallTimeout.
+	proxy *toxiproxy.Proxy
 }
 
 // newLink starts a proxy in front of target on a port of its own.
 func newLink(t *testing.T, name, target string, datagrams bool) *link {
 	t.Helper()
-	l := &link{name: name, fault: historycheck.Fault{Kind: historycheck.FaultLink, Target: name}}
+	l := &link{name: name, target: target, fault: historycheck.Fault{Kind: historycheck.FaultLink, Target: name}}
 	var err error
 	for range portAttempts {
-		if err = l.listen(target); err == nil {
+		if err = l.listenOnFreePort(); err == nil {
 			break
 		}
 	}
@@ -51,16 +53,34 @@
 	return l
 }
 
-// listen starts the proxy on a free port.
-func (l *link) listen(target string) error {
+// listenOnFreePort starts the proxy on a free port.
+func (l *link) listenOnFreePort() error {
 	address, err := freeAddress()
 	if err != nil {
 		return err
 	}
-	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
 	l.address = address
-	l.proxy = toxiproxy.NewProxy(server, l.name, address, target)
-	return l.proxy.Start()
+	return l.listen()
+}
+
+// listen starts a new proxy on the link's address.
+func (l *link) listen() error {
+	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
+	proxy := toxiproxy.NewProxy(server, l.name, l.address, l.target)
+	if err := proxy.Start(); err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.proxy = proxy
+	return nil
+}
+
+// currentProxy returns the proxy in use.
+func (l *link) currentProxy() *toxiproxy.Proxy {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.proxy
 }
 
 // cut breaks every connection and refuses new ones until restore is called.
@@ -81,13 +101,17 @@
 		return nil
 	}
 	if err := l.removeToxics(); err != nil {
-		return err
+		if err := l.replaceProxy(); err != nil {
+			return err
+		}
 	}
 	l.setDatagrams(true)
-	if err := l.proxy.Start(); err != nil && err != toxiproxy.ErrProxyAlreadyStarted { //nolint:errorlint // not wrapped
-		return err
-	}
-	return nil
+	return l.callProxy(func(proxy *toxiproxy.Proxy) error {
+		if err := proxy.Start(); err != nil && err != toxiproxy.ErrProxyAlreadyStarted { //nolint:errorlint // not wrapped
+			return err
+		}
+		return nil
+	})
 }
 
 // proxyCallTimeout is how long a call of the proxy library may take.
@@ -98,28 +122,43 @@
 
 // removeToxics removes all toxics from the proxy.
 func (l *link) removeToxics() error {
-	return l.callProxy(func() { l.proxy.Toxics.ResetToxics(context.Background()) })
+	return l.callProxy(func(proxy *toxiproxy.Proxy) error {
+		proxy.Toxics.ResetToxics(context.Background())
+		return nil
+	})
 }
 
 // stopProxy stops the proxy and breaks its connections.
-func (l *link) stopProxy() { _ = l.callProxy(l.proxy.Stop) }
+func (l *link) stopProxy() {
+	_ = l.callProxy(func(proxy *toxiproxy.Proxy) error {
+		proxy.Stop()
+		return nil
+	})
+}
 
-// callProxy runs call, which calls the proxy library. It returns errStuck without running
-// call if the proxy is stuck, and if call does not return within proxyCallTimeout.
-func (l *link) callProxy(call func()) error {
-	if l.stuck.Load() {
-		return errStuck
+// replaceProxy gives up a proxy that is stuck, breaks its connections, and starts a new one at the
+// same address.
+func (l *link) replaceProxy() error {
+	go l.currentProxy().Stop() // may be stuck behind the call before it, but closes the listener first
+	var err error
+	for end := time.Now().Add(proxyCallTimeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if err = l.listen(); err == nil {
+			return nil
+		}
 	}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		call()
-	}()
+	return errors.Join(errStuck, err)
+}
+
+// callProxy runs call, which calls the proxy library, and returns errStuck if it does not return
+// within proxyCallTimeout.
+func (l *link) callProxy(call func(*toxiproxy.Proxy) error) error {
+	done := make(chan error, 1)
+	proxy := l.currentProxy()
+	go func() { done <- call(proxy) }()
 	select {
-	case <-done:
-		return nil
+	case err := <-done:
+		return err
 	case <-time.After(proxyCallTimeout):
-		l.stuck.Store(true)
 		return errStuck
 	}
 }
@@ -134,15 +173,16 @@
 
 // addToxic adds a toxic of a kind to both directions of the link.
 func (l *link) addToxic(kind string, attributes map[string]any) error {
-	if l.stuck.Load() {
-		return errStuck
-	}
 	for _, direction := range []string{"upstream", "downstream"} {
 		data, err := json.Marshal(toxic{Name: kind + direction, Type: kind, Stream: direction, Attributes: attributes})
 		if err != nil {
 			return err
 		}
-		if _, err := l.proxy.Toxics.AddToxicJson(bytes.NewReader(data)); err != nil {
+		err = l.callProxy(func(proxy *toxiproxy.Proxy) error {
+			_, err := proxy.Toxics.AddToxicJson(bytes.NewReader(data))
+			return err
+		})
+		if err != nil {
 			return err
 		}
 	}
