slopes: the measurement of streams does not give up while processors are short

Change: timeouts of engine.Client are a value; the measurement takes the 30 s of a stream. The serving client's are as before.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -40,8 +40,22 @@
 // time.
 var errNoData = errors.New("silent for too long")
 
+// Timeouts limit how long a client waits for an engine.
+type Timeouts struct {
+	// Dial limits the time to establish a connection.
+	Dial time.Duration
+	// Response limits the time until the response header, or a whole response that is no stream.
+	Response time.Duration
+	// Idle limits the time without data on a stream.
+	Idle time.Duration
+}
+
+// defaultTimeouts are those of a client that serves requests.
+var defaultTimeouts = Timeouts{Dial: dialTimeout, Response: responseTimeout, Idle: idleTimeout}
+
 // Client calls engines.
 type Client struct {
+	timeouts Timeouts
 	// pooled reuses connections.
 	pooled *http.Client
 	// fresh opens a connection for each request.
@@ -49,17 +63,22 @@
 }
 
 // NewClient returns a Client without open connections.
-func NewClient() *Client {
+func NewClient() *Client { return NewClientWithTimeouts(defaultTimeouts) }
+
+// NewClientWithTimeouts returns a Client without open connections that waits for engines as long as
+// timeouts allow.
+func NewClientWithTimeouts(timeouts Timeouts) *Client {
 	return &Client{
-		pooled: &http.Client{Transport: newTransport(false)},
-		fresh:  &http.Client{Transport: newTransport(true)},
+		timeouts: timeouts,
+		pooled:   &http.Client{Transport: newTransport(timeouts.Dial, false)},
+		fresh:    &http.Client{Transport: newTransport(timeouts.Dial, true)},
 	}
 }
 
 // newTransport returns a transport that opens a connection for each request if fresh is
 // true.
-func newTransport(fresh bool) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second}
+func newTransport(dial time.Duration, fresh bool) *http.Transport {
+	dialer := &net.Dialer{Timeout: dial, KeepAlive: time.Second}
 	return &http.Transport{
 		DialContext:         dialer.DialContext,
 		DisableKeepAlives:   fresh,
@@ -128,7 +147,7 @@
 // open sends a request whose response is a stream.
 func (c *Client) open(ctx context.Context, client *http.Client, method, target string, body []byte) (*Stream, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	headerTimer := time.AfterFunc(responseTimeout, func() { cancel(errNoData) })
+	headerTimer := time.AfterFunc(c.timeouts.Response, func() { cancel(errNoData) })
 	resp, err := c.send(ctx, client, method, target, body)
 	if err != nil {
 		headerTimer.Stop()
@@ -144,13 +163,13 @@
 		defer cancel(nil)
 		return nil, failureError(resp)
 	}
-	return newStream(ctx, resp, cancel, idleTimeout), nil
+	return newStream(ctx, resp, cancel, c.timeouts.Idle), nil
 }
 
 // call sends a request with a JSON response that must be complete within
-// responseTimeout.
+// Timeouts.Response.
 func (c *Client) call(ctx context.Context, method, target string, body []byte, out any) error {
-	ctx, cancel := context.WithTimeout(ctx, responseTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.timeouts.Response)
 	defer cancel()
 	return c.callWithoutTimeout(ctx, method, target, body, out)
 }
--- a/internal/slopes/entry.go
+++ b/internal/slopes/entry.go
@@ -79,6 +79,12 @@
 	return stubPlacement(r), nil
 }
 
+// newPatientClient returns a client of engines that gives up no stream before streamTimeout. All
+// streams begin at once, which takes seconds where processors are short.
+func newPatientClient() *engine.Client {
+	return engine.NewClientWithTimeouts(engine.Timeouts{Dial: streamTimeout, Response: streamTimeout, Idle: streamTimeout})
+}
+
 // streamRun runs streamCount streams at once and measures them.
 type streamRun struct {
 	tokens atomic.Int64
@@ -121,7 +127,7 @@
 	defer server.Close()
 	defer server.CloseClientConnections()
 	alone, through, aloneAgain := new(streamRun), new(streamRun), new(streamRun)
-	client := engine.NewClient()
+	client := newPatientClient()
 	direct := func(n int, token func()) error { return streamFromEngine(client, server.URL, n, token) }
 	err = firstError(alone.run(direct), streamThroughDispatcher(server.URL, through), aloneAgain.run(direct))
 	if err != nil {
@@ -186,7 +192,7 @@
 		Router:    stubRouter{upstream: fleet.Upstream{ID: "u1", URL: url, Models: []ident.Model{"model-1"}, State: fleet.StateReady}},
 		Admission: stubAdmission{}, Guard: stubGuard{}, Journal: stubJournal{},
 		Budget: budget, Retries: retry.NewPolicy(budget, random),
-		Engines: engine.NewClient(), Services: plainservice.NewClient(), Peers: peers, Dialer: dialer,
+		Engines: newPatientClient(), Services: plainservice.NewClient(), Peers: peers, Dialer: dialer,
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), MaxRunning: 2 * streamCount,
 	})
 	d.Start()
