scaling: fewer upstreams where engines are faster than assumed

Cause: the number of upstreams ordered followed one speed of engines for all sites.

Change: the balancer keeps the ratio of measured to modelled time to the first event over a node's long prompts; the plan orders in proportion to it, between 0.65 and 1 of what it ordered. The line of an order says demand and ratio.

--- a/internal/gateway/balance/balancer.go
+++ b/internal/gateway/balance/balancer.go
@@ -59,6 +59,7 @@
 	// announcements holds, by upstream ID, what upstreams announced in responses: that they are
 	// leaving, or that they want no requests for a time.
 	announcements map[string]*announcement
+	latencyRatio  latencyRatio
 }
 
 // New returns the balancer of a node in the failure domain.
@@ -176,6 +177,7 @@
 func (b *Balancer) openTicket(s *upstreamState, r *site.Request, service site.Service, preferred bool, now time.Time) *Ticket {
 	t := &Ticket{Upstream: s.upstream, balancer: b, state: s, sentAt: now}
 	t.expected = b.expectedLatency(s, r, service, preferred, now)
+	t.modelled = time.Duration(float64(t.expected) / s.slowdown)
 	if service.Engine != nil {
 		t.UncachedTokens = uncachedTokens(s, r, preferred, now)
 		s.pendingPrefill += t.UncachedTokens
--- a/internal/gateway/balance/ticket.go
+++ b/internal/gateway/balance/ticket.go
@@ -35,6 +35,8 @@
 	sentAt   time.Time
 	// expected is the latency estimated when the ticket was opened.
 	expected time.Duration
+	// modelled is the same at an upstream without a slowdown.
+	modelled time.Duration
 	// started is true once the first event arrived or the ticket ended.
 	started bool
 }
@@ -54,6 +56,7 @@
 	t.state.pendingPrefill -= t.UncachedTokens
 	now := b.now()
 	t.state.recordLatency(now.Sub(t.sentAt), t.expected)
+	b.latencyRatio.add(t.UncachedTokens, now.Sub(t.sentAt), t.modelled)
 }
 
 // End records the outcome of the request and closes the ticket. Further calls do nothing.
--- a/internal/gateway/scaling/plan.go
+++ b/internal/gateway/scaling/plan.go
@@ -14,6 +14,11 @@
 	// targetUtilization is the fraction of prefillRate at which first events are still on time:
 	// prompts arrive in bursts, and engines generate tokens at the same time.
 	targetUtilization = 0.42
+	// loadedLatencyRatio is the latency ratio (balance.Balancer.LatencyRatio) of engines at
+	// targetUtilization. Faster engines have a lower one, and fewer of them suffice, but not less
+	// than minSpeedFactor of the number: their speed for generated tokens is not measured.
+	loadedLatencyRatio = 1.35
+	minSpeedFactor     = 0.65
 	// reclaimableFactor is the number of reclaimable upstreams as a multiple of the upstreams
 	// needed. The surplus covers what a domain loses in a reclaim until it is replaced.
 	reclaimableFactor = 1.8
@@ -40,6 +45,9 @@
 	Domains []Domain
 	// PrefillDemand is the demand in prompt tokens per second that are not cached.
 	PrefillDemand float64
+	// LatencyRatio is the ratio of the measured to the modelled time to the first event; 0 while it
+	// is unknown.
+	LatencyRatio float64
 	// Measured is false until requests have arrived for long enough to measure the demand.
 	Measured bool
 	// PeakOnDemand is the largest number of on-demand upstreams seen since the start.
@@ -73,7 +81,16 @@
 	if !in.Measured {
 		return max(int(math.Ceil(unmeasuredFraction*float64(in.PeakOnDemand))), len(in.Domains))
 	}
-	return max(int(math.Ceil(in.PrefillDemand/(prefillRate*targetUtilization))), len(in.Domains))
+	return max(int(math.Ceil(speedFactor(in.LatencyRatio)*in.PrefillDemand/(prefillRate*targetUtilization))), len(in.Domains))
+}
+
+// speedFactor returns the fraction of the upstreams that suffices, as engines are faster than
+// assumed.
+func speedFactor(latencyRatio float64) float64 {
+	if latencyRatio <= 0 {
+		return 1
+	}
+	return min(max(latencyRatio/loadedLatencyRatio, minSpeedFactor), 1)
 }
 
 // reclaimableAfterWorstLoss returns how many reclaimable upstreams remain when the domain with
--- a/internal/gateway/scaling/plan_test.go
+++ b/internal/gateway/scaling/plan_test.go
@@ -41,6 +41,16 @@
 	require.Greater(t, reclaimable, neededUpstreams(in))
 }
 
+func TestFastEnginesNeedFewerUpstreams(t *testing.T) {
+	in := Inputs{Scaling: testScaling, PrefillDemand: 600_000, Measured: true, Domains: []Domain{{Name: "a"}, {Name: "b"}, {Name: "c"}}}
+	unknown := neededUpstreams(in)
+	needed := func(ratio float64) int { in.LatencyRatio = ratio; return neededUpstreams(in) }
+	require.Equal(t, unknown, needed(loadedLatencyRatio), "at the target load")
+	require.Equal(t, unknown, needed(3), "slow engines")
+	require.InDelta(t, 0.75*float64(unknown), needed(0.75*loadedLatencyRatio), 1)
+	require.InDelta(t, minSpeedFactor*float64(unknown), needed(0.1), 1, "the least")
+}
+
 func TestOnDemandUpstreamsCoverTheLossOfOneDomain(t *testing.T) {
 	in := Inputs{Scaling: testScaling, PrefillDemand: 60_000, Measured: true, Domains: []Domain{
 		{Name: "a", Reclaimable: 3}, {Name: "b", ReclaimableUnavailable: true}, {Name: "c", ReclaimableUnavailable: true},
--- a/internal/gateway/scaling/scaler.go
+++ b/internal/gateway/scaling/scaler.go
@@ -104,7 +104,7 @@
 		if in.Measured {
 			s.standingOrderOf(key).adoptRunning(order.Count, running[key])
 		}
-		s.sendIfDue(ctx, key, order, running[key], in.Scaling.BootTime)
+		s.sendIfDue(ctx, key, order, running[key], in)
 	}
 }
 
@@ -148,9 +148,9 @@
 }
 
 // sendIfDue sends an order if it is due. The lease is checked immediately before.
-func (s *Scaler) sendIfDue(ctx context.Context, key orderKey, order Order, running int, boot time.Duration) {
+func (s *Scaler) sendIfDue(ctx context.Context, key orderKey, order Order, running int, in Inputs) {
 	standing := s.standingOrderOf(key)
-	count, ok := standing.due(order.Count, running, boot, s.Now())
+	count, ok := standing.due(order.Count, running, in.Scaling.BootTime, s.Now())
 	if !ok {
 		return
 	}
@@ -166,5 +166,6 @@
 		s.rejectedFence = fence
 	}
 	s.Logger.Info("upstreams ordered", "service", key.service, "failure_domain", order.Domain, "reclaimable", order.Reclaimable,
-		"count", count, "before", before, "running", running, "fence", fence, "result", result.String())
+		"count", count, "before", before, "running", running, "fence", fence, "result", result.String(),
+		"demand", in.PrefillDemand, "latency_ratio", in.LatencyRatio)
 }
--- a/internal/gateway/server/leadertasks.go
+++ b/internal/gateway/server/leadertasks.go
@@ -187,11 +187,21 @@
 			Scaling:       *service.Scaling,
 			Domains:       g.scalingDomains(service),
 			PrefillDemand: prefill,
+			LatencyRatio:  g.latencyRatio(),
 			Measured:      measured,
 		})
 	}
 }
 
+// latencyRatio returns the latency ratio of engines as seen by this node, or 0 while it is unknown.
+func (g *Gateway) latencyRatio() float64 {
+	ratio, ok := g.balancer.LatencyRatio()
+	if !ok {
+		return 0
+	}
+	return ratio
+}
+
 // prefillDemand sums the prompt tokens per second of a service over the live nodes.
 func (g *Gateway) prefillDemand(service string) float64 {
 	sum := g.demandMeter.rates()[service].Prefill
