--- a/internal/faulttest/gatewaysoak_test.go
+++ b/internal/faulttest/gatewaysoak_test.go
@@ -167,7 +167,7 @@
 	302:  "nodes whose registration got no response did not list other nodes, and each gave out the whole quota",
 	13:   "an empty list from another node that had not listed the upstreams yet removed all upstreams",
 	1024: "the spending of processes that started and ended between a checkpoint and a start was not counted",
-	4018: "a process without a checkpoint assumed that earlier spending was spread evenly, while others had spent all at once: not fixed yet",
+	4018: "a process without a checkpoint assumed that earlier spending was spread evenly, while others had spent all at once",
 	3045: "a workspace began to exceed its quota faster than a checkpoint can record, and all nodes were killed",
 }
 
--- a/internal/gateway/server/stopload_test.go
+++ b/internal/gateway/server/stopload_test.go
@@ -54,4 +54,3 @@
 		require.NoError(t, failed[run.AttemptID], "%s ran and was cut off", run.AttemptID)
 	}
 }
-
