gateway: nodes that start together settle before they rank themselves

Cause: each of many nodes that start within a second finds only those in the store that registered before it, so many take themselves for one of the first: of 69 nodes all tried to create the lease, and some 24 watched the store and got every start of an upstream (389 answers of 1,460 calls until traffic).

Change: a node ranks itself for the lease and for watching from 0.4 s after its start on, among the registered nodes and those heard by then, for the lease too.

--- a/internal/gateway/server/follow.go
+++ b/internal/gateway/server/follow.go
@@ -38,6 +38,10 @@
 	// Otherwise all nodes of a starting site would watch the store and each receive the start of
 	// every replica.
 	startupListenTime = 800 * time.Millisecond
+	// startupSettleTime is how long a starting process waits before it ranks itself among the
+	// registered nodes: each of many that start together finds only those that registered before
+	// it, and hears from the others within this time.
+	startupSettleTime = 400 * time.Millisecond
 	// watchCheckInterval is how often a node checks whether it has to watch the store.
 	watchCheckInterval = 150 * time.Millisecond
 	// watchHoldTime is how long a node goes on watching after it no longer has to. When messages
@@ -98,7 +102,7 @@
 	}
 	switch {
 	case !heard && time.Since(g.startedAt) < startupListenTime:
-		return g.isFirstRegistered()
+		return g.isFirstRegistered(watchKey, minWatchers)
 	case !heard:
 		return own.ranksInTop(near, fallbackWatchersPerDomain) || g.upstreams.Age() > fallbackPeriod
 	case g.leaving.Load():
@@ -134,15 +138,13 @@
 	) < 0
 }
 
-// isFirstRegistered reports whether this node ranks among the first minWatchers of the registered
-// nodes. It is false until the registered nodes were listed.
-func (g *Gateway) isFirstRegistered() bool {
-	others := g.nodeRegistry.Others()
-	if !g.nodeRegistry.HasListed() {
+// isFirstRegistered reports whether this node ranks among the first n of the registered nodes for a
+// rendezvous key. It is false until the registered nodes were listed and startupSettleTime is over.
+func (g *Gateway) isFirstRegistered(key string, n int) bool {
+	if !g.nodeRegistry.HasListed() || time.Since(g.startedAt) < startupSettleTime {
 		return false
 	}
-	names := slices.Collect(maps.Keys(others))
-	return rendezvous.IsInTopN(watchKey, g.settings.Node, names, minWatchers)
+	return rendezvous.IsInTopN(key, g.settings.Node, slices.Collect(maps.Keys(g.nodeRegistry.Others())), n)
 }
 
 // watchKey is the rendezvous key that ranks candidates for watching the store.
--- a/internal/gateway/server/leadertasks.go
+++ b/internal/gateway/server/leadertasks.go
@@ -84,6 +84,9 @@
 	if g.leaving.Load() {
 		return false
 	}
+	if time.Since(g.startedAt) < startupListenTime {
+		return g.isFirstRegistered(leaderLeaseName, maxLeaseCandidates)
+	}
 	candidates, limit := []string{g.settings.Node}, maxLeaseCandidates
 	for _, p := range g.peerTable.Alive() {
 		switch {
