peers: few nodes with fast links forward what a whole domain sends

Cause: each node had relays of its own, so a relay forwarded four messages a second from four senders, nearly each in a datagram of its own to all of its domain.

Change: a pair of domains has the same relays for all senders, which take turns in an order of their own: three with the fastest links, or a third of the domain's nodes where fewer than three links have 100 Mbit/s.

--- a/internal/gateway/peers/delivery.go
+++ b/internal/gateway/peers/delivery.go
@@ -1,6 +1,9 @@
 package peers
 
 import (
+	"cmp"
+	"slices"
+
 	"mangoledge.example/mangoledge/internal/rendezvous"
 )
 
@@ -8,9 +11,13 @@
 	// maxDirectNodes is the size of a site up to which each node sends its state to all others
 	// itself.
 	maxDirectNodes = 16
-	// relaysPerDomain is how many nodes of another failure domain forward a node's messages there,
-	// in turn: while one of them is unreachable, two of three rounds still arrive.
-	relaysPerDomain = 3
+	// minRelays is how many nodes of another failure domain at least forward messages there, in
+	// turn: while one of them is unreachable, two of three rounds still arrive.
+	minRelays = 3
+	// relayLinkMbps is the link speed from which minRelays nodes can forward what a whole domain
+	// sends: about 10 Mbit/s. Where too few links are as fast, one of relayNodes nodes is a relay.
+	relayLinkMbps = 100
+	relayNodes    = 3
 )
 
 // Delivery is how a round's message reaches one node.
@@ -37,43 +44,58 @@
 	if len(alive) < maxDirectNodes {
 		return routes
 	}
-	members := make(map[string][]string)
+	members := make(map[string][]*Peer)
 	for _, p := range alive {
 		if p.Forwards && p.FailureDomain != failureDomain {
-			members[p.FailureDomain] = append(members[p.FailureDomain], p.Node)
+			members[p.FailureDomain] = append(members[p.FailureDomain], p)
 		}
 	}
-	leaving := make(map[string]bool)
-	for _, p := range alive {
-		leaving[p.Node] = p.Leaving
-	}
-	for domain, names := range members {
-		relay, ok := relayOf(node, domain, names, leaving, round)
-		if !ok {
+	for domain, peers := range members {
+		relays := relaysOf(failureDomain+"/"+domain, peers)
+		if len(relays) < minRelays {
 			continue
 		}
-		for _, name := range names {
-			routes.skipped[name] = name != relay
+		// Nodes take turns in a different order, so that relays have equal shares in each round.
+		relay := relays[(round+rendezvous.Score(domain, node))%uint64(len(relays))]
+		for _, p := range peers {
+			routes.skipped[p.Node] = p.Node != relay
 		}
 		routes.relays[relay] = true
 	}
 	return routes
 }
 
-// relayOf returns the relay of a failure domain in a round; ok is false if too few nodes can take
-// turns.
-func relayOf(node, domain string, names []string, leaving map[string]bool, round uint64) (relay string, ok bool) {
-	candidates := make([]string, 0, len(names))
-	for _, name := range names {
-		if !leaving[name] {
-			candidates = append(candidates, name)
+// relaysOf returns the nodes that forward messages to a failure domain, given its nodes and a key
+// for both domains: few nodes, so that they forward many messages together, and those with the
+// fastest links.
+func relaysOf(key string, nodes []*Peer) []string {
+	candidates := make([]*Peer, 0, len(nodes))
+	fast := 0
+	for _, p := range nodes {
+		if p.Leaving {
+			continue
 		}
+		candidates = append(candidates, p)
+		if p.LinkMbps >= relayLinkMbps {
+			fast++
+		}
+	}
+	score := make(map[string]uint64, len(candidates))
+	for _, p := range candidates {
+		score[p.Node] = rendezvous.Score(key, p.Node)
+	}
+	slices.SortFunc(candidates, func(a, b *Peer) int {
+		return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(score[b.Node], score[a.Node]), cmp.Compare(a.Node, b.Node))
+	})
+	count := max(minRelays, len(candidates)/relayNodes)
+	if fast >= minRelays {
+		count = minRelays
 	}
-	if len(candidates) < relaysPerDomain {
-		return "", false
+	relays := make([]string, 0, count)
+	for _, p := range candidates[:min(count, len(candidates))] {
+		relays = append(relays, p.Node)
 	}
-	relays := rendezvous.TopN(node+"/"+domain, candidates, relaysPerDomain)
-	return relays[round%relaysPerDomain], true
+	return relays
 }
 
 // To returns how a message with the given detail reaches a node.
--- a/internal/gateway/peers/delivery_test.go
+++ b/internal/gateway/peers/delivery_test.go
@@ -127,7 +127,7 @@
 	properties := gopter.NewProperties(parameters)
 	properties.Property("live nodes, with nodes of an older build among them", prop.ForAll(func(nodes, domains, older int) bool {
 		s := newSimulatedSite(nodes, domains, func(i int) bool { return i%older != 0 })
-		for number := range uint64(relaysPerDomain) {
+		for number := range uint64(2 * minRelays) {
 			s.round(number)
 			if s.maxAge() != 0 {
 				return false
@@ -147,6 +147,41 @@
 	}
 }
 
+func TestFewFastNodesForward(t *testing.T) {
+	const nodes, domains = 100, 5
+	relays := func(linkMbps func(i int) float64) (used, slow int) {
+		s := newSimulatedSite(nodes, domains, always)
+		for i, n := range s.nodes {
+			n.message.LinkMbps = linkMbps(i)
+		}
+		s.round(0)
+		forwarding := make(map[string]bool)
+		for _, sender := range s.nodes {
+			for round := range uint64(6) {
+				for relay := range PlanRoutes(sender.message.Node, sender.message.FailureDomain, sender.others(), round).relays {
+					forwarding[relay] = true
+				}
+			}
+		}
+		for _, n := range s.nodes {
+			if forwarding[n.message.Node] && n.message.LinkMbps < relayLinkMbps {
+				slow++
+			}
+		}
+		return len(forwarding), slow
+	}
+	fast, slow := relays(func(i int) float64 {
+		if i < minRelays*domains {
+			return 200
+		}
+		return 20
+	})
+	require.Equal(t, minRelays*domains, fast)
+	require.Zero(t, slow)
+	spread, _ := relays(func(int) float64 { return 20 })
+	require.Greater(t, spread, nodes/2, "without fast links many nodes share the work")
+}
+
 func TestSmallSiteSendsDirectly(t *testing.T) {
 	s := newSimulatedSite(maxDirectNodes, 3, always)
 	s.round(0)
