lease: a take-over whose response was lost waits as after a release

A holder that finds its own record, since the response to its write was lost, waited out a call (1.2 s) only, though the record before may have been released; there the wait is the duration of a lease, so a host could act around another one.

Change: it waits the longer of both.

--- a/internal/lease/compete.go
+++ b/internal/lease/compete.go
@@ -70,6 +70,9 @@
 	}
 	var wait time.Duration
 	switch {
+	case lapsed && last.Holder == l.options.Holder:
+		// The record that this node's own write replaced is not known: it may have been released.
+		wait = max(l.options.OrderTimeout, l.options.HandoverWait)
 	case lapsed:
 		wait = l.options.OrderTimeout
 	case base != 0:
