exchange: a lost answer's log line names the shared parts of the prompt

Cause: the hypotheses on crashing-prompt-part differ in whether the crashes have a part of the prompt in common, and no log line names parts. Change: shared_parts in the line 'answer lost', the first eight IDs; it joins 'crash counted' by the content.

--- a/internal/gateway/exchange/fingerprint.go
+++ b/internal/gateway/exchange/fingerprint.go
@@ -20,3 +20,15 @@
 	input := strings.Join([]string{workspace, r.Method, operation, string(r.Body)}, "\n")
 	return poison.FingerprintOf("", "", ident.Service(r.Host), input)
 }
+
+// maxLoggedParts limits the prompt parts named in a log line.
+const maxLoggedParts = 8
+
+// partIDs returns the IDs of the first parts of a prompt for a log line.
+func partIDs(parts []site.PromptPart) []string {
+	ids := make([]string, 0, maxLoggedParts)
+	for _, p := range parts[:min(len(parts), maxLoggedParts)] {
+		ids = append(ids, p.ID)
+	}
+	return ids
+}
--- a/internal/gateway/exchange/send.go
+++ b/internal/gateway/exchange/send.go
@@ -187,7 +187,7 @@
 	if errors.Is(context.Cause(ctx), errStalled) {
 		err = errStalled // the connection's error is a consequence of closing it
 	}
-	a.log("answer lost", "upstream", a.ticket.Upstream.ID, "error", err, "last_event", a.lastEventID, "content", a.fingerprint.String())
+	a.log("answer lost", "upstream", a.ticket.Upstream.ID, "error", err, "last_event", a.lastEventID, "content", a.fingerprint.String(), "shared_parts", partIDs(a.request.SharedParts()))
 	a.options.Poison.ResponseLost(a.fingerprint, a.ticket.Upstream)
 	return a.resultUnlessEnded(ctx, resultLost)
 }
--- a/internal/gateway/site/request.go
+++ b/internal/gateway/site/request.go
@@ -53,6 +53,11 @@
 	return float64(r.PromptTokens + r.MaxOutputTokens)
 }
 
+// SharedParts returns the prompt parts that other requests may share: all but the last.
+func (r *Request) SharedParts() []PromptPart {
+	return r.Prompt[:max(0, len(r.Prompt)-1)]
+}
+
 // PrefixKey returns the ID of the prompt part that later requests are most likely to share: the
 // last but one, as no other request shares the last.
 func (r *Request) PrefixKey() string {
