--- a/internal/poison/blame.go
+++ b/internal/poison/blame.go
@@ -12,7 +12,7 @@
 func blame(suspects map[Fingerprint]*Suspect) map[Fingerprint]bool {
 	var candidates []*Suspect
 	for _, s := range suspects {
-		if s.open() >= minPartCrashes {
+		if s.isCandidate() {
 			candidates = append(candidates, s)
 		}
 	}
@@ -33,6 +33,9 @@
 	return guilty
 }
 
+// isCandidate reports whether the part may be guilty.
+func (s *Suspect) isCandidate() bool { return s.open >= minPartCrashes }
+
 // compareBlame orders suspects by how early they are blamed.
 func compareBlame(a, b *Suspect) int {
 	if a.Proven != b.Proven {
@@ -41,7 +44,7 @@
 		}
 		return 1
 	}
-	return cmp.Or(cmp.Compare(b.Depth, a.Depth), cmp.Compare(b.open(), a.open()), cmp.Compare(a.Part, b.Part))
+	return cmp.Or(cmp.Compare(b.Depth, a.Depth), cmp.Compare(b.open, a.open), cmp.Compare(a.Part, b.Part))
 }
 
 // guilty reports whether the crashes that no other part explains suffice to refuse the part.
--- a/internal/poison/suspect.go
+++ b/internal/poison/suspect.go
@@ -47,20 +47,22 @@
 	Proven bool `json:"proven,omitempty"`
 	// Crashes are ordered by time, the newest first.
 	Crashes []PartCrash `json:"crashes"`
+
+	// open is the number of crashes that are not refuted.
+	open int
 }
 
 // hashIncarnation returns the PartCrash.Upstream of an incarnation.
 func hashIncarnation(upstream ident.Upstream) uint64 { return xxhash.Sum64String(string(upstream)) }
 
-// open returns the number of crashes that are not refuted.
-func (s *Suspect) open() int {
-	n := 0
+// countOpen updates open after a change of the crashes.
+func (s *Suspect) countOpen() {
+	s.open = 0
 	for i := range s.Crashes {
 		if !s.Crashes[i].Refuted {
-			n++
+			s.open++
 		}
 	}
-	return n
 }
 
 // lastCrash returns the time of the newest crash, in milliseconds since 1970; 0 without any.
@@ -99,6 +101,9 @@
 			changed = true
 		}
 	}
+	if changed {
+		s.countOpen()
+	}
 	return changed
 }
 
@@ -111,6 +116,9 @@
 			c.Refuted, changed = true, true
 		}
 	}
+	if changed {
+		s.countOpen()
+	}
 	return changed
 }
 
--- a/internal/poison/suspects.go
+++ b/internal/poison/suspects.go
@@ -87,12 +87,12 @@
 		if !ok {
 			continue
 		}
-		if !entry.Proven {
-			entry.Proven, changed = true, true
-		}
-		if entry.refute(at) {
+		candidate := entry.isCandidate()
+		refuted := entry.refute(at)
+		if candidate && (refuted || !entry.Proven) {
 			changed = true
 		}
+		entry.Proven = true
 	}
 	s.updateGuilty(changed)
 }
@@ -111,7 +111,7 @@
 }
 
 // merge adds evidence against one part, and what this node knows in its favour. It reports whether
-// that changed anything.
+// that may change which parts are guilty.
 func (s *Suspects) merge(evidence *Suspect) bool {
 	entry, ok := s.entries[evidence.Part]
 	if !ok {
@@ -121,12 +121,13 @@
 		entry = &Suspect{Part: evidence.Part}
 		s.entries[evidence.Part] = entry
 	}
+	before := entry.isCandidate()
 	changed := entry.merge(evidence)
 	if at, ok := s.succeeded.Peek(evidence.Part); ok && changed {
 		entry.Proven = true
 		entry.refute(at)
 	}
-	return changed
+	return changed && (before || entry.isCandidate())
 }
 
 // updateGuilty decides anew which parts are guilty, if the evidence changed.
@@ -155,7 +156,7 @@
 
 // compareEvidence orders suspects by the crashes that count, and then by their newest crash.
 func compareEvidence(a, b *Suspect) int {
-	return cmp.Or(cmp.Compare(b.open(), a.open()), compareRecency(a, b))
+	return cmp.Or(cmp.Compare(b.open, a.open), compareRecency(a, b))
 }
 
 // compareRecency orders suspects by their newest crash.
@@ -202,7 +203,7 @@
 		switch {
 		case guilty[e.Part]:
 			convicted = append(convicted, e)
-		case e.open() > 1:
+		case e.open > 1:
 			repeated = append(repeated, e)
 		case size.MaxAge == 0 || now.UnixMilli()-e.lastCrash() <= size.MaxAge.Milliseconds():
 			others = append(others, e)
@@ -229,7 +230,7 @@
 	defer s.mu.Unlock()
 	out := make(map[Fingerprint]int)
 	for p := range *s.guilty.Load() {
-		out[p] = s.entries[p].open()
+		out[p] = s.entries[p].open
 	}
 	return out
 }
@@ -240,7 +241,7 @@
 	defer s.mu.Unlock()
 	n := 0
 	for _, e := range s.entries {
-		if e.open() > 0 {
+		if e.open > 0 {
 			n++
 		}
 	}
