exchange: an error of the next upstream is no part of a stream that began

What callers saw: where a resumed stream's next upstream answered with a redirect, 400, 404 or any status below 500, the text of that answer stood in the middle of the stream; after 204 the stream looked complete. Cause: only the statuses of a failed upstream were handled as such once a stream had begun; others were forwarded like a first response. Change: once the head is written, everything but a 200 ends the attempt: the stream moves on if a retry is granted, else it is broken off.

--- a/internal/gateway/exchange/send.go
+++ b/internal/gateway/exchange/send.go
@@ -251,6 +251,8 @@
 	case response.Status/100 == 2 && !meta.Signed:
 		response.Abort()
 		return a.handleLost(ctx, errors.New("successful response without a signature"))
+	case a.client.headerWritten && response.Status != http.StatusOK:
+		return a.handleErrorInStream(ctx, response)
 	case response.Status/100 == 2 && a.route.Kind == site.RouteStreaming:
 		a.mayHaveRun = true
 		return a.forwardStream(ctx, response)
@@ -271,6 +273,18 @@
 	return a.resultUnlessEnded(ctx, resultRejected)
 }
 
+// handleErrorInStream ends an attempt to continue a stream that was answered with an error, which
+// must not reach the client as a part of the stream.
+func (a *attempt) handleErrorInStream(ctx context.Context, response *httpconn.Response) sendResult {
+	response.Discard()
+	a.ticket.End(a.outcomeUnlessEnded(ctx, balance.Failed))
+	a.log("upstream failed", "upstream", a.ticket.Upstream.ID, "status", response.Status, "last_event", a.lastEventID)
+	if !a.route.Repeatable() || !a.mayRetry(ctx, retryFailed) {
+		a.refuseOrAbort(a.client, upstreamFailedRefusal)
+	}
+	return resultRetry
+}
+
 // handlePlain handles a non-streaming response: it buffers the first bytes and forwards the
 // response.
 func (a *attempt) handlePlain(ctx context.Context, response *httpconn.Response) sendResult {
@@ -296,8 +310,8 @@
 func (a *attempt) handleUpstreamFailure(ctx context.Context, response *httpconn.Response, body *responseBody) sendResult {
 	a.log("upstream failed", "upstream", a.ticket.Upstream.ID, "status", response.Status)
 	outcome := a.outcomeUnlessEnded(ctx, balance.Failed)
-	repeat := !a.client.headerWritten && a.route.Repeatable() && a.mayRetry(ctx, retryFailed)
-	if !repeat && !a.client.headerWritten && !a.options.Wire.MeansNotRun(response.Status) {
+	repeat := a.route.Repeatable() && a.mayRetry(ctx, retryFailed)
+	if !repeat && !a.options.Wire.MeansNotRun(response.Status) {
 		return a.forwardResponse(ctx, response, body, outcome)
 	}
 	if !body.complete {
