exchange: a stream that ends inside an event has been broken off

What callers saw: a stream whose bytes ended inside an event, with or without a length, was forwarded with the piece of the event and ended as if it were complete. Cause: the end of the body was taken for the end of the stream, wherever it came. Change: an end inside an event is a lost response, so the stream moves on or is broken off, and the piece is not forwarded. Whole events before it are flushed first: they were held back while more bytes were buffered.

--- a/internal/gateway/exchange/events.go
+++ b/internal/gateway/exchange/events.go
@@ -29,12 +29,15 @@
 }
 
 // next returns the bytes of the next event, including the blank line that ends it, and the
-// event's ID or "". At the end of the stream it returns the remaining bytes and io.EOF. Bytes
-// returned with any other error are an incomplete event.
+// event's ID or "". At the end of the stream it returns io.EOF, or io.ErrUnexpectedEOF if the stream
+// ends inside an event. Bytes returned with an error are an incomplete event.
 func (r *eventReader) next() (event []byte, id string, err error) {
 	for {
 		line, err := r.reader.ReadSlice('\n')
 		event = append(event, line...)
+		if errors.Is(err, io.EOF) && len(event) > 0 {
+			return event, id, io.ErrUnexpectedEOF
+		}
 		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
 			return event, id, err
 		}
--- a/internal/gateway/exchange/stream.go
+++ b/internal/gateway/exchange/stream.go
@@ -18,19 +18,18 @@
 	reader := newEventReader(response.Body)
 	for {
 		event, id, err := reader.next()
-		if err != nil && !errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) {
+			return a.finishStream(response)
+		}
+		if err != nil {
 			response.Abort()
+			a.flushEvents()
 			return a.handleLost(ctx, err)
 		}
-		if len(event) > 0 {
-			a.prepareEvent(response)
-			if a.forwardEvent(event, id, reader.hasBuffered() && err == nil) != nil {
-				response.Abort()
-				return a.abortClient(ctx)
-			}
-		}
-		if err != nil {
-			return a.finishStream(response)
+		a.prepareEvent(response)
+		if a.forwardEvent(event, id, reader.hasBuffered()) != nil {
+			response.Abort()
+			return a.abortClient(ctx)
 		}
 	}
 }
@@ -68,6 +67,13 @@
 	return a.client.flush()
 }
 
+// flushEvents sends events that were written but not flushed yet, because more bytes had arrived.
+func (a *attempt) flushEvents() {
+	if a.client.headerWritten {
+		_ = a.client.flush() // a client that is gone is noticed at the next write
+	}
+}
+
 // finishStream ends a stream that is complete.
 func (a *attempt) finishStream(response *httpconn.Response) sendResult {
 	response.Finish()
