exchange: a refusal without an ID is believed only on a connection's first answer

What callers could see: a faulty replica repeats an earlier refusal, without its ID, on a kept connection; the next request was answered 503, not run, or sent to a second upstream, while the first ran it. With the earlier ID it was not believed before either. Cause: the ID of an answer was required of successes only. Change: a rejection without an ID belongs to a request only if its connection carried no other one; otherwise the answer counts as lost, which promises nothing.

--- a/internal/gateway/exchange/send.go
+++ b/internal/gateway/exchange/send.go
@@ -240,7 +240,7 @@
 // handleResponse handles a response whose header has arrived.
 func (a *attempt) handleResponse(ctx context.Context, response *httpconn.Response) sendResult {
 	meta := a.options.Wire.DecodeResponse(response.Status, response.Header)
-	if meta.AttemptID != a.request.AttemptID && (meta.AttemptID != "" || response.Status/100 == 2) {
+	if !a.isOwnResponse(response, meta) {
 		response.Abort()
 		return a.handleLost(ctx, errors.Newf("the response belongs to request %q", meta.AttemptID))
 	}
@@ -261,6 +261,18 @@
 	return a.handlePlain(ctx, response)
 }
 
+// isOwnResponse reports whether a response belongs to this attempt. Without an ID, a success never
+// does, and a rejection only if the connection carried no other request that it may belong to.
+func (a *attempt) isOwnResponse(response *httpconn.Response, meta ResponseMeta) bool {
+	switch {
+	case meta.AttemptID == a.request.AttemptID:
+		return true
+	case meta.AttemptID != "" || response.Status/100 == 2:
+		return false
+	}
+	return !meta.NotRun || response.OnNewConnection()
+}
+
 // handleRejected ends an attempt that the upstream states it did not run.
 func (a *attempt) handleRejected(ctx context.Context, response *httpconn.Response, meta ResponseMeta) sendResult {
 	response.Discard()
--- a/internal/gateway/httpconn/conn.go
+++ b/internal/gateway/httpconn/conn.go
@@ -35,6 +35,8 @@
 	// reader buffers source.
 	reader *bufio.Reader
 	source *bounded.Reader
+	// requests is the number of requests sent.
+	requests int
 	// connectedAt is when the connection was established.
 	connectedAt time.Time
 	// idleSince is when the last response ended; zero for a connection not used yet.
--- a/internal/gateway/httpconn/pool.go
+++ b/internal/gateway/httpconn/pool.go
@@ -73,6 +73,7 @@
 			return nil, &Error{Stage: StagePrepare, Cause: err}
 		}
 	}
+	c.requests++
 	out := &Response{pool: p, conn: c, bodyWritten: make(chan error, 1)}
 	out.stopContext = context.AfterFunc(ctx, c.close)
 	if err := out.write(r); err != nil {
--- a/internal/gateway/httpconn/response.go
+++ b/internal/gateway/httpconn/response.go
@@ -92,6 +92,10 @@
 // CloseAfter marks the connection to be closed once the response is read.
 func (r *Response) CloseAfter() { r.closeAfter = true }
 
+// OnNewConnection reports whether the response is to the first request of its connection, so that
+// it can't be a repetition of an earlier response.
+func (r *Response) OnNewConnection() bool { return r.conn.requests == 1 }
+
 // ConnectedAt returns when the response's connection was established.
 func (r *Response) ConnectedAt() time.Time { return r.conn.connectedAt }
 
