platform: the store's era is part of every version

When the store comes back from an older copy, revisions are given out again, so a watch goes on from a number that stands for something else, and the condition of a write holds again by chance.

--- a/internal/gateway/site/upstream.go
+++ b/internal/gateway/site/upstream.go
@@ -19,6 +19,8 @@
 	Reclaimable bool
 	// LeavesIn is how long a draining upstream stays, if it says so; 0 otherwise.
 	LeavesIn time.Duration
+	// Reports counts what the upstream has reported since it started; 0 if unknown.
+	Reports int64
 	// StartedAt is the start time of this incarnation; zero if unknown.
 	StartedAt time.Time
 }
--- a/internal/platform/objects/object.go
+++ b/internal/platform/objects/object.go
@@ -13,10 +13,25 @@
 // Kind is the name of an object kind as used in paths, such as "sites".
 type Kind string
 
+// revisionBits is the number of bits of a Version that hold the revision.
+const revisionBits = 44
+
 // Version is a resource version. The store assigns it from one increasing counter for all
-// kinds.
+// kinds. A store that came back from an older copy counts on from there in a new era; versions of a
+// later era are greater than all of an earlier one.
 type Version uint64
 
+// VersionOf returns the version of a revision of the store in an era.
+func VersionOf(era, revision uint64) Version {
+	return Version(era<<revisionBits | revision&(1<<revisionBits-1))
+}
+
+// Era returns the era of the store; 0 for a store that has none.
+func (v Version) Era() uint64 { return uint64(v) >> revisionBits }
+
+// Revision returns the store's own number of the version, which may repeat in a later era.
+func (v Version) Revision() uint64 { return uint64(v) & (1<<revisionBits - 1) }
+
 // MarshalJSON writes the version as the store does, as a string.
 func (v Version) MarshalJSON() ([]byte, error) {
 	return []byte(strconv.Quote(strconv.FormatUint(uint64(v), 10))), nil
