catalog: an older copy of the store drops no living upstream and brings none back

Cause: entries were compared by revision. After the store came back from an older copy, one that had left was used again, a draining one was ready again, one that had come since was dropped, and a node that started then passed its incomplete list on.

--- a/internal/gateway/catalog/upstreams.go
+++ b/internal/gateway/catalog/upstreams.go
@@ -52,7 +52,12 @@
 	storeVersion objects.Version
 	// storeReturnedAt is when the store last answered again after an outage.
 	storeReturnedAt time.Time
-	view            atomic.Pointer[View]
+	// eraChangedAt is when the store was last found in a later era.
+	eraChangedAt time.Time
+	view         atomic.Pointer[View]
+	// removed holds the upstreams that were removed, by ID, so that an older copy of the store does
+	// not bring them back.
+	removed map[string]removal
 	// sequence counts the changes; changes holds the latest ones for nodes that follow this one.
 	sequence uint64
 	changes  []change
@@ -79,7 +84,7 @@
 
 // NewUpstreams returns an empty catalog of upstreams.
 func NewUpstreams(decode DecodeUpstream, logger *slog.Logger, now func() time.Time) *Upstreams {
-	u := &Upstreams{decode: decode, logger: logger, now: now, entries: make(map[string]*entry)}
+	u := &Upstreams{decode: decode, logger: logger, now: now, entries: make(map[string]*entry), removed: make(map[string]removal)}
 	u.view.Store(&View{})
 	return u
 }
@@ -148,6 +153,14 @@
 		u.logger.Warn("upstream entry ignored", "upstream", object.Metadata.Name, "error", err)
 	}
 	next := &entry{object: object, upstream: upstream, usable: err == nil}
+	if known == nil && u.isRemoved(next) {
+		u.logger.Info("entry of a removed upstream ignored", "upstream", object.Metadata.Name, "version", object.Metadata.ResourceVersion)
+		u.recordChange(object.Metadata.Name) // nodes that follow this one may have taken it from the store
+		return false
+	}
+	if known != nil {
+		next.keepNewer(known)
+	}
 	u.entries[object.Metadata.Name] = next
 	u.recordChange(object.Metadata.Name)
 	if known == nil || known.usable != next.usable || known.upstream != next.upstream {
@@ -172,13 +185,14 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.updateContact()
+	u.updateEra(list.Metadata.ResourceVersion)
 	listed := make(map[string]bool, len(list.Items))
 	for _, object := range list.Items {
 		listed[object.Metadata.Name] = true
 		u.put(object)
 	}
 	for name := range u.entries {
-		if !listed[name] {
+		if !listed[name] && !u.keepsUnlisted(name) {
 			u.handleMissing(name)
 		}
 	}
@@ -207,6 +221,7 @@
 // remove deletes an entry and records the change.
 func (u *Upstreams) remove(name string) {
 	u.logger.Info("upstream gone", "upstream", name)
+	u.recordRemoval(name)
 	delete(u.entries, name)
 	u.recordChange(name)
 }
@@ -224,6 +239,7 @@
 func (u *Upstreams) RemoveExpired() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.forgetRemovals()
 	if u.storeReturnedAt.IsZero() || u.now().Sub(u.storeReturnedAt) < reregistrationGrace {
 		return
 	}
@@ -252,6 +268,13 @@
 	Removed []string         `json:"gone,omitempty"`
 }
 
+// StoreVersion returns the version of the store up to which all changes are included.
+func (u *Upstreams) StoreVersion() objects.Version {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.storeVersion
+}
+
 // Sequence returns the number of the last change.
 func (u *Upstreams) Sequence() uint64 {
 	u.mu.Lock()
@@ -289,14 +312,16 @@
 
 // Apply applies the update of a node that this one follows. An update from a node that has seen
 // less of the store than this one is ignored: it would bring back removed entries and drop new
-// ones.
-func (u *Upstreams) Apply(update *Update) {
+// ones. Apply returns false if that node has not seen the store's latest era: what it knows from
+// before is still missing here.
+func (u *Upstreams) Apply(update *Update) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if update.StoreVersion < u.storeVersion {
 		u.logger.Info("outdated update of upstreams ignored", "reached", update.StoreVersion, "here", u.storeVersion)
-		return
+		return update.StoreVersion.Era() == u.storeVersion.Era()
 	}
+	u.updateEra(update.StoreVersion)
 	u.storeVersion = update.StoreVersion
 	listed := make(map[string]bool, len(update.Entries))
 	for _, object := range update.Entries {
@@ -310,12 +335,13 @@
 	}
 	if update.Full {
 		for _, name := range slices.Collect(maps.Keys(u.entries)) {
-			if !listed[name] {
+			if !listed[name] && !u.keepsUnlisted(name) {
 				u.remove(name)
 			}
 		}
 	}
 	u.publish()
+	return true
 }
 
 // publish rebuilds the view. u.mu must be held.
--- a/internal/gateway/server/relay.go
+++ b/internal/gateway/server/relay.go
@@ -229,8 +229,9 @@
 		g.logger.Warn("failed to fetch snapshot from followed node", "followed", p.Node, "error", err)
 		return
 	}
-	g.applySnapshot(s)
-	g.relayCursor.advance(p.Incarnation, s.Upstreams.Sequence)
+	if g.applySnapshot(s) {
+		g.relayCursor.advance(p.Incarnation, s.Upstreams.Sequence)
+	}
 }
 
 // fetchFromSeed takes nodes, configuration and upstreams from one of the seeds in the settings. It
@@ -324,12 +325,14 @@
 	return read(reader)
 }
 
-// applySnapshot applies the upstream changes of another node's snapshot.
-func (g *Gateway) applySnapshot(s *snapshot) {
+// applySnapshot applies the upstream changes of another node's snapshot. It returns false if they have
+// to be fetched again.
+func (g *Gateway) applySnapshot(s *snapshot) (applied bool) {
 	before := g.upstreams.View()
-	g.upstreams.Apply(&s.Upstreams)
+	applied = g.upstreams.Apply(&s.Upstreams)
 	g.reclaimNotices.record(before, g.upstreams.View())
 	g.confirmFromPeer(time.Duration(s.StoreAgeMs) * time.Millisecond)
+	return applied
 }
 
 // confirmFromPeer records that the state known here was current age ago.
