lease: no fencing number is issued again after the store came back from an older copy

Cause: the number issued last lives in the store alone. Lost, the same number was issued to the next holder, while the former one still believed in its lease. The first holder of an era waits, where the cloud does not compare numbers, until a lost holder's lease has expired and its orders have ended.

--- a/internal/lease/compete.go
+++ b/internal/lease/compete.go
@@ -62,7 +62,7 @@
 		TTLMs:  l.options.TTL.Milliseconds(),
 	}
 	if base != 0 {
-		fence, err := l.issueFence(ctx, last.Fence)
+		fence, err := l.issueFence(ctx, last.Fence, base.Era())
 		if err != nil {
 			return err
 		}
@@ -78,6 +78,9 @@
 	case base != 0:
 		wait = l.options.HandoverWait
 	}
+	if last.Fence <= minFence(base.Era()) {
+		wait = max(wait, l.eraWait(base))
+	}
 	return l.writeRecord(ctx, base, next, wait)
 }
 
@@ -106,6 +109,12 @@
 	} else {
 		stored, err = l.options.Store.Update(ctx, object)
 	}
+	if err == nil {
+		err = l.checkStoredEra(stored.Metadata.ResourceVersion, next.Fence)
+		if err != nil {
+			return err // the next step acquires the lease again, with a number of this era
+		}
+	}
 	if err == nil && base == 0 {
 		err = l.issueFirstFence(ctx, next.Fence)
 		if err != nil {
@@ -121,6 +130,10 @@
 		return err
 	}
 	current, known := objects.CurrentOf(err)
+	if !known && objects.KindOf(err) == objects.KindConflict {
+		l.setLost(0, Record{}) // the version is of an earlier era of the store
+		return err
+	}
 	if !known {
 		return err // outcome unknown; the lease expires unless the next step succeeds
 	}
@@ -128,7 +141,7 @@
 	if decodeErr != nil {
 		return decodeErr
 	}
-	if record == next {
+	if record == next && l.checkStoredEra(current.Metadata.ResourceVersion, next.Fence) == nil {
 		// An earlier write of the same record took effect but its response was lost. The time
 		// it was sent is not known here, so it does not extend the lease.
 		l.setHeld(current.Metadata.ResourceVersion, record, wait, time.Time{})
--- a/internal/lease/issued.go
+++ b/internal/lease/issued.go
@@ -45,31 +45,36 @@
 	return out, true, nil
 }
 
-// issueFence stores and returns a fencing number higher than last and than any issued before.
-// The write is conditional, so a stale read does not lead to a number being issued twice.
-func (l *Lease) issueFence(ctx context.Context, last Fence) (Fence, error) {
+// issueFence stores and returns a fencing number higher than last, than any issued before, and than
+// those of eras of the store before the given one. The write is conditional, so a stale read does not
+// lead to a number being issued twice.
+func (l *Lease) issueFence(ctx context.Context, last Fence, era uint64) (Fence, error) {
 	before, found, err := l.readIssuedFence(ctx)
 	if err != nil {
 		return 0, err
 	}
-	next := max(last, before.Fence) + 1
+	next := max(last, before.Fence, minFence(max(era, before.version.Era()))) + 1
 	spec, err := json.Marshal(issuedFence{Fence: next})
 	if err != nil {
 		return 0, errors.Wrapf(err, "lease %s", l.options.Name)
 	}
 	object := objects.Object{Kind: Kind, Metadata: objects.Metadata{Name: l.options.Name + issuedSuffix, ResourceVersion: before.version}, Spec: spec}
-	if !found {
-		_, err = l.options.Store.Create(ctx, object)
+	var stored objects.Object
+	if found {
+		stored, err = l.options.Store.Update(ctx, object)
+	} else {
+		stored, err = l.options.Store.Create(ctx, object)
+	}
+	if err != nil {
 		return next, err
 	}
-	_, err = l.options.Store.Update(ctx, object)
-	return next, err
+	return next, l.checkStoredEra(stored.Metadata.ResourceVersion, next)
 }
 
 // issueFirstFence stores the fencing number of the first holder ever, after the lease itself
 // was created: a number without a lease means that the lease was deleted.
 func (l *Lease) issueFirstFence(ctx context.Context, fence Fence) error {
-	issued, err := l.issueFence(ctx, 0)
+	issued, err := l.issueFence(ctx, 0, 0)
 	if err == nil && issued != fence {
 		return errors.Newf("lease %s: fencing number %d was issued concurrently", l.options.Name, issued)
 	}
