usage: a window whose report may be lost with the store is not reported twice

Cause: any lease holder sends what is stored for a window. If that record is lost, the next holder sums anew, with other counts, and reports the window a second time. Change: windows that may have been reported before the store came back from an older copy are reported only if their record is still there.

--- a/internal/gateway/usage/reporter.go
+++ b/internal/gateway/usage/reporter.go
@@ -25,6 +25,9 @@
 	lookback = 12 * time.Second
 )
 
+// errMaybeReported means that a window may have been reported before, with counts that are lost.
+var errMaybeReported = errors.New("the window may have been reported")
+
 // Report holds the counts of one window by workspace.
 type Report struct {
 	Window int64            `json:"window"`
@@ -45,7 +48,10 @@
 	Holder Holder
 	Send   Send
 	// Sum returns the counts of a window over all nodes.
-	Sum          func(window int64) map[string]int64
+	Sum func(window int64) map[string]int64
+	// LostBefore returns the time before which stored reports may have been lost, as the store came
+	// back from an older copy; zero if none was. Nil means never.
+	LostBefore   func() time.Time
 	WindowLength time.Duration
 	Now          func() time.Time
 	Logger       *slog.Logger
@@ -75,6 +81,10 @@
 // report stores the counts of a window unless they are stored already, and sends them.
 func (r *Reporter) report(ctx context.Context, window int64) error {
 	report, err := r.createOrLoadReport(ctx, window)
+	if errors.Is(err, errMaybeReported) {
+		r.Logger.Warn("usage not reported: an earlier report may have been lost with the store's last changes", "window", window)
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -96,6 +106,13 @@
 // a report is already stored, it returns that one.
 func (r *Reporter) createOrLoadReport(ctx context.Context, window int64) (Report, error) {
 	name := strconv.FormatInt(window, 10)
+	if r.maybeLost(window) {
+		report, err := r.loadReport(ctx, name)
+		if objects.KindOf(err) == objects.KindNotFound {
+			err = errMaybeReported
+		}
+		return report, err
+	}
 	report := Report{Window: window, Counts: r.Sum(window)}
 	spec, err := json.Marshal(report)
 	if err != nil {
@@ -108,13 +125,29 @@
 	if objects.KindOf(err) != objects.KindConflict {
 		return report, err
 	}
+	return r.loadReport(ctx, name)
+}
+
+// loadReport returns the stored report with the given name.
+func (r *Reporter) loadReport(ctx context.Context, name string) (Report, error) {
 	stored, err := r.Store.Get(ctx, KindReports, name)
 	if err != nil {
-		return report, err
+		return Report{}, err
 	}
-	var earlier Report
-	if err := json.Unmarshal(stored.Spec, &earlier); err != nil {
-		return report, errors.Wrapf(err, "report %s", name)
+	var report Report
+	if err := json.Unmarshal(stored.Spec, &report); err != nil {
+		return Report{}, errors.Wrapf(err, "report %s", name)
+	}
+	return report, nil
+}
+
+// maybeLost reports whether a window may have been reported by a report that the store lost. The
+// clocks of the node that reported it and of this one may differ by closeDelay.
+func (r *Reporter) maybeLost(window int64) bool {
+	if r.LostBefore == nil {
+		return false
 	}
-	return earlier, nil
+	before := r.LostBefore()
+	closed := time.Unix(0, (window+1)*int64(r.WindowLength)).Add(closeDelay)
+	return !before.IsZero() && closed.Before(before.Add(closeDelay))
 }
