server: nodes learn of the store's era from each other and write their state again

Cause: a node's record, the checkpoint and the lease live in the store; when it comes back from an older copy, nodes that start later did not find the others, and might take a start for the first one or a checkpoint for the last. A checkpoint of an earlier era counts all time since as spent at the highest rate, and no start is the first in a later era.

--- a/internal/gateway/peers/message.go
+++ b/internal/gateway/peers/message.go
@@ -48,6 +48,8 @@
 	// counts the changes to upstreams that they saw there.
 	WatchesStore    bool   `msgpack:"w"`
 	UpstreamChanges uint64 `msgpack:"h"`
+	// StoreEra is the latest era of the platform's store that the node has seen.
+	StoreEra uint64 `msgpack:"g,omitempty"`
 	// HoldsDutyLease is true at the node that holds the leader lease (for autoscaling and
 	// usage reports).
 	HoldsDutyLease bool `msgpack:"k"`
--- a/internal/gateway/peers/registry.go
+++ b/internal/gateway/peers/registry.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -24,6 +25,9 @@
 	// there, and each list is a call to the store.
 	listInterval        = 15 * time.Second
 	listIntervalPerNode = 2 * time.Second
+	// registerAgainSpread is the time over which nodes register again after the store came back
+	// from an older copy.
+	registerAgainSpread = 1500 * time.Millisecond
 )
 
 // noPrevious stands for the incarnation before a node's first one; it sorts before all others.
@@ -54,6 +58,8 @@
 	// previous is the incarnation of this node that was registered before this process:
 	// noPrevious if there was none, empty until known.
 	previous string
+	// registerAgain holds a signal that the stored record may be gone.
+	registerAgain chan struct{}
 	// joined is closed (through join) once this node's record is stored and the others are
 	// listed.
 	joined chan struct{}
@@ -62,7 +68,7 @@
 
 // NewRegistry returns a registry that will register node with the record own.
 func NewRegistry(store objects.Store, node string, own Record, logger *slog.Logger) *Registry {
-	return &Registry{store: store, node: node, own: own, logger: logger, records: make(map[string]Record), joined: make(chan struct{})}
+	return &Registry{store: store, node: node, own: own, logger: logger, records: make(map[string]Record), registerAgain: make(chan struct{}, 1), joined: make(chan struct{})}
 }
 
 // Others returns the records of the other nodes by name.
@@ -114,7 +120,7 @@
 	for ctx.Err() == nil {
 		err := r.registerAndList(ctx, &registered)
 		if err == nil {
-			wait.For(ctx, max(listInterval, time.Duration(len(r.Others()))*listIntervalPerNode))
+			registered = !r.waitForNextList(ctx)
 			continue
 		}
 		r.logger.Warn("could not register or list nodes", "registered", registered, "error", err)
@@ -122,6 +128,29 @@
 	}
 }
 
+// RegisterAgain makes this node write its record again soon, because the store may have lost it.
+func (r *Registry) RegisterAgain() {
+	select {
+	case r.registerAgain <- struct{}{}:
+	default:
+	}
+}
+
+// waitForNextList waits until the records are to be listed again. It returns true if this node has to
+// register again before; nodes that all have to are spread over registerAgainSpread.
+func (r *Registry) waitForNextList(ctx context.Context) bool {
+	timer := time.NewTimer(max(listInterval, time.Duration(len(r.Others()))*listIntervalPerNode))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-r.registerAgain:
+		wait.For(ctx, rand.N(registerAgainSpread)) //nolint:gosec // spreads calls, keeps no secrets
+		return true
+	}
+	return false
+}
+
 // registerAndList registers this node, unless *registered says that it was, and lists the others.
 func (r *Registry) registerAndList(ctx context.Context, registered *bool) error {
 	if !*registered {
@@ -228,11 +257,14 @@
 	return record, nil
 }
 
-// setPrevious sets the incarnation that was registered before this one.
+// setPrevious sets the incarnation that was registered before this one, unless it is known: a record
+// that is missing later was lost by the store.
 func (r *Registry) setPrevious(incarnation string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.previous = incarnation
+	if r.previous == "" {
+		r.previous = incarnation
+	}
 }
 
 // PreviousIncarnation returns the incarnation of this node that was registered before this one:
--- a/internal/gateway/server/checkpoint.go
+++ b/internal/gateway/server/checkpoint.go
@@ -35,6 +35,8 @@
 // checkpoint is the state that is kept when all processes of the site have ended.
 type checkpoint struct {
 	quota.Checkpoint
+	// StoreEra is the store's era in which the checkpoint was written.
+	StoreEra uint64 `json:"storeEra,omitempty"`
 	// Crashes are the request contents that crashed upstreams.
 	Crashes []poison.Entry `json:"crashes,omitempty"`
 	// Suspects is the evidence against parts of prompts that may crash upstreams.
@@ -50,6 +52,7 @@
 	g.lastCheckpointAt = time.Now()
 	spec, err := json.Marshal(checkpoint{
 		Checkpoint: g.quota.Checkpoint(time.Now()),
+		StoreEra:   g.store.Era(),
 		Crashes:    g.contentGuard.entriesToCheckpoint(),
 		Suspects:   g.contentGuard.partsToCheckpoint(),
 	})
@@ -83,7 +86,7 @@
 	}
 	switch {
 	case found:
-		g.restoreQuota(ctx, c.Checkpoint)
+		g.restoreQuota(ctx, c)
 	case g.isFirstStart():
 		wait.For(ctx, peerDiscoveryTime) // other processes may be starting at the same time
 		g.quota.StartWithoutCheckpoint()
@@ -99,16 +102,21 @@
 // between the checkpoint and them, it narrows the assumption to the time before the first of them
 // started: spending at the maximum rate until the next checkpoint was due, and at the even rate
 // after that, in case no checkpoint could be written.
-func (g *Gateway) restoreQuota(ctx context.Context, c quota.Checkpoint) {
+func (g *Gateway) restoreQuota(ctx context.Context, c checkpoint) {
 	age := time.Since(c.At)
-	g.quota.Restore(c, age, quota.Gap{AtMaxRate: age})
+	g.quota.Restore(c.Checkpoint, age, quota.Gap{AtMaxRate: age})
 	g.logger.Info("quota restored", "age", age)
 	wait.For(ctx, peerDiscoveryTime)
 	if age <= maxCheckpointAge || !g.noProcessRanSince(c.At) {
 		return
 	}
+	if era := g.store.Era(); era != c.StoreEra {
+		// The records of later processes, and a later checkpoint, may have been lost.
+		g.logger.Info("the store came back from an older copy since the checkpoint", "era", era, "before", c.StoreEra)
+		return
+	}
 	unknown := quota.Gap{AtMaxRate: maxCheckpointAge, AtEvenRate: max(0, g.earliestStart().Sub(c.At)-maxCheckpointAge)}
-	g.quota.Restore(c, time.Since(c.At), unknown)
+	g.quota.Restore(c.Checkpoint, time.Since(c.At), unknown)
 	g.logger.Info("no process ran between the checkpoint and the live processes", "age", age, "paced", unknown.AtEvenRate)
 }
 
@@ -185,9 +193,9 @@
 // isFirstStart reports whether no process ran before this one: the settings say that the whole
 // system starts for the first time, and the store has no earlier process of this node. The
 // settings alone are not enough: a restart with unchanged settings would renew the budgets that
-// all nodes share.
+// all nodes share. A store that once came back from an older copy may have lost the record.
 func (g *Gateway) isFirstStart() bool {
-	return g.settings.FirstStart && g.nodeRegistry.IsFirstIncarnation()
+	return g.settings.FirstStart && g.nodeRegistry.IsFirstIncarnation() && g.store.Era() <= 1
 }
 
 // readCheckpoint reads the checkpoint; found is false if there is none or it cannot be decoded.
--- a/internal/gateway/server/gateway.go
+++ b/internal/gateway/server/gateway.go
@@ -74,6 +74,8 @@
 	checkpointWriter *checkpointWriter
 	// lastCheckpointAt is when this node last tried to write a checkpoint.
 	lastCheckpointAt time.Time
+	// storeEraSince is when the store was found in a later era, in nanoseconds since 1970; 0 if never.
+	storeEraSince atomic.Int64
 
 	// peerAddress is where this node receives messages from other nodes.
 	peerAddress string
@@ -107,6 +109,7 @@
 	}
 	g.store = platform.NewStore(settings.Store.Address, g.pool, g.logger)
 	g.store.OnCall = g.countStoreCall
+	g.store.OnEra = g.handleStoreEra
 	g.checkpointWriter = &checkpointWriter{store: g.store}
 	g.cloud = platform.NewCloud(settings.Cloud.Address, settings.Node, g.pool)
 	g.configuration = catalog.NewConfiguration(platform.DecodeConfig, g.logger)
--- a/internal/gateway/server/leadertasks.go
+++ b/internal/gateway/server/leadertasks.go
@@ -106,6 +106,7 @@
 		Holder:       g.cloudHolder(),
 		Send:         g.cloud.ReportUsage,
 		Sum:          g.sumUsage,
+		LostBefore:   g.reportsLostBefore,
 		WindowLength: g.settings.Bounds.UsageWindow,
 		Now:          time.Now,
 		Logger:       g.logger,
--- a/internal/gateway/server/messages.go
+++ b/internal/gateway/server/messages.go
@@ -30,6 +30,7 @@
 		ConfigVersion:       g.configuration.Version(),
 		WatchesStore:        g.watchingStore.Load(),
 		UpstreamChanges:     g.upstreams.Sequence(),
+		StoreEra:            g.store.Era(),
 		HoldsDutyLease:      g.isLeader(),
 		StoreAgeMs:          g.upstreams.Age().Milliseconds(),
 		Forwards:            true,
@@ -109,6 +110,7 @@
 		return
 	}
 	g.nodeRegistry.Update(m.Node, peers.Record{Incarnation: m.Incarnation, Address: m.Address, Control: m.ControlAddress})
+	g.store.ObserveEra(m.StoreEra)
 	g.relayCursor.notify(m, g.configuration.Version())
 	if m.Spent != nil {
 		g.quota.RecordPeer(m.Node, m.Incarnation, g.bootClockStart(m.Incarnation), m.Spent)
