catalog: an entry of a removed upstream is held back until its removal would have been repeated

Cause: after the store came back from an older copy, an entry known as removed was ignored for good; a replica whose entry had lapsed and was written again with the same report, before the first list of the era, stayed unused though it lived. Change: such an entry is held for 5 s, passed on to no follower, and used afterwards unless it was removed again. Measured: TestLivingUpstreamOfAnOldEntryIsUsedOnceItsRemovalIsNotRepeated; the tests of older copies pass.

--- a/internal/gateway/catalog/era.go
+++ b/internal/gateway/catalog/era.go
@@ -11,6 +11,10 @@
 // some seconds old shows its entry until the removal is repeated.
 const removalRetention = time.Minute
 
+// removedHoldTime is how long such an entry is not used: a replica that is gone is silent for three
+// heartbeats of about 1.2 s by then, and its entry lapses.
+const removedHoldTime = 5 * time.Second
+
 // removal is what is known of an upstream that was removed.
 type removal struct {
 	upstream site.Upstream
@@ -56,6 +60,20 @@
 	return found && e.usable && e.object.Metadata.ResourceVersion.Era() > r.era && !isNewer(e.upstream, r.upstream)
 }
 
+// releaseHeld allows entries to be used that were held back and have not been removed again, and
+// reports whether there was any. u.mu must be held.
+func (u *Upstreams) releaseHeld() bool {
+	released := false
+	for name, e := range u.entries {
+		if !e.heldUntil.IsZero() && !u.now().Before(e.heldUntil) {
+			u.logger.Info("held entry is used", "upstream", name)
+			e.heldUntil, e.usable, released = time.Time{}, true, true
+			u.recordChange(name)
+		}
+	}
+	return released
+}
+
 // forgetRemovals drops removals after their retention. u.mu must be held.
 func (u *Upstreams) forgetRemovals() {
 	for name, r := range u.removed {
--- a/internal/gateway/catalog/era_test.go
+++ b/internal/gateway/catalog/era_test.go
@@ -64,6 +64,23 @@
 	require.Equal(t, []string{"came", "left", "stays"}, c.usable())
 }
 
+func TestLivingUpstreamOfAnOldEntryIsUsedOnceItsRemovalIsNotRepeated(t *testing.T) {
+	c, follower := newEraCatalog(), newEraCatalog()
+	c.Replace(eraList(1, 10, eraEntry("a", 1, 5, 3, false)))
+	c.Remove(eraEntry("a", 1, 5, 3, false))
+	c.Replace(eraList(2, 10, eraEntry("a", 2, 5, 3, false)))
+	update := c.UpdateSince(0)
+	follower.Apply(&update)
+	require.Empty(t, c.usable())
+	require.Empty(t, follower.usable())
+	c.at = c.at.Add(removedHoldTime)
+	c.RemoveExpired()
+	update = c.UpdateSince(update.Sequence)
+	follower.Apply(&update)
+	require.Equal(t, []string{"a"}, c.usable())
+	require.Equal(t, []string{"a"}, follower.usable())
+}
+
 func TestUpstreamThatIsNotWrittenAgainIsGone(t *testing.T) {
 	c := newEraCatalog()
 	c.Replace(eraList(1, 10, eraEntry("a", 1, 5, 3, false), eraEntry("b", 1, 9, 1, false)))
--- a/internal/gateway/catalog/upstreams.go
+++ b/internal/gateway/catalog/upstreams.go
@@ -80,6 +80,9 @@
 	usable bool
 	// missingSince is when the entry was found missing after the store's return; zero otherwise.
 	missingSince time.Time
+	// heldUntil is set for the entry of an upstream that was removed before the store came back from
+	// an older copy: until then its removal may be repeated.
+	heldUntil time.Time
 }
 
 // NewUpstreams returns an empty catalog of upstreams.
@@ -153,13 +156,12 @@
 		u.logger.Warn("upstream entry ignored", "upstream", object.Metadata.Name, "error", err)
 	}
 	next := &entry{object: object, upstream: upstream, usable: err == nil}
-	if known == nil && u.isRemoved(next) {
-		u.logger.Info("entry of a removed upstream ignored", "upstream", object.Metadata.Name, "version", object.Metadata.ResourceVersion)
-		u.recordChange(object.Metadata.Name) // nodes that follow this one may have taken it from the store
-		return false
-	}
-	if known != nil {
+	switch {
+	case known != nil:
 		next.keepNewer(known)
+	case u.isRemoved(next):
+		u.logger.Info("entry of a removed upstream held back", "upstream", object.Metadata.Name, "version", object.Metadata.ResourceVersion)
+		next.usable, next.heldUntil = false, u.now().Add(removedHoldTime)
 	}
 	u.entries[object.Metadata.Name] = next
 	u.recordChange(object.Metadata.Name)
@@ -240,6 +242,9 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.forgetRemovals()
+	if u.releaseHeld() {
+		u.publish()
+	}
 	if u.storeReturnedAt.IsZero() || u.now().Sub(u.storeReturnedAt) < reregistrationGrace {
 		return
 	}
@@ -291,7 +296,9 @@
 	if sequence == 0 || sequence > u.sequence || (!kept && sequence < u.sequence) {
 		out.Full = true
 		for _, name := range slices.Sorted(maps.Keys(u.entries)) {
-			out.Entries = append(out.Entries, u.entries[name].object)
+			if e := u.entries[name]; e.heldUntil.IsZero() {
+				out.Entries = append(out.Entries, e.object)
+			}
 		}
 		return out
 	}
@@ -301,7 +308,7 @@
 			continue
 		}
 		seen[c.name] = true
-		if e := u.entries[c.name]; e != nil {
+		if e := u.entries[c.name]; e != nil && e.heldUntil.IsZero() {
 			out.Entries = append(out.Entries, e.object)
 			continue
 		}
