Makefile: the machine's GOFLAGS apply as well

Cause: GOFLAGS was replaced, so flags set for a machine, such as those that keep arm64 from fusing multiply and add, did not reach the tests. Change: they are added to ours.

--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,8 @@
 GOLANGCI_VERSION := v2.15.0
 BIN := $(CURDIR)/.bin
 GO ?= go
-# GOFLAGS for every build and test of this project.
-export GOFLAGS := -buildvcs=false
+# GOFLAGS for every build and test of this project, in addition to those of this machine.
+export GOFLAGS := -buildvcs=false $(filter-out -buildvcs=false,$(shell $(GO) env GOFLAGS))
 
 # SEEDS is how many seeds the soak runs, and each small shape of the bench.
 SEEDS ?= 3
