--- a/internal/faulttest/gatewayfaults_test.go
+++ b/internal/faulttest/gatewayfaults_test.go
@@ -112,6 +112,21 @@
 	})
 }
 
+// comeBackFromCopy makes the store come back from a copy as old as the step is long, after it was away
+// for a moment. The operator and the replicas write again what is lost.
+func (s *gatewaySite) comeBackFromCopy(st soakStep) {
+	older := s.store.Copy()
+	time.Sleep(st.duration)
+	s.whileDisturbed(nil, func() {
+		s.store.SetMode(platformtest.StoreBusy)
+		time.Sleep(time.Duration(st.target%1000) * time.Millisecond)
+		writeAgain := s.store.ComeBackFrom(older)
+		s.store.SetMode(platformtest.StoreHealthy)
+		time.Sleep(time.Duration(st.target%1700) * time.Millisecond)
+		writeAgain()
+	})
+}
+
 // injectEndpointFault makes the store unavailable to one node.
 func (s *gatewaySite) injectEndpointFault(st soakStep, n *gatewayNode) {
 	mode := platformtest.StoreUnresponsive
--- a/internal/faulttest/gatewaysoak_test.go
+++ b/internal/faulttest/gatewaysoak_test.go
@@ -94,6 +94,14 @@
 	firstSeedWithNotices = 6000
 )
 
+// soakStoreComesBack is a store that is away and comes back from an older copy; seeds from
+// firstSeedWithEras on have it, and the fixed seeds of CI that are not regression seeds.
+const (
+	soakStoreComesBack = soakNoticeKindsEnd + 1
+	soakEraFaultCount  = 2
+	firstSeedWithEras  = 7000
+)
+
 // soakLongFaultCount is the number of faults in a run that last long or come in series.
 const soakLongFaultCount = 4
 
@@ -122,7 +130,7 @@
 			out[i].at = out[i-1].at
 		}
 	}
-	return slices.Concat(out, longFaultSteps(seed), noticeFaultSteps(seed))
+	return slices.Concat(out, longFaultSteps(seed), noticeFaultSteps(seed), eraFaultSteps(seed))
 }
 
 // noticeFaultSteps returns the faults of a seed in which replicas send notices in responses.
@@ -143,6 +151,24 @@
 	return out
 }
 
+// eraFaultSteps returns the faults of a seed in which the store comes back from an older copy.
+func eraFaultSteps(seed uint64) []soakStep {
+	if regressionSeeds[seed] != "" || (seed > fixedSeeds && seed < firstSeedWithEras) {
+		return nil
+	}
+	random := rand.New(rand.NewPCG(seed, seed+3))
+	out := make([]soakStep, soakEraFaultCount)
+	for i := range out {
+		out[i] = soakStep{
+			at:       time.Duration(random.Int64N(int64(soakTime))),
+			kind:     soakStoreComesBack,
+			target:   random.IntN(1 << 16),
+			duration: 300*time.Millisecond + time.Duration(random.Int64N(int64(4*time.Second))),
+		}
+	}
+	return out
+}
+
 // longFaultSteps returns the faults of a seed that last long or come in series.
 func longFaultSteps(seed uint64) []soakStep {
 	if slices.Contains(seedsWithoutLongFaults, seed) {
@@ -277,6 +303,8 @@
 		s.announceLeaving(slot, st.duration)
 	case soakReplicasReject:
 		s.rejectInTurn(st)
+	case soakStoreComesBack:
+		s.comeBackFromCopy(st)
 	case soakKindCount, soakLongKindsEnd, soakNoticeKindsEnd:
 	}
 }
