exchange: a stream that has gone on for a second speaks for the parts of its prompt

What callers would see: while several rare parts crash upstreams and none is recognized yet, a sound part that all requests of a kind share is refused for seconds, if its streams are long. Change: a stream that goes on for 1 s after its first event counts as a success of its parts.

--- a/internal/gateway/exchange/deps.go
+++ b/internal/gateway/exchange/deps.go
@@ -95,6 +95,8 @@
 	Alive(upstream site.Upstream, connected, sent time.Time)
 	// Unreachable records that an upstream did not accept a connection.
 	Unreachable(upstream site.Upstream)
+	// Survived records that an upstream wrote on the content, sent at sentAt, for some time.
+	Survived(content poison.Content, sentAt time.Time)
 	// Succeeded records that the content, sent at sentAt, ran to completion and the response was a
 	// success.
 	Succeeded(content poison.Content, sentAt time.Time)
--- a/internal/gateway/exchange/send.go
+++ b/internal/gateway/exchange/send.go
@@ -58,6 +58,8 @@
 	sentAt, startedAt time.Time
 	// firstEventAt is when the first event of a stream arrived; zero before that.
 	firstEventAt time.Time
+	// survived is true once the upstream has written for longer than maxCrashDelay.
+	survived bool
 	// stallTimer cancels the attempt when it fires. It is nil if the request must not move to
 	// another upstream.
 	stallTimer *time.Timer
--- a/internal/gateway/exchange/stream.go
+++ b/internal/gateway/exchange/stream.go
@@ -38,9 +38,7 @@
 // the first event, counts the request and writes the response header.
 func (a *attempt) prepareEvent(response *httpconn.Response) {
 	a.ticket.RecordFirstEvent()
-	if a.firstEventAt.IsZero() {
-		a.firstEventAt = time.Now()
-	}
+	a.recordSurvival()
 	if a.stallTimer != nil {
 		a.stallTimer.Reset(a.stallTimeout())
 	}
@@ -53,6 +51,17 @@
 	a.options.Metrics.FirstEvent(a.exchange, time.Since(a.request.Received))
 }
 
+// recordSurvival records, once, that the upstream did not crash at the beginning of the stream.
+func (a *attempt) recordSurvival() {
+	switch {
+	case a.firstEventAt.IsZero():
+		a.firstEventAt = time.Now()
+	case !a.survived && time.Since(a.firstEventAt) > maxCrashDelay:
+		a.survived = true
+		a.options.Poison.Survived(a.content, a.sentAt)
+	}
+}
+
 // forwardEvent writes an event, and flushes it unless more bytes are already buffered.
 func (a *attempt) forwardEvent(event []byte, id string, more bool) error {
 	if err := a.client.write(event); err != nil {
--- a/internal/gateway/server/contentguardparts.go
+++ b/internal/gateway/server/contentguardparts.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"time"
+
 	"mangoledge.example/mangoledge/internal/poison"
 )
 
@@ -18,6 +20,11 @@
 	return g.suspects.Guilty(content.Parts)
 }
 
+// Survived records that an upstream wrote on the content, sent at sentAt, for some time.
+func (g *contentGuard) Survived(content poison.Content, sentAt time.Time) {
+	g.suspects.RecordSuccess(sentAt, content.Parts)
+}
+
 // partsToShare returns the evidence against prompt parts for other nodes.
 func (g *contentGuard) partsToShare() []poison.Suspect { return g.sampleParts(sharedParts) }
 
--- a/internal/gateway/server/crashingpartmodel_test.go
+++ b/internal/gateway/server/crashingpartmodel_test.go
@@ -18,6 +18,7 @@
 	modelStep       = 10 * time.Millisecond
 	modelFirstEvent = 200 * time.Millisecond
 	modelRunTime    = time.Second
+	modelLongRun    = 6 * time.Second // of requests of the second kind
 	modelRestart    = 3 * time.Second
 	// contactTime is how long after the fifth crash the nodes must have stopped sending a part,
 	// and maxLateSends how many requests with it may still be sent then.
@@ -45,6 +46,16 @@
 	tainted *taintedPart
 	sentAt  time.Duration
 	node    int
+	// survived is true once the node was told that the upstream survived the beginning.
+	survived bool
+}
+
+// runTime returns how long the request runs after its first event.
+func (r *modelRequest) runTime() time.Duration {
+	if r.kind == 1 {
+		return modelLongRun
+	}
+	return modelRunTime
 }
 
 // partModel plays requests with tainted parts at nodes and upstreams, with a clock of its own.
@@ -171,10 +182,14 @@
 			case r.tainted != nil && after >= modelFirstEvent:
 				m.crash(up, r.tainted)
 				left = nil
-			case after >= modelFirstEvent+modelRunTime:
+			case after >= modelFirstEvent+r.runTime():
 				m.nodes[r.node].Succeeded(r.content, m.start.Add(r.sentAt))
 				continue
 			default:
+				if !r.survived && after > modelFirstEvent+time.Second {
+					r.survived = true
+					m.nodes[r.node].Survived(r.content, m.start.Add(r.sentAt))
+				}
 				left = append(left, r)
 				continue
 			}
@@ -299,3 +314,19 @@
 	m.run(10 * time.Second)
 	m.check(t)
 }
+
+// Several rare parts crash upstreams before any of them is recognized, while requests that share the
+// part before them run for long.
+func TestPartOfLongStreamsIsServedBesideSeveralRareCrashingParts(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			var tainted []*taintedPart
+			for i := range 12 {
+				tainted = append(tainted, &taintedPart{id: fmt.Sprint("rare", i), depth: 2, share: 0.004, from: 8 * time.Second})
+			}
+			m := newPartModel(seed, 7, 18, 100, tainted...)
+			m.run(40 * time.Second)
+			m.check(t)
+		})
+	}
+}
