--- a/review/lab/node.go
+++ b/review/lab/node.go
@@ -137,15 +137,15 @@
 		return err
 	}
 	defer func() { _ = out.Close() }()
-	n.process = exec.Command("target/mangoledged", "--platform")
-	n.process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "MANGOLEDGE_SETTINGS=" + path}
-	n.process.Stdout, n.process.Stderr = out, out
-	if err := n.process.Start(); err != nil {
+	process := exec.Command("target/mangoledged", "--platform")
+	process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "MANGOLEDGE_SETTINGS=" + path}
+	process.Stdout, process.Stderr = out, out
+	if err := process.Start(); err != nil {
 		return err
 	}
 	n.log.Printf("%s started", n.Name)
-	ended, process := make(chan struct{}), n.process
-	n.ended = ended
+	ended := make(chan struct{})
+	n.process, n.ended = process, ended
 	go func() {
 		err := process.Wait()
 		n.log.Printf("%s ended: %v", n.Name, err)
