exchange: a stopping node refuses requests that can outlast its process

Cause: a node that shuts down admitted requests as always for 3.3 s, and on open connections beyond that, whatever time they might need; its process ends at 7.4 s of a grace of 8 s. Nothing compared a request's time with that of the process.

Change: Options.Shutdown tells the planned end. Early in a stop a request is refused (503, not run) if most of the latest answers of its route would not be whole in time; once clients have had time to switch, if its deadline lies behind the end.

Why it works: what is accepted after the first 2.5 s ends, by its own deadline, before the process does.

--- a/internal/gateway/exchange/deps.go
+++ b/internal/gateway/exchange/deps.go
@@ -123,8 +123,10 @@
 	Pool          *httpconn.Pool
 	Metrics       *Metrics
 	Logger        *slog.Logger
-	// ShuttingDown reports whether this node is shutting down.
-	ShuttingDown func() bool
+	// Shutdown returns the planned end of the process, or nil while it is not shutting down.
+	Shutdown func() *Shutdown
+	// Durations tells how long a route's responses take.
+	Durations *Durations
 	// MaxConfigAge is the age up to which a configuration counts as current. If a request's
 	// route or key is missing from an older one, the client is told to retry later instead of
 	// getting a final error.
--- a/internal/gateway/exchange/handler.go
+++ b/internal/gateway/exchange/handler.go
@@ -66,7 +66,7 @@
 		request:        h.options.Wire.DecodeRequest(r, received),
 		triedUpstreams: make(map[string]bool),
 	}
-	if h.options.ShuttingDown() {
+	if h.options.Shutdown() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	if refused := e.admit(w, r); refused != nil {
@@ -111,6 +111,9 @@
 	if e.isQuarantined() {
 		return poisonRefusal
 	}
+	if refused := e.refusalIfStopping(); refused != nil {
+		return refused
+	}
 	return e.chargeQuota()
 }
 
--- a/internal/gateway/exchange/refusal.go
+++ b/internal/gateway/exchange/refusal.go
@@ -27,6 +27,7 @@
 	timeoutRefusal        = &refusal{status: http.StatusGatewayTimeout, reason: "time_over"}
 	configUnknownRefusal  = &refusal{status: http.StatusServiceUnavailable, reason: "configuration_unknown", retryAfter: 300 * time.Millisecond}
 	configStaleRefusal    = &refusal{status: http.StatusServiceUnavailable, reason: "configuration_old", retryAfter: 500 * time.Millisecond}
+	stoppingRefusal       = &refusal{status: http.StatusServiceUnavailable, reason: "node_stops", retryAfter: 100 * time.Millisecond}
 	tooLateRefusal        = &refusal{status: http.StatusServiceUnavailable, reason: "time_over_before_sending", retryAfter: 200 * time.Millisecond}
 )
 
--- a/internal/gateway/exchange/send.go
+++ b/internal/gateway/exchange/send.go
@@ -367,6 +367,7 @@
 	if response.Status/100 == 2 {
 		a.options.Poison.Succeeded(a.content, a.sentAt)
 	}
+	a.options.Durations.Add(a.route.Name, time.Since(a.request.Received))
 	a.options.Metrics.ResponseForwarded(a.exchange, response.Status)
 	a.log("answered", "upstream", a.ticket.Upstream.ID, "status", response.Status, "sends", a.sends, "bytes", body.size)
 	return resultDone
--- a/internal/gateway/exchange/stream.go
+++ b/internal/gateway/exchange/stream.go
@@ -92,6 +92,7 @@
 	}
 	a.ticket.End(balance.Answered)
 	a.options.Poison.Succeeded(a.content, a.sentAt)
+	a.options.Durations.Add(a.route.Name, time.Since(a.request.Received))
 	a.options.Metrics.ResponseForwarded(a.exchange, response.Status)
 	a.log("answered", "upstream", a.ticket.Upstream.ID, "status", response.Status, "sends", a.sends, "last_event", a.lastEventID)
 	return resultDone
--- a/internal/gateway/server/gateway.go
+++ b/internal/gateway/server/gateway.go
@@ -83,6 +83,8 @@
 	startedAt       time.Time
 	messageSequence atomic.Uint64
 	leaving         atomic.Bool
+	// shutdown is the planned end of the process; nil until Stop is called.
+	shutdown atomic.Pointer[exchange.Shutdown]
 	// activeRequests counts the requests in progress.
 	activeRequests atomic.Int64
 	// reclaimNotices records when reclaimable upstreams last began to leave, by service and
@@ -193,7 +195,8 @@
 		Pool:          g.pool,
 		Metrics:       exchange.NewMetrics(g.registry),
 		Logger:        g.logger,
-		ShuttingDown:  g.leaving.Load,
+		Shutdown:      g.shutdown.Load,
+		Durations:     exchange.NewDurations(),
 		MaxConfigAge:  g.settings.Bounds.ConfigInForce,
 		Random:        rand.Float64,
 		WallClock:     time.Now,
--- a/internal/gateway/server/stop.go
+++ b/internal/gateway/server/stop.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"mangoledge.example/mangoledge/internal/gateway/exchange"
 	"mangoledge.example/mangoledge/internal/gateway/site"
 )
 
@@ -14,6 +15,9 @@
 	// directoryDrainTime is how long new connections are still served after Stop is called, until
 	// every client has asked a directory again.
 	directoryDrainTime = clientTTLFactor*directoryTTL + 300*time.Millisecond
+	// clientSwitchTime is the time after Stop is called in which most clients have asked a directory
+	// again. Requests that come later must not outlast the process.
+	clientSwitchTime = directoryDrainTime - 800*time.Millisecond
 	// killSafetyMargin is the time between the process's own exit and the end of its grace period,
 	// at which it would be killed.
 	killSafetyMargin = 600 * time.Millisecond
@@ -26,23 +30,24 @@
 // progress or the grace period is nearly over.
 func (g *Gateway) Stop() {
 	stopStarted := time.Now()
+	deadline := stopStarted.Add(g.settings.Bounds.Grace - killSafetyMargin)
+	g.shutdown.Store(&exchange.Shutdown{Began: stopStarted, MovedAt: stopStarted.Add(clientSwitchTime), Ends: deadline})
 	g.leaving.Store(true)
 	g.exchange.SendNow()
 	g.logger.Info("stopping", "active", g.activeRequests.Load())
 	g.stopLeaderTasks()
-	deadline := stopStarted.Add(g.settings.Bounds.Grace - killSafetyMargin)
 	time.Sleep(min(directoryDrainTime, time.Until(deadline)))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	g.shutdown(ctx)
+	g.closeListeners(ctx)
 	for g.activeRequests.Load() > 0 && time.Now().Before(deadline) {
 		time.Sleep(stopPollInterval)
 	}
 	g.logger.Info("stopped", "active", g.activeRequests.Load(), "took", time.Since(stopStarted))
 }
 
-// shutdown closes the listeners, and each connection once it is idle.
-func (g *Gateway) shutdown(ctx context.Context) {
+// closeListeners closes the listeners, and each connection once it is idle.
+func (g *Gateway) closeListeners(ctx context.Context) {
 	var all sync.WaitGroup
 	for _, server := range g.servers {
 		all.Go(func() { _ = server.Shutdown(ctx) }) // connections still open after the grace period end with the process
