--- a/internal/gateway/usage/reporter.go
+++ b/internal/gateway/usage/reporter.go
@@ -32,8 +32,25 @@
 type Report struct {
 	Window int64            `json:"window"`
 	Counts map[string]int64 `json:"counts"`
+	// Confirmed is true once the store was known to hold the report. Only confirmed reports are
+	// sent: a call that was not answered may create one in a later era of the store, where the
+	// report that was sent before is lost.
+	Confirmed bool `json:"confirmed,omitempty"`
 }
 
+// encode returns the object that stores the report. With a version, it replaces that version.
+func (r Report) encode(version objects.Version) (objects.Object, error) {
+	spec, err := json.Marshal(r)
+	if err != nil {
+		return objects.Object{}, errors.Wrap(err, "report")
+	}
+	metadata := objects.Metadata{Name: reportName(r.Window), ResourceVersion: version}
+	return objects.Object{Kind: KindReports, Metadata: metadata, Spec: spec}, nil
+}
+
+// reportName returns the name of the object that stores the report of a window.
+func reportName(window int64) string { return strconv.FormatInt(window, 10) }
+
 // Holder checks whether this node holds the lease, and returns its fence.
 type Holder interface {
 	Check() (lease.Fence, error)
@@ -102,43 +119,59 @@
 	return nil
 }
 
-// createOrLoadReport stores the counts of a window, as summed by this node, and returns them. If
-// a report is already stored, it returns that one.
+// createOrLoadReport returns the report of a window that may be sent: the stored one, or the counts
+// as summed by this node, which it stores first.
 func (r *Reporter) createOrLoadReport(ctx context.Context, window int64) (Report, error) {
-	name := strconv.FormatInt(window, 10)
+	report, version, err := r.loadOrCreate(ctx, window)
+	switch {
+	case err != nil:
+		return report, err
+	case report.Confirmed:
+		return report, nil
+	case r.maybeLost(window):
+		// The store may have created it late, in place of a report that it lost.
+		return report, errMaybeReported
+	}
+	report.Confirmed = true
+	object, err := report.encode(version)
+	if err != nil {
+		return report, err
+	}
+	_, err = r.Store.Update(ctx, object)
+	return report, err
+}
+
+// loadOrCreate returns the stored report of a window with its version. If there is none, it stores
+// the counts as summed by this node, unless an earlier report may have been lost.
+func (r *Reporter) loadOrCreate(ctx context.Context, window int64) (Report, objects.Version, error) {
 	if r.maybeLost(window) {
-		report, err := r.loadReport(ctx, name)
+		report, version, err := r.loadReport(ctx, window)
 		if objects.KindOf(err) == objects.KindNotFound {
 			err = errMaybeReported
 		}
-		return report, err
+		return report, version, err
 	}
 	report := Report{Window: window, Counts: r.Sum(window)}
-	spec, err := json.Marshal(report)
+	object, err := report.encode(0)
 	if err != nil {
-		return report, errors.Wrap(err, "report")
-	}
-	_, err = r.Store.Create(ctx, objects.Object{Kind: KindReports, Metadata: objects.Metadata{Name: name}, Spec: spec})
-	if err == nil {
-		return report, nil
+		return report, 0, err
 	}
-	if objects.KindOf(err) != objects.KindConflict {
-		return report, err
+	stored, err := r.Store.Create(ctx, object)
+	if objects.KindOf(err) == objects.KindConflict {
+		return r.loadReport(ctx, window)
 	}
-	return r.loadReport(ctx, name)
+	return report, stored.Metadata.ResourceVersion, err
 }
 
-// loadReport returns the stored report with the given name.
-func (r *Reporter) loadReport(ctx context.Context, name string) (Report, error) {
-	stored, err := r.Store.Get(ctx, KindReports, name)
-	if err != nil {
-		return Report{}, err
-	}
+// loadReport returns the stored report of a window and its version.
+func (r *Reporter) loadReport(ctx context.Context, window int64) (Report, objects.Version, error) {
 	var report Report
-	if err := json.Unmarshal(stored.Spec, &report); err != nil {
-		return Report{}, errors.Wrapf(err, "report %s", name)
+	stored, err := r.Store.Get(ctx, KindReports, reportName(window))
+	if err != nil {
+		return report, 0, err
 	}
-	return report, nil
+	err = json.Unmarshal(stored.Spec, &report)
+	return report, stored.Metadata.ResourceVersion, errors.Wrapf(err, "report of window %d", window)
 }
 
 // maybeLost reports whether a window may have been reported by a report that the store lost. The
