catalog: a gap without a failed call is no outage of the store

Cause: a node that follows others measures an outage of the store by the age of what it knows. That age goes on after the end of the nodes that it follows, so that the first answer to its own call looked like the store's return, and entries that had been removed were kept as if they had expired.

Change: an outage needs a call of this node that failed since the last contact. The log line tells it, a gauge and the state count outages. Three tests of outages now record the failed call that an outage brings; what they expect is unchanged.

Why it works: the store did not fail, so no call to it did.

--- a/internal/gateway/catalog/upstreams.go
+++ b/internal/gateway/catalog/upstreams.go
@@ -48,6 +48,10 @@
 	mu          sync.Mutex
 	entries     map[string]*entry
 	lastContact time.Time
+	// failedAt is when a call of this node to the store last failed, and outages how many outages
+	// were seen.
+	failedAt time.Time
+	outages  int64
 	// storeVersion is the version of the store up to which all changes are included.
 	storeVersion objects.Version
 	// storeReturnedAt is when the store last answered again after an outage.
@@ -113,19 +117,37 @@
 	}
 }
 
-// updateContact records a contact with the store and detects the end of an outage. u.mu must be held.
+// RecordFailure records that a call of this node to the store was not answered.
+func (u *Upstreams) RecordFailure() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.failedAt = u.now()
+}
+
+// updateContact records a contact with the store and detects the end of an outage. A gap in which
+// this node made no call that failed is no outage: the nodes that it followed may have ended. u.mu
+// must be held.
 func (u *Upstreams) updateContact() {
 	now := u.now()
 	if !u.lastContact.IsZero() && now.Sub(u.lastContact) > outageAfter {
 		elsewhere := u.ReachableByPeers != nil && u.ReachableByPeers()
-		if !elsewhere {
+		failed := u.failedAt.After(u.lastContact)
+		if failed && !elsewhere {
 			u.storeReturnedAt = now
+			u.outages++
 		}
-		u.logger.Warn("store answers again", "away", now.Sub(u.lastContact), "reachable_elsewhere", elsewhere)
+		u.logger.Warn("store answers again", "away", now.Sub(u.lastContact), "calls_failed", failed, "reachable_elsewhere", elsewhere)
 	}
 	u.lastContact = now
 }
 
+// Outages returns the number of outages of the store that this node has seen the end of.
+func (u *Upstreams) Outages() int64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.outages
+}
+
 // Age returns the time since the last known contact with the store, by this node or by one that it
 // follows.
 func (u *Upstreams) Age() time.Duration {
--- a/internal/gateway/catalog/upstreams_test.go
+++ b/internal/gateway/catalog/upstreams_test.go
@@ -92,8 +92,10 @@
 	c.Put(readyObject("a", 1))
 	c.Put(readyObject("b", 2))
 	c.wait(5 * time.Second)
+	c.RecordFailure()
 	c.Replace(objects.List{})
 	require.Equal(t, []string{"a", "b"}, c.ready())
+	require.Equal(t, int64(1), c.Outages())
 	c.wait(time.Second)
 	c.Put(readyObject("a", 9))
 	c.wait(1500 * time.Millisecond)
@@ -105,6 +107,7 @@
 	c := newTestCatalog()
 	c.Put(readyObject("a", 1))
 	c.wait(5 * time.Second)
+	c.RecordFailure()
 	c.RecordContact(0)
 	c.wait(700 * time.Millisecond)
 	c.Remove(readyObject("a", 2))
@@ -116,10 +119,26 @@
 	c.ReachableByPeers = func() bool { return true }
 	c.Put(readyObject("a", 1))
 	c.wait(5 * time.Second)
+	c.RecordFailure()
 	c.Replace(objects.List{})
 	require.Empty(t, c.ready())
 }
 
+// TestAMissingEntryIsGoneAtOnceAfterAGapWithoutAFailedCall guards against nodes that take the end of
+// the nodes that they followed for an outage of the store.
+func TestAMissingEntryIsGoneAtOnceAfterAGapWithoutAFailedCall(t *testing.T) {
+	c := newTestCatalog()
+	c.Put(readyObject("a", 1))
+	c.Put(readyObject("b", 2))
+	c.RecordFailure() // before the last contact
+	c.wait(100 * time.Millisecond)
+	c.RecordPeerContact(0)
+	c.wait(2 * time.Second)
+	c.Replace(objects.List{Items: []objects.Object{readyObject("a", 1)}})
+	require.Equal(t, []string{"a"}, c.ready())
+	require.Zero(t, c.Outages())
+}
+
 func TestAnUpdateFromANodeThatIsBehindIsIgnored(t *testing.T) {
 	behind, ahead := newTestCatalog(), newTestCatalog()
 	first := objects.List{Items: []objects.Object{readyObject("gone", 1), readyObject("stays", 2)}}
--- a/internal/gateway/server/follow.go
+++ b/internal/gateway/server/follow.go
@@ -187,7 +187,12 @@
 		OnDeleted:  func(object objects.Object) { g.applyUpstreamChange(func() { g.upstreams.Remove(object) }) },
 		OnList:     func(list objects.List) { g.applyUpstreamChange(func() { g.upstreams.Replace(list) }) },
 		OnBookmark: g.upstreams.RecordContact,
-		OnError:    g.logStoreFailure("upstreams"),
+		OnError: func(err error) {
+			if objects.KindOf(err) != objects.KindCompacted { // which is an answer
+				g.upstreams.RecordFailure()
+			}
+			g.logStoreFailure("upstreams")(err)
+		},
 	}
 	var both sync.WaitGroup
 	both.Go(func() { configs.Run(ctx) })
--- a/internal/gateway/server/gateway.go
+++ b/internal/gateway/server/gateway.go
@@ -129,6 +129,7 @@
 	g.RegisterGauge("gateway.config_version", g.configuration.Version)
 	g.RegisterGauge("gateway.config_age_ms", func() int64 { return g.configuration.Age(time.Now()).Milliseconds() })
 	g.RegisterGauge("gateway.store_age_ms", func() int64 { return g.upstreams.Age().Milliseconds() })
+	g.RegisterGauge("gateway.store_outages", g.upstreams.Outages)
 	g.RegisterGauge("gateway.contents_suspected", g.contentGuard.countSuspected)
 	g.RegisterGauge("gateway.contents_convicted", g.contentGuard.countQuarantined)
 	g.RegisterGauge("gateway.prompt_parts_suspected", g.contentGuard.countSuspectedParts)
--- a/internal/gateway/server/housekeeping.go
+++ b/internal/gateway/server/housekeeping.go
@@ -46,6 +46,8 @@
 	ConfigVersion int64            `json:"configVersion"`
 	ConfigAgeMs   int64            `json:"configAgeMs"`
 	StoreAgeMs    int64            `json:"storeAgeMs"`
+	StoreOutages  int64            `json:"storeOutages"`
+	WatchesStore  bool             `json:"watchesStore"`
 	Upstreams     map[string]int   `json:"upstreamsByService"`
 	Nodes         []string         `json:"nodesAlive"`
 	Sharers       int              `json:"nodesSharingRepeats"`
@@ -65,6 +67,8 @@
 		ConfigVersion: g.configuration.Version(),
 		ConfigAgeMs:   g.configuration.Age(time.Now()).Milliseconds(),
 		StoreAgeMs:    g.upstreams.Age().Milliseconds(),
+		StoreOutages:  g.upstreams.Outages(),
+		WatchesStore:  g.watchingStore.Load(),
 		Sharers:       g.sharingNodes(),
 		Upstreams:     make(map[string]int),
 		Holder:        string(g.leaderLease.LastRecord().Holder),
--- a/internal/gateway/server/nodes_test.go
+++ b/internal/gateway/server/nodes_test.go
@@ -32,6 +32,9 @@
 	ConfigVersion       int64 `json:"configVersion"`
 	NodesSharingRepeats int   `json:"nodesSharingRepeats"`
 	QuotaBegun          bool  `json:"quotaBegun"`
+	StoreOutages        int64 `json:"storeOutages"`
+	WatchesStore        bool  `json:"watchesStore"`
+	StoreAgeMs          int64 `json:"storeAgeMs"`
 	// Upstreams is the number of upstreams that accept work, by service.
 	Upstreams map[string]int `json:"upstreamsByService"`
 }
