exchange: answers that end with their connection are forwarded without framing

Cause: an upstream's answer with neither length nor chunks is over when its connection ends, also in a crash. The node took that for complete and framed it so.

Change: such an answer goes on in the same form, and the client's connection is reset if it is broken off. A resumed stream whose client has chunks takes such an end for a loss. It no longer acquits content and prompt parts of crashes.

Evidence: TestAnswerWithoutFramingIsNotFramedAsComplete (streams, resumable ones, short, empty and long plain answers), TestEndOfTheProcessResetsAnAnswerWithoutFraming and TestResumedStreamWithoutFramingIsNotEndedAsComplete fail on the code before and pass now. TestAnswerWhoseHeadBreaksOffIsNoAnswer passes on both: a head that breaks off is no answer here. Why it works: what nobody knows to be complete is not stated to be.

--- a/internal/gateway/exchange/handler.go
+++ b/internal/gateway/exchange/handler.go
@@ -75,7 +75,7 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), e.deadline, errDeadlineExceeded)
 	defer cancel()
-	e.run(ctx, w)
+	e.run(ctx, newClientWriter(w, r))
 }
 
 // refuse responds with a refusal and refunds the quota.
--- a/internal/gateway/exchange/run.go
+++ b/internal/gateway/exchange/run.go
@@ -49,8 +49,7 @@
 )
 
 // run sends the request to upstreams until the client has a response.
-func (e *exchange) run(ctx context.Context, w http.ResponseWriter) {
-	client := &clientWriter{w: w}
+func (e *exchange) run(ctx context.Context, client *clientWriter) {
 	e.options.Budgets.Attempt(e.service.Name)
 	for failedDials := 0; ; {
 		ticket, refused := e.pickUpstream(ctx)
--- a/internal/gateway/exchange/send.go
+++ b/internal/gateway/exchange/send.go
@@ -347,10 +347,10 @@
 	}
 	header := a.client.w.Header()
 	a.options.Wire.CopyResponseHeader(header, response.Header)
-	if length, known := body.total(); known {
+	if length, known := body.total(); known && !response.Unframed {
 		header.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	a.client.writeHeader(response.Status)
+	a.client.writeHeader(response.Status, response.Unframed)
 	err := a.client.write(body.buffered)
 	if !body.complete {
 		if err == nil {
@@ -362,9 +362,9 @@
 		}
 		response.Finish()
 	}
-	// The response is complete, so it does not matter if the client has disconnected.
+	_ = a.client.finish() // the response is complete, so it does not matter if the client has disconnected
 	a.ticket.End(outcome)
-	if response.Status/100 == 2 {
+	if response.Status/100 == 2 && !response.Unframed {
 		a.options.Poison.Succeeded(a.content, a.sentAt)
 	}
 	a.options.Durations.Add(a.route.Name, time.Since(a.request.Received))
--- a/internal/gateway/exchange/stream.go
+++ b/internal/gateway/exchange/stream.go
@@ -19,7 +19,7 @@
 	for {
 		event, id, err := reader.next()
 		if errors.Is(err, io.EOF) {
-			return a.finishStream(response)
+			return a.finishStream(ctx, response)
 		}
 		if err != nil {
 			response.Abort()
@@ -47,7 +47,7 @@
 		return
 	}
 	a.options.Wire.CopyResponseHeader(a.client.w.Header(), response.Header)
-	a.client.writeHeader(response.Status)
+	a.client.writeHeader(response.Status, response.Unframed)
 	a.options.Metrics.FirstEvent(a.exchange, time.Since(a.request.Received))
 }
 
@@ -83,15 +83,26 @@
 	}
 }
 
-// finishStream ends a stream that is complete.
-func (a *attempt) finishStream(response *httpconn.Response) sendResult {
+// errMaybeIncomplete means that an unframed stream ended, which the framing towards the client would
+// state to be complete.
+var errMaybeIncomplete = errors.New("the stream may be incomplete")
+
+// finishStream ends a stream that is complete, or may be if it is unframed.
+func (a *attempt) finishStream(ctx context.Context, response *httpconn.Response) sendResult {
 	response.Finish()
 	if !a.client.headerWritten {
 		// A stream without events is complete as well.
 		a.prepareEvent(response)
 	}
+	if response.Unframed && !a.client.unframed {
+		a.flushEvents()
+		return a.handleLost(ctx, errMaybeIncomplete)
+	}
+	_ = a.client.finish() // a client that is gone has missed nothing that it can still get
 	a.ticket.End(balance.Answered)
-	a.options.Poison.Succeeded(a.content, a.sentAt)
+	if !response.Unframed {
+		a.options.Poison.Succeeded(a.content, a.sentAt)
+	}
 	a.options.Durations.Add(a.route.Name, time.Since(a.request.Received))
 	a.options.Metrics.ResponseForwarded(a.exchange, response.Status)
 	a.log("answered", "upstream", a.ticket.Upstream.ID, "status", response.Status, "sends", a.sends, "last_event", a.lastEventID)
--- a/internal/gateway/httpconn/response.go
+++ b/internal/gateway/httpconn/response.go
@@ -20,8 +20,11 @@
 	Header http.Header
 	// ContentLength is -1 if unknown.
 	ContentLength int64
-	// Body returns io.EOF only if the response is complete.
+	// Body returns io.EOF only if the response is complete, as far as its framing tells.
 	Body io.Reader
+	// Unframed is true if the body has neither a length nor chunks and ends with its connection.
+	// Nothing tells then whether the body is complete, unless the connection was reset.
+	Unframed bool
 
 	pool         *Pool
 	conn         *conn
@@ -71,6 +74,7 @@
 		r.Header = message.Header
 		r.ContentLength = message.ContentLength
 		r.Body = message.Body
+		r.Unframed = message.ContentLength < 0 && len(message.TransferEncoding) == 0 && req.Method != http.MethodHead
 		return nil
 	}
 	return errors.New("only interim (1xx) responses, no final one")
--- a/internal/gateway/server/listen.go
+++ b/internal/gateway/server/listen.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"mangoledge.example/mangoledge/internal/gateway/exchange"
 	projectmetrics "mangoledge.example/mangoledge/internal/metrics"
 	"mangoledge.example/mangoledge/platform"
 )
@@ -37,7 +38,7 @@
 func (g *Gateway) listen(ctx context.Context) error {
 	front := &http.Server{
 		Handler: g.handler(), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout,
-		ConnState: g.idleConns.onConnState, ErrorLog: debugErrorLog(g.logger),
+		ConnState: g.idleConns.onConnState, ConnContext: exchange.ConnContext, ErrorLog: debugErrorLog(g.logger),
 	}
 	readyMux := http.NewServeMux()
 	readyMux.HandleFunc("GET "+platform.ReadyPath, g.serveReady)
