usage: reports without counts are not confirmed

Cause: windows without requests were confirmed by a second write, though nothing is sent for them. Change: they are left as created.

--- a/internal/gateway/usage/reporter.go
+++ b/internal/gateway/usage/reporter.go
@@ -126,7 +126,7 @@
 	switch {
 	case err != nil:
 		return report, err
-	case report.Confirmed:
+	case report.Confirmed, len(report.Counts) == 0:
 		return report, nil
 	case r.maybeLost(window):
 		// The store may have created it late, in place of a report that it lost.
