--- a/internal/gateway/balance/availability.go
+++ b/internal/gateway/balance/availability.go
@@ -55,15 +55,6 @@
 	return Open, 0
 }
 
-// sameIncarnation reports whether two entries belong to the same start of an upstream. If neither
-// gives a start time, a different address means a different start.
-func sameIncarnation(a, b site.Upstream) bool {
-	if a.StartedAt.IsZero() && b.StartedAt.IsZero() {
-		return a.Address == b.Address
-	}
-	return a.StartedAt.Equal(b.StartedAt)
-}
-
 // MarkLeaving records that an upstream announced its shutdown. It returns false if that was already
 // known.
 func (b *Balancer) MarkLeaving(u site.Upstream) bool {
@@ -93,7 +84,7 @@
 // none for this incarnation. b.mu must be held.
 func (b *Balancer) announcementOf(u site.Upstream) *announcement {
 	c := b.announcements[u.ID]
-	if c == nil || !sameIncarnation(c.upstream, u) {
+	if c == nil || !c.upstream.SameStart(u) {
 		c = &announcement{upstream: u, lastListed: b.now()}
 		b.announcements[u.ID] = c
 	}
@@ -109,7 +100,7 @@
 
 func (b *Balancer) availabilityOf(u site.Upstream, now time.Time) (Availability, time.Duration) {
 	c := b.announcements[u.ID]
-	if c == nil || !sameIncarnation(c.upstream, u) {
+	if c == nil || !c.upstream.SameStart(u) {
 		return Open, 0
 	}
 	return c.availability(now)
@@ -171,11 +162,14 @@
 	var out []site.Upstream
 	for id, c := range b.announcements {
 		u, listed := known[id]
-		if listed && sameIncarnation(c.upstream, u) {
+		if listed && c.upstream.SameStart(u) {
 			c.lastListed = now
+			if c.upstream.StartedAt.IsZero() {
+				c.upstream = u // so that a later start is told apart
+			}
 		}
 		availability, _ := c.availability(now)
-		renewed := listed && !sameIncarnation(c.upstream, u)
+		renewed := listed && !c.upstream.SameStart(u)
 		if availability == Open || renewed || now.Sub(c.lastListed) > announcementRetention {
 			delete(b.announcements, id)
 			out = append(out, c.upstream)
--- a/internal/gateway/balance/availability_test.go
+++ b/internal/gateway/balance/availability_test.go
@@ -41,6 +41,24 @@
 	require.NotNil(t, ticket)
 }
 
+// TestAnEntryWithoutAStartTimeIsNoRestart guards against entries of another writer that make a node
+// forget what a replica announced.
+func TestAnEntryWithoutAStartTimeIsNoRestart(t *testing.T) {
+	b, c := newTestBalancer(), upstreams(2)
+	b.MarkLeaving(c[0])
+	b.MarkQuiet(c[1], time.Minute)
+	odd := upstreams(2)
+	odd[0].StartedAt, odd[1].StartedAt = time.Time{}, time.Time{}
+	for _, listed := range [][]site.Upstream{odd, c} {
+		require.Empty(t, b.PruneAnnouncements(byID(listed)))
+		ticket, _ := b.Pick(prompt("s", 10), &PickOptions{Service: testEngine, Candidates: listed})
+		require.Nil(t, ticket)
+	}
+	b.PruneAnnouncements(byID(c))
+	c[0].StartedAt = c[0].StartedAt.Add(time.Second)
+	require.Len(t, b.PruneAnnouncements(byID(c)), 1, "it was restarted")
+}
+
 func TestAQuietUpstreamGetsNoRequestsUntilItsTimeIsOver(t *testing.T) {
 	b, c := newTestBalancer(), upstreams(1)
 	require.True(t, b.MarkQuiet(c[0], 2*time.Second))
--- a/internal/gateway/balance/balancer.go
+++ b/internal/gateway/balance/balancer.go
@@ -197,11 +197,14 @@
 // stateOf returns the state of the upstream. It is created anew when the upstream was restarted.
 func (b *Balancer) stateOf(u site.Upstream, now time.Time) *upstreamState {
 	s := b.states[u.ID]
-	if s == nil || !s.upstream.StartedAt.Equal(u.StartedAt) || s.upstream.Address != u.Address {
+	if s == nil || !s.upstream.SameStart(u) || s.upstream.Address != u.Address {
 		s = newUpstreamState(u, now)
 		s.peerLoad = b.peerLoads[UpstreamHash(u.ID)]
 		b.states[u.ID] = s
 	}
+	if u.StartedAt.IsZero() {
+		u.StartedAt = s.upstream.StartedAt
+	}
 	s.upstream = u
 	return s
 }
--- a/internal/gateway/server/contentguard.go
+++ b/internal/gateway/server/contentguard.go
@@ -129,7 +129,7 @@
 			g.logger.Info("crash not confirmed", "content", l.content.String(), "upstream", l.upstream, "waited", now.Sub(l.at))
 			return true
 		}
-		if u, there := all[l.upstream]; !there || !u.StartedAt.Equal(l.startedAt) {
+		if u, there := all[l.upstream]; !there || l.isOfEarlierStart(u) {
 			dead = append(dead, l.upstream)
 		}
 		return false
--- a/internal/gateway/server/lostresponse.go
+++ b/internal/gateway/server/lostresponse.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"mangoledge.example/mangoledge/internal/gateway/site"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/poison"
 )
@@ -22,3 +23,8 @@
 func (l *lostResponse) incarnation() ident.Upstream {
 	return ident.Upstream(l.upstream + "@" + strconv.FormatInt(l.startedAt.UnixMilli(), 36))
 }
+
+// isOfEarlierStart reports whether the upstream is known to have started again since.
+func (l *lostResponse) isOfEarlierStart(u site.Upstream) bool {
+	return !l.startedAt.IsZero() && !u.StartedAt.IsZero() && !u.StartedAt.Equal(l.startedAt)
+}
--- a/internal/gateway/site/upstream.go
+++ b/internal/gateway/site/upstream.go
@@ -24,3 +24,12 @@
 	// StartedAt is the start time of this incarnation; zero if unknown.
 	StartedAt time.Time
 }
+
+// SameStart reports whether two entries with the same ID belong to the same start of an upstream. An
+// entry without a start time proves no other start: it is told by its address alone.
+func (u Upstream) SameStart(other Upstream) bool {
+	if u.StartedAt.IsZero() || other.StartedAt.IsZero() {
+		return u.Address == other.Address
+	}
+	return u.StartedAt.Equal(other.StartedAt)
+}
