peers: the address of a closed messenger is free at once

Cause: the UDP socket was closed by a goroutine that the end of the context starts, while Gateway.Close closed the TCP listeners at once. Whoever listened next could come first.

Change: Messenger.Close closes the socket and returns once that is done, whoever began it; Gateway.Close calls it.

Evidence: TestAddressIsFreeOnceTheMessengerIsClosed fails at once with a Close that does nothing, with the same error, and passes 100 times in a row with it.

--- a/internal/gateway/peers/messenger.go
+++ b/internal/gateway/peers/messenger.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -44,8 +45,10 @@
 
 // Messenger sends this node's state to the other nodes and receives theirs.
 type Messenger struct {
-	conn     *net.UDPConn
-	registry *Registry
+	conn *net.UDPConn
+	// closeConn closes conn once; it returns when the address is free.
+	closeConn func()
+	registry  *Registry
 	// Compose returns the next message, at the given level of detail.
 	Compose func(DetailLevel) *Message
 	// PlanRound is called once per round, with its number; the function it returns says how the
@@ -75,9 +78,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Messenger{conn: conn, registry: registry, logger: logger, sendNow: make(chan struct{}, 1)}, nil
+	closeConn := sync.OnceFunc(func() { _ = conn.Close() }) // nothing is left to be sent
+	return &Messenger{conn: conn, closeConn: closeConn, registry: registry, logger: logger, sendNow: make(chan struct{}, 1)}, nil
 }
 
+// Close closes the socket. Another messenger may listen on its address once Close has returned.
+func (e *Messenger) Close() { e.closeConn() }
+
 // SendNow sends a message to all other nodes without waiting for the interval.
 func (e *Messenger) SendNow() {
 	select {
@@ -88,7 +95,7 @@
 
 // Run sends and receives messages until ctx ends.
 func (e *Messenger) Run(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { _ = e.conn.Close() })
+	stop := context.AfterFunc(ctx, e.closeConn)
 	defer stop()
 	e.forwarder = newForwarder(e.ForwardTargets, e.sendTo, e.logger)
 	go e.forwarder.run(ctx)
--- a/internal/gateway/server/stop.go
+++ b/internal/gateway/server/stop.go
@@ -55,8 +55,10 @@
 	all.Wait()
 }
 
-// Close closes the listeners and all connections at once, even with requests in progress.
+// Close closes the listeners and all connections at once, even with requests in progress, and the
+// socket for messages of other nodes.
 func (g *Gateway) Close() {
+	g.exchange.Close()
 	for _, server := range g.servers {
 		_ = server.Close() // open connections end with it
 	}
