exchange: a long answer that begins late is delivered

Cause: forwardResponse took "the stall timer has fired" for "the request moves on", though the timer moves it only if another upstream is there and a retry is granted.

Change: one flag is set by whoever decides first, the granted move or the forwarding of the answer.

Evidence: TestLongAnswerThatBeginsLateIsDelivered got 502 on the code before and gets the whole answer now.

--- a/internal/gateway/exchange/send.go
+++ b/internal/gateway/exchange/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -60,9 +61,12 @@
 	firstEventAt time.Time
 	// survived is true once the upstream has written for longer than maxCrashDelay.
 	survived bool
-	// stallTimer cancels the attempt when it fires. It is nil if the request must not move to
-	// another upstream.
+	// stallTimer cancels the attempt when it fires and a retry is granted. It is nil if the request
+	// must not move to another upstream.
 	stallTimer *time.Timer
+	// decided is set by whoever decides first how the attempt goes on: by a stall with a granted
+	// retry, or by a long response that begins to be forwarded.
+	decided atomic.Bool
 }
 
 // send sends the request to the ticket's upstream and forwards the response.
@@ -89,9 +93,12 @@
 // granted. Silence alone does not end an attempt.
 func (a *attempt) onStall(tried int, cancel context.CancelCauseFunc) {
 	others := a.options.Balancer.CountOpen(a.options.Upstreams.View().ByService[a.service.Name]) - tried
-	if others <= 0 || a.isQuarantined() || !a.takeRetry(retrySilent) {
+	if others <= 0 || a.isQuarantined() || a.decided.Load() || !a.takeRetry(retrySilent) {
 		return
 	}
+	if !a.decided.CompareAndSwap(false, true) {
+		return // the response began to be forwarded meanwhile; the retry is not used
+	}
 	a.retryGranted.Store(true)
 	cancel(errStalled)
 }
@@ -341,9 +348,9 @@
 
 // forwardResponse forwards the upstream's response unchanged and ends the ticket with outcome.
 func (a *attempt) forwardResponse(ctx context.Context, response *httpconn.Response, body *responseBody, outcome balance.Outcome) sendResult {
-	if !body.complete && a.stallTimer != nil && !a.stallTimer.Stop() {
+	if !body.complete && !a.decided.CompareAndSwap(false, true) {
 		response.Abort()
-		return a.handleLost(ctx, errStalled) // the stall timer has fired, and may have granted the move to another upstream
+		return a.handleLost(ctx, errStalled) // the request moves to another upstream
 	}
 	header := a.client.w.Header()
 	a.options.Wire.CopyResponseHeader(header, response.Header)
--- a/internal/gateway/server/brokenstream_test.go
+++ b/internal/gateway/server/brokenstream_test.go
@@ -215,3 +215,17 @@
 		})
 	}
 }
+
+// TestLongAnswerThatBeginsLateIsDelivered guards against answers that are thrown away after the
+// time in which another replica would have been asked, though there is none.
+func TestLongAnswerThatBeginsLateIsDelivered(t *testing.T) {
+	const size = 100_000
+	s, n, _ := newRawSite(t, "plain", func(conn net.Conn, attempt string) {
+		time.Sleep(time.Second)
+		_, _ = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", platformtest.SignedHeader("200 OK", attempt), size, strings.Repeat("x", size))
+	})
+	got := s.send(n, request{path: "/again/x", body: "b"})
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusOK, got.status)
+	require.Len(t, got.body, size)
+}
