exchange: the planned end of the process holds only what decides

Cause: read as a newcomer, Shutdown.Began was never used, and the time in which clients move was given by way of another one. Change: the field goes, the constant is stated directly, the comment of Stop names the refusals. Result: no change of behaviour; the tests of the package pass.

--- a/internal/gateway/exchange/shutdown.go
+++ b/internal/gateway/exchange/shutdown.go
@@ -1,8 +1,6 @@
 package exchange
 
-import (
-	"time"
-)
+import "time"
 
 // likelyWholeShare is the share of a route's responses that must fit into the time that is left
 // for a request to be accepted early in a shutdown.
@@ -10,8 +8,6 @@
 
 // Shutdown is the planned end of the process.
 type Shutdown struct {
-	// Began is when the process was told to stop.
-	Began time.Time
 	// MovedAt is when every client has had the time to switch to another node.
 	MovedAt time.Time
 	// Ends is when the process breaks off what is still in progress.
--- a/internal/gateway/exchange/shutdown_test.go
+++ b/internal/gateway/exchange/shutdown_test.go
@@ -11,7 +11,7 @@
 func TestRequestThatCanOutlastTheProcessIsNotAcceptedLateInAShutdown(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
 	began := time.Unix(1000, 0)
-	s := &Shutdown{Began: began, MovedAt: began.Add(2500 * time.Millisecond), Ends: began.Add(7400 * time.Millisecond)}
+	s := &Shutdown{MovedAt: began.Add(2500 * time.Millisecond), Ends: began.Add(7400 * time.Millisecond)}
 	for range 10000 {
 		now := began.Add(time.Duration(random.Int64N(int64(8 * time.Second))))
 		deadline := now.Add(time.Duration(random.Int64N(int64(15 * time.Second))))
--- a/internal/gateway/server/stop.go
+++ b/internal/gateway/server/stop.go
@@ -17,7 +17,7 @@
 	directoryDrainTime = clientTTLFactor*directoryTTL + 300*time.Millisecond
 	// clientSwitchTime is the time after Stop is called in which most clients have asked a directory
 	// again. Requests that come later must not outlast the process.
-	clientSwitchTime = directoryDrainTime - 800*time.Millisecond
+	clientSwitchTime = clientTTLFactor*directoryTTL - 500*time.Millisecond
 	// killSafetyMargin is the time between the process's own exit and the end of its grace period,
 	// at which it would be killed.
 	killSafetyMargin = 600 * time.Millisecond
@@ -26,12 +26,12 @@
 )
 
 // Stop shuts the gateway down gracefully: it leaves the directory at once, serves requests that
-// still arrive until clients have switched to other nodes, and returns once no request is in
-// progress or the grace period is nearly over.
+// still arrive and can end in time until clients have switched to other nodes, and returns once no
+// request is in progress or the grace period is nearly over.
 func (g *Gateway) Stop() {
 	stopStarted := time.Now()
 	deadline := stopStarted.Add(g.settings.Bounds.Grace - killSafetyMargin)
-	g.shutdown.Store(&exchange.Shutdown{Began: stopStarted, MovedAt: stopStarted.Add(clientSwitchTime), Ends: deadline})
+	g.shutdown.Store(&exchange.Shutdown{MovedAt: stopStarted.Add(clientSwitchTime), Ends: deadline})
 	g.leaving.Store(true)
 	g.exchange.SendNow()
 	g.logger.Info("stopping", "active", g.activeRequests.Load())
