exchange: logs and metrics tell how an answer was framed and where it ended

Change: the lines "answered" and "answer lost" carry the framing, an end inside an event has an error of its own, and answer_ends counts both by framing. No decision changes.

--- a/internal/gateway/exchange/events.go
+++ b/internal/gateway/exchange/events.go
@@ -16,6 +16,9 @@
 	maxEventBytes = 64 << 10
 )
 
+// errInsideEvent means that a stream ended inside an event, however it is framed.
+var errInsideEvent = errors.Wrap(io.ErrUnexpectedEOF, "inside an event")
+
 // errEventTooLong is returned for an event longer than maxEventBytes.
 var errEventTooLong = errors.Newf("event exceeds %d bytes", maxEventBytes)
 
@@ -29,14 +32,14 @@
 }
 
 // next returns the bytes of the next event, including the blank line that ends it, and the
-// event's ID or "". At the end of the stream it returns io.EOF, or io.ErrUnexpectedEOF if the stream
+// event's ID or "". At the end of the stream it returns io.EOF, or errInsideEvent if the stream
 // ends inside an event. Bytes returned with an error are an incomplete event.
 func (r *eventReader) next() (event []byte, id string, err error) {
 	for {
 		line, err := r.reader.ReadSlice('\n')
 		event = append(event, line...)
 		if errors.Is(err, io.EOF) && len(event) > 0 {
-			return event, id, io.ErrUnexpectedEOF
+			return event, id, errInsideEvent
 		}
 		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
 			return event, id, err
--- a/internal/gateway/exchange/metrics.go
+++ b/internal/gateway/exchange/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"mangoledge.example/mangoledge/internal/gateway/balance"
+	"mangoledge.example/mangoledge/internal/gateway/httpconn"
 	projectmetrics "mangoledge.example/mangoledge/internal/metrics"
 )
 
@@ -70,6 +71,13 @@
 	m.latency("gateway.answer_seconds", time.Since(e.request.Received), projectmetrics.Label{Name: "kind", Value: e.route.Kind.String()})
 }
 
+// ResponseEnded counts the end of an upstream's response, by its framing; end is "complete" or "lost".
+func (m *Metrics) ResponseEnded(framing httpconn.Framing, end string) {
+	m.count("gateway.answer_ends",
+		projectmetrics.Label{Name: "framing", Value: framing.String()},
+		projectmetrics.Label{Name: "end", Value: end})
+}
+
 // FirstEvent records the time until the first event of a stream.
 func (m *Metrics) FirstEvent(e *exchange, took time.Duration) {
 	m.latency("gateway.first_event_seconds", took, projectmetrics.Label{Name: "service", Value: e.service.Name})
--- a/internal/gateway/exchange/send.go
+++ b/internal/gateway/exchange/send.go
@@ -59,6 +59,8 @@
 	sentAt, startedAt time.Time
 	// firstEventAt is when the first event of a stream arrived; zero before that.
 	firstEventAt time.Time
+	// framing is how the response tells where it ends, once its header has arrived.
+	framing httpconn.Framing
 	// survived is true once the upstream has written for longer than maxCrashDelay.
 	survived bool
 	// stallTimer cancels the attempt when it fires and a retry is granted. It is nil if the request
@@ -201,7 +203,8 @@
 	if errors.Is(context.Cause(ctx), errStalled) {
 		err = errStalled // the connection's error is a consequence of closing it
 	}
-	a.log("answer lost", "upstream", a.ticket.Upstream.ID, "error", err, "last_event", a.lastEventID, "content", a.content.String(), "shared_parts", partIDs(a.request.SharedParts()))
+	a.options.Metrics.ResponseEnded(a.framing, "lost")
+	a.log("answer lost", "upstream", a.ticket.Upstream.ID, "error", err, "framing", a.framing.String(), "last_event", a.lastEventID, "content", a.content.String(), "shared_parts", partIDs(a.request.SharedParts()))
 	a.options.Poison.ResponseLost(a.suspectedContent(), a.ticket.Upstream)
 	return a.resultUnlessEnded(ctx, resultLost)
 }
@@ -248,6 +251,7 @@
 
 // handleResponse handles a response whose header has arrived.
 func (a *attempt) handleResponse(ctx context.Context, response *httpconn.Response) sendResult {
+	a.framing = response.Framing
 	meta := a.options.Wire.DecodeResponse(response.Status, response.Header)
 	if !a.isOwnResponse(response, meta) {
 		response.Abort()
@@ -354,10 +358,10 @@
 	}
 	header := a.client.w.Header()
 	a.options.Wire.CopyResponseHeader(header, response.Header)
-	if length, known := body.total(); known && !response.Unframed {
+	if length, known := body.total(); known && !response.Unframed() {
 		header.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	a.client.writeHeader(response.Status, response.Unframed)
+	a.client.writeHeader(response.Status, response.Unframed())
 	err := a.client.write(body.buffered)
 	if !body.complete {
 		if err == nil {
@@ -371,12 +375,13 @@
 	}
 	_ = a.client.finish() // the response is complete, so it does not matter if the client has disconnected
 	a.ticket.End(outcome)
-	if response.Status/100 == 2 && !response.Unframed {
+	if response.Status/100 == 2 && !response.Unframed() {
 		a.options.Poison.Succeeded(a.content, a.sentAt)
 	}
 	a.options.Durations.Add(a.route.Name, time.Since(a.request.Received))
 	a.options.Metrics.ResponseForwarded(a.exchange, response.Status)
-	a.log("answered", "upstream", a.ticket.Upstream.ID, "status", response.Status, "sends", a.sends, "bytes", body.size)
+	a.options.Metrics.ResponseEnded(a.framing, "complete")
+	a.log("answered", "upstream", a.ticket.Upstream.ID, "status", response.Status, "sends", a.sends, "framing", a.framing.String(), "bytes", body.size)
 	return resultDone
 }
 
--- a/internal/gateway/exchange/stream.go
+++ b/internal/gateway/exchange/stream.go
@@ -47,7 +47,7 @@
 		return
 	}
 	a.options.Wire.CopyResponseHeader(a.client.w.Header(), response.Header)
-	a.client.writeHeader(response.Status, response.Unframed)
+	a.client.writeHeader(response.Status, response.Unframed())
 	a.options.Metrics.FirstEvent(a.exchange, time.Since(a.request.Received))
 }
 
@@ -94,18 +94,19 @@
 		// A stream without events is complete as well.
 		a.prepareEvent(response)
 	}
-	if response.Unframed && !a.client.unframed {
+	if response.Unframed() && !a.client.unframed {
 		a.flushEvents()
 		return a.handleLost(ctx, errMaybeIncomplete)
 	}
 	_ = a.client.finish() // a client that is gone has missed nothing that it can still get
 	a.ticket.End(balance.Answered)
-	if !response.Unframed {
+	if !response.Unframed() {
 		a.options.Poison.Succeeded(a.content, a.sentAt)
 	}
 	a.options.Durations.Add(a.route.Name, time.Since(a.request.Received))
 	a.options.Metrics.ResponseForwarded(a.exchange, response.Status)
-	a.log("answered", "upstream", a.ticket.Upstream.ID, "status", response.Status, "sends", a.sends, "last_event", a.lastEventID)
+	a.options.Metrics.ResponseEnded(a.framing, "complete")
+	a.log("answered", "upstream", a.ticket.Upstream.ID, "status", response.Status, "sends", a.sends, "framing", a.framing.String(), "last_event", a.lastEventID)
 	return resultDone
 }
 
--- a/internal/gateway/httpconn/response.go
+++ b/internal/gateway/httpconn/response.go
@@ -22,9 +22,8 @@
 	ContentLength int64
 	// Body returns io.EOF only if the response is complete, as far as its framing tells.
 	Body io.Reader
-	// Unframed is true if the body has neither a length nor chunks and ends with its connection.
-	// Nothing tells then whether the body is complete, unless the connection was reset.
-	Unframed bool
+	// Framing is how the response tells where its body ends.
+	Framing Framing
 
 	pool         *Pool
 	conn         *conn
@@ -74,7 +73,7 @@
 		r.Header = message.Header
 		r.ContentLength = message.ContentLength
 		r.Body = message.Body
-		r.Unframed = message.ContentLength < 0 && len(message.TransferEncoding) == 0 && req.Method != http.MethodHead
+		r.Framing = framingOf(req.Method, message)
 		return nil
 	}
 	return errors.New("only interim (1xx) responses, no final one")
@@ -96,6 +95,9 @@
 // CloseAfter marks the connection to be closed once the response is read.
 func (r *Response) CloseAfter() { r.closeAfter = true }
 
+// Unframed reports whether the response ends with its connection, complete or not.
+func (r *Response) Unframed() bool { return r.Framing == FramedByConnection }
+
 // OnNewConnection reports whether the response is to the first request of its connection, so that
 // it can't be a repetition of an earlier response.
 func (r *Response) OnNewConnection() bool { return r.conn.requests == 1 }
