exchange: the end of an unframed answer is confirmed before it is passed on

Cause: an answer with neither a length nor chunks ends with its connection. The end of the replica's whole process closes that connection in good order as well, and the node passed the end on without asking whether the replica outlived it. The class: the absence of an error is taken for a confirmation. Two more of it: without a connection to reset, such an answer was framed with chunks and a last one; a stream without an event was whole before anything was known of its replica.

Change: at such an end the node looks for a sign that the process lives: an idle connection to it that stays open for 50 ms, or a new one that is accepted and kept. One that is accepted and closed twice is a replica at its connection limit and lives. Only then the end is passed on; otherwise the answer is lost: resumed or sent again where that is allowed, 502 if nothing of it is out, else broken off. Bytes and events never wait. Replicas that leave in good order end right after their last answer and are not asked; reclaimed ones are. What can't be reset is refused before its header.

Why it works: the end of a process takes its listener and its other connections with it.

--- a/internal/gateway/exchange/clientwriter.go
+++ b/internal/gateway/exchange/clientwriter.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/http"
+
+	"github.com/cockroachdb/errors"
 )
 
 // clientWriter writes the response to the client.
@@ -32,22 +34,38 @@
 	return &clientWriter{w: w, conn: conn}
 }
 
-// writeHeader writes the status line and headers, once. An unframed response ends with its
-// connection, like that of the upstream: a length or a last chunk would claim that it is complete.
-func (c *clientWriter) writeHeader(status int, unframed bool) {
+// takeFraming prepares the response, before its header, for the framing of the upstream's. An unframed
+// one ends with its connection as well: a length or a last chunk would claim that it is complete. It
+// fails if that connection can't be reset when the response is broken off.
+func (c *clientWriter) takeFraming(unframed bool) error {
+	if c.headerWritten || !unframed {
+		return nil
+	}
+	if err := c.resetOnClose(); err != nil {
+		return errors.Wrap(err, "an answer without framing can't be passed on")
+	}
+	c.unframed = true
+	c.w.Header().Set("Transfer-Encoding", "identity") // http.Server sends neither chunks nor this header
+	return nil
+}
+
+// writeHeader writes the status line and headers, once.
+func (c *clientWriter) writeHeader(status int) {
 	if c.headerWritten {
 		return
 	}
 	c.headerWritten = true
-	// Without the client's connection, a response that is broken off could not be told from a
-	// complete one.
-	c.unframed = unframed && c.conn != nil && c.conn.SetLinger(0) == nil
-	if c.unframed {
-		c.w.Header().Set("Transfer-Encoding", "identity") // http.Server sends neither chunks nor this header
-	}
 	c.w.WriteHeader(status)
 }
 
+// resetOnClose makes the end of the client's connection, or of this process, reset it.
+func (c *clientWriter) resetOnClose() error {
+	if c.conn == nil {
+		return errors.New("the client's connection is not known")
+	}
+	return c.conn.SetLinger(0)
+}
+
 func (c *clientWriter) write(data []byte) error {
 	_, err := c.w.Write(data)
 	return err
--- a/internal/gateway/exchange/responsebody.go
+++ b/internal/gateway/exchange/responsebody.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"mangoledge.example/mangoledge/internal/bounded"
+	"mangoledge.example/mangoledge/internal/gateway/httpconn"
 )
 
 // errClientWrite means that a write to the client failed, for instance because it
@@ -49,6 +50,13 @@
 	return b.length, b.length >= 0
 }
 
+// abortUnread aborts the response if a part of its body was not read; a complete one has ended.
+func (b *responseBody) abortUnread(response *httpconn.Response) {
+	if !b.complete {
+		response.Abort()
+	}
+}
+
 // copyRest copies the unbuffered rest of the body to the client as it arrives, up to
 // maxResponseBytes in all. It reuses the memory of the buffered bytes as copy buffer.
 func (b *responseBody) copyRest(client *clientWriter) error {
--- a/internal/gateway/exchange/send.go
+++ b/internal/gateway/exchange/send.go
@@ -339,9 +339,7 @@
 	if !repeat && !a.options.Wire.MeansNotRun(response.Status) {
 		return a.forwardResponse(ctx, response, body, outcome)
 	}
-	if !body.complete {
-		response.Abort()
-	}
+	body.abortUnread(response)
 	a.ticket.End(outcome)
 	if repeat {
 		return resultRetry
@@ -352,29 +350,30 @@
 
 // forwardResponse forwards the upstream's response unchanged and ends the ticket with outcome.
 func (a *attempt) forwardResponse(ctx context.Context, response *httpconn.Response, body *responseBody, outcome balance.Outcome) sendResult {
-	if !body.complete && !a.decided.CompareAndSwap(false, true) {
-		response.Abort()
+	if (!body.complete || response.Unframed()) && !a.decided.CompareAndSwap(false, true) {
+		body.abortUnread(response)
 		return a.handleLost(ctx, errStalled) // the request moves to another upstream
 	}
+	if body.complete {
+		a.ticket.End(outcome) // the slot at the upstream is free while the end is confirmed
+		if err := a.confirmComplete(ctx, response); err != nil {
+			return a.handleLost(ctx, err)
+		}
+	}
+	if err := a.client.takeFraming(response.Unframed()); err != nil {
+		body.abortUnread(response)
+		return a.handleLost(ctx, err)
+	}
 	header := a.client.w.Header()
 	a.options.Wire.CopyResponseHeader(header, response.Header)
 	if length, known := body.total(); known && !response.Unframed() {
 		header.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	a.client.writeHeader(response.Status, response.Unframed())
-	err := a.client.write(body.buffered)
-	if !body.complete {
-		if err == nil {
-			err = body.copyRest(a.client)
-		}
-		if err != nil {
-			response.Abort()
-			return a.handleInterrupted(ctx, err)
-		}
-		response.Finish()
+	a.client.writeHeader(response.Status)
+	if err := a.forwardBody(ctx, response, body, outcome); err != nil {
+		return a.handleInterrupted(ctx, err)
 	}
-	_ = a.client.finish() // the response is complete, so it does not matter if the client has disconnected
-	a.ticket.End(outcome)
+	_ = a.client.finish() // it does not matter if the client has disconnected
 	if response.Status/100 == 2 && !response.Unframed() {
 		a.options.Poison.Succeeded(a.content, a.sentAt)
 	}
@@ -385,6 +384,26 @@
 	return resultDone
 }
 
+// forwardBody writes the buffered part of the body and forwards the rest as it arrives. It fails if the
+// rest breaks off or may be incomplete.
+func (a *attempt) forwardBody(ctx context.Context, response *httpconn.Response, body *responseBody, outcome balance.Outcome) error {
+	err := a.client.write(body.buffered)
+	if body.complete {
+		return nil // it does not matter if the client has disconnected
+	}
+	if err == nil {
+		err = body.copyRest(a.client)
+	}
+	if err != nil {
+		response.Abort()
+		return err
+	}
+	response.Finish()
+	a.ticket.End(outcome)
+	_ = a.client.flush() // all that has arrived is sent before the end is confirmed
+	return a.confirmComplete(ctx, response)
+}
+
 // handleInterrupted ends a response of which the client already has a part.
 func (a *attempt) handleInterrupted(ctx context.Context, err error) sendResult {
 	if errors.Is(err, errClientWrite) {
--- a/internal/gateway/exchange/stream.go
+++ b/internal/gateway/exchange/stream.go
@@ -26,7 +26,10 @@
 			a.flushEvents()
 			return a.handleLost(ctx, err)
 		}
-		a.prepareEvent(response)
+		if err := a.prepareEvent(response); err != nil {
+			response.Abort()
+			return a.handleLost(ctx, err)
+		}
 		if a.forwardEvent(event, id, reader.hasBuffered()) != nil {
 			response.Abort()
 			return a.abortClient(ctx)
@@ -36,7 +39,7 @@
 
 // prepareEvent is called before each event is forwarded. It resets the stall timer and, before
 // the first event, counts the request and writes the response header.
-func (a *attempt) prepareEvent(response *httpconn.Response) {
+func (a *attempt) prepareEvent(response *httpconn.Response) error {
 	a.ticket.RecordFirstEvent()
 	a.recordSurvival()
 	if a.stallTimer != nil {
@@ -44,11 +47,15 @@
 	}
 	a.countUsage(a.options.WallClock())
 	if a.client.headerWritten {
-		return
+		return nil
+	}
+	if err := a.client.takeFraming(response.Unframed()); err != nil {
+		return err
 	}
 	a.options.Wire.CopyResponseHeader(a.client.w.Header(), response.Header)
-	a.client.writeHeader(response.Status, response.Unframed())
+	a.client.writeHeader(response.Status)
 	a.options.Metrics.FirstEvent(a.exchange, time.Since(a.request.Received))
+	return nil
 }
 
 // recordSurvival records, once, that the upstream did not crash at the beginning of the stream.
@@ -83,23 +90,24 @@
 	}
 }
 
-// errMaybeIncomplete means that an unframed stream ended, which the framing towards the client would
-// state to be complete.
-var errMaybeIncomplete = errors.New("the stream may be incomplete")
-
-// finishStream ends a stream that is complete, or may be if it is unframed.
+// finishStream ends a stream that has ended at the upstream.
 func (a *attempt) finishStream(ctx context.Context, response *httpconn.Response) sendResult {
 	response.Finish()
+	a.flushEvents()
+	if a.client.headerWritten && response.Unframed() && !a.client.unframed {
+		return a.handleLost(ctx, errMaybeIncomplete)
+	}
+	a.ticket.End(balance.Answered) // the slot at the upstream is free while the end is confirmed
+	if err := a.confirmComplete(ctx, response); err != nil {
+		return a.handleLost(ctx, err)
+	}
 	if !a.client.headerWritten {
 		// A stream without events is complete as well.
-		a.prepareEvent(response)
-	}
-	if response.Unframed() && !a.client.unframed {
-		a.flushEvents()
-		return a.handleLost(ctx, errMaybeIncomplete)
+		if err := a.prepareEvent(response); err != nil {
+			return a.handleLost(ctx, err)
+		}
 	}
 	_ = a.client.finish() // a client that is gone has missed nothing that it can still get
-	a.ticket.End(balance.Answered)
 	if !response.Unframed() {
 		a.options.Poison.Succeeded(a.content, a.sentAt)
 	}
--- a/internal/gateway/httpconn/errors.go
+++ b/internal/gateway/httpconn/errors.go
@@ -14,13 +14,15 @@
 	// StagePrepare is the stage of an Error when Request.Prepare failed and the request was not
 	// sent.
 	StagePrepare = "prepare"
+	// StageIdle is the stage of an Error when the peer closed a connection that carried no request.
+	StageIdle = "idle"
 )
 
 // Error is a failed exchange, with the stage at which it failed.
 type Error struct {
 	// Sent is true if bytes of the request may have been sent, so that it may have run.
 	Sent bool
-	// Stage is one of StageDial, StagePrepare, "write", "read" and "idle".
+	// Stage is one of StageDial, StagePrepare, StageIdle, "write" and "read".
 	Stage string
 	Cause error
 }
--- /dev/null
+++ b/internal/gateway/httpconn/outlived.go
@@ -0,0 +1,73 @@
+package httpconn
+
+import (
+	"context"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"mangoledge.example/mangoledge/internal/wait"
+)
+
+const (
+	// maxWitnessIdle is the longest idle time of a connection that is trusted to tell the end of its
+	// peer: one that was idle for longer may be gone without a sign.
+	maxWitnessIdle = 4 * time.Second
+	// outlivedDialTimeout limits the time to establish a connection to a peer that may have ended. A
+	// packet that is lost is sent again only after a second.
+	outlivedDialTimeout = 150 * time.Millisecond
+	// maxOutlivedProbes allows for one lost packet.
+	maxOutlivedProbes = 2
+)
+
+// Outlived returns nil if the process at address outlived the end of a connection that it has just
+// closed, and otherwise why that is not known. The end of a process closes all its connections at
+// about the same time. It takes at most 350 ms.
+func (p *Pool) Outlived(ctx context.Context, address string) error {
+	if witnesses := p.recentlyUsed(address, time.Now()); len(witnesses) > 0 {
+		wait.For(ctx, probeWait)
+		if slices.ContainsFunc(witnesses, func(c *conn) bool { return NoPendingInput(c.tcp) }) {
+			return nil
+		}
+	}
+	var err error
+	for range maxOutlivedProbes {
+		err = p.probeWithin(ctx, address, outlivedDialTimeout)
+		if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
+			return err
+		}
+	}
+	if closedByPeer(err) {
+		return nil // it has no room for connections, but still accepts them
+	}
+	return err
+}
+
+// closedByPeer reports whether a probe failed because the peer accepted the connection and closed it.
+func closedByPeer(err error) bool {
+	var failed *Error
+	return errors.As(err, &failed) && failed.Stage == StageIdle || errors.Is(err, syscall.ECONNRESET)
+}
+
+// probeWithin is Probe with a limit for establishing the connection.
+func (p *Pool) probeWithin(ctx context.Context, address string, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return p.Probe(ctx, address)
+}
+
+// recentlyUsed returns the idle connections to address that were used a short time ago and that the
+// peer has not closed.
+func (p *Pool) recentlyUsed(address string, now time.Time) []*conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []*conn
+	for _, c := range p.idle[address] {
+		if now.Sub(c.idleSince) <= maxWitnessIdle && NoPendingInput(c.tcp) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/gateway/httpconn/outlived_test.go
@@ -0,0 +1,79 @@
+package httpconn
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// poolWithIdleConns returns a pool that has used n connections to the server.
+func poolWithIdleConns(t *testing.T, address string, n int) *Pool {
+	t.Helper()
+	pool := NewPool()
+	responses := make([]*Response, 0, n)
+	for range n {
+		response, err := pool.Do(t.Context(), address, &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, MaxIdle: time.Minute})
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		require.NoError(t, err)
+		responses = append(responses, response)
+	}
+	for _, response := range responses {
+		response.Finish()
+	}
+	return pool
+}
+
+func newTestServer(t *testing.T) *httptest.Server {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "body") }))
+	t.Cleanup(server.Close)
+	return server
+}
+
+func TestPeerWithAnOpenConnectionIsKnownToLiveWithoutANewOne(t *testing.T) {
+	address := newTestServer(t).Listener.Addr().String()
+	pool := poolWithIdleConns(t, address, 2)
+	require.NoError(t, pool.Outlived(t.Context(), address))
+	require.EqualValues(t, 2, pool.Dialed())
+}
+
+func TestPeerThatClosedItsIdleConnectionsIsAskedByANewOne(t *testing.T) {
+	server := newTestServer(t)
+	address := server.Listener.Addr().String()
+	pool := poolWithIdleConns(t, address, 2)
+	time.AfterFunc(10*time.Millisecond, server.CloseClientConnections)
+	require.NoError(t, pool.Outlived(t.Context(), address))
+	require.EqualValues(t, 3, pool.Dialed())
+}
+
+func TestPeerWhoseProcessEndedIsNotTakenForALivingOne(t *testing.T) {
+	for _, delay := range []time.Duration{0, 5 * time.Millisecond, 20 * time.Millisecond} {
+		for _, idle := range []int{0, 1, 3} {
+			server := newTestServer(t)
+			address := server.Listener.Addr().String()
+			pool := poolWithIdleConns(t, address, idle)
+			ended := make(chan struct{})
+			time.AfterFunc(delay, func() { server.Close(); close(ended) })
+			if delay == 0 {
+				<-ended
+			}
+			require.Error(t, pool.Outlived(t.Context(), address), "%d idle connections, ended after %s", idle, delay)
+		}
+	}
+}
+
+func TestAddressThatRefusesConnectionsIsNotTakenForALivingPeer(t *testing.T) {
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	began := time.Now()
+	require.Error(t, NewPool().Outlived(t.Context(), address))
+	require.Less(t, time.Since(began), time.Second)
+}
--- a/internal/gateway/httpconn/pool.go
+++ b/internal/gateway/httpconn/pool.go
@@ -122,7 +122,7 @@
 	wait.For(ctx, probeWait)
 	if !c.noPendingInput() {
 		c.close()
-		return &Error{Stage: "idle", Cause: errors.New("the peer closed a new connection")}
+		return &Error{Stage: StageIdle, Cause: errors.New("the peer closed a new connection")}
 	}
 	p.release(c)
 	return nil
--- a/internal/gateway/server/endedreplica_test.go
+++ b/internal/gateway/server/endedreplica_test.go
@@ -72,6 +72,22 @@
 	require.Error(t, err, "looks complete")
 }
 
+// TestUnframedAnswerOfAReclaimedReplicaDoesNotLookComplete guards against taking the end of a replica that
+// is reclaimed, whatever it does, for one in good order.
+func TestUnframedAnswerOfAReclaimedReplicaDoesNotLookComplete(t *testing.T) {
+	var s *testSite
+	s, n := startUnframed(t, unframedAnswer{service: "engine", body: oneEvent, end: func(r *platformtest.RawReplica, _ net.Conn) {
+		entry := r.Entry("engine")
+		entry["state"], entry["leaves_ms"], entry["seq"] = "draining", 500, 2
+		s.store.Put("servers", "i-1", entry)
+		time.Sleep(500 * time.Millisecond)
+		r.End()
+	}})
+	got, err := rawGet(t, s, n, "/stream/x", closeLine)
+	require.Contains(t, got, "token 1")
+	require.Error(t, err, "looks complete")
+}
+
 // TestUnframedStreamIsResumedAfterItsReplicaEnded guards against streams that stop where they could
 // have gone on at another replica.
 func TestUnframedStreamIsResumedAfterItsReplicaEnded(t *testing.T) {
