plainservice: a reply that ends with its connection is confirmed like an answer

Cause: the product's client of plain services returned a reply without a length or chunks as whole when its connection ended, also when the service's process had ended in the middle of it.

Change: such a reply is returned only if the service outlived it, by the same check.

Evidence: TestReplyCutOffByTheEndOfItsServiceIsNotReturned fails before (the reply of the ended service is returned) and passes now, 3 plays with the race detector. The other readers need no check: streams of engines and callers end with an event that says so, and the answers of the platform and of other nodes are JSON.

--- a/internal/plainservice/client.go
+++ b/internal/plainservice/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"mangoledge.example/mangoledge/internal/bounded"
+	"mangoledge.example/mangoledge/internal/gateway/httpconn"
 	"mangoledge.example/mangoledge/internal/verdict"
 )
 
@@ -30,6 +31,8 @@
 // Client calls plain services.
 type Client struct {
 	http *http.Client
+	// probes establishes connections that show whether a service lives.
+	probes *httpconn.Pool
 }
 
 // NewClient returns a Client. Every call opens a connection, because a device on the
@@ -37,7 +40,7 @@
 func NewClient() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second}
 	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: bounded.MaxHeadBytes}
-	return &Client{http: &http.Client{Transport: transport}}
+	return &Client{http: &http.Client{Transport: transport}, probes: httpconn.NewPool()}
 }
 
 // Call sends payload to the service at base and returns its reply.
@@ -64,6 +67,9 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	reply, err := bounded.ReadAll(resp.Body, maxReplyBytes)
+	if err == nil {
+		err = c.confirmWhole(ctx, resp)
+	}
 	if err != nil {
 		return "", verdict.New(verdict.Ran, verdict.CodeUpstreamFailed, "the service's reply broke: %v", err)
 	}
@@ -77,3 +83,14 @@
 	}
 	return "", verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "the service answered %s", resp.Status)
 }
+
+// confirmWhole returns an error if a reply that has ended may be incomplete: one without a length or
+// chunks ends with its connection, also when the service's process ends in the middle of it.
+func (c *Client) confirmWhole(ctx context.Context, resp *http.Response) error {
+	if resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 {
+		return nil
+	}
+	address := resp.Request.URL.Host
+	defer c.probes.CloseIdle(address)
+	return c.probes.Outlived(ctx, address)
+}
--- a/internal/plainservice/client_test.go
+++ b/internal/plainservice/client_test.go
@@ -1,6 +1,7 @@
 package plainservice
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -29,3 +30,31 @@
 		require.Empty(t, reply)
 	}
 }
+
+// TestReplyCutOffByTheEndOfItsServiceIsNotReturned guards against replies without a length or chunks
+// that end with the service's process and are returned as whole.
+func TestReplyCutOffByTheEndOfItsServiceIsNotReturned(t *testing.T) {
+	for _, ended := range []bool{false, true} {
+		var server *httptest.Server
+		server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			_, _ = fmt.Fprint(conn, "HTTP/1.1 200 OK\r\n\r\nreply")
+			if ended {
+				_ = server.Listener.Close()
+			}
+			_ = conn.Close()
+		}))
+		t.Cleanup(server.Close)
+		reply, err := NewClient().Call(t.Context(), server.URL, "r", "p", false)
+		if !ended {
+			require.NoError(t, err)
+			require.Equal(t, "reply", reply)
+			continue
+		}
+		require.Equal(t, verdict.Ran, verdict.From(err).Verdict)
+		require.Empty(t, reply)
+	}
+}
