faulttest: the soak judges how answers end, from what replicas wrote and callers read

Cause: how an answer ended was proved by tests of one node; no run of real processes wrote answers that end in every way.

Change: platformtest draws how a response is framed (length, chunks, neither), where it stops (in the head, after it, between or inside events and chunks, before the last chunk, inside the last event, at its end) and how its connection ends (in good order, reset, never, with the whole process); each replica records what it wrote. Some of these callers send chunks, read slowly or leave early. A broken answer must never be complete for its caller; a whole one of a replica that lives must be delivered.

--- a/internal/faulttest/gatewaycall_test.go
+++ b/internal/faulttest/gatewaycall_test.go
@@ -35,6 +35,9 @@
 	outputTokens = 200
 )
 
+// unlimitedWorkspace is a second workspace, without a quota.
+const unlimitedWorkspace, unlimitedKey = "w2", "key-of-w2"
+
 // maxRunsByRoute is how many replicas may run one attempt, for each route that callers use.
 var maxRunsByRoute = map[string]int{"/once/": 1, "/again/": 2, "/stream/": 1, "/resume/": 2}
 
@@ -48,10 +51,15 @@
 	node   string
 	body   string
 	sentAt time.Time
+	// workspace is whose key the caller sent.
+	workspace string
+	// leftEarly is true if the caller left before the end of the response.
+	leftEarly bool
 
 	mu sync.Mutex
-	// done is false until the outcome is recorded.
+	// done is false until the outcome is recorded, at doneAt.
 	done         bool
+	doneAt       time.Time
 	status       int
 	responseBody string
 	// echoedID and signature are from the headers of the response.
@@ -62,7 +70,7 @@
 
 // newAttempt records a new attempt at a node; it does not send it.
 func (s *gatewaySite) newAttempt(n *gatewayNode, route string) *gatewayAttempt {
-	a := &gatewayAttempt{id: fmt.Sprintf("attempt-%d", attemptCounter.Add(1)), route: route, node: n.settings.Name, sentAt: time.Now()}
+	a := &gatewayAttempt{workspace: "w1", id: fmt.Sprintf("attempt-%d", attemptCounter.Add(1)), route: route, node: n.settings.Name, sentAt: time.Now()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.attempts = append(s.attempts, a)
@@ -73,7 +81,7 @@
 func (a *gatewayAttempt) finish(status int, responseBody string, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.done, a.status, a.responseBody, a.err = true, status, responseBody, err
+	a.done, a.doneAt, a.status, a.responseBody, a.err = true, time.Now(), status, responseBody, err
 }
 
 // gatewayCaller sends requests over persistent connections.
@@ -83,6 +91,9 @@
 	nodes  []*gatewayNode
 	client *http.Client
 	random *rand.Rand
+	// direct callers connect to the nodes themselves, since a link hides how a connection ended. Some
+	// of their bodies are sent in chunks, and some of them read slowly or leave early.
+	direct bool
 }
 
 // newCaller returns a caller; seed and number determine its random choices, and number which
@@ -132,16 +143,30 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), soakDeadline+soakTimeoutMargin)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.frontLink.address+route+"x", io.NopCloser(strings.NewReader(a.body)))
+	address := n.frontLink.address
+	if c.direct {
+		address = n.address(platformtest.FrontPort)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+route+"x", io.NopCloser(strings.NewReader(a.body)))
 	if err != nil {
 		a.finish(0, "", err)
 		return a
 	}
-	req.ContentLength = int64(len(a.body))
+	if !c.direct || c.random.IntN(2) == 0 {
+		req.ContentLength = int64(len(a.body))
+	}
+	if c.direct && c.random.IntN(20) == 0 {
+		a.leftEarly = true
+		time.AfterFunc(time.Duration(c.random.IntN(150))*time.Millisecond, cancel)
+	}
 	req.Host = "site.example"
 	req.Header.Set("X-Mangoledge-Attempt-Id", a.id)
 	req.Header.Set("X-Mangoledge-Deadline-Ms", fmt.Sprint(soakDeadline.Milliseconds()))
-	req.Header.Set("Authorization", "Bearer "+platformtest.WorkspaceKey)
+	key := platformtest.WorkspaceKey
+	if c.direct {
+		a.workspace, key = unlimitedWorkspace, unlimitedKey
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
 	if route == "/stream/" || route == "/resume/" {
 		req.Header.Set("X-Mangoledge-Model", "m")
 		req.Header.Set("X-Mangoledge-Token-Usage", fmt.Sprintf("%d,%d", promptTokens, outputTokens))
@@ -153,7 +178,11 @@
 		return a
 	}
 	defer func() { _ = response.Body.Close() }()
-	responseBody, err := io.ReadAll(response.Body)
+	reader := io.Reader(response.Body)
+	if c.direct && c.random.IntN(10) == 0 {
+		reader = slowReader{reader}
+	}
+	responseBody, err := io.ReadAll(reader)
 	a.echoedID = response.Header.Get("X-Mangoledge-Attempt-Id")
 	a.signature = response.Header.Get("X-Mangoledge-Server-Signature")
 	a.finish(response.StatusCode, string(responseBody), err)
@@ -172,8 +201,11 @@
 	return false
 }
 
-// quotaTokens returns how many tokens of the workspace's quota the attempt uses.
+// quotaTokens returns how many tokens of the quota of workspace w1 the attempt uses.
 func (a *gatewayAttempt) quotaTokens() int {
+	if a.workspace == unlimitedWorkspace {
+		return 0
+	}
 	switch a.route {
 	case "/stream/", "/resume/":
 		return promptTokens + outputTokens
--- a/internal/faulttest/gatewaycheck_test.go
+++ b/internal/faulttest/gatewaycheck_test.go
@@ -39,6 +39,7 @@
 			s.t.Errorf("a replica ran %s, which no caller sent: %+v", id, attemptRuns)
 		}
 	}
+	s.checkEndings(runs)
 	s.checkQuota(runs, sent)
 	s.checkRetries(sent)
 	s.checkCrashes()
@@ -78,7 +79,7 @@
 		if a.body != "" && run.Body != a.body {
 			s.t.Errorf("%s ran with a different body: %q", a.id, run.Body)
 		}
-		if a.route != "/open/" && run.Header.Get("X-Mangoledge-Tenant") != "w1" {
+		if a.route != "/open/" && run.Header.Get("X-Mangoledge-Tenant") != a.workspace {
 			s.t.Errorf("%s ran for workspace %q", a.id, run.Header.Get("X-Mangoledge-Tenant"))
 		}
 	}
@@ -102,6 +103,12 @@
 		}
 		return
 	}
+	if written, found := runs[matching].written(); found {
+		if a.complete() && a.responseBody != written.Body {
+			s.t.Errorf("%s got %d bytes as complete, %d were written\n%s", a.id, len(a.responseBody), len(written.Body), s.logLinesOf(a.id))
+		}
+		return
+	}
 	if a.complete() && a.responseBody != "ok" && a.responseBody != "answer of "+runs[matching].slot+"\n" {
 		s.t.Errorf("%s got response %q from %s\n%s", a.id, a.responseBody, runs[matching].slot, s.logLinesOf(a.id))
 	}
--- /dev/null
+++ b/internal/faulttest/gatewayendings_test.go
@@ -0,0 +1,123 @@
+package faulttest
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"mangoledge.example/mangoledge/platform/platformtest"
+)
+
+const (
+	// endingReplicas is the number of replicas of each service whose responses end in every way, and
+	// directCallers the number of callers that see how.
+	endingReplicas = 2
+	directCallers  = 8
+	// ordinaryShare is the share of their responses that are ordinary, on kept connections.
+	ordinaryShare = 0.3
+	// confirmTime is how long a node may take to find out whether a replica outlived a response.
+	confirmTime = 500 * time.Millisecond
+	// routeTimeout is the timeout of the routes.
+	routeTimeout = 2 * time.Second
+)
+
+// startEndingReplicas starts replicas whose responses to direct callers end as drawn by the seed.
+func (s *gatewaySite) startEndingReplicas(seed uint64) {
+	for i := range 2 * endingReplicas {
+		service := []string{"plain", "engine"}[i%2]
+		slot := &replicaSlot{id: fmt.Sprintf("i-ending-%s-%d", service, i), service: service}
+		s.endingSlots = append(s.endingSlots, slot)
+		var mu sync.Mutex
+		random := rand.New(rand.NewPCG(seed, uint64(i)))
+		s.startEndingReplica(slot, func(req *http.Request) (platformtest.Ending, bool) {
+			mu.Lock()
+			defer mu.Unlock()
+			drawn := req.Header.Get("X-Mangoledge-Tenant") == unlimitedWorkspace && random.Float64() >= ordinaryShare
+			return platformtest.DrawEnding(random, platformtest.IsStream(req)), drawn && !s.endingsEnded.Load()
+		})
+	}
+}
+
+// startEndingReplica starts a replica, and again a short time after each end of its process.
+func (s *gatewaySite) startEndingReplica(slot *replicaSlot, next func(*http.Request) (platformtest.Ending, bool)) {
+	replica := platformtest.NewReplica(s.t, slot.id)
+	replica.Events, replica.NextEnding = streamEvents, next
+	replica.OnCrash = func() {
+		time.Sleep(700 * time.Millisecond)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if !s.restartsStopped {
+			s.startEndingReplica(slot, next)
+		}
+	}
+	slot.mu.Lock()
+	slot.starts = append(slot.starts, replica)
+	born := 1_700_000_000_000 + len(slot.starts)
+	slot.mu.Unlock()
+	s.store.Put("servers", slot.id, replica.Entry(slot.service, func(e map[string]any) { e["born"], e["slots"] = born, 16 }))
+}
+
+// newDirectCaller returns a caller that connects to the nodes without a link.
+func (s *gatewaySite) newDirectCaller(seed, number uint64) *gatewayCaller {
+	c := s.newCaller(seed, number+soakCallers)
+	c.direct = true
+	return c
+}
+
+// slowReader reads a few bytes at a time, with a pause after each read.
+type slowReader struct{ io.Reader }
+
+func (r slowReader) Read(data []byte) (int, error) {
+	time.Sleep(2 * time.Millisecond)
+	return r.Reader.Read(data[:min(len(data), 4<<10)])
+}
+
+// written returns the response that the replica wrote in this run, if it drew how it ends.
+func (r replicaRun) written() (platformtest.Written, bool) {
+	for _, w := range r.from.Written() {
+		if w.AttemptID == r.AttemptID {
+			return w, true
+		}
+	}
+	return platformtest.Written{}, false
+}
+
+// checkEndings checks that no broken response of a replica is complete for its caller, and that no
+// whole response of a replica that lives is broken off.
+func (s *gatewaySite) checkEndings(runs map[string][]replicaRun) {
+	s.t.Helper()
+	counts := make(map[string]int)
+	for _, a := range s.attempts {
+		attemptRuns := runs[a.id]
+		if len(attemptRuns) == 0 {
+			continue
+		}
+		last := slices.MaxFunc(attemptRuns, func(a, b replicaRun) int { return a.At.Compare(b.At) })
+		w, found := last.written()
+		if !found || a.leftEarly || !a.done {
+			continue
+		}
+		counts[fmt.Sprintf("whole %t, complete %t", w.Whole, a.complete())]++
+		switch {
+		case a.complete() && !w.Whole && a.signature == "sig-"+last.slot+"-"+a.id:
+			s.t.Errorf("%s on %s is complete for its caller and was broken off: %+v\n%s", a.id, a.route, w.Ending, s.logLinesOf(a.id))
+		case !a.complete() && s.mustBeDelivered(a, attemptRuns, w):
+			s.t.Errorf("%s on %s is whole and its caller got status %d, %v: %+v\n%s", a.id, a.route, a.status, a.err, w.Ending, s.logLinesOf(a.id))
+		}
+	}
+	s.t.Logf("responses that end as drawn: %v", counts)
+}
+
+// mustBeDelivered reports whether nothing excuses that a whole response did not reach its caller: its
+// connection was not reset, it was the only run, the replica lived on, there was time, and the node
+// was undisturbed.
+func (s *gatewaySite) mustBeDelivered(a *gatewayAttempt, runs []replicaRun, w platformtest.Written) bool {
+	endedAt := runs[0].from.EndedAt()
+	return w.Whole && w.Ending.Close != platformtest.ByReset && len(runs) == 1 &&
+		(endedAt.IsZero() || endedAt.After(w.At.Add(confirmTime))) &&
+		w.At.Before(a.sentAt.Add(routeTimeout-confirmTime)) && !s.wasDisturbed(a.node, nil, a.sentAt, a.doneAt)
+}
--- a/internal/faulttest/gatewayfaults_test.go
+++ b/internal/faulttest/gatewayfaults_test.go
@@ -230,4 +230,5 @@
 		}
 	}
 	setBehaviours(s.slots, platformtest.Responds)
+	s.endingsEnded.Store(true)
 }
--- a/internal/faulttest/gatewaysite_test.go
+++ b/internal/faulttest/gatewaysite_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -42,7 +43,11 @@
 	cloud *platformtest.Cloud
 	nodes []*gatewayNode
 	slots []*replicaSlot
-	dir   string
+	// endingSlots are replicas without a link whose responses end in every way.
+	endingSlots []*replicaSlot
+	// endingsEnded is true once their responses are ordinary.
+	endingsEnded atomic.Bool
+	dir          string
 	// replicasPerService is the number of replicas of each service.
 	replicasPerService int
 	// network is the first three octets of the nodes' addresses.
@@ -268,6 +273,7 @@
 	version := s.configVersion
 	s.mu.Unlock()
 	config := platformtest.DefaultConfig(version)
+	config["tenants"] = append(config["tenants"].([]any), map[string]any{"name": unlimitedWorkspace, "api_keys": []string{unlimitedKey}, "priority": 1})
 	if extraRoute != "" {
 		config["routes"] = append(config["routes"].([]any), map[string]any{
 			"name": extraRoute, "host": "site.example", "path_prefix": "/" + extraRoute + "/", "route_kind": "idempotent", "timeout_ms": 2000,
@@ -310,7 +316,7 @@
 // runs returns the runs of all starts of all replicas, by attempt ID.
 func (s *gatewaySite) runs() map[string][]replicaRun {
 	out := make(map[string][]replicaRun)
-	for _, slot := range s.slots {
+	for _, slot := range slices.Concat(s.slots, s.endingSlots) {
 		for _, replica := range slot.allReplicas() {
 			for _, run := range replica.Runs() {
 				out[run.AttemptID] = append(out[run.AttemptID], replicaRun{Run: run, slot: slot.id, from: replica})
--- a/internal/faulttest/gatewaysoak_test.go
+++ b/internal/faulttest/gatewaysoak_test.go
@@ -102,6 +102,10 @@
 	firstSeedWithEras  = 7000
 )
 
+// firstSeedWithEndings is the first seed of manual runs with replicas whose responses end in every
+// way. The fixed seeds of CI that are not regression seeds have them too.
+const firstSeedWithEndings = 8000
+
 // soakLongFaultCount is the number of faults in a run that last long or come in series.
 const soakLongFaultCount = 4
 
@@ -249,6 +253,12 @@
 	for i := range max(soakCallers, len(s.nodes)) {
 		callers.Go(func() { s.newCaller(seed, uint64(i)).run(stop) })
 	}
+	if regressionSeeds[seed] == "" && (seed <= fixedSeeds || seed >= firstSeedWithEndings) {
+		s.startEndingReplicas(seed)
+		for i := range directCallers {
+			callers.Go(func() { s.newDirectCaller(seed, uint64(i)).run(stop) })
+		}
+	}
 	s.runSoakSteps(soakSchedule(seed))
 	s.endFaults()
 	time.Sleep(settleTime)
