httpconn: a peer that closes new connections in good order is not known to live

Cause: a replica at its connection limit resets new connections; a proxy whose replica has ended accepts them and closes them in good order. The check of ended answers took both for a replica that lives.

Change: how an idle connection ended is kept in the error of a probe; only a reset tells of a replica that lives and has no room.

--- a/internal/gateway/httpconn/conn.go
+++ b/internal/gateway/httpconn/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -79,18 +80,32 @@
 
 // NoPendingInput reports whether nothing is pending on a connection, neither data nor its end.
 // It does not block, and does not consume data.
-func NoPendingInput(c *net.TCPConn) bool {
+func NoPendingInput(c *net.TCPConn) bool { return checkIdle(c) == nil }
+
+// checkIdle returns nil if nothing is pending on a connection, io.EOF if the peer closed it in good
+// order, ErrUnexpectedBytes if data is pending, and otherwise why the connection ended.
+func checkIdle(c *net.TCPConn) error {
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return false
+		return err
 	}
-	nothingPending := false
 	var one [1]byte
+	var n int
+	var receiveErr error
 	err = raw.Control(func(fd uintptr) {
-		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		nothingPending = errors.Is(err, syscall.EAGAIN)
+		n, _, receiveErr = unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return err == nil && nothingPending
+	switch {
+	case err != nil:
+		return err
+	case errors.Is(receiveErr, syscall.EAGAIN):
+		return nil
+	case receiveErr != nil:
+		return receiveErr
+	case n == 0:
+		return io.EOF
+	}
+	return ErrUnexpectedBytes
 }
 
 func (c *conn) close() { _ = c.tcp.Close() }
--- a/internal/gateway/httpconn/outlived.go
+++ b/internal/gateway/httpconn/outlived.go
@@ -24,7 +24,8 @@
 
 // Outlived returns nil if the process at address outlived the end of a connection that it has just
 // closed, and otherwise why that is not known. The end of a process closes all its connections at
-// about the same time. It takes at most 350 ms.
+// about the same time. A peer that resets new connections lives; a proxy whose own peer ended may
+// close them in good order. It takes at most 350 ms.
 func (p *Pool) Outlived(ctx context.Context, address string) error {
 	if witnesses := p.recentlyUsed(address, time.Now()); len(witnesses) > 0 {
 		wait.For(ctx, probeWait)
@@ -39,18 +40,12 @@
 			return err
 		}
 	}
-	if closedByPeer(err) {
+	if errors.Is(err, syscall.ECONNRESET) {
 		return nil // it has no room for connections, but still accepts them
 	}
 	return err
 }
 
-// closedByPeer reports whether a probe failed because the peer accepted the connection and closed it.
-func closedByPeer(err error) bool {
-	var failed *Error
-	return errors.As(err, &failed) && failed.Stage == StageIdle || errors.Is(err, syscall.ECONNRESET)
-}
-
 // probeWithin is Probe with a limit for establishing the connection.
 func (p *Pool) probeWithin(ctx context.Context, address string, limit time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
--- a/internal/gateway/httpconn/pool.go
+++ b/internal/gateway/httpconn/pool.go
@@ -120,9 +120,9 @@
 		return &Error{Stage: StageDial, Cause: err}
 	}
 	wait.For(ctx, probeWait)
-	if !c.noPendingInput() {
+	if err := checkIdle(c.tcp); err != nil {
 		c.close()
-		return &Error{Stage: StageIdle, Cause: errors.New("the peer closed a new connection")}
+		return &Error{Stage: StageIdle, Cause: errors.Wrap(err, "the peer did not keep a new connection")}
 	}
 	p.release(c)
 	return nil
--- a/internal/gateway/server/endedreplica_test.go
+++ b/internal/gateway/server/endedreplica_test.go
@@ -72,6 +72,15 @@
 	require.Error(t, err, "looks complete")
 }
 
+// TestUnframedAnswerOfAReplicaThatEndedBehindAProxyDoesNotLookComplete guards against taking a proxy that
+// accepts connections and closes them for a replica at its connection limit.
+func TestUnframedAnswerOfAReplicaThatEndedBehindAProxyDoesNotLookComplete(t *testing.T) {
+	s, n := startUnframed(t, unframedAnswer{service: "engine", body: oneEvent, end: func(r *platformtest.RawReplica, _ net.Conn) { r.EndBehindProxy() }})
+	got, err := rawGet(t, s, n, "/stream/x", closeLine)
+	require.Contains(t, got, "token 1")
+	require.Error(t, err, "looks complete")
+}
+
 // TestUnframedAnswerOfAReclaimedReplicaDoesNotLookComplete guards against taking the end of a replica that
 // is reclaimed, whatever it does, for one in good order.
 func TestUnframedAnswerOfAReclaimedReplicaDoesNotLookComplete(t *testing.T) {
