faulttest: only answers that a reader can know to be broken must not be complete

Cause: an unframed answer with all its bytes whose process ended with it counted as broken. A caller may get it as complete or broken off: nothing is missing from it.

Callers also report a framing that a replica did not give.

--- a/internal/faulttest/gatewaycall_test.go
+++ b/internal/faulttest/gatewaycall_test.go
@@ -62,6 +62,8 @@
 	doneAt       time.Time
 	status       int
 	responseBody string
+	// framed is true if the response had a length or chunks.
+	framed bool
 	// echoedID and signature are from the headers of the response.
 	echoedID, signature string
 	// err is why there is no complete response.
@@ -183,6 +185,7 @@
 		reader = slowReader{reader}
 	}
 	responseBody, err := io.ReadAll(reader)
+	a.framed = response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 	a.echoedID = response.Header.Get("X-Mangoledge-Attempt-Id")
 	a.signature = response.Header.Get("X-Mangoledge-Server-Signature")
 	a.finish(response.StatusCode, string(responseBody), err)
