metrics: the gateway's counters have their documented names

What operators saw: docs/OPERATIONS.md names mangoledge_gateway_refused_total and seven more; the metrics address served them without _total, as gauges.

Cause: the exposition tells counters by their suffix, which these names lacked.

Change: the counters of exchanges and of store calls end in _total.

Evidence: a scrape before showed "TYPE mangoledge_gateway_store_calls gauge"; TestCountersAreServedUnderTheirDocumentedNames passes now.

--- a/internal/gateway/exchange/metrics.go
+++ b/internal/gateway/exchange/metrics.go
@@ -20,8 +20,9 @@
 // NewMetrics returns Metrics that registers its metrics in registry.
 func NewMetrics(registry metrics.Registry) *Metrics { return &Metrics{registry: registry} }
 
+// count adds one to a counter, whose exposed name ends in _total.
 func (m *Metrics) count(name string, labels ...projectmetrics.Label) {
-	metrics.GetOrRegisterCounter(projectmetrics.Name(name, labels...), m.registry).Inc(1)
+	metrics.GetOrRegisterCounter(projectmetrics.Name(name+"_total", labels...), m.registry).Inc(1)
 }
 
 func (m *Metrics) latency(name string, took time.Duration, labels ...projectmetrics.Label) {
--- a/internal/gateway/server/gateway.go
+++ b/internal/gateway/server/gateway.go
@@ -170,7 +170,7 @@
 
 // countStoreCall counts a call to the platform's store in the metrics.
 func (g *Gateway) countStoreCall(call string, kind objects.Kind) {
-	name := projectmetrics.Name("gateway.store_calls",
+	name := projectmetrics.Name("gateway.store_calls_total",
 		projectmetrics.Label{Name: "call", Value: call}, projectmetrics.Label{Name: "kind", Value: string(kind)})
 	metrics.GetOrRegisterCounter(name, g.registry).Inc(1)
 }
