--- a/internal/gateway/exchange/metrics.go
+++ b/internal/gateway/exchange/metrics.go
@@ -87,5 +87,9 @@
 // ResponseAborted counts a response that was aborted after part of it was sent to the client.
 func (m *Metrics) ResponseAborted(e *exchange) { m.count("gateway.broken_off", e.labels()...) }
 
+// ResponseResumed counts a response that goes on at another upstream after part of it was sent to the
+// client.
+func (m *Metrics) ResponseResumed(e *exchange) { m.count("gateway.resumed", e.labels()...) }
+
 // ClientGone counts a client that disconnected before its response was complete.
 func (m *Metrics) ClientGone(e *exchange) { m.count("gateway.client_gone", e.labels()...) }
--- a/internal/gateway/exchange/run.go
+++ b/internal/gateway/exchange/run.go
@@ -81,6 +81,9 @@
 				e.refuseOrAbort(client, e.finalRefusal(upstreamFailedRefusal))
 				return
 			}
+			if client.headerWritten {
+				e.options.Metrics.ResponseResumed(e)
+			}
 		}
 	}
 }
--- a/internal/gateway/server/endedreplica_test.go
+++ b/internal/gateway/server/endedreplica_test.go
@@ -127,6 +127,9 @@
 	got, err := rawGet(t, s, n, "/resume/x", closeLine)
 	require.Equal(t, int64(2), sends.Load())
 	require.NoError(t, err)
+	_, metrics := s.getInternal(n, platformtest.MetricsPort, "/metrics")
+	require.Regexp(t, `mangoledge_gateway_resumed_total\{[^}]*\} 1\n`, metrics)
+	require.Regexp(t, `mangoledge_gateway_answer_ends_total\{[^}]*framing="connection"[^}]*\} 1\n`, metrics)
 	require.True(t, strings.HasSuffix(got, oneEvent+strings.ReplaceAll(oneEvent, "1", "2")), "%q", got)
 }
 
