config: a change that is too large by itself is refused before the store is asked

Cause: the size was checked last, after each reading of the document and each validation of its 20,000 workspaces; with few processors the time for a proposal ran out before the document was known. What can't be served must be refused at once.

Change: where nothing is removed, a document holds at least what the edits put in, so their size is checked with their other faults, before any call. The check of the whole document stays, with a test of its own.

--- a/internal/config/archive_test.go
+++ b/internal/config/archive_test.go
@@ -202,17 +202,41 @@
 	require.Less(t, MaxDocumentBytes, objects.MaxObjectBytes)
 }
 
-func TestDocumentTooLargeForTheStoreIsRefused(t *testing.T) {
-	c := newCluster(t, 1, 1)
+// siteOfWorkspaces returns a site with n workspaces.
+func siteOfWorkspaces(n int) *Site {
 	site := &Site{}
-	for i := range 20000 {
+	for i := range n {
 		site.Workspaces = append(site.Workspaces, Workspace{Name: ident.Workspace(fmt.Sprintf("w%060d", i)), Share: 1})
 	}
-	refused := c.nodes[0].propose(t, Proposal{Change: "c1", Edits: []Edit{{Replace: site}}})
+	return site
+}
+
+func TestDocumentTooLargeForTheStoreIsRefused(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	refused := c.nodes[0].propose(t, Proposal{Change: "c1", Edits: []Edit{{Replace: siteOfWorkspaces(20000)}}})
 	require.Equal(t, OutcomeRefused, refused.Kind, "%+v", refused)
 	require.Equal(t, "site", refused.Faults[0].Path)
 }
 
+func TestEditThatMakesTheDocumentTooLargeIsRefused(t *testing.T) {
+	site := siteOfWorkspaces(1)
+	for checkSize(&Document{Site: *site}) == nil {
+		site.Workspaces = append(site.Workspaces, siteOfWorkspaces(len(site.Workspaces) + 500).Workspaces[len(site.Workspaces):]...)
+	}
+	site.Workspaces = site.Workspaces[:len(site.Workspaces)-500]
+	var edits []Edit
+	for i := range 500 {
+		edits = append(edits, Edit{Table: TableWorkspace, Key: fmt.Sprintf("x%060d", i), Assignments: []Assignment{{"share", "1"}}})
+	}
+	proposal := &Proposal{Change: "c1", Edits: edits}
+	require.Empty(t, staticFaults(proposal))
+	a := &attempt{proposal: proposal, window: narrowWindow, current: &Document{Site: *site}, fresh: true}
+	refused := a.nextStep().outcome
+	require.NotNil(t, refused)
+	require.Equal(t, OutcomeRefused, refused.Kind)
+	require.Equal(t, "site", refused.Faults[0].Path)
+}
+
 // BenchmarkBeyondTheWindow measures the store calls per change, without and with a
 // base version, when older changes have been dropped from the document.
 func BenchmarkBeyondTheWindow(b *testing.B) {
--- a/internal/config/decide.go
+++ b/internal/config/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strconv"
 )
 
@@ -165,10 +166,20 @@
 			faults = append(faults, e.apply(site)...)
 		}
 	}
+	if len(faults) == 0 {
+		faults = Validate(site)
+	}
 	if len(faults) > 0 {
 		return faults
 	}
-	return Validate(site)
+	if slices.ContainsFunc(p.Edits, func(e Edit) bool { return e.Remove }) {
+		return nil
+	}
+	// Without removals a document holds at least what the edits put in.
+	if fault := checkSize(&Document{Site: *site}); fault != nil {
+		return []Fault{*fault}
+	}
+	return nil
 }
 
 // reportOutcome returns a step that ends the attempt with outcome o.
