standin: engines and services whose answers end in every way

Cause: the model of how answers end was part of the soak's replica; users could not start a stand-in with these faults.

Change: the model is a package of its own.

The nodes' program is unchanged by this.

--- a/cmd/mangoledge-standin/engine.go
+++ b/cmd/mangoledge-standin/engine.go
@@ -24,7 +24,13 @@
 	clause.Flag("cache-blocks", "Capacity of the prefix cache, in blocks.").Default("4096").IntVar(&options.CacheBlocks)
 	clause.Flag("seed", "Seed of the random parts of the tokens.").Default("1").Uint64Var(&options.Seed)
 	clause.Flag("history", "File to write the history to.").StringVar(&options.HistoryPath)
+	endings := endingsFlag(clause)
 	return command{clause: clause, run: func(ctx context.Context) error {
+		drawer, err := loadEndings(*endings)
+		if err != nil {
+			return err
+		}
+		options.Endings = drawer
 		e, err := engine.New(options)
 		if err != nil {
 			return err
--- a/cmd/mangoledge-standin/service.go
+++ b/cmd/mangoledge-standin/service.go
@@ -17,7 +17,13 @@
 	clause.Flag("id", "Name in the history.").Default("service").StringVar(&options.ID)
 	clause.Flag("delay", "Duration of a call.").Default("20ms").DurationVar(&options.Delay)
 	clause.Flag("history", "File to write the history to.").StringVar(&options.HistoryPath)
+	endings := endingsFlag(clause)
 	return command{clause: clause, run: func(ctx context.Context) error {
+		drawer, err := loadEndings(*endings)
+		if err != nil {
+			return err
+		}
+		options.Endings = drawer
 		s, err := service.New(options)
 		if err != nil {
 			return err
--- a/internal/faulttest/gatewayendings_test.go
+++ b/internal/faulttest/gatewayendings_test.go
@@ -3,12 +3,11 @@
 import (
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
+	"mangoledge.example/mangoledge/internal/standin/ending"
 	"mangoledge.example/mangoledge/platform/platformtest"
 )
 
@@ -17,33 +16,35 @@
 	// directCallers the number of callers that see how.
 	endingReplicas = 2
 	directCallers  = 8
-	// ordinaryShare is the share of their responses that are ordinary, on kept connections.
-	ordinaryShare = 0.3
 	// confirmTime is how long a node may take to find out whether a replica outlived a response.
 	confirmTime = 500 * time.Millisecond
 	// routeTimeout is the timeout of the routes.
 	routeTimeout = 2 * time.Second
 )
 
+// endingShares are the shares in which their endings are drawn.
+var endingShares = ending.Settings{DrawnPercent: 70, CutPercent: 25, ResetPercent: 25, OpenPercent: 5, ProcessEndPercent: 5}
+
 // startEndingReplicas starts replicas whose responses to direct callers end as drawn by the seed.
 func (s *gatewaySite) startEndingReplicas(seed uint64) {
 	for i := range 2 * endingReplicas {
 		service := []string{"plain", "engine"}[i%2]
 		slot := &replicaSlot{id: fmt.Sprintf("i-ending-%s-%d", service, i), service: service}
 		s.endingSlots = append(s.endingSlots, slot)
-		var mu sync.Mutex
-		random := rand.New(rand.NewPCG(seed, uint64(i)))
-		s.startEndingReplica(slot, func(req *http.Request) (platformtest.Ending, bool) {
-			mu.Lock()
-			defer mu.Unlock()
-			drawn := req.Header.Get("X-Mangoledge-Tenant") == unlimitedWorkspace && random.Float64() >= ordinaryShare
-			return platformtest.DrawEnding(random, platformtest.IsStream(req)), drawn && !s.endingsEnded.Load()
+		drawn := endingShares
+		drawn.Seed = int64(seed)<<8 + int64(i)
+		drawer := ending.NewDrawer(drawn)
+		s.startEndingReplica(slot, func(req *http.Request) (ending.Ending, bool) {
+			if req.Header.Get("X-Mangoledge-Tenant") != unlimitedWorkspace || s.endingsEnded.Load() {
+				return ending.Ending{}, false
+			}
+			return drawer.Next(platformtest.IsStream(req))
 		})
 	}
 }
 
 // startEndingReplica starts a replica, and again a short time after each end of its process.
-func (s *gatewaySite) startEndingReplica(slot *replicaSlot, next func(*http.Request) (platformtest.Ending, bool)) {
+func (s *gatewaySite) startEndingReplica(slot *replicaSlot, next func(*http.Request) (ending.Ending, bool)) {
 	replica := platformtest.NewReplica(s.t, slot.id)
 	replica.Events, replica.NextEnding = streamEvents, next
 	replica.OnCrash = func() {
@@ -105,7 +106,7 @@
 		switch {
 		case a.complete() && w.Broken && a.signature == "sig-"+last.slot+"-"+a.id:
 			s.t.Errorf("%s on %s is complete for its caller and was broken off: %+v\n%s", a.id, a.route, w.Ending, s.logLinesOf(a.id))
-		case a.complete() && a.framed && w.Ending.Framing == platformtest.Unframed && len(attemptRuns) == 1:
+		case a.complete() && a.framed && w.Ending.Framing == ending.Unframed && len(attemptRuns) == 1:
 			s.t.Errorf("%s on %s has a framing that its replica did not give: %+v\n%s", a.id, a.route, w.Ending, s.logLinesOf(a.id))
 		case !a.complete() && s.mustBeDelivered(a, attemptRuns, w):
 			s.t.Errorf("%s on %s is whole and its caller got status %d, %v: %+v\n%s", a.id, a.route, a.status, a.err, w.Ending, s.logLinesOf(a.id))
@@ -119,7 +120,7 @@
 // was undisturbed.
 func (s *gatewaySite) mustBeDelivered(a *gatewayAttempt, runs []replicaRun, w platformtest.Written) bool {
 	endedAt := runs[0].from.EndedAt()
-	return w.Whole && w.Ending.Close != platformtest.ByReset && len(runs) == 1 &&
+	return w.Whole && w.Ending.Close != ending.ByReset && len(runs) == 1 &&
 		(endedAt.IsZero() || endedAt.After(w.At.Add(confirmTime))) &&
 		w.At.Before(a.sentAt.Add(routeTimeout-confirmTime)) && !s.wasDisturbed(a.node, nil, a.sentAt, a.doneAt)
 }
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -23,6 +23,14 @@
 	faults Faults
 }
 
+// Decode decodes a JSON document into out, a pointer to a struct, and returns all faults found: keys
+// that are unknown or given twice, and values of another type.
+func Decode(data []byte, out any) Faults {
+	d := new(decoder)
+	d.decode(data, out)
+	return d.faults
+}
+
 // decode decodes data into out, a pointer to a struct.
 func (d *decoder) decode(data []byte, out any) {
 	jsonDecoder := json.NewDecoder(bytes.NewReader(data))
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -2,12 +2,14 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"mangoledge.example/mangoledge/internal/engine"
 	"mangoledge.example/mangoledge/internal/sse"
+	"mangoledge.example/mangoledge/internal/standin/ending"
 	"mangoledge.example/mangoledge/internal/standin/history"
 )
 
@@ -60,15 +62,32 @@
 	e.sendTokens(w, r, s, offset)
 }
 
-// sendTokens streams the tokens of s from offset on until s ends or the client
-// disconnects. After a silence fault it sends nothing more and waits for the client to
-// disconnect.
+// endingStopPieces is the number of events after which a stream stops that stops early.
+const endingStopPieces = 3
+
+// sendTokens streams the tokens of s from offset on. How the stream ends may be drawn.
 func (e *Engine) sendTokens(w http.ResponseWriter, r *http.Request, s *stream, offset int) {
+	drawn, ok := e.options.Endings.Next(true)
+	if !ok {
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.WriteHeader(http.StatusOK)
+		e.writeTokens(w, http.NewResponseController(w).Flush, r, s, offset)
+		return
+	}
+	out, err := ending.Respond(w, drawn, "Content-Type: text/event-stream\r\n", -1, endingStopPieces)
+	if err != nil {
+		writeFailure(w, http.StatusInternalServerError, "internal", err.Error())
+		return
+	}
+	e.writeTokens(out, func() error { return nil }, r, s, offset)
+	out.FinishOrExit()
+}
+
+// writeTokens writes the tokens of s from offset on until s ends or the client disconnects. After a
+// silence fault it writes nothing more and waits for the client to disconnect.
+func (e *Engine) writeTokens(w io.Writer, flush func() error, r *http.Request, s *stream, offset int) {
 	countAtStart := e.silenceCount.Load()
-	flusher := http.NewResponseController(w)
-	w.Header().Set("Content-Type", "text/event-stream")
-	w.WriteHeader(http.StatusOK)
-	_ = flusher.Flush()
+	_ = flush()
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	for {
@@ -86,11 +105,13 @@
 			_ = sse.Write(w, "", engine.Chunk{Offset: offset, Done: true, Tokens: len(state.tokens), Exported: state.exported})
 			return
 		}
-		_ = flusher.Flush()
+		_ = flush()
 		select {
 		case <-state.changed:
 		case <-ticker.C:
-			_ = sse.WriteHeartbeat(w)
+			if sse.WriteHeartbeat(w) != nil {
+				return
+			}
 		case <-r.Context().Done():
 			return
 		}
--- a/internal/standin/engine/options.go
+++ b/internal/standin/engine/options.go
@@ -2,7 +2,11 @@
 // cancels completions, exports and imports KV caches, and fails on command.
 package engine
 
-import "time"
+import (
+	"time"
+
+	"mangoledge.example/mangoledge/internal/standin/ending"
+)
 
 // Options configure an Engine.
 type Options struct {
@@ -28,6 +32,8 @@
 	ExportBytesPerSecond float64
 	// Seed seeds the random parts of the tokens.
 	Seed uint64
+	// Endings draws how streams end; nil for ordinary ones.
+	Endings *ending.Drawer
 	// HistoryPath is the file that the history is written to; empty for no history.
 	HistoryPath string
 }
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"mangoledge.example/mangoledge/internal/standin/ending"
 	"mangoledge.example/mangoledge/internal/standin/history"
 )
 
@@ -22,6 +23,8 @@
 	ID string
 	// Delay is how long a call takes.
 	Delay time.Duration
+	// Endings draws how replies end; nil for ordinary ones.
+	Endings *ending.Drawer
 	// HistoryPath is the file that the history is written to; empty for no history.
 	HistoryPath string
 }
@@ -85,7 +88,23 @@
 		<-r.Context().Done()
 		return
 	}
-	_, _ = io.WriteString(w, s.options.ID+" did "+string(payload))
+	s.reply(w, s.options.ID+" did "+string(payload))
+}
+
+// reply writes a reply, which may end in any way.
+func (s *Service) reply(w http.ResponseWriter, text string) {
+	e, drawn := s.options.Endings.Next(false)
+	if !drawn {
+		_, _ = io.WriteString(w, text) // a caller that is gone needs no reply
+		return
+	}
+	out, err := ending.Respond(w, e, "Content-Type: text/plain\r\n", len(text), 0)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	_, _ = io.WriteString(out, text)
+	out.FinishOrExit()
 }
 
 // serveFaults puts faults in force or clears them.
