balance: the cost of an upstream in its parts

Cause: choosing among upstreams by what other nodes have sent meanwhile needs the wait at an upstream apart from what the request itself takes there. Change: cost and expectedLatency return both; the sum, and so each choice, is as before. Tests of the package pass unchanged.

--- a/internal/gateway/balance/balancer.go
+++ b/internal/gateway/balance/balancer.go
@@ -99,7 +99,7 @@
 			}
 			continue
 		}
-		cost := b.cost(s, r, c.Service, preferred == u.ID, now)
+		cost := b.cost(s, r, c.Service, preferred == u.ID, now).total()
 		if best == nil || cost < bestCost {
 			best, bestCost = s, cost
 		}
@@ -131,30 +131,38 @@
 }
 
 // cost returns the estimated time to the first event at the upstream, plus penalties.
-func (b *Balancer) cost(s *upstreamState, r *site.Request, service site.Service, preferred bool, now time.Time) time.Duration {
+func (b *Balancer) cost(s *upstreamState, r *site.Request, service site.Service, preferred bool, now time.Time) latency {
 	s.decay(now)
 	out := b.expectedLatency(s, r, service, preferred, now)
-	out = max(out, s.maxOverdue(now))
-	out += time.Duration(s.failureRate * float64(failurePenalty))
+	out.wait = max(out.wait, s.maxOverdue(now)-out.own)
+	out.wait += time.Duration(s.failureRate * float64(failurePenalty))
 	if s.upstream.FailureDomain != b.domain {
-		out += crossDomainPenalty
+		out.wait += crossDomainPenalty
 	}
 	if open := len(s.openTickets) + s.peerLoad.Requests; open >= s.upstream.Slots {
-		out += time.Duration(open-s.upstream.Slots+1) * plainLatency
+		out.wait += time.Duration(open-s.upstream.Slots+1) * plainLatency
 	}
 	return out
 }
 
 // expectedLatency returns the estimated time to the first event, without penalties.
-func (b *Balancer) expectedLatency(s *upstreamState, r *site.Request, service site.Service, preferred bool, now time.Time) time.Duration {
+func (b *Balancer) expectedLatency(s *upstreamState, r *site.Request, service site.Service, preferred bool, now time.Time) latency {
 	open := len(s.openTickets) + s.peerLoad.Requests
 	if service.Engine == nil {
-		return time.Duration(s.slowdown * float64(plainLatency) * float64(open+1) / float64(max(1, s.upstream.Slots)))
+		perRequest := s.slowdown * float64(plainLatency) / float64(max(1, s.upstream.Slots))
+		return latency{wait: time.Duration(perRequest * float64(open)), own: time.Duration(perRequest)}
 	}
-	tokens := s.pendingPrefill + s.peerLoad.PrefillTokens + uncachedTokens(s, r, preferred, now)
-	seconds := float64(tokens) / prefillRate
-	out := baseLatency + time.Duration(seconds*float64(time.Second)) + time.Duration(open)*latencyPerRequest
-	return time.Duration(s.slowdown * float64(out))
+	uncached := uncachedTokens(s, r, preferred, now)
+	wait := prefillTime(s.pendingPrefill+s.peerLoad.PrefillTokens) + time.Duration(open)*latencyPerRequest
+	return latency{
+		wait: time.Duration(s.slowdown * float64(wait)),
+		own:  time.Duration(s.slowdown * float64(baseLatency+prefillTime(uncached))),
+	}
+}
+
+// prefillTime returns how long an engine without a slowdown reads the prompt tokens.
+func prefillTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / prefillRate * float64(time.Second))
 }
 
 // uncachedTokens returns the number of prompt tokens that the upstream would have to prefill.
@@ -176,7 +184,7 @@
 
 func (b *Balancer) openTicket(s *upstreamState, r *site.Request, service site.Service, preferred bool, now time.Time) *Ticket {
 	t := &Ticket{Upstream: s.upstream, balancer: b, state: s, sentAt: now}
-	t.expected = b.expectedLatency(s, r, service, preferred, now)
+	t.expected = b.expectedLatency(s, r, service, preferred, now).total()
 	t.modelled = time.Duration(float64(t.expected) / s.slowdown)
 	if service.Engine != nil {
 		t.UncachedTokens = uncachedTokens(s, r, preferred, now)
