balance: requests are spread by what other nodes have sent since their figures

Cause: Pick took the least cost by figures that are some tenths of a second old and the same at all nodes, so all nodes sent to one upstream until newer ones came. Change: package spread fills the upstreams up to the level that the unseen requests reach and draws by each upstream's share; a cached prompt is left only above that level. With fewer than one unseen request the choice is the least cost, as before. Ruled out: two choices at random (as even, but blind to the age and to caches), asking more often.

--- a/internal/gateway/balance/balancer.go
+++ b/internal/gateway/balance/balancer.go
@@ -60,11 +60,21 @@
 	// leaving, or that they want no requests for a time.
 	announcements map[string]*announcement
 	latencyRatio  latencyRatio
+	// figures says how old peerLoads were at figuresAt.
+	figures   Figures
+	figuresAt time.Time
+	// traffic holds this node's requests by service.
+	traffic map[string]*traffic
+	// random returns a number in [0, 1).
+	random func() float64
 }
 
-// New returns the balancer of a node in the failure domain.
-func New(domain string, now func() time.Time) *Balancer {
-	return &Balancer{domain: domain, now: now, states: make(map[string]*upstreamState), announcements: make(map[string]*announcement)}
+// New returns the balancer of a node in the failure domain. random returns a number in [0, 1).
+func New(domain string, now func() time.Time, random func() float64) *Balancer {
+	return &Balancer{
+		domain: domain, now: now, random: random, states: make(map[string]*upstreamState),
+		announcements: make(map[string]*announcement), traffic: make(map[string]*traffic),
+	}
 }
 
 // PickOptions lists the upstreams that a request may be sent to.
@@ -75,15 +85,25 @@
 	Tried map[string]bool
 }
 
-// Pick opens a ticket at the upstream with the lowest cost. When no upstream is available it
-// returns nil and the time until one may be, or 0 if none will be.
+// Pick opens a ticket at an upstream of low cost. When no upstream is available it returns nil and
+// the time until one may be, or 0 if none will be.
 func (b *Balancer) Pick(r *site.Request, c *PickOptions) (*Ticket, time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
+	candidates, pause := b.candidates(r, c, now)
+	if len(candidates) == 0 {
+		return nil, pause
+	}
+	chosen := b.choose(candidates, r, c.Service, now)
+	return b.openTicket(chosen.state, r, c.Service, chosen.preferred, now), 0
+}
+
+// candidates returns the upstreams that are available now, with their costs. If there is none, it
+// returns the time until one may be, or 0 if none will be.
+func (b *Balancer) candidates(r *site.Request, c *PickOptions, now time.Time) (out []candidate, pause time.Duration) {
 	preferred := b.preferredUpstream(r, c.Candidates, now)
-	var best *upstreamState
-	var bestCost, pause time.Duration
+	out = make([]candidate, 0, len(c.Candidates))
 	for _, u := range c.Candidates {
 		if c.Tried[u.ID] {
 			continue
@@ -99,15 +119,9 @@
 			}
 			continue
 		}
-		cost := b.cost(s, r, c.Service, preferred == u.ID, now).total()
-		if best == nil || cost < bestCost {
-			best, bestCost = s, cost
-		}
-	}
-	if best == nil {
-		return nil, pause
+		out = append(out, candidate{state: s, cost: b.cost(s, r, c.Service, preferred == u.ID, now), preferred: preferred == u.ID})
 	}
-	return b.openTicket(best, r, c.Service, preferred == best.upstream.ID, now), 0
+	return out, pause
 }
 
 // preferredUpstream returns the ID of the upstream that all nodes prefer for the request's shared
@@ -192,6 +206,7 @@
 		s.recordParts(r.Prompt, now, sharedCacheCapacity(service.Engine))
 	}
 	s.openTickets[t] = struct{}{}
+	b.trafficOf(service.Name).add(t.UncachedTokens, now)
 	return t
 }
 
@@ -218,11 +233,12 @@
 }
 
 // SetPeerLoads sets the outstanding work of the other nodes, keyed by UpstreamHash of the
-// upstream's ID.
-func (b *Balancer) SetPeerLoads(loads map[uint32]Outstanding) {
+// upstream's ID, and how old these figures are.
+func (b *Balancer) SetPeerLoads(loads map[uint32]Outstanding, figures Figures) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.peerLoads = loads
+	b.figures, b.figuresAt = figures, b.now()
 	for id, s := range b.states {
 		s.peerLoad = loads[UpstreamHash(id)]
 	}
--- a/internal/gateway/balance/balancer_test.go
+++ b/internal/gateway/balance/balancer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"testing"
 	"time"
@@ -19,7 +20,7 @@
 
 func newTestBalancer() *testBalancer {
 	b := &testBalancer{time: time.Unix(1000, 0)}
-	b.Balancer = New("a", func() time.Time { return b.time })
+	b.Balancer = New("a", func() time.Time { return b.time }, rand.New(rand.NewPCG(1, 1)).Float64)
 	return b
 }
 
@@ -74,7 +75,7 @@
 	r := prompt("s", 1000)
 	preferred := b.pick(t, r, c)
 	preferred.End(Answered)
-	b.SetPeerLoads(map[uint32]Outstanding{UpstreamHash(preferred.Upstream.ID): {Requests: 4, PrefillTokens: 40_000}})
+	b.SetPeerLoads(map[uint32]Outstanding{UpstreamHash(preferred.Upstream.ID): {Requests: 4, PrefillTokens: 40_000}}, Figures{})
 	require.NotEqual(t, preferred.Upstream.ID, b.pick(t, r, c).Upstream.ID)
 }
 
--- a/internal/gateway/balance/speed_test.go
+++ b/internal/gateway/balance/speed_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -9,7 +10,7 @@
 
 func TestLatencyRatioIsLearnedFromLongPrompts(t *testing.T) {
 	now := time.Unix(1000, 0)
-	b := New("a", func() time.Time { return now })
+	b := New("a", func() time.Time { return now }, rand.New(rand.NewPCG(1, 1)).Float64)
 	_, ok := b.LatencyRatio()
 	require.False(t, ok)
 	for range 1000 {
--- a/internal/gateway/server/leadertasks_test.go
+++ b/internal/gateway/server/leadertasks_test.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -14,7 +15,7 @@
 
 func TestScalingCountExcludesLeavingAndLongQuietUpstreams(t *testing.T) {
 	now := time.Unix(1000, 0)
-	g := &Gateway{balancer: balance.New("a", func() time.Time { return now })}
+	g := &Gateway{balancer: balance.New("a", func() time.Time { return now }, rand.Float64)}
 	var list []site.Upstream
 	for _, u := range testUpstreams(4) {
 		u.FailureDomain = "a"
--- a/internal/gateway/server/messages.go
+++ b/internal/gateway/server/messages.go
@@ -148,7 +148,22 @@
 
 // updatePeerLoads passes the outstanding load of the live nodes to the balancer.
 func (g *Gateway) updatePeerLoads() {
-	g.balancer.SetPeerLoads(sumLoads(g.peerTable.Alive()))
+	alive := g.peerTable.Alive()
+	g.balancer.SetPeerLoads(sumLoads(alive), g.figuresOf(alive))
+}
+
+// figuresOf returns how old the reported load of the live nodes is.
+func (g *Gateway) figuresOf(alive []*peers.Peer) balance.Figures {
+	if len(alive) == 0 {
+		return balance.Figures{}
+	}
+	var sum time.Duration
+	for _, p := range alive {
+		sum += g.peerTable.TimeSinceHeard(p)
+	}
+	nodes := len(alive)
+	forwarding := (peers.PropagationInterval(nodes) - peers.Interval(nodes)) / 2
+	return balance.Figures{Nodes: nodes, Age: sum/time.Duration(nodes) + forwarding}
 }
 
 // sharingNodes returns the number of nodes that share site-wide limits. It is 0 (unknown) until
