faulttest: crowds of clients that don't behave, against a node with low limits

Clients outside the limits ended a process. Change: one node of 64 MB as a process, and a crowd of 80 to 300 clients of 19 shapes that stay connected; the node must live, its peak of resident memory stay within its limit, its sockets within max_fds less 200 where that is lowered, and six ordinary requests (three keys, two addresses) be answered with 200.

--- /dev/null
+++ b/internal/faulttest/gatewaycrowd_test.go
@@ -0,0 +1,335 @@
+package faulttest
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/platform/platformtest"
+)
+
+const (
+	// crowdMemoryMB is the memory limit of the node, and the bound of its resident memory.
+	crowdMemoryMB = 64
+	// crowdMaxBody is the largest legal body, in bytes.
+	crowdMaxBody = 1 << 20
+	// crowdClients is the number of clients that don't behave.
+	crowdClients = 80
+	// crowdKeys is the number of keys of the crowds that have many.
+	crowdKeys = 20
+	// reservedDescriptors are those of a node's descriptors that are not for sockets.
+	reservedDescriptors = 200
+	// crowdQuietTime is how long a crowd must have sent nothing to count as settled.
+	crowdQuietTime = time.Second
+)
+
+// crowdClient is one client that doesn't behave.
+type crowdClient struct {
+	number int
+	conn   net.Conn
+	sent   *atomic.Int64
+}
+
+// head returns the start of a request's head, with an attempt ID and a key unless it is empty.
+func (c *crowdClient) head(path, key string) string {
+	out := fmt.Sprintf("POST %sx HTTP/1.1\r\nHost: site.example\r\nX-Mangoledge-Attempt-Id: crowd-%d\r\nX-Mangoledge-Deadline-Ms: 30000\r\n", path, attemptCounter.Add(1))
+	if key != "" {
+		out += "Authorization: Bearer " + key + "\r\n"
+	}
+	return out
+}
+
+// write sends data and reports whether the node took it all.
+func (c *crowdClient) write(data []byte) bool {
+	n, err := c.conn.Write(data)
+	c.sent.Add(int64(n))
+	return err == nil
+}
+
+// lengthHead returns a whole head that announces a body of the given length.
+func (c *crowdClient) lengthHead(key string, length int64, extra string) []byte {
+	return []byte(c.head("/again/", key) + extra + "Content-Length: " + strconv.FormatInt(length, 10) + "\r\n\r\n")
+}
+
+// chunkedHead returns a whole head of a chunked request.
+func (c *crowdClient) chunkedHead(extra string) []byte {
+	return []byte(c.head("/again/", unlimitedKey) + extra + "Transfer-Encoding: chunked\r\n\r\n")
+}
+
+// sendChunks sends total bytes in chunks of size, without the last chunk.
+func (c *crowdClient) sendChunks(total, size int) bool {
+	one := append(fmt.Appendf(nil, "%x\r\n", size), append(bytes.Repeat([]byte("x"), size), "\r\n"...)...)
+	batch := bytes.Repeat(one, max(1, (16<<10)/len(one)))
+	perBatch := size * (len(batch) / len(one))
+	for sent := 0; sent < total; sent += perBatch {
+		if !c.write(batch) {
+			return false
+		}
+	}
+	return true
+}
+
+// crowdPiece is the size of a piece or a large chunk, in bytes.
+const crowdPiece = 16 << 10
+
+// crowdBody is the largest legal body, and shortBody the same without its last byte.
+var (
+	crowdBody = bytes.Repeat([]byte("x"), crowdMaxBody)
+	shortBody = crowdBody[1:]
+)
+
+// crowdShape is what every client of a crowd sends.
+type crowdShape struct {
+	name string
+	send func(*crowdClient)
+	// maxDescriptors is the node's limit of descriptors; 0 means the default.
+	maxDescriptors int
+	// clients is the number of clients; 0 means crowdClients.
+	clients int
+}
+
+func keyOf(number int) string { return fmt.Sprintf("key-of-crowd-%d", number%crowdKeys) }
+
+var crowdShapes = []crowdShape{
+	{name: "LargeBodiesWhole", send: func(c *crowdClient) {
+		_ = c.write(c.lengthHead(unlimitedKey, crowdMaxBody, "")) && c.write(crowdBody)
+	}},
+	{name: "LargeBodiesOneByteShort", send: func(c *crowdClient) {
+		_ = c.write(c.lengthHead(unlimitedKey, crowdMaxBody, "")) && c.write(shortBody)
+	}},
+	{name: "LargeBodiesInPiecesOneByteShort", send: func(c *crowdClient) {
+		ok := c.write(c.lengthHead(unlimitedKey, crowdMaxBody, ""))
+		for rest := shortBody; ok && len(rest) > 0; time.Sleep(time.Millisecond) {
+			n := min(crowdPiece, len(rest))
+			ok = c.write(rest[:n])
+			rest = rest[n:]
+		}
+	}},
+	{name: "OneLargeChunkOneByteShort", send: func(c *crowdClient) {
+		_ = c.write(c.chunkedHead("")) && c.write(fmt.Appendf(nil, "%x\r\n", crowdMaxBody)) && c.write(shortBody)
+	}},
+	{name: "LargeChunksWithoutTheLast", send: func(c *crowdClient) {
+		_ = c.write(c.chunkedHead("")) && c.sendChunks(crowdMaxBody-crowdPiece, crowdPiece)
+	}},
+	{name: "ChunksOfOneByteWithoutTheLast", send: func(c *crowdClient) {
+		_ = c.write(c.chunkedHead("")) && c.sendChunks(crowdMaxBody/2, 1)
+	}},
+	{name: "ChunksAndTrailersWithoutEnd", send: func(c *crowdClient) {
+		_ = c.write(c.chunkedHead("Trailer: X-Sum\r\n")) && c.sendChunks(crowdMaxBody-crowdPiece, crowdPiece) &&
+			c.write([]byte("0\r\nX-Sum: "+strings.Repeat("1", 2048)))
+	}},
+	{name: "FarOverTheLimitAnnounced", send: func(c *crowdClient) {
+		_ = c.write(c.lengthHead(unlimitedKey, 1<<30, "")) && c.write(crowdBody) && c.write(crowdBody)
+	}},
+	{name: "FarOverTheLimitInChunks", send: func(c *crowdClient) {
+		_ = c.write(c.chunkedHead("")) && c.sendChunks(16*crowdMaxBody, crowdPiece)
+	}},
+	{name: "NoKey", send: func(c *crowdClient) {
+		_ = c.write(c.lengthHead("", crowdMaxBody, "")) && c.write(shortBody)
+	}},
+	{name: "WrongKey", send: func(c *crowdClient) {
+		_ = c.write(c.lengthHead("a-wrong-key", crowdMaxBody, "")) && c.write(shortBody)
+	}},
+	{name: "ManyKeysOneByteShort", send: func(c *crowdClient) {
+		_ = c.write(c.lengthHead(keyOf(c.number), crowdMaxBody, "")) && c.write(shortBody)
+	}},
+	{name: "HeadsThatNeverEnd", send: func(c *crowdClient) {
+		_ = c.write([]byte(c.head("/again/", unlimitedKey) + "X-Long: " + strings.Repeat("x", 7<<10)))
+	}},
+	{name: "EndlessHeads", clients: 300, send: func(c *crowdClient) {
+		ok := c.write([]byte(c.head("/again/", unlimitedKey)))
+		for i := 0; ok && i < 1<<10; i++ {
+			ok = c.write(fmt.Appendf(nil, "X-Long-%d: %s\r\n", i, strings.Repeat("x", 100)))
+		}
+	}},
+	{name: "PipelinedHeads", send: func(c *crowdClient) {
+		var all []byte
+		for range 200 {
+			all = append(all, c.lengthHead(unlimitedKey, 0, "")...)
+		}
+		_ = c.write(all)
+	}},
+	{name: "Expect100Continue", send: func(c *crowdClient) {
+		_ = c.write(c.lengthHead(unlimitedKey, crowdMaxBody, "Expect: 100-continue\r\n")) && c.write(shortBody)
+	}},
+	{name: "ClientsThatStopReading", send: func(c *crowdClient) {
+		_ = c.write([]byte(c.head("/stream/", unlimitedKey) + "X-Mangoledge-Model: m\r\nX-Mangoledge-Token-Usage: 10,10\r\n" +
+			"X-Mangoledge-Prefix-Hash: aa:10\r\nContent-Length: 0\r\n\r\n"))
+	}},
+	{name: "SilentConnections", clients: 300, maxDescriptors: 400, send: func(*crowdClient) {}},
+	{name: "OpenHeadsOnManyConnections", clients: 300, maxDescriptors: 400, send: func(c *crowdClient) {
+		_ = c.write([]byte(c.head("/again/", unlimitedKey)))
+	}},
+}
+
+// TestCrowdDoesNotEndTheNode lets a crowd of each shape connect to a node with low limits. With the
+// crowd still open, the node lives within its limits and answers ordinary requests.
+func TestCrowdDoesNotEndTheNode(t *testing.T) {
+	for _, shape := range crowdShapes {
+		t.Run(shape.name, func(t *testing.T) {
+			s := startCrowdSite(t, &shape)
+			n := s.nodes[0]
+			before := memoryOf(t, n.process)
+			s.releaseCrowd(t, &shape)
+			require.False(t, n.process.hasEnded(), "the node ended")
+			s.requireOrdinaryAnswers(t, n)
+			after := memoryOf(t, n.process)
+			sockets := countSockets(t, n.process)
+			t.Logf("resident, MB: before %d, peak %d; sockets: %d", before>>20, after>>20, sockets)
+			require.False(t, n.process.hasEnded(), "the node ended")
+			require.LessOrEqual(t, after, int64(crowdMemoryMB)<<20, "the node's resident memory was over its limit")
+			if shape.maxDescriptors > 0 {
+				require.LessOrEqual(t, sockets, shape.maxDescriptors-reservedDescriptors, "the node has too many sockets")
+			}
+		})
+	}
+}
+
+// startCrowdSite starts one node with low limits and a configuration with many keys, whose routes
+// don't time out during the test.
+func startCrowdSite(t *testing.T, shape *crowdShape) *gatewaySite {
+	t.Helper()
+	s := startGatewaySite(t, 0, 2)
+	config := platformtest.DefaultConfig(100)
+	tenants := config["tenants"].([]any)
+	tenants = append(tenants, map[string]any{"name": unlimitedWorkspace, "api_keys": []string{unlimitedKey}, "priority": 1})
+	for i := range crowdKeys {
+		tenants = append(tenants, map[string]any{"name": fmt.Sprintf("crowd-%d", i), "api_keys": []string{keyOf(i)}, "priority": 1})
+	}
+	config["tenants"] = tenants
+	for _, route := range config["routes"].([]any) {
+		route.(map[string]any)["timeout_ms"] = 30_000
+		route.(map[string]any)["target_latency_ms"] = 2_000
+	}
+	config["limits"].(map[string]any)["max_body_bytes"] = crowdMaxBody
+	s.store.Put("config", "main", config)
+	for _, slot := range s.slots {
+		replica, _ := slot.newest()
+		replica.Events, replica.EventPause = 5000, 0
+	}
+	n := s.newNode(1)
+	n.settings.MemoryMB, n.settings.MaxDescriptors = crowdMemoryMB, shape.maxDescriptors
+	s.nodes = append(s.nodes, n)
+	s.launch(n, true)
+	s.waitUntilServing()
+	return s
+}
+
+// releaseCrowd connects all clients of a crowd and returns once none of them sends any more. Their
+// connections stay open until the test ends.
+func (s *gatewaySite) releaseCrowd(t *testing.T, shape *crowdShape) {
+	t.Helper()
+	var sent atomic.Int64
+	var sending sync.WaitGroup
+	clients := shape.clients
+	if clients == 0 {
+		clients = crowdClients
+	}
+	t.Cleanup(sending.Wait) // runs once the connections are closed
+	var dialer net.Dialer
+	for i := range clients {
+		conn, err := dialer.DialContext(t.Context(), "tcp4", s.nodes[0].address(platformtest.FrontPort))
+		if err != nil {
+			continue // a node may refuse connections of a crowd
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		sending.Go(func() { shape.send(&crowdClient{number: i, conn: conn, sent: &sent}) })
+	}
+	waitUntilQuiet(&sent)
+	t.Logf("the crowd sent %d KB", sent.Load()>>10)
+}
+
+// waitUntilQuiet waits until a counter has not changed for crowdQuietTime.
+func waitUntilQuiet(counter *atomic.Int64) {
+	for last := int64(-1); last != counter.Load(); time.Sleep(crowdQuietTime) {
+		last = counter.Load()
+	}
+}
+
+// requireOrdinaryAnswers requires that the node answers ordinary requests: without a key, with the
+// crowd's key and with another, from the crowd's address and from another.
+func (s *gatewaySite) requireOrdinaryAnswers(t *testing.T, n *gatewayNode) {
+	t.Helper()
+	for _, address := range []string{s.network + ".200", "127.0.0.1"} {
+		for _, key := range []string{platformtest.WorkspaceKey, unlimitedKey, ""} {
+			status, err := s.askAsOrdinaryCaller(n, address, key)
+			require.NoError(t, err, "from %s with key %q", address, key)
+			require.Equal(t, http.StatusOK, status, "from %s with key %q", address, key)
+		}
+	}
+}
+
+// ordinaryTimeout bounds the wait for an answer to an ordinary request, far beyond what it takes.
+const ordinaryTimeout = 30 * time.Second
+
+// askAsOrdinaryCaller sends a small request on a new connection and returns the status.
+func (s *gatewaySite) askAsOrdinaryCaller(n *gatewayNode, address, key string) (int, error) {
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(address)}}
+	client := http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}
+	ctx, cancel := context.WithTimeout(context.Background(), ordinaryTimeout)
+	defer cancel()
+	path := "/again/"
+	if key == "" {
+		path = "/open/"
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.address(platformtest.FrontPort)+path+"x", strings.NewReader("an ordinary request"))
+	if err != nil {
+		return 0, err
+	}
+	req.Host = "site.example"
+	req.Header.Set("X-Mangoledge-Attempt-Id", fmt.Sprintf("ordinary-%d", attemptCounter.Add(1)))
+	req.Header.Set("X-Mangoledge-Deadline-Ms", strconv.FormatInt(ordinaryTimeout.Milliseconds(), 10))
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	response, err := client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
+}
+
+// memoryOf returns the peak of a process's resident memory so far, in bytes.
+func memoryOf(t *testing.T, p *process) int64 {
+	t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.pid()))
+	require.NoError(t, err)
+	for line := range strings.Lines(string(status)) {
+		if rest, found := strings.CutPrefix(line, "VmHWM:"); found {
+			kb, err := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
+			require.NoError(t, err)
+			return kb << 10
+		}
+	}
+	t.Fatal("the peak of resident memory is unknown")
+	return 0
+}
+
+// countSockets returns the number of a process's open sockets.
+func countSockets(t *testing.T, p *process) int {
+	t.Helper()
+	dir := fmt.Sprintf("/proc/%d/fd", p.pid())
+	entries, err := os.ReadDir(dir)
+	require.NoError(t, err)
+	sockets := 0
+	for _, e := range entries {
+		if target, err := os.Readlink(dir + "/" + e.Name()); err == nil && strings.HasPrefix(target, "socket:") {
+			sockets++
+		}
+	}
+	return sockets
+}
