ingress: the memory of request bodies is charged to one account

Every body was read whole by io.ReadAll, and nothing summed what all requests hold: 80 clients with 1 MiB each took 108 to 112 MB of a host of 64. Change: package ingress. An Account of 30% of the memory limit; bodies arrive in pieces that are charged before they are allocated and never copied; when it is full the slow bodies of the heaviest owner give way, else the newcomer gets 503. Pace and deadline of a body, bounded rests of refused ones, gauges, one log line for a crowd. httpconn and the fingerprint take the body in pieces (the fingerprint is the same). Ending before the deadline was 400 body_not_read after 10 s; it is 408 body_too_slow, which promises not run.

--- a/internal/gateway/exchange/deps.go
+++ b/internal/gateway/exchange/deps.go
@@ -8,6 +8,7 @@
 	"mangoledge.example/mangoledge/internal/gateway/balance"
 	"mangoledge.example/mangoledge/internal/gateway/catalog"
 	"mangoledge.example/mangoledge/internal/gateway/httpconn"
+	"mangoledge.example/mangoledge/internal/gateway/ingress"
 	"mangoledge.example/mangoledge/internal/gateway/quota"
 	"mangoledge.example/mangoledge/internal/gateway/site"
 	"mangoledge.example/mangoledge/internal/poison"
@@ -121,8 +122,10 @@
 	Poison        PoisonTracker
 	Demand        DemandRecorder
 	Pool          *httpconn.Pool
-	Metrics       *Metrics
-	Logger        *slog.Logger
+	// Ingress is the memory for request bodies.
+	Ingress *ingress.Account
+	Metrics *Metrics
+	Logger  *slog.Logger
 	// Shutdown returns the planned end of the process, or nil while it is not shutting down.
 	Shutdown func() *Shutdown
 	// Durations tells how long a route's responses take.
--- a/internal/gateway/exchange/fingerprint.go
+++ b/internal/gateway/exchange/fingerprint.go
@@ -1,8 +1,6 @@
 package exchange
 
 import (
-	"strings"
-
 	"mangoledge.example/mangoledge/internal/gateway/site"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/poison"
@@ -17,8 +15,8 @@
 	if len(r.Body) == 0 {
 		operation = r.Target
 	}
-	input := strings.Join([]string{workspace, r.Method, operation, string(r.Body)}, "\n")
-	return poison.FingerprintOf("", "", ident.Service(r.Host), input)
+	head := workspace + "\n" + r.Method + "\n" + operation + "\n"
+	return poison.ContentFingerprint(ident.Service(r.Host), head, r.Body)
 }
 
 // maxPromptParts limits the prompt parts by which a request is recognized; the last are the most
--- a/internal/gateway/exchange/handler.go
+++ b/internal/gateway/exchange/handler.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"mangoledge.example/mangoledge/internal/gateway/ingress"
 	"mangoledge.example/mangoledge/internal/gateway/site"
 	"mangoledge.example/mangoledge/internal/poison"
 )
@@ -16,8 +16,6 @@
 const (
 	// defaultTimeout limits a request for which neither client nor route sets a timeout.
 	defaultTimeout = 60 * time.Second
-	// bodyReadTimeout limits the time in which a client sends its body.
-	bodyReadTimeout = 10 * time.Second
 )
 
 // errDeadlineExceeded is the context's cause when the request's deadline, set by client or
@@ -43,6 +41,10 @@
 	// content identifies the request by what it asks for, independent of its attempt ID.
 	content  poison.Content
 	deadline time.Time
+	// body is the memory of the request's body; nil before it is read.
+	body *ingress.Body
+	// bodyRead is true once the whole body was read.
+	bodyRead bool
 	// chargedQuota is the amount taken from the workspace's quota that may still be refunded.
 	chargedQuota float64
 	// mayHaveRun is true once an upstream may have started to run the request.
@@ -69,7 +71,9 @@
 	if h.options.Shutdown() != nil {
 		w.Header().Set("Connection", "close")
 	}
+	defer e.releaseBody()
 	if refused := e.admit(w, r); refused != nil {
+		e.limitUnreadBody(w, r)
 		e.refuse(w, refused)
 		return
 	}
@@ -82,7 +86,9 @@
 func (e *exchange) refuse(w http.ResponseWriter, refused *refusal) {
 	e.refund()
 	e.options.Metrics.Refused(e, refused)
-	e.log("refused", "status", refused.status, "reason", refused.reason, "retry_after", refused.retryAfter, "sends", e.sends, "content", e.content.String(), "crashing_part", e.crashingPart())
+	if !refused.crowded {
+		e.log("refused", "status", refused.status, "reason", refused.reason, "retry_after", refused.retryAfter, "sends", e.sends, "content", e.content.String(), "crashing_part", e.crashingPart())
+	}
 	refused.write(w, e)
 }
 
@@ -157,32 +163,6 @@
 	e.deadline = e.request.Received.Add(left)
 }
 
-// readBody reads the request body within the configured limits of header and body size.
-func (e *exchange) readBody(w http.ResponseWriter, r *http.Request) *refusal {
-	if headerSize(r.Header) > e.config.Limits.MaxHeaderBytes {
-		return headerTooLargeRefusal
-	}
-	if r.ContentLength > e.config.Limits.MaxBodyBytes {
-		return bodyTooLargeRefusal
-	}
-	if r.Body == nil || r.ContentLength == 0 {
-		return nil
-	}
-	// A client that stops sending its body must not hold a connection any longer.
-	_ = http.NewResponseController(w).SetReadDeadline(e.request.Received.Add(bodyReadTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.config.Limits.MaxBodyBytes))
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return bodyTooLargeRefusal
-	}
-	if err != nil {
-		return bodyNotReadRefusal
-	}
-	e.request.Body = body
-	return nil
-}
-
 // headerSize returns the size of the headers as sent over HTTP/1.1.
 func headerSize(h http.Header) int {
 	n := 0
--- a/internal/gateway/exchange/refusal.go
+++ b/internal/gateway/exchange/refusal.go
@@ -13,6 +13,9 @@
 	reason string
 	// retryAfter is the Retry-After time; 0 if retrying is useless or unsafe.
 	retryAfter time.Duration
+	// crowded is true for a refusal that many clients get at once. It is counted, but not logged for
+	// each request.
+	crowded bool
 }
 
 // Refusals with a fixed Retry-After time or none.
@@ -22,6 +25,7 @@
 	bodyTooLargeRefusal   = &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
 	headerTooLargeRefusal = &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header_too_large"}
 	poisonRefusal         = &refusal{status: http.StatusServiceUnavailable, reason: "content_crashes_upstreams"}
+	bodyTooSlowRefusal    = &refusal{status: http.StatusRequestTimeout, reason: "body_too_slow"}
 	bodyNotReadRefusal    = &refusal{status: http.StatusBadRequest, reason: "body_not_read"}
 	upstreamFailedRefusal = &refusal{status: http.StatusBadGateway, reason: "upstream_failed"}
 	timeoutRefusal        = &refusal{status: http.StatusGatewayTimeout, reason: "time_over"}
@@ -31,6 +35,15 @@
 	tooLateRefusal        = &refusal{status: http.StatusServiceUnavailable, reason: "time_over_before_sending", retryAfter: 200 * time.Millisecond}
 )
 
+// bodyRefusedRetryAfter is the shortest Retry-After time when there is no memory for a body; random
+// spreads it over twice that time.
+const bodyRefusedRetryAfter = 400 * time.Millisecond
+
+func bodyRefusedRefusal(reason string, random float64) *refusal {
+	after := bodyRefusedRetryAfter + time.Duration(random*float64(bodyRefusedRetryAfter))
+	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: after, crowded: true}
+}
+
 func quotaRefusal(after time.Duration) *refusal {
 	return &refusal{status: http.StatusTooManyRequests, reason: "quota", retryAfter: after}
 }
--- a/internal/gateway/httpconn/request.go
+++ b/internal/gateway/httpconn/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -14,7 +15,8 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body holds the body in pieces, in order.
+	Body [][]byte
 	// MaxIdle is the longest time that a reused connection may have been idle; 0 always
 	// establishes a new connection.
 	MaxIdle time.Duration
@@ -39,7 +41,8 @@
 // long.
 func (r *Request) encode() *bytes.Buffer {
 	var b bytes.Buffer
-	b.Grow(headerBufferBytes + min(len(r.Body), inlineBodyBytes))
+	size := r.bodySize()
+	b.Grow(headerBufferBytes + min(size, inlineBodyBytes))
 	b.WriteString(r.Method)
 	b.WriteByte(' ')
 	b.WriteString(r.Target)
@@ -47,14 +50,33 @@
 	b.WriteString(r.Host)
 	b.WriteString("\r\n")
 	_ = r.Header.Write(&b) // bytes.Buffer never returns an error
-	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut {
+	if size > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut {
 		b.WriteString("Content-Length: ")
-		b.WriteString(strconv.Itoa(len(r.Body)))
+		b.WriteString(strconv.Itoa(size))
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
-	if len(r.Body) <= inlineBodyBytes {
-		b.Write(r.Body)
+	if size <= inlineBodyBytes {
+		_ = r.writeBody(&b) // bytes.Buffer never returns an error
 	}
 	return &b
 }
+
+// bodySize returns the length of the body in bytes.
+func (r *Request) bodySize() int {
+	size := 0
+	for _, piece := range r.Body {
+		size += len(piece)
+	}
+	return size
+}
+
+// writeBody writes the body to w.
+func (r *Request) writeBody(w io.Writer) error {
+	for _, piece := range r.Body {
+		if _, err := w.Write(piece); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/gateway/httpconn/response.go
+++ b/internal/gateway/httpconn/response.go
@@ -1,7 +1,6 @@
 package httpconn
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -44,13 +43,12 @@
 	if _, err := r.conn.tcp.Write(encoded.Bytes()); err != nil {
 		return err
 	}
-	if len(req.Body) <= inlineBodyBytes {
+	if req.bodySize() <= inlineBodyBytes {
 		return nil
 	}
 	r.writingBody = true
 	go func() {
-		_, err := io.Copy(r.conn.tcp, bytes.NewReader(req.Body))
-		r.bodyWritten <- err
+		r.bodyWritten <- req.writeBody(r.conn.tcp)
 	}()
 	return nil
 }
--- /dev/null
+++ b/internal/gateway/ingress/body.go
@@ -0,0 +1,166 @@
+package ingress
+
+import (
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// pieceBytes is the size of the pieces of a long body, and firstPieceBytes that of the first piece of
+	// a body of unknown length; each further one is twice as large as the one before it.
+	pieceBytes      = 64 << 10
+	firstPieceBytes = 4 << 10
+	// paceAllowance is how long a body may take whatever its size, and minPace, in bytes a second, the
+	// pace of what takes longer.
+	paceAllowance = 10 * time.Second
+	minPace       = 32 << 10
+)
+
+// Body is a request body whose memory is charged to an Account. It arrives in pieces that are never
+// copied. One goroutine uses it; only its eviction comes from another.
+type Body struct {
+	account   *Account
+	owner     Owner
+	startedAt time.Time
+	// setReadDeadline sets the time at which a read of the source ends with an error.
+	setReadDeadline func(time.Time) error
+	// latest is the time at which the body must have arrived at any pace.
+	latest time.Time
+
+	// The following fields are guarded by the account's mutex.
+	pieces  [][]byte
+	charged int64
+	arrived int64
+	evicted bool
+}
+
+// NewBody returns an empty body that must arrive until latest.
+func (a *Account) NewBody(owner Owner, latest time.Time, setReadDeadline func(time.Time) error) *Body {
+	b := &Body{account: a, owner: owner, startedAt: a.now(), latest: latest, setReadDeadline: setReadDeadline}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.receiving[b] = struct{}{}
+	return b
+}
+
+// Receive reads the whole body. length is its announced length, or negative if it is unknown. After an
+// error the body holds nothing; besides the source's errors it is ErrFull or ErrEvicted.
+func (b *Body) Receive(source io.Reader, length int64) error {
+	err := b.receivePieces(source, length)
+	if deadlineErr := b.setReadDeadline(time.Time{}); err == nil {
+		err = deadlineErr
+	}
+	a := b.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.receiving, b)
+	switch {
+	case b.evicted:
+		return ErrEvicted // the read error is a consequence of the interruption
+	case err != nil:
+		a.releaseLocked(b)
+	}
+	return err
+}
+
+func (b *Body) receivePieces(source io.Reader, length int64) error {
+	for size := firstSize(length); size > 0; size = b.nextSize(size, length) {
+		if err := b.account.reserve(b, size); err != nil {
+			return err
+		}
+		if err := b.extendDeadline(size); err != nil {
+			return err
+		}
+		piece, err := fill(source, make([]byte, size))
+		b.add(piece)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// firstSize returns the size of the first piece of a body with the announced length.
+func firstSize(length int64) int64 {
+	if length < 0 {
+		return firstPieceBytes
+	}
+	return min(length, pieceBytes)
+}
+
+// nextSize returns the size of the piece after one of size bytes; 0 if the body is whole.
+func (b *Body) nextSize(size, length int64) int64 {
+	if length < 0 {
+		return min(2*size, pieceBytes)
+	}
+	b.account.mu.Lock()
+	defer b.account.mu.Unlock()
+	return min(length-b.arrived, pieceBytes)
+}
+
+// fill reads until piece is full or the source ends, and returns what it read. The error is io.EOF only
+// at the regular end of the source.
+func fill(source io.Reader, piece []byte) ([]byte, error) {
+	n := 0
+	for n < len(piece) {
+		m, err := source.Read(piece[n:])
+		n += m
+		if err != nil {
+			return piece[:n], err
+		}
+	}
+	return piece, nil
+}
+
+// extendDeadline gives the next size bytes the time in which they arrive at minPace.
+func (b *Body) extendDeadline(size int64) error {
+	a := b.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if b.evicted {
+		return ErrEvicted
+	}
+	paced := b.startedAt.Add(paceAllowance + time.Duration(b.arrived+size)*time.Second/minPace)
+	if paced.After(b.latest) {
+		paced = b.latest
+	}
+	return b.setReadDeadline(paced)
+}
+
+// interrupt ends a read of the source. The error is ignored: a connection without a deadline is closed.
+func (b *Body) interrupt() { _ = b.setReadDeadline(time.Unix(1, 0)) }
+
+// add appends a piece, unless the body was evicted.
+func (b *Body) add(piece []byte) {
+	a := b.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b.arrived += int64(len(piece))
+	if !b.evicted && len(piece) > 0 {
+		b.pieces = append(b.pieces, piece)
+	}
+}
+
+// pace returns the bytes that have arrived a second.
+func (b *Body) pace(now time.Time) float64 {
+	return float64(b.arrived) / max(now.Sub(b.startedAt), time.Millisecond).Seconds()
+}
+
+// Pieces returns the body, in order. The pieces must not be changed.
+func (b *Body) Pieces() [][]byte {
+	b.account.mu.Lock()
+	defer b.account.mu.Unlock()
+	return b.pieces
+}
+
+// Release returns the body's memory to the account. It may be called more than once.
+func (b *Body) Release() {
+	b.account.mu.Lock()
+	defer b.account.mu.Unlock()
+	b.account.releaseLocked(b)
+}
--- a/internal/gateway/server/gateway.go
+++ b/internal/gateway/server/gateway.go
@@ -16,6 +16,7 @@
 	"mangoledge.example/mangoledge/internal/gateway/clock"
 	"mangoledge.example/mangoledge/internal/gateway/exchange"
 	"mangoledge.example/mangoledge/internal/gateway/httpconn"
+	"mangoledge.example/mangoledge/internal/gateway/ingress"
 	"mangoledge.example/mangoledge/internal/gateway/peers"
 	"mangoledge.example/mangoledge/internal/gateway/quota"
 	"mangoledge.example/mangoledge/internal/gateway/scaling"
@@ -52,6 +53,9 @@
 	usageReporter *usage.Reporter
 	scaler        *scaling.Scaler
 	idleConns     *idleConns
+	ingress       *ingress.Account
+	// ingressRefused is the number of bodies that the account had refused when they were last logged.
+	ingressRefused int64
 
 	// seeds are the control addresses of a few nodes from the current settings.
 	seeds atomic.Pointer[[]string]
@@ -105,6 +109,7 @@
 		registry:       metrics.NewRegistry(),
 		pool:           httpconn.NewPool(),
 		idleConns:      newIdleConns(),
+		ingress:        ingress.NewAccount(ingress.Capacity(settings.MemoryMB), time.Now),
 		reclaimNotices: newReclaimNotices(time.Now),
 		relayCursor:    newRelayCursor(),
 		peerAddress:    joinPort(settings.IP, settings.PeerPorts[0]),
@@ -124,6 +129,7 @@
 	g.demandMeter = newDemandMeter(time.Now)
 	g.seeds.Store(&settings.Seeds)
 	g.RegisterGauge("gateway.connections_made", g.pool.Dialed)
+	g.registerIngressGauges()
 	g.RegisterGauge("gateway.connections_reused", g.pool.Reused)
 	g.RegisterGauge("gateway.requests_active", g.activeRequests.Load)
 	g.RegisterGauge("gateway.config_version", g.configuration.Version)
@@ -194,6 +200,7 @@
 		Poison:        g.contentGuard,
 		Demand:        g.demandMeter,
 		Pool:          g.pool,
+		Ingress:       g.ingress,
 		Metrics:       exchange.NewMetrics(g.registry),
 		Logger:        g.logger,
 		Shutdown:      g.shutdown.Load,
--- a/internal/gateway/server/housekeeping.go
+++ b/internal/gateway/server/housekeeping.go
@@ -27,6 +27,7 @@
 		g.peerTable.RemoveExpired()
 		g.updatePeerLoads()
 		g.retryBudgets.updateNodeShare()
+		g.logIngressRefusals()
 		if config := g.configuration.Current(); config != nil {
 			if n := g.idleConns.closeIdle(config.Limits.IdleTimeout); n > 0 {
 				g.logger.Info("idle client connections closed", "count", n, "limit", config.Limits.IdleTimeout)
--- a/internal/gateway/site/request.go
+++ b/internal/gateway/site/request.go
@@ -39,7 +39,8 @@
 	// ForwardHeader holds the headers to send to the upstream: the client's headers without
 	// hop-by-hop headers and those that the system sets.
 	ForwardHeader http.Header
-	Body          []byte
+	// Body holds the body in pieces, in order.
+	Body [][]byte
 }
 
 // Cost returns the units that the request takes from the quota of the workspace.
--- a/internal/poison/fingerprint.go
+++ b/internal/poison/fingerprint.go
@@ -22,14 +22,40 @@
 	var digest xxhash.Digest
 	digest.Reset()
 	for _, part := range [...]string{string(model), string(adapter), string(service), input} {
-		var length [8]byte
-		binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
-		_, _ = digest.Write(length[:])
+		writeLength(&digest, len(part))
 		_, _ = digest.WriteString(part)
 	}
 	return Fingerprint(digest.Sum64())
 }
 
+// ContentFingerprint returns the Fingerprint of a request to a plain service, whose input is head
+// followed by the pieces of its body. It is that of FingerprintOf, without joining the input.
+func ContentFingerprint(service ident.Service, head string, body [][]byte) Fingerprint {
+	var digest xxhash.Digest
+	digest.Reset()
+	for _, part := range [...]string{"", "", string(service)} {
+		writeLength(&digest, len(part))
+		_, _ = digest.WriteString(part)
+	}
+	size := len(head)
+	for _, piece := range body {
+		size += len(piece)
+	}
+	writeLength(&digest, size)
+	_, _ = digest.WriteString(head)
+	for _, piece := range body {
+		_, _ = digest.Write(piece)
+	}
+	return Fingerprint(digest.Sum64())
+}
+
+// writeLength adds a length to the digest.
+func writeLength(digest *xxhash.Digest, n int) {
+	var length [8]byte
+	binary.LittleEndian.PutUint64(length[:], uint64(n))
+	_, _ = digest.Write(length[:])
+}
+
 // Coordinator returns the usable member whose gate is responsible for the fingerprint.
 // Members of region are preferred.
 func Coordinator(f Fingerprint, region ident.Region, members []membership.Member) (membership.Member, bool) {
