ingress: client connections are bounded below the host's descriptors, and open heads together

Change: a ConnTable for each listener. The settings carry max_fds; clients get 40% of what is beyond the 200 for files (upstreams need as many), each other listener 3%. A full table closes connections without a request, of the most crowded address first, and else the new one. Heads that have not ended are counted, and take 6% of the memory limit.

--- /dev/null
+++ b/internal/gateway/ingress/conntable.go
@@ -0,0 +1,129 @@
+package ingress
+
+import (
+	"sync"
+	"time"
+)
+
+// ConnTable holds the connections of one listener, and decides which of them give way when there are too
+// many. It is safe for concurrent use.
+type ConnTable struct {
+	limits ConnLimits
+	now    func() time.Time
+
+	mu        sync.Mutex
+	conns     map[*Conn]struct{}
+	byAddress map[string]int
+	headBytes int64
+	// refused counts the connections that were closed at once, and evicted those closed for others.
+	refused, evicted int64
+}
+
+// NewConnTable returns a table with the given limits.
+func NewConnTable(limits ConnLimits, now func() time.Time) *ConnTable {
+	return &ConnTable{limits: limits, now: now, conns: make(map[*Conn]struct{}), byAddress: make(map[string]int)}
+}
+
+// ConnUsage is what a ConnTable holds, and has closed so far.
+type ConnUsage struct {
+	Conns     int
+	HeadBytes int64
+	// Refused counts the connections that were closed at once, Evicted those closed for others.
+	Refused, Evicted int64
+}
+
+// Usage returns the current usage.
+func (t *ConnTable) Usage() ConnUsage {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return ConnUsage{Conns: len(t.conns), HeadBytes: t.headBytes, Refused: t.refused, Evicted: t.evicted}
+}
+
+// admit takes in a connection. If there are too many, one that serves no request gives way; if there is
+// none, admit returns false.
+func (t *ConnTable) admit(c *Conn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.conns) >= t.limits.Conns && !t.evictOne(func(other *Conn) bool { return !other.serving }) {
+		t.refused++
+		return false
+	}
+	c.since = t.now()
+	t.conns[c] = struct{}{}
+	t.byAddress[c.address]++
+	return true
+}
+
+// setServing records whether a connection serves a request from now on. If not, the head of the next one
+// is yet to arrive.
+func (t *ConnTable) setServing(c *Conn, serving bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, found := t.conns[c]; !found {
+		return
+	}
+	c.serving, c.since = serving, t.now()
+	t.headBytes -= c.headBytes
+	c.headBytes = 0
+}
+
+// addHeadBytes records n bytes of a connection that serves no request. If all heads together are too
+// long, heads give way.
+func (t *ConnTable) addHeadBytes(c *Conn, n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, found := t.conns[c]; !found || c.serving {
+		return
+	}
+	c.headBytes += int64(n)
+	t.headBytes += int64(n)
+	for t.headBytes > t.limits.HeadBytes && t.evictOne(func(other *Conn) bool { return other.headBytes > 0 }) {
+	}
+}
+
+// evictOne closes one of the connections that may give way, and reports whether there was any: of the
+// address with the most connections, one whose head is open before an idle one, and the oldest first.
+func (t *ConnTable) evictOne(mayGive func(*Conn) bool) bool {
+	var victim *Conn
+	for c := range t.conns {
+		if mayGive(c) && (victim == nil || t.givesWayBefore(c, victim)) {
+			victim = c
+		}
+	}
+	if victim == nil {
+		return false
+	}
+	t.evicted++
+	t.forgetLocked(victim)
+	victim.reset()
+	return true
+}
+
+// givesWayBefore reports whether c gives way before other.
+func (t *ConnTable) givesWayBefore(c, other *Conn) bool {
+	if x, y := t.byAddress[c.address], t.byAddress[other.address]; x != y {
+		return x > y
+	}
+	if x, y := c.headBytes > 0, other.headBytes > 0; x != y {
+		return x
+	}
+	return c.since.Before(other.since)
+}
+
+// forget removes a connection that is closed.
+func (t *ConnTable) forget(c *Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.forgetLocked(c)
+}
+
+func (t *ConnTable) forgetLocked(c *Conn) {
+	if _, found := t.conns[c]; !found {
+		return
+	}
+	delete(t.conns, c)
+	t.headBytes -= c.headBytes
+	if t.byAddress[c.address]--; t.byAddress[c.address] == 0 {
+		delete(t.byAddress, c.address)
+	}
+}
--- a/internal/gateway/server/gateway.go
+++ b/internal/gateway/server/gateway.go
@@ -54,7 +54,9 @@
 	scaler        *scaling.Scaler
 	idleConns     *idleConns
 	ingress       *ingress.Account
-	// ingressRefused is the number of bodies that the account had refused when they were last logged.
+	clientConns   *ingress.ConnTable
+	// ingressRefused is the number of bodies and connections that had been refused when they were last
+	// logged.
 	ingressRefused int64
 
 	// seeds are the control addresses of a few nodes from the current settings.
@@ -110,6 +112,7 @@
 		pool:           httpconn.NewPool(),
 		idleConns:      newIdleConns(),
 		ingress:        ingress.NewAccount(ingress.Capacity(settings.MemoryMB), time.Now),
+		clientConns:    ingress.NewConnTable(ingress.ClientConnLimits(settings.MaxDescriptors, settings.MemoryMB), time.Now),
 		reclaimNotices: newReclaimNotices(time.Now),
 		relayCursor:    newRelayCursor(),
 		peerAddress:    joinPort(settings.IP, settings.PeerPorts[0]),
--- a/internal/gateway/server/idle.go
+++ b/internal/gateway/server/idle.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mangoledge.example/mangoledge/internal/gateway/httpconn"
+	"mangoledge.example/mangoledge/internal/gateway/ingress"
 )
 
 // idleConns closes client connections that are idle for longer than the configuration in force
@@ -20,6 +21,7 @@
 
 // onConnState is the ConnState hook of the HTTP server.
 func (i *idleConns) onConnState(c net.Conn, state http.ConnState) {
+	ingress.OnState(c, state)
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	switch state {
@@ -53,6 +55,9 @@
 
 // hasPendingInput reports whether a connection has unread bytes.
 func hasPendingInput(c net.Conn) bool {
+	if admitted, ok := c.(*ingress.Conn); ok {
+		c = admitted.TCPConn
+	}
 	tcp, ok := c.(*net.TCPConn)
 	return ok && !httpconn.NoPendingInput(tcp)
 }
--- a/internal/gateway/server/listen.go
+++ b/internal/gateway/server/listen.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"mangoledge.example/mangoledge/internal/gateway/exchange"
+	"mangoledge.example/mangoledge/internal/gateway/ingress"
 	projectmetrics "mangoledge.example/mangoledge/internal/metrics"
 	"mangoledge.example/mangoledge/platform"
 )
@@ -21,6 +22,8 @@
 	// headerTimeout bounds the time to read a request's headers until a configuration sets its own
 	// limit.
 	headerTimeout = 15 * time.Second
+	// maxInternalHeaderBytes bounds a request's headers at the listeners that do not serve client requests.
+	maxInternalHeaderBytes = 16 << 10
 	// internalIdleTimeout is how long the listeners that do not serve client requests keep idle
 	// connections.
 	internalIdleTimeout = 30 * time.Second
@@ -50,7 +53,7 @@
 	metricsMux := http.NewServeMux()
 	metricsMux.Handle("GET /metrics", projectmetrics.Handler(g.registry))
 	metricsMux.HandleFunc("GET "+statePath, g.serveState)
-	if err := g.openListener(ctx, g.settings.Listen.Frontend, front); err != nil {
+	if err := g.openListener(ctx, g.settings.Listen.Frontend, front, g.clientConns); err != nil {
 		return err
 	}
 	for address, handler := range map[string]http.Handler{
@@ -62,16 +65,18 @@
 		if address == g.settings.Listen.Frontend {
 			continue
 		}
-		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: internalIdleTimeout, ErrorLog: debugErrorLog(g.logger)}
-		if err := g.openListener(ctx, address, server); err != nil {
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: internalIdleTimeout, MaxHeaderBytes: maxInternalHeaderBytes, ConnState: ingress.OnState, ErrorLog: debugErrorLog(g.logger)}
+		conns := ingress.NewConnTable(ingress.InternalConnLimits(g.settings.MaxDescriptors, g.settings.MemoryMB), time.Now)
+		if err := g.openListener(ctx, address, server, conns); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// openListener listens on address and serves it in the background. An empty address is ignored.
-func (g *Gateway) openListener(ctx context.Context, address string, server *http.Server) error {
+// openListener listens on address and serves it in the background, with the connections that conns admits.
+// An empty address is ignored.
+func (g *Gateway) openListener(ctx context.Context, address string, server *http.Server, conns *ingress.ConnTable) error {
 	if address == "" {
 		return nil
 	}
@@ -81,7 +86,7 @@
 	}
 	g.servers = append(g.servers, server)
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(&ingress.Listener{Listener: listener, Table: conns}); !errors.Is(err, http.ErrServerClosed) {
 			g.logger.Error("listener stopped", "address", address, "error", err)
 		}
 	}()
--- a/internal/gateway/site/settings.go
+++ b/internal/gateway/site/settings.go
@@ -22,6 +22,8 @@
 	Cloud  CloudSettings
 	// MemoryMB is the memory limit of the process; 0 means none.
 	MemoryMB int
+	// MaxDescriptors is the limit of the process's open descriptors; 0 means none.
+	MaxDescriptors int
 	// LinkMbps is the bandwidth of the host's network link; 0 if unknown.
 	LinkMbps float64
 }
