exchange: a client that takes nothing of its response for 30 s is disconnected

A write to a client that stopped reading had no end, and held its connection, that to the upstream, and the request's body. Change: each write has 30 s, renewed while the client takes the response. ConnContext unwraps admitted connections. Bodies without a length of refused requests get the 3 s of short ones, so that the connections of ordinary clients are kept.

--- a/internal/gateway/exchange/clientwriter.go
+++ b/internal/gateway/exchange/clientwriter.go
@@ -4,8 +4,11 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"mangoledge.example/mangoledge/internal/gateway/ingress"
 )
 
 // clientWriter writes the response to the client.
@@ -17,6 +20,29 @@
 	headerWritten bool
 	// unframed is true if the response has neither a length nor chunks and ends with the connection.
 	unframed bool
+	// limitedAt is when the time for the next write was last limited.
+	limitedAt time.Time
+}
+
+const (
+	// clientWriteTimeout is how long a client may take none of its response.
+	clientWriteTimeout = 30 * time.Second
+	// clientWriteRenewal is how often that time begins anew while the client takes the response.
+	clientWriteRenewal = time.Second
+)
+
+// limitWrites limits the time in which a client takes the next part of its response. It fails only for a
+// connection without deadlines, which are then not limited.
+func limitWrites(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(clientWriteTimeout))
+}
+
+// renewWriteLimit lets the time for the next write begin anew.
+func (c *clientWriter) renewWriteLimit() {
+	if now := time.Now(); now.Sub(c.limitedAt) > clientWriteRenewal {
+		c.limitedAt = now
+		limitWrites(c.w)
+	}
 }
 
 // connKey is the key of the client's connection in a request's context.
@@ -25,6 +51,9 @@
 // ConnContext makes the connection of a request known to the Handler. It is the ConnContext hook of
 // the http.Server that serves it.
 func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	if admitted, ok := c.(*ingress.Conn); ok {
+		c = admitted.TCPConn
+	}
 	return context.WithValue(ctx, connKey{}, c)
 }
 
@@ -55,6 +84,7 @@
 		return
 	}
 	c.headerWritten = true
+	c.renewWriteLimit()
 	c.w.WriteHeader(status)
 }
 
@@ -67,11 +97,13 @@
 }
 
 func (c *clientWriter) write(data []byte) error {
+	c.renewWriteLimit()
 	_, err := c.w.Write(data)
 	return err
 }
 
 func (c *clientWriter) flush() error {
+	c.renewWriteLimit()
 	return http.NewResponseController(c.w).Flush()
 }
 
--- a/internal/gateway/exchange/handler.go
+++ b/internal/gateway/exchange/handler.go
@@ -68,6 +68,7 @@
 		request:        h.options.Wire.DecodeRequest(r, received),
 		triedUpstreams: make(map[string]bool),
 	}
+	limitWrites(w) // an interim response is written while the body is read
 	if h.options.Shutdown() != nil {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/gateway/exchange/refusal.go
+++ b/internal/gateway/exchange/refusal.go
@@ -69,6 +69,7 @@
 	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	header.Set("Content-Length", strconv.Itoa(len(r.reason)+1))
+	limitWrites(w)
 	w.WriteHeader(r.status)
 	_, _ = w.Write([]byte(r.reason + "\n")) // a write fails only if the client disconnected
 }
--- a/internal/gateway/exchange/requestbody.go
+++ b/internal/gateway/exchange/requestbody.go
@@ -13,8 +13,7 @@
 
 const (
 	// maxUnreadBody is the announced length, in bytes, up to which the body of a refused request may
-	// still arrive, within unreadBodyTimeout. With a longer one, or without a length, the connection is
-	// closed.
+	// still arrive, within unreadBodyTimeout. Without a length, http.Server reads at most 256 KiB of it.
 	maxUnreadBody     = 64 << 10
 	unreadBodyTimeout = 3 * time.Second
 )
@@ -62,7 +61,7 @@
 func (e *exchange) limitUnreadBody(w http.ResponseWriter, r *http.Request) {
 	switch {
 	case r.ContentLength == 0 || e.bodyRead:
-	case e.body == nil && r.ContentLength > 0 && r.ContentLength <= maxUnreadBody:
+	case e.body == nil && r.ContentLength <= maxUnreadBody:
 		if http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout)) != nil {
 			w.Header().Set("Connection", "close")
 		}
