cli: explain-route tells where a node would send a request now, and why

Cause: operators could not ask a node for a decision without making one. Change: balance.Explain shows what Pick would choose: candidates with the parts of their cost, age of the figures, unseen requests, level and probabilities; served read only at /v1/explain-route of the metrics listener and shown by 'mangoledge explain-route'. The choice itself is split into selectionAmong and the draw; it decides as before.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -94,6 +94,7 @@
 	a.addCallerCommands()
 	a.addOperatorCommands()
 	a.addLogsCommand()
+	a.addExplainRouteCommand()
 	a.addVersionCommand()
 	return a
 }
--- a/internal/gateway/balance/selection.go
+++ b/internal/gateway/balance/selection.go
@@ -33,34 +33,58 @@
 	Age time.Duration
 }
 
-// choose returns the candidate for a request: the preferred one, unless others are cheaper in spite
-// of what other nodes have sent there meanwhile, else one of these by its share of that traffic.
-func (b *Balancer) choose(candidates []candidate, r *site.Request, service site.Service, now time.Time) candidate {
-	unseen := min(b.unseenRequests(service.Name, now), float64(maxUnseenPerCandidate*len(candidates)))
-	if unseen < minUnseen {
-		return cheapest(candidates)
+// selection is how one of some candidates is chosen.
+type selection struct {
+	// unseen is the number of requests that other nodes have presumably sent since their figures.
+	unseen float64
+	// level is the cost that these reach; it is used if list is not nil.
+	level time.Duration
+	list  []spread.Candidate
+	// only is the index of the candidate that is chosen for sure, or -1.
+	only int
+}
+
+// selectionAmong returns how one of the candidates is chosen: the preferred one, unless others are
+// cheaper in spite of what other nodes have sent there meanwhile, else one of these by its share of
+// that traffic. With fresh figures it is the cheapest.
+func (b *Balancer) selectionAmong(candidates []candidate, r *site.Request, service site.Service, now time.Time) selection {
+	out := selection{unseen: b.unseenRequests(service.Name, now), only: -1}
+	out.unseen = min(out.unseen, float64(maxUnseenPerCandidate*len(candidates)))
+	if out.unseen < minUnseen {
+		out.only = cheapest(candidates)
+		return out
 	}
-	list := make([]spread.Candidate, len(candidates))
+	out.list = make([]spread.Candidate, len(candidates))
 	home := -1
 	for i, c := range candidates {
-		list[i] = spread.Candidate{Cost: c.cost.total(), PerRequest: b.perRequest(c.state, service)}
+		out.list[i] = spread.Candidate{Cost: c.cost.total(), PerRequest: b.perRequest(c.state, service)}
 		if c.preferred {
 			home = i
-			list[i].Cost = c.cost.wait + b.expectedLatency(c.state, r, service, false, now).own
+			out.list[i].Cost = c.cost.wait + b.expectedLatency(c.state, r, service, false, now).own
 		}
 	}
-	level := spread.Level(list, unseen)
-	if home >= 0 && candidates[home].cost.total() <= level {
-		return candidates[home]
+	out.level = spread.Level(out.list, out.unseen)
+	if home >= 0 && candidates[home].cost.total() <= out.level {
+		out.only = home
 	}
-	return candidates[spread.Choose(list, level, b.random)]
+	return out
 }
 
-func cheapest(candidates []candidate) candidate {
-	best := candidates[0]
-	for _, c := range candidates[1:] {
-		if c.cost.total() < best.cost.total() {
-			best = c
+// choose returns the candidate for a request.
+func (b *Balancer) choose(candidates []candidate, r *site.Request, service site.Service, now time.Time) candidate {
+	s := b.selectionAmong(candidates, r, service, now)
+	if s.only >= 0 {
+		return candidates[s.only]
+	}
+	return candidates[spread.Choose(s.list, s.level, b.random)]
+}
+
+// cheapest returns the index of the candidate with the lowest cost.
+func cheapest(candidates []candidate) int {
+	best := 0
+	for i, c := range candidates {
+		if c.cost.total() < candidates[best].cost.total() {
+			best = i
 		}
 	}
 	return best
@@ -69,8 +93,15 @@
 // unseenRequests returns how many requests the other nodes have presumably sent to the service
 // since their figures, if each gets as many as this one.
 func (b *Balancer) unseenRequests(service string, now time.Time) float64 {
-	age := b.figures.Age + now.Sub(b.figuresAt)
-	return b.trafficOf(service).rate(now) * float64(b.figures.Nodes) * age.Seconds()
+	return b.trafficOf(service).rate(now) * float64(b.figures.Nodes) * b.figuresAge(now).Seconds()
+}
+
+// figuresAge returns how old the known load of the other nodes is now.
+func (b *Balancer) figuresAge(now time.Time) time.Duration {
+	if b.figures.Nodes == 0 {
+		return 0
+	}
+	return b.figures.Age + now.Sub(b.figuresAt)
 }
 
 // perRequest returns by how much one more request raises the cost of an upstream.
--- a/internal/gateway/server/listen.go
+++ b/internal/gateway/server/listen.go
@@ -50,6 +50,7 @@
 	metricsMux := http.NewServeMux()
 	metricsMux.Handle("GET /metrics", projectmetrics.Handler(g.registry))
 	metricsMux.HandleFunc("GET "+statePath, g.serveState)
+	metricsMux.HandleFunc("GET "+explainRoutePath, g.serveExplainRoute)
 	if err := g.openListener(ctx, g.settings.Listen.Frontend, front); err != nil {
 		return err
 	}
--- a/internal/gateway/spread/choose.go
+++ b/internal/gateway/spread/choose.go
@@ -69,3 +69,15 @@
 	}
 	return cheapest // the level is at or below all costs
 }
+
+// Shares returns the probability with which Choose returns each candidate.
+func Shares(candidates []Candidate, level time.Duration) []float64 {
+	out := make([]float64, len(candidates))
+	sum := filled(candidates, level)
+	for i, c := range candidates {
+		if sum > 0 {
+			out[i] = room(c, level) / sum
+		}
+	}
+	return out
+}
