httpconn: an end of file under an unfinished upload is no end of an answer

Cause: an answer with neither a length nor chunks ended with the end of file on its connection. A replica that answers an upload at once and then resets the connection, or closes it with bytes unread, gives that end of file too: the system reports the error of a socket once, and the goroutine that writes the body took it. If the peer closed first and reset then, reading gives an end of file in any order.

Answers with a length or chunks say themselves where they end and are delivered as before, also before the upload ends; such a connection is closed and not used again.

Ruled out: awaiting the writer's error alone. A body that fits into the send buffer is written without error before the reset comes.

--- a/internal/gateway/httpconn/pool.go
+++ b/internal/gateway/httpconn/pool.go
@@ -74,7 +74,7 @@
 		}
 	}
 	c.requests++
-	out := &Response{pool: p, conn: c, bodyWritten: make(chan error, 1)}
+	out := &Response{pool: p, conn: c}
 	out.stopContext = context.AfterFunc(ctx, c.close)
 	if err := out.write(r); err != nil {
 		out.Abort()
--- a/internal/gateway/httpconn/response.go
+++ b/internal/gateway/httpconn/response.go
@@ -1,7 +1,6 @@
 package httpconn
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -20,7 +19,8 @@
 	Header http.Header
 	// ContentLength is -1 if unknown.
 	ContentLength int64
-	// Body returns io.EOF only if the response is complete, as far as its framing tells.
+	// Body returns io.EOF only if the response is complete, as far as its framing and the way in which
+	// its connection ended tell.
 	Body io.Reader
 	// Framing is how the response tells where its body ends.
 	Framing Framing
@@ -31,10 +31,8 @@
 	stopContext  func() bool
 	// closeAfter is true if the connection must not be reused.
 	closeAfter bool
-	// bodyWritten receives the result of writing a long body.
-	bodyWritten chan error
-	// writingBody is true if a long body is sent by a goroutine of its own.
-	writingBody bool
+	// bodyWriter sends a long request body; nil if the body was sent with the header.
+	bodyWriter *bodyWriter
 }
 
 // write sends the request. A body over inlineBodyBytes is sent concurrently, because the
@@ -44,14 +42,9 @@
 	if _, err := r.conn.tcp.Write(encoded.Bytes()); err != nil {
 		return err
 	}
-	if len(req.Body) <= inlineBodyBytes {
-		return nil
+	if len(req.Body) > inlineBodyBytes {
+		r.bodyWriter = startBodyWriter(r.conn.tcp, req.Body)
 	}
-	r.writingBody = true
-	go func() {
-		_, err := io.Copy(r.conn.tcp, bytes.NewReader(req.Body))
-		r.bodyWritten <- err
-	}()
 	return nil
 }
 
@@ -74,6 +67,9 @@
 		r.ContentLength = message.ContentLength
 		r.Body = message.Body
 		r.Framing = framingOf(req.Method, message)
+		if r.Unframed() {
+			r.Body = &unframedBody{Reader: message.Body, response: r}
+		}
 		return nil
 	}
 	return errors.New("only interim (1xx) responses, no final one")
@@ -108,7 +104,7 @@
 // Finish ends a response whose body was read to its end. The connection returns to the pool if
 // it can be reused.
 func (r *Response) Finish() {
-	if !r.stopContext() || r.httpResponse.Close || r.closeAfter || !r.wholeRequestWritten() || r.conn.reader.Buffered() > 0 {
+	if !r.stopContext() || r.httpResponse.Close || r.closeAfter || !r.bodyWriter.wroteAll() || r.conn.reader.Buffered() > 0 {
 		r.conn.close()
 		return
 	}
@@ -116,19 +112,6 @@
 	r.pool.release(r.conn)
 }
 
-// wholeRequestWritten reports whether the request body was sent completely.
-func (r *Response) wholeRequestWritten() bool {
-	if !r.writingBody {
-		return true
-	}
-	select {
-	case err := <-r.bodyWritten:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // Abort ends a response and closes its connection, which tells the peer to stop working on it.
 func (r *Response) Abort() {
 	r.stopContext()
