httpconn: a response whose status is none is an answer lost

Cause: whatever http.ReadResponse parses was a status: 000 to 099 (also "+99"), for which WriteHeader panics, so that the client's connection closed without an answer; 600 to 999, which were passed on; 101, which was skipped like an interim response, so that the request waited for its deadline.

Change: after the interim responses only 200 to 599 ends an exchange.

--- a/internal/gateway/httpconn/pool.go
+++ b/internal/gateway/httpconn/pool.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -208,8 +207,3 @@
 		p.idle[address] = kept
 	}
 }
-
-// isInformational reports whether a response is an interim (1xx) one.
-func isInformational(r *http.Response) bool {
-	return r.StatusCode >= 100 && r.StatusCode < 200
-}
--- a/internal/gateway/httpconn/response.go
+++ b/internal/gateway/httpconn/response.go
@@ -61,6 +61,9 @@
 		if isInformational(message) {
 			continue
 		}
+		if !isFinal(message) {
+			return errors.Wrapf(errImpossibleStatus, "%q", message.Status)
+		}
 		r.httpResponse = message
 		r.Status = message.StatusCode
 		r.Header = message.Header
