--- a/internal/gateway/httpconn/pool.go
+++ b/internal/gateway/httpconn/pool.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -74,7 +73,7 @@
 		}
 	}
 	c.requests++
-	out := &Response{pool: p, conn: c, bodyWritten: make(chan error, 1)}
+	out := &Response{pool: p, conn: c}
 	out.stopContext = context.AfterFunc(ctx, c.close)
 	if err := out.write(r); err != nil {
 		out.Abort()
@@ -208,8 +207,3 @@
 		p.idle[address] = kept
 	}
 }
-
-// isInformational reports whether a response is an interim (1xx) one.
-func isInformational(r *http.Response) bool {
-	return r.StatusCode >= 100 && r.StatusCode < 200
-}
