balance: the speed of upstreams is learnt from the timings of all nodes

Cause: constants of the first engines (35,000 prompt tokens a second, 40 ms) decided for all services, and a node of 83 sends too little to an upstream to know its speed. Change: package profile fits base time and prefill rate of a service and keeps a class of speed for each start of an upstream. Nodes put their latest timings (16 at most, 12 to 16 bytes each) into the messages that they send anyway, so that all learn from the same ones. Costs use the model; sessions are shared among upstreams by their class (weighted rendezvous). Timings that met a full upstream are left out, those behind a known queue count little. The time of a failed response is no timing any more (hook in exchange: RecordFirstEvent after the check for failures). A repeat that fails at a second upstream too is held against neither; from such repeats the service's share of failures that belong to requests is learnt and taken off. Ruled out: a speed told only by nodes sure of it (at 83 nodes and 90 upstreams a node sends an upstream a request in ten seconds); relative speeds instead of timings (they depend on each sender's model); a continuous weight (nodes would choose differently). Tests: the false-length check also covers the new field of messages.

--- a/internal/gateway/balance/balancer.go
+++ b/internal/gateway/balance/balancer.go
@@ -6,12 +6,13 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"mangoledge.example/mangoledge/internal/gateway/profile"
 	"mangoledge.example/mangoledge/internal/gateway/site"
 	"mangoledge.example/mangoledge/internal/rendezvous"
 )
 
 const (
-	// baseLatency is the time to the first event at an idle engine, without the prompt's
+	// baseLatency is the assumed time to the first event at an idle engine, without the prompt's
 	// prefill.
 	baseLatency = 40 * time.Millisecond
 	// minExpectedLatency is the smallest expected latency that a ratio is computed against;
@@ -20,7 +21,7 @@
 	// latencyPerRequest is what each request running at an engine adds to the time of a batch
 	// step.
 	latencyPerRequest = 400 * time.Microsecond
-	// plainLatency is the expected latency of a request at an upstream of a plain service, and
+	// plainLatency is the assumed latency of a request at an upstream of a plain service, and
 	// the penalty for each request beyond the upstream's slots.
 	plainLatency = 50 * time.Millisecond
 	// failurePenalty is added in full to the cost of an upstream whose requests all fail.
@@ -65,6 +66,10 @@
 	figuresAt time.Time
 	// traffic holds this node's requests by service.
 	traffic map[string]*traffic
+	// speeds holds what was learnt of the upstreams' speed.
+	speeds *speeds
+	// failures tells failures of requests from those of upstreams.
+	failures failures
 	// random returns a number in [0, 1).
 	random func() float64
 }
@@ -74,6 +79,7 @@
 	return &Balancer{
 		domain: domain, now: now, random: random, states: make(map[string]*upstreamState),
 		announcements: make(map[string]*announcement), traffic: make(map[string]*traffic),
+		speeds: newSpeeds(), failures: make(failures),
 	}
 }
 
@@ -96,7 +102,9 @@
 		return nil, pause
 	}
 	chosen := b.choose(candidates, r, c.Service, now)
-	return b.openTicket(chosen.state, r, c.Service, chosen.preferred, now), 0
+	ticket := b.openTicket(chosen.state, r, c.Service, chosen.preferred, now)
+	ticket.failedBefore = b.failedStates(r.AttemptID, c.Tried)
+	return ticket, 0
 }
 
 // candidates returns the upstreams that are available now, with their costs. If there is none, it
@@ -125,25 +133,29 @@
 }
 
 // preferredUpstream returns the ID of the upstream that all nodes prefer for the request's shared
-// prompt part (rendezvous hashing), so that it is cached in one place. It is empty for a request
-// without a prompt.
+// prompt part (rendezvous hashing), so that it is cached in one place. Each upstream is preferred for
+// parts in proportion to its capacity. It is empty for a request without a prompt.
 func (b *Balancer) preferredUpstream(r *site.Request, candidates []site.Upstream, now time.Time) string {
 	key := r.PrefixKey()
 	if key == "" {
 		return ""
 	}
-	best, bestScore := "", uint64(0)
+	best, bestScore := "", 0.0
 	for _, u := range candidates {
 		if availability, _ := b.availabilityOf(u, now); availability != Open {
 			continue
 		}
-		if score := rendezvous.Score(key, u.ID); best == "" || score > bestScore {
+		score := rendezvous.WeightedScore(key, u.ID, capacity(b.stateOf(u, now)))
+		if best == "" || score > bestScore {
 			best, bestScore = u.ID, score
 		}
 	}
 	return best
 }
 
+// capacity returns the upstream's speed relative to the service's others: 1 when unknown.
+func capacity(s *upstreamState) float64 { return s.speed.Speed() }
+
 // cost returns the estimated time to the first event at the upstream, plus penalties.
 func (b *Balancer) cost(s *upstreamState, r *site.Request, service site.Service, preferred bool, now time.Time) latency {
 	s.decay(now)
@@ -153,7 +165,7 @@
 	if s.upstream.FailureDomain != b.domain {
 		out.wait += crossDomainPenalty
 	}
-	if open := len(s.openTickets) + s.peerLoad.Requests; open >= s.upstream.Slots {
+	if open := s.open(); open >= s.upstream.Slots {
 		out.wait += time.Duration(open-s.upstream.Slots+1) * plainLatency
 	}
 	return out
@@ -161,22 +173,17 @@
 
 // expectedLatency returns the estimated time to the first event, without penalties.
 func (b *Balancer) expectedLatency(s *upstreamState, r *site.Request, service site.Service, preferred bool, now time.Time) latency {
-	open := len(s.openTickets) + s.peerLoad.Requests
+	model := b.speeds.modelOf(service)
 	if service.Engine == nil {
-		perRequest := s.slowdown * float64(plainLatency) / float64(max(1, s.upstream.Slots))
-		return latency{wait: time.Duration(perRequest * float64(open)), own: time.Duration(perRequest)}
-	}
-	uncached := uncachedTokens(s, r, preferred, now)
-	wait := prefillTime(s.pendingPrefill+s.peerLoad.PrefillTokens) + time.Duration(open)*latencyPerRequest
-	return latency{
-		wait: time.Duration(s.slowdown * float64(wait)),
-		own:  time.Duration(s.slowdown * float64(baseLatency+prefillTime(uncached))),
+		return latency{wait: time.Duration(s.open()) * perPlainRequest(s, model), own: s.scale(model.Base())}
 	}
+	return latency{wait: s.scale(model.Wait(s.work(0))), own: s.scale(model.Own(uncachedTokens(s, r, preferred, now)))}
 }
 
-// prefillTime returns how long an engine without a slowdown reads the prompt tokens.
-func prefillTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / prefillRate * float64(time.Second))
+// perPlainRequest returns what each request in progress at an upstream of a plain service adds to the
+// time of the next.
+func perPlainRequest(s *upstreamState, model *profile.Service) time.Duration {
+	return s.scale(model.Base()) / time.Duration(max(1, s.upstream.Slots))
 }
 
 // uncachedTokens returns the number of prompt tokens that the upstream would have to prefill.
@@ -197,11 +204,14 @@
 }
 
 func (b *Balancer) openTicket(s *upstreamState, r *site.Request, service site.Service, preferred bool, now time.Time) *Ticket {
-	t := &Ticket{Upstream: s.upstream, balancer: b, state: s, sentAt: now}
+	t := &Ticket{Upstream: s.upstream, balancer: b, state: s, sentAt: now, attempt: r.AttemptID}
+	t.service = b.speeds.modelOf(service)
 	t.expected = b.expectedLatency(s, r, service, preferred, now).total()
-	t.modelled = time.Duration(float64(t.expected) / s.slowdown)
 	if service.Engine != nil {
 		t.UncachedTokens = uncachedTokens(s, r, preferred, now)
+	}
+	t.work = s.work(t.UncachedTokens)
+	if service.Engine != nil {
 		s.pendingPrefill += t.UncachedTokens
 		s.recordParts(r.Prompt, now, sharedCacheCapacity(service.Engine))
 	}
@@ -221,6 +231,7 @@
 func (b *Balancer) stateOf(u site.Upstream, now time.Time) *upstreamState {
 	s := b.states[u.ID]
 	if s == nil || !s.upstream.SameStart(u) || s.upstream.Address != u.Address {
+		b.speeds.remove(s)
 		s = newUpstreamState(u, now)
 		s.peerLoad = b.peerLoads[UpstreamHash(u.ID)]
 		b.states[u.ID] = s
@@ -228,7 +239,11 @@
 	if u.StartedAt.IsZero() {
 		u.StartedAt = s.upstream.StartedAt
 	}
+	known := s.upstream.StartedAt.Equal(u.StartedAt) && s.speedKey != 0
 	s.upstream = u
+	if !known {
+		b.speeds.add(s)
+	}
 	return s
 }
 
@@ -263,6 +278,7 @@
 	defer b.mu.Unlock()
 	for id, s := range b.states {
 		if _, ok := known[id]; !ok && len(s.openTickets) == 0 {
+			b.speeds.remove(b.states[id])
 			delete(b.states, id)
 		}
 	}
--- a/internal/gateway/balance/selection.go
+++ b/internal/gateway/balance/selection.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"mangoledge.example/mangoledge/internal/gateway/profile"
 	"mangoledge.example/mangoledge/internal/gateway/site"
 	"mangoledge.example/mangoledge/internal/gateway/spread"
 )
@@ -75,10 +76,10 @@
 
 // perRequest returns by how much one more request raises the cost of an upstream.
 func (b *Balancer) perRequest(s *upstreamState, service site.Service) time.Duration {
-	out := s.slowdown * float64(plainLatency) / float64(max(1, s.upstream.Slots))
-	if service.Engine != nil {
-		tokens := int(b.trafficOf(service.Name).uncachedTokens)
-		out = s.slowdown * float64(prefillTime(tokens)+latencyPerRequest)
+	model := b.speeds.modelOf(service)
+	if service.Engine == nil {
+		return max(perPlainRequest(s, model), minPerRequest)
 	}
-	return max(time.Duration(out), minPerRequest)
+	tokens := int(b.trafficOf(service.Name).uncachedTokens)
+	return max(s.scale(model.Wait(profile.Work{Ahead: tokens, Open: 1})), minPerRequest)
 }
--- a/internal/gateway/balance/speed.go
+++ b/internal/gateway/balance/speed.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"mangoledge.example/mangoledge/internal/gateway/profile"
+)
 
 const (
 	// minSpeedTokens is the length of a prompt, in uncached tokens, from which the time to the
@@ -39,3 +43,9 @@
 	defer b.mu.Unlock()
 	return b.latencyRatio.value, b.latencyRatio.samples >= minSpeedSamples
 }
+
+// assumedLatency returns the time to the first event by the assumed speed of engines.
+func assumedLatency(w profile.Work) time.Duration {
+	prefill := float64(w.Tokens+w.Ahead) / prefillRate * float64(time.Second)
+	return baseLatency + time.Duration(prefill) + time.Duration(w.Open)*latencyPerRequest
+}
--- a/internal/gateway/balance/state.go
+++ b/internal/gateway/balance/state.go
@@ -3,12 +3,13 @@
 import (
 	"time"
 
+	"mangoledge.example/mangoledge/internal/gateway/profile"
 	"mangoledge.example/mangoledge/internal/gateway/site"
 )
 
 const (
 	// prefillRate is the assumed number of prompt tokens that an engine reads per second while it
-	// also generates tokens. The slowdown of an upstream accounts for deviations.
+	// also generates tokens, until it is measured.
 	prefillRate = 35_000
 	// minSlowdown and maxSlowdown bound the slowdown of an upstream.
 	minSlowdown = 0.7
@@ -34,10 +35,17 @@
 	pendingPrefill int
 	// peerLoad is the outstanding work of the other nodes at this upstream.
 	peerLoad Outstanding
-	// slowdown is the smoothed ratio of measured to expected time to the first event.
+	// speed is the upstream's speed as learnt from the timings of all nodes, and speedKey its name in
+	// them.
+	speed    profile.Upstream
+	speedKey uint32
+	// slowdown is the smoothed ratio of this node's measured to expected times to the first event.
 	slowdown float64
 	// failureRate is the smoothed fraction of requests that failed.
 	failureRate float64
+	// lastFailed is the ID of the request that failed last, and lastBlame what it added to failureRate.
+	lastFailed string
+	lastBlame  float64
 	// updatedAt is when the decay of slowdown and failureRate was last applied, or when a request
 	// last failed.
 	updatedAt time.Time
@@ -60,6 +68,19 @@
 	}
 }
 
+// open returns the number of requests in progress at the upstream.
+func (s *upstreamState) open() int { return len(s.openTickets) + s.peerLoad.Requests }
+
+// work returns what a request with the given number of uncached tokens finds at the upstream.
+func (s *upstreamState) work(tokens int) profile.Work {
+	return profile.Work{Tokens: tokens, Ahead: s.pendingPrefill + s.peerLoad.PrefillTokens, Open: s.open()}
+}
+
+// scale returns how long the upstream takes for what a typical one does in d.
+func (s *upstreamState) scale(d time.Duration) time.Duration {
+	return time.Duration(s.slowdown / s.speed.Speed() * float64(d))
+}
+
 // decay moves slowdown and failureRate towards those of a healthy upstream.
 func (s *upstreamState) decay(now time.Time) {
 	elapsed := now.Sub(s.updatedAt)
--- a/internal/gateway/balance/ticket.go
+++ b/internal/gateway/balance/ticket.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"mangoledge.example/mangoledge/internal/gateway/profile"
 	"mangoledge.example/mangoledge/internal/gateway/site"
 )
 
@@ -35,8 +36,12 @@
 	sentAt   time.Time
 	// expected is the latency estimated when the ticket was opened.
 	expected time.Duration
-	// modelled is the same at an upstream without a slowdown.
-	modelled time.Duration
+	// service is the model of the service, and work what the request found at the upstream.
+	service *profile.Service
+	work    profile.Work
+	// attempt is the ID of the request, and failedBefore holds the upstreams at which it failed before.
+	attempt      string
+	failedBefore []*upstreamState
 	// started is true once the first event arrived or the ticket ended.
 	started bool
 }
@@ -55,8 +60,10 @@
 	t.started = true
 	t.state.pendingPrefill -= t.UncachedTokens
 	now := b.now()
-	t.state.recordLatency(now.Sub(t.sentAt), t.expected)
-	b.latencyRatio.add(t.UncachedTokens, now.Sub(t.sentAt), t.modelled)
+	took := now.Sub(t.sentAt)
+	t.state.recordLatency(took, t.expected)
+	b.latencyRatio.add(t.UncachedTokens, took, assumedLatency(t.work))
+	b.speeds.recordOwn(t, took, now)
 }
 
 // End records the outcome of the request and closes the ticket. Further calls do nothing.
@@ -72,7 +79,11 @@
 		t.started = true
 		t.state.pendingPrefill -= t.UncachedTokens
 	}
-	t.state.recordOutcome(outcome, b.now())
+	b.recordRepeat(t, outcome)
+	t.state.recordOutcome(outcome, b.failureWeight(t), b.now())
+	if outcome == Failed {
+		t.state.lastFailed = t.attempt
+	}
 }
 
 // recordLatency updates the slowdown from the measured and the expected time to the first event.
@@ -83,13 +94,15 @@
 	s.slowdown = min(max(s.slowdown, minSlowdown), maxSlowdown)
 }
 
-func (s *upstreamState) recordOutcome(outcome Outcome, now time.Time) {
+// recordOutcome updates the upstream's record; blame is the weight of a failure.
+func (s *upstreamState) recordOutcome(outcome Outcome, blame float64, now time.Time) {
 	switch outcome {
 	case Answered:
 		s.failureRate -= failureWeight * s.failureRate
 		s.connectFailures = 0
 	case Failed:
-		s.failureRate += failureWeight * (1 - s.failureRate)
+		s.lastBlame = blame * (1 - s.failureRate)
+		s.failureRate += s.lastBlame
 		s.updatedAt = now
 	case Unreachable:
 		s.connectFailures++
--- a/internal/gateway/exchange/send.go
+++ b/internal/gateway/exchange/send.go
@@ -322,10 +322,10 @@
 		response.Finish()
 	}
 	a.countUsage(a.sentAt)
-	a.ticket.RecordFirstEvent()
 	if response.Status >= http.StatusInternalServerError || a.options.Wire.MeansNotRun(response.Status) {
 		return a.handleUpstreamFailure(ctx, response, body)
 	}
+	a.ticket.RecordFirstEvent() // the time of a failure is no measure of the upstream's speed
 	return a.forwardResponse(ctx, response, body, balance.Answered)
 }
 
--- a/internal/gateway/peers/message_bench_test.go
+++ b/internal/gateway/peers/message_bench_test.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"mangoledge.example/mangoledge/internal/gateway/profile"
 )
 
 // BenchmarkMessage measures the size and the encoding and decoding time of a message, at a site
@@ -43,6 +46,10 @@
 	for i := range uint32(20) { // typical number of upstreams with outstanding requests under heavy load
 		m.Loads = append(m.Loads, Load{Upstream: i * 0x08080808, Requests: 2, Prefill: 5000})
 	}
+	for i := range 6 { // a node's share of 500 requests a second at 83 nodes
+		m.Timings = append(m.Timings, profile.NewTiming(uint32(i)*0x08080808, 2890, 1200, 9, 140*time.Millisecond))
+	}
+	m.TimingCount = 10_000
 	if detail == Full {
 		m.Usage = make(map[int64]map[string]int64)
 		for window := range int64(4) {
--- a/internal/gateway/peers/message_test.go
+++ b/internal/gateway/peers/message_test.go
@@ -10,7 +10,7 @@
 
 func TestDecodeDoesNotAllocateForFalseLengths(t *testing.T) {
 	const maxAllocated = 16 << 20 // half of the memory that a node may use for control
-	for _, field := range []string{"q", "o", "u", "x", "m", "f"} {
+	for _, field := range []string{"q", "o", "u", "x", "m", "t", "f"} {
 		for name, claim := range map[string][]byte{
 			"list": {0xdd, 0x7f, 0xff, 0xff, 0xff}, "map": {0xdf, 0x7f, 0xff, 0xff, 0xff}, "text": {0xdb, 0x7f, 0xff, 0xff, 0xff},
 		} {
--- /dev/null
+++ b/internal/gateway/profile/timing.go
@@ -0,0 +1,58 @@
+package profile
+
+import "time"
+
+const (
+	// tokenUnit is the unit in which timings count tokens.
+	tokenUnit = 16
+	// maxTook bounds the duration of a timing that is taken into account.
+	maxTook = time.Minute
+)
+
+// Timing is the time to the first event of one request, and what the sender knew of the upstream's
+// load when it sent the request.
+type Timing struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec: a list in place of a map halves a message
+	// Upstream is the hash of the upstream's ID and start.
+	Upstream uint32 `msgpack:"u"`
+	// Tokens is the number of prompt tokens to prefill, in units of tokenUnit, and Ahead the number of
+	// those that waited there already.
+	Tokens uint32 `msgpack:"t"`
+	Ahead  uint32 `msgpack:"a"`
+	// Open is the number of requests in progress there.
+	Open uint32 `msgpack:"o"`
+	// Millis is the time to the first event in milliseconds.
+	Millis uint32 `msgpack:"m"`
+}
+
+// NewTiming returns a timing; tokens, ahead and open are at least 0.
+func NewTiming(upstream uint32, tokens, ahead, open int, took time.Duration) Timing {
+	return Timing{
+		Upstream: upstream, Tokens: units(tokens), Ahead: units(ahead), Open: count(open),
+		Millis: uint32(min(max(took, 0), maxTook) / time.Millisecond), //nolint:gosec // bounded
+	}
+}
+
+func units(tokens int) uint32 { return count((tokens + tokenUnit/2) / tokenUnit) }
+
+func count(n int) uint32 { return uint32(min(max(n, 0), 1<<24)) } //nolint:gosec // bounded
+
+// work returns the load that the request met, its own tokens included.
+func (t *Timing) work() Work {
+	return Work{Tokens: int(t.Tokens) * tokenUnit, Ahead: int(t.Ahead) * tokenUnit, Open: int(t.Open)}
+}
+
+// valid reports whether the timing can be used: it may come from another node.
+func (t *Timing) valid() bool {
+	return t.Millis > 0 && time.Duration(t.Millis)*time.Millisecond < maxTook
+}
+
+// Work is what a request asks of an upstream and what it finds there.
+type Work struct {
+	// Tokens is the number of prompt tokens to prefill.
+	Tokens int
+	// Ahead is the number of prompt tokens of other requests that wait for prefill.
+	Ahead int
+	// Open is the number of other requests in progress.
+	Open int
+}
--- a/internal/gateway/server/gateway.go
+++ b/internal/gateway/server/gateway.go
@@ -17,6 +17,7 @@
 	"mangoledge.example/mangoledge/internal/gateway/exchange"
 	"mangoledge.example/mangoledge/internal/gateway/httpconn"
 	"mangoledge.example/mangoledge/internal/gateway/peers"
+	"mangoledge.example/mangoledge/internal/gateway/profile"
 	"mangoledge.example/mangoledge/internal/gateway/quota"
 	"mangoledge.example/mangoledge/internal/gateway/scaling"
 	"mangoledge.example/mangoledge/internal/gateway/site"
@@ -66,6 +67,8 @@
 	// loadsSummedAt is when the outstanding load of the other nodes was last summed. Only
 	// handleMessage uses it.
 	loadsSummedAt time.Time
+	// timings tells which of the other nodes' timings are new. Only handleMessage uses it.
+	timings profile.Inbox
 
 	// restored is true once the checkpoint of earlier processes was read, or is known not to exist
 	// or not to be decodable.
--- a/internal/gateway/server/housekeeping.go
+++ b/internal/gateway/server/housekeeping.go
@@ -22,6 +22,7 @@
 		for _, u := range g.balancer.PruneAnnouncements(view.All) {
 			g.logger.Info("upstream no longer taken out", "upstream", u.ID, "born", u.StartedAt)
 		}
+		g.reportSpeeds()
 		g.contentGuard.observeUpstreams(view.All)
 		g.contentGuard.releaseExpired()
 		g.peerTable.RemoveExpired()
--- a/internal/gateway/server/messages.go
+++ b/internal/gateway/server/messages.go
@@ -40,6 +40,7 @@
 	}
 	m.Spent = g.quota.Spent()
 	m.Loads = ownLoads(g.balancer)
+	m.Timings, m.TimingCount = g.balancer.LatestTimings()
 	m.Crashed = g.contentGuard.entriesToShare()
 	m.Suspects = g.contentGuard.partsToShare()
 	m.Demand = g.demandMeter.rates()
@@ -115,6 +116,7 @@
 	if m.Spent != nil {
 		g.quota.RecordPeer(m.Node, m.Incarnation, g.bootClockStart(m.Incarnation), m.Spent)
 	}
+	g.balancer.RecordTimings(g.timings.New(m.Node, m.Incarnation, m.Timings, m.TimingCount))
 	g.contentGuard.merge(m.Crashed)
 	g.contentGuard.mergeParts(m.Suspects)
 	if now := time.Now(); now.Sub(g.loadsSummedAt) >= loadSumInterval(g.nodeRegistry.Count()) {
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,6 +22,14 @@
 	return mix(d.Sum64())
 }
 
+// WeightedScore returns the score of a candidate with a weight above 0: over many keys, each candidate
+// scores highest in proportion to its weight. With equal weights candidates rank as by Score.
+func WeightedScore(key, candidate string, weight float64) float64 {
+	const bits = 53 // of a float's fraction
+	unit := (float64(Score(key, candidate)>>(64-bits)) + 0.5) / (1 << bits)
+	return -weight / math.Log(unit)
+}
+
 // mix spreads differences in a few bits over all 64 bits.
 func mix(x uint64) uint64 {
 	x ^= x >> 33
--- a/internal/rendezvous/rendezvous_test.go
+++ b/internal/rendezvous/rendezvous_test.go
@@ -28,3 +28,28 @@
 	}
 	return false
 }
+
+func TestWeightedScoreSharesKeysByWeight(t *testing.T) {
+	weights := map[string]float64{"slow": 0.6, "usual": 1, "fast": 1.6}
+	const keys = 20_000
+	won := make(map[string]int)
+	for i := range keys {
+		best, bestScore := "", 0.0
+		for name, weight := range weights {
+			if score := WeightedScore(fmt.Sprint(i), name, weight); score > bestScore {
+				best, bestScore = name, score
+			}
+		}
+		won[best]++
+	}
+	for name, weight := range weights {
+		require.InDelta(t, weight/3.2, float64(won[name])/keys, 0.02, name)
+	}
+}
+
+func TestEqualWeightsRankAsWithoutWeights(t *testing.T) {
+	for i := range 2000 {
+		key := fmt.Sprint(i)
+		require.Equal(t, Score(key, "a") > Score(key, "b"), WeightedScore(key, "a", 1) > WeightedScore(key, "b", 1))
+	}
+}
