profile: timings in compact numbers

Cause: fixed 32-bit numbers made a timing 26 bytes. Change: plain integers, which the codec writes as short as they are; counts of other nodes are checked before they are used.

--- a/internal/gateway/profile/timing.go
+++ b/internal/gateway/profile/timing.go
@@ -5,6 +5,8 @@
 const (
 	// tokenUnit is the unit in which timings count tokens.
 	tokenUnit = 16
+	// maxCount bounds the counts of a timing that is taken into account.
+	maxCount = 1 << 20
 	// maxTook bounds the duration of a timing that is taken into account.
 	maxTook = time.Minute
 )
@@ -17,36 +19,37 @@
 	Upstream uint32 `msgpack:"u"`
 	// Tokens is the number of prompt tokens to prefill, in units of tokenUnit, and Ahead the number of
 	// those that waited there already.
-	Tokens uint32 `msgpack:"t"`
-	Ahead  uint32 `msgpack:"a"`
+	Tokens int `msgpack:"t"`
+	Ahead  int `msgpack:"a"`
 	// Open is the number of requests in progress there.
-	Open uint32 `msgpack:"o"`
+	Open int `msgpack:"o"`
 	// Millis is the time to the first event in milliseconds.
-	Millis uint32 `msgpack:"m"`
+	Millis int `msgpack:"m"`
 }
 
 // NewTiming returns a timing; tokens, ahead and open are at least 0.
 func NewTiming(upstream uint32, tokens, ahead, open int, took time.Duration) Timing {
 	return Timing{
-		Upstream: upstream, Tokens: units(tokens), Ahead: units(ahead), Open: count(open),
-		Millis: uint32(min(max(took, 0), maxTook) / time.Millisecond), //nolint:gosec // bounded
+		Upstream: upstream, Tokens: units(tokens), Ahead: units(ahead), Open: open,
+		Millis: int(min(max(took, 0), maxTook) / time.Millisecond),
 	}
 }
 
-func units(tokens int) uint32 { return count((tokens + tokenUnit/2) / tokenUnit) }
-
-func count(n int) uint32 { return uint32(min(max(n, 0), 1<<24)) } //nolint:gosec // bounded
+func units(tokens int) int { return (tokens + tokenUnit/2) / tokenUnit }
 
 // work returns the load that the request met, its own tokens included.
 func (t *Timing) work() Work {
-	return Work{Tokens: int(t.Tokens) * tokenUnit, Ahead: int(t.Ahead) * tokenUnit, Open: int(t.Open)}
+	return Work{Tokens: t.Tokens * tokenUnit, Ahead: t.Ahead * tokenUnit, Open: t.Open}
 }
 
 // valid reports whether the timing can be used: it may come from another node.
 func (t *Timing) valid() bool {
-	return t.Millis > 0 && time.Duration(t.Millis)*time.Millisecond < maxTook
+	return t.Millis > 0 && t.Millis < int(maxTook/time.Millisecond) &&
+		inRange(t.Tokens) && inRange(t.Ahead) && inRange(t.Open)
 }
 
+func inRange(n int) bool { return n >= 0 && n <= maxCount }
+
 // Work is what a request asks of an upstream and what it finds there.
 type Work struct {
 	// Tokens is the number of prompt tokens to prefill.
