exchange: a panic frees what its request holds

Cause: a slot at an upstream was given back where each outcome is handled, and the quota of a request that did not run where it is refused. A panic anywhere else kept both for good; one in Prepare also kept its connection open.

A connection whose request panicked before it was sent is closed.

Left alone: a panic in a goroutine of a request (the stall timer, the writer of a body) ends the process; no value from a replica reaches them.

--- a/internal/gateway/exchange/run.go
+++ b/internal/gateway/exchange/run.go
@@ -165,6 +165,7 @@
 		view := e.options.Upstreams.View()
 		ticket, pause := e.options.Balancer.Pick(e.request, e.pickOptions(view))
 		if ticket != nil {
+			e.ticket = ticket
 			return ticket, nil
 		}
 		if len(view.ByService[e.service.Name]) == 0 {
--- a/internal/gateway/httpconn/pool.go
+++ b/internal/gateway/httpconn/pool.go
@@ -62,8 +62,7 @@
 	if err != nil {
 		return nil, &Error{Stage: StageDial, Cause: err}
 	}
-	if err := r.prepare(); err != nil {
-		p.releaseUnused(c)
+	if err := p.prepare(c, r); err != nil {
 		return nil, &Error{Stage: StagePrepare, Cause: err}
 	}
 	if r.ResetOnClose {
@@ -86,6 +85,22 @@
 	return out, nil
 }
 
+// prepare prepares a request to be sent over c. If it must not be sent, c returns to the pool.
+func (p *Pool) prepare(c *conn, r *Request) error {
+	panicked := true
+	defer func() {
+		if panicked {
+			c.close()
+		}
+	}()
+	err := r.prepare()
+	panicked = false
+	if err != nil {
+		p.releaseUnused(c)
+	}
+	return err
+}
+
 // contextCauseOr returns ctx's cause if ctx has ended, since err is then a consequence of
 // closing the connection; else err.
 func contextCauseOr(ctx context.Context, err error) error {
