--- a/internal/gateway/server/gateway.go
+++ b/internal/gateway/server/gateway.go
@@ -19,6 +19,7 @@
 	"mangoledge.example/mangoledge/internal/gateway/peers"
 	"mangoledge.example/mangoledge/internal/gateway/profile"
 	"mangoledge.example/mangoledge/internal/gateway/quota"
+	"mangoledge.example/mangoledge/internal/gateway/routeplan"
 	"mangoledge.example/mangoledge/internal/gateway/scaling"
 	"mangoledge.example/mangoledge/internal/gateway/site"
 	"mangoledge.example/mangoledge/internal/gateway/usage"
@@ -139,6 +140,11 @@
 	g.RegisterGauge("gateway.prompt_parts_refused", g.contentGuard.countGuiltyParts)
 	g.RegisterGauge("gateway.upstreams_leaving", func() int64 { return int64(g.balancer.CountUnavailable(balance.Leaving)) })
 	g.RegisterGauge("gateway.upstreams_quiet", func() int64 { return int64(g.balancer.CountUnavailable(balance.Quiet)) })
+	for _, d := range []routeplan.Decision{routeplan.LeastCost, routeplan.CachedPrompt, routeplan.Shares} {
+		name := projectmetrics.Name("gateway.upstreams_chosen", projectmetrics.Label{Name: "decision", Value: string(d)})
+		g.RegisterGauge(name, func() int64 { return g.balancer.Decisions(d) })
+	}
+	g.RegisterGauge("gateway.load_figures_age_ms", func() int64 { return g.balancer.FiguresAge().Milliseconds() })
 	g.RegisterGauge("gateway.nodes_sharing_repeats", func() int64 { return int64(g.sharingNodes()) })
 	g.RegisterGauge("gateway.nodes_alive", func() int64 { return int64(len(g.peerTable.Alive())) })
 	return g, g.initPeering()
