clients: a status that is none says neither success nor that nothing ran

Cause: the clients of plain services and engines took every status below 500 for a refusal that did not run, also 000 to 199; those of the store and the cloud took every status below 400 for a success.

Change: only 4xx tells that a call did not run or had no effect, and only 2xx is a success.

Left alone: these clients use net/http, which skips 101 and other interim responses by its own rule.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -181,7 +181,7 @@
 	if err != nil {
 		return err
 	}
-	if resp.StatusCode >= http.StatusMultipleChoices {
+	if resp.StatusCode/100 != 2 {
 		return failureError(resp)
 	}
 	defer func() { _ = resp.Body.Close() }()
@@ -216,8 +216,8 @@
 }
 
 // failureError converts an error response to an error and closes its body. The verdict is
-// NotRun for a status below 500 and when the engine is leaving, because the engine did
-// not run the request then.
+// NotRun for a status 4xx and when the engine is leaving, because the engine did not run the
+// request then.
 func failureError(resp *http.Response) error {
 	defer func() { _ = resp.Body.Close() }()
 	data, _ := io.ReadAll(io.LimitReader(resp.Body, maxFailureBytes))
@@ -230,7 +230,7 @@
 		return verdict.New(verdict.NotRun, verdict.CodeStopping, "the engine is leaving")
 	case resp.StatusCode == http.StatusNotFound:
 		return verdict.New(verdict.NotRun, verdict.CodeUnknownRequest, "the engine does not know the stream")
-	case resp.StatusCode < http.StatusInternalServerError:
+	case resp.StatusCode/100 == 4:
 		return verdict.New(verdict.NotRun, verdict.CodeUpstreamFailed, "the engine answered %s: %s", resp.Status, failure.Error.Message)
 	}
 	return verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "the engine answered %s: %s", resp.Status, failure.Error.Message)
--- a/internal/plainservice/client.go
+++ b/internal/plainservice/client.go
@@ -78,7 +78,7 @@
 		return string(reply), nil
 	case resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests:
 		return "", verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the service takes no call now")
-	case resp.StatusCode < http.StatusInternalServerError:
+	case resp.StatusCode/100 == 4:
 		return "", verdict.New(verdict.NotRun, verdict.CodeBadInput, "the service refused the call: %s", reply)
 	}
 	return "", verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "the service answered %s", resp.Status)
--- a/internal/platform/objects/client.go
+++ b/internal/platform/objects/client.go
@@ -169,7 +169,7 @@
 	if err != nil {
 		return call.noResponseError(true, err)
 	}
-	if resp.StatusCode >= http.StatusBadRequest {
+	if resp.StatusCode/100 != 2 {
 		return responseError(call, resp.StatusCode, data)
 	}
 	if out == nil {
@@ -195,7 +195,7 @@
 		out.Kind = KindCompacted
 	case code == http.StatusTooManyRequests:
 		out.Kind = KindUnavailable
-	case code < http.StatusInternalServerError:
+	case code/100 == 4:
 		out.Kind = KindRefused
 	case call.write:
 		out.Kind = KindUnknown
--- a/internal/platform/objects/watch.go
+++ b/internal/platform/objects/watch.go
@@ -38,7 +38,7 @@
 		return watchError(ctx, watch, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode >= http.StatusBadRequest {
+	if resp.StatusCode/100 != 2 {
 		data, _ := io.ReadAll(io.LimitReader(resp.Body, MaxObjectBytes))
 		return responseError(watch, resp.StatusCode, data)
 	}
--- a/internal/platform/rest/client.go
+++ b/internal/platform/rest/client.go
@@ -135,7 +135,7 @@
 		failure.Cause = err
 		return failure
 	}
-	if resp.StatusCode >= http.StatusBadRequest {
+	if resp.StatusCode/100 != 2 {
 		return fillResponseError(failure, resp, data)
 	}
 	if out == nil {
@@ -164,7 +164,7 @@
 	_ = json.Unmarshal(data, &body) // a response without a reason still has its status
 	failure.Status = resp.StatusCode
 	failure.Reason = body.Reason
-	failure.NoEffect = failure.NoEffect || resp.StatusCode < http.StatusInternalServerError
+	failure.NoEffect = failure.NoEffect || resp.StatusCode/100 == 4
 	if seconds, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil {
 		failure.RetryAfter = time.Duration(seconds) * time.Second
 	}
