--- a/internal/gateway/server/gateway.go
+++ b/internal/gateway/server/gateway.go
@@ -16,6 +16,7 @@
 	"mangoledge.example/mangoledge/internal/gateway/clock"
 	"mangoledge.example/mangoledge/internal/gateway/exchange"
 	"mangoledge.example/mangoledge/internal/gateway/httpconn"
+	"mangoledge.example/mangoledge/internal/gateway/ingress"
 	"mangoledge.example/mangoledge/internal/gateway/peers"
 	"mangoledge.example/mangoledge/internal/gateway/profile"
 	"mangoledge.example/mangoledge/internal/gateway/quota"
@@ -54,6 +55,11 @@
 	usageReporter *usage.Reporter
 	scaler        *scaling.Scaler
 	idleConns     *idleConns
+	ingress       *ingress.Account
+	clientConns   *ingress.ConnTable
+	// ingressRefused is the number of bodies and connections that had been refused when they were last
+	// logged.
+	ingressRefused int64
 
 	// seeds are the control addresses of a few nodes from the current settings.
 	seeds atomic.Pointer[[]string]
@@ -109,6 +115,8 @@
 		registry:       metrics.NewRegistry(),
 		pool:           httpconn.NewPool(),
 		idleConns:      newIdleConns(),
+		ingress:        ingress.NewAccount(ingress.Capacity(settings.MemoryMB), time.Now),
+		clientConns:    ingress.NewConnTable(ingress.ClientConnLimits(settings.MaxDescriptors, settings.MemoryMB), time.Now),
 		reclaimNotices: newReclaimNotices(time.Now),
 		relayCursor:    newRelayCursor(),
 		peerAddress:    joinPort(settings.IP, settings.PeerPorts[0]),
@@ -128,6 +136,7 @@
 	g.demandMeter = newDemandMeter(time.Now)
 	g.seeds.Store(&settings.Seeds)
 	g.RegisterGauge("gateway.connections_made", g.pool.Dialed)
+	g.registerIngressGauges()
 	g.RegisterGauge("gateway.connections_reused", g.pool.Reused)
 	g.RegisterGauge("gateway.requests_active", g.activeRequests.Load)
 	g.RegisterGauge("gateway.config_version", g.configuration.Version)
@@ -203,6 +212,7 @@
 		Poison:        g.contentGuard,
 		Demand:        g.demandMeter,
 		Pool:          g.pool,
+		Ingress:       g.ingress,
 		Metrics:       exchange.NewMetrics(g.registry),
 		Logger:        g.logger,
 		Shutdown:      g.shutdown.Load,
