standin, soak: early answers to long bodies, and statuses that are none

The replicas of TestGatewaySoak whose responses end as drawn, and the operators' stand-ins, answer some long bodies before they are read, framed in each way, and end the connection by a reset or a close with bytes unread; some of their statuses are none.

The release after a panic has no part in the soak; its own test plays panics.

Not in it: a status below 100 shows in the soak only as a missing answer, which faults there excuse; the tests of the server judge those. The stand-in engine does not answer early.

--- a/internal/faulttest/gatewaysite_test.go
+++ b/internal/faulttest/gatewaysite_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"mangoledge.example/mangoledge/internal/standin/ending"
 	"mangoledge.example/mangoledge/platform/platformtest"
 )
 
@@ -273,6 +274,7 @@
 	version := s.configVersion
 	s.mu.Unlock()
 	config := platformtest.DefaultConfig(version)
+	config["limits"].(map[string]any)["max_body_bytes"] = 2 * ending.LongBodyBytes
 	config["tenants"] = append(config["tenants"].([]any), map[string]any{"name": unlimitedWorkspace, "api_keys": []string{unlimitedKey}, "priority": 1})
 	if extraRoute != "" {
 		config["routes"] = append(config["routes"].([]any), map[string]any{
--- a/internal/faulttest/gatewaysoak_test.go
+++ b/internal/faulttest/gatewaysoak_test.go
@@ -106,6 +106,10 @@
 // way. The fixed seeds of CI that are not regression seeds have them too.
 const firstSeedWithEndings = 8000
 
+// firstSeedWithOddAnswers is the first seed of manual runs in which some of these answers have a status
+// that is none, or come before a long body was read. The fixed seeds that have endings have them too.
+const firstSeedWithOddAnswers = 9000
+
 // soakLongFaultCount is the number of faults in a run that last long or come in series.
 const soakLongFaultCount = 4
 
--- a/internal/standin/ending/settings.go
+++ b/internal/standin/ending/settings.go
@@ -20,6 +20,10 @@
 	ResetPercent      int `json:"resetPercent"`
 	OpenPercent       int `json:"openPercent"`
 	ProcessEndPercent int `json:"processEndPercent"`
+	// OddStatusPercent is the share of the drawn ones whose status is none, such as 000.
+	OddStatusPercent int `json:"oddStatusPercent"`
+	// EarlyPercent is the share of requests with a long body that are answered before it is read.
+	EarlyPercent int `json:"earlyPercent"`
 	// Seed determines what is drawn.
 	Seed int64 `json:"seed"`
 }
@@ -50,6 +54,8 @@
 		{"resetPercent", s.ResetPercent},
 		{"openPercent", s.OpenPercent},
 		{"processEndPercent", s.ProcessEndPercent},
+		{"oddStatusPercent", s.OddStatusPercent},
+		{"earlyPercent", s.EarlyPercent},
 	} {
 		if share.value < 0 || share.value > 100 {
 			faults = append(faults, settings.Fault{Path: share.path, Value: strconv.Itoa(share.value), Allowed: "a whole number from 0 to 100"})
--- a/internal/standin/ending/writer_test.go
+++ b/internal/standin/ending/writer_test.go
@@ -92,3 +92,28 @@
 	_, drawn = (*Drawer)(nil).Next(true)
 	require.False(t, drawn)
 }
+
+func TestOddAnswersAreDrawnWithoutChangingTheOtherDraws(t *testing.T) {
+	settings := Settings{DrawnPercent: 100, CutPercent: 25, ResetPercent: 25, Seed: 3}
+	plain := NewDrawer(settings)
+	settings.OddStatusPercent, settings.EarlyPercent = 20, 50
+	odd := NewDrawer(settings)
+	statuses, early := make(map[string]int), 0
+	for range 2000 {
+		before, _ := plain.Next(true)
+		e, _ := odd.Next(true)
+		statuses[e.Status()]++
+		require.Equal(t, e.StatusLine != "" || before.Broken(), e.Broken())
+		e.StatusLine = ""
+		require.Equal(t, before, e)
+		if answer, drawn := odd.NextEarly(); drawn {
+			early++
+			require.Equal(t, answer.Framing == Unframed, answer.Broken(), "%+v", answer)
+		}
+	}
+	require.Len(t, statuses, 1+len(oddStatusLines))
+	require.InDelta(t, 1600, statuses["200 OK"], 100)
+	require.InDelta(t, 1000, early, 100)
+	_, drawn := (*Drawer)(nil).NextEarly()
+	require.False(t, drawn)
+}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -72,6 +72,12 @@
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
 		return
 	}
+	if r.ContentLength >= ending.LongBodyBytes {
+		if e, drawn := s.options.Endings.NextEarly(); drawn {
+			s.replyWithEnding(w, e, s.options.ID+" did not read the payload")
+			return
+		}
+	}
 	payload, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -98,6 +104,11 @@
 		_, _ = io.WriteString(w, text) // a caller that is gone needs no reply
 		return
 	}
+	s.replyWithEnding(w, e, text)
+}
+
+// replyWithEnding writes a reply that ends as e says.
+func (s *Service) replyWithEnding(w http.ResponseWriter, e ending.Ending, text string) {
 	out, err := ending.Respond(w, e, "Content-Type: text/plain\r\n", len(text), 0)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
