--- a/internal/gateway/ingress/connlimits.go
+++ b/internal/gateway/ingress/connlimits.go
@@ -8,7 +8,7 @@
 	clientSocketPercent = 40
 	// internalSocketPercent is the part that the connections of each other listener may take, in percent,
 	// but at least minInternalConns.
-	internalSocketPercent = 3
+	internalSocketPercent = 4
 	minInternalConns      = 16
 	// connMemoryPercent is the part of a process's memory limit that client connections may take, in
 	// percent, and connBytes what one of them takes.
