rollout: orders of versions are read, tried, judged and ended

Cause: the operator's orders of a version for a service were read by nothing, so a new version took its share of requests like any upstream, and no order ended.

Change: package rollout with the pure decisions: each node's exposure, the comparison of both versions by group of routes, the steps of the lease holder. Orders are followed like the upstreams and relayed with them; nodes tell each other counts of answers, failures and latencies in their messages. The holder writes the status on the condition of the entry's revision, with its fencing number in it, so that a late write of an earlier holder fails. Only where the contracts of the settings name it.

Small hooks elsewhere: Ticket.Watcher and Outstanding in balance, candidates and FallBack in exchange/run.go, the check before a send in send.go, Touch in catalog.

Ruled out: relative latencies by the balancer's model, which learns the slowness that is looked for; a separate round of messages.

--- a/internal/gateway/balance/balancer.go
+++ b/internal/gateway/balance/balancer.go
@@ -257,6 +257,17 @@
 	return out
 }
 
+// Outstanding returns the number of requests in progress at an upstream, those of other nodes included.
+func (b *Balancer) Outstanding(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.states[id]
+	if s == nil {
+		return b.peerLoads[UpstreamHash(id)].Requests
+	}
+	return len(s.openTickets) + s.peerLoad.Requests
+}
+
 // PruneStates deletes the states of upstreams that are no longer known and have no open tickets.
 func (b *Balancer) PruneStates(known map[string]site.Upstream) {
 	b.mu.Lock()
--- a/internal/gateway/balance/ticket.go
+++ b/internal/gateway/balance/ticket.go
@@ -24,11 +24,22 @@
 	Abandoned
 )
 
+// Watcher is told how the request of a ticket goes. It must not call the Balancer.
+type Watcher interface {
+	// FirstEvent is called when the first event arrives, after the given time.
+	FirstEvent(after time.Duration)
+	// Ended is called once the request has ended, after the given time; started is true if a first
+	// event had arrived.
+	Ended(outcome Outcome, after time.Duration, started bool)
+}
+
 // Ticket represents one request in progress at an upstream.
 type Ticket struct {
 	Upstream site.Upstream
 	// UncachedTokens is the estimated number of prompt tokens that the upstream has to prefill.
 	UncachedTokens int
+	// Watcher, if not nil, is told how the request goes. It is called with the balancer locked.
+	Watcher Watcher
 
 	balancer *Balancer
 	state    *upstreamState
@@ -57,6 +68,9 @@
 	now := b.now()
 	t.state.recordLatency(now.Sub(t.sentAt), t.expected)
 	b.latencyRatio.add(t.UncachedTokens, now.Sub(t.sentAt), t.modelled)
+	if t.Watcher != nil {
+		t.Watcher.FirstEvent(now.Sub(t.sentAt))
+	}
 }
 
 // End records the outcome of the request and closes the ticket. Further calls do nothing.
@@ -68,6 +82,9 @@
 		return
 	}
 	delete(t.state.openTickets, t)
+	if t.Watcher != nil {
+		t.Watcher.Ended(outcome, b.now().Sub(t.sentAt), t.started)
+	}
 	if !t.started {
 		t.started = true
 		t.state.pendingPrefill -= t.UncachedTokens
--- a/internal/gateway/catalog/upstreams.go
+++ b/internal/gateway/catalog/upstreams.go
@@ -71,6 +71,10 @@
 // node that is further behind gets all entries.
 const minKeptChanges = 512
 
+// noEntry stands in place of an entry's name in a change of something that is sent along with the
+// entries.
+const noEntry = ""
+
 // change is the addition, update or removal of an entry.
 type change struct {
 	sequence uint64
@@ -259,6 +263,13 @@
 	}
 }
 
+// Touch makes the nodes that follow this one fetch an update though no entry has changed.
+func (u *Upstreams) Touch() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.recordChange(noEntry)
+}
+
 // RemoveExpired removes expired entries that were not registered again after the store's return.
 func (u *Upstreams) RemoveExpired() {
 	u.mu.Lock()
@@ -326,7 +337,7 @@
 	}
 	seen := make(map[string]bool)
 	for _, c := range u.changes {
-		if c.sequence <= sequence || seen[c.name] {
+		if c.sequence <= sequence || seen[c.name] || c.name == noEntry {
 			continue
 		}
 		seen[c.name] = true
--- a/internal/gateway/exchange/deps.go
+++ b/internal/gateway/exchange/deps.go
@@ -9,6 +9,7 @@
 	"mangoledge.example/mangoledge/internal/gateway/catalog"
 	"mangoledge.example/mangoledge/internal/gateway/httpconn"
 	"mangoledge.example/mangoledge/internal/gateway/quota"
+	"mangoledge.example/mangoledge/internal/gateway/rollout"
 	"mangoledge.example/mangoledge/internal/gateway/site"
 	"mangoledge.example/mangoledge/internal/poison"
 )
@@ -120,9 +121,11 @@
 	Budgets       RetryBudgets
 	Poison        PoisonTracker
 	Demand        DemandRecorder
-	Pool          *httpconn.Pool
-	Metrics       *Metrics
-	Logger        *slog.Logger
+	// Rollouts is nil where versions are not ordered.
+	Rollouts *rollout.Rollouts
+	Pool     *httpconn.Pool
+	Metrics  *Metrics
+	Logger   *slog.Logger
 	// Shutdown returns the planned end of the process, or nil while it is not shutting down.
 	Shutdown func() *Shutdown
 	// Durations tells how long a route's responses take.
--- a/internal/gateway/exchange/handler.go
+++ b/internal/gateway/exchange/handler.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"mangoledge.example/mangoledge/internal/gateway/rollout"
 	"mangoledge.example/mangoledge/internal/gateway/site"
 	"mangoledge.example/mangoledge/internal/poison"
 )
@@ -54,6 +55,8 @@
 	retryGranted atomic.Bool
 	// lastEventID is the ID of the last stream event written to the client.
 	lastEventID string
+	// release is the choice among the versions of the service's upstreams; nil before the first one.
+	release *rollout.Choice
 	// usageCounted is true once the request was counted for the usage report.
 	usageCounted bool
 }
--- a/internal/gateway/exchange/run.go
+++ b/internal/gateway/exchange/run.go
@@ -148,6 +148,7 @@
 		ticket.End(balance.Abandoned)
 		return nil, e.finalRefusal(overloadedRefusal(min(expected-left+busyRetryAfter, left)))
 	}
+	e.recordRelease(ticket)
 	return ticket, nil
 }
 
@@ -167,6 +168,9 @@
 		if ticket != nil {
 			return ticket, nil
 		}
+		if e.release.FallBack() {
+			continue
+		}
 		if len(view.ByService[e.service.Name]) == 0 {
 			return nil, e.finalRefusal(noUpstreamRefusal(noUpstreamRetryAfter))
 		}
@@ -202,7 +206,7 @@
 
 // pickOptions returns the upstreams of the request's service, with those already tried marked.
 func (e *exchange) pickOptions(view *catalog.View) *balance.PickOptions {
-	return &balance.PickOptions{Service: e.service, Candidates: view.ByService[e.service.Name], Tried: e.triedUpstreams}
+	return &balance.PickOptions{Service: e.service, Candidates: e.candidates(view.ByService[e.service.Name]), Tried: e.triedUpstreams}
 }
 
 // minUsefulTime is the shortest remaining time in which a send is useful.
--- a/internal/gateway/exchange/send.go
+++ b/internal/gateway/exchange/send.go
@@ -143,6 +143,9 @@
 	if e.isQuarantined() {
 		return errContentBlocked
 	}
+	if !e.options.Rollouts.Allows(&to) {
+		return errors.Newf("version %s takes no requests", to.Version)
+	}
 	if availability, left := e.options.Balancer.Availability(to); availability != balance.Open {
 		return errors.Newf("the upstream is %s, for %s yet", availability, left)
 	}
--- a/internal/gateway/peers/message.go
+++ b/internal/gateway/peers/message.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"mangoledge.example/mangoledge/internal/gateway/rollout"
 	"mangoledge.example/mangoledge/internal/poison"
 )
 
@@ -21,7 +22,7 @@
 	Full
 )
 
-// Message is a node's state as sent to the other nodes. In Spent, Loads, Usage and Demand, nil
+// Message is a node's state as sent to the other nodes. In Spent, Loads, Usage, Demand and Rollouts, nil
 // means "unchanged since the last message of the same process"; an empty map or list means that
 // there are no entries any more.
 type Message struct {
@@ -71,10 +72,12 @@
 	Suspects []poison.Suspect `msgpack:"j,omitempty"`
 	// Demand is the recent arrival rate of work for autoscaled services.
 	Demand map[string]Demand `msgpack:"m"`
+	// Rollouts is what the node has seen of versions that are being rolled out.
+	Rollouts []rollout.Report `msgpack:"t,omitempty"`
 }
 
-// withDefaultsFrom returns the message with Spent, Loads, Usage and Demand, where nil, taken
-// from before, the previous message of the same process.
+// withDefaultsFrom returns the message with Spent, Loads, Usage, Demand and Rollouts, where nil,
+// taken from before, the previous message of the same process.
 func (m *Message) withDefaultsFrom(before *Message) Message {
 	out := *m
 	if out.Spent == nil {
@@ -89,6 +92,9 @@
 	if out.Demand == nil {
 		out.Demand = before.Demand
 	}
+	if out.Rollouts == nil {
+		out.Rollouts = before.Rollouts
+	}
 	return out
 }
 
--- a/internal/gateway/server/follow.go
+++ b/internal/gateway/server/follow.go
@@ -158,6 +158,7 @@
 		g.offerConfig(object)
 		g.configuration.ConfirmCurrent(time.Now())
 	}
+	err = errors.CombineErrors(err, g.loadRollouts(ctx))
 	list, err2 := g.store.List(ctx, platform.KindUpstreams)
 	if err2 == nil {
 		g.applyUpstreamChange(func() { g.upstreams.Replace(list) })
@@ -194,10 +195,13 @@
 			g.logStoreFailure("upstreams")(err)
 		},
 	}
-	var both sync.WaitGroup
-	both.Go(func() { configs.Run(ctx) })
-	both.Go(func() { upstreams.Run(ctx) })
-	both.Wait()
+	var all sync.WaitGroup
+	all.Go(func() { configs.Run(ctx) })
+	all.Go(func() { upstreams.Run(ctx) })
+	if g.rollouts != nil {
+		all.Go(func() { g.rolloutFollower().Run(ctx) })
+	}
+	all.Wait()
 }
 
 // offerConfig offers an object from the store as the new configuration and notifies the other
--- a/internal/gateway/server/gateway.go
+++ b/internal/gateway/server/gateway.go
@@ -18,6 +18,7 @@
 	"mangoledge.example/mangoledge/internal/gateway/httpconn"
 	"mangoledge.example/mangoledge/internal/gateway/peers"
 	"mangoledge.example/mangoledge/internal/gateway/quota"
+	"mangoledge.example/mangoledge/internal/gateway/rollout"
 	"mangoledge.example/mangoledge/internal/gateway/scaling"
 	"mangoledge.example/mangoledge/internal/gateway/site"
 	"mangoledge.example/mangoledge/internal/gateway/usage"
@@ -45,6 +46,8 @@
 	retryBudgets  *retryBudgets
 	contentGuard  *contentGuard
 	demandMeter   *demandMeter
+	// rollouts is nil where versions are not ordered.
+	rollouts      *rollout.Rollouts
 	nodeRegistry  *peers.Registry
 	peerTable     *peers.Table
 	exchange      *peers.Messenger
@@ -122,6 +125,7 @@
 	g.retryBudgets = newRetryBudgets(settings.Bounds, g.sharingNodes, g.isFirstStart, clock.Boot, rand.Uint64)
 	g.contentGuard = newContentGuard(time.Now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), g.logger)
 	g.demandMeter = newDemandMeter(time.Now)
+	g.rollouts = newRollouts(g)
 	g.seeds.Store(&settings.Seeds)
 	g.RegisterGauge("gateway.connections_made", g.pool.Dialed)
 	g.RegisterGauge("gateway.connections_reused", g.pool.Reused)
@@ -134,6 +138,8 @@
 	g.RegisterGauge("gateway.contents_convicted", g.contentGuard.countQuarantined)
 	g.RegisterGauge("gateway.prompt_parts_suspected", g.contentGuard.countSuspectedParts)
 	g.RegisterGauge("gateway.prompt_parts_refused", g.contentGuard.countGuiltyParts)
+	g.RegisterGauge("gateway.rollouts_active", func() int64 { active, _ := g.rollouts.CountActive(); return active })
+	g.RegisterGauge("gateway.rollouts_bad", func() int64 { _, bad := g.rollouts.CountActive(); return bad })
 	g.RegisterGauge("gateway.upstreams_leaving", func() int64 { return int64(g.balancer.CountUnavailable(balance.Leaving)) })
 	g.RegisterGauge("gateway.upstreams_quiet", func() int64 { return int64(g.balancer.CountUnavailable(balance.Quiet)) })
 	g.RegisterGauge("gateway.nodes_sharing_repeats", func() int64 { return int64(g.sharingNodes()) })
@@ -193,6 +199,7 @@
 		Budgets:       g.retryBudgets,
 		Poison:        g.contentGuard,
 		Demand:        g.demandMeter,
+		Rollouts:      g.rollouts,
 		Pool:          g.pool,
 		Metrics:       exchange.NewMetrics(g.registry),
 		Logger:        g.logger,
@@ -232,6 +239,9 @@
 	go g.relayFromPeers(ctx)
 	go g.exchange.Run(ctx)
 	go g.housekeeping(ctx)
+	if g.rollouts != nil {
+		go g.runRollouts(ctx)
+	}
 	var leaderCtx context.Context
 	leaderCtx, g.stopLeaderTasks = context.WithCancel(ctx)
 	go g.runLeaderTasks(leaderCtx)
--- a/internal/gateway/server/leadertasks.go
+++ b/internal/gateway/server/leadertasks.go
@@ -231,7 +231,7 @@
 // countUpstreams counts the upstreams of a failure domain that accept work or will do so before a
 // newly started one would.
 func (g *Gateway) countUpstreams(d *scaling.Domain, view *catalog.View, service site.Service) {
-	for _, u := range view.ByService[service.Name] {
+	for _, u := range g.rollouts.Serving(service.Name, view.ByService[service.Name]) {
 		why, left := g.balancer.Availability(u)
 		switch {
 		case u.FailureDomain != d.Name || why == balance.Leaving || left > service.Scaling.BootTime:
--- a/internal/gateway/server/messages.go
+++ b/internal/gateway/server/messages.go
@@ -43,6 +43,7 @@
 	m.Crashed = g.contentGuard.entriesToShare()
 	m.Suspects = g.contentGuard.partsToShare()
 	m.Demand = g.demandMeter.rates()
+	m.Rollouts = g.rollouts.Reports()
 	if detail == peers.Full {
 		m.Usage = g.usageCounter.Recent(time.Now())
 	}
--- a/internal/gateway/server/relay.go
+++ b/internal/gateway/server/relay.go
@@ -18,6 +18,7 @@
 	"mangoledge.example/mangoledge/internal/gateway/catalog"
 	"mangoledge.example/mangoledge/internal/gateway/httpconn"
 	"mangoledge.example/mangoledge/internal/gateway/peers"
+	"mangoledge.example/mangoledge/internal/platform/objects"
 	"mangoledge.example/mangoledge/platform"
 )
 
@@ -45,9 +46,11 @@
 // snapshot is what a node sends to another that takes updates from it.
 type snapshot struct {
 	// StoreAgeMs is the time since the node's last contact with the store, in milliseconds.
-	StoreAgeMs int64                   `json:"storeAgeMs"`
-	Upstreams  catalog.Update          `json:"upstreams"`
-	Nodes      map[string]peers.Record `json:"nodes,omitempty"`
+	StoreAgeMs int64          `json:"storeAgeMs"`
+	Upstreams  catalog.Update `json:"upstreams"`
+	// Rollouts holds all orders of versions; nil where none were read.
+	Rollouts *objects.List           `json:"rollouts,omitempty"`
+	Nodes    map[string]peers.Record `json:"nodes,omitempty"`
 }
 
 // serveSnapshot sends the changes of the upstreams since a sequence number, and all known nodes on
@@ -55,7 +58,7 @@
 func (g *Gateway) serveSnapshot(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	since, _ := strconv.ParseUint(q.Get("upstreams"), 10, 64) // 0 requests all upstreams
-	out := snapshot{StoreAgeMs: g.upstreams.Age().Milliseconds(), Upstreams: g.upstreams.UpdateSince(since)}
+	out := snapshot{StoreAgeMs: g.upstreams.Age().Milliseconds(), Upstreams: g.upstreams.UpdateSince(since), Rollouts: g.rolloutList()}
 	if q.Has("nodes") {
 		out.Nodes = g.nodeRegistry.Known()
 	}
@@ -328,6 +331,7 @@
 // applySnapshot applies the upstream changes of another node's snapshot. It returns false if they have
 // to be fetched again.
 func (g *Gateway) applySnapshot(s *snapshot) (applied bool) {
+	g.applyRolloutList(s.Rollouts)
 	before := g.upstreams.View()
 	applied = g.upstreams.Apply(&s.Upstreams)
 	g.reclaimNotices.record(before, g.upstreams.View())
--- a/internal/gateway/site/settings.go
+++ b/internal/gateway/site/settings.go
@@ -18,8 +18,10 @@
 	// Seeds are the control addresses of a few nodes; they may be outdated.
 	Seeds  []string
 	Bounds Bounds
-	Store  StoreSettings
-	Cloud  CloudSettings
+	// HasRollouts is true where the operator orders versions for services.
+	HasRollouts bool
+	Store       StoreSettings
+	Cloud       CloudSettings
 	// MemoryMB is the memory limit of the process; 0 means none.
 	MemoryMB int
 	// LinkMbps is the bandwidth of the host's network link; 0 if unknown.
@@ -54,6 +56,10 @@
 	UsageWindow time.Duration
 	// MaxDirectoryTTL is the longest time for which a directory response may be cached.
 	MaxDirectoryTTL time.Duration
+	// ExposureShare and ExposureSlack bound the requests to a version that is not proven: a share of
+	// its service's requests, and a number of requests beyond it.
+	ExposureShare float64
+	ExposureSlack float64
 }
 
 // StoreSettings hold the address of the platform's store.
--- a/internal/gateway/site/upstream.go
+++ b/internal/gateway/site/upstream.go
@@ -23,6 +23,10 @@
 	Reports int64
 	// StartedAt is the start time of this incarnation; zero if unknown.
 	StartedAt time.Time
+	// Version is the version of the upstream's software; empty if unknown.
+	Version string
+	// ColdFor is how much longer the upstream stays slow after its start, as it last said.
+	ColdFor time.Duration
 }
 
 // SameStart reports whether two entries with the same ID belong to the same start of an upstream. An
--- a/internal/platform/objects/object.go
+++ b/internal/platform/objects/object.go
@@ -59,6 +59,8 @@
 type Metadata struct {
 	Name            string  `json:"name"`
 	ResourceVersion Version `json:"resourceVersion,omitempty"`
+	// Created tells an object from an earlier one of the same name; 0 where it is not needed.
+	Created uint64 `json:"createdAs,omitempty"`
 }
 
 // Object is one object of the store.
@@ -66,6 +68,8 @@
 	Kind     Kind            `json:"kind"`
 	Metadata Metadata        `json:"metadata"`
 	Spec     json.RawMessage `json:"spec,omitempty"`
+	// Status is what the system wrote beside the spec of another writer; empty for kinds without one.
+	Status json.RawMessage `json:"status,omitempty"`
 }
 
 // List is all objects of a kind as of one version of the store.
