--- a/internal/gateway/exchange/run.go
+++ b/internal/gateway/exchange/run.go
@@ -148,7 +148,7 @@
 		ticket.End(balance.Abandoned)
 		return nil, e.finalRefusal(overloadedRefusal(min(expected-left+busyRetryAfter, left)))
 	}
-	e.recordRelease(ticket)
+	e.recordVersion(ticket)
 	return ticket, nil
 }
 
@@ -166,9 +166,10 @@
 		view := e.options.Upstreams.View()
 		ticket, pause := e.options.Balancer.Pick(e.request, e.pickOptions(view))
 		if ticket != nil {
+			e.ticket = ticket
 			return ticket, nil
 		}
-		if e.release.FallBack() {
+		if e.versions.FallBack() {
 			continue
 		}
 		if len(view.ByService[e.service.Name]) == 0 {
--- a/internal/gateway/exchange/send.go
+++ b/internal/gateway/exchange/send.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -82,6 +81,14 @@
 		a.stallTimer = time.AfterFunc(a.stallTimeout(), func() { a.onStall(tried, cancel) })
 		defer a.stallTimer.Stop()
 	}
+	result := a.exchangeOnce(ctx)
+	e.undecided = false
+	return result
+}
+
+// exchangeOnce writes the request to the upstream, once, and handles the response.
+func (a *attempt) exchangeOnce(ctx context.Context) sendResult {
+	e, ticket := a.exchange, a.ticket
 	response, err := e.options.Pool.Do(ctx, ticket.Upstream.Address.String(), e.upstreamRequest(ticket))
 	if err != nil {
 		return a.handleSendError(ctx, err)
@@ -132,7 +139,9 @@
 		MaxIdle: idle,
 		Prepare: func(h http.Header) error {
 			e.options.Wire.SetTimeLeft(h, time.Until(e.deadline))
-			return e.checkSendable(ticket.Upstream)
+			err := e.checkSendable(ticket.Upstream)
+			e.undecided = err == nil
+			return err
 		},
 	}
 }
@@ -152,32 +161,6 @@
 	return nil
 }
 
-// applyAvailability applies what the upstream's response says about its availability: that it
-// is leaving, or asks for no requests for a time.
-func (a *attempt) applyAvailability(response *httpconn.Response, meta ResponseMeta) {
-	u := a.ticket.Upstream
-	if meta.InvalidRetryAfter != "" {
-		a.log("time of quiet is unclear", "upstream", u.ID, "said", meta.InvalidRetryAfter, "taken_as", meta.RetryAfter)
-	}
-	if meta.Leaving {
-		response.CloseAfter()
-		if a.options.Balancer.MarkLeaving(u) {
-			a.options.Pool.CloseIdle(u.Address.String())
-			a.recordUnavailable(balance.Leaving, 0, response.Status)
-		}
-	}
-	if meta.RetryAfter > 0 && a.options.Balancer.MarkQuiet(u, meta.RetryAfter) {
-		a.recordUnavailable(balance.Quiet, meta.RetryAfter, response.Status)
-	}
-}
-
-// recordUnavailable records in metrics and log that this node stops using the upstream, for good or
-// for a time.
-func (a *attempt) recordUnavailable(availability balance.Availability, d time.Duration, status int) {
-	a.options.Metrics.UpstreamClosed(a.exchange, availability)
-	a.log("upstream taken out", "upstream", a.ticket.Upstream.ID, "born", a.ticket.Upstream.StartedAt, "why", availability.String(), "for", d, "status", status)
-}
-
 // handleSendError ends an attempt that received no response header.
 func (a *attempt) handleSendError(ctx context.Context, err error) sendResult {
 	var failed *httpconn.Error
@@ -251,178 +234,3 @@
 func clientEnded(ctx context.Context) bool {
 	return ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled)
 }
-
-// handleResponse handles a response whose header has arrived.
-func (a *attempt) handleResponse(ctx context.Context, response *httpconn.Response) sendResult {
-	a.framing = response.Framing
-	meta := a.options.Wire.DecodeResponse(response.Status, response.Header)
-	if !a.isOwnResponse(response, meta) {
-		response.Abort()
-		return a.handleLost(ctx, errors.Newf("the response belongs to request %q", meta.AttemptID))
-	}
-	a.applyAvailability(response, meta)
-	switch {
-	case meta.NotRun && a.options.Wire.MeansNotRun(response.Status):
-		return a.handleRejected(ctx, response, meta)
-	case response.Status/100 == 2 && !meta.Signed:
-		response.Abort()
-		return a.handleLost(ctx, errors.New("successful response without a signature"))
-	case a.client.headerWritten && response.Status != http.StatusOK:
-		return a.handleErrorInStream(ctx, response)
-	case response.Status/100 == 2 && a.route.Kind == site.RouteStreaming:
-		a.mayHaveRun = true
-		return a.forwardStream(ctx, response)
-	}
-	a.mayHaveRun = true
-	return a.handlePlain(ctx, response)
-}
-
-// isOwnResponse reports whether a response belongs to this attempt. Without an ID, a success never
-// does, and a rejection only if the connection carried no other request that it may belong to.
-func (a *attempt) isOwnResponse(response *httpconn.Response, meta ResponseMeta) bool {
-	switch {
-	case meta.AttemptID == a.request.AttemptID:
-		return true
-	case meta.AttemptID != "" || response.Status/100 == 2:
-		return false
-	}
-	return !meta.NotRun || response.OnNewConnection()
-}
-
-// handleRejected ends an attempt that the upstream states it did not run.
-func (a *attempt) handleRejected(ctx context.Context, response *httpconn.Response, meta ResponseMeta) sendResult {
-	response.Discard()
-	outcome := balance.Rejected
-	if meta.WrongUpstream {
-		outcome = balance.Unreachable
-	}
-	a.ticket.End(outcome)
-	a.log("upstream rejected", "upstream", a.ticket.Upstream.ID, "status", response.Status, "wrong_upstream", meta.WrongUpstream)
-	return a.resultUnlessEnded(ctx, resultRejected)
-}
-
-// handleErrorInStream ends an attempt to continue a stream that was answered with an error, which
-// must not reach the client as a part of the stream.
-func (a *attempt) handleErrorInStream(ctx context.Context, response *httpconn.Response) sendResult {
-	response.Discard()
-	a.ticket.End(a.outcomeUnlessEnded(ctx, balance.Failed))
-	a.log("upstream failed", "upstream", a.ticket.Upstream.ID, "status", response.Status, "last_event", a.lastEventID)
-	if !a.route.Repeatable() || !a.mayRetry(ctx, retryFailed) {
-		a.refuseOrAbort(a.client, upstreamFailedRefusal)
-	}
-	return resultRetry
-}
-
-// handlePlain handles a non-streaming response: it buffers the first bytes and forwards the
-// response.
-func (a *attempt) handlePlain(ctx context.Context, response *httpconn.Response) sendResult {
-	body := &responseBody{reader: response.Body, length: response.ContentLength}
-	if err := body.readBuffered(); err != nil {
-		response.Abort()
-		return a.handleLost(ctx, err)
-	}
-	if body.complete {
-		response.Finish()
-	}
-	a.countUsage(a.sentAt)
-	a.ticket.RecordFirstEvent()
-	if response.Status >= http.StatusInternalServerError || a.options.Wire.MeansNotRun(response.Status) {
-		return a.handleUpstreamFailure(ctx, response, body)
-	}
-	return a.forwardResponse(ctx, response, body, balance.Answered)
-}
-
-// handleUpstreamFailure handles a failure status that the upstream returned after it ran the
-// request. It retries if that is allowed. A status that means "not run" is not forwarded, since
-// the request did run.
-func (a *attempt) handleUpstreamFailure(ctx context.Context, response *httpconn.Response, body *responseBody) sendResult {
-	a.log("upstream failed", "upstream", a.ticket.Upstream.ID, "status", response.Status)
-	outcome := a.outcomeUnlessEnded(ctx, balance.Failed)
-	repeat := a.route.Repeatable() && a.mayRetry(ctx, retryFailed)
-	if !repeat && !a.options.Wire.MeansNotRun(response.Status) {
-		return a.forwardResponse(ctx, response, body, outcome)
-	}
-	body.abortUnread(response)
-	a.ticket.End(outcome)
-	if repeat {
-		return resultRetry
-	}
-	a.refuseOrAbort(a.client, upstreamFailedRefusal)
-	return resultDone
-}
-
-// forwardResponse forwards the upstream's response unchanged and ends the ticket with outcome.
-func (a *attempt) forwardResponse(ctx context.Context, response *httpconn.Response, body *responseBody, outcome balance.Outcome) sendResult {
-	if (!body.complete || response.Unframed()) && !a.decided.CompareAndSwap(false, true) {
-		body.abortUnread(response)
-		return a.handleLost(ctx, errStalled) // the request moves to another upstream
-	}
-	if body.complete {
-		a.ticket.End(outcome) // the slot at the upstream is free while the end is confirmed
-		if err := a.confirmComplete(ctx, response); err != nil {
-			return a.handleLost(ctx, err)
-		}
-	}
-	if err := a.client.takeFraming(response.Unframed()); err != nil {
-		body.abortUnread(response)
-		return a.handleLost(ctx, err)
-	}
-	header := a.client.w.Header()
-	a.options.Wire.CopyResponseHeader(header, response.Header)
-	if length, known := body.total(); known && !response.Unframed() {
-		header.Set("Content-Length", strconv.FormatInt(length, 10))
-	}
-	a.client.writeHeader(response.Status)
-	if err := a.forwardBody(ctx, response, body, outcome); err != nil {
-		return a.handleInterrupted(ctx, err)
-	}
-	_ = a.client.finish() // it does not matter if the client has disconnected
-	if response.Status/100 == 2 && !response.Unframed() {
-		a.options.Poison.Succeeded(a.content, a.sentAt)
-	}
-	a.options.Durations.Add(a.route.Name, time.Since(a.request.Received))
-	a.options.Metrics.ResponseForwarded(a.exchange, response.Status)
-	a.options.Metrics.ResponseEnded(a.framing, "complete")
-	a.log("answered", "upstream", a.ticket.Upstream.ID, "status", response.Status, "sends", a.sends, "framing", a.framing.String(), "bytes", body.size)
-	return resultDone
-}
-
-// forwardBody writes the buffered part of the body and forwards the rest as it arrives. It fails if the
-// rest breaks off or may be incomplete.
-func (a *attempt) forwardBody(ctx context.Context, response *httpconn.Response, body *responseBody, outcome balance.Outcome) error {
-	err := a.client.write(body.buffered)
-	if body.complete {
-		return nil // it does not matter if the client has disconnected
-	}
-	if err == nil {
-		err = body.copyRest(a.client)
-	}
-	if err != nil {
-		response.Abort()
-		return err
-	}
-	response.Finish()
-	a.ticket.End(outcome)
-	_ = a.client.flush() // all that has arrived is sent before the end is confirmed
-	return a.confirmComplete(ctx, response)
-}
-
-// handleInterrupted ends a response of which the client already has a part.
-func (a *attempt) handleInterrupted(ctx context.Context, err error) sendResult {
-	if errors.Is(err, errClientWrite) {
-		return a.abortClient(ctx)
-	}
-	if a.handleLost(ctx, err) != resultDone {
-		a.refuseOrAbort(a.client, upstreamFailedRefusal)
-	}
-	return resultDone
-}
-
-// countUsage counts the request for the usage report, once.
-func (a *attempt) countUsage(at time.Time) {
-	if a.usageCounted || a.workspace == nil {
-		return
-	}
-	a.usageCounted = true
-	a.options.Usage.Add(a.workspace.Name, at)
-}
--- a/internal/gateway/exchange/release.go
+++ b/internal/gateway/exchange/versions.go
@@ -11,32 +11,32 @@
 // candidates returns the upstreams that a rollout of the service, if there is one, lets the request be
 // sent to.
 func (e *exchange) candidates(list []site.Upstream) []site.Upstream {
-	if e.release == nil {
-		e.release = e.options.Rollouts.Choose(e.service.Name, e.route.Name)
+	if e.versions == nil {
+		e.versions = e.options.Rollouts.Choose(e.service.Name, e.route.Name)
 	}
-	return e.release.Candidates(list, len(e.triedUpstreams) > 0)
+	return e.versions.Candidates(list, len(e.triedUpstreams) > 0)
 }
 
-// recordRelease records the choice of an upstream for the service's rollout, which then learns how the
+// recordVersion records the choice of an upstream for the service's rollout, which then learns how the
 // request goes.
-func (e *exchange) recordRelease(ticket *balance.Ticket) {
+func (e *exchange) recordVersion(ticket *balance.Ticket) {
 	if e.options.Rollouts == nil {
 		return
 	}
-	e.release.Picked(&ticket.Upstream)
-	ticket.Watcher = &releaseWatcher{rollouts: e.options.Rollouts, seen: rollout.Observation{
+	e.versions.Picked(&ticket.Upstream)
+	ticket.Watcher = &versionWatcher{rollouts: e.options.Rollouts, seen: rollout.Observation{
 		Service: e.service.Name, Route: e.route.Name, Upstream: ticket.Upstream,
 	}}
 }
 
-// releaseWatcher passes what is seen of one request to the rollouts.
-type releaseWatcher struct {
+// versionWatcher passes what is seen of one request to the rollouts.
+type versionWatcher struct {
 	rollouts *rollout.Rollouts
 	seen     rollout.Observation
 }
 
 // FirstEvent records the time to the first event.
-func (w *releaseWatcher) FirstEvent(after time.Duration) {
+func (w *versionWatcher) FirstEvent(after time.Duration) {
 	seen := w.seen
 	seen.Latency = after
 	w.rollouts.Observe(&seen)
@@ -44,7 +44,7 @@
 
 // Ended records how the request ended. A request that ran and was given up before its first event took
 // at least that long; one that did not run says nothing.
-func (w *releaseWatcher) Ended(outcome balance.Outcome, after time.Duration, started bool) {
+func (w *versionWatcher) Ended(outcome balance.Outcome, after time.Duration, started bool) {
 	seen := w.seen
 	seen.Ended = outcome == balance.Answered || outcome == balance.Failed
 	seen.Failed = outcome == balance.Failed
--- a/internal/gateway/httpconn/pool.go
+++ b/internal/gateway/httpconn/pool.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -63,8 +62,7 @@
 	if err != nil {
 		return nil, &Error{Stage: StageDial, Cause: err}
 	}
-	if err := r.prepare(); err != nil {
-		p.releaseUnused(c)
+	if err := p.prepare(c, r); err != nil {
 		return nil, &Error{Stage: StagePrepare, Cause: err}
 	}
 	if r.ResetOnClose {
@@ -74,7 +72,7 @@
 		}
 	}
 	c.requests++
-	out := &Response{pool: p, conn: c, bodyWritten: make(chan error, 1)}
+	out := &Response{pool: p, conn: c}
 	out.stopContext = context.AfterFunc(ctx, c.close)
 	if err := out.write(r); err != nil {
 		out.Abort()
@@ -87,6 +85,22 @@
 	return out, nil
 }
 
+// prepare prepares a request to be sent over c. If it must not be sent, c returns to the pool.
+func (p *Pool) prepare(c *conn, r *Request) error {
+	panicked := true
+	defer func() {
+		if panicked {
+			c.close()
+		}
+	}()
+	err := r.prepare()
+	panicked = false
+	if err != nil {
+		p.releaseUnused(c)
+	}
+	return err
+}
+
 // contextCauseOr returns ctx's cause if ctx has ended, since err is then a consequence of
 // closing the connection; else err.
 func contextCauseOr(ctx context.Context, err error) error {
@@ -208,8 +222,3 @@
 		p.idle[address] = kept
 	}
 }
-
-// isInformational reports whether a response is an interim (1xx) one.
-func isInformational(r *http.Response) bool {
-	return r.StatusCode >= 100 && r.StatusCode < 200
-}
--- a/internal/gateway/server/gateway.go
+++ b/internal/gateway/server/gateway.go
@@ -17,8 +17,10 @@
 	"mangoledge.example/mangoledge/internal/gateway/exchange"
 	"mangoledge.example/mangoledge/internal/gateway/httpconn"
 	"mangoledge.example/mangoledge/internal/gateway/peers"
+	"mangoledge.example/mangoledge/internal/gateway/profile"
 	"mangoledge.example/mangoledge/internal/gateway/quota"
 	"mangoledge.example/mangoledge/internal/gateway/rollout"
+	"mangoledge.example/mangoledge/internal/gateway/routeplan"
 	"mangoledge.example/mangoledge/internal/gateway/scaling"
 	"mangoledge.example/mangoledge/internal/gateway/site"
 	"mangoledge.example/mangoledge/internal/gateway/usage"
@@ -69,6 +71,8 @@
 	// loadsSummedAt is when the outstanding load of the other nodes was last summed. Only
 	// handleMessage uses it.
 	loadsSummedAt time.Time
+	// timings tells which of the other nodes' timings are new. Only handleMessage uses it.
+	timings profile.Inbox
 
 	// restored is true once the checkpoint of earlier processes was read, or is known not to exist
 	// or not to be decodable.
@@ -142,6 +146,11 @@
 	g.RegisterGauge("gateway.rollouts_bad", func() int64 { _, bad := g.rollouts.CountActive(); return bad })
 	g.RegisterGauge("gateway.upstreams_leaving", func() int64 { return int64(g.balancer.CountUnavailable(balance.Leaving)) })
 	g.RegisterGauge("gateway.upstreams_quiet", func() int64 { return int64(g.balancer.CountUnavailable(balance.Quiet)) })
+	for _, d := range []routeplan.Decision{routeplan.LeastCost, routeplan.CachedPrompt, routeplan.Shares} {
+		name := projectmetrics.Name("gateway.upstreams_chosen", projectmetrics.Label{Name: "decision", Value: string(d)})
+		g.RegisterGauge(name, func() int64 { return g.balancer.Decisions(d) })
+	}
+	g.RegisterGauge("gateway.load_figures_age_ms", func() int64 { return g.balancer.FiguresAge().Milliseconds() })
 	g.RegisterGauge("gateway.nodes_sharing_repeats", func() int64 { return int64(g.sharingNodes()) })
 	g.RegisterGauge("gateway.nodes_alive", func() int64 { return int64(len(g.peerTable.Alive())) })
 	return g, g.initPeering()
