rollout: a message tells of four orders at most

Cause: each order adds up to 2 KB to a node's messages, which must fit into a datagram however many services are moved at once. Change: the orders that are to end first are told of. Ruled out: taking turns, as a message replaces what the one before told.

Result: go test -race -p 2 -count=1 ./internal/gateway/rollout passes; 100 full orders take less than 10 KB.

--- a/internal/gateway/rollout/gossip.go
+++ b/internal/gateway/rollout/gossip.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -18,7 +19,11 @@
 	Leads bool
 }
 
-// Reports returns what this node tells the others of the orders being carried out.
+// maxReports bounds the orders that a message tells of, which must fit into a datagram beside the rest.
+const maxReports = 4
+
+// Reports returns what this node tells the others of the orders being carried out: of those that are to
+// end first, if there are more than maxReports.
 func (r *Rollouts) Reports() []Report {
 	if r == nil {
 		return nil
@@ -27,11 +32,7 @@
 	defer r.mu.Unlock()
 	var out []Report
 	now := r.options.Now()
-	for _, service := range slices.Sorted(maps.Keys(r.trials)) {
-		t := r.trials[service]
-		if !t.active() {
-			continue
-		}
+	for _, t := range r.mostUrgent(maxReports) {
 		out = append(out, Report{
 			Key: keyOf(&t.order), AgeMs: now.Sub(t.since).Milliseconds(),
 			Bad: t.bad != "", Moving: !t.leadsMove.IsZero(), Groups: t.own.clone().groups(),
@@ -40,6 +41,15 @@
 	return out
 }
 
+// mostUrgent returns the n orders being carried out that are to end first. r.mu must be held.
+func (r *Rollouts) mostUrgent(n int) []*trial {
+	active := slices.DeleteFunc(slices.Collect(maps.Values(r.trials)), func(t *trial) bool { return !t.active() })
+	slices.SortFunc(active, func(a, b *trial) int {
+		return cmp.Or(a.since.Add(a.order.Duration).Compare(b.since.Add(b.order.Duration)), cmp.Compare(a.order.Service, b.order.Service))
+	})
+	return active[:min(n, len(active))]
+}
+
 // Evaluate sums the reports of the nodes and judges the versions of the orders being carried out.
 // nodes is the number of nodes that share the slack, or 0 while it is unknown; upstreams holds those
 // that may take requests by service.
--- a/internal/gateway/rollout/rollout_test.go
+++ b/internal/gateway/rollout/rollout_test.go
@@ -1,12 +1,15 @@
 package rollout
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"mangoledge.example/mangoledge/internal/gateway/site"
+	"mangoledge.example/mangoledge/internal/platform/objects"
 )
 
 // badAnswers turns a third of the new version's answers bad where the condition holds.
@@ -243,3 +246,22 @@
 	require.Equal(t, s.list, s.newNode().Choose("s", "r").Candidates(s.list, false))
 	require.True(t, none.Allows(&s.list[1]))
 }
+
+func TestReportsOfManyOrdersFitIntoADatagram(t *testing.T) {
+	s := newSimulation(t, nil)
+	n := s.newNode()
+	for i := range 100 {
+		order := Order{Service: fmt.Sprint("s", i), Target: "v2", Duration: time.Minute}
+		n.put(order, objects.Object{Metadata: objects.Metadata{Name: order.Service, ResourceVersion: objects.VersionOf(1, uint64(i+1))}})
+		for group := range routeGroups {
+			full := Counts{Answers: 1e6, Failures: 1e6, Latencies: make([]uint32, latencyBuckets)}
+			for bucket := range full.Latencies {
+				full.Latencies[bucket] = 1e6
+			}
+			n.trials[order.Service].own[group] = Pair{Old: full, New: full}
+		}
+	}
+	data, err := msgpack.Marshal(n.Reports())
+	require.NoError(t, err)
+	require.Less(t, len(data), 10<<10)
+}
