--- a/internal/gateway/exchange/deps.go
+++ b/internal/gateway/exchange/deps.go
@@ -8,6 +8,7 @@
 	"mangoledge.example/mangoledge/internal/gateway/balance"
 	"mangoledge.example/mangoledge/internal/gateway/catalog"
 	"mangoledge.example/mangoledge/internal/gateway/httpconn"
+	"mangoledge.example/mangoledge/internal/gateway/ingress"
 	"mangoledge.example/mangoledge/internal/gateway/quota"
 	"mangoledge.example/mangoledge/internal/gateway/rollout"
 	"mangoledge.example/mangoledge/internal/gateway/site"
@@ -124,8 +125,10 @@
 	// Rollouts is nil where versions are not ordered.
 	Rollouts *rollout.Rollouts
 	Pool     *httpconn.Pool
-	Metrics  *Metrics
-	Logger   *slog.Logger
+	// Ingress is the memory for request bodies.
+	Ingress *ingress.Account
+	Metrics *Metrics
+	Logger  *slog.Logger
 	// Shutdown returns the planned end of the process, or nil while it is not shutting down.
 	Shutdown func() *Shutdown
 	// Durations tells how long a route's responses take.
--- a/internal/gateway/exchange/release_test.go
+++ b/internal/gateway/exchange/release_test.go
@@ -21,6 +21,7 @@
 	"mangoledge.example/mangoledge/internal/gateway/clock"
 	"mangoledge.example/mangoledge/internal/gateway/exchange"
 	"mangoledge.example/mangoledge/internal/gateway/httpconn"
+	"mangoledge.example/mangoledge/internal/gateway/ingress"
 	"mangoledge.example/mangoledge/internal/gateway/quota"
 	"mangoledge.example/mangoledge/internal/gateway/site"
 	"mangoledge.example/mangoledge/internal/platform/objects"
@@ -133,6 +134,11 @@
 	w.ResponseRecorder.Flush()
 }
 
+func (w trippingWriter) SetReadDeadline(time.Time) error {
+	w.step()
+	return nil
+}
+
 // rig is a handler with what it holds resources of.
 type rig struct {
 	wire     *tripwire
@@ -140,6 +146,7 @@
 	balancer *balance.Balancer
 	ledger   *quota.Ledger
 	pool     *httpconn.Pool
+	bodies   *ingress.Account
 }
 
 // newRig returns a handler that panics at a call, with the replica as its only upstream.
@@ -166,12 +173,13 @@
 		balancer: balance.New("a", time.Now, rand.Float64),
 		ledger:   quota.New(clock.Boot, func(int) time.Duration { return time.Second }, 8*time.Second),
 		pool:     httpconn.NewPool(),
+		bodies:   ingress.NewAccount(1<<20, time.Now),
 	}
 	r.ledger.StartWithoutCheckpoint()
 	deps := trippingDeps{tripwire: r.wire}
 	r.handler = exchange.NewHandler(exchange.Options{
 		Wire: deps, Configuration: config, Upstreams: upstreams, Balancer: r.balancer, Quota: r.ledger, Usage: deps,
-		Budgets: deps, Poison: deps, Demand: deps, Pool: r.pool, Metrics: exchange.NewMetrics(metrics.NewRegistry()),
+		Budgets: deps, Poison: deps, Demand: deps, Pool: r.pool, Ingress: r.bodies, Metrics: exchange.NewMetrics(metrics.NewRegistry()),
 		Logger: slog.New(deps), Shutdown: func() *exchange.Shutdown { return nil }, Durations: exchange.NewDurations(),
 		MaxConfigAge: time.Minute, Random: rand.Float64, WallClock: func() time.Time { r.wire.step(); return time.Now() },
 	})
@@ -239,6 +247,8 @@
 					require.Zero(t, load.Requests, "call %d leaves a slot at %d taken", call, upstream)
 					require.Zero(t, load.PrefillTokens, "call %d leaves tokens at %d to prefill", call, upstream)
 				}
+				require.Zero(t, r.bodies.Usage().Held, "call %d keeps the memory of a body", call)
+				require.Zero(t, r.bodies.Usage().Receiving, "call %d leaves a body that arrives", call)
 				arrived := len(replica.Arrivals()) > before
 				spent := r.ledger.Spent()["w1"]
 				switch {
--- a/internal/gateway/httpconn/bodywriter.go
+++ b/internal/gateway/httpconn/bodywriter.go
@@ -1,6 +1,7 @@
 package httpconn
 
 import (
+	"io"
 	"net"
 	"time"
 
@@ -23,12 +24,12 @@
 	err error
 }
 
-// startBodyWriter starts writing body to c. Closing c ends it.
-func startBodyWriter(c *net.TCPConn, body []byte) *bodyWriter {
+// startBodyWriter starts writing a body to c. Closing c ends it.
+func startBodyWriter(c *net.TCPConn, writeBody func(io.Writer) error) *bodyWriter {
 	w := &bodyWriter{done: make(chan struct{})}
 	go func() {
 		defer close(w.done)
-		_, w.err = c.Write(body)
+		w.err = writeBody(c)
 	}()
 	return w
 }
--- a/internal/gateway/httpconn/response.go
+++ b/internal/gateway/httpconn/response.go
@@ -42,8 +42,8 @@
 	if _, err := r.conn.tcp.Write(encoded.Bytes()); err != nil {
 		return err
 	}
-	if len(req.Body) > inlineBodyBytes {
-		r.bodyWriter = startBodyWriter(r.conn.tcp, req.Body)
+	if req.bodySize() > inlineBodyBytes {
+		r.bodyWriter = startBodyWriter(r.conn.tcp, req.writeBody)
 	}
 	return nil
 }
