--- a/internal/gateway/exchange/deps.go
+++ b/internal/gateway/exchange/deps.go
@@ -10,6 +10,7 @@
 	"mangoledge.example/mangoledge/internal/gateway/httpconn"
 	"mangoledge.example/mangoledge/internal/gateway/ingress"
 	"mangoledge.example/mangoledge/internal/gateway/quota"
+	"mangoledge.example/mangoledge/internal/gateway/rollout"
 	"mangoledge.example/mangoledge/internal/gateway/site"
 	"mangoledge.example/mangoledge/internal/poison"
 )
@@ -121,7 +122,9 @@
 	Budgets       RetryBudgets
 	Poison        PoisonTracker
 	Demand        DemandRecorder
-	Pool          *httpconn.Pool
+	// Rollouts is nil where versions are not ordered.
+	Rollouts *rollout.Rollouts
+	Pool     *httpconn.Pool
 	// Ingress is the memory for request bodies.
 	Ingress *ingress.Account
 	Metrics *Metrics
--- a/internal/gateway/exchange/handler.go
+++ b/internal/gateway/exchange/handler.go
@@ -10,6 +10,7 @@
 
 	"mangoledge.example/mangoledge/internal/gateway/balance"
 	"mangoledge.example/mangoledge/internal/gateway/ingress"
+	"mangoledge.example/mangoledge/internal/gateway/rollout"
 	"mangoledge.example/mangoledge/internal/gateway/site"
 	"mangoledge.example/mangoledge/internal/poison"
 )
@@ -61,6 +62,8 @@
 	retryGranted atomic.Bool
 	// lastEventID is the ID of the last stream event written to the client.
 	lastEventID string
+	// versions is the choice among the versions of the service's upstreams; nil before the first one.
+	versions *rollout.Choice
 	// usageCounted is true once the request was counted for the usage report.
 	usageCounted bool
 }
--- a/internal/gateway/server/explainroute.go
+++ b/internal/gateway/server/explainroute.go
@@ -53,7 +53,7 @@
 		plan.Reason = "this node is stopping"
 		return plan
 	}
-	upstreams := g.upstreams.View().ByService[plan.Service]
+	upstreams := g.rollouts.Serving(plan.Service, g.upstreams.View().ByService[plan.Service])
 	g.balancer.Explain(plan, request, &balance.PickOptions{Service: config.Services[plan.Service], Candidates: upstreams})
 	return plan
 }
