server: early answers to uploads that the connection's buffers take

The check that the peer has received the whole request had no test that fails without it: bodies of 8 MiB are never written whole. Bodies of 512 KB are written without an error while the replica reads none of them.

--- a/internal/gateway/server/earlyanswer_test.go
+++ b/internal/gateway/server/earlyanswer_test.go
@@ -19,6 +19,10 @@
 // longUploadBytes is the size of a body that does not fit into the buffers of a connection.
 const longUploadBytes = 8 << 20
 
+// bufferedUploadBytes is the size of a body that the buffers of a connection take, though its replica
+// reads none of it.
+const bufferedUploadBytes = 512 << 10
+
 var longUpload = strings.Repeat("u", longUploadBytes)
 
 // earlyAnswer is an answer to a request whose body has not been read, and how its connection ends.
@@ -60,7 +64,7 @@
 	"reset":              resetConn,
 	"closed with unread": func(conn net.Conn) { _ = conn.Close() },
 	"closed after reading on": func(conn net.Conn) {
-		_, _ = io.CopyN(io.Discard, conn, 1<<20)
+		_, _ = io.CopyN(io.Discard, conn, bufferedUploadBytes/2)
 		_ = conn.Close()
 	},
 	"half closed": func(conn net.Conn) {
@@ -87,17 +91,19 @@
 		"resumable stream":      {"/resume/x", oneEvent},
 	} {
 		for end, endConn := range earlyEnds {
-			t.Run(name+" "+end, func(t *testing.T) {
-				next.Store(&earlyAnswer{"200 OK", "\r\n" + c.body, endConn})
-				requests.Store(0)
-				got := s.send(n, request{path: c.path, body: longUpload})
-				require.NotZero(t, requests.Load())
-				require.False(t, got.err == nil && got.status == http.StatusOK, "looks complete: %.200s", got.body)
-				if c.path == "/once/x" && len(c.body) < 90_000 {
-					require.NoError(t, got.err)
-					require.Equal(t, http.StatusBadGateway, got.status)
-				}
-			})
+			for _, size := range []int{bufferedUploadBytes, longUploadBytes} {
+				t.Run(fmt.Sprint(name, " ", end, " ", size), func(t *testing.T) {
+					next.Store(&earlyAnswer{"200 OK", "\r\n" + c.body, endConn})
+					requests.Store(0)
+					got := s.send(n, request{path: c.path, body: longUpload[:size]})
+					require.NotZero(t, requests.Load())
+					require.False(t, got.err == nil && got.status == http.StatusOK, "looks complete: %.200s", got.body)
+					if c.path == "/once/x" && len(c.body) < 90_000 {
+						require.NoError(t, got.err)
+						require.Equal(t, http.StatusBadGateway, got.status)
+					}
+				})
+			}
 		}
 	}
 }
--- a/internal/standin/ending/ending.go
+++ b/internal/standin/ending/ending.go
@@ -70,7 +70,7 @@
 
 // Whole reports whether a peer that reads the response can know it to be complete.
 func (e Ending) Whole() bool {
-	return e.StatusLine == "" && e.Stop == AtItsEnd && !(e.Early && e.Framing == Unframed) && (e.Framing != Unframed || e.Close == InGoodOrder)
+	return e.StatusLine == "" && e.Stop == AtItsEnd && (!e.Early || e.Framing != Unframed) && (e.Framing != Unframed || e.Close == InGoodOrder)
 }
 
 // Broken reports whether a peer must not take the response for complete. One that is neither whole nor
