--- a/internal/faulttest/gatewaycheck_test.go
+++ b/internal/faulttest/gatewaycheck_test.go
@@ -80,7 +80,7 @@
 	}
 	for _, run := range runs {
 		if a.body != "" && run.Body != a.body && !run.Unread {
-			s.t.Errorf("%s ran with a different body: %q", a.id, run.Body)
+			s.t.Errorf("%s ran with a different body: %d bytes, %.100q\n%s", a.id, len(run.Body), run.Body, s.logLinesOf(a.id))
 		}
 		if a.route != "/open/" && run.Header.Get("X-Mangoledge-Tenant") != a.workspace {
 			s.t.Errorf("%s ran for workspace %q", a.id, run.Header.Get("X-Mangoledge-Tenant"))
