scaling: upstreams are ordered by the prefill rate that was learnt

Cause: 39,000 prompt tokens a second, the figure of the first engines, set the number for all. Change: the learnt rate takes its place; the latency ratio is compared at that rate, so that where engines read about 39,000 the number is as before; uneven upstreams count by their mean speed; requests in progress need slots at three quarters of their use, which covers generated tokens. Measured without a network only (plan_test.go). Ruled out: a model of the time of a step by load; nothing that a node sees tells it apart from prefill yet.

--- a/internal/gateway/balance/speeds.go
+++ b/internal/gateway/balance/speeds.go
@@ -143,3 +143,40 @@
 	}
 	return out
 }
+
+// Capacity is what is known of the upstreams of a service taken together.
+type Capacity struct {
+	// PrefillRate is in tokens per second, for a typical upstream; 0 while it is not known.
+	PrefillRate float64
+	// MeanSpeed is the mean speed of the upstreams that take requests, relative to a typical one; 0
+	// if there are none.
+	MeanSpeed float64
+	// OpenRequests is the number of requests in progress at all upstreams.
+	OpenRequests int
+}
+
+// Capacity returns what is known of the upstreams of a service.
+func (b *Balancer) Capacity(service string, upstreams []site.Upstream) Capacity {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	var out Capacity
+	if model := b.speeds.services[service]; model != nil {
+		if rate, ok := model.PrefillRate(); ok {
+			out.PrefillRate = rate
+		}
+	}
+	speed, open := 0.0, 0
+	for _, u := range upstreams {
+		s := b.stateOf(u, now)
+		out.OpenRequests += s.open()
+		if availability, _ := b.availabilityOf(u, now); availability != Leaving {
+			speed += capacity(s)
+			open++
+		}
+	}
+	if open > 0 {
+		out.MeanSpeed = speed / float64(open)
+	}
+	return out
+}
--- a/internal/gateway/balance/speeds_test.go
+++ b/internal/gateway/balance/speeds_test.go
@@ -94,3 +94,16 @@
 	require.Empty(t, b.SpeedChanges())
 	require.Equal(t, 1, b.ServiceSpeeds()["engine"].Slower)
 }
+
+func TestCapacityCountsOnlyUpstreamsThatTakeRequests(t *testing.T) {
+	b, c := newTestBalancer(), upstreams(9)
+	require.Zero(t, b.Capacity("engine", nil).MeanSpeed)
+	b.pick(t, unshared(10), c)
+	b.learn(c, []float64{1, 1, 1, 1, 1, 1, 1, 1, 0.3}, 60)
+	slow := b.Capacity("engine", c)
+	require.Less(t, slow.MeanSpeed, 1.0)
+	require.Equal(t, 1, slow.OpenRequests)
+	require.InEpsilon(t, prefillRate, slow.PrefillRate, 0.35)
+	b.MarkLeaving(c[8])
+	require.InDelta(t, 1, b.Capacity("engine", c).MeanSpeed, 0)
+}
--- a/internal/gateway/scaling/plan.go
+++ b/internal/gateway/scaling/plan.go
@@ -9,14 +9,18 @@
 )
 
 const (
-	// prefillRate is the number of prompt tokens that one of the users' engines reads per second.
-	prefillRate = 39_000
-	// targetUtilization is the fraction of prefillRate at which first events are still on time:
+	// assumedPrefillRate is the number of prompt tokens that an engine is assumed to read per second
+	// until it is measured.
+	assumedPrefillRate = 39_000
+	// targetUtilization is the fraction of the prefill rate at which first events are still on time:
 	// prompts arrive in bursts, and engines generate tokens at the same time.
 	targetUtilization = 0.42
+	// targetOccupancy is the fraction of the slots in use at which requests rarely wait for one.
+	targetOccupancy = 0.75
 	// loadedLatencyRatio is the latency ratio (balance.Balancer.LatencyRatio) of engines at
-	// targetUtilization. Faster engines have a lower one, and fewer of them suffice, but not less
-	// than minSpeedFactor of the number: their speed for generated tokens is not measured.
+	// targetUtilization that read assumedPrefillRate tokens per second. Under less load it is lower, and
+	// fewer upstreams suffice, but not less than minSpeedFactor of the number: their speed for
+	// generated tokens is not measured.
 	loadedLatencyRatio = 1.35
 	minSpeedFactor     = 0.65
 	// reclaimableFactor is the number of reclaimable upstreams as a multiple of the upstreams
@@ -48,6 +52,16 @@
 	// LatencyRatio is the ratio of the measured to the modelled time to the first event; 0 while it
 	// is unknown.
 	LatencyRatio float64
+	// PrefillRate is the number of prompt tokens that a typical upstream reads per second; 0 while
+	// it is unknown.
+	PrefillRate float64
+	// MeanSpeed is the mean speed of the upstreams that take requests, relative to a typical one; 0
+	// if unknown.
+	MeanSpeed float64
+	// OpenRequests is the number of requests in progress at all upstreams, and Slots the number that
+	// one runs concurrently; 0 if unknown.
+	OpenRequests int
+	Slots        int
 	// Measured is false until requests have arrived for long enough to measure the demand.
 	Measured bool
 	// PeakOnDemand is the largest number of on-demand upstreams seen since the start.
@@ -76,17 +90,40 @@
 	return buildOrders(in, onDemand, reclaimable)
 }
 
-// neededUpstreams returns how many upstreams the demand requires at targetUtilization.
+// neededUpstreams returns how many upstreams the demand requires: for prefill at targetUtilization,
+// and for generating tokens at targetOccupancy.
 func neededUpstreams(in Inputs) int {
 	if !in.Measured {
 		return max(int(math.Ceil(unmeasuredFraction*float64(in.PeakOnDemand))), len(in.Domains))
 	}
-	return max(int(math.Ceil(speedFactor(in.LatencyRatio)*in.PrefillDemand/(prefillRate*targetUtilization))), len(in.Domains))
+	prefill := neededForPrefill(in)
+	if in.MeanSpeed > 0 {
+		prefill /= in.MeanSpeed
+	}
+	return max(int(math.Ceil(max(prefill, neededForSlots(in)))), len(in.Domains))
+}
+
+// neededForPrefill returns how many typical upstreams read the prompts.
+func neededForPrefill(in Inputs) float64 {
+	rate := in.PrefillRate
+	if rate <= 0 {
+		rate = assumedPrefillRate
+	}
+	return loadFactor(in.LatencyRatio*rate/assumedPrefillRate) * in.PrefillDemand / (rate * targetUtilization)
+}
+
+// neededForSlots returns how many upstreams have slots for the requests in progress. It does not
+// depend on their speed: slower ones hold a request for longer.
+func neededForSlots(in Inputs) float64 {
+	if in.Slots <= 0 {
+		return 0
+	}
+	return float64(in.OpenRequests) / (float64(in.Slots) * targetOccupancy)
 }
 
-// speedFactor returns the fraction of the upstreams that suffices, as engines are faster than
-// assumed.
-func speedFactor(latencyRatio float64) float64 {
+// loadFactor returns the fraction of the upstreams that suffices, as they are less loaded than at
+// targetUtilization.
+func loadFactor(latencyRatio float64) float64 {
 	if latencyRatio <= 0 {
 		return 1
 	}
--- a/internal/gateway/scaling/plan_test.go
+++ b/internal/gateway/scaling/plan_test.go
@@ -51,6 +51,48 @@
 	require.InDelta(t, minSpeedFactor*float64(unknown), needed(0.1), 1, "the least")
 }
 
+func testInputs() Inputs {
+	return Inputs{Scaling: testScaling, PrefillDemand: 600_000, Measured: true, Domains: []Domain{{Name: "a"}, {Name: "b"}, {Name: "c"}}}
+}
+
+func TestMeasuredSpeedSetsTheNumberOfUpstreams(t *testing.T) {
+	in := testInputs()
+	assumed := neededUpstreams(in)
+	in.PrefillRate = assumedPrefillRate
+	require.Equal(t, assumed, neededUpstreams(in), "engines as assumed")
+	in.PrefillRate = 2 * assumedPrefillRate
+	require.InDelta(t, 0.5*float64(assumed), neededUpstreams(in), 1, "twice as fast")
+	in.PrefillRate = assumedPrefillRate / 2
+	require.InDelta(t, 2*float64(assumed), neededUpstreams(in), 1, "half as fast")
+	in.PrefillRate, in.MeanSpeed = assumedPrefillRate, 1.25
+	require.InDelta(t, 0.8*float64(assumed), neededUpstreams(in), 1, "uneven, and faster in the mean")
+}
+
+// TestTheLatencyOfLoadedEnginesCountsAsBefore guards against another number of upstreams where engines are
+// nearly as fast as assumed, and their load decides.
+func TestTheLatencyOfLoadedEnginesCountsAsBefore(t *testing.T) {
+	for _, ratio := range []float64{1, 1.1, 1.2} {
+		in := testInputs()
+		in.LatencyRatio = ratio
+		before := neededUpstreams(in)
+		for _, rate := range []float64{36_000, 39_000, 42_000} {
+			in.PrefillRate = rate
+			require.InDelta(t, before, neededUpstreams(in), 1)
+		}
+	}
+}
+
+func TestRequestsInProgressNeedSlots(t *testing.T) {
+	in := testInputs()
+	in.PrefillRate, in.Slots = 10*assumedPrefillRate, 24
+	few := neededUpstreams(in)
+	in.OpenRequests = 720
+	require.Greater(t, neededUpstreams(in), few)
+	require.Equal(t, 40, neededUpstreams(in))
+	in.Slots = 0
+	require.Equal(t, few, neededUpstreams(in), "unknown slots")
+}
+
 func TestOnDemandUpstreamsCoverTheLossOfOneDomain(t *testing.T) {
 	in := Inputs{Scaling: testScaling, PrefillDemand: 60_000, Measured: true, Domains: []Domain{
 		{Name: "a", Reclaimable: 3}, {Name: "b", ReclaimableUnavailable: true}, {Name: "c", ReclaimableUnavailable: true},
--- a/internal/gateway/scaling/scaler.go
+++ b/internal/gateway/scaling/scaler.go
@@ -167,5 +167,6 @@
 	}
 	s.Logger.Info("upstreams ordered", "service", key.service, "failure_domain", order.Domain, "reclaimable", order.Reclaimable,
 		"count", count, "before", before, "running", running, "fence", fence, "result", result.String(),
-		"demand", in.PrefillDemand, "latency_ratio", in.LatencyRatio)
+		"demand", in.PrefillDemand, "latency_ratio", in.LatencyRatio,
+		"prefill_rate", in.PrefillRate, "mean_speed", in.MeanSpeed, "open", in.OpenRequests)
 }
--- a/internal/gateway/server/leadertasks.go
+++ b/internal/gateway/server/leadertasks.go
@@ -187,13 +187,24 @@
 		}
 		prefill := g.prefillDemand(service.Name)
 		measured := g.demandMeter.isRateReliable(service.Name, prefill)
-		g.scaler.SendOrders(ctx, service, scaling.Inputs{
+		in := scaling.Inputs{
 			Scaling:       *service.Scaling,
 			Domains:       g.scalingDomains(service),
 			PrefillDemand: prefill,
 			LatencyRatio:  g.latencyRatio(),
 			Measured:      measured,
-		})
+		}
+		g.addSpeeds(&in, service)
+		g.scaler.SendOrders(ctx, service, in)
+	}
+}
+
+// addSpeeds adds what is known of the speed and load of a service's upstreams.
+func (g *Gateway) addSpeeds(in *scaling.Inputs, service site.Service) {
+	capacity := g.balancer.Capacity(service.Name, g.upstreams.View().ByService[service.Name])
+	in.PrefillRate, in.MeanSpeed, in.OpenRequests = capacity.PrefillRate, capacity.MeanSpeed, capacity.OpenRequests
+	if service.Engine != nil {
+		in.Slots = service.Engine.Slots
 	}
 }
 
