profile: speeds are smoothed over seconds, not over a number of timings

Change: what arrived in the last seconds takes its weight from a new timing, so a busy upstream's speed is smoothed over some 4 s; four surprising timings in succession on one side make the estimate anew, so a change is followed as soon as before. A class is left at 0.8 of a step instead of 0.9, as the estimate is steadier, and reached exactly. Measured without a network: TestABusyServiceDoesNotMakeItsUpstreamsChangeClasses, 24 changes before, under 8 now; the other tests pass unchanged.

--- a/internal/gateway/profile/profile_test.go
+++ b/internal/gateway/profile/profile_test.go
@@ -94,6 +94,24 @@
 	}
 }
 
+// TestABusyServiceDoesNotMakeItsUpstreamsChangeClasses guards against classes that follow the chance of the
+// last few of many timings.
+func TestABusyServiceDoesNotMakeItsUpstreamsChangeClasses(t *testing.T) {
+	e := newEngines(1, 1, 1, 1)
+	e.unknownQueue = 60 * time.Millisecond
+	o := newObserver(4)
+	changes := 0
+	for range 25_000 { // 50 s
+		o.learn(e, 1)
+		for i := range o.upstreams {
+			if o.upstreams[i].TakeChange() {
+				changes++
+			}
+		}
+	}
+	require.Less(t, changes, 8)
+}
+
 func TestBaseAndRateOfAnotherEngineAreLearned(t *testing.T) {
 	e := newEngines(manySpeeds(30, 1)...)
 	e.base, e.rate, e.unknownQueue = 53*time.Millisecond, 91_800, 4*time.Millisecond
--- a/internal/gateway/profile/upstream.go
+++ b/internal/gateway/profile/upstream.go
@@ -7,21 +7,29 @@
 
 const (
 	// speedWeight is the smoothing weight of one timing in an upstream's speed.
-	speedWeight = 0.1
+	speedWeight = 0.06
+	// recentHalfLife is how fast timings lose their weight against new ones where many arrive: a
+	// speed is smoothed over some seconds, however many requests an upstream gets.
+	recentHalfLife = 3 * time.Second
 	// maxStep bounds how far one timing may lie from the estimate, as a logarithm: a stuck request
 	// says little.
 	maxStep = 1.2
+	// surprise is how far a timing lies from the estimate, as a logarithm, to count as a sign of
+	// another speed; after changeStreak such timings on one side in succession the estimate is mostly
+	// made anew.
+	surprise     = 0.7
+	changeStreak = 4
 	// evidenceHalfLife is how fast timings lose their weight against the service's mean.
 	evidenceHalfLife = 10 * time.Second
 	// maxEvidence bounds the weight of the timings, and meanEvidence is that of the service's mean.
-	maxEvidence  = 24
+	maxEvidence  = 48
 	meanEvidence = 2
 	// minEvidence is the weight of timings from which an upstream has a class of its own.
 	minEvidence = 6
 	// classRatio is the ratio of speeds of neighbouring classes, and classMargin the distance, in
 	// classes, at which an upstream leaves its class.
 	classRatio  = 1.25
-	classMargin = 0.9
+	classMargin = 0.8
 	// maxClass bounds the classes.
 	maxClass = 6
 )
@@ -32,7 +40,11 @@
 	deviation float64
 	// evidence is the weight of the timings at the time at.
 	evidence float64
-	at       time.Time
+	// recent is the weight of the timings of the last seconds, at the same time.
+	recent float64
+	at     time.Time
+	// streak counts the latest timings in succession that surprised: above 0 if they took longer.
+	streak int
 	// class is the class of speed and speed its speed; 0 while the class is 0.
 	class int
 	speed float64
@@ -42,25 +54,46 @@
 
 // record learns from a timing of a weight of at most 1: the less, the more of its time was queueing.
 func (u *Upstream) record(deviation, weight float64, s *Service, now time.Time) {
-	u.evidence = u.weight(now)
+	u.evidence, u.recent = u.weight(now), u.recent*halving(now.Sub(u.at), recentHalfLife)
 	u.at = now
 	if u.evidence == 0 {
 		u.deviation = s.mean
 	}
+	u.noticeChange(deviation - u.deviation)
 	u.evidence = min(u.evidence+weight, maxEvidence)
-	weight *= max(speedWeight, 1/(u.evidence+meanEvidence))
+	u.recent += weight
+	weight /= max(u.recent, min(1/speedWeight, u.evidence+meanEvidence))
 	u.deviation += weight * clip(deviation-u.deviation, maxStep)
 	u.updateClass(s, now)
 }
 
+// noticeChange lets the estimate follow the next timings sooner if those in succession show another
+// speed.
+func (u *Upstream) noticeChange(residual float64) {
+	switch {
+	case residual > surprise:
+		u.streak = max(u.streak, 0) + 1
+	case residual < -surprise:
+		u.streak = min(u.streak, 0) - 1
+	default:
+		u.streak = 0
+	}
+	if u.streak >= changeStreak || u.streak <= -changeStreak {
+		u.evidence, u.recent, u.streak = min(u.evidence, 1), 0, 0
+	}
+}
+
 // weight returns the weight of the timings now.
 func (u *Upstream) weight(now time.Time) float64 {
 	if u.evidence == 0 {
 		return 0
 	}
-	return u.evidence * math.Exp2(-now.Sub(u.at).Seconds()/evidenceHalfLife.Seconds())
+	return u.evidence * halving(now.Sub(u.at), evidenceHalfLife)
 }
 
+// halving returns what is left after d of what halves in each halfLife.
+func halving(d, halfLife time.Duration) float64 { return math.Exp2(-d.Seconds() / halfLife.Seconds()) }
+
 // logSpeed returns the logarithm of the estimated speed relative to the service's mean, to which it
 // returns as the timings age.
 func (u *Upstream) logSpeed(s *Service, now time.Time) float64 {
