--- a/internal/gateway/balance/balancer.go
+++ b/internal/gateway/balance/balancer.go
@@ -96,7 +96,10 @@
 		return nil, pause
 	}
 	chosen := b.choose(candidates, r, c.Service, now)
-	return b.openTicket(chosen.state, r, c.Service, chosen.preferred, now), 0
+	open := len(chosen.state.openTickets) + chosen.state.peerLoad.Requests
+	t := b.openTicket(chosen.state, r, c.Service, chosen.preferred, now)
+	t.own, t.open = chosen.cost.own, open
+	return t, 0
 }
 
 // candidates returns the upstreams that are available now, with their costs. If there is none, it
--- a/internal/gateway/balance/ticket.go
+++ b/internal/gateway/balance/ticket.go
@@ -37,6 +37,10 @@
 	expected time.Duration
 	// modelled is the same at an upstream without a slowdown.
 	modelled time.Duration
+	// own is the part of expected that the request itself takes, and open the number of requests that
+	// were in progress at the upstream.
+	own  time.Duration
+	open int
 	// started is true once the first event arrived or the ticket ended.
 	started bool
 }
@@ -44,6 +48,12 @@
 // ExpectedLatency returns the estimated time from sending the request to its first event.
 func (t *Ticket) ExpectedLatency() time.Duration { return t.expected }
 
+// ExpectedWait returns the part of ExpectedLatency before the upstream begins with the request.
+func (t *Ticket) ExpectedWait() time.Duration { return max(0, t.expected-t.own) }
+
+// OpenBefore returns the number of requests in progress at the upstream before this one.
+func (t *Ticket) OpenBefore() int { return t.open }
+
 // RecordFirstEvent records that the first event arrived.
 func (t *Ticket) RecordFirstEvent() {
 	b := t.balancer
--- a/internal/gateway/exchange/deps.go
+++ b/internal/gateway/exchange/deps.go
@@ -120,6 +120,7 @@
 	Budgets       RetryBudgets
 	Poison        PoisonTracker
 	Demand        DemandRecorder
+	Shares        Shares
 	Pool          *httpconn.Pool
 	Metrics       *Metrics
 	Logger        *slog.Logger
--- a/internal/gateway/exchange/handler.go
+++ b/internal/gateway/exchange/handler.go
@@ -54,6 +54,8 @@
 	retryGranted atomic.Bool
 	// lastEventID is the ID of the last stream event written to the client.
 	lastEventID string
+	// rank is the rank with which the request is sent; see line.Decision.
+	rank int
 	// usageCounted is true once the request was counted for the usage report.
 	usageCounted bool
 }
--- a/internal/gateway/exchange/run.go
+++ b/internal/gateway/exchange/run.go
@@ -19,7 +19,7 @@
 	// noUpstreamRetryAfter is the Retry-After time when a service has no upstream: new replicas
 	// take some seconds to start, replicas that come back take less.
 	noUpstreamRetryAfter = 700 * time.Millisecond
-	// busyRetryAfter is the Retry-After time when all upstreams are full.
+	// busyRetryAfter is the time after which there may be room when all upstreams are full.
 	busyRetryAfter = 250 * time.Millisecond
 	// maxSends limits the sends of one request, whatever its route allows.
 	maxSends = 3
@@ -73,7 +73,7 @@
 				return
 			}
 			if !e.mayRetry(ctx, retryRejected) {
-				e.refuseOrAbort(client, e.finalRefusal(overloadedRefusal(busyRetryAfter)))
+				e.refuseOrAbort(client, e.finalRefusal(e.busyRefusal(busyRetryAfter)))
 				return
 			}
 		case resultLost:
@@ -144,10 +144,12 @@
 		ticket.End(balance.Abandoned)
 		return nil, e.finalRefusal(tooLateRefusal)
 	}
-	if expected := ticket.ExpectedLatency(); expected > left {
+	decision := e.decide(ticket)
+	if decision.Refuse {
 		ticket.End(balance.Abandoned)
-		return nil, e.finalRefusal(overloadedRefusal(min(expected-left+busyRetryAfter, left)))
+		return nil, e.finalRefusal(e.busyRefusal(decision.RoomIn))
 	}
+	e.rank = decision.Rank
 	return ticket, nil
 }
 
@@ -176,7 +178,7 @@
 		waited += pause
 		if pause == 0 || waited > maxUpstreamWait || waited > time.Until(e.deadline)/4 {
 			e.options.Demand.Arrived(e.service.Name, e.request.PromptTokens, e.request.MaxOutputTokens)
-			return nil, e.finalRefusal(overloadedRefusal(busyRetryAfter))
+			return nil, e.finalRefusal(e.busyRefusal(busyRetryAfter))
 		}
 		wait.For(ctx, pause)
 	}
--- a/internal/gateway/exchange/send.go
+++ b/internal/gateway/exchange/send.go
@@ -126,7 +126,7 @@
 			Upstream:    ticket.Upstream,
 			Workspace:   e.workspaceName(),
 			ResumeAfter: e.lastEventID,
-			Urgency:     e.urgency(),
+			Urgency:     e.rank,
 		}),
 		Body:    e.request.Body,
 		MaxIdle: idle,
--- a/internal/gateway/server/gateway.go
+++ b/internal/gateway/server/gateway.go
@@ -16,6 +16,7 @@
 	"mangoledge.example/mangoledge/internal/gateway/clock"
 	"mangoledge.example/mangoledge/internal/gateway/exchange"
 	"mangoledge.example/mangoledge/internal/gateway/httpconn"
+	"mangoledge.example/mangoledge/internal/gateway/line"
 	"mangoledge.example/mangoledge/internal/gateway/peers"
 	"mangoledge.example/mangoledge/internal/gateway/quota"
 	"mangoledge.example/mangoledge/internal/gateway/scaling"
@@ -45,6 +46,7 @@
 	retryBudgets  *retryBudgets
 	contentGuard  *contentGuard
 	demandMeter   *demandMeter
+	shares        *line.Shares
 	nodeRegistry  *peers.Registry
 	peerTable     *peers.Table
 	exchange      *peers.Messenger
@@ -122,6 +124,7 @@
 	g.retryBudgets = newRetryBudgets(settings.Bounds, g.sharingNodes, g.isFirstStart, clock.Boot, rand.Uint64)
 	g.contentGuard = newContentGuard(time.Now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), g.logger)
 	g.demandMeter = newDemandMeter(time.Now)
+	g.shares = line.NewShares(clock.Boot)
 	g.seeds.Store(&settings.Seeds)
 	g.RegisterGauge("gateway.connections_made", g.pool.Dialed)
 	g.RegisterGauge("gateway.connections_reused", g.pool.Reused)
@@ -193,6 +196,7 @@
 		Budgets:       g.retryBudgets,
 		Poison:        g.contentGuard,
 		Demand:        g.demandMeter,
+		Shares:        g.shares,
 		Pool:          g.pool,
 		Metrics:       exchange.NewMetrics(g.registry),
 		Logger:        g.logger,
--- a/internal/gateway/server/messages.go
+++ b/internal/gateway/server/messages.go
@@ -39,6 +39,7 @@
 		return m
 	}
 	m.Spent = g.quota.Spent()
+	g.shares.Report(m.Node, m.Incarnation, m.Spent)
 	m.Loads = ownLoads(g.balancer)
 	m.Crashed = g.contentGuard.entriesToShare()
 	m.Suspects = g.contentGuard.partsToShare()
@@ -114,6 +115,7 @@
 	g.relayCursor.notify(m, g.configuration.Version())
 	if m.Spent != nil {
 		g.quota.RecordPeer(m.Node, m.Incarnation, g.bootClockStart(m.Incarnation), m.Spent)
+		g.shares.Report(m.Node, m.Incarnation, m.Spent)
 	}
 	g.contentGuard.merge(m.Crashed)
 	g.contentGuard.mergeParts(m.Suspects)
