--- a/internal/gateway/exchange/scarce.go
+++ b/internal/gateway/exchange/scarce.go
@@ -18,14 +18,15 @@
 	room := line.Room{
 		Wait: ticket.ExpectedWait(), Own: ticket.ExpectedLatency() - ticket.ExpectedWait(),
 		Open: ticket.OpenBefore(), Slots: ticket.Upstream.Slots,
+		Target: e.config.ShortestTarget(e.service.Name),
 	}
 	r := e.lineRequest()
-	r.OverShare = room.Short(r.Target) && e.overShare()
+	r.OverShare = room.Short() && e.overShare()
 	decision := line.Decide(&r, &room)
 	if decision.Reason != line.ReasonNone {
 		e.options.Metrics.RoomShort(e, decision)
 		e.log("room is short", "refused", decision.Refuse, "why", string(decision.Reason), "rank", decision.Rank,
-			"wait", room.Wait, "own", room.Own, "open", room.Open, "slots", room.Slots, "target", r.Target,
+			"wait", room.Wait, "own", room.Own, "open", room.Open, "slots", room.Slots, "target", room.Target,
 			"left", r.Left, "over_share", r.OverShare, "room_in", decision.RoomIn, "upstream", ticket.Upstream.ID)
 	}
 	return decision
@@ -33,10 +34,7 @@
 
 // lineRequest returns what the decisions about scarce room take into account.
 func (e *exchange) lineRequest() line.Request {
-	return line.Request{
-		Rank: e.urgency(), Target: e.route.TargetLatency, Age: time.Since(e.request.Received),
-		Left: time.Until(e.deadline), Begun: e.lastEventID != "" || e.mayHaveRun,
-	}
+	return line.Request{Rank: e.urgency(), Left: time.Until(e.deadline), Begun: e.mayHaveRun}
 }
 
 // overShare reports whether the request's workspace has used more than its share.
--- a/internal/gateway/line/decide.go
+++ b/internal/gateway/line/decide.go
@@ -5,9 +5,11 @@
 const (
 	// MaxRank is the last rank; 0 is the most urgent.
 	MaxRank = 9
-	// shortWaitShare is the share of the target latency from which the wait at the upstream of the
-	// lowest cost shows that room is short.
-	shortWaitShare = 0.5
+	// maxWaitShare is the share of the shortest target latency of a service that the wait at its
+	// upstreams may take. The rest is for the request itself.
+	maxWaitShare = 0.75
+	// maxOverShareWaitShare is the same for workspaces that are beyond their share.
+	maxOverShareWaitShare = 0.5
 	// minTakenShare is the share of an upstream's slots from which a request may be refused there: with
 	// fewer taken, a long estimate rather is an error of the estimate.
 	minTakenShare = 0.5
@@ -25,9 +27,9 @@
 	ReasonNone Reason = ""
 	// ReasonDeadline means that the first event can't come before the deadline.
 	ReasonDeadline Reason = "deadline"
-	// ReasonTarget means that the first event can't come within the target latency, and that the request
-	// would hold up others that can be in time.
-	ReasonTarget Reason = "target_latency"
+	// ReasonWait means that the wait leaves too little of the target latency, and that the request would
+	// hold up others.
+	ReasonWait Reason = "wait"
 	// ReasonShare means that the workspace has used more than its share while room is short.
 	ReasonShare Reason = "share"
 )
@@ -36,25 +38,23 @@
 type Request struct {
 	// Rank is the configured priority, from 0 (most urgent) to MaxRank.
 	Rank int
-	// Target is the target latency of the route; 0 if it has none.
-	Target time.Duration
-	// Age is the time since the request was received.
-	Age time.Duration
 	// Left is the time left until the deadline.
 	Left time.Duration
 	// OverShare is true if the workspace has used more than its share of the recent room.
 	OverShare bool
-	// Begun is true once the client has received part of the response.
+	// Begun is true once the request may have run, or the client has received part of the response.
 	Begun bool
 }
 
-// Room is what is known about the upstream of the lowest cost for a request.
+// Room is what is known about the upstream that was chosen for a request.
 type Room struct {
 	// Wait is the estimated time until the upstream begins with the request, and Own the time that the
 	// request itself then takes until its first event.
 	Wait, Own time.Duration
 	// Open is the number of requests in progress there, and Slots the number that run concurrently.
 	Open, Slots int
+	// Target is the shortest target latency of the service's routes; 0 if none has one.
+	Target time.Duration
 }
 
 // Decision is what happens to a request.
@@ -68,9 +68,15 @@
 	RoomIn time.Duration
 }
 
-// Short reports whether room is short for a request with the target latency.
-func (r *Room) Short(target time.Duration) bool {
-	return target > 0 && r.Wait > time.Duration(shortWaitShare*float64(target))
+// Short reports whether room is short: workspaces beyond their share give way.
+func (r *Room) Short() bool { return r.excess(maxOverShareWaitShare) > 0 }
+
+// excess returns by how much the wait exceeds the share of the target latency.
+func (r *Room) excess(share float64) time.Duration {
+	if r.Target <= 0 {
+		return 0
+	}
+	return r.Wait - time.Duration(share*float64(r.Target))
 }
 
 // crowded reports whether enough slots are taken to refuse a request.
@@ -78,31 +84,25 @@
 	return float64(r.Open) >= minTakenShare*float64(r.Slots)
 }
 
-// Decide answers bursts, hot workspaces and lost capacity: while the wait at the best upstream takes
-// much of the target latency, requests that can't be in time are refused at once, so that those behind
-// them can.
+// Decide answers bursts, hot workspaces and lost capacity: it bounds the wait at the upstreams, so that
+// the requests that are sent are in time. The bound is the same for all routes and sizes of requests of
+// a service, so that none takes the room of those that can wait less.
 func Decide(r *Request, room *Room) Decision {
-	expected := room.Wait + room.Own
-	if expected > r.Left {
-		return Decision{Refuse: true, Reason: ReasonDeadline, RoomIn: expected - r.Left}
-	}
-	if r.Begun || !room.Short(r.Target) {
-		return Decision{Rank: r.Rank}
+	if late := room.Wait + room.Own - r.Left; late > 0 {
+		return Decision{Refuse: true, Reason: ReasonDeadline, RoomIn: late}
 	}
-	limit := r.Target
+	share, reason := maxWaitShare, ReasonWait
 	if r.OverShare {
-		limit = time.Duration(shortWaitShare * float64(r.Target))
+		share, reason = maxOverShareWaitShare, ReasonShare
 	}
-	over := r.Age + expected - limit
+	excess := room.excess(share)
 	switch {
-	case over <= 0:
+	case r.Begun || excess <= 0:
 		return Decision{Rank: r.Rank}
-	case room.crowded() && r.OverShare:
-		return Decision{Refuse: true, Reason: ReasonShare, RoomIn: min(over, room.Wait)}
 	case room.crowded():
-		return Decision{Refuse: true, Reason: ReasonTarget, RoomIn: min(over, room.Wait)}
+		return Decision{Refuse: true, Reason: reason, RoomIn: excess}
 	case r.OverShare:
-		return Decision{Rank: min(r.Rank+overShareStep, MaxRank), Reason: ReasonShare}
+		return Decision{Rank: min(r.Rank+overShareStep, MaxRank), Reason: reason}
 	}
 	return Decision{Rank: r.Rank}
 }
