--- a/internal/gateway/balance/balancer.go
+++ b/internal/gateway/balance/balancer.go
@@ -96,9 +96,8 @@
 		return nil, pause
 	}
 	chosen := b.choose(candidates, r, c.Service, now)
-	open := len(chosen.state.openTickets) + chosen.state.peerLoad.Requests
 	t := b.openTicket(chosen.state, r, c.Service, chosen.preferred, now)
-	t.own, t.open = chosen.cost.own, open
+	t.own = chosen.cost.own
 	return t, 0
 }
 
--- a/internal/gateway/balance/ticket.go
+++ b/internal/gateway/balance/ticket.go
@@ -37,10 +37,8 @@
 	expected time.Duration
 	// modelled is the same at an upstream without a slowdown.
 	modelled time.Duration
-	// own is the part of expected that the request itself takes, and open the number of requests that
-	// were in progress at the upstream.
-	own  time.Duration
-	open int
+	// own is the part of expected that the request itself takes.
+	own time.Duration
 	// started is true once the first event arrived or the ticket ended.
 	started bool
 }
@@ -51,22 +49,20 @@
 // ExpectedWait returns the part of ExpectedLatency before the upstream begins with the request.
 func (t *Ticket) ExpectedWait() time.Duration { return max(0, t.expected-t.own) }
 
-// OpenBefore returns the number of requests in progress at the upstream before this one.
-func (t *Ticket) OpenBefore() int { return t.open }
-
-// RecordFirstEvent records that the first event arrived.
-func (t *Ticket) RecordFirstEvent() {
+// RecordFirstEvent records that the first event arrived, and reports whether that was not known before.
+func (t *Ticket) RecordFirstEvent() bool {
 	b := t.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if t.started {
-		return
+		return false
 	}
 	t.started = true
 	t.state.pendingPrefill -= t.UncachedTokens
 	now := b.now()
 	t.state.recordLatency(now.Sub(t.sentAt), t.expected)
 	b.latencyRatio.add(t.UncachedTokens, now.Sub(t.sentAt), t.modelled)
+	return true
 }
 
 // End records the outcome of the request and closes the ticket. Further calls do nothing.
--- a/internal/gateway/exchange/deps.go
+++ b/internal/gateway/exchange/deps.go
@@ -8,6 +8,7 @@
 	"mangoledge.example/mangoledge/internal/gateway/balance"
 	"mangoledge.example/mangoledge/internal/gateway/catalog"
 	"mangoledge.example/mangoledge/internal/gateway/httpconn"
+	"mangoledge.example/mangoledge/internal/gateway/line"
 	"mangoledge.example/mangoledge/internal/gateway/quota"
 	"mangoledge.example/mangoledge/internal/gateway/site"
 	"mangoledge.example/mangoledge/internal/poison"
@@ -121,6 +122,7 @@
 	Poison        PoisonTracker
 	Demand        DemandRecorder
 	Shares        Shares
+	Lateness      *line.Lateness
 	Pool          *httpconn.Pool
 	Metrics       *Metrics
 	Logger        *slog.Logger
--- a/internal/gateway/exchange/plain.go
+++ b/internal/gateway/exchange/plain.go
@@ -24,7 +24,7 @@
 		response.Finish()
 	}
 	a.countUsage(a.sentAt)
-	a.ticket.RecordFirstEvent()
+	a.recordFirstEvent()
 	if response.Status >= http.StatusInternalServerError || a.options.Wire.MeansNotRun(response.Status) {
 		return a.handleUpstreamFailure(ctx, response, body)
 	}
--- a/internal/gateway/exchange/scarce.go
+++ b/internal/gateway/exchange/scarce.go
@@ -17,7 +17,7 @@
 func (e *exchange) decide(ticket *balance.Ticket) line.Decision {
 	room := line.Room{
 		Wait: ticket.ExpectedWait(), Own: ticket.ExpectedLatency() - ticket.ExpectedWait(),
-		Open: ticket.OpenBefore(), Slots: ticket.Upstream.Slots,
+		Late:   e.options.Lateness.Share(e.service.Name),
 		Target: e.config.ShortestTarget(e.service.Name),
 	}
 	r := e.lineRequest()
@@ -26,7 +26,7 @@
 	if decision.Reason != line.ReasonNone {
 		e.options.Metrics.RoomShort(e, decision)
 		e.log("room is short", "refused", decision.Refuse, "why", string(decision.Reason), "rank", decision.Rank,
-			"wait", room.Wait, "own", room.Own, "open", room.Open, "slots", room.Slots, "target", room.Target,
+			"wait", room.Wait, "own", room.Own, "late", room.Late, "target", room.Target,
 			"left", r.Left, "over_share", r.OverShare, "room_in", decision.RoomIn, "upstream", ticket.Upstream.ID)
 	}
 	return decision
@@ -37,6 +37,14 @@
 	return line.Request{Rank: e.urgency(), Left: time.Until(e.deadline), Begun: e.mayHaveRun}
 }
 
+// recordFirstEvent records that the response has begun.
+func (a *attempt) recordFirstEvent() {
+	if a.ticket.RecordFirstEvent() {
+		target := a.config.ShortestTarget(a.service.Name)
+		a.options.Lateness.Record(a.service.Name, target > 0 && time.Since(a.startedAt) > target)
+	}
+}
+
 // overShare reports whether the request's workspace has used more than its share.
 func (e *exchange) overShare() bool {
 	if e.workspace == nil {
--- a/internal/gateway/line/decide.go
+++ b/internal/gateway/line/decide.go
@@ -10,9 +10,9 @@
 	maxWaitShare = 0.75
 	// maxOverShareWaitShare is the same for workspaces that are beyond their share.
 	maxOverShareWaitShare = 0.5
-	// minTakenShare is the share of an upstream's slots from which a request may be refused there: with
-	// fewer taken, a long estimate rather is an error of the estimate.
-	minTakenShare = 0.5
+	// minLateShare is the share of late responses from which requests are refused for the wait: with
+	// fewer, a long estimate rather is an error of the estimate.
+	minLateShare = 0.25
 	// overShareStep is by how many ranks a request of a workspace beyond its share is ranked behind
 	// others.
 	overShareStep = 3
@@ -51,8 +51,8 @@
 	// Wait is the estimated time until the upstream begins with the request, and Own the time that the
 	// request itself then takes until its first event.
 	Wait, Own time.Duration
-	// Open is the number of requests in progress there, and Slots the number that run concurrently.
-	Open, Slots int
+	// Late is the share of the service's latest responses that began later than the target latency.
+	Late float64
 	// Target is the shortest target latency of the service's routes; 0 if none has one.
 	Target time.Duration
 }
@@ -79,11 +79,6 @@
 	return r.Wait - time.Duration(share*float64(r.Target))
 }
 
-// crowded reports whether enough slots are taken to refuse a request.
-func (r *Room) crowded() bool {
-	return float64(r.Open) >= minTakenShare*float64(r.Slots)
-}
-
 // Decide answers bursts, hot workspaces and lost capacity: it bounds the wait at the upstreams, so that
 // the requests that are sent are in time. The bound is the same for all routes and sizes of requests of
 // a service, so that none takes the room of those that can wait less.
@@ -99,7 +94,7 @@
 	switch {
 	case r.Begun || excess <= 0:
 		return Decision{Rank: r.Rank}
-	case room.crowded():
+	case room.Late >= minLateShare:
 		return Decision{Refuse: true, Reason: reason, RoomIn: excess}
 	case r.OverShare:
 		return Decision{Rank: min(r.Rank+overShareStep, MaxRank), Reason: reason}
--- a/internal/gateway/line/load_test.go
+++ b/internal/gateway/line/load_test.go
@@ -29,7 +29,7 @@
 		route := i % len(l.own)
 		backlog = max(0, backlog-l.interval)
 		r := Request{Left: 6 * time.Second, OverShare: route == l.hot}
-		d := decide(&r, &Room{Wait: backlog, Own: l.own[route], Open: 32, Slots: 32, Target: shortest})
+		d := decide(&r, &Room{Wait: backlog, Own: l.own[route], Late: 0.5, Target: shortest})
 		part := float64(len(l.own)) / float64(count)
 		switch {
 		case d.Refuse:
@@ -92,7 +92,7 @@
 		}
 		backlog = max(0, backlog-50*time.Millisecond)
 		r := Request{Left: 6 * time.Second}
-		if Decide(&r, &Room{Wait: backlog, Own: own, Open: 32, Slots: 32, Target: target}).Refuse {
+		if Decide(&r, &Room{Wait: backlog, Own: own, Late: 0.5, Target: target}).Refuse {
 			require.Less(t, i, 252, "requests are refused although the capacity is back")
 			continue
 		}
--- a/internal/gateway/server/gateway.go
+++ b/internal/gateway/server/gateway.go
@@ -197,6 +197,7 @@
 		Poison:        g.contentGuard,
 		Demand:        g.demandMeter,
 		Shares:        g.shares,
+		Lateness:      line.NewLateness(time.Now),
 		Pool:          g.pool,
 		Metrics:       exchange.NewMetrics(g.registry),
 		Logger:        g.logger,
