--- a/internal/gateway/server/messages.go
+++ b/internal/gateway/server/messages.go
@@ -41,6 +41,7 @@
 	m.Spent = g.quota.Spent()
 	g.shares.Report(m.Node, m.Incarnation, m.Spent)
 	m.Loads = ownLoads(g.balancer)
+	m.Timings, m.TimingCount = g.balancer.LatestTimings()
 	m.Crashed = g.contentGuard.entriesToShare()
 	m.Suspects = g.contentGuard.partsToShare()
 	m.Demand = g.demandMeter.rates()
@@ -117,6 +118,7 @@
 		g.quota.RecordPeer(m.Node, m.Incarnation, g.bootClockStart(m.Incarnation), m.Spent)
 		g.shares.Report(m.Node, m.Incarnation, m.Spent)
 	}
+	g.balancer.RecordTimings(g.timings.New(m.Node, m.Incarnation, m.Timings, m.TimingCount))
 	g.contentGuard.merge(m.Crashed)
 	g.contentGuard.mergeParts(m.Suspects)
 	if now := time.Now(); now.Sub(g.loadsSummedAt) >= loadSumInterval(g.nodeRegistry.Count()) {
