--- a/internal/gateway/balance/balancer.go
+++ b/internal/gateway/balance/balancer.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"mangoledge.example/mangoledge/internal/gateway/profile"
+	"mangoledge.example/mangoledge/internal/gateway/routeplan"
 	"mangoledge.example/mangoledge/internal/gateway/site"
 	"mangoledge.example/mangoledge/internal/rendezvous"
 )
@@ -72,13 +73,15 @@
 	failures failures
 	// random returns a number in [0, 1).
 	random func() float64
+	// decisions counts how upstreams were chosen.
+	decisions map[routeplan.Decision]int64
 }
 
 // New returns the balancer of a node in the failure domain. random returns a number in [0, 1).
 func New(domain string, now func() time.Time, random func() float64) *Balancer {
 	return &Balancer{
 		domain: domain, now: now, random: random, states: make(map[string]*upstreamState),
-		announcements: make(map[string]*announcement), traffic: make(map[string]*traffic),
+		announcements: make(map[string]*announcement), traffic: make(map[string]*traffic), decisions: make(map[routeplan.Decision]int64),
 		speeds: newSpeeds(), failures: make(failures),
 	}
 }
@@ -103,7 +106,6 @@
 	}
 	chosen := b.choose(candidates, r, c.Service, now)
 	ticket := b.openTicket(chosen.state, r, c.Service, chosen.preferred, now)
-	ticket.own = chosen.cost.own
 	ticket.failedBefore = b.failedStates(r.AttemptID, c.Tried)
 	return ticket, 0
 }
--- a/internal/gateway/balance/explain.go
+++ b/internal/gateway/balance/explain.go
@@ -24,18 +24,12 @@
 		return
 	}
 	chosen := b.selectionAmong(candidates, r, c.Service, now)
+	plan.Decision = chosen.decision()
 	probabilities := make([]float64, len(candidates))
-	switch {
-	case chosen.only < 0:
-		plan.Decision = routeplan.Shares
-		probabilities = spread.Shares(chosen.list, chosen.level)
-	case chosen.list == nil:
-		plan.Decision = routeplan.LeastCost
-	default:
-		plan.Decision = routeplan.CachedPrompt
-	}
 	if chosen.only >= 0 {
 		probabilities[chosen.only] = 1
+	} else {
+		probabilities = spread.Shares(chosen.list, chosen.level)
 	}
 	plan.UnseenRequests, plan.LevelMs = chosen.unseen, inMilliseconds(chosen.level)
 	for i, one := range candidates {
--- a/internal/gateway/balance/selection.go
+++ b/internal/gateway/balance/selection.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mangoledge.example/mangoledge/internal/gateway/profile"
+	"mangoledge.example/mangoledge/internal/gateway/routeplan"
 	"mangoledge.example/mangoledge/internal/gateway/site"
 	"mangoledge.example/mangoledge/internal/gateway/spread"
 )
@@ -71,15 +72,41 @@
 	return out
 }
 
+// decision returns how the upstream is chosen.
+func (s *selection) decision() routeplan.Decision {
+	switch {
+	case s.only < 0:
+		return routeplan.Shares
+	case s.list == nil:
+		return routeplan.LeastCost
+	}
+	return routeplan.CachedPrompt
+}
+
 // choose returns the candidate for a request.
 func (b *Balancer) choose(candidates []candidate, r *site.Request, service site.Service, now time.Time) candidate {
 	s := b.selectionAmong(candidates, r, service, now)
+	b.decisions[s.decision()]++
 	if s.only >= 0 {
 		return candidates[s.only]
 	}
 	return candidates[spread.Choose(s.list, s.level, b.random)]
 }
 
+// Decisions returns how many upstreams were chosen in the given way.
+func (b *Balancer) Decisions(d routeplan.Decision) int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.decisions[d]
+}
+
+// FiguresAge returns how old the known load of the other nodes is on average; 0 if none is known.
+func (b *Balancer) FiguresAge() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.figuresAge(b.now())
+}
+
 // cheapest returns the index of the candidate with the lowest cost.
 func cheapest(candidates []candidate) int {
 	best := 0
--- a/internal/gateway/balance/ticket.go
+++ b/internal/gateway/balance/ticket.go
@@ -36,8 +36,6 @@
 	sentAt   time.Time
 	// expected is the latency estimated when the ticket was opened.
 	expected time.Duration
-	// own is the part of expected that the request itself takes.
-	own time.Duration
 	// service is the model of the service, and work what the request found at the upstream.
 	service *profile.Service
 	work    profile.Work
@@ -51,16 +49,13 @@
 // ExpectedLatency returns the estimated time from sending the request to its first event.
 func (t *Ticket) ExpectedLatency() time.Duration { return t.expected }
 
-// ExpectedWait returns the part of ExpectedLatency before the upstream begins with the request.
-func (t *Ticket) ExpectedWait() time.Duration { return max(0, t.expected-t.own) }
-
-// RecordFirstEvent records that the first event arrived, and reports whether that was not known before.
-func (t *Ticket) RecordFirstEvent() bool {
+// RecordFirstEvent records that the first event arrived.
+func (t *Ticket) RecordFirstEvent() {
 	b := t.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if t.started {
-		return false
+		return
 	}
 	t.started = true
 	t.state.pendingPrefill -= t.UncachedTokens
@@ -69,7 +64,6 @@
 	t.state.recordLatency(took, t.expected)
 	b.latencyRatio.add(t.UncachedTokens, took, assumedLatency(t.work))
 	b.speeds.recordOwn(t, took, now)
-	return true
 }
 
 // End records the outcome of the request and closes the ticket. Further calls do nothing.
--- a/internal/gateway/exchange/deps.go
+++ b/internal/gateway/exchange/deps.go
@@ -8,7 +8,6 @@
 	"mangoledge.example/mangoledge/internal/gateway/balance"
 	"mangoledge.example/mangoledge/internal/gateway/catalog"
 	"mangoledge.example/mangoledge/internal/gateway/httpconn"
-	"mangoledge.example/mangoledge/internal/gateway/line"
 	"mangoledge.example/mangoledge/internal/gateway/quota"
 	"mangoledge.example/mangoledge/internal/gateway/site"
 	"mangoledge.example/mangoledge/internal/poison"
@@ -121,8 +120,6 @@
 	Budgets       RetryBudgets
 	Poison        PoisonTracker
 	Demand        DemandRecorder
-	Shares        Shares
-	Lateness      *line.Lateness
 	Pool          *httpconn.Pool
 	Metrics       *Metrics
 	Logger        *slog.Logger
--- a/internal/gateway/exchange/handler.go
+++ b/internal/gateway/exchange/handler.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"mangoledge.example/mangoledge/internal/gateway/balance"
 	"mangoledge.example/mangoledge/internal/gateway/site"
 	"mangoledge.example/mangoledge/internal/poison"
 )
@@ -47,6 +48,10 @@
 	chargedQuota float64
 	// mayHaveRun is true once an upstream may have started to run the request.
 	mayHaveRun bool
+	// undecided is true while the request is being sent and nothing tells yet whether it may have run.
+	undecided bool
+	// ticket is the last slot that was reserved at an upstream.
+	ticket *balance.Ticket
 	// sends is the number of times that the request was written to an upstream.
 	sends          int
 	triedUpstreams map[string]bool
@@ -54,8 +59,6 @@
 	retryGranted atomic.Bool
 	// lastEventID is the ID of the last stream event written to the client.
 	lastEventID string
-	// rank is the rank with which the request is sent; see line.Decision.
-	rank int
 	// usageCounted is true once the request was counted for the usage report.
 	usageCounted bool
 }
@@ -68,6 +71,7 @@
 		request:        h.options.Wire.DecodeRequest(r, received),
 		triedUpstreams: make(map[string]bool),
 	}
+	defer e.release()
 	if h.options.Shutdown() != nil {
 		w.Header().Set("Connection", "close")
 	}
@@ -80,6 +84,16 @@
 	e.run(ctx, newClientWriter(w, r))
 }
 
+// release frees what the request still holds, however its handler ended.
+func (e *exchange) release() {
+	if e.ticket != nil {
+		e.ticket.End(balance.Abandoned)
+	}
+	if !e.undecided {
+		e.refund()
+	}
+}
+
 // refuse responds with a refusal and refunds the quota.
 func (e *exchange) refuse(w http.ResponseWriter, refused *refusal) {
 	e.refund()
--- a/internal/gateway/exchange/metrics.go
+++ b/internal/gateway/exchange/metrics.go
@@ -8,7 +8,6 @@
 
 	"mangoledge.example/mangoledge/internal/gateway/balance"
 	"mangoledge.example/mangoledge/internal/gateway/httpconn"
-	"mangoledge.example/mangoledge/internal/gateway/line"
 	projectmetrics "mangoledge.example/mangoledge/internal/metrics"
 )
 
@@ -59,13 +58,6 @@
 		projectmetrics.Label{Name: "allowed", Value: strconv.FormatBool(allowed)})
 }
 
-// RoomShort counts a request that is refused, or ranked behind others, while room is short.
-func (m *Metrics) RoomShort(e *exchange, d line.Decision) {
-	m.count("gateway.room_short", append(e.labels(),
-		projectmetrics.Label{Name: "why", Value: string(d.Reason)},
-		projectmetrics.Label{Name: "refused", Value: strconv.FormatBool(d.Refuse)})...)
-}
-
 // UpstreamClosed counts an upstream that this node stops using because it is leaving or asked
 // for no requests for a time.
 func (m *Metrics) UpstreamClosed(e *exchange, why balance.Availability) {
--- a/internal/gateway/exchange/plain.go
+++ b/internal/gateway/exchange/plain.go
@@ -27,7 +27,7 @@
 	if response.Status >= http.StatusInternalServerError || a.options.Wire.MeansNotRun(response.Status) {
 		return a.handleUpstreamFailure(ctx, response, body)
 	}
-	a.recordFirstEvent() // the time of a failure is no measure of the upstream's speed
+	a.ticket.RecordFirstEvent() // the time of a failure is no measure of the upstream's speed
 	return a.forwardResponse(ctx, response, body, balance.Answered)
 }
 
--- a/internal/gateway/exchange/refusal.go
+++ b/internal/gateway/exchange/refusal.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"mangoledge.example/mangoledge/internal/gateway/line"
 )
 
 // refusal is a response that the gateway itself gives in place of an upstream's.
@@ -43,6 +45,13 @@
 	return &refusal{status: http.StatusServiceUnavailable, reason: "overloaded", retryAfter: after}
 }
 
+// busyRefusal refuses the request for lack of room. roomIn is when there will be room; the returns of
+// clients are spread from then on.
+func (e *exchange) busyRefusal(roomIn time.Duration) *refusal {
+	r := line.Request{Rank: e.urgency(), Left: time.Until(e.deadline)}
+	return overloadedRefusal(line.ReturnAfter(&r, roomIn, e.options.Random()))
+}
+
 func upstreamsUnavailableRefusal(after time.Duration) *refusal {
 	return &refusal{status: http.StatusServiceUnavailable, reason: "upstreams_want_quiet", retryAfter: after}
 }
--- a/internal/gateway/exchange/run.go
+++ b/internal/gateway/exchange/run.go
@@ -144,12 +144,10 @@
 		ticket.End(balance.Abandoned)
 		return nil, e.finalRefusal(tooLateRefusal)
 	}
-	decision := e.decide(ticket)
-	if decision.Refuse {
+	if expected := ticket.ExpectedLatency(); expected > left {
 		ticket.End(balance.Abandoned)
-		return nil, e.finalRefusal(e.busyRefusal(decision.RoomIn))
+		return nil, e.finalRefusal(e.busyRefusal(expected - left))
 	}
-	e.rank = decision.Rank
 	return ticket, nil
 }
 
--- a/internal/gateway/exchange/send.go
+++ b/internal/gateway/exchange/send.go
@@ -81,6 +81,14 @@
 		a.stallTimer = time.AfterFunc(a.stallTimeout(), func() { a.onStall(tried, cancel) })
 		defer a.stallTimer.Stop()
 	}
+	result := a.exchangeOnce(ctx)
+	e.undecided = false
+	return result
+}
+
+// exchangeOnce writes the request to the upstream, once, and handles the response.
+func (a *attempt) exchangeOnce(ctx context.Context) sendResult {
+	e, ticket := a.exchange, a.ticket
 	response, err := e.options.Pool.Do(ctx, ticket.Upstream.Address.String(), e.upstreamRequest(ticket))
 	if err != nil {
 		return a.handleSendError(ctx, err)
@@ -125,13 +133,15 @@
 			Upstream:    ticket.Upstream,
 			Workspace:   e.workspaceName(),
 			ResumeAfter: e.lastEventID,
-			Urgency:     e.rank,
+			Urgency:     e.urgency(),
 		}),
 		Body:    e.request.Body,
 		MaxIdle: idle,
 		Prepare: func(h http.Header) error {
 			e.options.Wire.SetTimeLeft(h, time.Until(e.deadline))
-			return e.checkSendable(ticket.Upstream)
+			err := e.checkSendable(ticket.Upstream)
+			e.undecided = err == nil
+			return err
 		},
 	}
 }
--- a/internal/gateway/exchange/stream.go
+++ b/internal/gateway/exchange/stream.go
@@ -40,7 +40,7 @@
 // prepareEvent is called before each event is forwarded. It resets the stall timer and, before
 // the first event, counts the request and writes the response header.
 func (a *attempt) prepareEvent(response *httpconn.Response) error {
-	a.recordFirstEvent()
+	a.ticket.RecordFirstEvent()
 	a.recordSurvival()
 	if a.stallTimer != nil {
 		a.stallTimer.Reset(a.stallTimeout())
--- a/internal/gateway/line/returns.go
+++ b/internal/gateway/line/returns.go
@@ -3,6 +3,8 @@
 import "time"
 
 const (
+	// MaxRank is the last rank; 0 is the most urgent.
+	MaxRank = 9
 	// minReturn is the shortest time after which a refused client is asked to return.
 	minReturn = 50 * time.Millisecond
 	// returnSpread is the share of the time until there is room over which returns are spread.
@@ -15,6 +17,14 @@
 	rankShare = 0.5
 )
 
+// Request is what is known about a refused request.
+type Request struct {
+	// Rank is the configured priority, from 0 (most urgent) to MaxRank.
+	Rank int
+	// Left is the time left until the deadline.
+	Left time.Duration
+}
+
 // ReturnAfter returns when a refused client should return, or 0 if that would be useless. Returns are
 // spread from the time at which room is expected, the more urgent requests first. A request with little
 // time left returns within a third of it. random is in [0, 1).
--- a/internal/gateway/server/gateway.go
+++ b/internal/gateway/server/gateway.go
@@ -16,10 +16,10 @@
 	"mangoledge.example/mangoledge/internal/gateway/clock"
 	"mangoledge.example/mangoledge/internal/gateway/exchange"
 	"mangoledge.example/mangoledge/internal/gateway/httpconn"
-	"mangoledge.example/mangoledge/internal/gateway/line"
 	"mangoledge.example/mangoledge/internal/gateway/peers"
 	"mangoledge.example/mangoledge/internal/gateway/profile"
 	"mangoledge.example/mangoledge/internal/gateway/quota"
+	"mangoledge.example/mangoledge/internal/gateway/routeplan"
 	"mangoledge.example/mangoledge/internal/gateway/scaling"
 	"mangoledge.example/mangoledge/internal/gateway/site"
 	"mangoledge.example/mangoledge/internal/gateway/usage"
@@ -47,7 +47,6 @@
 	retryBudgets  *retryBudgets
 	contentGuard  *contentGuard
 	demandMeter   *demandMeter
-	shares        *line.Shares
 	nodeRegistry  *peers.Registry
 	peerTable     *peers.Table
 	exchange      *peers.Messenger
@@ -127,7 +126,6 @@
 	g.retryBudgets = newRetryBudgets(settings.Bounds, g.sharingNodes, g.isFirstStart, clock.Boot, rand.Uint64)
 	g.contentGuard = newContentGuard(time.Now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), g.logger)
 	g.demandMeter = newDemandMeter(time.Now)
-	g.shares = line.NewShares(clock.Boot)
 	g.seeds.Store(&settings.Seeds)
 	g.RegisterGauge("gateway.connections_made", g.pool.Dialed)
 	g.RegisterGauge("gateway.connections_reused", g.pool.Reused)
@@ -142,6 +140,11 @@
 	g.RegisterGauge("gateway.prompt_parts_refused", g.contentGuard.countGuiltyParts)
 	g.RegisterGauge("gateway.upstreams_leaving", func() int64 { return int64(g.balancer.CountUnavailable(balance.Leaving)) })
 	g.RegisterGauge("gateway.upstreams_quiet", func() int64 { return int64(g.balancer.CountUnavailable(balance.Quiet)) })
+	for _, d := range []routeplan.Decision{routeplan.LeastCost, routeplan.CachedPrompt, routeplan.Shares} {
+		name := projectmetrics.Name("gateway.upstreams_chosen", projectmetrics.Label{Name: "decision", Value: string(d)})
+		g.RegisterGauge(name, func() int64 { return g.balancer.Decisions(d) })
+	}
+	g.RegisterGauge("gateway.load_figures_age_ms", func() int64 { return g.balancer.FiguresAge().Milliseconds() })
 	g.RegisterGauge("gateway.nodes_sharing_repeats", func() int64 { return int64(g.sharingNodes()) })
 	g.RegisterGauge("gateway.nodes_alive", func() int64 { return int64(len(g.peerTable.Alive())) })
 	return g, g.initPeering()
@@ -199,8 +202,6 @@
 		Budgets:       g.retryBudgets,
 		Poison:        g.contentGuard,
 		Demand:        g.demandMeter,
-		Shares:        g.shares,
-		Lateness:      line.NewLateness(time.Now),
 		Pool:          g.pool,
 		Metrics:       exchange.NewMetrics(g.registry),
 		Logger:        g.logger,
--- a/internal/gateway/server/housekeeping.go
+++ b/internal/gateway/server/housekeeping.go
@@ -26,7 +26,6 @@
 		g.contentGuard.observeUpstreams(view.All)
 		g.contentGuard.releaseExpired()
 		g.peerTable.RemoveExpired()
-		g.shares.Prune()
 		g.updatePeerLoads()
 		g.retryBudgets.updateNodeShare()
 		if config := g.configuration.Current(); config != nil {
--- a/internal/gateway/server/messages.go
+++ b/internal/gateway/server/messages.go
@@ -39,7 +39,6 @@
 		return m
 	}
 	m.Spent = g.quota.Spent()
-	g.shares.Report(m.Node, m.Incarnation, m.Spent)
 	m.Loads = ownLoads(g.balancer)
 	m.Timings, m.TimingCount = g.balancer.LatestTimings()
 	m.Crashed = g.contentGuard.entriesToShare()
@@ -116,7 +115,6 @@
 	g.relayCursor.notify(m, g.configuration.Version())
 	if m.Spent != nil {
 		g.quota.RecordPeer(m.Node, m.Incarnation, g.bootClockStart(m.Incarnation), m.Spent)
-		g.shares.Report(m.Node, m.Incarnation, m.Spent)
 	}
 	g.balancer.RecordTimings(g.timings.New(m.Node, m.Incarnation, m.Timings, m.TimingCount))
 	g.contentGuard.merge(m.Crashed)
--- a/internal/gateway/site/config.go
+++ b/internal/gateway/site/config.go
@@ -31,17 +31,13 @@
 	byHost map[string][]*Route
 	byKey  map[string]*Workspace
 	byName map[string]*Workspace
-	// shortestTargets holds the result of ShortestTarget by service.
-	shortestTargets map[string]time.Duration
 }
 
 // Index builds the lookup tables. It is called once, before the config is published.
 func (c *Config) Index() {
 	c.byHost = make(map[string][]*Route)
-	c.shortestTargets = make(map[string]time.Duration)
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		c.indexTarget(r)
 		host := strings.ToLower(r.Host)
 		c.byHost[host] = append(c.byHost[host], r)
 	}
@@ -59,18 +55,6 @@
 	}
 }
 
-// indexTarget counts the route's target latency at its services.
-func (c *Config) indexTarget(r *Route) {
-	for _, t := range r.Targets {
-		if known := c.shortestTargets[t.Service]; r.TargetLatency > 0 && (known == 0 || r.TargetLatency < known) {
-			c.shortestTargets[t.Service] = r.TargetLatency
-		}
-	}
-}
-
-// ShortestTarget returns the shortest target latency of the routes to a service; 0 if none has one.
-func (c *Config) ShortestTarget(service string) time.Duration { return c.shortestTargets[service] }
-
 // Match returns the route for a host and path, or nil.
 func (c *Config) Match(host, path string) *Route {
 	host, _, _ = strings.Cut(strings.ToLower(host), ":")
