--- a/internal/faulttest/gatewaycrowd_test.go
+++ b/internal/faulttest/gatewaycrowd_test.go
@@ -98,6 +98,8 @@
 	maxDescriptors int
 	// clients is the number of clients; 0 means crowdClients.
 	clients int
+	// ports are those that the clients connect to in turn; empty for that of requests.
+	ports []int
 }
 
 func keyOf(number int) string { return fmt.Sprintf("key-of-crowd-%d", number%crowdKeys) }
@@ -172,6 +174,13 @@
 	{name: "OpenHeadsOnManyConnections", clients: 300, maxDescriptors: 400, send: func(c *crowdClient) {
 		_ = c.write([]byte(c.head("/again/", unlimitedKey)))
 	}},
+	{
+		name: "OpenHeadsAtTheOtherListeners", clients: 600, maxDescriptors: 400,
+		ports: []int{platformtest.ReadyPort, platformtest.ControlPort, platformtest.DirectoryPort, platformtest.MetricsPort},
+		send: func(c *crowdClient) {
+			_ = c.write([]byte(c.head("/again/", "") + "X-Long: " + strings.Repeat("x", 12<<10)))
+		},
+	},
 }
 
 // TestCrowdDoesNotEndTheNode lets a crowd of each shape connect to a node with low limits. With the
@@ -185,6 +194,8 @@
 			s.releaseCrowd(t, &shape)
 			require.False(t, n.process.hasEnded(), "the node ended")
 			s.requireOrdinaryAnswers(t, n)
+			require.Equal(t, http.StatusOK, s.statusOf(n, platformtest.ReadyPort, "/api/readyz"))
+			require.NotZero(t, s.configVersionAt(n), "the control listener does not answer")
 			after := memoryOf(t, n.process)
 			sockets := countSockets(t, n.process)
 			t.Logf("resident, MB: before %d, peak %d; sockets: %d", before>>20, after>>20, sockets)
@@ -240,7 +251,11 @@
 	t.Cleanup(sending.Wait) // runs once the connections are closed
 	var dialer net.Dialer
 	for i := range clients {
-		conn, err := dialer.DialContext(t.Context(), "tcp4", s.nodes[0].address(platformtest.FrontPort))
+		port := platformtest.FrontPort
+		if len(shape.ports) > 0 {
+			port = shape.ports[i%len(shape.ports)]
+		}
+		conn, err := dialer.DialContext(t.Context(), "tcp4", s.nodes[0].address(port))
 		if err != nil {
 			continue // a node may refuse connections of a crowd
 		}
