--- a/internal/gateway/server/rollout_test.go
+++ b/internal/gateway/server/rollout_test.go
@@ -26,8 +26,8 @@
 	s := &rolloutSite{testSite: newTestSite(t)}
 	s.old = []*platformtest.Replica{s.addReplica("i-old-1", "plain"), s.addReplica("i-old-2", "plain")}
 	s.putConfig(1, nil)
-	for i := 1; i <= 3; i++ {
-		s.nodes = append(s.nodes, s.startNode(i, string(rune('a'+i)), func(n *platformtest.NodeSettings) {
+	for i := 1; i <= 5; i++ { // two of them follow watchers of their failure domain
+		s.nodes = append(s.nodes, s.startNode(i, string(rune('a'+i%3)), func(n *platformtest.NodeSettings) {
 			n.Rollouts, n.ExposureShare, n.ExposureSlack = true, 0.2, 50
 		}))
 	}
