--- a/internal/gateway/peers/message.go
+++ b/internal/gateway/peers/message.go
@@ -6,7 +6,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"mangoledge.example/mangoledge/internal/gateway/profile"
 	"mangoledge.example/mangoledge/internal/gateway/rollout"
 	"mangoledge.example/mangoledge/internal/poison"
 )
@@ -71,10 +70,10 @@
 	Crashed []poison.Entry `msgpack:"x,omitempty"`
 	// Suspects is the evidence against parts of prompts that may crash upstreams.
 	Suspects []poison.Suspect `msgpack:"j,omitempty"`
-	// Timings are the latest times to the first event at upstreams, and TimingCount is the number of
-	// timings at the node so far, these included.
-	Timings     []profile.Timing `msgpack:"t,omitempty"`
-	TimingCount uint64           `msgpack:"tc,omitempty"`
+	// Timings are the latest times to the first event at upstreams, packed (profile.Pack), and
+	// TimingCount is the number of timings at the node so far, these included.
+	Timings     []byte `msgpack:"t,omitempty"`
+	TimingCount uint64 `msgpack:"tc,omitempty"`
 	// Demand is the recent arrival rate of work for autoscaled services.
 	Demand map[string]Demand `msgpack:"m"`
 	// Rollouts is what the node has seen of versions that are being rolled out.
--- a/internal/gateway/peers/message_bench_test.go
+++ b/internal/gateway/peers/message_bench_test.go
@@ -46,9 +46,11 @@
 	for i := range uint32(20) { // typical number of upstreams with outstanding requests under heavy load
 		m.Loads = append(m.Loads, Load{Upstream: i * 0x08080808, Requests: 2, Prefill: 5000})
 	}
+	var timings []profile.Timing
 	for i := range 6 { // a node's share of 500 requests a second at 83 nodes
-		m.Timings = append(m.Timings, profile.NewTiming(uint32(i)*0x08080808, 2890, 1200, 9, 140*time.Millisecond))
+		timings = append(timings, profile.NewTiming(uint32(i)*0x08080808, 2890, 1200, 9, 140*time.Millisecond))
 	}
+	m.Timings = profile.Pack(timings)
 	m.TimingCount = 10_000
 	if detail == Full {
 		m.Usage = make(map[int64]map[string]int64)
--- a/internal/gateway/profile/timing.go
+++ b/internal/gateway/profile/timing.go
@@ -14,17 +14,16 @@
 // Timing is the time to the first event of one request, and what the sender knew of the upstream's
 // load when it sent the request.
 type Timing struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec: a list in place of a map halves a message
 	// Upstream is the hash of the upstream's ID and start.
-	Upstream uint32 `msgpack:"u"`
+	Upstream uint32
 	// Tokens is the number of prompt tokens to prefill, in units of tokenUnit, and Ahead the number of
 	// those that waited there already.
-	Tokens int `msgpack:"t"`
-	Ahead  int `msgpack:"a"`
+	Tokens int
+	Ahead  int
 	// Open is the number of requests in progress there.
-	Open int `msgpack:"o"`
+	Open int
 	// Millis is the time to the first event in milliseconds.
-	Millis int `msgpack:"m"`
+	Millis int
 }
 
 // NewTiming returns a timing; tokens, ahead and open are at least 0.
--- a/internal/gateway/server/messages.go
+++ b/internal/gateway/server/messages.go
@@ -6,6 +6,7 @@
 	"mangoledge.example/mangoledge/internal/gateway/balance"
 	"mangoledge.example/mangoledge/internal/gateway/clock"
 	"mangoledge.example/mangoledge/internal/gateway/peers"
+	"mangoledge.example/mangoledge/internal/gateway/profile"
 	"mangoledge.example/mangoledge/internal/rendezvous"
 )
 
@@ -40,7 +41,8 @@
 	}
 	m.Spent = g.quota.Spent()
 	m.Loads = ownLoads(g.balancer)
-	m.Timings, m.TimingCount = g.balancer.LatestTimings()
+	timings, count := g.balancer.LatestTimings()
+	m.Timings, m.TimingCount = profile.Pack(timings), count
 	m.Crashed = g.contentGuard.entriesToShare()
 	m.Suspects = g.contentGuard.partsToShare()
 	m.Demand = g.demandMeter.rates()
@@ -117,7 +119,7 @@
 	if m.Spent != nil {
 		g.quota.RecordPeer(m.Node, m.Incarnation, g.bootClockStart(m.Incarnation), m.Spent)
 	}
-	g.balancer.RecordTimings(g.timings.New(m.Node, m.Incarnation, m.Timings, m.TimingCount))
+	g.recordTimings(m)
 	g.contentGuard.merge(m.Crashed)
 	g.contentGuard.mergeParts(m.Suspects)
 	if now := time.Now(); now.Sub(g.loadsSummedAt) >= loadSumInterval(g.nodeRegistry.Count()) {
@@ -126,6 +128,16 @@
 	}
 }
 
+// recordTimings learns from the timings in another node's message.
+func (g *Gateway) recordTimings(m *peers.Message) {
+	timings, err := profile.Unpack(m.Timings)
+	if err != nil {
+		g.logger.Debug("message with broken timings", "node", m.Node, "error", err)
+		return
+	}
+	g.balancer.RecordTimings(g.timings.New(m.Node, m.Incarnation, timings, m.TimingCount))
+}
+
 // bootClockStart returns when an incarnation started, on the boot clock that the quota uses. It is
 // zero if that is unknown.
 func (g *Gateway) bootClockStart(incarnation string) time.Time {
