--- a/review/kit2/node.go
+++ b/review/kit2/node.go
@@ -23,7 +23,6 @@
 	Cloud *Cloud
 	Dir   string
 	Nodes []*Node
-	// CPU limits nothing; nodes run as the deploy file starts them.
 	ports [6]int
 }
 
@@ -39,6 +38,9 @@
 	exited   chan struct{}
 }
 
+// endsWithParent ends a process that a case started if the case itself is killed.
+var endsWithParent = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+
 var settings = template.Must(template.New("").Parse(`node_name = "{{.Name}}"
 role = "gateway"
 machine_class = "edge"
@@ -211,6 +213,7 @@
 	n.cmd = exec.Command("target/mangoledged", "--platform")
 	n.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "MANGOLEDGE_SETTINGS=" + n.settings}
 	n.cmd.Stdout, n.cmd.Stderr = n.log, n.log
+	n.cmd.SysProcAttr = endsWithParent
 	if err := n.cmd.Start(); err != nil {
 		return err
 	}
--- a/review/kit2/replica.go
+++ b/review/kit2/replica.go
@@ -28,6 +28,8 @@
 	Bytes, HoldMs int
 	// Framing is "length", "chunks" or "connection" (neither, the answer ends with the connection).
 	Framing string
+	// Raw, if set, is written in place of an answer, and the connection is then closed.
+	Raw []byte `json:",omitempty"`
 }
 
 // Encode returns the value of the header.
@@ -107,16 +109,22 @@
 	create := r.seq == 1
 	r.mu.Unlock()
 	body, _ := json.Marshal(map[string]any{"metadata": map[string]any{"name": r.id}, "spec": entry})
-	method, path := http.MethodPut, "/api/objects/servers/"+r.id
-	if create {
-		method, path = http.MethodPost, "/api/objects/servers"
+	if create || r.write(http.MethodPut, "/"+r.id, body) == http.StatusNotFound {
+		r.write(http.MethodPost, "", body)
 	}
-	req, _ := http.NewRequest(method, "http://"+r.store+path, bytes.NewReader(body))
+}
+
+// write writes the entry and returns the store's status, or 0 without an answer.
+func (r *replica) write(method, path string, body []byte) int {
+	req, _ := http.NewRequest(method, "http://"+r.store+"/api/objects/servers"+path, bytes.NewReader(body))
 	req.Header.Set("Content-Type", "application/json")
-	if resp, err := http.DefaultClient.Do(req); err == nil {
-		_, _ = io.Copy(io.Discard, resp.Body)
-		_ = resp.Body.Close()
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
 	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	return resp.StatusCode
 }
 
 // leave serves for drain_ms and finishes what it has, then exits.
@@ -200,9 +208,15 @@
 	_ = json.Unmarshal([]byte(req.Header.Get("X-Ask")), &ask)
 	r.say("runs", fmt.Sprintf("%s %s %s tenant=%q body=%d framing=%s", id, req.Method, req.RequestURI, req.Header.Get("X-Mangoledge-Tenant"), len(body), ask.Framing))
 	start := "HTTP/1.1 200 OK\r\n" + head + leaving + "X-Mangoledge-Server-Signature: " + r.id + "." + id + "\r\n"
+	if len(ask.Raw) > 0 {
+		_, _ = c.Write(bytes.ReplaceAll(ask.Raw, []byte("@ID"), []byte(id)))
+		time.Sleep(time.Duration(ask.HoldMs) * time.Millisecond)
+		return ask.Framing == "keep"
+	}
 	var err error
 	if ask.Events > 0 {
-		err = stream(c, start, id, &ask)
+		after, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
+		err = stream(c, start, id, after, &ask)
 	} else {
 		err = plain(c, start, id, &ask)
 	}
@@ -224,7 +238,8 @@
 	return strings.Repeat(id+".", bytes/(len(id)+1)+1)[:bytes]
 }
 
-func stream(c net.Conn, start, id string, ask *Ask) error {
+// stream writes the events of a stream after the one with the given number.
+func stream(c net.Conn, start, id string, after int, ask *Ask) error {
 	chunked := ask.Framing != "connection"
 	head := start + "Content-Type: text/event-stream\r\n"
 	if chunked {
@@ -233,7 +248,7 @@
 	if _, err := io.WriteString(c, head+"\r\n"); err != nil {
 		return err
 	}
-	for i := 1; i <= ask.Events; i++ {
+	for i := after + 1; i <= ask.Events; i++ {
 		time.Sleep(time.Duration(ask.GapMs) * time.Millisecond)
 		if err := writePiece(c, EventOf(id, i, ask.Events), chunked); err != nil {
 			return err
@@ -298,6 +313,7 @@
 	r := &Replica{ID: id, exited: make(chan struct{})}
 	r.cmd = exec.Command(os.Args[0], "replica", s.Store.Address(), id, service, zone, strconv.Itoa(slots))
 	r.cmd.Stderr = os.Stderr
+	r.cmd.SysProcAttr = endsWithParent
 	out, err := r.cmd.StdoutPipe()
 	if err != nil {
 		return nil, err
--- a/review/kit2/store.go
+++ b/review/kit2/store.go
@@ -7,6 +7,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -45,7 +46,7 @@
 // Store is the platform's store.
 type Store struct {
 	server *httptest.Server
-	// Gate, if set, may answer a call in place of the store. Set it with SetGate.
+
 	mu       sync.Mutex
 	gate     Gate
 	era      uint64
@@ -362,3 +363,49 @@
 	}
 	w.WriteHeader(call.Status)
 }
+
+// Copy is a copy of the store's objects, to come back from in a drill.
+type Copy struct {
+	revision uint64
+	objects  map[string]map[string]Object
+	history  int
+}
+
+// Copy returns a copy of the objects as they are now.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := Copy{revision: s.revision, objects: map[string]map[string]Object{}, history: len(s.history)}
+	for kind, all := range s.objects {
+		out.objects[kind] = maps.Clone(all)
+	}
+	return out
+}
+
+// ComeBack replaces the objects by those of a copy, in a new era, and then writes again what the operator
+// and the replicas wrote since: their newest objects.
+func (s *Store) ComeBack(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.objects
+	s.objects = map[string]map[string]Object{}
+	for kind, all := range c.objects {
+		s.objects[kind] = maps.Clone(all)
+	}
+	s.revision, s.history = c.revision, s.history[:c.history:c.history]
+	s.era++
+	for _, kind := range []string{"config", "servers"} {
+		for name, o := range before[kind] {
+			s.write(kind, name, o.Spec, s.objects[kind][name].Status)
+		}
+		for name := range s.objects[kind] {
+			if _, kept := before[kind][name]; !kept {
+				s.remove(kind, name)
+			}
+		}
+	}
+	s.wake()
+}
+
+// Run serves a call as if it arrived now, for answers that are lost or calls that are carried out late.
+func (s *Store) Run(r *http.Request) { s.serve(httptest.NewRecorder(), r) }
