--- a/review/kit2/replica.go
+++ b/review/kit2/replica.go
@@ -40,7 +40,8 @@
 
 // ReplicaMain runs a replica until it is killed. Arguments: store, id, service, zone, slots.
 // SIGUSR1 makes it leave as planned: it reports that it is draining, serves for two seconds more, finishes
-// what it has, and exits.
+// what it has, and exits. SIGUSR2 makes it leave without that report: it removes its entry, serves for
+// lingerTime, and exits. In both cases all its answers say that it leaves.
 func ReplicaMain(args []string) {
 	r := &replica{store: args[0], id: args[1], service: args[2], zone: args[3], born: time.Now().UnixMilli()}
 	r.slots, _ = strconv.Atoi(args[4])
@@ -51,7 +52,7 @@
 	}
 	r.listener, r.state = l, "ready"
 	leave := make(chan os.Signal, 1)
-	signal.Notify(leave, syscall.SIGUSR1)
+	signal.Notify(leave, syscall.SIGUSR1, syscall.SIGUSR2)
 	go r.accept()
 	r.report()
 	r.say("listens", l.Addr().String())
@@ -60,8 +61,15 @@
 		select {
 		case <-ticker.C:
 			r.report()
-		case <-leave:
+		case received := <-leave:
 			r.setState("draining")
+			if received == syscall.SIGUSR2 {
+				ticker.Stop()
+				r.say("removes", "its entry")
+				r.removeEntry()
+				go r.linger()
+				continue
+			}
 			r.report()
 			r.say("draining", "")
 			go r.leave()
@@ -69,6 +77,18 @@
 	}
 }
 
+// lingerTime is how long a replica that left without a report serves: drain_ms and many seconds more.
+const lingerTime = 14 * time.Second
+
+func (r *replica) linger() {
+	time.Sleep(lingerTime)
+	r.say("exits", "")
+	os.Exit(0)
+}
+
+// removeEntry removes the replica's entry from the store.
+func (r *replica) removeEntry() { r.write(http.MethodDelete, "/"+r.id, nil) }
+
 type replica struct {
 	store, id, service, zone string
 	slots                    int
@@ -140,10 +160,7 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 	time.Sleep(300 * time.Millisecond)
-	req, _ := http.NewRequest(http.MethodDelete, "http://"+r.store+"/api/objects/servers/"+r.id, nil)
-	if resp, err := http.DefaultClient.Do(req); err == nil {
-		_ = resp.Body.Close()
-	}
+	r.removeEntry()
 	r.say("exits", "")
 	os.Exit(0)
 }
