exchange: a body whose memory was returned is not kept by a stopped timer

What was seen: 300 clients that pipeline whole bodies of 1 MiB to a node with memory_mb 64 took it to 85 MB resident, though the account of bodies never held more than its 19 MB.

Cause: the stall timer's function refers to the attempt, and so to the request with its body. The runtime removes a stopped timer only once a quarter of its timers are stopped ones; until then the collector reaches the bodies of answered requests. Garbage collector's trace of that crowd: the live heap rises from 18 to 57 MB over 80 ms, then falls to 18 MB in one cycle. Ruled out: bodies that give way, and goroutines that still write a body (4 of 336).

Change: the request lets go of its body when the body's memory is returned.

--- a/internal/gateway/exchange/requestbody.go
+++ b/internal/gateway/exchange/requestbody.go
@@ -74,6 +74,7 @@
 func (e *exchange) releaseBody() {
 	if e.body != nil {
 		e.body.Release()
+		e.request.Body = nil // a stopped timer may keep the exchange reachable for longer
 	}
 }
 
