--- a/internal/gateway/exchange/clientwriter.go
+++ b/internal/gateway/exchange/clientwriter.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"mangoledge.example/mangoledge/internal/gateway/ingress"
+	"mangoledge.example/mangoledge/internal/ingress"
 )
 
 // clientWriter writes the response to the client.
--- a/internal/gateway/exchange/deps.go
+++ b/internal/gateway/exchange/deps.go
@@ -8,10 +8,10 @@
 	"mangoledge.example/mangoledge/internal/gateway/balance"
 	"mangoledge.example/mangoledge/internal/gateway/catalog"
 	"mangoledge.example/mangoledge/internal/gateway/httpconn"
-	"mangoledge.example/mangoledge/internal/gateway/ingress"
 	"mangoledge.example/mangoledge/internal/gateway/quota"
 	"mangoledge.example/mangoledge/internal/gateway/rollout"
 	"mangoledge.example/mangoledge/internal/gateway/site"
+	"mangoledge.example/mangoledge/internal/ingress"
 	"mangoledge.example/mangoledge/internal/poison"
 )
 
--- a/internal/gateway/exchange/handler.go
+++ b/internal/gateway/exchange/handler.go
@@ -9,9 +9,9 @@
 	"github.com/cockroachdb/errors"
 
 	"mangoledge.example/mangoledge/internal/gateway/balance"
-	"mangoledge.example/mangoledge/internal/gateway/ingress"
 	"mangoledge.example/mangoledge/internal/gateway/rollout"
 	"mangoledge.example/mangoledge/internal/gateway/site"
+	"mangoledge.example/mangoledge/internal/ingress"
 	"mangoledge.example/mangoledge/internal/poison"
 )
 
--- a/internal/gateway/exchange/requestbody_test.go
+++ b/internal/gateway/exchange/requestbody_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"mangoledge.example/mangoledge/internal/gateway/ingress"
 	"mangoledge.example/mangoledge/internal/gateway/site"
+	"mangoledge.example/mangoledge/internal/ingress"
 )
 
 // A stopped stall timer stays among the runtime's timers for some time, and reaches the exchange.
--- a/internal/gateway/server/idle.go
+++ b/internal/gateway/server/idle.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"mangoledge.example/mangoledge/internal/gateway/httpconn"
-	"mangoledge.example/mangoledge/internal/gateway/ingress"
+	"mangoledge.example/mangoledge/internal/ingress"
 )
 
 // idleConns closes client connections that are idle for longer than the configuration in force
--- a/internal/gateway/server/listen.go
+++ b/internal/gateway/server/listen.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"mangoledge.example/mangoledge/internal/gateway/exchange"
-	"mangoledge.example/mangoledge/internal/gateway/ingress"
+	"mangoledge.example/mangoledge/internal/ingress"
 	projectmetrics "mangoledge.example/mangoledge/internal/metrics"
 	"mangoledge.example/mangoledge/platform"
 )
