ingress: a body may arrive at any pace within its request's deadline

What callers saw: one client alone, inside all limits, that sends 100 KB at 5 KB a second on a route of 30 s got 408 "body_too_slow".

Cause: a body had 10 s plus the time that it needs at 32 KiB a second.

Change: reads of a body end at the deadline, and no longer at a pace. What the pace was for, connections held by bodies that never end, is now decided when connections are short: one whose body has been arriving for 2 s or more gives way to a new one, after open heads and idle connections. Memory needs no pace: there the slowest bodies of the heaviest owner give way, as before.

--- a/internal/gateway/exchange/clientwriter.go
+++ b/internal/gateway/exchange/clientwriter.go
@@ -51,15 +51,21 @@
 // ConnContext makes the connection of a request known to the Handler. It is the ConnContext hook of
 // the http.Server that serves it.
 func ConnContext(ctx context.Context, c net.Conn) context.Context {
-	if admitted, ok := c.(*ingress.Conn); ok {
-		c = admitted.TCPConn
-	}
 	return context.WithValue(ctx, connKey{}, c)
 }
 
+// admittedConn returns the connection of a request, or nil if no ingress.Listener has admitted it.
+func admittedConn(r *http.Request) *ingress.Conn {
+	c, _ := r.Context().Value(connKey{}).(*ingress.Conn)
+	return c
+}
+
 // newClientWriter returns a writer of the response to r.
 func newClientWriter(w http.ResponseWriter, r *http.Request) *clientWriter {
 	conn, _ := r.Context().Value(connKey{}).(*net.TCPConn)
+	if admitted := admittedConn(r); admitted != nil {
+		conn = admitted.TCPConn
+	}
 	return &clientWriter{w: w, conn: conn}
 }
 
--- a/internal/gateway/exchange/refusal.go
+++ b/internal/gateway/exchange/refusal.go
@@ -27,7 +27,6 @@
 	bodyTooLargeRefusal   = &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
 	headerTooLargeRefusal = &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header_too_large"}
 	poisonRefusal         = &refusal{status: http.StatusServiceUnavailable, reason: "content_crashes_upstreams"}
-	bodyTooSlowRefusal    = &refusal{status: http.StatusRequestTimeout, reason: "body_too_slow"}
 	bodyNotReadRefusal    = &refusal{status: http.StatusBadRequest, reason: "body_not_read"}
 	upstreamFailedRefusal = &refusal{status: http.StatusBadGateway, reason: "upstream_failed"}
 	timeoutRefusal        = &refusal{status: http.StatusGatewayTimeout, reason: "time_over"}
--- a/internal/gateway/exchange/requestbody.go
+++ b/internal/gateway/exchange/requestbody.go
@@ -31,7 +31,7 @@
 		return nil
 	}
 	owner := ingress.Owner{Address: clientIP(r.RemoteAddr), Workspace: e.workspaceName()}
-	e.body = e.options.Ingress.NewBody(owner, e.deadline, http.NewResponseController(w).SetReadDeadline)
+	e.body = e.options.Ingress.NewBody(admittedConn(r), owner, e.deadline, http.NewResponseController(w).SetReadDeadline)
 	err := e.body.Receive(http.MaxBytesReader(w, r.Body, e.config.Limits.MaxBodyBytes), r.ContentLength)
 	e.request.Body, e.bodyRead = e.body.Pieces(), err == nil
 	return e.bodyRefusal(err)
@@ -49,12 +49,10 @@
 		return bodyRefusedRefusal("body_memory_full", e.options.Random())
 	case errors.Is(err, ingress.ErrEvicted):
 		return bodyRefusedRefusal("body_gave_way", e.options.Random())
-	case !errors.Is(err, os.ErrDeadlineExceeded):
-		return bodyNotReadRefusal
-	case !time.Now().Before(e.deadline):
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		return tooLateRefusal
 	}
-	return bodyTooSlowRefusal
+	return bodyNotReadRefusal
 }
 
 // limitUnreadBody bounds how much of a refused request's body is still read before the next request.
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -12,21 +12,19 @@
 	// a body of unknown length; each further one is twice as large as the one before it.
 	pieceBytes      = 64 << 10
 	firstPieceBytes = 4 << 10
-	// paceAllowance is how long a body may take whatever its size, and minPace, in bytes a second, the
-	// pace of what takes longer.
-	paceAllowance = 10 * time.Second
-	minPace       = 32 << 10
 )
 
 // Body is a request body whose memory is charged to an Account. It arrives in pieces that are never
 // copied. One goroutine uses it; only its eviction comes from another.
 type Body struct {
-	account   *Account
+	account *Account
+	// conn is the connection that the body arrives on; nil if no ConnTable has it.
+	conn      *Conn
 	owner     Owner
 	startedAt time.Time
 	// setReadDeadline sets the time at which a read of the source ends with an error.
 	setReadDeadline func(time.Time) error
-	// latest is the time at which the body must have arrived at any pace.
+	// latest is the time at which the body must have arrived.
 	latest time.Time
 
 	// The following fields are guarded by the account's mutex.
@@ -36,9 +34,9 @@
 	evicted bool
 }
 
-// NewBody returns an empty body that must arrive until latest.
-func (a *Account) NewBody(owner Owner, latest time.Time, setReadDeadline func(time.Time) error) *Body {
-	b := &Body{account: a, owner: owner, startedAt: a.now(), latest: latest, setReadDeadline: setReadDeadline}
+// NewBody returns an empty body that must arrive until latest, on conn if that is not nil.
+func (a *Account) NewBody(conn *Conn, owner Owner, latest time.Time, setReadDeadline func(time.Time) error) *Body {
+	b := &Body{account: a, conn: conn, owner: owner, startedAt: a.now(), latest: latest, setReadDeadline: setReadDeadline}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.receiving[b] = struct{}{}
@@ -48,7 +46,9 @@
 // Receive reads the whole body. length is its announced length, or negative if it is unknown. After an
 // error the body holds nothing; besides the source's errors it is ErrFull or ErrEvicted.
 func (b *Body) Receive(source io.Reader, length int64) error {
+	b.conn.startBody()
 	err := b.receivePieces(source, length)
+	b.conn.endBody()
 	if deadlineErr := b.setReadDeadline(time.Time{}); err == nil {
 		err = deadlineErr
 	}
@@ -66,13 +66,13 @@
 }
 
 func (b *Body) receivePieces(source io.Reader, length int64) error {
+	if err := b.limitTime(); err != nil {
+		return err
+	}
 	for size := firstSize(length); size > 0; size = b.nextSize(size, length) {
 		if err := b.account.reserve(b, size); err != nil {
 			return err
 		}
-		if err := b.extendDeadline(size); err != nil {
-			return err
-		}
 		piece, err := fill(source, make([]byte, size))
 		b.add(piece)
 		if errors.Is(err, io.EOF) {
@@ -117,19 +117,15 @@
 	return piece, nil
 }
 
-// extendDeadline gives the next size bytes the time in which they arrive at minPace.
-func (b *Body) extendDeadline(size int64) error {
+// limitTime lets reads of the source end at the latest time.
+func (b *Body) limitTime() error {
 	a := b.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if b.evicted {
 		return ErrEvicted
 	}
-	paced := b.startedAt.Add(paceAllowance + time.Duration(b.arrived+size)*time.Second/minPace)
-	if paced.After(b.latest) {
-		paced = b.latest
-	}
-	return b.setReadDeadline(paced)
+	return b.setReadDeadline(b.latest)
 }
 
 // interrupt ends a read of the source. The error is ignored: a connection without a deadline is closed.
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -21,6 +21,8 @@
 	since time.Time
 	// headBytes is the part of the next request's head that has arrived.
 	headBytes int64
+	// receiving is true while the body of a request arrives.
+	receiving bool
 }
 
 // Read reads from the connection.
@@ -45,10 +47,34 @@
 // it.
 func (c *Conn) reset() { _ = c.TCPConn.Close() }
 
+// startBody records that a body arrives from now on.
+func (c *Conn) startBody() {
+	if c != nil {
+		c.table.setReceiving(c, true)
+	}
+}
+
+// endBody records that the body has arrived, or does not arrive any more.
+func (c *Conn) endBody() {
+	if c != nil {
+		c.table.setReceiving(c, false)
+	}
+}
+
+// Admitted returns the connection of a Listener that nc, which may be a TLS connection, uses; nil if there
+// is none.
+func Admitted(nc net.Conn) *Conn {
+	if wrapper, ok := nc.(interface{ NetConn() net.Conn }); ok {
+		nc = wrapper.NetConn()
+	}
+	c, _ := nc.(*Conn)
+	return c
+}
+
 // OnState is a ConnState hook for an http.Server whose listener is a Listener.
 func OnState(nc net.Conn, state http.ConnState) {
-	c, ok := nc.(*Conn)
-	if !ok {
+	c := Admitted(nc)
+	if c == nil {
 		return
 	}
 	switch state {
--- a/internal/ingress/conntable.go
+++ b/internal/ingress/conntable.go
@@ -39,16 +39,20 @@
 	return ConnUsage{Conns: len(t.conns), HeadBytes: t.headBytes, Refused: t.refused, Evicted: t.evicted}
 }
 
-// admit takes in a connection. If there are too many, one that serves no request gives way; if there is
-// none, admit returns false.
+// admit takes in a connection. If there are too many, one that serves no request gives way, or one whose
+// request has been arriving for some time; if there is none, admit returns false.
 func (t *ConnTable) admit(c *Conn) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.conns) >= t.limits.Conns && !t.evictOne(func(other *Conn) bool { return !other.serving }) {
+	now := t.now()
+	mayGive := func(other *Conn) bool {
+		return !other.serving || other.receiving && now.Sub(other.since) >= evictionAge
+	}
+	if len(t.conns) >= t.limits.Conns && !t.evictOne(mayGive) {
 		t.refused++
 		return false
 	}
-	c.since = t.now()
+	c.since = now
 	t.conns[c] = struct{}{}
 	t.byAddress[c.address]++
 	return true
@@ -62,11 +66,18 @@
 	if _, found := t.conns[c]; !found {
 		return
 	}
-	c.serving, c.since = serving, t.now()
+	c.serving, c.receiving, c.since = serving, false, t.now()
 	t.headBytes -= c.headBytes
 	c.headBytes = 0
 }
 
+// setReceiving records whether the body of the request in progress arrives from now on.
+func (t *ConnTable) setReceiving(c *Conn, receiving bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c.receiving = receiving
+}
+
 // addHeadBytes records n bytes of a connection that serves no request. If all heads together are too
 // long, heads give way.
 func (t *ConnTable) addHeadBytes(c *Conn, n int) {
@@ -82,7 +93,8 @@
 }
 
 // evictOne closes one of the connections that may give way, and reports whether there was any: of the
-// address with the most connections, one whose head is open before an idle one, and the oldest first.
+// address with the most connections, one whose head is open before an idle one, before one whose body
+// arrives, and the oldest first.
 func (t *ConnTable) evictOne(mayGive func(*Conn) bool) bool {
 	var victim *Conn
 	for c := range t.conns {
@@ -107,6 +119,9 @@
 	if x, y := c.headBytes > 0, other.headBytes > 0; x != y {
 		return x
 	}
+	if c.receiving != other.receiving {
+		return other.receiving
+	}
 	return c.since.Before(other.since)
 }
 
--- a/internal/ingress/conntable_test.go
+++ b/internal/ingress/conntable_test.go
@@ -60,6 +60,28 @@
 	require.False(t, b.has(second))
 }
 
+func TestConnectionWhoseBodyStallsGivesWayButNotAYoungOne(t *testing.T) {
+	b := newConnBench(2)
+	stalled, _ := b.open("a")
+	OnState(stalled, http.StateActive)
+	stalled.startBody()
+	whole, _ := b.open("a")
+	OnState(whole, http.StateActive)
+	whole.startBody()
+	whole.endBody()
+	_, admitted := b.open("b")
+	require.True(t, admitted)
+	require.False(t, b.has(stalled))
+	require.True(t, b.has(whole), "a request that has arrived whole is not ended")
+	b = newConnBench(1)
+	young, _ := b.open("a")
+	OnState(young, http.StateActive)
+	young.startBody()
+	_, admitted = b.open("b")
+	require.False(t, admitted)
+	require.True(t, b.has(young))
+}
+
 func TestOpenHeadGivesWayBeforeAnOlderIdleConnection(t *testing.T) {
 	b := newConnBench(2)
 	idle, _ := b.open("a")
