--- a/cmd/mangoledged/gateway.go
+++ b/cmd/mangoledged/gateway.go
@@ -22,7 +22,7 @@
 const (
 	// memoryLimitPercent is the part of the memory limit in the settings, in percent, from which on the garbage
 	// collector runs more often.
-	memoryLimitPercent = 70
+	memoryLimitPercent = 60
 	// gcPercent is how far the heap may grow beyond the live heap before the next collection, in
 	// percent. A small heap is then collected often, but memory costs more than processor time.
 	gcPercent = 60
--- a/internal/faulttest/gatewaycrowd_test.go
+++ b/internal/faulttest/gatewaycrowd_test.go
@@ -2,16 +2,14 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,17 +29,10 @@
 	crowdKeys = 20
 	// reservedDescriptors are those of a node's descriptors that are not for sockets.
 	reservedDescriptors = 200
-	// crowdQuietTime is how long a crowd must have sent nothing to count as settled.
-	crowdQuietTime = time.Second
+	// crowdDescriptors is the node's limit of descriptors unless a crowd has its own.
+	crowdDescriptors = 1000
 )
 
-// crowdClient is one client that doesn't behave.
-type crowdClient struct {
-	number int
-	conn   net.Conn
-	sent   *atomic.Int64
-}
-
 // head returns the start of a request's head, with an attempt ID and a key unless it is empty.
 func (c *crowdClient) head(path, key string) string {
 	out := fmt.Sprintf("POST %sx HTTP/1.1\r\nHost: site.example\r\nX-Mangoledge-Attempt-Id: crowd-%d\r\nX-Mangoledge-Deadline-Ms: 30000\r\n", path, attemptCounter.Add(1))
@@ -51,13 +42,6 @@
 	return out
 }
 
-// write sends data and reports whether the node took it all.
-func (c *crowdClient) write(data []byte) bool {
-	n, err := c.conn.Write(data)
-	c.sent.Add(int64(n))
-	return err == nil
-}
-
 // lengthHead returns a whole head that announces a body of the given length.
 func (c *crowdClient) lengthHead(key string, length int64, extra string) []byte {
 	return []byte(c.head("/again/", key) + extra + "Content-Length: " + strconv.FormatInt(length, 10) + "\r\n\r\n")
@@ -68,19 +52,26 @@
 	return []byte(c.head("/again/", unlimitedKey) + extra + "Transfer-Encoding: chunked\r\n\r\n")
 }
 
-// sendChunks sends total bytes in chunks of size, without the last chunk.
-func (c *crowdClient) sendChunks(total, size int) bool {
-	one := append(fmt.Appendf(nil, "%x\r\n", size), append(bytes.Repeat([]byte("x"), size), "\r\n"...)...)
-	batch := bytes.Repeat(one, max(1, (16<<10)/len(one)))
-	perBatch := size * (len(batch) / len(one))
-	for sent := 0; sent < total; sent += perBatch {
-		if !c.write(batch) {
-			return false
-		}
+// streamHead returns a whole request for a stream.
+func (c *crowdClient) streamHead() []byte {
+	return []byte(c.head("/stream/", unlimitedKey) + "X-Mangoledge-Model: m\r\nX-Mangoledge-Token-Usage: 10,10\r\n" +
+		"X-Mangoledge-Prefix-Hash: aa:10\r\nContent-Length: 0\r\n\r\n")
+}
+
+// sendPipelinedBodies sends requests with whole bodies, without waiting for an answer.
+func (c *crowdClient) sendPipelinedBodies() {
+	const requests = 8
+	for ok, i := true, 0; ok && i < requests; i++ {
+		ok = c.write(c.lengthHead(unlimitedKey, crowdMaxBody, "")) && c.write(crowdBody)
 	}
-	return true
 }
 
+// crowdEvents is the number of events of a stream.
+const crowdEvents = 5000
+
+// firstCrowdHost is the host number of the first address of a crowd that has many.
+const firstCrowdHost = 50
+
 // crowdPiece is the size of a piece or a large chunk, in bytes.
 const crowdPiece = 16 << 10
 
@@ -100,6 +91,11 @@
 	clients int
 	// ports are those that the clients connect to in turn; empty for that of requests.
 	ports []int
+	// addresses is the number of addresses from which the clients connect; 0 means 127.0.0.1 only.
+	addresses int
+	// events is the number of events of a stream; 0 means crowdEvents. answerBytes is the size of an answer
+	// that is no stream; 0 means that of platformtest.
+	events, answerBytes int
 }
 
 func keyOf(number int) string { return fmt.Sprintf("key-of-crowd-%d", number%crowdKeys) }
@@ -167,8 +163,38 @@
 		_ = c.write(c.lengthHead(unlimitedKey, crowdMaxBody, "Expect: 100-continue\r\n")) && c.write(shortBody)
 	}},
 	{name: "ClientsThatStopReading", send: func(c *crowdClient) {
-		_ = c.write([]byte(c.head("/stream/", unlimitedKey) + "X-Mangoledge-Model: m\r\nX-Mangoledge-Token-Usage: 10,10\r\n" +
-			"X-Mangoledge-Prefix-Hash: aa:10\r\nContent-Length: 0\r\n\r\n"))
+		_ = c.write(c.streamHead())
+	}},
+	{name: "BodiesBehindARequestInProgress", clients: 700, send: func(c *crowdClient) {
+		_ = c.write(c.streamHead()) && c.write(c.lengthHead(unlimitedKey, crowdMaxBody, "")) && c.write(crowdBody)
+	}},
+	{name: "PipelinedWholeBodies", clients: 300, send: (*crowdClient).sendPipelinedBodies},
+	{name: "ManyAddressesAndKeysOneByteShort", clients: 300, addresses: 60, send: func(c *crowdClient) {
+		_ = c.write(c.lengthHead(keyOf(c.number), crowdMaxBody, "")) && c.write(shortBody)
+	}},
+	{name: "SlowReadersOfLargeAnswers", clients: 300, answerBytes: 4 << 20, send: func(c *crowdClient) {
+		_ = c.write(c.lengthHead(unlimitedKey, 0, ""))
+	}},
+	{name: "SlowReadersOfLongStreams", clients: 300, events: 200_000, send: func(c *crowdClient) {
+		_ = c.write(c.streamHead())
+	}},
+	{name: "Mixed", clients: 500, addresses: 10, answerBytes: 1 << 20, send: func(c *crowdClient) {
+		switch c.number % 7 {
+		case 0:
+			_ = c.write(c.lengthHead(unlimitedKey, crowdMaxBody, "")) && c.write(shortBody)
+		case 1:
+			_ = c.write(c.chunkedHead("")) && c.sendChunks(crowdMaxBody-crowdPiece, crowdPiece)
+		case 2:
+			_ = c.write(c.streamHead()) && c.write(c.lengthHead(keyOf(c.number), crowdMaxBody, "")) && c.write(crowdBody)
+		case 3:
+			c.sendPipelinedBodies()
+		case 4:
+			_ = c.write([]byte(c.head("/again/", unlimitedKey) + "X-Long: " + strings.Repeat("x", 7<<10)))
+		case 5:
+			_ = c.write(c.lengthHead("", crowdMaxBody, "")) && c.write(crowdBody)
+		case 6:
+			_ = c.write(c.lengthHead(keyOf(c.number), 0, ""))
+		}
 	}},
 	{name: "SilentConnections", clients: 300, maxDescriptors: 400, send: func(*crowdClient) {}},
 	{name: "OpenHeadsOnManyConnections", clients: 300, maxDescriptors: 400, send: func(c *crowdClient) {
@@ -189,31 +215,56 @@
 	for _, shape := range crowdShapes {
 		t.Run(shape.name, func(t *testing.T) {
 			s := startCrowdSite(t, &shape)
-			n := s.nodes[0]
-			before := memoryOf(t, n.process)
 			s.releaseCrowd(t, &shape)
-			require.False(t, n.process.hasEnded(), "the node ended")
-			s.requireOrdinaryAnswers(t, n)
-			require.Equal(t, http.StatusOK, s.statusOf(n, platformtest.ReadyPort, "/api/readyz"))
-			require.NotZero(t, s.configVersionAt(n), "the control listener does not answer")
-			after := memoryOf(t, n.process)
-			sockets := countSockets(t, n.process)
-			t.Logf("resident, MB: before %d, peak %d; sockets: %d", before>>20, after>>20, sockets)
-			require.False(t, n.process.hasEnded(), "the node ended")
-			require.LessOrEqual(t, after, int64(crowdMemoryMB)<<20, "the node's resident memory was over its limit")
-			if shape.maxDescriptors > 0 {
-				require.LessOrEqual(t, sockets, shape.maxDescriptors-reservedDescriptors, "the node has too many sockets")
-			}
+			s.requireSound(t, &shape)
 		})
 	}
 }
 
+// requireSound requires that the node lives, answers on all listeners and has stayed within its limits.
+func (s *gatewaySite) requireSound(t *testing.T, shape *crowdShape) {
+	t.Helper()
+	n := s.nodes[0]
+	require.False(t, n.process.hasEnded(), "the node ended")
+	s.requireOrdinaryAnswers(t, n)
+	require.Equal(t, http.StatusOK, s.statusOf(n, platformtest.ReadyPort, "/api/readyz"))
+	require.NotZero(t, s.configVersionAt(n), "the control listener does not answer")
+	s.memory.requireWithin(t, crowdMemoryMB, cmp.Or(shape.maxDescriptors, crowdDescriptors)-reservedDescriptors)
+}
+
 // startCrowdSite starts one node with low limits and a configuration with many keys, whose routes
 // don't time out during the test.
 func startCrowdSite(t *testing.T, shape *crowdShape) *gatewaySite {
 	t.Helper()
 	s := startGatewaySite(t, 0, 2)
-	config := platformtest.DefaultConfig(100)
+	s.store.Put("config", "main", crowdConfig(100))
+	for _, slot := range s.slots {
+		replica, _ := slot.newest()
+		replica.Events, replica.EventPause = cmp.Or(shape.events, crowdEvents), 0
+		replica.AnswerBytes = shape.answerBytes
+	}
+	s.launchCrowdNode(t, shape)
+	s.waitUntilServing()
+	return s
+}
+
+// launchCrowdNode starts a process of the site's only node, with low limits, and watches its memory.
+func (s *gatewaySite) launchCrowdNode(t *testing.T, shape *crowdShape) {
+	t.Helper()
+	n := s.newNode(1)
+	n.settings.MemoryMB, n.settings.MaxDescriptors = crowdMemoryMB, shape.maxDescriptors
+	s.nodes = append(s.nodes, n)
+	s.launch(n, true)
+	var addresses []string
+	for _, port := range []int{platformtest.FrontPort, platformtest.ReadyPort, platformtest.ControlPort, platformtest.DirectoryPort, platformtest.MetricsPort} {
+		addresses = append(addresses, n.address(port))
+	}
+	s.memory = watchMemory(t, n.process, addresses...)
+}
+
+// crowdConfig returns a configuration with many keys, whose routes don't time out during the test.
+func crowdConfig(version int) map[string]any {
+	config := platformtest.DefaultConfig(version)
 	tenants := config["tenants"].([]any)
 	tenants = append(tenants, map[string]any{"name": unlimitedWorkspace, "api_keys": []string{unlimitedKey}, "priority": 1})
 	for i := range crowdKeys {
@@ -225,52 +276,23 @@
 		route.(map[string]any)["target_latency_ms"] = 2_000
 	}
 	config["limits"].(map[string]any)["max_body_bytes"] = crowdMaxBody
-	s.store.Put("config", "main", config)
-	for _, slot := range s.slots {
-		replica, _ := slot.newest()
-		replica.Events, replica.EventPause = 5000, 0
-	}
-	n := s.newNode(1)
-	n.settings.MemoryMB, n.settings.MaxDescriptors = crowdMemoryMB, shape.maxDescriptors
-	s.nodes = append(s.nodes, n)
-	s.launch(n, true)
-	s.waitUntilServing()
-	return s
+	return config
 }
 
-// releaseCrowd connects all clients of a crowd and returns once none of them sends any more. Their
-// connections stay open until the test ends.
+// releaseCrowd lets the clients of a crowd connect to the node, as the function releaseCrowd does.
 func (s *gatewaySite) releaseCrowd(t *testing.T, shape *crowdShape) {
 	t.Helper()
-	var sent atomic.Int64
-	var sending sync.WaitGroup
-	clients := shape.clients
-	if clients == 0 {
-		clients = crowdClients
-	}
-	t.Cleanup(sending.Wait) // runs once the connections are closed
-	var dialer net.Dialer
-	for i := range clients {
+	releaseCrowd(t, cmp.Or(shape.clients, crowdClients), func(i int) (net.Conn, error) {
 		port := platformtest.FrontPort
 		if len(shape.ports) > 0 {
 			port = shape.ports[i%len(shape.ports)]
 		}
-		conn, err := dialer.DialContext(t.Context(), "tcp4", s.nodes[0].address(port))
-		if err != nil {
-			continue // a node may refuse connections of a crowd
+		var dialer net.Dialer
+		if shape.addresses > 0 {
+			dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(fmt.Sprintf("%s.%d", s.network, firstCrowdHost+i%shape.addresses))}
 		}
-		t.Cleanup(func() { _ = conn.Close() })
-		sending.Go(func() { shape.send(&crowdClient{number: i, conn: conn, sent: &sent}) })
-	}
-	waitUntilQuiet(&sent)
-	t.Logf("the crowd sent %d KB", sent.Load()>>10)
-}
-
-// waitUntilQuiet waits until a counter has not changed for crowdQuietTime.
-func waitUntilQuiet(counter *atomic.Int64) {
-	for last := int64(-1); last != counter.Load(); time.Sleep(crowdQuietTime) {
-		last = counter.Load()
-	}
+		return dialer.DialContext(t.Context(), "tcp4", s.nodes[0].address(port))
+	}, shape.send)
 }
 
 // requireOrdinaryAnswers requires that the node answers ordinary requests: without a key, with the
@@ -317,34 +339,3 @@
 	_, err = io.Copy(io.Discard, response.Body)
 	return response.StatusCode, err
 }
-
-// memoryOf returns the peak of a process's resident memory so far, in bytes.
-func memoryOf(t *testing.T, p *process) int64 {
-	t.Helper()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.pid()))
-	require.NoError(t, err)
-	for line := range strings.Lines(string(status)) {
-		if rest, found := strings.CutPrefix(line, "VmHWM:"); found {
-			kb, err := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
-			require.NoError(t, err)
-			return kb << 10
-		}
-	}
-	t.Fatal("the peak of resident memory is unknown")
-	return 0
-}
-
-// countSockets returns the number of a process's open sockets.
-func countSockets(t *testing.T, p *process) int {
-	t.Helper()
-	dir := fmt.Sprintf("/proc/%d/fd", p.pid())
-	entries, err := os.ReadDir(dir)
-	require.NoError(t, err)
-	sockets := 0
-	for _, e := range entries {
-		if target, err := os.Readlink(dir + "/" + e.Name()); err == nil && strings.HasPrefix(target, "socket:") {
-			sockets++
-		}
-	}
-	return sockets
-}
--- a/internal/faulttest/gatewaysite_test.go
+++ b/internal/faulttest/gatewaysite_test.go
@@ -53,6 +53,8 @@
 	replicasPerService int
 	// network is the first three octets of the nodes' addresses.
 	network string
+	// memory watches what the node of a crowd test holds; nil in other tests.
+	memory *memoryWatch
 
 	mu            sync.Mutex
 	configVersion int
--- a/internal/gateway/exchange/release_test.go
+++ b/internal/gateway/exchange/release_test.go
@@ -172,7 +172,7 @@
 		wire:     &tripwire{left: call},
 		balancer: balance.New("a", time.Now, rand.Float64),
 		ledger:   quota.New(clock.Boot, func(int) time.Duration { return time.Second }, 8*time.Second),
-		pool:     httpconn.NewPool(),
+		pool:     httpconn.NewPool(nil),
 		bodies:   ingress.NewAccount(1<<20, time.Now),
 	}
 	r.ledger.StartWithoutCheckpoint()
--- a/internal/gateway/httpconn/conn.go
+++ b/internal/gateway/httpconn/conn.go
@@ -44,6 +44,8 @@
 	idleSince time.Time
 	// idleLimit is how long the peer keeps the connection idle; 0 if it did not say.
 	idleLimit time.Duration
+	// giveBack returns the connection's receive buffer to the pool's budget.
+	giveBack func()
 }
 
 func newConn(address string, c *net.TCPConn) *conn {
@@ -108,4 +110,7 @@
 	return ErrUnexpectedBytes
 }
 
-func (c *conn) close() { _ = c.tcp.Close() }
+func (c *conn) close() {
+	_ = c.tcp.Close()
+	c.giveBack()
+}
--- a/internal/gateway/httpconn/outlived_test.go
+++ b/internal/gateway/httpconn/outlived_test.go
@@ -14,7 +14,7 @@
 // poolWithIdleConns returns a pool that has used n connections to the server.
 func poolWithIdleConns(t *testing.T, address string, n int) *Pool {
 	t.Helper()
-	pool := NewPool()
+	pool := NewPool(nil)
 	responses := make([]*Response, 0, n)
 	for range n {
 		response, err := pool.Do(t.Context(), address, &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, MaxIdle: time.Minute})
@@ -74,6 +74,6 @@
 	address := listener.Addr().String()
 	require.NoError(t, listener.Close())
 	began := time.Now()
-	require.Error(t, NewPool().Outlived(t.Context(), address))
+	require.Error(t, NewPool(nil).Outlived(t.Context(), address))
 	require.Less(t, time.Since(began), time.Second)
 }
--- a/internal/gateway/httpconn/pool.go
+++ b/internal/gateway/httpconn/pool.go
@@ -5,10 +5,12 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"mangoledge.example/mangoledge/internal/ingress"
 	"mangoledge.example/mangoledge/internal/wait"
 )
 
@@ -29,13 +31,25 @@
 	// its connection: reading more costs more than a new connection.
 	maxDiscardBytes = 4 << 10
 	maxDiscardTime  = 20 * time.Millisecond
+	// receiveBuffer is the wanted receive buffer of a connection, in bytes.
+	receiveBuffer = 64 << 10
 	// maxInformational is the number of 1xx responses read before the final one.
 	maxInformational = 5
 )
 
+// ReceiveBuffers grants the receive buffers of connections, in bytes.
+type ReceiveBuffers interface {
+	// Grant returns the size of a buffer, at most the wanted one or a small minimum.
+	Grant(wanted int64) int64
+	// Return returns the buffer of a connection that is closed.
+	Return(size int64)
+}
+
 // Pool sends requests and keeps idle connections for reuse. It is safe for concurrent use.
 type Pool struct {
 	dialer net.Dialer
+	// buffers limits what peers may send before it is read; nil for the kernel's own sizes.
+	buffers ReceiveBuffers
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -44,9 +58,9 @@
 	reused atomic.Int64
 }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool {
-	return &Pool{dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1}, idle: make(map[string][]*conn)}
+// NewPool returns an empty pool, whose connections get their receive buffers from buffers if that is not nil.
+func NewPool(buffers ReceiveBuffers) *Pool {
+	return &Pool{buffers: buffers, dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1}, idle: make(map[string][]*conn)}
 }
 
 // Dialed returns the number of connections established.
@@ -144,17 +158,34 @@
 
 // dial establishes a connection.
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	nc, err := p.dialer.DialContext(ctx, "tcp4", address)
+	dialer, giveBack := p.limitedDialer()
+	nc, err := dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
+		giveBack()
 		return nil, err
 	}
 	tcp, ok := nc.(*net.TCPConn)
 	if !ok {
 		_ = nc.Close()
+		giveBack()
 		return nil, errors.Newf("connection to %s is not a TCP connection", address)
 	}
 	p.dialed.Add(1)
-	return newConn(address, tcp), nil
+	c := newConn(address, tcp)
+	c.giveBack = giveBack
+	return c, nil
+}
+
+// limitedDialer returns the dialer for one connection, and what returns its receive buffer, which may be
+// called more than once.
+func (p *Pool) limitedDialer() (dialer net.Dialer, giveBack func()) {
+	dialer = p.dialer
+	if p.buffers == nil {
+		return dialer, func() {}
+	}
+	size := p.buffers.Grant(receiveBuffer)
+	dialer.Control = func(_, _ string, socket syscall.RawConn) error { return ingress.SetReceiveBuffer(socket, size) }
+	return dialer, sync.OnceFunc(func() { p.buffers.Return(size) })
 }
 
 // popIdle removes and returns the most recently used idle connection, or nil.
--- a/internal/gateway/httpconn/pool_test.go
+++ b/internal/gateway/httpconn/pool_test.go
@@ -22,7 +22,7 @@
 	}))
 	defer server.Close()
 	var connected time.Time
-	pool := NewPool()
+	pool := NewPool(nil)
 	pool.dialer.ControlContext = func(context.Context, string, string, syscall.RawConn) error {
 		time.Sleep(50 * time.Millisecond)
 		connected = time.Now()
@@ -49,7 +49,7 @@
 	var requests atomic.Int64
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { requests.Add(1) }))
 	defer server.Close()
-	pool := NewPool()
+	pool := NewPool(nil)
 	request := &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, MaxIdle: time.Minute}
 	request.Prepare = func(http.Header) error { return errors.New("must not be sent") }
 	_, err := pool.Do(t.Context(), server.Listener.Addr().String(), request)
--- a/internal/gateway/server/gateway.go
+++ b/internal/gateway/server/gateway.go
@@ -58,8 +58,10 @@
 	usageReporter *usage.Reporter
 	scaler        *scaling.Scaler
 	idleConns     *idleConns
-	ingress       *ingress.Account
-	clientConns   *ingress.ConnTable
+	// receiveBuffers is shared by the connections of clients and to upstreams.
+	receiveBuffers *ingress.ReceiveBuffers
+	ingress        *ingress.Account
+	clientConns    *ingress.ConnTable
 	// ingressRefused is the number of bodies and connections that had been refused when they were last
 	// logged.
 	ingressRefused int64
@@ -110,16 +112,18 @@
 func New(settings *site.Settings, logger *slog.Logger) (*Gateway, error) {
 	// Incarnations order the processes of a node by start time.
 	incarnation := strconv.FormatInt(time.Now().UnixNano(), 16)
+	receiveBuffers := ingress.NewReceiveBuffers(settings.MemoryMB)
 	g := &Gateway{
 		settings:       settings,
 		incarnation:    incarnation,
 		startedAt:      time.Now(),
 		logger:         logger.With("node", settings.Node, "incarnation", incarnation),
 		registry:       metrics.NewRegistry(),
-		pool:           httpconn.NewPool(),
+		pool:           httpconn.NewPool(receiveBuffers),
+		receiveBuffers: receiveBuffers,
 		idleConns:      newIdleConns(),
 		ingress:        ingress.NewAccount(ingress.Capacity(settings.MemoryMB), time.Now),
-		clientConns:    ingress.NewConnTable(ingress.ClientConnLimits(settings.MaxDescriptors, settings.MemoryMB), time.Now),
+		clientConns:    ingress.NewConnTable(ingress.ClientConnLimits(settings.MaxDescriptors, settings.MemoryMB), receiveBuffers, time.Now),
 		reclaimNotices: newReclaimNotices(time.Now),
 		relayCursor:    newRelayCursor(),
 		peerAddress:    joinPort(settings.IP, settings.PeerPorts[0]),
--- a/internal/gateway/server/ingress.go
+++ b/internal/gateway/server/ingress.go
@@ -10,6 +10,7 @@
 	g.RegisterGauge("gateway.client_connections", func() int64 { return int64(g.clientConns.Usage().Conns) })
 	g.RegisterGauge("gateway.client_connections_refused", func() int64 { return g.clientConns.Usage().Refused })
 	g.RegisterGauge("gateway.client_connections_evicted", func() int64 { return g.clientConns.Usage().Evicted })
+	g.RegisterGauge("gateway.receive_buffer_bytes_granted", g.receiveBuffers.Granted)
 	g.RegisterGauge("gateway.head_bytes_held", func() int64 { return g.clientConns.Usage().HeadBytes })
 }
 
--- a/internal/gateway/server/listen.go
+++ b/internal/gateway/server/listen.go
@@ -67,7 +67,7 @@
 			continue
 		}
 		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: internalIdleTimeout, MaxHeaderBytes: maxInternalHeaderBytes, ConnState: ingress.OnState, ErrorLog: debugErrorLog(g.logger)}
-		conns := ingress.NewConnTable(ingress.InternalConnLimits(g.settings.MaxDescriptors, g.settings.MemoryMB), time.Now)
+		conns := ingress.NewConnTable(ingress.InternalConnLimits(g.settings.MaxDescriptors, g.settings.MemoryMB), g.receiveBuffers, time.Now)
 		if err := g.openListener(ctx, address, server, conns); err != nil {
 			return err
 		}
@@ -81,13 +81,13 @@
 	if address == "" {
 		return nil
 	}
-	listener, err := (&net.ListenConfig{KeepAliveConfig: clientKeepAlive}).Listen(ctx, "tcp4", address)
+	listener, err := ingress.Listen(ctx, net.ListenConfig{KeepAliveConfig: clientKeepAlive}, "tcp4", address, conns)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
 	g.servers = append(g.servers, server)
 	go func() {
-		if err := server.Serve(&ingress.Listener{Listener: listener, Table: conns}); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			g.logger.Error("listener stopped", "address", address, "error", err)
 		}
 	}()
--- a/internal/gateway/server/livenesscheck_test.go
+++ b/internal/gateway/server/livenesscheck_test.go
@@ -36,7 +36,7 @@
 func TestUpstreamWhoseProxyClosesConnectionsIsReportedDead(t *testing.T) {
 	u := listenWithHandler(t, func(c net.Conn) { _ = c.Close() })
 	dead := make(chan site.Upstream, 1)
-	newLivenessCheck(httpconn.NewPool().Probe, func(u site.Upstream) { dead <- u }, slog.New(slog.DiscardHandler)).start(t.Context(), u)
+	newLivenessCheck(httpconn.NewPool(nil).Probe, func(u site.Upstream) { dead <- u }, slog.New(slog.DiscardHandler)).start(t.Context(), u)
 	select {
 	case <-dead:
 	case <-time.After(10 * time.Second):
@@ -47,7 +47,7 @@
 func TestUpstreamThatHoldsConnectionIsNotReportedDead(t *testing.T) {
 	var held atomic.Int64
 	u := listenWithHandler(t, func(net.Conn) { held.Add(1) })
-	check := newLivenessCheck(httpconn.NewPool().Probe, func(site.Upstream) { t.Error("the upstream was reported dead") }, slog.New(slog.DiscardHandler))
+	check := newLivenessCheck(httpconn.NewPool(nil).Probe, func(site.Upstream) { t.Error("the upstream was reported dead") }, slog.New(slog.DiscardHandler))
 	check.run(context.Background(), u)
 	require.Equal(t, int64(1), held.Load(), "one probe is enough")
 }
--- a/internal/ingress/account.go
+++ b/internal/ingress/account.go
@@ -9,7 +9,7 @@
 
 const (
 	// bodyMemoryPercent is the part of a process's memory limit that bodies may take, in percent.
-	bodyMemoryPercent = 30
+	bodyMemoryPercent = 25
 	// defaultCapacity is the capacity, in bytes, for a process without a memory limit.
 	defaultCapacity = 256 << 20
 	// smallBodyBytes is the size up to which a body may use the whole capacity. Larger ones leave
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -46,7 +46,7 @@
 // Receive reads the whole body. length is its announced length, or negative if it is unknown. After an
 // error the body holds nothing; besides the source's errors it is ErrFull or ErrEvicted.
 func (b *Body) Receive(source io.Reader, length int64) error {
-	b.conn.startBody()
+	b.conn.startBody(length)
 	err := b.receivePieces(source, length)
 	b.conn.endBody()
 	if deadlineErr := b.setReadDeadline(time.Time{}); err == nil {
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -23,6 +24,8 @@
 	headBytes int64
 	// receiving is true while the body of a request arrives.
 	receiving bool
+	// buffer is the receive buffer that was granted, in bytes; 0 for none.
+	buffer int64
 }
 
 // Read reads from the connection.
@@ -47,10 +50,22 @@
 // it.
 func (c *Conn) reset() { _ = c.TCPConn.Close() }
 
-// startBody records that a body arrives from now on.
-func (c *Conn) startBody() {
-	if c != nil {
-		c.table.setReceiving(c, true)
+// startBody records that a body of the given length (negative if unknown) arrives from now on, and makes
+// the receive buffer large enough for its size, as far as the budget allows.
+func (c *Conn) startBody(length int64) {
+	if c == nil {
+		return
+	}
+	c.table.setReceiving(c, true)
+	if length < 0 {
+		length = maxReceiveBuffer
+	}
+	size := c.table.grantBuffer(c, length)
+	if size <= baseReceiveBuffer {
+		return
+	}
+	if socket, err := c.SyscallConn(); err == nil {
+		_ = SetReceiveBuffer(socket, size) // fails only if it was closed meanwhile
 	}
 }
 
@@ -92,6 +107,16 @@
 	Table *ConnTable
 }
 
+// Listen opens a TCP listener for clients, whose connections have small receive buffers at first.
+func Listen(ctx context.Context, config net.ListenConfig, network, address string, table *ConnTable) (*Listener, error) {
+	config.Control = limitReceiveBuffer
+	listener, err := config.Listen(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &Listener{Listener: listener, Table: table}, nil
+}
+
 // Accept returns the next connection that is admitted. Connections that are not are closed.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
--- a/internal/ingress/connlimits.go
+++ b/internal/ingress/connlimits.go
@@ -11,9 +11,9 @@
 	internalSocketPercent = 4
 	minInternalConns      = 16
 	// connMemoryPercent is the part of a process's memory limit that client connections may take, in
-	// percent, and connBytes what one of them takes.
+	// percent, and connBytes what one of them takes: in the process, and not yet read.
 	connMemoryPercent = 25
-	connBytes         = 24 << 10
+	connBytes         = 24<<10 + kernelBufferFactor*baseReceiveBuffer
 	// headMemoryPercent is the part that the heads of requests may take while they arrive, in percent.
 	headMemoryPercent = 6
 	// defaultMaxConns and defaultMaxHeads (in bytes) are the limits of a process without limits.
--- a/internal/ingress/conntable.go
+++ b/internal/ingress/conntable.go
@@ -8,8 +8,9 @@
 // ConnTable holds the connections of one listener, and decides which of them give way when there are too
 // many. It is safe for concurrent use.
 type ConnTable struct {
-	limits ConnLimits
-	now    func() time.Time
+	limits  ConnLimits
+	buffers *ReceiveBuffers
+	now     func() time.Time
 
 	mu        sync.Mutex
 	conns     map[*Conn]struct{}
@@ -19,9 +20,9 @@
 	refused, evicted int64
 }
 
-// NewConnTable returns a table with the given limits.
-func NewConnTable(limits ConnLimits, now func() time.Time) *ConnTable {
-	return &ConnTable{limits: limits, now: now, conns: make(map[*Conn]struct{}), byAddress: make(map[string]int)}
+// NewConnTable returns a table with the given limits, whose connections share a budget of receive buffers.
+func NewConnTable(limits ConnLimits, buffers *ReceiveBuffers, now func() time.Time) *ConnTable {
+	return &ConnTable{limits: limits, buffers: buffers, now: now, conns: make(map[*Conn]struct{}), byAddress: make(map[string]int)}
 }
 
 // ConnUsage is what a ConnTable holds, and has closed so far.
@@ -78,6 +79,18 @@
 	c.receiving = receiving
 }
 
+// grantBuffer returns the size of the receive buffer for a body of length bytes. A connection gets one
+// grant, for the first body that its own buffer is too small for; the size is 0 for all others.
+func (t *ConnTable) grantBuffer(c *Conn, length int64) int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, found := t.conns[c]; !found || c.buffer > 0 || length <= kernelBufferFactor*baseReceiveBuffer {
+		return 0
+	}
+	c.buffer = t.buffers.Grant(length)
+	return c.buffer
+}
+
 // addHeadBytes records n bytes of a connection that serves no request. If all heads together are too
 // long, heads give way.
 func (t *ConnTable) addHeadBytes(c *Conn, n int) {
@@ -138,6 +151,9 @@
 	}
 	delete(t.conns, c)
 	t.headBytes -= c.headBytes
+	if c.buffer > 0 {
+		t.buffers.Return(c.buffer)
+	}
 	if t.byAddress[c.address]--; t.byAddress[c.address] == 0 {
 		delete(t.byAddress, c.address)
 	}
--- a/internal/ingress/conntable_test.go
+++ b/internal/ingress/conntable_test.go
@@ -17,7 +17,7 @@
 
 func newConnBench(conns int) *connBench {
 	b := &connBench{now: time.Unix(1000, 0)}
-	b.ConnTable = NewConnTable(ConnLimits{Conns: conns, HeadBytes: 10_000}, func() time.Time { return b.now })
+	b.ConnTable = NewConnTable(ConnLimits{Conns: conns, HeadBytes: 10_000}, NewReceiveBuffers(0), func() time.Time { return b.now })
 	return b
 }
 
@@ -64,10 +64,10 @@
 	b := newConnBench(2)
 	stalled, _ := b.open("a")
 	OnState(stalled, http.StateActive)
-	stalled.startBody()
+	stalled.startBody(100)
 	whole, _ := b.open("a")
 	OnState(whole, http.StateActive)
-	whole.startBody()
+	whole.startBody(100)
 	whole.endBody()
 	_, admitted := b.open("b")
 	require.True(t, admitted)
@@ -76,12 +76,35 @@
 	b = newConnBench(1)
 	young, _ := b.open("a")
 	OnState(young, http.StateActive)
-	young.startBody()
+	young.startBody(100)
 	_, admitted = b.open("b")
 	require.False(t, admitted)
 	require.True(t, b.has(young))
 }
 
+func TestReceiveBuffersShrinkAsMoreConnectionsHaveOneAndAreReturned(t *testing.T) {
+	b := newConnBench(1000)
+	b.buffers = NewReceiveBuffers(64)
+	var conns []*Conn
+	last := int64(maxReceiveBuffer)
+	for range 1000 {
+		c, _ := b.open("a")
+		OnState(c, http.StateActive)
+		size := b.grantBuffer(c, 4<<20)
+		require.LessOrEqual(t, size, last)
+		require.GreaterOrEqual(t, size, int64(minReceiveBuffer))
+		require.Zero(t, b.grantBuffer(c, 4<<20), "a connection has one grant")
+		last = size
+		conns = append(conns, c)
+	}
+	all := b.buffers.budget + 1000*kernelBufferFactor*minReceiveBuffer
+	require.LessOrEqual(t, b.buffers.Granted(), all)
+	for _, c := range conns {
+		_ = c.Close() // it was never connected
+	}
+	require.Zero(t, b.buffers.Granted())
+}
+
 func TestOpenHeadGivesWayBeforeAnOlderIdleConnection(t *testing.T) {
 	b := newConnBench(2)
 	idle, _ := b.open("a")
--- a/internal/lease/era_test.go
+++ b/internal/lease/era_test.go
@@ -44,7 +44,7 @@
 func (s *eraSite) start(host int) {
 	s.starts++
 	logger := slog.New(slog.DiscardHandler)
-	store := platform.NewStore(s.store.Address(), httpconn.NewPool(), logger)
+	store := platform.NewStore(s.store.Address(), httpconn.NewPool(nil), logger)
 	l := lease.New(lease.Options{
 		Store: store, Name: "duties", Holder: ident.Incarnation(fmt.Sprintf("h%d_%d", host, s.starts)), TTL: eraTTL,
 		Clock: func() time.Time { return s.now }, OrderTimeout: eraOrderTimeout, HandoverWait: eraTTL, Logger: logger,
--- a/internal/plainservice/client.go
+++ b/internal/plainservice/client.go
@@ -40,7 +40,7 @@
 func NewClient() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second}
 	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: bounded.MaxHeadBytes}
-	return &Client{http: &http.Client{Transport: transport}, probes: httpconn.NewPool()}
+	return &Client{http: &http.Client{Transport: transport}, probes: httpconn.NewPool(nil)}
 }
 
 // Call sends payload to the service at base and returns its reply.
