entry, dispatch, node: the product's own mode bounds what its clients make it hold

What was seen: the settings named no memory limit. 150 clients with a caller's token that send bodies of 2 MiB, one byte short, with a length or in chunks, took a node to 400 MB resident; whole requests with prompts of 1 MiB to 318 and, pipelined, 549 (and 169 not yet read); 400 that send a body behind a request in progress to 1,055; 1,200 with long heads at the listener for other nodes to 526.

Cause: each body (2 MiB) and the requests (4,096) were bounded, not their sum. The generated code reads a body into a growing buffer and copies it twice. A request's input stayed with its home for a minute after its end, and with its witness for ten. The listeners for nodes and operators took heads of 1 MiB, and none bounded connections or receive buffers.

Change: the node has limits.memoryMb (default 512), and uses the gateway's account, tables and buffers for it. A body is received whole, within the account, once its caller is authenticated; one long body is decoded at a time; its memory stays charged until a worker has run the request, also at a home that it was forwarded to. Then the home drops the input and keeps a digest for resends; the witness drops it with the final phase. Refused bodies get 429 "overloaded" with a time to come back, and "may have run", since an earlier send of the same ID may have been accepted.

--- a/cmd/mangoledged/gateway.go
+++ b/cmd/mangoledged/gateway.go
@@ -15,14 +15,12 @@
 
 	"mangoledge.example/mangoledge/internal/gateway/server"
 	"mangoledge.example/mangoledge/internal/gateway/site"
+	"mangoledge.example/mangoledge/internal/ingress"
 	"mangoledge.example/mangoledge/internal/logging"
 	"mangoledge.example/mangoledge/platform"
 )
 
 const (
-	// memoryLimitPercent is the part of the memory limit in the settings, in percent, from which on the garbage
-	// collector runs more often.
-	memoryLimitPercent = 60
 	// gcPercent is how far the heap may grow beyond the live heap before the next collection, in
 	// percent. A small heap is then collected often, but memory costs more than processor time.
 	gcPercent = 60
@@ -64,9 +62,7 @@
 func limitProcessorsAndMemory(s *site.Settings) {
 	runtime.GOMAXPROCS(1)
 	debug.SetGCPercent(gcPercent)
-	if s.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * memoryLimitPercent / 100)
-	}
+	ingress.LimitCollector(s.MemoryMB)
 }
 
 // serveGateway starts the gateway, reloads its settings on SIGHUP and when the file changes, and stops it on
--- a/cmd/mangoledged/main.go
+++ b/cmd/mangoledged/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"mangoledge.example/mangoledge/internal/ingress"
 	"mangoledge.example/mangoledge/internal/node"
 	"mangoledge.example/mangoledge/internal/settings"
 	"mangoledge.example/mangoledge/internal/tlsconf"
@@ -56,6 +57,7 @@
 
 // run runs incarnations of the node one after another until the process has to end.
 func run(loaded *settings.Settings) error {
+	ingress.LimitCollector(loaded.Limits.MemoryMB)
 	runtime.GOMAXPROCS(min(runtime.GOMAXPROCS(0), loaded.Limits.MaxProcessors))
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -9,6 +9,7 @@
 
 	"mangoledge.example/mangoledge/internal/engine"
 	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/ingress"
 	"mangoledge.example/mangoledge/internal/membership"
 	"mangoledge.example/mangoledge/internal/peer"
 	"mangoledge.example/mangoledge/internal/plainservice"
@@ -39,6 +40,8 @@
 	Retries   *retry.Policy
 	Budget    *retry.Budget
 	Journal   Journal
+	// Bodies is what the memory of forwarded requests is charged to; nil if it isn't.
+	Bodies *ingress.Account
 	// ReclaimTimes may be nil; reclaim times are unknown then.
 	ReclaimTimes ReclaimTimes
 	// RecoveryCounter may be nil; recoveries are not counted then.
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"slices"
 	"sync"
 	"time"
@@ -14,6 +15,8 @@
 
 // entry is the state of a request held by this node.
 type entry struct {
+	// spec is the accepted request. Its input is dropped once no worker runs the entry any more; others
+	// compare it by sameWork.
 	spec   request.Spec
 	ticket Ticket
 	// ctx ends when the request is cancelled, released or restarted.
@@ -22,6 +25,11 @@
 
 	mu     sync.Mutex
 	record request.Record
+	// memory is what the input is charged to; nil if it isn't, or the input was dropped.
+	memory Memory
+	// inputDigest identifies the input once inputDropped is true.
+	inputDigest  [sha256.Size]byte
+	inputDropped bool
 	// packed holds the tokens of a finished request once isPacked is true; the record
 	// has none then.
 	packed   request.PackedTokens
--- a/internal/dispatch/migrationplacement.go
+++ b/internal/dispatch/migrationplacement.go
@@ -16,7 +16,8 @@
 	ctx, stop := context.WithCancel(m.ctx)
 	found := make(chan Placement, 1)
 	m.found, m.stopSearch = found, stop
-	req := &PlacementRequest{Spec: &m.e.spec, Tokens: len(m.e.snapshot().Tokens), Avoid: []ident.Upstream{m.upstream}, Attempt: 1}
+	spec := m.e.spec // the search may outlast the worker that drops the entry's input
+	req := &PlacementRequest{Spec: &spec, Tokens: len(m.e.snapshot().Tokens), Avoid: []ident.Upstream{m.upstream}, Attempt: 1}
 	go func() { found <- m.d.searchPlacement(ctx, req) }()
 }
 
--- a/internal/dispatch/peerhandler.go
+++ b/internal/dispatch/peerhandler.go
@@ -17,9 +17,12 @@
 }
 
 func (d *Dispatcher) serveSubmit(w http.ResponseWriter, r *http.Request) {
-	var sub Submission
-	if err := json.NewDecoder(r.Body).Decode(&sub); err != nil {
-		writeRefusal(w, verdict.BadInput("body", "%v", err))
+	sub, refusal := d.receiveSubmission(w, r)
+	if sub.Memory != nil {
+		defer sub.Memory.Release()
+	}
+	if refusal != nil {
+		writeRefusal(w, refusal)
 		return
 	}
 	attachment, err := d.Submit(r.Context(), sub)
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -19,6 +19,7 @@
 
 // run processes one request in a worker, until its final phase or its release.
 func (d *Dispatcher) run(e *entry) {
+	defer e.dropInput()
 	ctx, cancel := context.WithDeadline(e.ctx, e.spec.Deadline)
 	defer cancel()
 	failure := d.waitTurn(ctx, e)
--- a/internal/dispatch/submission.go
+++ b/internal/dispatch/submission.go
@@ -21,6 +21,16 @@
 	Position Position
 	// Forwarded is true when another node forwarded the request; it is not forwarded again.
 	Forwarded bool
+	// Memory is what the request's input is charged to; nil if it isn't. An entry retains it while it has
+	// the input.
+	Memory Memory `json:"-"`
+}
+
+// Memory is the charged memory of an input; ingress.Body implements it.
+type Memory interface {
+	// Retain keeps the memory charged until one more Release.
+	Retain()
+	Release()
 }
 
 // Resumption asks to follow a request that was sent before.
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -43,7 +43,7 @@
 	if e.spec.Workspace != sub.Spec.Workspace {
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeUnknownRequest, "no such request in this workspace")
 	}
-	if !sameWork(&e.spec, &sub.Spec) {
+	if !e.sameWork(&sub.Spec) {
 		return nil, verdict.BadInput("id", "this ID was used for another request")
 	}
 	position := sub.Position
@@ -54,13 +54,6 @@
 	return &localAttachment{entry: e, position: position}, nil
 }
 
-// sameWork reports whether two specs describe the same work; fields such as deadline,
-// priority and token limit may differ.
-func sameWork(a, b *request.Spec) bool {
-	return a.Model == b.Model && a.Service == b.Service && a.Input == b.Input && a.Kind == b.Kind &&
-		a.Adapter == b.Adapter && a.Idempotent == b.Idempotent
-}
-
 // restart continues the request after the caller's own tokens, in a new generation.
 func (d *Dispatcher) restart(e *entry, position *Position) {
 	generation := newGeneration(e.spec.ID, e.snapshot().Epoch)
@@ -151,13 +144,16 @@
 	fresh := newEntry(record, ticket)
 	fresh.witnessed = witnessed
 	fresh.reported = known
+	fresh.retain(sub.Memory)
 	e, added := d.table.put(fresh)
 	if !added {
+		fresh.dropInput()
 		ticket.Release(false)
 		return d.attach(e, sub)
 	}
 	if !d.workers.submit(e) {
 		e.finish(request.PhaseFailed, verdict.New(verdict.MayHaveRun, verdict.CodeOverloaded, "too many requests wait on this node").WithRetryAfter(resendDelay))
+		e.dropInput()
 		ticket.Release(false)
 	}
 	d.recordDecision(record.Spec.ID, "accept", "claimed under epoch "+formatEpoch(record.Epoch))
--- a/internal/entry/fuzz_test.go
+++ b/internal/entry/fuzz_test.go
@@ -13,6 +13,7 @@
 	"mangoledge.example/mangoledge/internal/config"
 	"mangoledge.example/mangoledge/internal/dispatch"
 	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/ingress"
 	"mangoledge.example/mangoledge/internal/membership"
 	"mangoledge.example/mangoledge/internal/request"
 	"mangoledge.example/mangoledge/internal/settings"
@@ -67,7 +68,7 @@
 	view := singleNodeView{self: membership.Member{Incarnation: "n1_0123456789abcdef", Node: "n1"}}
 	book := NewAddressBook(view, time.Second, func() (string, bool) { return "", false })
 	limits := &settings.Limits{MaxBodyBytes: 1 << 20, MaxHeaderBytes: 16 << 10, MaxConcurrent: 16, HeaderTimeoutMs: 1000, BodyTimeoutMs: 1000}
-	server, err := NewServer(NewHandler(dispatcher, book, fixedConfig{}), tokens, limits)
+	server, err := NewServer(NewHandler(dispatcher, book, fixedConfig{}), tokens, limits, ingress.NewAccount(16<<20, time.Now))
 	if err != nil {
 		tb.Fatal(err)
 	}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -42,6 +42,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if body := bodyOf(ctx); body != nil && body.body != nil {
+		body.decoded()
+		sub.Memory = body.body
+	}
 	attachment, err := h.dispatcher.Submit(ctx, *sub)
 	if err != nil {
 		return nil, err
--- a/internal/entry/security.go
+++ b/internal/entry/security.go
@@ -15,5 +15,8 @@
 	if refusal != nil {
 		return nil, refusal
 	}
+	if body := bodyOf(ctx); body != nil {
+		body.workspace = string(principal.Workspace)
+	}
 	return context.WithValue(ctx, principalKey{}, principal), nil
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -8,6 +8,7 @@
 
 	"mangoledge.example/mangoledge/api/callerapi"
 	"mangoledge.example/mangoledge/internal/auth"
+	"mangoledge.example/mangoledge/internal/ingress"
 	"mangoledge.example/mangoledge/internal/settings"
 )
 
@@ -16,16 +17,20 @@
 	http *http.Server
 }
 
-// NewServer returns a Server for handler that authenticates with tokens and enforces limits.
-func NewServer(handler *Handler, tokens *auth.Tokens, limits *settings.Limits) (*Server, error) {
+// NewServer returns a Server for handler that authenticates with tokens, enforces limits and charges the
+// memory of bodies to account.
+func NewServer(handler *Handler, tokens *auth.Tokens, limits *settings.Limits, account *ingress.Account) (*Server, error) {
 	s := new(Server)
 	api, err := callerapi.NewServer(handler, &securityHandler{tokens: tokens}, callerapi.WithErrorHandler(s.handleError))
 	if err != nil {
 		return nil, err
 	}
 	slots := make(chan struct{}, limits.MaxConcurrent)
+	bodies := newBodyLimiter(account, limits.MaxBodyBytes, time.Duration(limits.BodyTimeoutMs)*time.Millisecond)
 	s.http = &http.Server{
-		Handler:           limitConcurrency(slots, limitBody(limits, flushWrites(api))),
+		Handler:           limitConcurrency(slots, bodies.limit(flushWrites(api))),
+		ConnState:         ingress.OnState,
+		ConnContext:       withConn,
 		ReadHeaderTimeout: time.Duration(limits.HeaderTimeoutMs) * time.Millisecond,
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
 	}
--- a/internal/entry/server_test.go
+++ b/internal/entry/server_test.go
@@ -16,6 +16,7 @@
 	"mangoledge.example/mangoledge/internal/auth"
 	"mangoledge.example/mangoledge/internal/dispatch"
 	"mangoledge.example/mangoledge/internal/ident"
+	"mangoledge.example/mangoledge/internal/ingress"
 	"mangoledge.example/mangoledge/internal/request"
 	"mangoledge.example/mangoledge/internal/settings"
 	"mangoledge.example/mangoledge/internal/verdict"
@@ -71,6 +72,12 @@
 
 // serve starts a server with dispatcher and returns its base URL.
 func serve(t *testing.T, dispatcher Dispatcher, change func(*settings.Limits)) string {
+	t.Helper()
+	return serveWithAccount(t, dispatcher, ingress.NewAccount(1<<20, time.Now), change)
+}
+
+// serveWithAccount is serve with the account that the memory of bodies is charged to.
+func serveWithAccount(t *testing.T, dispatcher Dispatcher, account *ingress.Account, change func(*settings.Limits)) string {
 	t.Helper()
 	tokens, err := auth.NewTokens([]settings.Token{
 		{Name: "caller", Role: settings.RoleCaller, Workspace: "w", SHA256: auth.Digest("caller-token")},
@@ -81,7 +88,7 @@
 	if change != nil {
 		change(limits)
 	}
-	server, err := NewServer(NewHandler(dispatcher, fixedAddressProvider{}, fixedConfig{}), tokens, limits)
+	server, err := NewServer(NewHandler(dispatcher, fixedAddressProvider{}, fixedConfig{}), tokens, limits, account)
 	require.NoError(t, err)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/faulttest/node_test.go
+++ b/internal/faulttest/node_test.go
@@ -61,7 +61,7 @@
 			{Name: "operator", Role: settings.RoleOperator, SHA256: auth.Digest(operatorToken)},
 		},
 		Log:    settings.Log{Level: "debug", Format: "text"},
-		Limits: settings.Limits{AddressKeepMs: 1000, DrainTimeoutMs: 15000},
+		Limits: settings.Limits{AddressKeepMs: 1000, DrainTimeoutMs: 15000, MemoryMB: s.options.memoryMB},
 	}
 	n.callerLink.fault.Address = n.settings.CallerURL
 	n.peerLink.fault.Node = n.settings.Node
--- a/internal/faulttest/site_test.go
+++ b/internal/faulttest/site_test.go
@@ -44,6 +44,8 @@
 	serviceDelay time.Duration
 	// poison is a text that crashes every engine that runs a prompt with it.
 	poison string
+	// memoryMB is the memory limit of the nodes; 0 means the default.
+	memoryMB int
 }
 
 // site is a site of nodes, engines, services and a platform on loopback.
@@ -91,6 +93,12 @@
 	t.Parallel()
 	siteSlots <- struct{}{}
 	t.Cleanup(func() { <-siteSlots })
+	return startSiteAlone(t, options)
+}
+
+// startSiteAlone starts a site and waits until it is ready. The test runs apart from those of startSite.
+func startSiteAlone(t *testing.T, options siteOptions) *site {
+	t.Helper()
 	s := &site{t: t, dir: t.TempDir(), options: options, peerToken: rand.Text(), started: time.Now()}
 	t.Cleanup(s.showLogsOnFailure)
 	s.startPlatform()
--- a/internal/grant/entry.go
+++ b/internal/grant/entry.go
@@ -40,13 +40,15 @@
 	return out
 }
 
-// pack moves the tokens of a request in a final phase to a compact form.
+// pack moves the tokens of a request in a final phase to a compact form, and drops its input: it is not run
+// any more.
 func (e *Entry) pack() {
 	if e.isPacked || !e.Record.Phase.Final() {
 		return
 	}
 	e.packed = request.PackTokens(e.Record.Tokens)
 	e.Record.Tokens = nil
+	e.Record.Spec.Input = ""
 	e.isPacked = true
 }
 
@@ -108,6 +110,7 @@
 	e.Slot = Slot{Taken: true}
 	e.Record.Phase = phase
 	e.Record.Failure = withNotRun(failure)
+	e.pack()
 }
 
 // mayUpdate reports whether a message from holder under epoch may change the record.
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"io"
 	"time"
 
@@ -30,8 +31,10 @@
 	// The following fields are guarded by the account's mutex.
 	pieces  [][]byte
 	charged int64
-	arrived int64
-	evicted bool
+	// retained is how often Retain was called without a Release.
+	retained int
+	arrived  int64
+	evicted  bool
 }
 
 // NewBody returns an empty body that must arrive until latest, on conn if that is not nil.
@@ -154,9 +157,46 @@
 	return b.pieces
 }
 
-// Release returns the body's memory to the account. It may be called more than once.
+// Reader returns a reader of the body.
+func (b *Body) Reader() io.Reader {
+	pieces := b.Pieces()
+	readers := make([]io.Reader, 0, len(pieces))
+	for _, piece := range pieces {
+		readers = append(readers, bytes.NewReader(piece))
+	}
+	return io.MultiReader(readers...)
+}
+
+// Size returns the number of bytes that have arrived.
+func (b *Body) Size() int64 {
+	b.account.mu.Lock()
+	defer b.account.mu.Unlock()
+	return b.arrived
+}
+
+// DropPieces lets go of the pieces of a body that was decoded. What was decoded takes as much memory, so the
+// body stays charged until it is released.
+func (b *Body) DropPieces() {
+	b.account.mu.Lock()
+	defer b.account.mu.Unlock()
+	b.pieces = nil
+}
+
+// Retain keeps the body charged until one more Release.
+func (b *Body) Retain() {
+	b.account.mu.Lock()
+	defer b.account.mu.Unlock()
+	b.retained++
+}
+
+// Release returns the body's memory to the account, unless it is still retained. It may be called again
+// after that.
 func (b *Body) Release() {
 	b.account.mu.Lock()
 	defer b.account.mu.Unlock()
+	if b.retained > 0 {
+		b.retained--
+		return
+	}
 	b.account.releaseLocked(b)
 }
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -85,13 +85,15 @@
 		Dialer:          dialer,
 		Logger:          n.logger,
 		MaxRunning:      n.settings.Limits.MaxConcurrent,
+		Bodies:          n.ingress.bodies,
 	})
 	handler := entry.NewHandler(requestmetrics.New(n.dispatcher, n.metrics), book, n.control.manager)
-	n.entry, err = entry.NewServer(handler, tokens, &n.settings.Limits)
+	n.entry, err = entry.NewServer(handler, tokens, &n.settings.Limits, n.ingress.bodies)
 	if err != nil {
 		return err
 	}
 	n.registerGauges()
+	n.registerIngressGauges()
 	n.operator, err = newOperatorServer(n, tokens)
 	return err
 }
--- /dev/null
+++ b/internal/node/ingress.go
@@ -0,0 +1,51 @@
+package node
+
+import (
+	"math"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"mangoledge.example/mangoledge/internal/ingress"
+	"mangoledge.example/mangoledge/internal/settings"
+)
+
+// ingressLimits bound what the clients of all listeners make the process hold.
+type ingressLimits struct {
+	// bodies is the memory of request bodies.
+	bodies *ingress.Account
+	// callers, operators and peers are the connections of the listeners.
+	callers, operators, peers *ingress.ConnTable
+}
+
+func newIngressLimits(limits *settings.Limits) *ingressLimits {
+	descriptors := maxDescriptors()
+	buffers := ingress.NewReceiveBuffers(limits.MemoryMB)
+	external := ingress.ClientConnLimits(descriptors, limits.MemoryMB)
+	internal := ingress.InternalConnLimits(descriptors, limits.MemoryMB)
+	return &ingressLimits{
+		bodies:    ingress.NewAccount(ingress.Capacity(limits.MemoryMB), time.Now),
+		callers:   ingress.NewConnTable(external, buffers, time.Now),
+		operators: ingress.NewConnTable(internal, buffers, time.Now),
+		peers:     ingress.NewConnTable(ingress.ConnLimits{Conns: external.Conns, HeadBytes: internal.HeadBytes}, buffers, time.Now),
+	}
+}
+
+// maxDescriptors returns the process's limit of descriptors; 0 if there is none or it is not known.
+func maxDescriptors() int {
+	var limit unix.Rlimit
+	if unix.Getrlimit(unix.RLIMIT_NOFILE, &limit) != nil || limit.Cur > math.MaxInt32 {
+		return 0
+	}
+	return int(limit.Cur) //nolint:gosec // at most the largest int32
+}
+
+// registerIngressGauges exposes what clients make the process hold.
+func (n *Node) registerIngressGauges() {
+	n.registerGauge("ingress.body_bytes_held", "Memory of request bodies, in bytes.", func() int64 { return n.ingress.bodies.Usage().Held })
+	n.registerGauge("ingress.bodies_without_memory", "Bodies that were refused for lack of memory.", func() int64 { return n.ingress.bodies.Usage().Full })
+	n.registerGauge("ingress.bodies_evicted", "Bodies that gave way to others.", func() int64 { return n.ingress.bodies.Usage().Evicted })
+	n.registerGauge("ingress.caller_connections", "Open connections of callers.", func() int64 { return int64(n.ingress.callers.Usage().Conns) })
+	n.registerGauge("ingress.caller_connections_refused", "Connections of callers that were closed at once.", func() int64 { return n.ingress.callers.Usage().Refused })
+	n.registerGauge("ingress.caller_connections_evicted", "Connections of callers that gave way to others.", func() int64 { return n.ingress.callers.Usage().Evicted })
+}
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -8,20 +8,24 @@
 
 	"github.com/cockroachdb/errors"
 
+	"mangoledge.example/mangoledge/internal/ingress"
 	"mangoledge.example/mangoledge/internal/peer"
 	"mangoledge.example/mangoledge/internal/tlsconf"
 )
 
-// listen opens a TCP listener; errors name the setting that the address comes from.
-func listen(ctx context.Context, setting, address string) (net.Listener, error) {
-	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", address)
-	return listener, errors.Wrap(err, setting)
+// listen opens a TCP listener whose connections conns admits; errors name the setting that the address comes
+// from.
+func listen(ctx context.Context, setting, address string, conns *ingress.ConnTable) (net.Listener, error) {
+	listener, err := ingress.Listen(ctx, net.ListenConfig{}, "tcp", address, conns)
+	if err != nil {
+		return nil, errors.Wrap(err, setting)
+	}
+	return listener, nil
 }
 
 // listenExternal opens a listener for callers or operators, with TLS when it is configured.
-func (n *Node) listenExternal(ctx context.Context, setting, address string) (net.Listener, error) {
-	listener, err := listen(ctx, setting, address)
+func (n *Node) listenExternal(ctx context.Context, setting, address string, conns *ingress.ConnTable) (net.Listener, error) {
+	listener, err := listen(ctx, setting, address, conns)
 	if err != nil || n.settings.TLS == nil {
 		return listener, err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -50,6 +50,7 @@
 	// createdAt is the time at which this incarnation was created.
 	createdAt time.Time
 
+	ingress    *ingressLimits
 	peers      *peer.Client
 	peerServer *peer.Server
 	// peerTLS is nil when connections between nodes use plain TCP.
@@ -88,6 +89,7 @@
 		self:           self,
 		createdAt:      createdAt,
 		failures:       make(chan error, 8),
+		ingress:        newIngressLimits(&s.Limits),
 		drainRequests:  make(chan struct{}, 1),
 		reclaimNotices: make(chan time.Duration, 1),
 	}
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -7,6 +7,7 @@
 	"mangoledge.example/mangoledge/internal/auth"
 	"mangoledge.example/mangoledge/internal/capacity"
 	"mangoledge.example/mangoledge/internal/explain"
+	"mangoledge.example/mangoledge/internal/ingress"
 	"mangoledge.example/mangoledge/internal/operator"
 	"mangoledge.example/mangoledge/internal/tables"
 )
@@ -14,6 +15,13 @@
 // operatorHeaderTimeout limits the time that an operator's client may take to send request headers.
 const operatorHeaderTimeout = 5 * time.Second
 
+const (
+	// operatorIdleTimeout is how long a connection of an operator's client may be idle.
+	operatorIdleTimeout = 2 * time.Minute
+	// maxOperatorHeaderBytes is the largest header of an operator's request, in bytes.
+	maxOperatorHeaderBytes = 16 << 10
+)
+
 // newOperatorServer returns the HTTP server for operator commands, metrics and dumps.
 // It also sets n.orders and n.shows.
 func newOperatorServer(n *Node, tokens *auth.Tokens) (*http.Server, error) {
@@ -41,7 +49,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return &http.Server{Handler: mux, ReadHeaderTimeout: operatorHeaderTimeout}, nil
+	return &http.Server{
+		Handler: mux, ReadHeaderTimeout: operatorHeaderTimeout, IdleTimeout: operatorIdleTimeout,
+		MaxHeaderBytes: maxOperatorHeaderBytes, ConnState: ingress.OnState,
+	}, nil
 }
 
 // tables returns the tables of the show command.
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -15,15 +15,15 @@
 // or the node is stopped by Drain, Reclaim or Abandon.
 func (n *Node) Start(ctx context.Context) error {
 	ctx, n.stop = context.WithCancel(ctx)
-	peers, err := listen(ctx, "peerListen", n.settings.PeerListen)
+	peers, err := listen(ctx, "peerListen", n.settings.PeerListen, n.ingress.peers)
 	if err != nil {
 		return err
 	}
-	callers, err := n.listenExternal(ctx, "callerListen", n.settings.CallerListen)
+	callers, err := n.listenExternal(ctx, "callerListen", n.settings.CallerListen, n.ingress.callers)
 	if err != nil {
 		return err
 	}
-	operators, err := n.listenExternal(ctx, "operatorListen", n.settings.OperatorListen)
+	operators, err := n.listenExternal(ctx, "operatorListen", n.settings.OperatorListen, n.ingress.operators)
 	if err != nil {
 		return err
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -10,6 +10,8 @@
 	"net/rpc"
 	"sync"
 	"time"
+
+	"mangoledge.example/mangoledge/internal/ingress"
 )
 
 const (
@@ -17,9 +19,11 @@
 	rpcPath = "/rpc/msgpack"
 	// readHeaderTimeout is how long another node may take to send its request header.
 	readHeaderTimeout = 2 * time.Second
-	tokenHeader       = "X-Mangoledge-Peer-Token" //nolint:gosec // the name of a header
-	pingService       = "Heartbeat"
-	pingMethod        = pingService + ".Ping"
+	// maxHeaderBytes is the largest request header of another node, in bytes.
+	maxHeaderBytes = 16 << 10
+	tokenHeader    = "X-Mangoledge-Peer-Token" //nolint:gosec // the name of a header
+	pingService    = "Heartbeat"
+	pingMethod     = pingService + ".Ping"
 )
 
 // Ping is the argument of a heartbeat.
@@ -53,7 +57,10 @@
 	s := &Server{rpc: rpc.NewServer(), mux: http.NewServeMux(), token: token, rpcConns: make(map[net.Conn]struct{})}
 	_ = s.rpc.RegisterName(pingService, heartbeat{})
 	s.mux.HandleFunc("CONNECT "+rpcPath, s.serveRPC)
-	s.http = &http.Server{Handler: s.checkToken(s.mux), ReadHeaderTimeout: readHeaderTimeout}
+	s.http = &http.Server{
+		Handler: s.checkToken(s.mux), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: ingress.OnState, ConnContext: withConn,
+	}
 	return s
 }
 
@@ -96,10 +103,20 @@
 			http.Error(w, "wrong peer token", http.StatusForbidden)
 			return
 		}
+		conn, _ := r.Context().Value(connKey{}).(*ingress.Conn)
+		conn.Trust()
 		next.ServeHTTP(w, r)
 	})
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// withConn is the ConnContext hook of the server.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, ingress.Admitted(c))
+}
+
 // serveRPC switches a connection to net/rpc and serves calls on it until it is closed.
 func (s *Server) serveRPC(w http.ResponseWriter, _ *http.Request) {
 	conn, _, err := http.NewResponseController(w).Hijack()
--- a/internal/settings/limits.go
+++ b/internal/settings/limits.go
@@ -4,6 +4,9 @@
 type Limits struct {
 	// MaxBodyBytes is the largest request body in bytes. Default 2097152.
 	MaxBodyBytes int64 `json:"maxBodyBytes"`
+	// MemoryMB is the memory of the process in MB, with what its clients have sent and it has not read.
+	// Requests beyond it are refused. At least 16 times MaxBodyBytes. Default 512, or as much as that if it is more.
+	MemoryMB int `json:"memoryMb"`
 	// MaxHeaderBytes is the largest request header in bytes. Default 16384.
 	MaxHeaderBytes int `json:"maxHeaderBytes"`
 	// MaxProcessors is the maximum number of processors that the process uses at once. More
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -83,6 +83,8 @@
 		{`"n1",`, `"n1", "tls": {"keyFile": "k"},`, `tls.certFile: is missing`},
 		{`"n1",`, `"n1", "peerTls": {"certFile": "c", "keyFile": "k"},`, `peerTls.caFile: is missing`},
 		{`"n1",`, `"n1", "log": {"level": "loud"},`, `log.level: got "loud"; one of debug, info, warn, error is allowed`},
+		{`"n1",`, `"n1", "limits": {"memoryMb": 63},`, `limits.memoryMb: got 63; 64 to 1048576 MB are allowed`},
+		{`"n1",`, `"n1", "limits": {"memoryMb": 100, "maxBodyBytes": 8388608},`, `limits.memoryMb: got 100; a limits.maxBodyBytes of 8388608 needs 128 MB or more`},
 		{`"n1",`, `"n1", "limits": {"maxBodyBytes": 7},`, `limits.maxBodyBytes: got 7; 1024 to 67108864 bytes are allowed`},
 		{`"n1",`, `"n1", "limits": {"maxConcurrent": 1.5},`, `limits.maxConcurrent: got 1.5; a whole number is allowed here`},
 		{`"n1",`, `"n1", "limits": [],`, `limits: an object is allowed here`},
@@ -125,6 +127,14 @@
 	require.Contains(t, s.Tokens[0].SHA256, "abcdef")
 }
 
+func TestDefaultMemoryIsEnoughForTheLargestBody(t *testing.T) {
+	for bodyBytes, memoryMB := range map[string]int{"0": 512, "1024": 512, "67108864": 1024} {
+		s, err := Parse(replaceInValid(t, `"n1",`, `"n1", "limits": {"maxBodyBytes": `+bodyBytes+`},`))
+		require.NoError(t, err)
+		require.Equal(t, memoryMB, s.Limits.MemoryMB)
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(validSettings))
 	f.Add([]byte(`{}`))
