balance: what a node remembers of prompts is bounded

What was seen: ten clients that send 1,200 requests, each with 600 prompt parts of 0 tokens that no other request has (7.6 MB in all), took a node with memory_mb 64 to 120 MB resident, for good.

Cause: a node remembers the parts that it sent to each upstream up to the upstream's cache in tokens. Parts without tokens never reach it, parts of one token only after some 300,000 entries, and a sum beyond the largest integer turns negative. An ID also kept its whole header in memory, and each eviction searched all parts, with the balancer locked.

Change: a list of the least recently used parts by hash of their IDs, of at most 8% of the memory limit in all, with the same order of eviction.

The linter's remark on the crowd tests is mended.

--- a/internal/faulttest/memorywatch_test.go
+++ b/internal/faulttest/memorywatch_test.go
@@ -113,7 +113,7 @@
 	var sum int64
 	for line := range strings.Lines(string(table)) {
 		fields := strings.Fields(line) // sl local remote state tx:rx timer retransmits uid timeout inode
-		if len(fields) < 10 || fields[3] == tcpListen || !(inodes[fields[9]] || w.addresses[decodeAddress(fields[1])]) {
+		if len(fields) < 10 || fields[3] == tcpListen || !inodes[fields[9]] && !w.addresses[decodeAddress(fields[1])] {
 			continue
 		}
 		_, received, _ := strings.Cut(fields[4], ":")
--- a/internal/gateway/balance/balancer.go
+++ b/internal/gateway/balance/balancer.go
@@ -73,19 +73,25 @@
 	failures failures
 	// random returns a number in [0, 1).
 	random func() float64
+	// maxParts is how many prompt parts are remembered, of all upstreams together.
+	maxParts int
 	// decisions counts how upstreams were chosen.
 	decisions map[routeplan.Decision]int64
 }
 
-// New returns the balancer of a node in the failure domain. random returns a number in [0, 1).
-func New(domain string, now func() time.Time, random func() float64) *Balancer {
+// New returns the balancer of a node in the failure domain, which remembers at most maxParts prompt parts.
+// random returns a number in [0, 1).
+func New(domain string, maxParts int, now func() time.Time, random func() float64) *Balancer {
 	return &Balancer{
-		domain: domain, now: now, random: random, states: make(map[string]*upstreamState),
+		domain: domain, maxParts: maxParts, now: now, random: random, states: make(map[string]*upstreamState),
 		announcements: make(map[string]*announcement), traffic: make(map[string]*traffic), decisions: make(map[routeplan.Decision]int64),
 		speeds: newSpeeds(), failures: make(failures),
 	}
 }
 
+// maxPartsEach returns how many prompt parts are remembered of each upstream. The caller holds b.mu.
+func (b *Balancer) maxPartsEach() int { return max(1, b.maxParts/max(1, len(b.states))) }
+
 // PickOptions lists the upstreams that a request may be sent to.
 type PickOptions struct {
 	Service    site.Service
@@ -216,7 +222,7 @@
 	t.work = s.work(t.UncachedTokens)
 	if service.Engine != nil {
 		s.pendingPrefill += t.UncachedTokens
-		s.recordParts(r.Prompt, now, sharedCacheCapacity(service.Engine))
+		s.recordParts(r.Prompt, now, sharedCacheCapacity(service.Engine), b.maxPartsEach())
 	}
 	s.openTickets[t] = struct{}{}
 	b.trafficOf(service.Name).add(t.UncachedTokens, now)
--- a/internal/gateway/balance/balancer_test.go
+++ b/internal/gateway/balance/balancer_test.go
@@ -20,7 +20,7 @@
 
 func newTestBalancer() *testBalancer {
 	b := &testBalancer{time: time.Unix(1000, 0)}
-	b.Balancer = New("a", func() time.Time { return b.time }, rand.New(rand.NewPCG(1, 1)).Float64)
+	b.Balancer = New("a", MaxParts(0), func() time.Time { return b.time }, rand.New(rand.NewPCG(1, 1)).Float64)
 	return b
 }
 
--- a/internal/gateway/balance/selection_test.go
+++ b/internal/gateway/balance/selection_test.go
@@ -18,7 +18,7 @@
 	var out []*testBalancer
 	for i := range nodes {
 		b := &testBalancer{time: time.Unix(1000, 0)}
-		b.Balancer = New("a", func() time.Time { return b.time }, rand.New(rand.NewPCG(uint64(i), 3)).Float64)
+		b.Balancer = New("a", MaxParts(0), func() time.Time { return b.time }, rand.New(rand.NewPCG(uint64(i), 3)).Float64)
 		for range 12 {
 			b.pick(t, unshared(2000), c).End(Answered)
 			b.time = b.time.Add(250 * time.Millisecond)
--- a/internal/gateway/balance/speed_test.go
+++ b/internal/gateway/balance/speed_test.go
@@ -10,7 +10,7 @@
 
 func TestLatencyRatioIsLearnedFromLongPrompts(t *testing.T) {
 	now := time.Unix(1000, 0)
-	b := New("a", func() time.Time { return now }, rand.New(rand.NewPCG(1, 1)).Float64)
+	b := New("a", MaxParts(0), func() time.Time { return now }, rand.New(rand.NewPCG(1, 1)).Float64)
 	_, ok := b.LatencyRatio()
 	require.False(t, ok)
 	for range 1000 {
--- a/internal/gateway/balance/state.go
+++ b/internal/gateway/balance/state.go
@@ -54,17 +54,14 @@
 	backoffUntil time.Time
 	// connectFailures is the number of consecutive failed connections.
 	connectFailures int
-	// partLastUsed holds when this node last sent each prompt part here, by part ID.
-	partLastUsed map[string]time.Time
-	// partTokens holds the number of tokens of each of these parts, and cachedTokens their sum.
-	partTokens   map[string]int
-	cachedTokens int
+	// parts holds the prompt parts that this node has sent here.
+	parts *partCache
 }
 
 func newUpstreamState(u site.Upstream, now time.Time) *upstreamState {
 	return &upstreamState{
 		upstream: u, openTickets: make(map[*Ticket]struct{}), slowdown: 1, updatedAt: now,
-		partLastUsed: make(map[string]time.Time), partTokens: make(map[string]int),
+		parts: newPartCache(),
 	}
 }
 
@@ -123,7 +120,7 @@
 func (s *upstreamState) cachedPrefixTokens(parts []site.PromptPart, now time.Time) int {
 	tokens := 0
 	for _, part := range parts[:max(0, len(parts)-1)] {
-		used, ok := s.partLastUsed[part.ID]
+		used, ok := s.parts.lastUsed(part.ID)
 		if !ok || now.Sub(used) > partTTL {
 			break
 		}
@@ -132,29 +129,11 @@
 	return tokens
 }
 
-// recordParts records the prompt parts that a request adds to the upstream's cache, and evicts
-// the least recently used ones beyond capacity.
-func (s *upstreamState) recordParts(parts []site.PromptPart, now time.Time, capacity int) {
+// recordParts records the prompt parts that a request adds to the upstream's cache, and evicts the least
+// recently used ones beyond its capacity in tokens, and beyond maxParts.
+func (s *upstreamState) recordParts(parts []site.PromptPart, now time.Time, capacity, maxParts int) {
 	for _, part := range parts[:max(0, len(parts)-1)] {
-		if _, known := s.partLastUsed[part.ID]; !known {
-			s.cachedTokens += part.Tokens
-			s.partTokens[part.ID] = part.Tokens
-		}
-		s.partLastUsed[part.ID] = now
-	}
-	for s.cachedTokens > capacity && len(s.partLastUsed) > 0 {
-		s.evictOldestPart()
-	}
-}
-
-func (s *upstreamState) evictOldestPart() {
-	var oldest string
-	for id, used := range s.partLastUsed {
-		if oldest == "" || used.Before(s.partLastUsed[oldest]) {
-			oldest = id
-		}
+		s.parts.record(part, now, capacity)
 	}
-	s.cachedTokens -= s.partTokens[oldest]
-	delete(s.partLastUsed, oldest)
-	delete(s.partTokens, oldest)
+	s.parts.evict(capacity, maxParts)
 }
--- a/internal/gateway/exchange/release_test.go
+++ b/internal/gateway/exchange/release_test.go
@@ -170,7 +170,7 @@
 	require.Len(t, upstreams.View().ByService[service], 1)
 	r := &rig{
 		wire:     &tripwire{left: call},
-		balancer: balance.New("a", time.Now, rand.Float64),
+		balancer: balance.New("a", balance.MaxParts(0), time.Now, rand.Float64),
 		ledger:   quota.New(clock.Boot, func(int) time.Duration { return time.Second }, 8*time.Second),
 		pool:     httpconn.NewPool(nil),
 		bodies:   ingress.NewAccount(1<<20, time.Now),
--- a/internal/gateway/server/gateway.go
+++ b/internal/gateway/server/gateway.go
@@ -135,7 +135,7 @@
 	g.cloud = platform.NewCloud(settings.Cloud.Address, settings.Node, g.pool)
 	g.configuration = catalog.NewConfiguration(platform.DecodeConfig, g.logger)
 	g.upstreams = catalog.NewUpstreams(platform.DecodeUpstream, g.logger, time.Now)
-	g.balancer = balance.New(settings.FailureDomain, time.Now, rand.Float64)
+	g.balancer = balance.New(settings.FailureDomain, balance.MaxParts(settings.MemoryMB), time.Now, rand.Float64)
 	g.quota = quota.New(clock.Boot, peers.PropagationInterval, settings.Bounds.QuotaWindow)
 	g.usageCounter = usage.NewCounter(settings.Bounds.UsageWindow)
 	g.retryBudgets = newRetryBudgets(settings.Bounds, g.sharingNodes, g.isFirstStart, clock.Boot, rand.Uint64)
--- a/internal/gateway/server/leadertasks_test.go
+++ b/internal/gateway/server/leadertasks_test.go
@@ -15,7 +15,7 @@
 
 func TestScalingCountExcludesLeavingAndLongQuietUpstreams(t *testing.T) {
 	now := time.Unix(1000, 0)
-	g := &Gateway{balancer: balance.New("a", func() time.Time { return now }, rand.Float64)}
+	g := &Gateway{balancer: balance.New("a", balance.MaxParts(0), func() time.Time { return now }, rand.Float64)}
 	var list []site.Upstream
 	for _, u := range testUpstreams(4) {
 		u.FailureDomain = "a"
