--- a/internal/faulttest/crowd_test.go
+++ b/internal/faulttest/crowd_test.go
@@ -1,9 +1,12 @@
 package faulttest
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -40,6 +43,16 @@
 	return true
 }
 
+// skipResponse reads a response to its end, and reports whether the connection can be used again.
+func skipResponse(reader *bufio.Reader) bool {
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.Body.Close() == nil && err == nil && !response.Close
+}
+
 // releaseCrowd lets clients connect by dial and calls send for each. It returns once none of them sends any
 // more. Their connections stay open until the test ends.
 func releaseCrowd(t *testing.T, clients int, dial func(int) (net.Conn, error), send func(*crowdClient)) {
--- a/internal/faulttest/entrycrowd_test.go
+++ b/internal/faulttest/entrycrowd_test.go
@@ -1,6 +1,7 @@
 package faulttest
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -89,6 +90,12 @@
 		in := chatSubmission("a prompt")
 		_ = c.write(entryRequest(&in)) && c.write(entryLengthHead(entryCrowdMaxBody)) && c.write(entryShortBody)
 	}},
+	{name: "LongRequestsOneAfterAnother", clients: 8, send: func(c *crowdClient) {
+		reader := bufio.NewReader(c.conn)
+		for ok, i := true, 0; ok && i < 40; i++ {
+			ok = c.write(longRequest) && skipResponse(reader)
+		}
+	}},
 	{name: "HeadsAtThePeerListener", clients: 1200, listener: func(n *node) string { return n.settings.PeerListen }, send: func(c *crowdClient) {
 		_ = c.write([]byte("POST /x HTTP/1.1\r\nHost: x\r\n" + strings.Repeat("X-Long: "+strings.Repeat("x", 4000)+"\r\n", 100)))
 	}},
--- a/internal/faulttest/gatewaycrowdparts_test.go
+++ b/internal/faulttest/gatewaycrowdparts_test.go
@@ -3,8 +3,6 @@
 import (
 	"bufio"
 	"fmt"
-	"io"
-	"net/http"
 	"strings"
 	"testing"
 )
@@ -21,15 +19,7 @@
 		}
 		head := c.head("/stream/", unlimitedKey) + "X-Mangoledge-Model: m\r\nX-Mangoledge-Token-Usage: 10,10\r\n" +
 			"X-Mangoledge-Prefix-Hash: " + prompt.String() + "last:10\r\nContent-Length: 0\r\n\r\n"
-		if !c.write([]byte(head)) {
-			return
-		}
-		response, err := http.ReadResponse(reader, nil)
-		if err != nil {
-			return
-		}
-		_, err = io.Copy(io.Discard, response.Body)
-		if response.Body.Close() != nil || err != nil || response.Close {
+		if !c.write([]byte(head)) || !skipResponse(reader) {
 			return
 		}
 	}
