ingress: a grant that is no larger than a connection's buffer is given back

A connection whose first long body came while the budget of receive buffers was used up kept the smallest grant, and its small buffer, for good. It asks again with its next body now.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -16,6 +16,8 @@
 	address   string
 	closeOnce sync.Once
 	closeErr  error
+	// trustOnce guards the larger receive buffer of another node.
+	trustOnce sync.Once
 	// writingSince is when the write in progress began, in nanoseconds since 1970; 0 if there is none.
 	writingSince atomic.Int64
 
@@ -72,7 +74,7 @@
 		length = maxReceiveBuffer
 	}
 	size := c.table.grantBuffer(c, length)
-	if size <= baseReceiveBuffer {
+	if size == 0 {
 		return
 	}
 	if socket, err := c.SyscallConn(); err == nil {
--- a/internal/ingress/conntable.go
+++ b/internal/ingress/conntable.go
@@ -88,16 +88,21 @@
 	c.receiving = receiving
 }
 
-// grantBuffer returns the size of the receive buffer for a body of length bytes. A connection gets one
-// grant, for the first body that its own buffer is too small for; the size is 0 for all others.
+// grantBuffer returns the size of the larger receive buffer for a body of length bytes, or 0 if the connection
+// keeps its buffer: it is large enough, has been granted before, or the budget is used up.
 func (t *ConnTable) grantBuffer(c *Conn, length int64) int64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if _, found := t.conns[c]; !found || c.buffer > 0 || length <= kernelBufferFactor*baseReceiveBuffer {
 		return 0
 	}
-	c.buffer = t.buffers.Grant(length)
-	return c.buffer
+	size := t.buffers.Grant(length)
+	if size <= baseReceiveBuffer {
+		t.buffers.Return(size) // no more than it has; its next body may get more
+		return 0
+	}
+	c.buffer = size
+	return size
 }
 
 // addHeadBytes records n bytes of a connection that serves no request. If all heads together are too
