dispatch, witness: answers kept for resends are bounded

What was seen: eight clients that call a service with answers of 1 MiB, 320 times in all, took the home of the requests to 385 MB resident with limits.memoryMb 96.

Cause: an answer stays at its home for a minute and at its witness for ten minutes beyond its deadline, whatever its size and number.

Change: beyond 6% of the memory limit, at each, the oldest answers are dropped. A resend finds the answer at the witness, or is run again if it is idempotent, or learns that its result is no longer kept ("may have run"), as after the ten minutes; the fingerprint of a request that must not run twice stays.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -42,6 +42,8 @@
 	Journal   Journal
 	// Bodies is what the memory of forwarded requests is charged to; nil if it isn't.
 	Bodies *ingress.Account
+	// KeptLimit is how many bytes the answers of finished requests may take; 0 means no limit.
+	KeptLimit int64
 	// ReclaimTimes may be nil; reclaim times are unknown then.
 	ReclaimTimes ReclaimTimes
 	// RecoveryCounter may be nil; recoveries are not counted then.
@@ -59,13 +61,15 @@
 
 // Dispatcher accepts requests, runs them at upstreams and serves their events to followers.
 type Dispatcher struct {
-	options    Options
-	self       ident.Incarnation
-	table      *table
-	workers    *workerPool
-	forwarder  *forwarder
-	costs      *costModel
-	stopping   atomic.Bool
+	options   Options
+	self      ident.Incarnation
+	table     *table
+	workers   *workerPool
+	forwarder *forwarder
+	costs     *costModel
+	stopping  atomic.Bool
+	// keptBytes is at least what the answers of finished requests take here.
+	keptBytes  atomic.Int64
 	stop       context.CancelFunc
 	background sync.WaitGroup
 }
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -169,6 +169,7 @@
 		d.reportFinal(e, phase, e.snapshot().Failure)
 	}
 	e.pack()
+	d.limitKept(e)
 	d.recordDecision(e.spec.ID, string(phase), failureText(failure))
 }
 
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -70,6 +70,14 @@
 	return out
 }
 
+// drop removes the entry of a request.
+func (t *table) drop(id ident.RequestID) {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.entries, id)
+}
+
 // expire removes the entries that ended before the given time. A released entry has not
 // ended and stays until put replaces it.
 func (t *table) expire(before time.Time) {
--- a/internal/faulttest/entrycrowd_test.go
+++ b/internal/faulttest/entrycrowd_test.go
@@ -129,7 +129,7 @@
 // watches their memory: the second node is the witness of requests at the first.
 func startEntryCrowdSite(t *testing.T) (*site, []*memoryWatch) {
 	t.Helper()
-	s := startSiteAlone(t, siteOptions{nodes: 2, engines: 2, seed: 1, memoryMB: entryCrowdMemoryMB})
+	s := startSiteAlone(t, siteOptions{nodes: 2, engines: 2, services: 1, seed: 1, memoryMB: entryCrowdMemoryMB})
 	var watches []*memoryWatch
 	for _, n := range s.nodes {
 		watches = append(watches, watchMemory(t, n.process, n.settings.CallerListen, n.settings.OperatorListen, n.settings.PeerListen))
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -86,6 +86,7 @@
 		Logger:          n.logger,
 		MaxRunning:      n.settings.Limits.MaxConcurrent,
 		Bodies:          n.ingress.bodies,
+		KeptLimit:       keptLimit(&n.settings.Limits),
 	})
 	handler := entry.NewHandler(requestmetrics.New(n.dispatcher, n.metrics), book, n.control.manager)
 	n.entry, err = entry.NewServer(handler, tokens, &n.settings.Limits, n.ingress.bodies)
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -31,6 +31,15 @@
 	}
 }
 
+// keptPercent is the part of the memory limit, in percent, that the answers of finished requests may take at
+// their home, and again at their witness.
+const keptPercent = 6
+
+// keptLimit returns how many bytes these answers may take at each.
+func keptLimit(limits *settings.Limits) int64 {
+	return int64(limits.MemoryMB) << 20 * keptPercent / 100
+}
+
 // maxDescriptors returns the process's limit of descriptors; 0 if there is none or it is not known.
 func maxDescriptors() int {
 	var limit unix.Rlimit
--- a/internal/request/packedtokens.go
+++ b/internal/request/packedtokens.go
@@ -27,6 +27,11 @@
 	return PackedTokens{text: strings.Join(tokens, ""), lengths: string(lengths), count: len(tokens)}
 }
 
+// Size returns the memory of the tokens, in bytes.
+func (p PackedTokens) Size() int {
+	return len(p.text) + len(p.lengths)
+}
+
 // Len returns the number of tokens.
 func (p PackedTokens) Len() int {
 	return p.count
--- a/internal/witness/service.go
+++ b/internal/witness/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,6 +26,12 @@
 	self  ident.Incarnation
 	peers peer.Caller
 
+	// KeptLimit is how many bytes the answers of finished requests may take; 0 means no limit. It is set before
+	// the service is used.
+	KeptLimit int64
+	// keptBytes is at least what they take.
+	keptBytes atomic.Int64
+
 	mu     sync.RWMutex
 	tables map[ident.Incarnation]*heldTable
 	// successor is set before the first table is closed and never changes.
@@ -68,7 +75,11 @@
 
 // Finish calls grant.Table.Finish on the table of the request's witness.
 func (s *Service) Finish(ctx context.Context, req *grant.FinishRequest) (grant.UpdateReply, error) {
-	return applyOrForward(ctx, s, req.ID, "Finish", req, (*grant.Table).Finish)
+	reply, err := applyOrForward(ctx, s, req.ID, "Finish", req, (*grant.Table).Finish)
+	if kept := s.keptBytes.Add(answerBytes(&req.Record)); s.KeptLimit > 0 && kept > s.KeptLimit {
+		s.dropOldest()
+	}
+	return reply, err
 }
 
 // Fetch calls grant.Table.Fetch on the table of the request's witness.
