grant, dispatch: only requests that have an answer are dropped for memory

What could be seen: when the answers kept for resends took more than their limit, the oldest finished requests were dropped, also those without an answer: cancelled ones, and ones that were refused as "not run". A late claim for such an idempotent request, of a home that was frozen meanwhile, would then have found no record of its end, and have run it.

Cause: all finished requests were listed for dropping, and only their age counted. The expiry after the deadline and ten minutes has not this hole: nothing runs after the deadline.

Change: a request without an answer is neither listed nor dropped; it holds next to nothing. A request with an answer has run, so no "not run" rests on it.

--- a/internal/grant/expire.go
+++ b/internal/grant/expire.go
@@ -36,23 +36,31 @@
 	}
 }
 
-// Kept appends the finished requests whose answers the table keeps.
+// Kept appends the finished requests that have an answer. Those without one are not listed: there is nothing to
+// save, and a promise that the request is not run may rest on them.
 func (t *Table) Kept(out []request.Kept) []request.Kept {
 	if t.checkActive() != nil {
 		return out
 	}
 	for id, e := range t.entries {
-		if e.isPacked {
-			bytes := int64(len(e.Record.Output) + e.packed.Size())
+		if bytes := e.answerBytes(); bytes > 0 {
 			out = append(out, request.Kept{ID: id, Since: e.Record.Spec.Deadline, Bytes: bytes})
 		}
 	}
 	return out
 }
 
-// Drop removes a finished request before it expires, to save memory. It ignores other requests.
+// Drop removes a request that Kept has listed before it expires, to save memory. It ignores other requests.
 func (t *Table) Drop(id ident.RequestID) {
-	if e, ok := t.entries[id]; ok && e.isPacked && t.checkActive() == nil {
+	if e, ok := t.entries[id]; ok && e.answerBytes() > 0 && t.checkActive() == nil {
 		t.forget(id, e)
 	}
 }
+
+// answerBytes returns the size of a finished request's answer, or 0 if it has none or has not ended.
+func (e *Entry) answerBytes() int64 {
+	if !e.isPacked {
+		return 0
+	}
+	return int64(len(e.Record.Output) + e.packed.Size())
+}
