--- a/internal/faulttest/memorywatch_test.go
+++ b/internal/faulttest/memorywatch_test.go
@@ -32,6 +32,9 @@
 	resident, unread int64
 	// sockets is the largest number of open sockets.
 	sockets int
+	// samples is the number of samples of the living process, and err why one of them was not whole.
+	samples int
+	err     error
 }
 
 // watchMemory samples a process that listens on addresses until the test ends.
@@ -75,9 +78,15 @@
 func (w *memoryWatch) sample() {
 	inodes := socketInodes(w.process)
 	resident := statusBytes(w.process, "VmRSS:")
-	unread := w.unreadBytes(inodes)
+	unread, err := w.unreadBytes(inodes)
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if resident > 0 {
+		w.samples++
+	}
+	if err != nil {
+		w.err = err
+	}
 	if resident+unread > w.resident+w.unread {
 		w.resident, w.unread = resident, unread
 	}
@@ -89,8 +98,11 @@
 func (w *memoryWatch) requireWithin(t *testing.T, memoryMB, sockets int) {
 	t.Helper()
 	w.mu.Lock()
-	resident, unread, most := w.resident, w.unread, w.sockets
+	resident, unread, most, samples, err := w.resident, w.unread, w.sockets, w.samples, w.err
 	w.mu.Unlock()
+	require.NoError(t, err)
+	require.Positive(t, samples, "the process was not watched")
+	require.Positive(t, most, "no socket of the process was seen")
 	peak := statusBytes(w.process, "VmHWM:")
 	t.Logf("peak, KB: resident %d and unread %d in one sample, resident alone %d; sockets: %d", resident>>10, unread>>10, peak>>10, most)
 	require.False(t, w.process.hasEnded(), "the process ended")
@@ -105,10 +117,10 @@
 
 // unreadBytes returns the bytes in the receive queues of the process's sockets and of the connections to
 // its listeners.
-func (w *memoryWatch) unreadBytes(inodes map[string]bool) int64 {
+func (w *memoryWatch) unreadBytes(inodes map[string]bool) (int64, error) {
 	table, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
-		return 0
+		return 0, err
 	}
 	var sum int64
 	for line := range strings.Lines(string(table)) {
@@ -118,11 +130,12 @@
 		}
 		_, received, _ := strings.Cut(fields[4], ":")
 		n, err := strconv.ParseInt(received, 16, 64)
-		if err == nil {
-			sum += n
+		if err != nil {
+			return 0, err
 		}
+		sum += n
 	}
-	return sum
+	return sum, nil
 }
 
 // decodeAddress returns the address of a field of /proc/net/tcp: the bytes of the IP address in reverse
