request, dispatch, witness: one bound for kept answers, that concurrent ends don't miscount

Cause: home and witness had the same bound twice, and both set their count after the answers were listed: what was added meanwhile was not counted, and two that trimmed at once could count less than was kept. A witness did not count the answers of a table that it took over until its next trim.

Change: request.KeptAnswers, used by both.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -68,8 +68,8 @@
 	forwarder *forwarder
 	costs     *costModel
 	stopping  atomic.Bool
-	// keptBytes is at least what the answers of finished requests take here.
-	keptBytes  atomic.Int64
+	// kept bounds the answers of finished requests.
+	kept       request.KeptAnswers
 	stop       context.CancelFunc
 	background sync.WaitGroup
 }
@@ -84,6 +84,7 @@
 		costs:     newCostModel(),
 	}
 	d.workers = newWorkerPool(options.MaxRunning, d.run)
+	d.kept.Limit, d.kept.List, d.kept.Drop = options.KeptLimit, d.listKept, d.table.drop
 	return d
 }
 
@@ -93,7 +94,13 @@
 	d.stop = cancel
 	d.background.Add(2)
 	go d.every(ctx, progressInterval, func() { d.reportProgress(d.table.all()) })
-	go d.every(ctx, sweepInterval, func() { d.table.expire(time.Now().Add(-finishedRetention)) })
+	go d.every(ctx, sweepInterval, d.sweep)
+}
+
+// sweep removes requests that finished some time ago.
+func (d *Dispatcher) sweep() {
+	d.table.expire(time.Now().Add(-finishedRetention))
+	d.kept.Trim()
 }
 
 // Stop ends the background work and cancels the requests in progress, without waiting for them.
--- a/internal/dispatch/kept.go
+++ b/internal/dispatch/kept.go
@@ -10,22 +10,13 @@
 	return request.Kept{ID: e.spec.ID, Since: e.finished, Bytes: bytes}, e.isPacked && bytes > 0
 }
 
-// limitKept counts the answer of an entry that has ended, and drops the oldest ones beyond the limit. A
-// resend then asks the witness.
-func (d *Dispatcher) limitKept(e *entry) {
-	answer, ended := e.kept()
-	if !ended || d.options.KeptLimit <= 0 || d.keptBytes.Add(answer.Bytes) <= d.options.KeptLimit {
-		return
-	}
+// listKept returns the answers in the table. A resend of a request whose answer was dropped asks the witness.
+func (d *Dispatcher) listKept() []request.Kept {
 	var all []request.Kept
-	for _, other := range d.table.all() {
-		if answer, ended := other.kept(); ended {
+	for _, e := range d.table.all() {
+		if answer, ended := e.kept(); ended {
 			all = append(all, answer)
 		}
 	}
-	dropped, rest := request.Oldest(all, d.options.KeptLimit)
-	d.keptBytes.Store(rest)
-	for i := range dropped {
-		d.table.drop(dropped[i].ID)
-	}
+	return all
 }
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -169,7 +169,9 @@
 		d.reportFinal(e, phase, e.snapshot().Failure)
 	}
 	e.pack()
-	d.limitKept(e)
+	if answer, ended := e.kept(); ended {
+		d.kept.Add(answer.Bytes)
+	}
 	d.recordDecision(e.spec.ID, string(phase), failureText(failure))
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -104,7 +104,7 @@
 		return nil, err
 	}
 	n.witness = witness.NewService(self, n.peers)
-	n.witness.KeptLimit = keptLimit(&s.Limits)
+	n.witness.LimitKept(keptLimit(&s.Limits))
 	n.control = newControlPlane(n, dialer)
 	n.router = placement.NewRouter(placement.Options{
 		Members:         n.members,
--- a/internal/witness/kept.go
+++ b/internal/witness/kept.go
@@ -2,6 +2,7 @@
 
 import (
 	"mangoledge.example/mangoledge/internal/grant"
+	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/request"
 )
 
@@ -14,20 +15,21 @@
 	return int64(n)
 }
 
-// dropOldest drops the oldest answers beyond KeptLimit. A resend of such a request is run again if it is
-// idempotent, and otherwise learns that its result is no longer kept.
-func (s *Service) dropOldest() {
+// listKept returns the answers in all tables.
+func (s *Service) listKept() []request.Kept {
 	var all []request.Kept
 	for _, h := range s.allTables() {
 		for i := range h.shards {
 			h.shards[i].withLock(func(t *grant.Table) { all = t.Kept(all) })
 		}
 	}
-	dropped, rest := request.Oldest(all, s.KeptLimit)
-	s.keptBytes.Store(rest)
-	for i := range dropped {
-		if h, held := s.table(dropped[i].ID.Witness); held {
-			h.shardOf(dropped[i].ID).withLock(func(t *grant.Table) { t.Drop(dropped[i].ID) })
-		}
+	return all
+}
+
+// dropKept drops a request with its answer. A resend of it is run again if it is idempotent, and otherwise
+// learns that its result is no longer kept.
+func (s *Service) dropKept(id ident.RequestID) {
+	if h, held := s.table(id.Witness); held {
+		h.shardOf(id).withLock(func(t *grant.Table) { t.Drop(id) })
 	}
 }
--- a/internal/witness/service.go
+++ b/internal/witness/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,6 +10,7 @@
 	"mangoledge.example/mangoledge/internal/grant"
 	"mangoledge.example/mangoledge/internal/ident"
 	"mangoledge.example/mangoledge/internal/peer"
+	"mangoledge.example/mangoledge/internal/request"
 )
 
 const (
@@ -26,11 +26,8 @@
 	self  ident.Incarnation
 	peers peer.Caller
 
-	// KeptLimit is how many bytes the answers of finished requests may take; 0 means no limit. It is set before
-	// the service is used.
-	KeptLimit int64
-	// keptBytes is at least what they take.
-	keptBytes atomic.Int64
+	// kept bounds the answers of finished requests.
+	kept request.KeptAnswers
 
 	mu     sync.RWMutex
 	tables map[ident.Incarnation]*heldTable
@@ -41,13 +38,19 @@
 // NewService returns a service with an empty table for the node's own incarnation.
 func NewService(self ident.Incarnation, peers peer.Caller) *Service {
 	own := newOwnTable(self)
-	return &Service{
+	s := &Service{
 		self:   self,
 		peers:  peers,
 		tables: map[ident.Incarnation]*heldTable{self: own},
 	}
+	s.kept.List, s.kept.Drop = s.listKept, s.dropKept
+	return s
 }
 
+// LimitKept bounds the answers of finished requests to a number of bytes; 0 means no limit. It is called
+// before the service is used.
+func (s *Service) LimitKept(bytes int64) { s.kept.Limit = bytes }
+
 // Register exposes the service's methods to other nodes.
 func (s *Service) Register(server *peer.Server) error {
 	return server.Register(serviceName, &endpoint{service: s})
@@ -76,9 +79,7 @@
 // Finish calls grant.Table.Finish on the table of the request's witness.
 func (s *Service) Finish(ctx context.Context, req *grant.FinishRequest) (grant.UpdateReply, error) {
 	reply, err := applyOrForward(ctx, s, req.ID, "Finish", req, (*grant.Table).Finish)
-	if kept := s.keptBytes.Add(answerBytes(&req.Record)); s.KeptLimit > 0 && kept > s.KeptLimit {
-		s.dropOldest()
-	}
+	s.kept.Add(answerBytes(&req.Record))
 	return reply, err
 }
 
@@ -93,7 +94,7 @@
 }
 
 // Expire removes the entries whose deadline passed more than retention before now
-// from every table, and returns how many.
+// from every table, and returns how many. It also counts the answers of adopted tables.
 func (s *Service) Expire(now time.Time, retention time.Duration) int {
 	dropped := 0
 	for _, h := range s.allTables() {
@@ -101,6 +102,7 @@
 			h.shards[i].withLock(func(t *grant.Table) { dropped += t.Expire(now, retention) })
 		}
 	}
+	s.kept.Trim()
 	return dropped
 }
 
