dispatch, entry, plainservice: long answers are bounded in sum

What was seen: in the product's own mode 150 clients that send 179 KB of small calls, inside all limits, end a process if the replies of the plain service are long (3 MiB; 4 are legal).

Cause: each reply was read whole as soon as it arrived, with a buffer that grows and a copy, then encoded for its caller, whose connection held it until it was read. Each was bounded (4 MiB), their sum only by the requests in progress.

Change: an answer can't be refused, since its request has run, so it waits where it is, in the kernel's buffer of its connection, until there is memory for it. AnswerMemory (12% of the memory limit, a weighted semaphore of x/sync) is taken before a reply over 16 KiB is read, and held until its worker and all callers that follow the request are done with it; then it counts as one of the answers kept for resends, and a resend takes memory again before it gets a reference. A second one does the same for answers from other nodes; it never waits for another node, so nodes don't wait for each other. The same answer is encoded for one caller at a time. While an answer waits, clients that take nothing of a long answer for 2 s are disconnected. The timeout of an idempotent call doesn't run while its reply waits. Long responses are written in pieces, so that a client has 30 s for 32 KiB and not for all. Calls of plain services get their receive buffers from the shared budget, and what a service says to a refusal is cut at 1 KiB.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -82,8 +82,6 @@
 	if err != nil {
 		return verdict.From(err)
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.record.Output = reply
+	e.setOutput(reply)
 	return nil
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -15,6 +15,7 @@
 	"mangoledge.example/mangoledge/internal/plainservice"
 	"mangoledge.example/mangoledge/internal/request"
 	"mangoledge.example/mangoledge/internal/retry"
+	"mangoledge.example/mangoledge/internal/sse"
 )
 
 const (
@@ -44,6 +45,10 @@
 	Bodies *ingress.Account
 	// KeptLimit is how many bytes the answers of finished requests may take; 0 means no limit.
 	KeptLimit int64
+	// Answers bounds the memory of long answers of requests held here, and RelayedAnswers that of answers of other
+	// nodes' requests on their way to callers; nil for no bound. An answer of another node's Answers may wait for
+	// RelayedAnswers, but none of these for another node.
+	Answers, RelayedAnswers *ingress.AnswerMemory
 	// ReclaimTimes may be nil; reclaim times are unknown then.
 	ReclaimTimes ReclaimTimes
 	// RecoveryCounter may be nil; recoveries are not counted then.
@@ -77,12 +82,12 @@
 // New returns a Dispatcher; Start must be called before it is used.
 func New(options Options) *Dispatcher {
 	d := &Dispatcher{
-		options:   options,
-		self:      options.Members.Self().Incarnation,
-		table:     newTable(),
-		forwarder: newForwarder(options.Dialer),
-		costs:     newCostModel(),
+		options: options,
+		self:    options.Members.Self().Incarnation,
+		table:   newTable(),
+		costs:   newCostModel(),
 	}
+	d.forwarder = newForwarder(options.Dialer, func(ctx context.Context) error { return d.reserveRelayed(ctx, sse.MaxEventBytes) })
 	d.workers = newWorkerPool(options.MaxRunning, d.run)
 	d.kept.Limit, d.kept.List, d.kept.Drop = options.KeptLimit, d.listKept, d.table.drop
 	return d
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -52,6 +52,9 @@
 	reserved Placement
 	// begun is true once an engine has started to compute the request.
 	begun bool
+	// answer is what is reserved for a long answer, and turn is taken by the caller's request that sends it.
+	answer answerMemory
+	turn   chan struct{}
 	// changed is closed and replaced at each change that followers need to see.
 	changed chan struct{}
 	// finished is when finish set the final phase; zero before.
@@ -69,6 +72,7 @@
 		record:   record,
 		reported: len(record.Tokens),
 		changed:  make(chan struct{}),
+		turn:     make(chan struct{}, 1),
 		// An earlier holder may have sent an idempotent request to an upstream. For a
 		// non-idempotent request the witness's grant tracks this.
 		dispatched: record.Spec.Idempotent && (record.Upstream != "" || len(record.Tokens) > 0),
--- a/internal/dispatch/fakesite_test.go
+++ b/internal/dispatch/fakesite_test.go
@@ -300,7 +300,7 @@
 	d := dispatch.New(dispatch.Options{
 		Guard: noGuard{}, Budget: budget, Retries: retry.NewPolicy(budget, rand.New(rand.NewPCG(1, 1))),
 		Members: view, Witness: witness.NewClient(peers, view, tables), Router: s, Admission: s.admission,
-		Journal: s, ReclaimTimes: s, RecoveryCounter: s, Engines: engine.NewClient(), Services: plainservice.NewClient(),
+		Journal: s, ReclaimTimes: s, RecoveryCounter: s, Engines: engine.NewClient(), Services: plainservice.NewClient(nil, nil),
 		Peers: peers, Dialer: dialer, Logger: discard(), MaxRunning: 64,
 	})
 	server := peer.NewServer(token)
--- a/internal/dispatch/follow.go
+++ b/internal/dispatch/follow.go
@@ -55,6 +55,9 @@
 			}
 		}
 		if last, ok := lastEvent(&now); ok {
+			if err := a.entry.takeTurn(ctx, last.Output); err != nil {
+				return err
+			}
 			return emit(last)
 		}
 		select {
--- a/internal/dispatch/forwarder.go
+++ b/internal/dispatch/forwarder.go
@@ -30,9 +30,11 @@
 type forwarder struct {
 	dialer peer.Dialer
 	http   *http.Client
+	// reserve reserves memory for a long answer, until the scope in ctx ends.
+	reserve func(ctx context.Context) error
 }
 
-func newForwarder(dialer peer.Dialer) *forwarder {
+func newForwarder(dialer peer.Dialer, reserve func(ctx context.Context) error) *forwarder {
 	transport := &http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return dialer.Dial(ctx, address)
@@ -42,7 +44,7 @@
 		IdleConnTimeout:       forwardIdleTimeout,
 		DisableCompression:    true,
 	}
-	return &forwarder{dialer: dialer, http: &http.Client{Transport: transport}}
+	return &forwarder{dialer: dialer, http: &http.Client{Transport: transport}, reserve: reserve}
 }
 
 func (f *forwarder) close() {
@@ -80,7 +82,7 @@
 		return nil, err
 	}
 	if resp.StatusCode == http.StatusOK {
-		return newRemoteAttachment(resp.Body, cancel), nil
+		return &remoteAttachment{body: resp.Body, cancel: cancel, reserve: f.reserve}, nil
 	}
 	defer cancel()
 	defer func() { _ = resp.Body.Close() }()
--- a/internal/dispatch/peerhandler.go
+++ b/internal/dispatch/peerhandler.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 
+	"mangoledge.example/mangoledge/internal/ingress"
 	"mangoledge.example/mangoledge/internal/peer"
 	"mangoledge.example/mangoledge/internal/verdict"
 )
@@ -17,6 +18,8 @@
 }
 
 func (d *Dispatcher) serveSubmit(w http.ResponseWriter, r *http.Request) {
+	ctx, scope := ingress.WithScope(r.Context())
+	defer scope.End()
 	sub, refusal := d.receiveSubmission(w, r)
 	if sub.Memory != nil {
 		defer sub.Memory.Release()
@@ -25,8 +28,8 @@
 		writeRefusal(w, refusal)
 		return
 	}
-	attachment, err := d.Submit(r.Context(), sub)
-	d.serveAttachment(r.Context(), w, attachment, err)
+	attachment, err := d.Submit(ctx, sub)
+	d.serveAttachment(ctx, w, attachment, err)
 }
 
 func (d *Dispatcher) serveResume(w http.ResponseWriter, r *http.Request) {
@@ -35,8 +38,10 @@
 		writeRefusal(w, verdict.BadInput("body", "%v", err))
 		return
 	}
-	attachment, err := d.Resume(r.Context(), res)
-	d.serveAttachment(r.Context(), w, attachment, err)
+	ctx, scope := ingress.WithScope(r.Context())
+	defer scope.End()
+	attachment, err := d.Resume(ctx, res)
+	d.serveAttachment(ctx, w, attachment, err)
 }
 
 // serveAttachment streams the events of attachment to another node, or writes err as a refusal.
--- a/internal/dispatch/remote.go
+++ b/internal/dispatch/remote.go
@@ -6,6 +6,7 @@
 	"io"
 	"time"
 
+	"mangoledge.example/mangoledge/internal/ingress"
 	"mangoledge.example/mangoledge/internal/sse"
 	"mangoledge.example/mangoledge/internal/verdict"
 )
@@ -14,10 +15,8 @@
 type remoteAttachment struct {
 	body   io.ReadCloser
 	cancel context.CancelFunc
-}
-
-func newRemoteAttachment(body io.ReadCloser, cancel context.CancelFunc) *remoteAttachment {
-	return &remoteAttachment{body: body, cancel: cancel}
+	// reserve reserves memory for a long answer before it is read.
+	reserve func(ctx context.Context) error
 }
 
 // Close closes the connection to the other node.
@@ -35,6 +34,11 @@
 	idle := time.AfterFunc(forwardIdleTimeout, a.cancel)
 	defer idle.Stop()
 	reader := sse.NewReader(a.body)
+	reader.BeforeLong(ingress.ShortAnswer, func() error {
+		idle.Stop()
+		defer idle.Reset(forwardIdleTimeout)
+		return a.reserve(ctx)
+	})
 	for {
 		raw, err := reader.Next()
 		if err != nil {
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -12,7 +12,10 @@
 // Resume follows a request from the caller's position. Its error is a *verdict.Error.
 func (d *Dispatcher) Resume(ctx context.Context, res Resumption) (Attachment, error) {
 	var homeErr error
-	if e, ok := d.table.get(res.ID); ok && !e.isReleased() {
+	if e, ok, err := d.find(ctx, res.ID); ok || err != nil {
+		if err != nil {
+			return nil, err
+		}
 		return d.attachAt(e, res)
 	}
 	if !res.Forwarded && res.ID.Home != d.self && d.reachable(res.ID.Home) {
@@ -25,11 +28,13 @@
 	if res.Forwarded {
 		return nil, errUnknown()
 	}
-	reply, err := d.callWitnessFetch(ctx, res.ID)
-	if err != nil {
-		return nil, d.errProgressUnknown(res.ID, homeErr, err)
-	}
-	record, err := recordOf(reply, res.Workspace)
+	record, err := d.fetchRecord(ctx, func() (*request.Record, error) {
+		reply, err := d.callWitnessFetch(ctx, res.ID)
+		if err != nil {
+			return nil, d.errProgressUnknown(res.ID, homeErr, err)
+		}
+		return recordOf(reply, res.Workspace)
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -54,13 +59,21 @@
 // Fetch returns the record of a request from this node, its home, its holder or its
 // witness, whichever is reached. Its error is a *verdict.Error.
 func (d *Dispatcher) Fetch(ctx context.Context, id ident.RequestID, workspace ident.Workspace) (*request.Record, error) {
-	if e, ok := d.table.get(id); ok && !e.isReleased() {
+	if e, ok, err := d.find(ctx, id); ok || err != nil {
+		if err != nil {
+			return nil, err
+		}
 		if e.spec.Workspace != workspace {
 			return nil, errUnknown()
 		}
 		record := e.snapshot()
-		return &record, nil
+		return &record, e.takeTurn(ctx, record.Output)
 	}
+	return d.fetchRecord(ctx, func() (*request.Record, error) { return d.fetchElsewhere(ctx, id, workspace) })
+}
+
+// fetchElsewhere returns the record of a request that this node doesn't hold.
+func (d *Dispatcher) fetchElsewhere(ctx context.Context, id ident.RequestID, workspace ident.Workspace) (*request.Record, error) {
 	var homeErr error
 	if id.Home != d.self && d.reachable(id.Home) {
 		record, err := d.callFetch(ctx, d.addressOf(id.Home), id, workspace)
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -20,6 +20,8 @@
 // run processes one request in a worker, until its final phase or its release.
 func (d *Dispatcher) run(e *entry) {
 	defer e.dropInput()
+	e.useAnswer(nil)
+	defer e.leaveAnswer()
 	ctx, cancel := context.WithDeadline(e.ctx, e.spec.Deadline)
 	defer cancel()
 	failure := d.waitTurn(ctx, e)
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -18,7 +18,10 @@
 // Submit accepts a request, or attaches to the one already accepted under its ID. Its
 // error is a *verdict.Error.
 func (d *Dispatcher) Submit(ctx context.Context, sub Submission) (Attachment, error) {
-	if e, ok := d.table.get(sub.Spec.ID); ok && !e.isReleased() {
+	if e, ok, err := d.find(ctx, sub.Spec.ID); ok || err != nil {
+		if err != nil {
+			return nil, err
+		}
 		return d.attach(e, &sub)
 	}
 	if d.stopping.Load() {
@@ -73,10 +76,10 @@
 	}
 	claim, err := d.claim(ctx, sub.Spec.ID, &sub.Spec, 0)
 	if err != nil {
-		return d.acceptWithoutClaim(sub, ticket, err)
+		return d.acceptWithoutClaim(ctx, sub, ticket, err)
 	}
 	if mayRun(claim) {
-		return d.startEntry(claim.Record, sub, ticket, true)
+		return d.startEntry(ctx, claim.Record, sub, ticket, true)
 	}
 	ticket.Release(false)
 	return d.followHolder(ctx, claim, sub)
@@ -84,7 +87,7 @@
 
 // acceptWithoutClaim starts an idempotent request whose witness can't be reached, and
 // refuses a non-idempotent one.
-func (d *Dispatcher) acceptWithoutClaim(sub *Submission, ticket Ticket, cause error) (Attachment, error) {
+func (d *Dispatcher) acceptWithoutClaim(ctx context.Context, sub *Submission, ticket Ticket, cause error) (Attachment, error) {
 	if decided, ok := witnessDecision(cause); ok {
 		ticket.Release(false)
 		return nil, decided
@@ -95,7 +98,7 @@
 	}
 	d.recordDecision(sub.Spec.ID, "accept", "without a witness")
 	record := request.Record{Spec: sub.Spec, Phase: request.PhaseWaiting, Holder: d.self, Epoch: 1}
-	return d.startEntry(record, sub, ticket, false)
+	return d.startEntry(ctx, record, sub, ticket, false)
 }
 
 // mayRun reports whether a claim allows this node to run the request. A request that was
@@ -130,7 +133,7 @@
 }
 
 // startEntry adds a claimed request to the table and queues it for a worker.
-func (d *Dispatcher) startEntry(record request.Record, sub *Submission, ticket Ticket, witnessed bool) (Attachment, error) {
+func (d *Dispatcher) startEntry(ctx context.Context, record request.Record, sub *Submission, ticket Ticket, witnessed bool) (Attachment, error) {
 	position := sub.Position
 	known := len(record.Tokens)
 	if len(position.Received) > len(record.Tokens) && sub.Spec.Idempotent && !record.Phase.Final() {
@@ -146,6 +149,7 @@
 	fresh.reported = known
 	fresh.retain(sub.Memory)
 	e, added := d.table.put(fresh)
+	d.follow(ctx, e, nil)
 	if !added {
 		fresh.dropInput()
 		ticket.Release(false)
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -15,7 +15,10 @@
 // can't be reached.
 func (d *Dispatcher) followHolder(ctx context.Context, claim *grant.ClaimReply, sub *Submission) (Attachment, error) {
 	// Another submission of the same request may have started here during the claim.
-	if e, ok := d.table.get(sub.Spec.ID); ok && !e.isReleased() {
+	if e, ok, err := d.find(ctx, sub.Spec.ID); ok || err != nil {
+		if err != nil {
+			return nil, err
+		}
 		return d.attach(e, sub)
 	}
 	record := &claim.Record
@@ -52,7 +55,7 @@
 	claim, err := d.claim(ctx, sub.Spec.ID, &sub.Spec, seen.Epoch)
 	if err == nil && mayRun(claim) {
 		d.recordDecision(sub.Spec.ID, "take over", "from "+string(seen.Holder))
-		return d.startEntry(claim.Record, sub, ticket, true)
+		return d.startEntry(ctx, claim.Record, sub, ticket, true)
 	}
 	ticket.Release(false)
 	if err == nil && claim.Record.Phase.Final() {
--- a/internal/entry/flush_test.go
+++ b/internal/entry/flush_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -31,3 +32,27 @@
 	require.WithinRange(t, recorder.deadline, before.Add(callerWriteTimeout), time.Now().Add(callerWriteTimeout))
 	require.Equal(t, "event", recorder.Body.String())
 }
+
+// countingRecorder is a deadlineRecorder that counts the write deadlines.
+type countingRecorder struct {
+	deadlineRecorder
+	deadlines int
+}
+
+func (r *countingRecorder) SetWriteDeadline(at time.Time) error {
+	r.deadlines++
+	return r.deadlineRecorder.SetWriteDeadline(at)
+}
+
+func TestCallerHasTimeForEachPieceOfALongResponse(t *testing.T) {
+	recorder := &countingRecorder{deadlineRecorder: deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}}
+	body := strings.Repeat("0123456789", writePiece/4)
+	handler := flushWrites(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		n, err := w.Write([]byte(body))
+		require.NoError(t, err)
+		require.Equal(t, len(body), n)
+	}))
+	handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/", nil))
+	require.Equal(t, body, recorder.Body.String())
+	require.Equal(t, 3, recorder.deadlines)
+}
--- a/internal/entry/requestbody.go
+++ b/internal/entry/requestbody.go
@@ -33,7 +33,7 @@
 // first read, which comes once the caller is authenticated.
 type requestBody struct {
 	source io.ReadCloser
-	// request is the request that the body is read from.
+	// request is the request that the handler gets. It must be the same one, not a copy: see decoded.
 	request *http.Request
 	writer  http.ResponseWriter
 	account *ingress.Account
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -28,7 +28,7 @@
 	slots := make(chan struct{}, limits.MaxConcurrent)
 	bodies := newBodyLimiter(account, limits.MaxBodyBytes, time.Duration(limits.BodyTimeoutMs)*time.Millisecond)
 	s.http = &http.Server{
-		Handler:           limitConcurrency(slots, bodies.limit(flushWrites(api))),
+		Handler:           limitConcurrency(slots, withScope(bodies.limit(flushWrites(api)))),
 		ConnState:         ingress.OnState,
 		ConnContext:       withConn,
 		ReadHeaderTimeout: time.Duration(limits.HeaderTimeoutMs) * time.Millisecond,
@@ -37,6 +37,15 @@
 	return s, nil
 }
 
+// withScope wraps next so that memory held for a response is released once it was sent.
+func withScope(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, scope := ingress.WithScope(r.Context())
+		defer scope.End()
+		next.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
+
 // Serve accepts connections on listener until Shutdown.
 func (s *Server) Serve(listener net.Listener) error {
 	return s.http.Serve(listener)
--- a/internal/faulttest/entrycrowd_test.go
+++ b/internal/faulttest/entrycrowd_test.go
@@ -129,7 +129,15 @@
 // watches their memory: the second node is the witness of requests at the first.
 func startEntryCrowdSite(t *testing.T) (*site, []*memoryWatch) {
 	t.Helper()
-	s := startSiteAlone(t, siteOptions{nodes: 2, engines: 2, services: 1, seed: 1, memoryMB: entryCrowdMemoryMB})
+	return startEntryCrowdSiteWith(t, siteOptions{})
+}
+
+// startEntryCrowdSiteWith is startEntryCrowdSite with further options.
+func startEntryCrowdSiteWith(t *testing.T, options siteOptions) (*site, []*memoryWatch) {
+	t.Helper()
+	options.nodes, options.engines, options.services, options.seed = 2, 2, 1, 1
+	options.memoryMB = entryCrowdMemoryMB
+	s := startSiteAlone(t, options)
 	var watches []*memoryWatch
 	for _, n := range s.nodes {
 		watches = append(watches, watchMemory(t, n.process, n.settings.CallerListen, n.settings.OperatorListen, n.settings.PeerListen))
--- a/internal/faulttest/site_test.go
+++ b/internal/faulttest/site_test.go
@@ -42,6 +42,8 @@
 	seed     uint64
 	// serviceDelay is how long a call of a plain service takes; 0 means the constant serviceDelay.
 	serviceDelay time.Duration
+	// replyBytes is the least length of a reply of a plain service, in bytes.
+	replyBytes int
 	// poison is a text that crashes every engine that runs a prompt with it.
 	poison string
 	// memoryMB is the memory limit of the nodes; 0 means the default.
--- a/internal/faulttest/upstream_test.go
+++ b/internal/faulttest/upstream_test.go
@@ -70,7 +70,7 @@
 			ID: name, Slots: 32, TokenInterval: tokenInterval, IgnoreFencing: true,
 			PoisonMarker: s.options.poison, Seed: s.options.seed + uint64(i), HistoryPath: path,
 		},
-		Service: service.Options{ID: name, Delay: cmp.Or(s.options.serviceDelay, serviceDelay), HistoryPath: path},
+		Service: service.Options{ID: name, Delay: cmp.Or(s.options.serviceDelay, serviceDelay), ReplyBytes: s.options.replyBytes, HistoryPath: path},
 	}}
 }
 
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -20,6 +20,8 @@
 	trustOnce sync.Once
 	// writingSince is when the write in progress began, in nanoseconds since 1970; 0 if there is none.
 	writingSince atomic.Int64
+	// longAnswer is true while a long answer is written.
+	longAnswer atomic.Bool
 
 	// The following fields are guarded by the table's mutex.
 	serving bool
@@ -50,6 +52,13 @@
 	return n, err
 }
 
+// SetLongAnswer records whether a long answer is written from now on.
+func (c *Conn) SetLongAnswer(long bool) {
+	if c != nil {
+		c.longAnswer.Store(long)
+	}
+}
+
 // Close closes the connection, once.
 func (c *Conn) Close() error {
 	c.closeOnce.Do(func() {
--- a/internal/ingress/conntable.go
+++ b/internal/ingress/conntable.go
@@ -119,6 +119,15 @@
 	}
 }
 
+// EvictStalledAnswer closes one of the connections whose clients have taken nothing of a long answer for some
+// time.
+func (t *ConnTable) EvictStalledAnswer() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	t.evictOne(func(c *Conn) bool { return c.longAnswer.Load() && c.stalled(now) })
+}
+
 // evictOne closes one of the connections that may give way, and reports whether there was any: of the
 // address with the most connections, one whose head is open before an idle one, before one whose body
 // arrives, before one whose client takes no response, and the oldest first.
--- a/internal/ingress/receivebuffers.go
+++ b/internal/ingress/receivebuffers.go
@@ -1,6 +1,8 @@
 package ingress
 
 import (
+	"context"
+	"net"
 	"sync"
 	"syscall"
 
@@ -52,6 +54,34 @@
 	return size
 }
 
+// Dial opens a connection whose receive buffer is granted, at most the wanted size, and returned when it is
+// closed. A nil budget grants the kernel's own size.
+func (r *ReceiveBuffers) Dial(ctx context.Context, dialer net.Dialer, network, address string, wanted int64) (net.Conn, error) {
+	if r == nil {
+		return dialer.DialContext(ctx, network, address)
+	}
+	size := r.Grant(wanted)
+	dialer.Control = func(_, _ string, socket syscall.RawConn) error { return SetReceiveBuffer(socket, size) }
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		r.Return(size)
+		return nil, err
+	}
+	return &grantedConn{Conn: conn, giveBack: sync.OnceFunc(func() { r.Return(size) })}, nil
+}
+
+// grantedConn is a connection that returns its receive buffer when it is closed.
+type grantedConn struct {
+	net.Conn
+	giveBack func()
+}
+
+// Close closes the connection.
+func (c *grantedConn) Close() error {
+	c.giveBack()
+	return c.Conn.Close()
+}
+
 // Return returns a buffer whose connection is closed.
 func (r *ReceiveBuffers) Return(size int64) {
 	r.mu.Lock()
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -80,12 +80,14 @@
 		ReclaimTimes:    n.router,
 		RecoveryCounter: requestmetrics.NewRecoveryCounter(n.metrics),
 		Engines:         engines,
-		Services:        plainservice.NewClient(),
+		Services:        plainservice.NewClient(n.ingress.answers, n.ingress.buffers),
 		Peers:           n.peers,
 		Dialer:          dialer,
 		Logger:          n.logger,
 		MaxRunning:      n.settings.Limits.MaxConcurrent,
 		Bodies:          n.ingress.bodies,
+		Answers:         n.ingress.answers,
+		RelayedAnswers:  n.ingress.relayedAnswers,
 		KeptLimit:       keptLimit(&n.settings.Limits),
 	})
 	handler := entry.NewHandler(requestmetrics.New(n.dispatcher, n.metrics), book, n.control.manager)
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -16,6 +16,10 @@
 	bodies *ingress.Account
 	// callers, operators and peers are the connections of the listeners.
 	callers, operators, peers *ingress.ConnTable
+	// buffers are the receive buffers of connections beyond their first one, and of those to plain services.
+	buffers *ingress.ReceiveBuffers
+	// answers and relayedAnswers are the memory of long answers, of requests held here and at other nodes.
+	answers, relayedAnswers *ingress.AnswerMemory
 }
 
 func newIngressLimits(limits *settings.Limits) *ingressLimits {
@@ -23,11 +27,17 @@
 	buffers := ingress.NewReceiveBuffers(limits.MemoryMB)
 	external := ingress.ClientConnLimits(descriptors, limits.MemoryMB)
 	internal := ingress.InternalConnLimits(descriptors, limits.MemoryMB)
+	callers := ingress.NewConnTable(external, buffers, time.Now)
 	return &ingressLimits{
 		bodies:    ingress.NewAccount(ingress.Capacity(limits.MemoryMB), time.Now),
-		callers:   ingress.NewConnTable(external, buffers, time.Now),
+		callers:   callers,
+		buffers:   buffers,
 		operators: ingress.NewConnTable(internal, buffers, time.Now),
-		peers:     ingress.NewConnTable(ingress.ConnLimits{Conns: external.Conns, HeadBytes: internal.HeadBytes}, buffers, time.Now),
+
+		answers:        ingress.NewAnswerMemory(limits.MemoryMB, callers.EvictStalledAnswer),
+		relayedAnswers: ingress.NewAnswerMemory(limits.MemoryMB, callers.EvictStalledAnswer),
+
+		peers: ingress.NewConnTable(ingress.ConnLimits{Conns: external.Conns, HeadBytes: internal.HeadBytes}, buffers, time.Now),
 	}
 }
 
--- a/internal/plainservice/client_test.go
+++ b/internal/plainservice/client_test.go
@@ -19,15 +19,15 @@
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			_, _ = io.WriteString(w, strings.Repeat("x", size))
 		}))
-		reply, err := NewClient().Call(t.Context(), server.URL, "r", "p", false)
+		reply, err := NewClient(nil, nil).Call(t.Context(), server.URL, "r", "p", false)
 		server.Close()
 		if accepted {
 			require.NoError(t, err)
-			require.Len(t, reply, size)
+			require.Len(t, reply.Text, size)
 			continue
 		}
 		require.Equal(t, verdict.Ran, verdict.From(err).Verdict)
-		require.Empty(t, reply)
+		require.Empty(t, reply.Text)
 	}
 }
 
@@ -48,13 +48,13 @@
 			_ = conn.Close()
 		}))
 		t.Cleanup(server.Close)
-		reply, err := NewClient().Call(t.Context(), server.URL, "r", "p", false)
+		reply, err := NewClient(nil, nil).Call(t.Context(), server.URL, "r", "p", false)
 		if !ended {
 			require.NoError(t, err)
-			require.Equal(t, "reply", reply)
+			require.Equal(t, "reply", reply.Text)
 			continue
 		}
 		require.Equal(t, verdict.Ran, verdict.From(err).Verdict)
-		require.Empty(t, reply)
+		require.Empty(t, reply.Text)
 	}
 }
--- a/internal/plainservice/status_test.go
+++ b/internal/plainservice/status_test.go
@@ -26,7 +26,7 @@
 			_ = conn.Close()
 		}))
 		t.Cleanup(server.Close)
-		_, err := NewClient().Call(t.Context(), server.URL, "r", "p", false)
+		_, err := NewClient(nil, nil).Call(t.Context(), server.URL, "r", "p", false)
 		require.Equal(t, verdict.MayHaveRun, verdict.From(err).Verdict, status)
 		_, err = engine.NewClient().Start(t.Context(), server.URL, &engine.Completion{RequestID: "r"}, false)
 		require.Equal(t, verdict.MayHaveRun, verdict.From(err).Verdict, status)
--- a/internal/slopes/entry.go
+++ b/internal/slopes/entry.go
@@ -192,7 +192,7 @@
 		Router:    stubRouter{upstream: fleet.Upstream{ID: "u1", URL: url, Models: []ident.Model{"model-1"}, State: fleet.StateReady}},
 		Admission: stubAdmission{}, Guard: stubGuard{}, Journal: stubJournal{},
 		Budget: budget, Retries: retry.NewPolicy(budget, random),
-		Engines: newPatientClient(), Services: plainservice.NewClient(), Peers: peers, Dialer: dialer,
+		Engines: newPatientClient(), Services: plainservice.NewClient(nil, nil), Peers: peers, Dialer: dialer,
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), MaxRunning: 2 * streamCount,
 	})
 	d.Start()
--- a/internal/sse/sse_test.go
+++ b/internal/sse/sse_test.go
@@ -38,7 +38,7 @@
 }
 
 func TestEndlessEventIsRejected(t *testing.T) {
-	r := NewReader(io.LimitReader(endlessLines{}, 64*maxEventBytes))
+	r := NewReader(io.LimitReader(endlessLines{}, 64*MaxEventBytes))
 	_, err := r.Next()
 	require.ErrorIs(t, err, bounded.ErrTooLong)
 }
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -23,6 +24,8 @@
 	ID string
 	// Delay is how long a call takes.
 	Delay time.Duration
+	// ReplyBytes is the least length of a reply, in bytes.
+	ReplyBytes int
 	// Endings draws how replies end; nil for ordinary ones.
 	Endings *ending.Drawer
 	// HistoryPath is the file that the history is written to; empty for no history.
@@ -94,7 +97,8 @@
 		<-r.Context().Done()
 		return
 	}
-	s.reply(w, s.options.ID+" did "+string(payload))
+	text := s.options.ID + " did " + string(payload)
+	s.reply(w, text+strings.Repeat(".", max(0, s.options.ReplyBytes-len(text))))
 }
 
 // reply writes a reply, which may end in any way.
