dispatch: fewer copies of long requests that are forwarded

Cause: the encoded request was kept until its response had been read, as the response refers to its request; any number were encoded at once, and decoded at once at the home, each with a few copies.

Change: the body of a forwarded request is free once it was sent; requests with at most 8 MiB of inputs are encoded and sent at once; the home decodes one at a time.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -73,6 +73,8 @@
 	forwarder *forwarder
 	costs     *costModel
 	stopping  atomic.Bool
+	// decoding is held while a forwarded request is decoded, which copies it a few times.
+	decoding sync.Mutex
 	// kept bounds the answers of finished requests.
 	kept       request.KeptAnswers
 	stop       context.CancelFunc
--- a/internal/dispatch/forwarder.go
+++ b/internal/dispatch/forwarder.go
@@ -1,14 +1,15 @@
 package dispatch
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/semaphore"
 
 	"mangoledge.example/mangoledge/internal/peer"
 	"mangoledge.example/mangoledge/internal/verdict"
@@ -24,12 +25,17 @@
 	forwardIdleTimeout = 3 * time.Second
 	// maxForwardIdleConns is the maximum number of idle connections per node.
 	maxForwardIdleConns = 64
+	// maxSendingBytes is the maximum length of all inputs that are sent to other nodes at once, in bytes. Each is
+	// copied a few times.
+	maxSendingBytes = 8 << 20
 )
 
 // forwarder forwards requests to other nodes.
 type forwarder struct {
 	dialer peer.Dialer
 	http   *http.Client
+	// sending bounds the inputs of submissions that are being encoded and sent.
+	sending *semaphore.Weighted
 	// reserve reserves memory for a long answer, until the scope in ctx ends.
 	reserve func(ctx context.Context) error
 }
@@ -44,7 +50,7 @@
 		IdleConnTimeout:       forwardIdleTimeout,
 		DisableCompression:    true,
 	}
-	return &forwarder{dialer: dialer, http: &http.Client{Transport: transport}, reserve: reserve}
+	return &forwarder{dialer: dialer, http: &http.Client{Transport: transport}, sending: semaphore.NewWeighted(maxSendingBytes), reserve: reserve}
 }
 
 func (f *forwarder) close() {
@@ -53,6 +59,11 @@
 
 func (f *forwarder) submit(ctx context.Context, address string, sub Submission) (Attachment, error) {
 	sub.Forwarded = true
+	length := min(int64(len(sub.Spec.Input)), maxSendingBytes)
+	if err := f.sending.Acquire(ctx, length); err != nil {
+		return nil, err
+	}
+	defer f.sending.Release(length)
 	return f.open(ctx, address, submitPath, &sub)
 }
 
@@ -69,14 +80,18 @@
 	if err != nil {
 		return nil, err
 	}
+	sent := &payload{data: data}
 	ctx, cancel := context.WithCancel(ctx)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(data))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, sent.reader())
 	if err != nil {
 		cancel()
 		return nil, err
 	}
+	req.ContentLength = int64(len(data))
+	req.GetBody = func() (io.ReadCloser, error) { return sent.reader(), nil }
 	peer.SetToken(req, f.dialer.Token)
 	resp, err := f.http.Do(req)
+	sent.drop() // the response refers to its request
 	if err != nil {
 		cancel()
 		return nil, err
--- a/internal/dispatch/receivesubmission.go
+++ b/internal/dispatch/receivesubmission.go
@@ -28,6 +28,8 @@
 		}
 		source = body.Reader()
 		defer body.DropPieces()
+		d.decoding.Lock() // what was received whole is decoded at once
+		defer d.decoding.Unlock()
 	}
 	if err := json.NewDecoder(source).Decode(&sub); err != nil {
 		return sub, verdict.BadInput("body", "%v", err)
