peer: long messages of other nodes are bounded while they arrive

A caller whose call times out opens a new connection, and the old ones go on sending; each has its buffer of up to twice its message.

Change: a server takes memory (12% of the limit, a weighted semaphore) before it reads a message over 64 KiB, and gives it back once it was decoded; then the buffer is dropped, and not at the next message. A long message has 5 s to arrive from then on.

--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -50,6 +50,15 @@
 	return int64(limits.MemoryMB) << 20 * keptPercent / 100
 }
 
+// framePercent is the part of the memory limit, in percent, that the long messages of other nodes may take while
+// they arrive.
+const framePercent = 12
+
+// frameLimit returns how many bytes these messages may take.
+func frameLimit(limits *settings.Limits) int64 {
+	return int64(limits.MemoryMB) << 20 * framePercent / 100
+}
+
 // maxDescriptors returns the process's limit of descriptors; 0 if there is none or it is not known.
 func maxDescriptors() int {
 	var limit unix.Rlimit
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -100,6 +100,7 @@
 	}
 	n.peers = peer.NewClient(dialer)
 	n.peerServer = peer.NewServer(s.PeerToken)
+	n.peerServer.LimitFrames(frameLimit(&s.Limits))
 	if err := n.join(); err != nil {
 		return nil, err
 	}
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -40,7 +40,7 @@
 	require.Equal(t, lengths[1], lengths[2])
 	require.Equal(t, lengths[0], lengths[1]+len("Echo.Echo")+1)
 
-	server := newServerCodec(bufferConn{Reader: &wire})
+	server := newServerCodec(bufferConn{Reader: &wire}, nil)
 	for seq := range uint64(3) {
 		var request rpc.Request
 		require.NoError(t, server.ReadRequestHeader(&request))
@@ -62,7 +62,7 @@
 	require.Zero(t, wire.Len())
 	require.NoError(t, client.WriteRequest(&rpc.Request{ServiceMethod: "Echo.Echo", Seq: 1}, &EchoArgs{}))
 	var request rpc.Request
-	require.NoError(t, newServerCodec(bufferConn{Reader: &wire}).ReadRequestHeader(&request))
+	require.NoError(t, newServerCodec(bufferConn{Reader: &wire}, nil).ReadRequestHeader(&request))
 	require.Equal(t, "Echo.Echo", request.ServiceMethod, "a name that was not sent must not be replaced by its number")
 }
 
@@ -82,7 +82,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			err := newServerCodec(bufferConn{Reader: bytes.NewReader(c.wire)}).ReadRequestHeader(new(rpc.Request))
+			err := newServerCodec(bufferConn{Reader: bytes.NewReader(c.wire)}, nil).ReadRequestHeader(new(rpc.Request))
 			require.True(t, errors.Is(err, c.want), "got %v", err)
 		})
 	}
@@ -92,7 +92,7 @@
 	f.Add(frameOf([]byte{1, 0, 1, 'x', 0x81, 0xa4, 'T', 'e', 'x', 't', 0xa2, 'h', 'i'}))
 	f.Add(frameOf([]byte{1, 0, 1, 'x', 0xdd, 0xff, 0xff, 0xff, 0xff}))
 	f.Fuzz(func(_ *testing.T, wire []byte) {
-		server := newServerCodec(bufferConn{Reader: bytes.NewReader(wire)})
+		server := newServerCodec(bufferConn{Reader: bytes.NewReader(wire)}, nil)
 		for server.ReadRequestHeader(new(rpc.Request)) == nil {
 			_ = server.ReadRequestBody(new(EchoArgs))
 		}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"encoding/binary"
 	"io"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
@@ -33,10 +34,13 @@
 	// frame is the last message read, unread its part that was not decoded yet.
 	frame  bytes.Buffer
 	unread []byte
+	// limit bounds long frames; nil for no limit. leave gives back the memory of the last one.
+	limit *frameLimit
+	leave func()
 }
 
 func newFrameConn(conn io.ReadWriteCloser) *frameConn {
-	return &frameConn{conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes)}
+	return &frameConn{conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), leave: func() {}}
 }
 
 // readFrame reads the next message. Beyond maxPreallocBytes, memory is only allocated as
@@ -49,18 +53,38 @@
 	if length > maxFrameBytes {
 		return errors.Wrapf(errBadFrame, "%d bytes", length)
 	}
-	if f.frame.Cap() > maxRetainedBytes {
-		f.frame = bytes.Buffer{}
+	f.dropFrame()
+	f.leave = f.limit.enter(length)
+	if length > shortFrameBytes {
+		f.setReadDeadline(time.Now().Add(longFrameTimeout))
+		defer f.setReadDeadline(time.Time{})
 	}
-	f.frame.Reset()
 	f.frame.Grow(int(min(length, maxPreallocBytes)))
 	if _, err := io.CopyN(&f.frame, f.reader, int64(length)); err != nil {
+		f.dropFrame()
 		return unexpectedEOF(err)
 	}
 	f.unread = f.frame.Bytes()
 	return nil
 }
 
+// dropFrame ends the use of the last message, and frees its memory if it is long.
+func (f *frameConn) dropFrame() {
+	if f.frame.Cap() > maxRetainedBytes {
+		f.frame = bytes.Buffer{}
+	}
+	f.frame.Reset()
+	f.unread = nil
+	f.leave()
+}
+
+// setReadDeadline sets the time at which a read fails, if there is a limit of frames and the connection supports it.
+func (f *frameConn) setReadDeadline(at time.Time) {
+	if c, ok := f.conn.(interface{ SetReadDeadline(time.Time) error }); ok && f.limit != nil {
+		_ = c.SetReadDeadline(at)
+	}
+}
+
 // unexpectedEOF turns an EOF within a frame into io.ErrUnexpectedEOF, to distinguish it
 // from one between frames.
 func unexpectedEOF(err error) error {
@@ -94,8 +118,9 @@
 	return out, nil
 }
 
-// decodeBody decodes the rest of the message; a nil into discards it.
+// decodeBody decodes the rest of the message, which is then dropped; a nil into discards it.
 func (f *frameConn) decodeBody(into any) error {
+	defer f.dropFrame()
 	if into == nil {
 		return nil
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -44,6 +44,8 @@
 	mux   *http.ServeMux
 	http  *http.Server
 	token string
+	// frames bounds the long frames that arrive; nil for no limit.
+	frames *frameLimit
 
 	// mu guards rpcConns and closed; it is a leaf.
 	mu sync.Mutex
@@ -64,6 +66,9 @@
 	return s
 }
 
+// LimitFrames bounds the memory of the long messages that arrive at once. It is called before Serve.
+func (s *Server) LimitFrames(bytes int64) { s.frames = newFrameLimit(bytes) }
+
 // Register serves the methods of receiver under name. They must return errors through
 // EncodeError.
 func (s *Server) Register(name string, receiver any) error {
@@ -133,7 +138,7 @@
 		return
 	}
 	defer s.untrack(conn)
-	s.rpc.ServeCodec(newServerCodec(conn))
+	s.rpc.ServeCodec(newServerCodec(conn, s.frames))
 }
 
 // track adds conn to rpcConns; it returns false if the server is closed.
--- a/internal/peer/servercodec.go
+++ b/internal/peer/servercodec.go
@@ -17,8 +17,11 @@
 
 var _ rpc.ServerCodec = (*serverCodec)(nil)
 
-func newServerCodec(conn io.ReadWriteCloser) *serverCodec {
-	return &serverCodec{frameConn: newFrameConn(conn)}
+// newServerCodec returns the codec of a connection, whose long frames are bounded by limit; nil for no limit.
+func newServerCodec(conn io.ReadWriteCloser, limit *frameLimit) *serverCodec {
+	c := &serverCodec{frameConn: newFrameConn(conn)}
+	c.limit = limit
+	return c
 }
 
 // ReadRequestHeader implements rpc.ServerCodec.
@@ -34,6 +37,12 @@
 	return err
 }
 
+// Close closes the connection. No call is being read then.
+func (c *serverCodec) Close() error {
+	c.leave()
+	return c.frameConn.Close()
+}
+
 // readMethod reads a method's number, followed by its name if it is new.
 func (c *serverCodec) readMethod() (string, error) {
 	number, err := c.readUvarint()
