grant, witness: inputs of requests in progress are bounded at their witness

What was seen: 150 clients that send one request of 1 MiB each to six homes, with IDs whose witness is the same node, end that node: 283 MB of 96. Each home was within its limit.

Cause: callers choose the witness of a request. It keeps the inputs while the requests are in progress, without a bound.

A request that has an entry is never refused, nor is one of a table that is handed over.

--- a/internal/faulttest/entrycrowd_test.go
+++ b/internal/faulttest/entrycrowd_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -135,7 +136,7 @@
 // startEntryCrowdSiteWith is startEntryCrowdSite with further options.
 func startEntryCrowdSiteWith(t *testing.T, options siteOptions) (*site, []*memoryWatch) {
 	t.Helper()
-	options.nodes, options.engines, options.services, options.seed = 2, 2, 1, 1
+	options.nodes, options.engines, options.services, options.seed = cmp.Or(options.nodes, 2), 2, 1, 1
 	options.memoryMB = entryCrowdMemoryMB
 	s := startSiteAlone(t, options)
 	var watches []*memoryWatch
--- a/internal/grant/claim.go
+++ b/internal/grant/claim.go
@@ -48,7 +48,11 @@
 	if !req.Spec.Idempotent && !t.admitNonIdempotent() {
 		return ClaimReply{}, ErrFull
 	}
+	if !t.inputs.reserve(len(req.Spec.Input)) {
+		return ClaimReply{}, ErrNoMemory
+	}
 	e := newEntry(*req.Spec, req.Holder, req.SeenEpoch+firstEpoch)
+	e.inputs = t.inputs
 	e.Record.Spec.ID = req.ID
 	t.put(e)
 	return ClaimReply{Found: true, Claimed: true, Record: e.recordCopy()}, nil
--- a/internal/grant/entry.go
+++ b/internal/grant/entry.go
@@ -17,6 +17,8 @@
 	// Record.Tokens is nil from then on.
 	packed   request.PackedTokens
 	isPacked bool
+	// inputs counts the input; nil if it isn't counted.
+	inputs *Inputs
 }
 
 // newEntry returns the entry of a waiting request.
@@ -48,7 +50,7 @@
 	}
 	e.packed = request.PackTokens(e.Record.Tokens)
 	e.Record.Tokens = nil
-	e.Record.Spec.Input = ""
+	e.dropInput()
 	e.isPacked = true
 }
 
--- a/internal/grant/errors.go
+++ b/internal/grant/errors.go
@@ -17,6 +17,8 @@
 	// ErrFull is returned for a non-idempotent request that has no entry in a full table.
 	// Such a request was never granted and never will be.
 	ErrFull = errors.New("the table takes no further non-idempotent requests")
+	// ErrNoMemory is returned for a new request whose input there is no room for. The request has no entry.
+	ErrNoMemory = errors.New("no memory for the request's input")
 	// ErrNotFinal is returned when a request is finished in a phase that is not final.
 	ErrNotFinal = errors.New("the phase is not final")
 	// ErrNotGranted is returned when a non-idempotent request is finished as done without a grant.
--- a/internal/grant/table.go
+++ b/internal/grant/table.go
@@ -29,6 +29,8 @@
 	nonIdempotent int
 	// limit bounds nonIdempotent plus the number of fingerprints in spent.
 	limit int
+	// inputs bounds the inputs of requests in progress; nil for no bound.
+	inputs *Inputs
 	// full is never reset, so that a request refused because of it is never granted later.
 	full bool
 }
@@ -43,6 +45,9 @@
 	}
 }
 
+// LimitInputs makes the table count the inputs of its requests in progress. It is called before the table is used.
+func (t *Table) LimitInputs(inputs *Inputs) { t.inputs = inputs }
+
 // NewSuccessorTable returns a table that answers once Install has given it a snapshot.
 func NewSuccessorTable(limit int) *Table {
 	t := NewTable(limit)
@@ -101,6 +106,10 @@
 // put adds an entry.
 func (t *Table) put(e *Entry) {
 	t.entries[e.Record.Spec.ID] = e
+	if !e.isPacked && e.inputs == nil {
+		e.inputs = t.inputs
+		e.inputs.add(len(e.Record.Spec.Input))
+	}
 	if !e.Record.Spec.Idempotent {
 		t.nonIdempotent++
 	}
@@ -109,6 +118,7 @@
 // remove deletes an entry.
 func (t *Table) remove(e *Entry) {
 	delete(t.entries, e.Record.Spec.ID)
+	e.dropInput()
 	if !e.Record.Spec.Idempotent {
 		t.nonIdempotent--
 	}
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -50,6 +50,15 @@
 	return int64(limits.MemoryMB) << 20 * keptPercent / 100
 }
 
+// witnessInputPercent is the part of the memory limit, in percent, that the inputs of requests in progress may
+// take at their witness.
+const witnessInputPercent = 12
+
+// witnessInputLimit returns how many bytes these inputs may take.
+func witnessInputLimit(limits *settings.Limits) int64 {
+	return int64(limits.MemoryMB) << 20 * witnessInputPercent / 100
+}
+
 // framePercent is the part of the memory limit, in percent, that the long messages of other nodes may take while
 // they arrive.
 const framePercent = 12
@@ -73,6 +82,7 @@
 	n.registerGauge("ingress.body_bytes_held", "Memory of request bodies, in bytes.", func() int64 { return n.ingress.bodies.Usage().Held })
 	n.registerGauge("ingress.bodies_without_memory", "Bodies that were refused for lack of memory.", func() int64 { return n.ingress.bodies.Usage().Full })
 	n.registerGauge("ingress.bodies_evicted", "Bodies that gave way to others.", func() int64 { return n.ingress.bodies.Usage().Evicted })
+	n.registerGauge("ingress.witness_input_bytes", "Inputs of requests in progress that this node is the witness of, in bytes.", n.witness.InputBytes)
 	n.registerGauge("ingress.caller_connections", "Open connections of callers.", func() int64 { return int64(n.ingress.callers.Usage().Conns) })
 	n.registerGauge("ingress.caller_connections_refused", "Connections of callers that were closed at once.", func() int64 { return n.ingress.callers.Usage().Refused })
 	n.registerGauge("ingress.caller_connections_evicted", "Connections of callers that gave way to others.", func() int64 { return n.ingress.callers.Usage().Evicted })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -106,6 +106,7 @@
 	}
 	n.witness = witness.NewService(self, n.peers)
 	n.witness.LimitKept(keptLimit(&s.Limits))
+	n.witness.LimitInputs(witnessInputLimit(&s.Limits))
 	n.control = newControlPlane(n, dialer)
 	n.router = placement.NewRouter(placement.Options{
 		Members:         n.members,
--- a/internal/witness/adopt.go
+++ b/internal/witness/adopt.go
@@ -19,7 +19,9 @@
 		return Ack{}, verdict.New(verdict.MayHaveRun, verdict.CodeStopping, "this node hands its own tables over")
 	}
 	if _, ok := s.tables[req.Witness]; !ok {
-		s.tables[req.Witness] = newSuccessorTable(req.Witness)
+		h := newSuccessorTable(req.Witness)
+		h.limitInputs(s.inputs)
+		s.tables[req.Witness] = h
 	}
 	return Ack{OK: true}, nil
 }
--- a/internal/witness/errors.go
+++ b/internal/witness/errors.go
@@ -41,6 +41,8 @@
 		return verdict.New(verdict.NotRun, verdict.CodeForbidden, "the request belongs to another workspace")
 	case errors.Is(err, grant.ErrFull):
 		return verdict.New(verdict.NotRun, verdict.CodePrefixExpired, "the witness %s takes no further non-idempotent requests", witness)
+	case errors.Is(err, grant.ErrNoMemory):
+		return verdict.New(verdict.MayHaveRun, verdict.CodeOverloaded, "no memory for the request at its witness; this send was not run, the same ID may be sent again").WithRetryAfter(unreachableRetryAfter)
 	case errors.Is(err, grant.ErrNotInstalled):
 		return tableNotHeld(witness)
 	}
--- a/internal/witness/heldtable.go
+++ b/internal/witness/heldtable.go
@@ -50,6 +50,13 @@
 	return h
 }
 
+// limitInputs makes all shards count the inputs of requests in progress. It is called before the table is used.
+func (h *heldTable) limitInputs(inputs *grant.Inputs) {
+	for i := range h.shards {
+		h.shards[i].table.LimitInputs(inputs)
+	}
+}
+
 // shardOf returns the shard that id belongs to.
 func (h *heldTable) shardOf(id ident.RequestID) *shard {
 	return &h.shards[shardIndex(id)]
--- a/internal/witness/service.go
+++ b/internal/witness/service.go
@@ -26,6 +26,8 @@
 	self  ident.Incarnation
 	peers peer.Caller
 
+	// inputs bounds the inputs of requests in progress; nil for no bound.
+	inputs *grant.Inputs
 	// kept bounds the answers of finished requests.
 	kept request.KeptAnswers
 
@@ -37,11 +39,10 @@
 
 // NewService returns a service with an empty table for the node's own incarnation.
 func NewService(self ident.Incarnation, peers peer.Caller) *Service {
-	own := newOwnTable(self)
 	s := &Service{
 		self:   self,
 		peers:  peers,
-		tables: map[ident.Incarnation]*heldTable{self: own},
+		tables: map[ident.Incarnation]*heldTable{self: newOwnTable(self)},
 	}
 	s.kept.List, s.kept.Drop = s.listKept, s.dropKept
 	return s
@@ -51,6 +52,18 @@
 // before the service is used.
 func (s *Service) LimitKept(bytes int64) { s.kept.Limit = bytes }
 
+// LimitInputs bounds the inputs of requests in progress to a number of bytes. It is called before the service is
+// used.
+func (s *Service) LimitInputs(bytes int64) {
+	s.inputs = grant.NewInputs(bytes)
+	for _, h := range s.tables {
+		h.limitInputs(s.inputs)
+	}
+}
+
+// InputBytes returns the length of the inputs of requests in progress.
+func (s *Service) InputBytes() int64 { return s.inputs.Bytes() }
+
 // Register exposes the service's methods to other nodes.
 func (s *Service) Register(server *peer.Server) error {
 	return server.Register(serviceName, &endpoint{service: s})
