node, dispatch: the shares of memory fit beside each other

Cause: each share was bounded, but together with the copies that encoding and decoding leave for the collector they took more than the limit.

Change, in the product's own mode only: bodies take 16% of the limit (25 before), long answers, inputs at a witness and long messages 9% each (12), of which messages count five times their length (3), as they are also decoded. The collector runs more often from 50% on (60). Inputs that are sent to other nodes take 2 MiB at once (8).

--- a/cmd/mangoledged/gateway.go
+++ b/cmd/mangoledged/gateway.go
@@ -24,6 +24,9 @@
 	// gcPercent is how far the heap may grow beyond the live heap before the next collection, in
 	// percent. A small heap is then collected often, but memory costs more than processor time.
 	gcPercent = 60
+	// gatewayCollectorPercent is the part of the memory limit, in percent, from which on the garbage collector runs
+	// more often.
+	gatewayCollectorPercent = 60
 	// settingsCheckInterval is the interval of checks for changes of the settings file, which may change
 	// without a signal.
 	settingsCheckInterval = time.Second
@@ -62,7 +65,7 @@
 func limitProcessorsAndMemory(s *site.Settings) {
 	runtime.GOMAXPROCS(1)
 	debug.SetGCPercent(gcPercent)
-	ingress.LimitCollector(s.MemoryMB)
+	ingress.LimitCollector(s.MemoryMB, gatewayCollectorPercent)
 }
 
 // serveGateway starts the gateway, reloads its settings on SIGHUP and when the file changes, and stops it on
--- a/cmd/mangoledged/main.go
+++ b/cmd/mangoledged/main.go
@@ -18,6 +18,10 @@
 	"mangoledge.example/mangoledge/internal/tlsconf"
 )
 
+// collectorPercent is the part of the memory limit, in percent, from which on the garbage collector runs more often.
+// Decoding and encoding requests leave much garbage.
+const collectorPercent = 50
+
 func main() {
 	app := kingpin.New("mangoledged", "The mangoledge daemon: one per entry host.")
 	path := app.Flag("settings", "Path of the settings file: JSON, or with --platform the platform's format; with --platform, the default is the file named by the environment.").String()
@@ -57,7 +61,7 @@
 
 // run runs incarnations of the node one after another until the process has to end.
 func run(loaded *settings.Settings) error {
-	ingress.LimitCollector(loaded.Limits.MemoryMB)
+	ingress.LimitCollector(loaded.Limits.MemoryMB, collectorPercent)
 	runtime.GOMAXPROCS(min(runtime.GOMAXPROCS(0), loaded.Limits.MaxProcessors))
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
--- a/internal/dispatch/forwarder.go
+++ b/internal/dispatch/forwarder.go
@@ -27,7 +27,7 @@
 	maxForwardIdleConns = 64
 	// maxSendingBytes is the maximum length of all inputs that are sent to other nodes at once, in bytes. Each is
 	// copied a few times.
-	maxSendingBytes = 8 << 20
+	maxSendingBytes = 2 << 20
 )
 
 // forwarder forwards requests to other nodes.
--- a/internal/ingress/answermemory.go
+++ b/internal/ingress/answermemory.go
@@ -13,7 +13,7 @@
 	ShortAnswer = 16 << 10
 	// answerMemoryPercent is the part of a process's memory limit that one AnswerMemory bounds, in percent,
 	// and defaultAnswerMemory, in bytes, what it bounds in a process without a limit.
-	answerMemoryPercent = 12
+	answerMemoryPercent = 9
 	defaultAnswerMemory = 256 << 20
 	// answerCopies is how many times the length of an answer is in memory at most: while it is read, encoded,
 	// and reported to another node.
--- a/internal/ingress/memorylimit.go
+++ b/internal/ingress/memorylimit.go
@@ -2,13 +2,10 @@
 
 import "runtime/debug"
 
-// collectorPercent is the part of a process's memory limit, in percent, from which on the garbage collector
-// runs more often. The rest is for the program itself, and for what the kernel has received.
-const collectorPercent = 60
-
-// LimitCollector makes the garbage collector keep to a process's memory limit in MB; 0 means no limit.
-func LimitCollector(memoryMB int) {
+// LimitCollector makes the garbage collector keep to a part of a process's memory limit in MB; 0 means no limit. The
+// rest is for garbage that is not collected in time, and for what the kernel has received.
+func LimitCollector(memoryMB, percent int) {
 	if memoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryMB) << 20 * collectorPercent / 100)
+		debug.SetMemoryLimit(int64(memoryMB) << 20 * int64(percent) / 100)
 	}
 }
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -88,7 +88,7 @@
 		Bodies:          n.ingress.bodies,
 		Answers:         n.ingress.answers,
 		RelayedAnswers:  n.ingress.relayedAnswers,
-		KeptLimit:       keptLimit(&n.settings.Limits),
+		KeptLimit:       share(&n.settings.Limits, keptPercent),
 	})
 	handler := entry.NewHandler(requestmetrics.New(n.dispatcher, n.metrics), book, n.control.manager)
 	n.entry, err = entry.NewServer(handler, tokens, &n.settings.Limits, n.ingress.bodies)
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -29,7 +29,7 @@
 	internal := ingress.InternalConnLimits(descriptors, limits.MemoryMB)
 	callers := ingress.NewConnTable(external, buffers, time.Now)
 	return &ingressLimits{
-		bodies:    ingress.NewAccount(ingress.Capacity(limits.MemoryMB), time.Now),
+		bodies:    ingress.NewAccount(share(limits, bodyPercent), time.Now),
 		callers:   callers,
 		buffers:   buffers,
 		operators: ingress.NewConnTable(internal, buffers, time.Now),
@@ -41,31 +41,21 @@
 	}
 }
 
-// keptPercent is the part of the memory limit, in percent, that the answers of finished requests may take at
-// their home, and again at their witness.
-const keptPercent = 6
-
-// keptLimit returns how many bytes these answers may take at each.
-func keptLimit(limits *settings.Limits) int64 {
-	return int64(limits.MemoryMB) << 20 * keptPercent / 100
-}
-
-// witnessInputPercent is the part of the memory limit, in percent, that the inputs of requests in progress may
-// take at their witness.
-const witnessInputPercent = 12
-
-// witnessInputLimit returns how many bytes these inputs may take.
-func witnessInputLimit(limits *settings.Limits) int64 {
-	return int64(limits.MemoryMB) << 20 * witnessInputPercent / 100
-}
-
-// framePercent is the part of the memory limit, in percent, that the long messages of other nodes may take while
-// they arrive.
-const framePercent = 12
+// The parts of the memory limit, in percent, that what a node holds for others may take.
+const (
+	// bodyPercent is for the inputs of requests in progress, from their arrival on.
+	bodyPercent = 16
+	// keptPercent is for the answers of finished requests at their home, and again at their witness.
+	keptPercent = 6
+	// witnessInputPercent is for the inputs of requests in progress at their witness.
+	witnessInputPercent = 9
+	// framePercent is for long messages of other nodes while they arrive.
+	framePercent = 9
+)
 
-// frameLimit returns how many bytes these messages may take.
-func frameLimit(limits *settings.Limits) int64 {
-	return int64(limits.MemoryMB) << 20 * framePercent / 100
+// share returns a part of the memory limit, in bytes.
+func share(limits *settings.Limits, percent int64) int64 {
+	return int64(limits.MemoryMB) << 20 * percent / 100
 }
 
 // maxDescriptors returns the process's limit of descriptors; 0 if there is none or it is not known.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -100,13 +100,13 @@
 	}
 	n.peers = peer.NewClient(dialer)
 	n.peerServer = peer.NewServer(s.PeerToken)
-	n.peerServer.LimitFrames(frameLimit(&s.Limits))
+	n.peerServer.LimitFrames(share(&s.Limits, framePercent))
 	if err := n.join(); err != nil {
 		return nil, err
 	}
 	n.witness = witness.NewService(self, n.peers)
-	n.witness.LimitKept(keptLimit(&s.Limits))
-	n.witness.LimitInputs(witnessInputLimit(&s.Limits))
+	n.witness.LimitKept(share(&s.Limits, keptPercent))
+	n.witness.LimitInputs(share(&s.Limits, witnessInputPercent))
 	n.control = newControlPlane(n, dialer)
 	n.router = placement.NewRouter(placement.Options{
 		Members:         n.members,
--- a/internal/peer/framelimit.go
+++ b/internal/peer/framelimit.go
@@ -11,8 +11,8 @@
 const (
 	// shortFrameBytes is the length up to which frames are not limited.
 	shortFrameBytes = 64 << 10
-	// frameCopies is how many times the length of a frame is in memory at most while it arrives.
-	frameCopies = 3
+	// frameCopies is how many times the length of a frame is in memory at most while it arrives and is decoded.
+	frameCopies = 5
 	// longFrameTimeout is how long a long frame may take to arrive, once there is memory for it.
 	longFrameTimeout = 5 * time.Second
 )
