dispatch: a stalled connection or node holds up no resend

Change: a second sender of the same answer takes the turn or memory for one more copy, whichever comes first, and while it waits stalled clients give way. An input counts as being sent for 250 ms at most, and inputs up to 64 KiB are not counted.

--- a/internal/dispatch/answermemory.go
+++ b/internal/dispatch/answermemory.go
@@ -64,17 +64,40 @@
 }
 
 // takeTurn waits until no other request of a caller sends the entry's long answer, which is encoded for each of
-// them. The turn ends with the scope in ctx.
-func (e *entry) takeTurn(ctx context.Context, output string) error {
+// them, or until there is memory for one more. What it takes is given back with the scope in ctx.
+func (e *entry) takeTurn(ctx context.Context, output string, memory *ingress.AnswerMemory) error {
 	if len(output) <= ingress.ShortAnswer {
 		return nil
 	}
+	endTurn := func() { <-e.turn }
 	select {
 	case e.turn <- struct{}{}:
+		ingress.HoldInScope(ctx, endTurn)
+		return nil
+	default:
+	}
+	waiting, cancel := context.WithCancel(ctx)
+	defer cancel()
+	reserved := make(chan func())
+	go func() {
+		release, err := memory.Reserve(waiting, int64(len(output)))
+		if err != nil {
+			return
+		}
+		select {
+		case reserved <- release:
+		case <-waiting.Done():
+			release()
+		}
+	}()
+	select {
+	case e.turn <- struct{}{}:
+		ingress.HoldInScope(ctx, endTurn)
+	case release := <-reserved:
+		ingress.HoldInScope(ctx, release)
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	ingress.HoldInScope(ctx, func() { <-e.turn })
 	return nil
 }
 
--- a/internal/dispatch/follow.go
+++ b/internal/dispatch/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"mangoledge.example/mangoledge/internal/ingress"
 	"mangoledge.example/mangoledge/internal/request"
 	"mangoledge.example/mangoledge/internal/verdict"
 )
@@ -25,6 +26,8 @@
 type localAttachment struct {
 	entry    *entry
 	position Position
+	// answers is the memory of long answers; nil for no limit.
+	answers *ingress.AnswerMemory
 }
 
 // Close does nothing.
@@ -55,7 +58,7 @@
 			}
 		}
 		if last, ok := lastEvent(&now); ok {
-			if err := a.entry.takeTurn(ctx, last.Output); err != nil {
+			if err := a.entry.takeTurn(ctx, last.Output, a.answers); err != nil {
 				return err
 			}
 			return emit(last)
--- a/internal/dispatch/forwarder.go
+++ b/internal/dispatch/forwarder.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,16 +26,20 @@
 	forwardIdleTimeout = 3 * time.Second
 	// maxForwardIdleConns is the maximum number of idle connections per node.
 	maxForwardIdleConns = 64
-	// maxSendingBytes is the maximum length of all inputs that are sent to other nodes at once, in bytes. Each is
-	// copied a few times.
+	// maxSendingBytes is the maximum length of all long inputs that are sent to other nodes at once, in bytes. Each
+	// is copied a few times.
 	maxSendingBytes = 2 << 20
+	// shortInput is the length up to which inputs are sent without a limit, in bytes.
+	shortInput = 64 << 10
+	// sendingTimeout is how long an input counts as being sent.
+	sendingTimeout = 250 * time.Millisecond
 )
 
 // forwarder forwards requests to other nodes.
 type forwarder struct {
 	dialer peer.Dialer
 	http   *http.Client
-	// sending bounds the inputs of submissions that are being encoded and sent.
+	// sending bounds the long inputs of submissions that are being encoded and sent.
 	sending *semaphore.Weighted
 	// reserve reserves memory for a long answer, until the scope in ctx ends.
 	reserve func(ctx context.Context) error
@@ -59,14 +64,29 @@
 
 func (f *forwarder) submit(ctx context.Context, address string, sub Submission) (Attachment, error) {
 	sub.Forwarded = true
-	length := min(int64(len(sub.Spec.Input)), maxSendingBytes)
-	if err := f.sending.Acquire(ctx, length); err != nil {
+	sent, err := f.startSending(ctx, int64(len(sub.Spec.Input)))
+	if err != nil {
 		return nil, err
 	}
-	defer f.sending.Release(length)
+	defer sent()
 	return f.open(ctx, address, submitPath, &sub)
 }
 
+// startSending waits until a long input may be encoded and sent, and returns what ends it. A node that doesn't
+// answer holds up the others for sendingTimeout only.
+func (f *forwarder) startSending(ctx context.Context, length int64) (sent func(), err error) {
+	if length <= shortInput {
+		return func() {}, nil
+	}
+	length = min(length, maxSendingBytes)
+	if err := f.sending.Acquire(ctx, length); err != nil {
+		return nil, err
+	}
+	sent = sync.OnceFunc(func() { f.sending.Release(length) })
+	time.AfterFunc(sendingTimeout, sent)
+	return sent, nil
+}
+
 func (f *forwarder) resume(ctx context.Context, address string, res Resumption) (Attachment, error) {
 	res.Forwarded = true
 	return f.open(ctx, address, resumePath, &res)
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -53,7 +53,7 @@
 	if !record.Continues(res.Position.Generation, res.Position.Offset) {
 		return nil, errProgressLost(&record)
 	}
-	return &localAttachment{entry: e, position: res.Position}, nil
+	return &localAttachment{entry: e, position: res.Position, answers: d.options.Answers}, nil
 }
 
 // Fetch returns the record of a request from this node, its home, its holder or its
@@ -67,7 +67,7 @@
 			return nil, errUnknown()
 		}
 		record := e.snapshot()
-		return &record, e.takeTurn(ctx, record.Output)
+		return &record, e.takeTurn(ctx, record.Output, d.options.Answers)
 	}
 	return d.fetchRecord(ctx, func() (*request.Record, error) { return d.fetchElsewhere(ctx, id, workspace) })
 }
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -54,7 +54,7 @@
 	if !record.Continues(position.Generation, position.Offset) && len(position.Received) == position.Offset && e.spec.Idempotent {
 		d.restart(e, &position)
 	}
-	return &localAttachment{entry: e, position: position}, nil
+	return &localAttachment{entry: e, position: position, answers: d.options.Answers}, nil
 }
 
 // restart continues the request after the caller's own tokens, in a new generation.
@@ -161,7 +161,7 @@
 		ticket.Release(false)
 	}
 	d.recordDecision(record.Spec.ID, "accept", "claimed under epoch "+formatEpoch(record.Epoch))
-	return &localAttachment{entry: e, position: position}, nil
+	return &localAttachment{entry: e, position: position, answers: d.options.Answers}, nil
 }
 
 // refuse returns the refusal to give to the caller. For a non-idempotent request, "not
