node: settings without a memory limit have the default one's shares

The share of bodies was computed from the limit in the settings, which is 0 if they weren't loaded from a file (as in this test), so there was room for nothing. Before, 0 stood for a default.

Change: shares are of the default limit (512 MB) then.

--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -53,9 +54,10 @@
 	framePercent = 9
 )
 
-// share returns a part of the memory limit, in bytes.
+// share returns a part of the memory limit, in bytes. Settings that weren't loaded from a file may have none.
 func share(limits *settings.Limits, percent int64) int64 {
-	return int64(limits.MemoryMB) << 20 * percent / 100
+	memoryMB := cmp.Or(limits.MemoryMB, settings.DefaultMemoryMB)
+	return int64(memoryMB) << 20 * percent / 100
 }
 
 // maxDescriptors returns the process's limit of descriptors; 0 if there is none or it is not known.
--- a/internal/settings/check_limits.go
+++ b/internal/settings/check_limits.go
@@ -4,14 +4,15 @@
 
 // The ranges of the limits. Sizes are in bytes, times in milliseconds.
 const (
-	minBodyBytes    = 1 << 10
-	maxBodyBytes    = 64 << 20
-	minHeaderBytes  = 1 << 10
-	maxHeaderBytes  = 1 << 20
-	maxConcurrent   = 1_000_000
-	maxProcessors   = 1024
-	minMemoryMB     = 64
-	defaultMemoryMB = 512
+	minBodyBytes   = 1 << 10
+	maxBodyBytes   = 64 << 20
+	minHeaderBytes = 1 << 10
+	maxHeaderBytes = 1 << 20
+	maxConcurrent  = 1_000_000
+	maxProcessors  = 1024
+	minMemoryMB    = 64
+	// DefaultMemoryMB is the memory limit of settings that have none, in MB.
+	DefaultMemoryMB = 512
 	maxMemoryMB     = 1 << 20
 	// memoryPerBodyByte is how many bytes of memory the process needs for each byte of the largest body, so
 	// that one such body is served.
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -57,7 +57,7 @@
 	setDefault(&s.Log.Format, "text")
 	setDefault(&s.Limits.MaxBodyBytes, 2<<20)
 	setDefault(&s.Limits.MaxHeaderBytes, 16<<10)
-	setDefault(&s.Limits.MemoryMB, max(defaultMemoryMB, memoryNeeded(s.Limits.MaxBodyBytes)))
+	setDefault(&s.Limits.MemoryMB, max(DefaultMemoryMB, memoryNeeded(s.Limits.MaxBodyBytes)))
 	setDefault(&s.Limits.MaxConcurrent, 4096)
 	setDefault(&s.Limits.MaxProcessors, 2)
 	setDefault(&s.Limits.HeaderTimeoutMs, 5000)
