ingress: receive buffers of other nodes' connections are bounded in sum

Change: these connections get their buffers like those of clients with long bodies, from a budget of their own of 6% of the memory limit.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -82,6 +82,11 @@
 	if length < 0 {
 		length = maxReceiveBuffer
 	}
+	c.enlargeBuffer(length)
+}
+
+// enlargeBuffer makes the receive buffer large enough for length bytes, as far as the budget allows.
+func (c *Conn) enlargeBuffer(length int64) {
 	size := c.table.grantBuffer(c, length)
 	if size == 0 {
 		return
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -38,7 +38,7 @@
 		answers:        ingress.NewAnswerMemory(limits.MemoryMB, callers.EvictStalledAnswer),
 		relayedAnswers: ingress.NewAnswerMemory(limits.MemoryMB, callers.EvictStalledAnswer),
 
-		peers: ingress.NewConnTable(ingress.ConnLimits{Conns: external.Conns, HeadBytes: internal.HeadBytes}, buffers, time.Now),
+		peers: ingress.NewConnTable(ingress.ConnLimits{Conns: external.Conns, HeadBytes: internal.HeadBytes}, ingress.NewReceiveBuffers(limits.MemoryMB), time.Now),
 	}
 }
 
