exchange: logs and metrics tell what the end of an unframed answer was judged by

Cause: the log line of an answer without length and chunks gives its framing, and not why its end was taken for its end.

Change: the log line "end of an unframed answer" and mangoledge_gateway_unframed_ends_total name the evidence: outlived, leaving (not asked), ended.

--- a/internal/gateway/exchange/metrics.go
+++ b/internal/gateway/exchange/metrics.go
@@ -79,6 +79,11 @@
 		projectmetrics.Label{Name: "end", Value: end})
 }
 
+// UnframedEndJudged counts the end of an unframed response, by what it was judged by.
+func (m *Metrics) UnframedEndJudged(evidence endEvidence) {
+	m.count("gateway.unframed_ends", projectmetrics.Label{Name: "evidence", Value: string(evidence)})
+}
+
 // FirstEvent records the time until the first event of a stream.
 func (m *Metrics) FirstEvent(e *exchange, took time.Duration) {
 	m.latency("gateway.first_event_seconds", took, projectmetrics.Label{Name: "service", Value: e.service.Name})
--- a/internal/gateway/exchange/unframed.go
+++ b/internal/gateway/exchange/unframed.go
@@ -13,18 +13,42 @@
 // state to be complete.
 var errMaybeIncomplete = errors.New("the answer may be incomplete")
 
+// endEvidence is what the end of an unframed response was judged by, as written in logs and metrics.
+type endEvidence string
+
+const (
+	// evidenceOutlived means that the upstream's process outlived its response.
+	evidenceOutlived endEvidence = "outlived"
+	// evidenceLeaving means that the upstream is leaving or has no entry.
+	evidenceLeaving endEvidence = "leaving"
+	// evidenceEnded means that the upstream's process may have ended in the middle of the response.
+	evidenceEnded endEvidence = "ended"
+)
+
 // confirmComplete returns an error if a response that has ended may be incomplete. The end of an
 // unframed one looks the same if the upstream's process ended in the middle of it. The request's
 // deadline does not end the check: the response is there.
 func (a *attempt) confirmComplete(ctx context.Context, response *httpconn.Response) error {
-	if !response.Unframed() || a.leavesInGoodOrder() {
+	if !response.Unframed() {
 		return nil
 	}
+	evidence, err := a.judgeEnd(ctx)
+	a.options.Metrics.UnframedEndJudged(evidence)
+	a.log("end of an unframed answer", "upstream", a.ticket.Upstream.ID, "evidence", string(evidence), "complete", err == nil)
+	return err
+}
+
+// judgeEnd returns what the end of an unframed response is judged by, and an error if the response may
+// be incomplete.
+func (a *attempt) judgeEnd(ctx context.Context) (endEvidence, error) {
+	if a.leavesInGoodOrder() {
+		return evidenceLeaving, nil
+	}
 	err := a.options.Pool.Outlived(context.WithoutCancel(ctx), a.ticket.Upstream.Address.String())
 	if err != nil {
-		return errors.Wrap(err, "the upstream may have ended in the middle of the answer")
+		return evidenceEnded, errors.Wrap(err, "the upstream may have ended in the middle of the answer")
 	}
-	return nil
+	return evidenceOutlived, nil
 }
 
 // leavesInGoodOrder reports whether the upstream may end right after its last response, which it
