exchange: an answer cut off by the crash of a leaving replica is not taken for complete

Cause: leavesInGoodOrder took the fact that an upstream leaves (its entry drains or is missing, its answers say so) for evidence that it had left. A replica that leaves can crash like any other; a missing entry may have lapsed.

Change: all upstreams are asked whether they outlived the answer. If the process is gone, only a planned exit as the store shows it counts: drained for the drain time, entry removed after the answer's end, by the upstream itself (its last report is too young for a lapse). The end waits for that removal for 1.5 s at most, less than a crashed upstream's entry stays. Everything else is not complete: resumed, sent again, 502, or a reset.

Why it works: only a replica that exits as planned removes its entry, and a removal is told from a lapse by the age of the last report.

--- a/internal/gateway/catalog/era.go
+++ b/internal/gateway/catalog/era.go
@@ -21,6 +21,8 @@
 	// era is the store's era in which the upstream was removed.
 	era uint64
 	at  time.Time
+	// reportedAfter and drainingAfter are those of its entry.
+	reportedAfter, drainingAfter time.Time
 }
 
 // updateEra treats a store in a later era like one that returns after an outage: entries that are
@@ -49,7 +51,10 @@
 // recordRemoval remembers an upstream that is being removed. u.mu must be held.
 func (u *Upstreams) recordRemoval(name string) {
 	if e := u.entries[name]; e != nil && e.usable {
-		u.removed[name] = removal{upstream: e.upstream, era: max(u.storeVersion.Era(), e.object.Metadata.ResourceVersion.Era()), at: u.now()}
+		u.removed[name] = removal{
+			upstream: e.upstream, era: max(u.storeVersion.Era(), e.object.Metadata.ResourceVersion.Era()), at: u.now(),
+			reportedAfter: e.reportedAfter, drainingAfter: e.drainingAfter,
+		}
 	}
 }
 
--- a/internal/gateway/catalog/upstreams.go
+++ b/internal/gateway/catalog/upstreams.go
@@ -48,6 +48,8 @@
 	mu          sync.Mutex
 	entries     map[string]*entry
 	lastContact time.Time
+	// currentAt is the last time at which all changes in the store were known here.
+	currentAt time.Time
 	// failedAt is when a call of this node to the store last failed, and outages how many outages
 	// were seen.
 	failedAt time.Time
@@ -91,6 +93,9 @@
 	// heldUntil is set for the entry of an upstream that was removed before the store came back from
 	// an older copy: until then its removal may be repeated.
 	heldUntil time.Time
+	// reportedAfter is a time before the store accepted the last change of the entry, and drainingAfter
+	// one before it accepted the change to draining; zero if unknown.
+	reportedAfter, drainingAfter time.Time
 }
 
 // NewUpstreams returns an empty catalog of upstreams.
@@ -109,6 +114,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.updateContact()
+	u.currentAt = u.lastContact
 	u.storeVersion = max(u.storeVersion, version)
 }
 
@@ -116,9 +122,13 @@
 func (u *Upstreams) RecordPeerContact(age time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if at := u.now().Add(-age); at.After(u.lastContact) {
+	at := u.now().Add(-age)
+	if at.After(u.lastContact) {
 		u.lastContact = at
 	}
+	if at.After(u.currentAt) {
+		u.currentAt = at
+	}
 }
 
 // RecordFailure records that a call of this node to the store was not answered.
@@ -189,6 +199,7 @@
 		u.logger.Info("entry of a removed upstream held back", "upstream", object.Metadata.Name, "version", object.Metadata.ResourceVersion)
 		next.usable, next.heldUntil = false, u.now().Add(removedHoldTime)
 	}
+	next.recordReport(known, u.currentAt)
 	u.entries[object.Metadata.Name] = next
 	u.recordChange(object.Metadata.Name)
 	if known == nil || known.usable != next.usable || known.upstream != next.upstream {
--- a/internal/gateway/exchange/deps.go
+++ b/internal/gateway/exchange/deps.go
@@ -133,6 +133,8 @@
 	Shutdown func() *Shutdown
 	// Durations tells how long a route's responses take.
 	Durations *Durations
+	// PlannedExits tells planned exits of upstreams from other ends of their processes.
+	PlannedExits PlannedExits
 	// MaxConfigAge is the age up to which a configuration counts as current. If a request's
 	// route or key is missing from an older one, the client is told to retry later instead of
 	// getting a final error.
--- a/internal/gateway/server/gateway.go
+++ b/internal/gateway/server/gateway.go
@@ -228,6 +228,7 @@
 		Logger:        g.logger,
 		Shutdown:      g.shutdown.Load,
 		Durations:     exchange.NewDurations(),
+		PlannedExits:  exchange.PlannedExits{DrainTime: g.settings.Bounds.DrainTime, ReportInterval: g.settings.Bounds.ReportInterval},
 		MaxConfigAge:  g.settings.Bounds.ConfigInForce,
 		Random:        rand.Float64,
 		WallClock:     time.Now,
--- a/internal/gateway/site/settings.go
+++ b/internal/gateway/site/settings.go
@@ -43,6 +43,12 @@
 type Bounds struct {
 	// ConfigInForce is the time within which a new configuration must be in force.
 	ConfigInForce time.Duration
+	// DrainTime is how long an upstream that leaves as planned serves after the store has accepted its
+	// report that it drains.
+	DrainTime time.Duration
+	// ReportInterval is the interval at which upstreams report to the store, which removes their entries
+	// after three intervals of silence; 0 if unknown.
+	ReportInterval time.Duration
 	// Grace is the time between the request to stop and the kill of a process.
 	Grace time.Duration
 	// RetryShare and RetryReserve bound the retries of a service within RetryWindow.
