httpconn, exchange, plainservice: a later process at the address does not vouch for an answer

An answer without length and chunks that its client reads slowly waits in the buffers of its replica's host. The same in plainservice, where a reply waits for memory, and after a node was held up.

Cause: Outlived took a new connection for a sign of the process that wrote the answer, however late the end was read.

Change: the reader of such an answer knows until when its peer had not closed the connection (a read that had to wait; the arrival of the end, as the kernel tells). If that is more than a second ago, new connections prove nothing, and idle ones only if they are older. Then a report of the same incarnation to the store counts that was accepted after the end; it is waited for, for 3 s at most. The same report completes an answer of a replica that drains, takes no new connections and goes on.

The time for a new connection no longer cuts the 50 ms in which a peer may close it: Outlived takes 450 ms at most, not 350.

--- a/internal/gateway/exchange/plannedexit.go
+++ b/internal/gateway/exchange/plannedexit.go
@@ -9,10 +9,16 @@
 const (
 	// maxDepartureWait is the longest time that the end of a response waits for the removal of its
 	// upstream's entry. Clients abandon a stream after a pause of two seconds at the earliest.
-	maxDepartureWait = 1500 * time.Millisecond
-	// maxRemovalLead is how long before the end of a response the removal of its upstream's entry may be
-	// known: the last packets may have been lost and sent again.
+	maxDepartureWait = 1800 * time.Millisecond
+	// maxReportWait is the longest time that an uncertain end, of a response that was read late, waits for a
+	// report of its upstream.
+	maxReportWait = 3 * time.Second
+	// maxRemovalLead is how long before the end of a response's connection the removal of its upstream's entry may
+	// be known: the last packets may have been lost and sent again.
 	maxRemovalLead = 250 * time.Millisecond
+	// maxReportDelay is how long an answer of the store may take. A report that was accepted before an
+	// answer arrived may be in the next one.
+	maxReportDelay = 250 * time.Millisecond
 )
 
 // endEvidence is what the end of an unframed response is judged by, as written in logs and metrics.
@@ -21,6 +27,9 @@
 const (
 	// evidenceOutlived means that the upstream's process outlived the response, which is complete.
 	evidenceOutlived endEvidence = "outlived"
+	// evidenceReported means that the upstream has reported to the store since the response ended, which is
+	// complete.
+	evidenceReported endEvidence = "reported"
 	// evidenceLeft means that the upstream reported that it drains, served for the drain time, and
 	// removed its entry when it had left. The response is complete.
 	evidenceLeft endEvidence = "left"
@@ -43,6 +52,19 @@
 	evidenceUnlisted endEvidence = "unlisted"
 )
 
+// complete reports whether the response is complete by this evidence.
+func (e endEvidence) complete() bool {
+	return e == evidenceOutlived || e == evidenceReported || e == evidenceLeft
+}
+
+// processEnd is the end of an unframed response after which the upstream's process was not found.
+type processEnd struct {
+	// aliveAt is a time until which the process had not closed the connection, and at is when its end was read.
+	aliveAt, at time.Time
+	// uncertain is true if the process may live: a later one may have its address, but need not.
+	uncertain bool
+}
+
 // PlannedExits tells planned exits of upstreams from other ends of their processes: only an upstream that
 // has left as planned removes its entry. That of one that has crashed remains until it has been silent
 // for three report intervals.
@@ -54,31 +76,40 @@
 	ReportInterval time.Duration
 }
 
-// judge returns what the departure of an upstream says about a response that ended at endedAt, after
-// which the upstream's process was found to be gone.
-func (p PlannedExits) judge(d *catalog.Departure, endedAt, now time.Time) endEvidence {
+// judge returns what the store tells of an upstream says about a response with the given end.
+func (p PlannedExits) judge(d *catalog.Departure, end processEnd, now time.Time) endEvidence {
+	mayWait := now.Sub(end.at) < p.maxWait(end)
 	switch {
+	case d.RemovedAt.IsZero() && d.ReportedAfter.Sub(end.at) > maxReportDelay:
+		return evidenceReported
+	case d.RemovedAt.IsZero() && end.uncertain && mayWait:
+		return evidencePending
 	case d.Last.LeavesIn > 0:
 		return evidenceReclaimed
 	case !d.Last.Draining:
 		return evidenceNotLeaving
-	case endedAt.Sub(d.DrainingAfter) < p.DrainTime:
+	case end.at.Sub(d.DrainingAfter) < p.DrainTime:
 		return evidenceTooEarly
-	case d.RemovedAt.IsZero() && now.Sub(endedAt) < p.maxWait():
+	case d.RemovedAt.IsZero() && mayWait:
 		return evidencePending
 	case d.RemovedAt.IsZero():
 		return evidenceStillListed
 	case d.RemovedAt.Sub(d.ReportedAfter) >= p.maxSilence():
 		return evidenceLapsed
-	case endedAt.Sub(d.RemovedAt) > maxRemovalLead:
+	case end.aliveAt.Sub(d.RemovedAt) > maxRemovalLead:
 		return evidenceLeftBefore
 	}
 	return evidenceLeft
 }
 
-// maxWait is how long the removal of an entry is waited for. The entry of an upstream that crashed lapses
-// two report intervals later at the earliest.
-func (p PlannedExits) maxWait() time.Duration { return min(p.ReportInterval*5/4, maxDepartureWait) }
+// maxWait is how long the removal of an entry, or a report, is waited for. The entry of an upstream that
+// crashed lapses two report intervals later at the earliest.
+func (p PlannedExits) maxWait(end processEnd) time.Duration {
+	if end.uncertain {
+		return min(3*p.ReportInterval, maxReportWait)
+	}
+	return min(p.ReportInterval*3/2, maxDepartureWait)
+}
 
 // maxSilence is the longest time between an upstream's last report and the removal of its entry in which
 // the entry can't have lapsed. It leaves half an interval for delays on the way from the store.
--- a/internal/gateway/exchange/plannedexit_test.go
+++ b/internal/gateway/exchange/plannedexit_test.go
@@ -45,10 +45,30 @@
 		"last report unknown":               {func(d *catalog.Departure) { d.ReportedAfter = time.Time{} }, 0, evidenceLapsed},
 	} {
 		d := departed(c.change)
-		require.Equal(t, c.want, exits.judge(&d, ended, at(c.after)), name)
+		require.Equal(t, c.want, exits.judge(&d, processEnd{aliveAt: ended, at: ended}, at(c.after)), name)
 	}
+	for name, c := range map[string]struct {
+		change    func(d *catalog.Departure)
+		uncertain bool
+		after     time.Duration
+		want      endEvidence
+	}{
+		"a later report": {func(d *catalog.Departure) { d.ReportedAfter = at(maxReportDelay + 1) }, false, 0, evidenceReported},
+		"a later report, not draining": {
+			func(d *catalog.Departure) { d.ReportedAfter, d.Last.Draining = at(maxReportDelay+1), false }, true, 0, evidenceReported,
+		},
+		"a report that may be an earlier one":       {func(d *catalog.Departure) { d.ReportedAfter = at(maxReportDelay) }, false, 0, evidencePending},
+		"not draining, may be replaced":             {func(d *catalog.Departure) { d.Last.Draining = false }, true, maxReportWait - 1, evidencePending},
+		"not draining, no report":                   {func(d *catalog.Departure) { d.Last.Draining = false }, true, maxReportWait, evidenceNotLeaving},
+		"reports no more, and its entry is removed": {func(d *catalog.Departure) { d.Last.Draining, d.RemovedAt = false, ended }, true, 0, evidenceNotLeaving},
+	} {
+		d := departed(func(d *catalog.Departure) { d.RemovedAt = time.Time{}; c.change(d) })
+		require.Equal(t, c.want, exits.judge(&d, processEnd{aliveAt: ended, at: ended, uncertain: c.uncertain}, at(c.after)), name)
+	}
+	before := departed(func(d *catalog.Departure) { d.RemovedAt = at(-2 * time.Second); d.ReportedAfter = at(-3 * time.Second) })
+	require.Equal(t, evidenceLeft, exits.judge(&before, processEnd{aliveAt: at(-2 * time.Second), at: ended, uncertain: true}, ended), "read late")
 	unknown, d := PlannedExits{}, departed(func(*catalog.Departure) {})
-	require.Equal(t, evidenceLapsed, unknown.judge(&d, ended, ended), "without a known report interval")
+	require.Equal(t, evidenceLapsed, unknown.judge(&d, processEnd{aliveAt: ended, at: ended}, ended), "without a known report interval")
 }
 
 // TestWaitForARemovalEndsBeforeAnEntryCanLapse guards against the lapse of a crashed upstream's entry that is
@@ -56,7 +76,8 @@
 func TestWaitForARemovalEndsBeforeAnEntryCanLapse(t *testing.T) {
 	for _, interval := range []time.Duration{0, 100 * time.Millisecond, 1200 * time.Millisecond, time.Minute} {
 		p := PlannedExits{ReportInterval: interval}
-		require.LessOrEqual(t, p.maxWait(), 2*interval)
-		require.LessOrEqual(t, p.maxWait(), maxDepartureWait)
+		require.LessOrEqual(t, p.maxWait(processEnd{}), 2*interval)
+		require.LessOrEqual(t, p.maxWait(processEnd{}), maxDepartureWait)
+		require.LessOrEqual(t, p.maxWait(processEnd{uncertain: true}), maxReportWait)
 	}
 }
--- a/internal/gateway/exchange/unframed.go
+++ b/internal/gateway/exchange/unframed.go
@@ -27,7 +27,7 @@
 	if a.stallTimer != nil {
 		a.stallTimer.Stop() // the upstream is not silent, its response has ended
 	}
-	evidence, err := a.judgeEnd(ctx)
+	evidence, err := a.judgeEnd(ctx, response)
 	a.options.Metrics.UnframedEndJudged(evidence)
 	a.log("end of an unframed answer", "upstream", a.ticket.Upstream.ID, "evidence", string(evidence), "complete", err == nil)
 	return err
@@ -36,28 +36,29 @@
 // judgeEnd returns what the end of an unframed response is judged by, and an error if the response may
 // be incomplete. The request's deadline does not end the check of the upstream's process: the response is
 // there.
-func (a *attempt) judgeEnd(ctx context.Context) (endEvidence, error) {
-	endedAt := time.Now()
-	err := a.options.Pool.Outlived(context.WithoutCancel(ctx), a.ticket.Upstream.Address.String())
+func (a *attempt) judgeEnd(ctx context.Context, response *httpconn.Response) (endEvidence, error) {
+	end := processEnd{aliveAt: response.PeerAliveAt(), at: time.Now()}
+	err := a.options.Pool.Outlived(context.WithoutCancel(ctx), a.ticket.Upstream.Address.String(), end.aliveAt)
 	if err == nil {
 		return evidenceOutlived, nil
 	}
-	evidence := a.awaitDeparture(ctx, endedAt)
-	if evidence == evidenceLeft {
+	end.uncertain = errors.Is(err, httpconn.ErrPeerMayBeReplaced)
+	evidence := a.awaitReport(ctx, end)
+	if evidence.complete() {
 		return evidence, nil
 	}
 	return evidence, errors.Wrapf(err, "the upstream may have ended in the middle of the answer (%s)", evidence)
 }
 
-// awaitDeparture judges an upstream whose process is gone. While it may still prove to have left as
-// planned, awaitDeparture waits for the removal of its entry, until ctx ends.
-func (a *attempt) awaitDeparture(ctx context.Context, endedAt time.Time) endEvidence {
+// awaitReport judges an upstream by what the store tells of it. It waits, until ctx ends, while the upstream
+// may still prove to live or to have left as planned.
+func (a *attempt) awaitReport(ctx context.Context, end processEnd) endEvidence {
 	for {
 		departure, known := a.options.Upstreams.Departure(a.ticket.Upstream)
 		if !known {
 			return evidenceUnlisted
 		}
-		evidence := a.options.PlannedExits.judge(&departure, endedAt, time.Now())
+		evidence := a.options.PlannedExits.judge(&departure, end, time.Now())
 		if evidence != evidencePending {
 			return evidence
 		}
--- a/internal/gateway/httpconn/outlived.go
+++ b/internal/gateway/httpconn/outlived.go
@@ -20,19 +20,33 @@
 	outlivedDialTimeout = 150 * time.Millisecond
 	// maxOutlivedProbes allows for one lost packet.
 	maxOutlivedProbes = 2
+	// minReplacementTime is the time within which no other process is at the address of one that has ended.
+	minReplacementTime = time.Second
 )
 
-// Outlived returns nil if the process at address outlived the end of a connection that it has just
-// closed, and otherwise why that is not known. The end of a process closes all its connections at
+// ErrPeerMayBeReplaced means that the process that a new connection leads to may be a later one.
+var ErrPeerMayBeReplaced = errors.New("a later process may have the address")
+
+// Outlived returns nil if the process at address outlived the end of a connection that it has closed
+// after aliveAt, and otherwise why that is not known. The end of a process closes all its connections at
 // about the same time. A peer that resets new connections lives; a proxy whose own peer ended may
-// close them in good order. It takes at most 350 ms.
-func (p *Pool) Outlived(ctx context.Context, address string) error {
-	if witnesses := p.recentlyUsed(address, time.Now()); len(witnesses) > 0 {
+// close them in good order. If the end of the connection was noticed late, a new connection may lead to
+// a later process. Outlived takes at most 450 ms.
+func (p *Pool) Outlived(ctx context.Context, address string, aliveAt time.Time) error {
+	late := time.Since(aliveAt) > minReplacementTime
+	witnesses := p.recentlyUsed(address, time.Now())
+	if late {
+		witnesses = slices.DeleteFunc(witnesses, func(c *conn) bool { return c.connectedAt.After(aliveAt) })
+	}
+	if len(witnesses) > 0 {
 		wait.For(ctx, probeWait)
 		if slices.ContainsFunc(witnesses, func(c *conn) bool { return NoPendingInput(c.tcp) }) {
 			return nil
 		}
 	}
+	if late {
+		return ErrPeerMayBeReplaced
+	}
 	var err error
 	for range maxOutlivedProbes {
 		err = p.probeWithin(ctx, address, outlivedDialTimeout)
@@ -48,9 +62,9 @@
 
 // probeWithin is Probe with a limit for establishing the connection.
 func (p *Pool) probeWithin(ctx context.Context, address string, limit time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	dialing, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	return p.Probe(ctx, address)
+	return p.probe(ctx, dialing, address)
 }
 
 // recentlyUsed returns the idle connections to address that were used a short time ago and that the
--- a/internal/gateway/httpconn/outlived_test.go
+++ b/internal/gateway/httpconn/outlived_test.go
@@ -39,7 +39,7 @@
 func TestPeerWithAnOpenConnectionIsKnownToLiveWithoutANewOne(t *testing.T) {
 	address := newTestServer(t).Listener.Addr().String()
 	pool := poolWithIdleConns(t, address, 2)
-	require.NoError(t, pool.Outlived(t.Context(), address))
+	require.NoError(t, pool.Outlived(t.Context(), address, time.Now()))
 	require.EqualValues(t, 2, pool.Dialed())
 }
 
@@ -48,7 +48,7 @@
 	address := server.Listener.Addr().String()
 	pool := poolWithIdleConns(t, address, 2)
 	time.AfterFunc(10*time.Millisecond, server.CloseClientConnections)
-	require.NoError(t, pool.Outlived(t.Context(), address))
+	require.NoError(t, pool.Outlived(t.Context(), address, time.Now()))
 	require.EqualValues(t, 3, pool.Dialed())
 }
 
@@ -63,7 +63,7 @@
 			if delay == 0 {
 				<-ended
 			}
-			require.Error(t, pool.Outlived(t.Context(), address), "%d idle connections, ended after %s", idle, delay)
+			require.Error(t, pool.Outlived(t.Context(), address, time.Now()), "%d idle connections, ended after %s", idle, delay)
 		}
 	}
 }
@@ -74,6 +74,50 @@
 	address := listener.Addr().String()
 	require.NoError(t, listener.Close())
 	began := time.Now()
-	require.Error(t, NewPool(nil).Outlived(t.Context(), address))
+	require.Error(t, NewPool(nil).Outlived(t.Context(), address, time.Now()))
 	require.Less(t, time.Since(began), time.Second)
 }
+
+// TestLaterProcessAtTheAddressIsNotTakenForThePeer guards against a process that has the address of an ended one
+// and is taken for it, when the end of the connection is noticed late.
+func TestLaterProcessAtTheAddressIsNotTakenForThePeer(t *testing.T) {
+	address := newTestServer(t).Listener.Addr().String()
+	late := time.Now().Add(-2 * minReplacementTime)
+	pool := poolWithIdleConns(t, address, 1)
+	connected := time.Now()
+	require.ErrorIs(t, pool.Outlived(t.Context(), address, late), ErrPeerMayBeReplaced, "the connection may be to a later process")
+	require.EqualValues(t, 1, pool.Dialed(), "a new connection would prove nothing")
+	time.Sleep(minReplacementTime + 10*time.Millisecond)
+	require.NoError(t, pool.Outlived(t.Context(), address, connected), "the connection is older than the peer's last sign of life")
+}
+
+// TestEndThatWaitedToBeReadIsKnownToBeOld guards against the end of a response that seems to be new when it is read.
+func TestEndThatWaitedToBeReadIsKnownToBeOld(t *testing.T) {
+	const waited = 300 * time.Millisecond
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nbody")
+		time.Sleep(waited)
+		_ = conn.Close()
+	}))
+	t.Cleanup(server.Close)
+	for _, late := range []bool{false, true} {
+		began := time.Now()
+		response, err := NewPool(nil).Do(t.Context(), server.Listener.Addr().String(), &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}})
+		require.NoError(t, err)
+		if late {
+			time.Sleep(3 * waited)
+		}
+		_, err = io.Copy(io.Discard, response.Body)
+		require.NoError(t, err)
+		if aliveAt := response.PeerAliveAt(); late {
+			require.True(t, aliveAt.Before(began.Add(2*waited)), aliveAt.Sub(began))
+		} else {
+			require.False(t, aliveAt.Before(began.Add(waited/2)), aliveAt.Sub(began))
+		}
+		response.Finish()
+	}
+}
--- a/internal/gateway/httpconn/pool.go
+++ b/internal/gateway/httpconn/pool.go
@@ -142,13 +142,17 @@
 
 // Probe establishes a connection, waits probeWait to see whether the peer closes it, and keeps
 // it for later requests. The returned Error tells at which stage it failed.
-func (p *Pool) Probe(ctx context.Context, address string) error {
-	c, err := p.dial(ctx, address)
+func (p *Pool) Probe(ctx context.Context, address string) error { return p.probe(ctx, ctx, address) }
+
+// probe is Probe with a context of its own for establishing the connection.
+func (p *Pool) probe(ctx, dialing context.Context, address string) error {
+	c, err := p.dial(dialing, address)
 	if err != nil {
 		return &Error{Stage: StageDial, Cause: err}
 	}
 	wait.For(ctx, probeWait)
-	if err := checkIdle(c.tcp); err != nil {
+	err = checkIdle(c.tcp)
+	if err != nil {
 		c.close()
 		return &Error{Stage: StageIdle, Cause: errors.Wrap(err, "the peer did not keep a new connection")}
 	}
--- a/internal/gateway/httpconn/response.go
+++ b/internal/gateway/httpconn/response.go
@@ -31,6 +31,8 @@
 	stopContext  func() bool
 	// closeAfter is true if the connection must not be reused.
 	closeAfter bool
+	// endArrivedAt is when the end of an unframed response's connection arrived.
+	endArrivedAt time.Time
 	// bodyWriter sends a long request body; nil if the body was sent with the header.
 	bodyWriter *bodyWriter
 }
@@ -71,7 +73,7 @@
 		r.Body = message.Body
 		r.Framing = framingOf(req.Method, message)
 		if r.Unframed() {
-			r.Body = &unframedBody{Reader: message.Body, response: r}
+			r.Body = &unframedBody{PromptReader: NewPromptReader(message.Body), response: r}
 		}
 		return nil
 	}
--- a/internal/gateway/httpconn/unframed.go
+++ b/internal/gateway/httpconn/unframed.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
@@ -20,13 +21,13 @@
 // unframedBody is the body of a response that ends with its connection. An end of file is its end only
 // if the peer closed the connection in good order after it had received the whole request.
 type unframedBody struct {
-	io.Reader
+	*PromptReader
 	response *Response
 }
 
 // Read returns io.EOF only at the end of the response.
 func (b *unframedBody) Read(p []byte) (int, error) {
-	n, err := b.Reader.Read(p)
+	n, err := b.PromptReader.Read(p)
 	if errors.Is(err, io.EOF) {
 		if broken := b.response.checkEndOfFile(); broken != nil {
 			err = errors.Wrap(broken, "end of file inside an answer")
@@ -51,9 +52,12 @@
 	}); err != nil {
 		return err
 	}
-	switch {
-	case infoErr != nil:
+	if infoErr != nil {
 		return infoErr
+	}
+	// The peer sends nothing after the end of the connection.
+	r.endArrivedAt = time.Now().Add(-time.Duration(info.Last_ack_recv) * time.Millisecond)
+	switch {
 	case info.State != tcpCloseWait:
 		return errConnectionBroken
 	case info.Unacked > 0 || info.Notsent_bytes > 0:
@@ -61,3 +65,17 @@
 	}
 	return nil
 }
+
+// PeerAliveAt returns a time until which the peer of an unframed response had not closed the connection, as far as
+// this node knows: the end of the connection may have waited to be read since then. The response has been read
+// to its end.
+func (r *Response) PeerAliveAt() time.Time {
+	body, ok := r.Body.(*unframedBody)
+	if !ok {
+		return time.Now()
+	}
+	if r.endArrivedAt.Before(body.PromptAt()) {
+		return r.endArrivedAt
+	}
+	return body.PromptAt()
+}
--- a/internal/gateway/server/brokenstream_test.go
+++ b/internal/gateway/server/brokenstream_test.go
@@ -99,11 +99,11 @@
 // connection ended.
 func rawGet(t *testing.T, s *testSite, n *testNode, path, header string) (response string, err error) {
 	t.Helper()
-	return rawGetWithin(t, s, n, path, header, 1500*time.Millisecond)
+	return rawGetAfter(t, s, n, path, header, 1500*time.Millisecond, 0)
 }
 
-// rawGetWithin is rawGet with the time that the client waits.
-func rawGetWithin(t *testing.T, s *testSite, n *testNode, path, header string, deadline time.Duration) (response string, err error) {
+// rawGetAfter is rawGet with the client's deadline and a pause before it reads.
+func rawGetAfter(t *testing.T, s *testSite, n *testNode, path, header string, deadline, pause time.Duration) (response string, err error) {
 	t.Helper()
 	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp4", net.JoinHostPort(n.ip, fmt.Sprint(platformtest.FrontPort)))
 	require.NoError(t, err)
@@ -113,6 +113,7 @@
 		"X-Mangoledge-Model: m\r\nX-Mangoledge-Token-Usage: 100,20\r\nX-Mangoledge-Prefix-Hash: aa:50,bb:50\r\nAuthorization: Bearer %s\r\n%s\r\n",
 		path, s.attempts.Add(1), deadline.Milliseconds(), platformtest.WorkspaceKey, header)
 	require.NoError(t, err)
+	time.Sleep(pause)
 	data, err := io.ReadAll(conn)
 	return string(data), err
 }
--- a/internal/gateway/server/leavingreplica_test.go
+++ b/internal/gateway/server/leavingreplica_test.go
@@ -1,9 +1,11 @@
 package server_test
 
 import (
+	"context"
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -68,6 +70,8 @@
 	begin, rest           string
 	// leave is called when the beginning is written, and end after the rest.
 	leave, end func(l *leaver)
+	// pause is how long the client waits before it reads.
+	pause time.Duration
 }
 
 // get returns what a client gets, and how its connection ended.
@@ -95,8 +99,7 @@
 	n := s.startNode(1, "a", nil)
 	require.Eventually(t, func() bool { return s.stateOf(n).Upstreams[a.service] == 1 && s.stateOf(n).QuotaBegun }, waitTimeout, 20*time.Millisecond)
 	close(started)
-	got, err := rawGetWithin(t, s, n, a.path, closeLine, leaverDeadline)
-	return got, err
+	return rawGetAfter(t, s, n, a.path, closeLine, leaverDeadline, a.pause)
 }
 
 var leavingAnswers = map[string]leavingAnswer{
@@ -168,3 +171,48 @@
 		}
 	}
 }
+
+// longBody does not fit into the buffers between a replica and a client.
+var longBody = strings.Repeat("0123456789abcdef", 12<<16)
+
+// readPause is how long a client of a long answer waits before it reads.
+const readPause = leaverDrainTime + time.Second
+
+// TestUnframedAnswerReadAfterItsReplicaWasReplacedDoesNotLookComplete guards against a later process at the
+// address of a crashed replica that is taken for the one that wrote the answer.
+func TestUnframedAnswerReadAfterItsReplicaWasReplacedDoesNotLookComplete(t *testing.T) {
+	crashAndReplace := func(l *leaver) {
+		l.report()
+		time.AfterFunc(300*time.Millisecond, func() {
+			l.End()
+			time.Sleep(leaverDrainTime) // an address is used again after some time
+			listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", l.Address())
+			if err == nil {
+				t.Cleanup(func() { _ = listener.Close() })
+			}
+		})
+	}
+	answer := leavingAnswer{service: "plain", path: "/once/x", rest: longBody, leave: crashAndReplace, end: func(*leaver) {}, pause: readPause}
+	got, err := answer.get(t)
+	require.Less(t, len(got), len(longBody), "the replica crashed before it had written all")
+	require.Error(t, err, "looks complete, with %d bytes", len(got))
+}
+
+// TestUnframedAnswerReadSlowlyIsDelivered guards against whole answers that are broken off because their client
+// reads slowly.
+func TestUnframedAnswerReadSlowlyIsDelivered(t *testing.T) {
+	ctx, stop := context.WithCancel(t.Context())
+	var reporting sync.WaitGroup
+	answer := leavingAnswer{service: "plain", path: "/once/x", rest: longBody, pause: readPause, end: func(*leaver) {}, leave: func(l *leaver) {
+		reporting.Go(func() {
+			for ctx.Err() == nil {
+				l.reportFor(leaverReportInterval)
+			}
+		})
+	}}
+	got, err := answer.get(t)
+	stop()
+	reporting.Wait()
+	require.NoError(t, err)
+	require.True(t, strings.HasSuffix(got, longBody), "%d bytes", len(got))
+}
--- a/internal/plainservice/client.go
+++ b/internal/plainservice/client.go
@@ -88,11 +88,12 @@
 		return Reply{}, verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "the call to the service broke: %v", err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	reply, err := c.readReply(ctx, resp, timeout)
+	body := httpconn.NewPromptReader(resp.Body)
+	reply, err := c.readReply(ctx, resp, body, timeout)
 	if err != nil {
 		return Reply{}, verdict.New(verdict.Ran, verdict.CodeUpstreamFailed, "the service's reply broke: %v", err)
 	}
-	if err := c.confirmWhole(ctx, resp); err != nil {
+	if err := c.confirmWhole(ctx, resp, body.PromptAt()); err != nil {
 		reply.Release()
 		return Reply{}, verdict.New(verdict.Ran, verdict.CodeUpstreamFailed, "the service's reply broke: %v", err)
 	}
@@ -128,8 +129,8 @@
 }
 
 // readReply reads a whole reply. The timeout doesn't run while the reply waits for memory.
-func (c *Client) readReply(ctx context.Context, resp *http.Response, timeout *callTimeout) (Reply, error) {
-	start, err := io.ReadAll(io.LimitReader(resp.Body, ingress.ShortAnswer))
+func (c *Client) readReply(ctx context.Context, resp *http.Response, body io.Reader, timeout *callTimeout) (Reply, error) {
+	start, err := io.ReadAll(io.LimitReader(body, ingress.ShortAnswer))
 	if err != nil {
 		return Reply{}, err
 	}
@@ -154,7 +155,7 @@
 		text.Grow(int(resp.ContentLength))
 	}
 	text.Write(start)
-	if _, err = io.Copy(&text, io.LimitReader(resp.Body, maxReplyBytes+1-int64(len(start)))); err == nil && text.Len() > maxReplyBytes {
+	if _, err = io.Copy(&text, io.LimitReader(body, maxReplyBytes+1-int64(len(start)))); err == nil && text.Len() > maxReplyBytes {
 		err = bounded.ErrTooLong
 	}
 	if err != nil {
@@ -165,12 +166,13 @@
 }
 
 // confirmWhole returns an error if a reply that has ended may be incomplete: one without a length or
-// chunks ends with its connection, also when the service's process ends in the middle of it.
-func (c *Client) confirmWhole(ctx context.Context, resp *http.Response) error {
+// chunks ends with its connection, also when the service's process ends in the middle of it. The process is
+// known to have lived at aliveAt.
+func (c *Client) confirmWhole(ctx context.Context, resp *http.Response, aliveAt time.Time) error {
 	if resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 {
 		return nil
 	}
 	address := resp.Request.URL.Host
 	defer c.probes.CloseIdle(address)
-	return c.probes.Outlived(ctx, address)
+	return c.probes.Outlived(ctx, address, aliveAt)
 }
