httpconn: a stream whose events come fast is not taken for one read late

The end of an unframed stream would have been judged as one read late, and broken off when the upstream reports no more.

Cause: a read counted as prompt only if it had waited 5 ms for its peer. The reads of a stream with an event each 1 to 4 ms never wait that long, so after a second its end seemed to have waited for a second.

--- a/internal/gateway/httpconn/unframed.go
+++ b/internal/gateway/httpconn/unframed.go
@@ -74,8 +74,8 @@
 	if !ok {
 		return time.Now()
 	}
-	if r.endArrivedAt.Before(body.PromptAt()) {
-		return r.endArrivedAt
+	if aliveAt := body.AliveAt(); aliveAt.Before(r.endArrivedAt) {
+		return aliveAt
 	}
-	return body.PromptAt()
+	return r.endArrivedAt
 }
--- a/internal/plainservice/client.go
+++ b/internal/plainservice/client.go
@@ -93,7 +93,7 @@
 	if err != nil {
 		return Reply{}, verdict.New(verdict.Ran, verdict.CodeUpstreamFailed, "the service's reply broke: %v", err)
 	}
-	if err := c.confirmWhole(ctx, resp, body.PromptAt()); err != nil {
+	if err := c.confirmWhole(ctx, resp, body.AliveAt()); err != nil {
 		reply.Release()
 		return Reply{}, verdict.New(verdict.Ran, verdict.CodeUpstreamFailed, "the service's reply broke: %v", err)
 	}
