httpconn: a process that closes its connections one after another does not outlive its answer

What callers saw: an unframed answer that its replica's end cut off looked complete if one of the replica's other connections was closed later than the rest.

The end of a process closes all of them, but not at once, so the last ones are open for a moment in both cases.

Change: an open connection counts only if the peer has closed none of those that were used a short time ago. Otherwise a new connection is asked for, as where none is idle. Connections that are in use again are not counted for either side.

--- a/internal/gateway/httpconn/outlived.go
+++ b/internal/gateway/httpconn/outlived.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"syscall"
 	"time"
@@ -29,9 +30,9 @@
 
 // Outlived returns nil if the process at address outlived the end of a connection that it has closed
 // after aliveAt, and otherwise why that is not known. The end of a process closes all its connections at
-// about the same time. A peer that resets new connections lives; a proxy whose own peer ended may
-// close them in good order. If the end of the connection was noticed late, a new connection may lead to
-// a later process. Outlived takes at most 450 ms.
+// about the same time, but not at once: while one is closed, others that are open prove nothing. A peer that
+// resets new connections lives; a proxy whose own peer ended may close them in good order. If the end of the
+// connection was noticed late, a new connection may lead to a later process. Outlived takes at most 450 ms.
 func (p *Pool) Outlived(ctx context.Context, address string, aliveAt time.Time) error {
 	late := time.Since(aliveAt) > minReplacementTime
 	witnesses := p.recentlyUsed(address, time.Now())
@@ -40,7 +41,7 @@
 	}
 	if len(witnesses) > 0 {
 		wait.For(ctx, probeWait)
-		if slices.ContainsFunc(witnesses, func(c *conn) bool { return NoPendingInput(c.tcp) }) {
+		if keptOpen(witnesses) {
 			return nil
 		}
 	}
@@ -60,6 +61,20 @@
 	return err
 }
 
+// keptOpen returns whether a connection is open and its peer has closed none. One that is in use again tells nothing.
+func keptOpen(conns []*conn) bool {
+	open := false
+	for _, c := range conns {
+		switch err := checkIdle(c.tcp); {
+		case err == nil:
+			open = true
+		case !errors.Is(err, ErrUnexpectedBytes) && !errors.Is(err, net.ErrClosed):
+			return false
+		}
+	}
+	return open
+}
+
 // probeWithin is Probe with a limit for establishing the connection.
 func (p *Pool) probeWithin(ctx context.Context, address string, limit time.Duration) error {
 	dialing, cancel := context.WithTimeout(ctx, limit)
@@ -67,14 +82,14 @@
 	return p.probe(ctx, dialing, address)
 }
 
-// recentlyUsed returns the idle connections to address that were used a short time ago and that the
-// peer has not closed.
+// recentlyUsed returns the idle connections to address that were used a short time ago, also those that the peer has
+// closed since.
 func (p *Pool) recentlyUsed(address string, now time.Time) []*conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []*conn
 	for _, c := range p.idle[address] {
-		if now.Sub(c.idleSince) <= maxWitnessIdle && NoPendingInput(c.tcp) {
+		if now.Sub(c.idleSince) <= maxWitnessIdle {
 			out = append(out, c)
 		}
 	}
--- a/internal/gateway/httpconn/outlived_test.go
+++ b/internal/gateway/httpconn/outlived_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -68,6 +70,31 @@
 	}
 }
 
+// TestPeerThatClosesItsConnectionsOneByOneIsNotTakenForALivingOne guards against a process that is ending, whose
+// connections are not closed all at once, and that seems to live by the last of them.
+func TestPeerThatClosesItsConnectionsOneByOneIsNotTakenForALivingOne(t *testing.T) {
+	var first net.Conn
+	var mu sync.Mutex
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "body") }))
+	server.Config.ConnState = func(c net.Conn, _ http.ConnState) {
+		mu.Lock()
+		defer mu.Unlock()
+		if first == nil {
+			first = c
+		}
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	address := server.Listener.Addr().String()
+	pool := poolWithIdleConns(t, address, 3)
+	require.Len(t, pool.recentlyUsed(address, time.Now()), 3)
+	require.NoError(t, server.Listener.Close())
+	mu.Lock()
+	defer mu.Unlock()
+	require.NoError(t, first.Close())
+	require.ErrorIs(t, pool.Outlived(t.Context(), address, time.Now()), syscall.ECONNREFUSED)
+}
+
 func TestAddressThatRefusesConnectionsIsNotTakenForALivingPeer(t *testing.T) {
 	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
