httpconn: a wait that was cut short is no sign that the upstream lives

What callers saw: a call of a plain service that is cancelled while its service ends in the middle of an unframed reply could take the reply for whole.

The exchange passes a context that can't be cancelled; plainservice and the health check pass the call's.

Change: both return the error of the context if it ended during the wait. The health check already ignores such a result.

Result: TestPeerIsNotTakenForALivingOneIfTheWaitForItsEndIsCut fails on the commit before (nil in place of "context canceled", with and without an idle connection) and passes; the tests of httpconn, exchange and plainservice pass with the race detector.

--- a/internal/gateway/httpconn/outlived.go
+++ b/internal/gateway/httpconn/outlived.go
@@ -41,6 +41,9 @@
 	}
 	if len(witnesses) > 0 {
 		wait.For(ctx, probeWait)
+		if err := ctx.Err(); err != nil {
+			return err
+		}
 		if keptOpen(witnesses) {
 			return nil
 		}
--- a/internal/gateway/httpconn/outlived_test.go
+++ b/internal/gateway/httpconn/outlived_test.go
@@ -1,6 +1,7 @@
 package httpconn
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -95,6 +96,18 @@
 	require.ErrorIs(t, pool.Outlived(t.Context(), address, time.Now()), syscall.ECONNREFUSED)
 }
 
+// TestPeerIsNotTakenForALivingOneIfTheWaitForItsEndIsCut guards against a caller that is cancelled while its
+// peer's process ends: the connections had no time to be closed.
+func TestPeerIsNotTakenForALivingOneIfTheWaitForItsEndIsCut(t *testing.T) {
+	for _, idle := range []int{0, 1} {
+		address := newTestServer(t).Listener.Addr().String()
+		pool := poolWithIdleConns(t, address, idle)
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(probeWait/2, cancel)
+		require.ErrorIs(t, pool.Outlived(ctx, address, time.Now()), context.Canceled, "%d idle connections", idle)
+	}
+}
+
 func TestAddressThatRefusesConnectionsIsNotTakenForALivingPeer(t *testing.T) {
 	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/gateway/httpconn/pool.go
+++ b/internal/gateway/httpconn/pool.go
@@ -141,7 +141,8 @@
 }
 
 // Probe establishes a connection, waits probeWait to see whether the peer closes it, and keeps
-// it for later requests. The returned Error tells at which stage it failed.
+// it for later requests. An Error tells at which stage it failed; if ctx ends meanwhile, the probe
+// tells nothing and returns the error of ctx.
 func (p *Pool) Probe(ctx context.Context, address string) error { return p.probe(ctx, ctx, address) }
 
 // probe is Probe with a context of its own for establishing the connection.
@@ -151,8 +152,11 @@
 		return &Error{Stage: StageDial, Cause: err}
 	}
 	wait.For(ctx, probeWait)
-	err = checkIdle(c.tcp)
-	if err != nil {
+	if err = ctx.Err(); err != nil {
+		c.close()
+		return err
+	}
+	if err = checkIdle(c.tcp); err != nil {
 		c.close()
 		return &Error{Stage: StageIdle, Cause: errors.Wrap(err, "the peer did not keep a new connection")}
 	}
