review 14: complete answers without framing are broken off by a full queue

LOST breaks around a SIGHUP: a replica that has written its whole answer and closed in good order is taken for dead while its queue of new connections is full, and the client's connection is reset.

--- a/review/kit3/replica.go
+++ b/review/kit3/replica.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -29,8 +30,29 @@
 
 	mu   sync.Mutex
 	runs map[string]int
+	// busyUntil is until when new connections are accepted slowly, one each busyPause.
+	busyUntil time.Time
 }
 
+// busyPause is the time between two connections that a busy replica accepts.
+const busyPause = time.Second
+
+// Busy makes the replica accept new connections slowly for d.
+func (r *Replica) Busy(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.busyUntil = time.Now().Add(d)
+}
+
+func (r *Replica) busy() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Now().Before(r.busyUntil)
+}
+
+// Address returns where the replica listens.
+func (r *Replica) Address() string { return r.listener.Addr().String() }
+
 // Call is a request as it arrived at a replica. Its body may not have been read.
 type Call struct {
 	*http.Request
@@ -47,6 +69,14 @@
 func (s *Site) StartReplica(id, service, zone string, slots int, handle func(*Call) bool) (*Replica, error) {
 	r := &Replica{ID: id, Service: service, Zone: zone, Slots: slots, site: s, Handle: handle, born: time.Now().UnixMilli(), runs: make(map[string]int)}
 	var err error
+	if s.Backlog > 0 {
+		if r.listener, err = listenWith(s.Prefix+".210", s.Backlog); err != nil {
+			return nil, err
+		}
+		go r.accept()
+		s.Store.Put("servers", id, r.Entry("ready"))
+		return r, nil
+	}
 	config := net.ListenConfig{}
 	if s.ReceiveBuffer > 0 {
 		config.Control = func(_, _ string, socket syscall.RawConn) error {
@@ -74,6 +104,9 @@
 
 func (r *Replica) accept() {
 	for {
+		if r.busy() {
+			time.Sleep(busyPause)
+		}
 		c, err := r.listener.Accept()
 		if err != nil {
 			return
@@ -273,3 +306,37 @@
 	}
 	return err == nil
 }
+
+// listenWith listens at a free port of an IP address, with a queue of new connections of the given length.
+func listenWith(ip string, backlog int) (net.Listener, error) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC|syscall.SOCK_NONBLOCK, 0)
+	if err != nil {
+		return nil, err
+	}
+	file := os.NewFile(uintptr(fd), "listener")
+	defer func() { _ = file.Close() }()
+	address := &syscall.SockaddrInet4{}
+	copy(address.Addr[:], net.ParseIP(ip).To4())
+	if err := syscall.Bind(fd, address); err != nil {
+		return nil, err
+	}
+	if err := syscall.Listen(fd, backlog); err != nil {
+		return nil, err
+	}
+	return net.FileListener(file)
+}
+
+// StreamUnframed writes n events, one each pause, and ends the answer with its connection.
+func (c *Call) StreamUnframed(n int, pause time.Duration) {
+	if _, err := io.WriteString(c.Conn, c.Head("200 OK")+"Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"); err != nil {
+		return
+	}
+	for i := 1; i <= n; i++ {
+		if _, err := fmt.Fprintf(c.Conn, "id: %d\ndata: piece %d of %s\n\n", i, i, c.ID); err != nil {
+			c.Replica.site.Record.Add("replica %s: the connection of %s broke at piece %d: %v", c.Replica.ID, c.ID, i, err)
+			return
+		}
+		time.Sleep(pause)
+	}
+	c.Replica.site.Record.Add("replica %s wrote all %d pieces of %s and closes its connection", c.Replica.ID, n, c.ID)
+}
--- a/review/kit3/site.go
+++ b/review/kit3/site.go
@@ -35,7 +35,9 @@
 	Record *Record
 	// ReceiveBuffer is the receive buffer of the replicas' connections in bytes; 0 for the default.
 	ReceiveBuffer int
-	claim         net.Listener
+	// Backlog is the length of the replicas' queue of new connections; 0 for the default.
+	Backlog int
+	claim   net.Listener
 }
 
 // NewSite starts the platform's stand-ins and prepares n machines, in three zones. The store's first era is era.
