--- a/review/kit3/node.go
+++ b/review/kit3/node.go
@@ -172,3 +172,21 @@
 	n.Signal(syscall.SIGKILL)
 	<-n.exited
 }
+
+// Memory returns the resident memory of the process and its peak, in bytes.
+func (n *Node) Memory() (now, peak int64) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.command.Process.Pid))
+	if err != nil {
+		return 0, 0
+	}
+	for line := range strings.Lines(string(data)) {
+		kb := int64(0)
+		if _, err := fmt.Sscanf(line, "VmRSS: %d kB", &kb); err == nil {
+			now = kb << 10
+		}
+		if _, err := fmt.Sscanf(line, "VmHWM: %d kB", &kb); err == nil {
+			peak = kb << 10
+		}
+	}
+	return now, peak
+}
